Lay out the workspace, its checks and the core's messages

Three packages (core, entry, ctl) with the tools outside of them, so that stand-ins and bench are not shipped. The core's events, actions and peer messages come first because every other part is written against them.

--- /dev/null
+++ b/packages/burdockhaven-core/src/burdockhaven_core/actions.py
@@ -0,0 +1,99 @@
+"""What an entry wants done: the outputs of `Entry.step`."""
+
+from dataclasses import dataclass
+
+from burdockhaven_core.configuration import TargetSpec
+from burdockhaven_core.identity import AccountName, ClassName, MemberId, RunId
+from burdockhaven_core.messages import PeerMessage
+from burdockhaven_core.outcome import Outcome
+
+
+@dataclass(frozen=True, slots=True)
+class StartRun:
+    """Send the request to the target, once."""
+
+    handle: int
+    run_id: RunId
+    target: TargetSpec
+    # Whether the request needs a connection that has not been used before.
+    fresh_connection: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Give the caller this final answer, at once."""
+
+    handle: int
+    outcome: Outcome
+
+
+@dataclass(frozen=True, slots=True)
+class Attach:
+    """Let the caller read a run that this entry already holds, from its start."""
+
+    handle: int
+    run_id: RunId
+
+
+@dataclass(frozen=True, slots=True)
+class CancelRun:
+    """Tell the target to stop the run; nobody wants its answer."""
+
+    run_id: RunId
+    target: TargetSpec
+
+
+@dataclass(frozen=True, slots=True)
+class SendMessage:
+    """Send the message to the member; it may be lost."""
+
+    to: MemberId
+    message: PeerMessage
+
+
+@dataclass(frozen=True, slots=True)
+class RecordRequest:
+    """Add one finished request to the metrics."""
+
+    account: AccountName
+    class_name: ClassName
+    tier: int
+    # "whole", or the value of the reason that the caller was given.
+    result: str
+    # Whether the whole answer arrived before the deadline.
+    in_time: bool
+    queued_s: float
+    # Seconds from arrival to the first token; None if there was none.
+    first_token_s: float | None
+    total_s: float
+    # Prompt tokens that were processed for nothing.
+    wasted_prompt_tokens: int
+    prompt_tokens: int
+    # Seconds that the run held a slot of its target.
+    service_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Note:
+    """Log a numbered event; docs/EVENTS.md is the catalogue."""
+
+    number: int
+    # Values for the event's message, by name.
+    fields: dict[str, str | int | float]
+
+
+@dataclass(frozen=True, slots=True)
+class Stopped:
+    """Everything in progress is finished; the process may exit."""
+
+
+Action = (
+    StartRun
+    | Answer
+    | Attach
+    | CancelRun
+    | SendMessage
+    | RecordRequest
+    | Note
+    | Stopped
+)
--- /dev/null
+++ b/packages/burdockhaven-core/src/burdockhaven_core/messages.py
@@ -0,0 +1,111 @@
+"""Messages between entry processes, encoded as MessagePack."""
+
+import msgspec
+
+from burdockhaven_core.identity import EntryName, GroupName, Incarnation, TargetName
+
+
+class GroupDemand(msgspec.Struct, frozen=True, array_like=True):
+    """What one entry wants of a group and what it has under way there."""
+
+    group: GroupName
+    # Requests queued, by tier, the lowest first.
+    queued: tuple[int, ...]
+    # Requests under way, by target.
+    in_flight: dict[TargetName, int]
+
+
+class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """Sent by each member to each other one at a fixed interval."""
+
+    entry: EntryName
+    incarnation: Incarnation
+    # Grows by one with each heartbeat of this member.
+    sequence: int
+    # The member's own monotonic clock, in seconds since its start.
+    clock_s: float
+    # Where callers reach the member, as host:port.
+    caller_address: str
+    # Where other members reach the member, as host:port.
+    peer_address: str
+    zone: str
+    # Whether the member takes new requests.
+    ready: bool
+    # Whether the member is on its way out.
+    draining: bool
+    # Version of the configuration in force at the member.
+    config_version: int
+    demand: tuple[GroupDemand, ...]
+    # Targets that the member knows to be leaving.
+    leaving: tuple[TargetName, ...]
+
+
+class CloseAsk(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """Asks a member to admit nothing below a tier in a group."""
+
+    entry: EntryName
+    incarnation: Incarnation
+    group: GroupName
+    tier: int
+    # Names the question; the promise repeats it.
+    round: int
+
+
+class ClosePromise(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """Answers `CloseAsk`: the member stays closed below the tier for a while."""
+
+    entry: EntryName
+    incarnation: Incarnation
+    group: GroupName
+    tier: int
+    round: int
+    # Seconds from the member's receipt of the question for which it stays closed.
+    holds_s: float
+
+
+class ShareGrant(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """The coordinator's allotment of slots of one group to one member."""
+
+    entry: EntryName
+    incarnation: Incarnation
+    group: GroupName
+    # Slots that the receiver may fill, by target.
+    slots: dict[TargetName, int]
+    # Seconds from receipt after which the allotment lapses.
+    lasts_s: float
+
+
+class ConfigurationOffer(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """A whole configuration, sent to a member that has an older one."""
+
+    entry: EntryName
+    incarnation: Incarnation
+    version: int
+    # The configuration as MessagePack.
+    body: bytes
+
+
+class ConfigurationAsk(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Asks a member for its configuration, if newer than the version named."""
+
+    entry: EntryName
+    incarnation: Incarnation
+    have_version: int
+
+
+PeerMessage = (
+    Heartbeat | CloseAsk | ClosePromise | ShareGrant | ConfigurationOffer
+) | ConfigurationAsk
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder: msgspec.msgpack.Decoder[PeerMessage] = msgspec.msgpack.Decoder(PeerMessage)
+
+
+def encode_message(message: PeerMessage) -> bytes:
+    """The message as it goes over the wire."""
+    return _encoder.encode(message)
+
+
+def decode_message(data: bytes) -> PeerMessage:
+    """The message that the bytes hold; raises `msgspec.DecodeError` otherwise."""
+    return _decoder.decode(data)
--- /dev/null
+++ b/packages/burdockhaven-ctl/src/burdockhaven_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The burdockhaven command line for operators."""
--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The burdockhaven daemon: callers, targets, other members and the platform."""
--- /dev/null
+++ b/tools/burdockhaven_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load driver and measurements over the real entry decisions."""
--- /dev/null
+++ b/tools/burdockhaven_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the engines, plain services and the platform."""
