--- /dev/null
+++ b/packages/burdockhaven-core/src/burdockhaven_core/queueing.py
@@ -0,0 +1,112 @@
+"""The queue before the targets of one group.
+
+Order: the highest tier first; inside a tier weighted fairness between client accounts;
+inside an account the request with the least slack. The engines know no priorities, so
+what waits, waits here.
+"""
+
+import heapq
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from burdockhaven_core.identity import AccountName, RunId, TargetName
+
+
+@dataclass(frozen=True, slots=True)
+class QueuedRequest:
+    """One request that waits for a target."""
+
+    run_id: RunId
+    account: AccountName
+    tier: int
+    # The account's share against the others of its tier.
+    weight: float
+    prompt_tokens: int
+    # Tokens that the answer is predicted to have.
+    output_tokens: int
+    # Digest of the first part of the prompt; empty when there is none.
+    prefix: str
+    arrived_s: float
+    deadline_s: float
+    # The last time at which a dispatch can still be in time.
+    latest_start_s: float
+    # Targets that the account may reach; None means all of the group.
+    targets: frozenset[TargetName] | None
+    # Whether the request needs a connection that has not been used before.
+    fresh_connection: bool
+
+
+class _AccountQueue:
+    """The requests of one account in one tier, least slack first."""
+
+    def __init__(self) -> None:
+        self.heap: list[tuple[float, RunId]] = []
+        # Virtual time at which the account's next request is due.
+        self.due = 0.0
+
+
+class GroupQueue:
+    """All requests that wait for the targets of one group."""
+
+    def __init__(self) -> None:
+        self.requests: dict[RunId, QueuedRequest] = {}
+        self._tiers: dict[int, dict[AccountName, _AccountQueue]] = {}
+        # Virtual time of each tier: the due time of the request served last.
+        self._clock: dict[int, float] = {}
+
+    def __len__(self) -> int:
+        return len(self.requests)
+
+    def put(self, request: QueuedRequest) -> None:
+        """Add a request."""
+        accounts = self._tiers.setdefault(request.tier, {})
+        queue = accounts.get(request.account)
+        if queue is None:
+            queue = accounts[request.account] = _AccountQueue()
+            queue.due = self._clock.get(request.tier, 0.0)
+        heapq.heappush(queue.heap, (request.latest_start_s, request.run_id))
+        self.requests[request.run_id] = request
+
+    def remove(self, run_id: RunId) -> QueuedRequest | None:
+        """Take a request out without serving it; None if it isn't queued."""
+        return self.requests.pop(run_id, None)
+
+    def serve(self, run_id: RunId) -> QueuedRequest:
+        """Take a request out and charge its account for it."""
+        request = self.requests.pop(run_id)
+        queue = self._tiers[request.tier][request.account]
+        self._clock[request.tier] = queue.due
+        cost = request.prompt_tokens + request.output_tokens
+        queue.due += cost / request.weight
+        return request
+
+    def tiers(self) -> tuple[int, ...]:
+        """The tiers that have requests, the highest first."""
+        return tuple(sorted({r.tier for r in self.requests.values()}, reverse=True))
+
+    def queued_by_tier(self, tiers: int) -> tuple[int, ...]:
+        """Number of requests in each tier, the lowest first."""
+        counts = [0] * tiers
+        for request in self.requests.values():
+            counts[request.tier] += 1
+        return tuple(counts)
+
+    def heads(self, tier: int) -> Iterator[QueuedRequest]:
+        """The next request of each account of a tier, in the order of service."""
+        accounts = self._tiers.get(tier, {})
+        for account in sorted(accounts, key=lambda name: (accounts[name].due, name)):
+            request = self._head(accounts[account])
+            if request is not None:
+                yield request
+
+    def overdue(self, now: float) -> tuple[QueuedRequest, ...]:
+        """Requests that can no longer be in time."""
+        return tuple(r for r in self.requests.values() if r.latest_start_s < now)
+
+    def _head(self, queue: _AccountQueue) -> QueuedRequest | None:
+        while queue.heap:
+            request = self.requests.get(queue.heap[0][1])
+            if request is not None:
+                return request
+            heapq.heappop(queue.heap)
+        return None
