--- /dev/null
+++ b/packages/burdockhaven-core/src/burdockhaven_core/log_numbers.py
@@ -0,0 +1,48 @@
+"""Numbers of the log events; a number keeps its meaning for good.
+
+The numbers are here because `Note` actions carry them. Levels, messages and fields are
+in the daemon's catalogue, `burdockhaven_entry.log_catalogue`.
+"""
+
+import enum
+
+
+@enum.unique
+class EventNumber(enum.IntEnum):
+    """One number for each kind of log event; hundreds group them by subject."""
+
+    # The process.
+    START = 101
+    READY = 102
+    STOP_REQUESTED = 103
+    STOPPED = 104
+    SETTINGS_FAULT = 105
+    LIBRARY_MESSAGE = 106
+
+    # Other members.
+    BAD_PEER_MESSAGE = 201
+    PEER_LOST = 202
+    PEER_JOINED = 203
+
+    # Requests and runs.
+    REQUEST_REFUSED = 301
+    RUN_LOST = 302
+    RUN_FINISHED = 303
+    ASSIGNMENT_FORGED = 304
+
+    # Configuration and the platform's services.
+    CONFIGURATION_IN_FORCE = 401
+    CONFIGURATION_OLDER_IGNORED = 402
+    KEY_VALUE_OUTAGE_BEGIN = 403
+    KEY_VALUE_OUTAGE_END = 404
+
+    # Targets.
+    TARGET_LEAVING = 501
+    TARGET_STRAGGLING = 502
+
+    # Floors: the lowest tier that a group admits.
+    FLOOR_CLOSED = 601
+    FLOOR_OPENED = 602
+
+    # Faults of the program itself.
+    INTERNAL_ERROR = 901
--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
@@ -0,0 +1,234 @@
+"""The catalogue of log events: level, message, fields and what an operator does.
+
+`python -m burdockhaven_entry.log_catalogue` prints the table of docs/EVENTS.md.
+"""
+
+from dataclasses import dataclass, field
+
+from burdockhaven_core.log_numbers import EventNumber
+
+
+@dataclass(frozen=True, slots=True)
+class EventSpec:
+    """What is known of a log event beforehand."""
+
+    number: EventNumber
+    # "debug", "info", "warning" or "error".
+    level: str
+    # The message; names in braces are fields.
+    message: str
+    # What an operator does about it.
+    response: str
+    # Meaning of each field, by name.
+    fields: dict[str, str] = field(default_factory=dict)
+
+
+_REQUEST_FIELDS = {
+    "account": "client account",
+    "class_name": "class of the request",
+    "tier": "tier of the request",
+}
+
+_SPECS = (
+    EventSpec(
+        EventNumber.START,
+        "info",
+        "Entry {entry} starts as incarnation {incarnation}.",
+        "Nothing.",
+        {"entry": "name of the entry", "incarnation": "identity of this process"},
+    ),
+    EventSpec(
+        EventNumber.READY,
+        "info",
+        "Entry {entry} takes requests at {address}.",
+        "Nothing.",
+        {"entry": "name of the entry", "address": "where callers connect"},
+    ),
+    EventSpec(
+        EventNumber.STOP_REQUESTED,
+        "info",
+        "A stop was requested; {running} requests are in progress.",
+        "Wait for event 104; a second signal is not needed.",
+        {"running": "requests in progress"},
+    ),
+    EventSpec(
+        EventNumber.STOPPED,
+        "info",
+        "Every request in progress is finished; the process exits.",
+        "Nothing.",
+    ),
+    EventSpec(
+        EventNumber.SETTINGS_FAULT,
+        "error",
+        "Settings: {fault}",
+        "Mend the settings file; `--check` shows all faults at once.",
+        {"fault": "section, key, value seen and what is allowed"},
+    ),
+    EventSpec(
+        EventNumber.LIBRARY_MESSAGE,
+        "warning",
+        "{source}: {text}",
+        "Read the text; it comes from a library.",
+        {"source": "name of the library's logger", "text": "the library's message"},
+    ),
+    EventSpec(
+        EventNumber.BAD_PEER_MESSAGE,
+        "warning",
+        "A message of {peer} was dropped: {detail}.",
+        "Check that both entries run versions that go together and that nothing else "
+        "connects to the peer address.",
+        {"peer": "sender's address or name", "detail": "what was wrong with it"},
+    ),
+    EventSpec(
+        EventNumber.PEER_LOST,
+        "warning",
+        "Member {peer} of incarnation {incarnation} is lost: {detail}.",
+        "If the VM list shows the VM as live, look at the VM and the network to it.",
+        {
+            "peer": "name of the member",
+            "incarnation": "identity of its process",
+            "detail": "how it was found out",
+        },
+    ),
+    EventSpec(
+        EventNumber.PEER_JOINED,
+        "info",
+        "Member {peer} of incarnation {incarnation} joined from {address}.",
+        "Nothing.",
+        {
+            "peer": "name of the member",
+            "incarnation": "identity of its process",
+            "address": "its peer address",
+        },
+    ),
+    EventSpec(
+        EventNumber.REQUEST_REFUSED,
+        "info",
+        "A request of {account}, class {class_name}, was not run: {reason}.",
+        "Watch the rate by reason; see the metric burdockhaven_refusals.",
+        {**_REQUEST_FIELDS, "reason": "why the request was not run"},
+    ),
+    EventSpec(
+        EventNumber.RUN_LOST,
+        "warning",
+        "Run {run_id} at target {target} is lost: {detail}.",
+        "The caller was told `unknown`. Look at the target and the network to it.",
+        {
+            "run_id": "identity of the run",
+            "target": "name of the target",
+            "detail": "what failed",
+        },
+    ),
+    EventSpec(
+        EventNumber.RUN_FINISHED,
+        "debug",
+        "Run {run_id} at target {target} gave its whole answer of {tokens} tokens.",
+        "Nothing.",
+        {
+            "run_id": "identity of the run",
+            "target": "name of the target",
+            "tokens": "length of the answer",
+        },
+    ),
+    EventSpec(
+        EventNumber.ASSIGNMENT_FORGED,
+        "warning",
+        "An assignment shown by account {account} has a wrong signature.",
+        "If it is not an entry with another assignment key, ask the client account.",
+        {"account": "client account that showed it"},
+    ),
+    EventSpec(
+        EventNumber.CONFIGURATION_IN_FORCE,
+        "info",
+        "Configuration version {version} is in force, from {source}.",
+        "Nothing.",
+        {"version": "version of the configuration", "source": "where it came from"},
+    ),
+    EventSpec(
+        EventNumber.CONFIGURATION_OLDER_IGNORED,
+        "warning",
+        "Configuration version {version} from {source} was ignored; version {current} "
+        "is in force.",
+        "Expected now and then during an outage. If it repeats, check that the "
+        "key-value service was not restored from an old copy.",
+        {
+            "version": "version that was ignored",
+            "source": "where it came from",
+            "current": "version in force",
+        },
+    ),
+    EventSpec(
+        EventNumber.KEY_VALUE_OUTAGE_BEGIN,
+        "error",
+        "The key-value service fails: {detail}.",
+        "Requests go on; changes of the configuration are refused until event 404.",
+        {"detail": "the failed call and its error"},
+    ),
+    EventSpec(
+        EventNumber.KEY_VALUE_OUTAGE_END,
+        "info",
+        "The key-value service answers again after {seconds} s.",
+        "Nothing.",
+        {"seconds": "length of the outage"},
+    ),
+    EventSpec(
+        EventNumber.TARGET_LEAVING,
+        "info",
+        "Target {target} is leaving and gets no new work.",
+        "Nothing if it was planned.",
+        {"target": "name of the target"},
+    ),
+    EventSpec(
+        EventNumber.TARGET_STRAGGLING,
+        "warning",
+        "Target {target} is {factor} times slower than its group.",
+        "Look at the target; it gets less work until it recovers.",
+        {"target": "name of the target", "factor": "its slowness against the group"},
+    ),
+    EventSpec(
+        EventNumber.FLOOR_CLOSED,
+        "warning",
+        "Group {group} admits nothing below tier {tier}.",
+        "The group is overloaded; add targets if it lasts.",
+        {"group": "name of the group", "tier": "lowest tier that is admitted"},
+    ),
+    EventSpec(
+        EventNumber.FLOOR_OPENED,
+        "info",
+        "Group {group} admits every tier from {tier} up again.",
+        "Nothing.",
+        {"group": "name of the group", "tier": "lowest tier that is admitted"},
+    ),
+    EventSpec(
+        EventNumber.INTERNAL_ERROR,
+        "error",
+        "Internal error in {step}: {error}",
+        "Report it as a bug, with the lines around it.",
+        {"step": "where it arose", "error": "the exception"},
+    ),
+)
+
+# Each event by its number.
+CATALOGUE: dict[EventNumber, EventSpec] = {spec.number: spec for spec in _SPECS}
+
+
+def catalogue_rows() -> list[str]:
+    """The rows of the table in docs/EVENTS.md."""
+    return [_row(CATALOGUE[number]) for number in sorted(CATALOGUE)]
+
+
+def _row(spec: EventSpec) -> str:
+    fields = "; ".join(f"`{name}`: {doc}" for name, doc in spec.fields.items())
+    cells = (
+        str(int(spec.number)),
+        spec.number.name,
+        spec.level,
+        spec.message,
+        fields or "none",
+        spec.response,
+    )
+    return "| " + " | ".join(cells) + " |"
+
+
+if __name__ == "__main__":
+    print("\n".join(catalogue_rows()))
--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/log_events.py
@@ -0,0 +1,106 @@
+"""Writes the numbered log events, as text or as one JSON object a line."""
+
+import sys
+from collections.abc import Mapping
+from typing import TYPE_CHECKING, TextIO
+
+import msgspec
+from loguru import logger
+
+from burdockhaven_core.actions import Note
+from burdockhaven_core.log_numbers import EventNumber
+from burdockhaven_entry.log_catalogue import CATALOGUE
+
+if TYPE_CHECKING:
+    from loguru import Message
+
+FieldValue = str | int | float
+
+# Longer values are cut, so that bad input cannot flood the log.
+MAX_VALUE_CHARACTERS = 500
+
+
+class LogLine(msgspec.Struct, frozen=True):
+    """One event in the JSON format."""
+
+    # ISO 8601 with the offset from UTC.
+    time: str
+    level: str
+    number: int
+    # Name of the event in the catalogue.
+    event: str
+    message: str
+    fields: Mapping[str, FieldValue]
+
+
+class _Fields(dict[str, FieldValue]):
+    """Values for a message; one that was not given does not stop the message."""
+
+    def __missing__(self, key: str) -> str:
+        return "?"
+
+
+def log(event: EventNumber, **fields: FieldValue) -> None:
+    """Logs the event with its fields; the catalogue says which fields it has."""
+    spec = CATALOGUE[event]
+    shown = {key: _shown(value) for key, value in fields.items()}
+    message = spec.message.format_map(_Fields(shown))
+    bound = logger.bind(event=event, fields=shown)
+    bound.log(spec.level.upper(), "{}", message)
+
+
+def log_note(note: Note) -> None:
+    """Logs an event that the core has noted."""
+    log(EventNumber(note.number), **note.fields)
+
+
+def configure_logging(
+    log_format: str, level: str, stream: TextIO | None = None
+) -> None:
+    """Sends the events to the stream, standard error by default, and nowhere else."""
+    out = sys.stderr if stream is None else stream
+    render = _json_line if log_format == "json" else _text_line
+
+    def write(message: "Message") -> None:
+        out.write(render(message) + "\n")
+        out.flush()
+
+    logger.remove()
+    logger.add(
+        write, level=level.upper(), format="{message}", backtrace=False, diagnose=False
+    )
+
+
+def _shown(value: FieldValue) -> FieldValue:
+    """The value on one line and of bounded length, so that no line can be forged."""
+    if not isinstance(value, str):
+        return value
+    cut = value[:MAX_VALUE_CHARACTERS]
+    return "".join(c if c.isprintable() else "\N{REPLACEMENT CHARACTER}" for c in cut)
+
+
+def _text_line(message: "Message") -> str:
+    record = message.record
+    event = _event_of(message)
+    time = record["time"].isoformat(timespec="milliseconds")
+    level = record["level"].name
+    return f"{time} {level:<7} {int(event)} {event.name} {record['message']}"
+
+
+def _json_line(message: "Message") -> str:
+    record = message.record
+    event = _event_of(message)
+    line = LogLine(
+        time=record["time"].isoformat(timespec="milliseconds"),
+        level=record["level"].name.lower(),
+        number=int(event),
+        event=event.name,
+        message=record["message"],
+        fields=record["extra"].get("fields", {}),
+    )
+    return msgspec.json.encode(line).decode()
+
+
+def _event_of(message: "Message") -> EventNumber:
+    event = message.record["extra"].get("event", EventNumber.LIBRARY_MESSAGE)
+    return EventNumber(event)
