Give idle accounts no credit in the queue; predict answer lengths

An account whose queue had been empty kept the due time of its last request, so that it was served alone on its return until it had caught up with the others. An account that returns now starts at the tier's virtual time. Counts by tier are kept instead of counted at each call.

Adds LengthPredictor: moving mean and high quantile of the answer length by account and class.

--- /dev/null
+++ b/packages/burdockhaven-core/src/burdockhaven_core/prediction.py
@@ -0,0 +1,84 @@
+"""Predicts the length of an answer from the answers that an account had before.
+
+Lengths differ a hundredfold between classes but little inside one account and class, so
+one moving estimate for each pair is enough. A pair that was not seen yet takes the
+estimate of its class, and an unseen class the caller's own limit.
+"""
+
+import math
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from burdockhaven_core.identity import AccountName, ClassName
+
+# Weight of the newest answer once an estimate has settled.
+SETTLED_WEIGHT = 0.05
+# The part of answers that is to be at most as long as the high estimate.
+HIGH_QUANTILE = 0.9
+# Step of the high estimate for each answer, as a natural logarithm.
+QUANTILE_STEP = 0.1
+# Pairs of account and class that are kept; the one unused for longest is dropped.
+MAX_PAIRS = 20_000
+
+
+@dataclass(frozen=True, slots=True)
+class LengthEstimate:
+    """What to expect of the next answer, in tokens."""
+
+    mean: float
+    # About `HIGH_QUANTILE` of the answers are at most this long.
+    high: float
+    # Answers that the estimate rests on.
+    samples: int
+
+    def learned(self, tokens: int) -> "LengthEstimate":
+        """The estimate with one more answer."""
+        samples = self.samples + 1
+        weight = max(1.0 / samples, SETTLED_WEIGHT)
+        if samples == 1:
+            return LengthEstimate(tokens, tokens, 1)
+        step = QUANTILE_STEP * (HIGH_QUANTILE - (tokens <= self.high))
+        return LengthEstimate(
+            mean=self.mean + weight * (tokens - self.mean),
+            high=max(1.0, self.high * math.exp(step)),
+            samples=samples,
+        )
+
+
+UNSEEN = LengthEstimate(mean=0.0, high=0.0, samples=0)
+
+
+class LengthPredictor:
+    """Estimates of answer lengths by account and class."""
+
+    def __init__(self, max_pairs: int = MAX_PAIRS) -> None:
+        self.max_pairs = max_pairs
+        self.by_class: dict[ClassName, LengthEstimate] = {}
+        self._by_pair: OrderedDict[tuple[AccountName, ClassName], LengthEstimate]
+        self._by_pair = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._by_pair)
+
+    def learn(self, account: AccountName, class_name: ClassName, tokens: int) -> None:
+        """Take in the length of a whole answer."""
+        pair = (account, class_name)
+        known = self._by_pair.pop(pair, UNSEEN)
+        self._by_pair[pair] = known.learned(tokens)
+        if len(self._by_pair) > self.max_pairs:
+            self._by_pair.popitem(last=False)
+        by_class = self.by_class.get(class_name, UNSEEN)
+        self.by_class[class_name] = by_class.learned(tokens)
+
+    def expected(
+        self, account: AccountName, class_name: ClassName, limit: int
+    ) -> LengthEstimate:
+        """What to expect of an answer that has at most `limit` tokens."""
+        estimate = self._by_pair.get((account, class_name))
+        if estimate is None:
+            estimate = self.by_class.get(class_name, UNSEEN)
+        if estimate.samples == 0:
+            return LengthEstimate(limit, limit, 0)
+        return LengthEstimate(
+            min(estimate.mean, limit), min(estimate.high, limit), estimate.samples
+        )
--- a/packages/burdockhaven-core/src/burdockhaven_core/queueing.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/queueing.py
@@ -6,6 +6,7 @@
 """
 
 import heapq
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass
 
@@ -53,6 +54,8 @@
         self._tiers: dict[int, dict[AccountName, _AccountQueue]] = {}
         # Virtual time of each tier: the due time of the request served last.
         self._clock: dict[int, float] = {}
+        # Queued requests by tier; a tier without any has no key.
+        self._counts: Counter[int] = Counter()
 
     def __len__(self) -> int:
         return len(self.requests)
@@ -60,36 +63,40 @@
     def put(self, request: QueuedRequest) -> None:
         """Add a request."""
         accounts = self._tiers.setdefault(request.tier, {})
-        queue = accounts.get(request.account)
-        if queue is None:
-            queue = accounts[request.account] = _AccountQueue()
-            queue.due = self._clock.get(request.tier, 0.0)
+        queue = accounts.setdefault(request.account, _AccountQueue())
+        if self._head(queue) is None:
+            # An account that was idle earns nothing by it.
+            queue.due = max(queue.due, self._clock.get(request.tier, 0.0))
         heapq.heappush(queue.heap, (request.latest_start_s, request.run_id))
         self.requests[request.run_id] = request
+        self._counts[request.tier] += 1
 
     def remove(self, run_id: RunId) -> QueuedRequest | None:
         """Take a request out without serving it; None if it isn't queued."""
-        return self.requests.pop(run_id, None)
+        request = self.requests.pop(run_id, None)
+        if request is not None:
+            self._uncount(request)
+        return request
 
     def serve(self, run_id: RunId) -> QueuedRequest:
         """Take a request out and charge its account for it."""
         request = self.requests.pop(run_id)
-        queue = self._tiers[request.tier][request.account]
-        self._clock[request.tier] = queue.due
+        self._uncount(request)
+        accounts = self._tiers[request.tier]
+        queue = accounts[request.account]
+        clock = max(self._clock.get(request.tier, 0.0), queue.due)
+        self._clock[request.tier] = clock
         cost = request.prompt_tokens + request.output_tokens
         queue.due += cost / request.weight
         return request
 
     def tiers(self) -> tuple[int, ...]:
         """The tiers that have requests, the highest first."""
-        return tuple(sorted({r.tier for r in self.requests.values()}, reverse=True))
+        return tuple(sorted(self._counts, reverse=True))
 
     def queued_by_tier(self, tiers: int) -> tuple[int, ...]:
         """Number of requests in each tier, the lowest first."""
-        counts = [0] * tiers
-        for request in self.requests.values():
-            counts[request.tier] += 1
-        return tuple(counts)
+        return tuple(self._counts.get(tier, 0) for tier in range(tiers))
 
     def heads(self, tier: int) -> Iterator[QueuedRequest]:
         """The next request of each account of a tier, in the order of service."""
@@ -103,6 +110,11 @@
         """Requests that can no longer be in time."""
         return tuple(r for r in self.requests.values() if r.latest_start_s < now)
 
+    def _uncount(self, request: QueuedRequest) -> None:
+        self._counts[request.tier] -= 1
+        if not self._counts[request.tier]:
+            del self._counts[request.tier]
+
     def _head(self, queue: _AccountQueue) -> QueuedRequest | None:
         while queue.heap:
             request = self.requests.get(queue.heap[0][1])
--- /dev/null
+++ b/packages/burdockhaven-core/tests/test_queueing.py
@@ -0,0 +1,98 @@
+"""Order of service in the queue of a group."""
+
+import pytest
+
+from burdockhaven_core.identity import AccountName, RunId
+from burdockhaven_core.queueing import GroupQueue, QueuedRequest
+
+
+def request(
+    name: str,
+    account: str = "a",
+    tier: int = 1,
+    weight: float = 1.0,
+    tokens: int = 10,
+    latest: float = 100.0,
+) -> QueuedRequest:
+    return QueuedRequest(
+        run_id=RunId(name),
+        account=AccountName(account),
+        tier=tier,
+        weight=weight,
+        prompt_tokens=tokens,
+        output_tokens=0,
+        prefix="",
+        arrived_s=0.0,
+        deadline_s=latest + 1.0,
+        latest_start_s=latest,
+        targets=None,
+        fresh_connection=False,
+    )
+
+
+def served(queue: GroupQueue, number: int) -> list[str]:
+    names = []
+    for _ in range(number):
+        head = next(queue.heads(queue.tiers()[0]))
+        names.append(str(queue.serve(head.run_id).run_id))
+    return names
+
+
+@pytest.mark.parametrize(
+    ("requests", "order"),
+    [
+        ([request("low", tier=0), request("high", tier=2)], ["high", "low"]),
+        ([request("late", latest=9), request("soon", latest=5)], ["soon", "late"]),
+        (
+            [request("a1"), request("a2"), request("a3"), request("b1", "b")],
+            ["a1", "b1", "a2", "a3"],
+        ),
+        (
+            [request(f"a{n}", weight=2.0) for n in range(4)]
+            + [request(f"b{n}", "b") for n in range(2)],
+            ["a0", "b0", "a1", "a2", "b1", "a3"],
+        ),
+        (
+            [request("a1", tokens=90), request("a2")]
+            + [request(f"b{n}", "b", tokens=30) for n in range(3)],
+            ["a1", "b0", "b1", "b2", "a2"],
+        ),
+    ],
+)
+def test_order_of_service(requests, order):
+    queue = GroupQueue()
+    for item in requests:
+        queue.put(item)
+    assert served(queue, len(order)) == order
+
+
+def test_an_idle_account_earns_no_credit():
+    queue = GroupQueue()
+    queue.put(request("b0", "b"))
+    served(queue, 1)
+    for number in range(20):
+        queue.put(request(f"a{number}"))
+    served(queue, 10)
+    for number in range(1, 9):
+        queue.put(request(f"b{number}", "b"))
+    names = served(queue, 6)
+    assert sum(name.startswith("a") for name in names) >= 2
+
+
+def test_a_removed_request_is_not_served_nor_counted():
+    queue = GroupQueue()
+    queue.put(request("x", tier=2))
+    queue.put(request("y"))
+    assert queue.remove(RunId("x")) is not None
+    assert queue.remove(RunId("x")) is None
+    assert queue.tiers() == (1,)
+    assert queue.queued_by_tier(3) == (0, 1, 0)
+    assert served(queue, 1) == ["y"]
+    assert len(queue) == 0
+
+
+def test_overdue():
+    queue = GroupQueue()
+    for name, latest in (("x", 1.0), ("y", 2.0)):
+        queue.put(request(name, latest=latest))
+    assert [item.run_id for item in queue.overdue(1.5)] == ["x"]
