--- a/packages/burdockhaven-core/src/burdockhaven_core/configuration.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/configuration.py
@@ -105,6 +105,22 @@
     not_idempotent: tuple[ClassName, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class ChangeRecord:
+    """One accepted change, as it stands in the history."""
+
+    # The version that the change made.
+    version: int
+    # Chosen by the operator's client; names the change over retries.
+    operation_id: str
+    # What was changed, such as "put template mu-north".
+    summary: str
+    # Who asked for the change, as the client said.
+    operator: str = ""
+    # Wall-clock time of the entry that took the change, for people only.
+    at: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class Configuration:
     """Everything the operators have published, at one version."""
@@ -113,6 +129,17 @@
     version: int = 0
     templates: dict[str, Template] = field(default_factory=dict)
     accounts: dict[AccountName, AccountParameters] = field(default_factory=dict)
+    # The last changes, the newest last.
+    recent: tuple[ChangeRecord, ...] = ()
+
+    @property
+    def order(self) -> tuple[int, str]:
+        """Sorts configurations by age: version, then the last change's identity.
+
+        Two configurations of one version differ only if the key-value service lost
+        an accepted version; the identity then makes all members choose alike.
+        """
+        return (self.version, self.recent[-1].operation_id if self.recent else "")
 
     def class_for(
         self, account: AccountParameters, class_name: ClassName
--- /dev/null
+++ b/packages/burdockhaven-core/src/burdockhaven_core/configuration_codec.py
@@ -0,0 +1,106 @@
+"""The configuration as JSON for operators and as MessagePack between members.
+
+Both forms are strict: a wrong type or an unknown field is an error that names its
+path. Accounts are written in the order of their names, so that equal configurations
+have equal bytes.
+"""
+
+from typing import Any, TypeVar
+
+import msgspec
+from result import Err, Ok, Result
+
+from burdockhaven_core.configuration import (
+    AccountParameters,
+    Configuration,
+    Template,
+)
+from burdockhaven_core.configuration_check import Fault
+
+T = TypeVar("T")
+
+_json = msgspec.json.Encoder(order="sorted")
+_msgpack = msgspec.msgpack.Encoder(order="sorted")
+
+
+def encode_configuration(configuration: Configuration) -> bytes:
+    """The configuration as MessagePack."""
+    return _msgpack.encode(configuration)
+
+
+def decode_configuration(data: bytes) -> Result[Configuration, Fault]:
+    """The configuration that the MessagePack holds."""
+    try:
+        return Ok(msgspec.msgpack.decode(data, type=Configuration))
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Err(_fault(str(error)))
+
+
+def encode_json(value: object) -> bytes:
+    """Any of the project's data classes as JSON."""
+    return _json.encode(value)
+
+
+def decode_json(data: bytes, kind: type[T]) -> Result[T, Fault]:
+    """A data class of the kind from JSON that an operator or a service sent."""
+    try:
+        raw = msgspec.json.decode(data)
+        unknown = _unknown_field(raw, kind)
+        if unknown is not None:
+            return Err(unknown)
+        return Ok(msgspec.convert(raw, kind))
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Err(_fault(str(error)))
+
+
+def decode_template(data: bytes) -> Result[Template, Fault]:
+    """A template from JSON."""
+    return decode_json(data, Template)
+
+
+def decode_account(data: bytes) -> Result[AccountParameters, Fault]:
+    """Parameters of a client account from JSON."""
+    return decode_json(data, AccountParameters)
+
+
+def _fault(message: str) -> Fault:
+    problem, _, path = message.partition(" - at `")
+    return Fault(
+        path=path.rstrip("`") or "$",
+        seen=problem,
+        allowed="a value of the documented type",
+        remedy="correct the value at the path named",
+    )
+
+
+def _unknown_field(raw: Any, kind: Any, path: str = "$") -> Fault | None:
+    """The first field that the data class does not have; None if there is none."""
+    info = msgspec.inspect.type_info(kind)
+    return _unknown_in(raw, info, path)
+
+
+def _unknown_in(raw: Any, info: msgspec.inspect.Type, path: str) -> Fault | None:
+    if isinstance(info, msgspec.inspect.UnionType):
+        found = [_unknown_in(raw, each, path) for each in info.types]
+        return None if None in found else found[0]
+    if isinstance(info, msgspec.inspect.DataclassType) and isinstance(raw, dict):
+        fields = {each.encode_name: each.type for each in info.fields}
+        for name, value in raw.items():
+            if name not in fields:
+                allowed = "one of: " + ", ".join(fields)
+                remedy = "remove the field or correct its name"
+                return Fault(f"{path}.{name}", str(name), allowed, remedy)
+            fault = _unknown_in(value, fields[name], f"{path}.{name}")
+            if fault is not None:
+                return fault
+    if isinstance(info, msgspec.inspect.VarTupleType) and isinstance(raw, list):
+        for number, value in enumerate(raw):
+            fault = _unknown_in(value, info.item_type, f"{path}[{number}]")
+            if fault is not None:
+                return fault
+    if isinstance(info, msgspec.inspect.DictType) and isinstance(raw, dict):
+        for name, value in raw.items():
+            fault = _unknown_in(value, info.value_type, f"{path}.{name}")
+            if fault is not None:
+                return fault
+    return None
--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/kv_link.py
@@ -0,0 +1,165 @@
+"""Link to the platform's key-value service."""
+
+import random
+import time
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, field
+from typing import TypeVar
+
+import httpx
+from result import Err, Ok, Result
+
+from burdockhaven_core.key_value import (
+    CallResult,
+    Command,
+    FailureKind,
+    GrantLease,
+    KeepLeaseAlive,
+    KeyValueFailure,
+    KeyValueSteps,
+    Range,
+    ReadMany,
+    RevokeLease,
+    Transaction,
+    WatchEvent,
+)
+from burdockhaven_entry.call_budget import Backoff, CallBudget
+from burdockhaven_entry.kv_wire import (
+    decode_answer,
+    decode_watch_line,
+    encode_command,
+    encode_watch,
+)
+
+T = TypeVar("T")
+
+CONNECT_TIMEOUT_S = 1.0
+CALL_TIMEOUT_S = 3.0
+# A watch that is silent for so long is opened again: its connection may be dead.
+WATCH_SILENCE_S = 30.0
+MAX_CONNECTIONS = 4
+
+KIND_BY_COMMAND: dict[type, str] = {
+    Range: "range",
+    ReadMany: "range",
+    Transaction: "txn",
+    GrantLease: "lease_grant",
+    KeepLeaseAlive: "lease_keepalive",
+    RevokeLease: "lease_revoke",
+}
+WATCH_KIND = "watch"
+
+
+@dataclass(slots=True)
+class KvLink:
+    """Client of the key-value service; one per daemon."""
+
+    # Base URL of the service.
+    peer: str
+    client: httpx.AsyncClient
+    budget: CallBudget
+    backoff: Backoff
+    # Gives monotonic seconds.
+    clock: Callable[[], float] = time.monotonic
+    # Failures since the start, by kind of call and of failure.
+    failures: dict[tuple[str, FailureKind], int] = field(default_factory=dict)
+
+    @classmethod
+    def from_url(cls, url: str, rng: random.Random) -> "KvLink":
+        """A link to the service at the base URL; nothing is sent yet."""
+        client = httpx.AsyncClient(
+            base_url=url,
+            timeout=httpx.Timeout(CALL_TIMEOUT_S, connect=CONNECT_TIMEOUT_S),
+            limits=httpx.Limits(max_connections=MAX_CONNECTIONS),
+            trust_env=False,
+        )
+        return cls(url, client, CallBudget(), Backoff(rng))
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.client.aclose()
+
+    async def call(self, command: Command) -> CallResult:
+        """Make one call.
+
+        A call whose answer is lost is `AMBIGUOUS`, never a plain failure: only a call
+        of which no byte left counts as not done.
+        """
+        kind = KIND_BY_COMMAND[type(command)]
+        if not self.budget.take(kind, self.clock()):
+            return self._fail(FailureKind.NOT_DONE, kind, "budget of calls is spent")
+        path, body = encode_command(command)
+        try:
+            response = await self.client.post(path, json=body)
+        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
+            return self._fail(FailureKind.NOT_DONE, kind, _describe(error))
+        except httpx.HTTPError as error:
+            return self._fail(FailureKind.AMBIGUOUS, kind, _describe(error))
+        return self._read_response(command, kind, response)
+
+    async def run(self, steps: KeyValueSteps[T]) -> T:
+        """Run a decision to its end, making the calls that it asks for."""
+        try:
+            command = next(steps)
+            while True:
+                command = steps.send(await self.call(command))
+        except StopIteration as stop:
+            value: T = stop.value
+            return value
+
+    async def watch(
+        self, watched: Range
+    ) -> AsyncIterator[Result[WatchEvent | None, KeyValueFailure]]:
+        """Changes of the keys, until the watch fails; the failure comes last.
+
+        `None` says that the watch stands and nothing has changed since: read the
+        keys after it, for changes before it are not told.
+        """
+        if not self.budget.take(WATCH_KIND, self.clock()):
+            yield self._fail(FailureKind.NOT_DONE, WATCH_KIND, "budget is spent")
+            return
+        timeout = httpx.Timeout(
+            CALL_TIMEOUT_S, connect=CONNECT_TIMEOUT_S, read=WATCH_SILENCE_S
+        )
+        try:
+            async with self.client.stream(
+                "POST", "/v3/watch", json=encode_watch(watched), timeout=timeout
+            ) as response:
+                response.raise_for_status()
+                async for line in response.aiter_lines():
+                    events = decode_watch_line(line) if line.strip() else ()
+                    for event in events:
+                        yield Ok(event)
+                    if not events:
+                        yield Ok(None)
+            detail = "the service closed the watch"
+        except (httpx.HTTPError, ValueError) as error:
+            detail = _describe(error)
+        yield self._fail(FailureKind.NOT_DONE, WATCH_KIND, detail)
+
+    def _read_response(
+        self, command: Command, kind: str, response: httpx.Response
+    ) -> CallResult:
+        if response.is_server_error:
+            detail = f"status {response.status_code}"
+            return self._fail(FailureKind.AMBIGUOUS, kind, detail)
+        if not response.is_success:
+            detail = f"status {response.status_code}"
+            return self._fail(FailureKind.BAD_ANSWER, kind, detail)
+        try:
+            answer = decode_answer(command, response.content)
+        except ValueError as error:
+            # The service may well have done what was asked.
+            return self._fail(FailureKind.AMBIGUOUS, kind, _describe(error))
+        self.backoff.succeeded()
+        return Ok(answer)
+
+    def _fail(
+        self, failure: FailureKind, kind: str, detail: str
+    ) -> Err[KeyValueFailure]:
+        self.failures[kind, failure] = self.failures.get((kind, failure), 0) + 1
+        return Err(KeyValueFailure(failure, kind, self.peer, detail))
+
+
+def _describe(error: Exception) -> str:
+    return f"{type(error).__name__}: {error}"
