Add a model engine in virtual time

The process stand-in and the policy bench are to run the same engine, so batch, prefix cache, lagged load report, holding and cancelling sit in a class without I/O or clock.

--- /dev/null
+++ b/tools/burdockhaven_standins/engine_model.py
@@ -0,0 +1,323 @@
+"""A model engine in virtual time: continuous batch, prefix cache, lagged load report.
+
+The class does no I/O and reads no clock, so that the process stand-in and the policy
+bench run the same engine.
+"""
+
+import math
+from collections import Counter, deque
+from dataclasses import dataclass, field
+
+from burdockhaven_standins.prefix_cache import PrefixCache
+
+
+@dataclass(frozen=True, slots=True)
+class EngineConfig:
+    """Speed and memory of one engine."""
+
+    # Runs that decode side by side at full speed.
+    slots: int = 8
+    # The most runs in the batch; others wait in order of arrival.
+    max_batch: int = 64
+    # Seconds between two tokens of one run while the batch fits the slots.
+    token_interval_s: float = 0.02
+    # The interval grows as (batch / slots) to this power past the slots.
+    crowding: float = 1.0
+    # Uncached prompt tokens processed per second, one prompt after the other.
+    prefill_tokens_per_s: float = 10_000.0
+    # Tokens of prompts that the prefix cache holds.
+    cache_tokens: int = 200_000
+    # Tokens per block of the prefix cache.
+    block_tokens: int = 64
+    # Tokens per chunk of the stream.
+    chunk_tokens: int = 1
+    # Seconds by which load reports lag.
+    load_lag_s: float = 1.0
+    # Seconds for which a finished run can be resumed.
+    hold_s: float = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class EngineRun:
+    """One request as the engine gets it."""
+
+    run_id: str
+    prompt_tokens: int
+    output_tokens: int
+    # Hashes of the prompt's prefixes, by `prompt_blocks`.
+    blocks: tuple[int, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class EngineChunk:
+    """Tokens that one run generated."""
+
+    run_id: str
+    # Index of the first token in the chunk.
+    offset: int
+    count: int
+    # When the tokens were generated, in seconds.
+    at_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class EngineFinished:
+    """A run generated all of its tokens."""
+
+    run_id: str
+    prompt_tokens: int
+    output_tokens: int
+    # Prompt tokens that were found in the prefix cache.
+    cached_tokens: int
+    at_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class EngineLoad:
+    """A load report."""
+
+    running: int
+    waiting: int
+
+
+class DuplicateRunError(Exception):
+    """The engine holds a run of this identity already."""
+
+
+@dataclass(slots=True)
+class _Phase:
+    """Work in progress whose speed may change."""
+
+    # Seconds of work left at full speed.
+    work_s: float
+    # When the work left was last counted, in seconds.
+    since_s: float
+
+    def ends_s(self, slowness: float) -> float:
+        """When the work is done at this slowness."""
+        return self.since_s + self.work_s * slowness
+
+    def count(self, now: float, slowness: float) -> None:
+        """Takes off the work done since the last count."""
+        self.work_s = max(0.0, self.work_s - (now - self.since_s) / slowness)
+        self.since_s = now
+
+
+@dataclass(slots=True)
+class _State:
+    """One run and how far it is."""
+
+    run: EngineRun
+    emitted: int = 0
+    # Prompt tokens found in the prefix cache; None until prefill starts.
+    cached: int | None = None
+    # Prompt tokens that prefill has processed.
+    prefilled: int = 0
+    finished_s: float | None = None
+    stalled: bool = False
+
+
+@dataclass(slots=True)
+class EngineModel:
+    """One engine; callers advance it to the present and take what it generated."""
+
+    config: EngineConfig
+    cache: PrefixCache
+    # Factor on all times; infinite while the engine is stuck.
+    slowness: float = 1.0
+    # Prompt tokens processed so far.
+    prefill_done_tokens: int = 0
+    # Prompt tokens processed for runs that were cancelled.
+    prefill_wasted_tokens: int = 0
+    # Tokens generated so far.
+    generated_tokens: int = 0
+    # Submissions by run identity; more than one is a repeated dispatch.
+    submissions: Counter[str] = field(default_factory=Counter)
+    # Every run that is queued, in progress or held after its end.
+    states: dict[str, _State] = field(default_factory=dict)
+    # Runs that wait for room in the batch.
+    waiting: deque[_State] = field(default_factory=deque)
+    # Runs in the batch whose prompt is still to be processed.
+    prefilling: deque[_State] = field(default_factory=deque)
+    # Runs that generate, by identity.
+    decoding: dict[str, _State] = field(default_factory=dict)
+    # Finished runs, the oldest first.
+    held: deque[_State] = field(default_factory=deque)
+    # Past loads with the time since when they applied, the oldest first.
+    loads: deque[tuple[float, EngineLoad]] = field(default_factory=deque)
+    # Work on the first prompt of `prefilling`.
+    prefill: _Phase | None = None
+    # Work on the next tokens of the batch.
+    step: _Phase | None = None
+
+    @classmethod
+    def from_config(cls, config: EngineConfig) -> "EngineModel":
+        """An idle engine with an empty cache."""
+        return cls(config, PrefixCache(config.cache_tokens // config.block_tokens))
+
+    def submit(self, run: EngineRun, now: float) -> None:
+        """Takes a run; raises `DuplicateRunError` if its identity is in use."""
+        self.submissions[run.run_id] += 1
+        if run.run_id in self.states:
+            raise DuplicateRunError(run.run_id)
+        state = _State(run)
+        self.states[run.run_id] = state
+        self.waiting.append(state)
+        self._fill_batch(now)
+
+    def next_event_s(self) -> float:
+        """When the engine next generates something; infinite if never."""
+        return min(self._prefill_ends_s(), self._step_ends_s())
+
+    def advance(self, now: float) -> list[EngineChunk | EngineFinished]:
+        """Everything generated up to now, in order."""
+        outputs: list[EngineChunk | EngineFinished] = []
+        while (at := self.next_event_s()) <= now:
+            if self._prefill_ends_s() <= at:
+                self._end_prefill(at, outputs)
+            else:
+                self._end_step(at, outputs)
+            self._fill_batch(at)
+        self._drop_held(now)
+        return outputs
+
+    def cancel(self, run_id: str, now: float) -> bool:
+        """Stops the run and forgets it; false if no such run is held."""
+        state = self.states.pop(run_id, None)
+        if state is None:
+            return False
+        if state.finished_s is not None:
+            self.held.remove(state)
+            return True
+        if self.prefilling and self.prefilling[0] is state:
+            self._break_prefill(state, now)
+        self.prefill_wasted_tokens += state.prefilled
+        self.decoding.pop(run_id, None)
+        for queue in (self.waiting, self.prefilling):
+            if state in queue:
+                queue.remove(state)
+        self._fill_batch(now)
+        return True
+
+    def stall(self, run_id: str, stalled: bool = True) -> bool:
+        """Stops or continues one run's tokens; false if no such run is held."""
+        state = self.states.get(run_id)
+        if state is None:
+            return False
+        state.stalled = stalled
+        return True
+
+    def set_slowness(self, slowness: float, now: float) -> None:
+        """Changes the factor on all times, also for work in progress."""
+        for phase in (self.prefill, self.step):
+            if phase is not None:
+                phase.count(now, self.slowness)
+        self.slowness = slowness
+
+    def load(self, now: float) -> EngineLoad:
+        """The load as it was `load_lag_s` ago."""
+        self._drop_old_loads(now)
+        if not self.loads or self.loads[0][0] > now - self.config.load_lag_s:
+            return EngineLoad(0, 0)
+        return self.loads[0][1]
+
+    def _prefill_ends_s(self) -> float:
+        return math.inf if self.prefill is None else self.prefill.ends_s(self.slowness)
+
+    def _step_ends_s(self) -> float:
+        return math.inf if self.step is None else self.step.ends_s(self.slowness)
+
+    def _fill_batch(self, now: float) -> None:
+        batch = len(self.prefilling) + len(self.decoding)
+        while self.waiting and batch < self.config.max_batch:
+            self.prefilling.append(self.waiting.popleft())
+            batch += 1
+        if self.prefilling and self.prefill is None:
+            self._start_prefill(self.prefilling[0], now)
+        if not self.decoding:
+            self.step = None
+        elif self.step is None:
+            self.step = _Phase(self._step_work_s(), now)
+        self._record_load(EngineLoad(batch, len(self.waiting)), now)
+
+    def _record_load(self, load: EngineLoad, now: float) -> None:
+        if not self.loads or self.loads[-1][1] != load:
+            self.loads.append((now, load))
+            self._drop_old_loads(now)
+
+    def _drop_old_loads(self, now: float) -> None:
+        reported_s = now - self.config.load_lag_s
+        while len(self.loads) > 1 and self.loads[1][0] <= reported_s:
+            self.loads.popleft()
+
+    def _start_prefill(self, state: _State, now: float) -> None:
+        cached = self.cache.match(state.run.blocks) * self.config.block_tokens
+        state.cached = min(cached, state.run.prompt_tokens)
+        uncached = state.run.prompt_tokens - state.cached
+        self.prefill = _Phase(uncached / self.config.prefill_tokens_per_s, now)
+
+    def _end_prefill(
+        self, at: float, outputs: list[EngineChunk | EngineFinished]
+    ) -> None:
+        state = self.prefilling.popleft()
+        self.prefill = None
+        state.prefilled = state.run.prompt_tokens - (state.cached or 0)
+        self.prefill_done_tokens += state.prefilled
+        self.cache.insert(state.run.blocks)
+        self.decoding[state.run.run_id] = state
+        self._emit(state, 1, at, outputs)
+
+    def _break_prefill(self, state: _State, now: float) -> None:
+        assert self.prefill is not None
+        self.prefill.count(now, self.slowness)
+        left = self.prefill.work_s * self.config.prefill_tokens_per_s
+        uncached = state.run.prompt_tokens - (state.cached or 0)
+        state.prefilled = max(0, uncached - math.ceil(left))
+        self.prefill_done_tokens += state.prefilled
+        self.prefill = None
+
+    def _step_work_s(self) -> float:
+        crowd = max(1.0, len(self.decoding) / self.config.slots)
+        slowdown = math.pow(crowd, self.config.crowding)
+        interval_s = self.config.token_interval_s * slowdown
+        return interval_s * self.config.chunk_tokens
+
+    def _end_step(self, at: float, outputs: list[EngineChunk | EngineFinished]) -> None:
+        self.step = None
+        for state in list(self.decoding.values()):
+            if not state.stalled:
+                self._emit(state, self.config.chunk_tokens, at, outputs)
+
+    def _emit(
+        self,
+        state: _State,
+        tokens: int,
+        at: float,
+        outputs: list[EngineChunk | EngineFinished],
+    ) -> None:
+        run = state.run
+        count = min(tokens, run.output_tokens - state.emitted)
+        if count > 0:
+            outputs.append(EngineChunk(run.run_id, state.emitted, count, at))
+        state.emitted += count
+        self.generated_tokens += count
+        if state.emitted >= run.output_tokens:
+            self._finish(state, at)
+            outputs.append(
+                EngineFinished(
+                    run.run_id,
+                    run.prompt_tokens,
+                    run.output_tokens,
+                    state.cached or 0,
+                    at,
+                )
+            )
+
+    def _finish(self, state: _State, at: float) -> None:
+        del self.decoding[state.run.run_id]
+        state.finished_s = at
+        self.held.append(state)
+
+    def _drop_held(self, now: float) -> None:
+        while self.held and now - (self.held[0].finished_s or 0) > self.config.hold_s:
+            del self.states[self.held.popleft().run.run_id]
