Add the daemon's metrics with a bounded number of series

At most 32 client accounts have series of their own. A first rule gave the second half of the series to any account with a large share of the requests so far; a test showed that early small accounts then took all of them, because a share of the first few requests says little. An account now needs 20 requests too.

--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/account_labels.py
@@ -0,0 +1,59 @@
+"""Bounds the number of client accounts that have metric series of their own."""
+
+from collections import Counter
+
+from burdockhaven_core.identity import AccountName
+
+# Accounts with series of their own at most; the others share one.
+MAX_ACCOUNT_SERIES = 32
+# Requests after which an account can get one of the second half of the series; a share
+# of the first few requests says little.
+MIN_REQUESTS_FOR_SERIES = 20
+# Stands for all accounts without series of their own.
+OTHER_ACCOUNTS = "other"
+# An account named like the shared series gets this one.
+ACCOUNT_CALLED_OTHER = "other (account)"
+
+
+class AccountLabels:
+    """Chooses the label under which an account's requests are counted.
+
+    The first half of the series goes to the first accounts seen. After that an account
+    needs a share of all requests that only few can have, so that many small accounts
+    don't use up the series before a large one comes. A label once given stays, because
+    a series must not change its meaning while the process lives.
+    """
+
+    def __init__(self, max_series: int = MAX_ACCOUNT_SERIES) -> None:
+        self.max_series = max_series
+        self.labels: dict[AccountName, str] = {}
+        # Requests of the accounts without series of their own.
+        self.counts: Counter[AccountName] = Counter()
+        # Requests of all accounts.
+        self.total = 0
+
+    def label_for(self, account: AccountName) -> str:
+        """The label for one more request of the account."""
+        self.total += 1
+        label = self.labels.get(account)
+        if label is not None:
+            return label
+        if len(self.labels) >= self.max_series:
+            return OTHER_ACCOUNTS
+        self.counts[account] += 1
+        if not self._deserves_series(account):
+            return OTHER_ACCOUNTS
+        label = ACCOUNT_CALLED_OTHER if account == OTHER_ACCOUNTS else str(account)
+        self.labels[account] = label
+        del self.counts[account]
+        if len(self.labels) == self.max_series:
+            self.counts.clear()
+        return label
+
+    def _deserves_series(self, account: AccountName) -> bool:
+        if len(self.labels) < self.max_series // 2:
+            return True
+        count = self.counts[account]
+        if count < MIN_REQUESTS_FOR_SERIES:
+            return False
+        return count * self.max_series >= self.total
