--- a/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
@@ -23,12 +23,6 @@
     fields: dict[str, str] = field(default_factory=dict)
 
 
-_REQUEST_FIELDS = {
-    "account": "client account",
-    "class_name": "class of the request",
-    "tier": "tier of the request",
-}
-
 _SPECS = (
     EventSpec(
         EventNumber.START,
@@ -47,9 +41,8 @@
     EventSpec(
         EventNumber.STOP_REQUESTED,
         "info",
-        "A stop was requested; {running} requests are in progress.",
+        "A stop was requested; requests in progress are finished first.",
         "Wait for event 104; a second signal is not needed.",
-        {"running": "requests in progress"},
     ),
     EventSpec(
         EventNumber.STOPPED,
@@ -104,9 +97,13 @@
     EventSpec(
         EventNumber.REQUEST_REFUSED,
         "info",
-        "A request of {account}, class {class_name}, was not run: {reason}.",
+        "A request of {account}, class {request_class}, was not run: {reason}.",
         "Watch the rate by reason; see the metric burdockhaven_refusals.",
-        {**_REQUEST_FIELDS, "reason": "why the request was not run"},
+        {
+            "account": "client account",
+            "request_class": "class of the request",
+            "reason": "why the request was not run",
+        },
     ),
     EventSpec(
         EventNumber.RUN_LOST,
@@ -133,28 +130,26 @@
     EventSpec(
         EventNumber.ASSIGNMENT_FORGED,
         "warning",
-        "An assignment shown by account {account} has a wrong signature.",
+        "An assignment shown by account {account} was refused: {detail}.",
         "If it is not an entry with another assignment key, ask the client account.",
-        {"account": "client account that showed it"},
+        {"account": "client account that showed it", "detail": "what was wrong"},
     ),
     EventSpec(
         EventNumber.CONFIGURATION_IN_FORCE,
         "info",
-        "Configuration version {version} is in force, from {source}.",
+        "Configuration version {version} is in force.",
         "Nothing.",
-        {"version": "version of the configuration", "source": "where it came from"},
+        {"version": "version of the configuration"},
     ),
     EventSpec(
         EventNumber.CONFIGURATION_OLDER_IGNORED,
         "warning",
-        "Configuration version {version} from {source} was ignored; version {current} "
-        "is in force.",
+        "Configuration version {version} was ignored; version {in_force} is in force.",
         "Expected now and then during an outage. If it repeats, check that the "
         "key-value service was not restored from an old copy.",
         {
             "version": "version that was ignored",
-            "source": "where it came from",
-            "current": "version in force",
+            "in_force": "version in force",
         },
     ),
     EventSpec(
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/log_events.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/log_events.py
@@ -1,5 +1,6 @@
 """Writes the numbered log events, as text or as one JSON object a line."""
 
+import logging
 import sys
 from collections.abc import Mapping
 from typing import TYPE_CHECKING, TextIO
@@ -54,6 +55,15 @@
     log(EventNumber(note.number), **note.fields)
 
 
+class LibraryHandler(logging.Handler):
+    """Passes what libraries log through the standard module on as event 106."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Logs the library's message."""
+        text = record.getMessage()
+        log(EventNumber.LIBRARY_MESSAGE, source=record.name, text=text)
+
+
 def configure_logging(
     log_format: str, level: str, stream: TextIO | None = None
 ) -> None:
@@ -69,6 +79,7 @@
     logger.add(
         write, level=level.upper(), format="{message}", backtrace=False, diagnose=False
     )
+    logging.basicConfig(handlers=[LibraryHandler()], level="WARNING", force=True)
 
 
 def _shown(value: FieldValue) -> FieldValue:
--- a/packages/burdockhaven-entry/tests/test_log_events.py
+++ b/packages/burdockhaven-entry/tests/test_log_events.py
@@ -1,6 +1,8 @@
 """Numbered events: their catalogue, its page and the written lines."""
 
+import ast
 import io
+import logging
 import re
 from pathlib import Path
 from string import Formatter
@@ -13,7 +15,25 @@
 from burdockhaven_entry.log_catalogue import CATALOGUE, catalogue_rows
 from burdockhaven_entry.log_events import configure_logging, log, log_note
 
-PAGE = Path(__file__).parents[3] / "docs" / "EVENTS.md"
+ROOT = Path(__file__).parents[3]
+PAGE = ROOT / "docs" / "EVENTS.md"
+SOURCES = sorted(ROOT.glob("packages/*/src/**/*.py"))
+
+
+def calls_with_events():
+    """Each call that names an event first: its place, event and keyword names."""
+    for path in SOURCES:
+        for node in ast.walk(ast.parse(path.read_text())):
+            if not isinstance(node, ast.Call) or not node.args:
+                continue
+            first = node.args[0]
+            if not isinstance(first, ast.Attribute):
+                continue
+            if ast.unparse(node.func) == "EventSpec":
+                continue
+            if ast.unparse(first.value) == "EventNumber":
+                names = {keyword.arg for keyword in node.keywords}
+                yield f"{path.name}:{node.lineno}", EventNumber[first.attr], names
 
 
 @pytest.fixture(autouse=True)
@@ -35,6 +55,22 @@
     assert rows == catalogue_rows()
 
 
+def test_each_call_gives_the_fields_that_the_catalogue_names():
+    wrong = [
+        f"{place}: {event.name} gets {sorted(names)}"
+        for place, event, names in calls_with_events()
+        if CATALOGUE[event].fields.keys() != names
+    ]
+    assert wrong == []
+
+
+def test_what_libraries_log_becomes_an_event():
+    out = io.StringIO()
+    configure_logging("text", "info", out)
+    logging.getLogger("uvicorn.error").warning("port %s is taken", 8100)
+    assert "106 LIBRARY_MESSAGE uvicorn.error: port 8100 is taken" in out.getvalue()
+
+
 def test_a_json_line_holds_the_number_and_the_fields():
     out = io.StringIO()
     configure_logging("json", "info", out)
