Add membership, the floor of tiers and the peer link

Membership merges heartbeats, key-value leases and the VM list. Admission below the highest tier needs mutual leases that ride on heartbeats; shedding needs a promise of every process that may still act. The peer link drops rather than waits, and replaces a socket on which the peer's heartbeats stop confirming ours.

--- a/packages/burdockhaven-core/src/burdockhaven_core/events.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/events.py
@@ -125,6 +125,10 @@
 
     # Peer address by member.
     members: dict[MemberId, str]
+    # Monotonic time up to which the entry's own lease stands for certain: its lifetime
+    # counted from when its last renewal was sent, as known when this read was sent.
+    # 0 means that the own lease is not known to stand.
+    own_until_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/burdockhaven-core/src/burdockhaven_core/membership.py
@@ -0,0 +1,388 @@
+"""Who the members are: heartbeats, key-value leases and the VM list, merged.
+
+Each source says something different, and none is trusted alone. A heartbeat shows that
+a process runs and can be reached. A lease in the key-value service shows that the
+process was alive a few seconds ago. The VM list shows, late, which machines exist.
+
+Two questions are kept apart:
+
+- `live`: whom to send callers to. A wrong answer costs a retry.
+- `view`: whose promise and whose admission lease this member needs. A wrong answer
+  breaks the order of tiers, so a member leaves the view only on proof (docs/DESIGN-
+  tiers.md has the argument).
+
+Admission leases are mutual and ride on heartbeats: member B's heartbeat repeats the
+newest `clock_s` it heard from A, and A holds a lease from B until that clock plus
+`ADMISSION_LEASE_S`. Only A's clock is involved, so delay shortens the lease and never
+lengthens it. B reckons with A for at least the longer member timeout after hearing it.
+"""
+
+import random
+from dataclasses import dataclass, field
+
+from burdockhaven_core.configuration import Configuration
+from burdockhaven_core.identity import MemberId, TargetName
+from burdockhaven_core.leaving import LeavingTargets
+from burdockhaven_core.messages import GroupDemand, Heartbeat, PeerEcho
+
+# Seconds, from the sending of a heartbeat, for which its echo permits admission.
+ADMISSION_LEASE_S = 2.0
+# Seconds of silence after which a member may be taken out of the view, given proof.
+MEMBER_TIMEOUT_S = 3.0
+# Seconds after the process start in which only the highest tier is admitted. Longer
+# than any promise that an earlier process of this entry may have given.
+START_HOLD_S = 3.0
+# Seconds before the end of the own lease at which members that were taken out on the
+# strength of it come back. Longer than an admission lease.
+LEASE_MARGIN_S = 2.5
+# Clocks of two members drift apart by at most this share.
+MAX_DRIFT = 0.01
+# Seconds for which a process that is gone for good is remembered.
+TOMBSTONE_S = 3_600.0
+# Entries compared when a caller is sent to the less loaded one.
+PICK_CHOICES = 2
+
+
+@dataclass(frozen=True, slots=True)
+class MemberParameters:
+    """How this process describes itself to the other members."""
+
+    me: MemberId
+    zone: str
+    # Where callers and other members reach the process, as host:port.
+    caller_address: str
+    peer_address: str
+    # Monotonic time of the process start; `clock_s` counts from here.
+    started_s: float
+    # Seconds of silence after which a member may be taken out.
+    member_timeout_s: float = MEMBER_TIMEOUT_S
+    # Seconds after the start in which only the highest tier is admitted.
+    start_hold_s: float = START_HOLD_S
+
+
+@dataclass(frozen=True, slots=True)
+class MemberView:
+    """What is known of one member that was heard lately."""
+
+    member: MemberId
+    peer_address: str
+    caller_address: str
+    zone: str
+    # Whether the member takes new requests.
+    ready: bool
+    # Whether the member or its VM is on its way out.
+    draining: bool
+    config_version: int
+    demand: tuple[GroupDemand, ...]
+
+    @property
+    def load(self) -> int:
+        """Requests that the member has queued or under way."""
+        return sum(
+            sum(group.queued) + sum(group.in_flight.values()) for group in self.demand
+        )
+
+
+@dataclass(slots=True)
+class _Record:
+    """Everything known of one other process, heard or only heard of."""
+
+    peer_address: str
+    # When the process was last heard, or first heard of.
+    heard_s: float
+    # The newest heartbeat; None if none arrived.
+    heartbeat: Heartbeat | None = None
+    # This member's admission lease from the process ends at this time.
+    lease_until_s: float = float("-inf")
+    # The process is out of the view up to this time.
+    out_until_s: float = float("-inf")
+    # Whether the VM list has named the address.
+    listed: bool = False
+    # Whether the VM list calls the VM leaving.
+    vm_leaving: bool = False
+
+
+@dataclass(slots=True)
+class Membership:
+    """The members as this process knows them."""
+
+    parameters: MemberParameters
+    records: dict[MemberId, _Record] = field(default_factory=dict)
+    # Processes that are gone for good, and when that was learned.
+    gone: dict[MemberId, float] = field(default_factory=dict)
+    leaving: LeavingTargets = field(default_factory=LeavingTargets)
+    # Base address (host:port) of each configured target.
+    target_addresses: dict[TargetName, str] = field(default_factory=dict)
+    # Whether a source that knows all members has shown them to this process.
+    introduced: bool = False
+    # The newest heartbeat of this process; None before the first.
+    own: Heartbeat | None = None
+    # Addresses that the VM list last called live.
+    listed: frozenset[str] = frozenset()
+
+    @classmethod
+    def from_config(cls, parameters: MemberParameters) -> "Membership":
+        """A member that knows nobody yet."""
+        return cls(parameters)
+
+    def on_configuration(self, configuration: Configuration) -> None:
+        """Learn the addresses of the targets, to read the VM list by."""
+        self.target_addresses = {
+            target.name: target.address.rpartition("//")[2].rstrip("/")
+            for template in configuration.templates.values()
+            for group in template.groups
+            for target in group.targets
+        }
+
+    def heartbeat(
+        self,
+        now: float,
+        *,
+        ready: bool,
+        draining: bool,
+        config_version: int,
+        demand: tuple[GroupDemand, ...] = (),
+        resigned: bool = False,
+    ) -> Heartbeat:
+        """The heartbeat to send to every member that is `known` now."""
+        parameters = self.parameters
+        sequence = 1 if self.own is None else self.own.sequence + 1
+        self.own = Heartbeat(
+            entry=parameters.me.entry,
+            incarnation=parameters.me.incarnation,
+            sequence=sequence,
+            clock_s=now - parameters.started_s,
+            caller_address=parameters.caller_address,
+            peer_address=parameters.peer_address,
+            zone=parameters.zone,
+            ready=ready,
+            draining=draining,
+            config_version=config_version,
+            demand=demand,
+            leaving=self.leaving.gossip(now),
+            peers=self._echoes(now),
+            resigned=resigned,
+        )
+        return self.own
+
+    def on_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
+        """Take in what another member says of itself and of the others."""
+        member = MemberId(heartbeat.entry, heartbeat.incarnation)
+        if member == self.parameters.me or member in self.gone:
+            return
+        record = self._note_member(member, heartbeat.peer_address, now)
+        newest = record.heartbeat
+        if newest is not None and newest.sequence >= heartbeat.sequence:
+            return
+        record.heartbeat = heartbeat
+        record.heard_s = now
+        record.peer_address = heartbeat.peer_address
+        record.out_until_s = float("-inf")
+        for target in heartbeat.leaving:
+            self.leaving.note_leaving(target.target, now, target.age_s)
+        for echo in heartbeat.peers:
+            self._on_echo(record, echo, now)
+        if heartbeat.resigned:
+            self._bury(member, now)
+        self._bury_superseded(now)
+
+    def on_leases(
+        self, members: dict[MemberId, str], own_until_s: float, now: float
+    ) -> None:
+        """Take in the leases that stand in the key-value service.
+
+        Silent members without a lease leave the view, but only for as long as this
+        member's own lease stands: whoever takes this member out later must have seen
+        its lease gone, and by then the member so taken out is back in the view.
+        """
+        own_stands = self.parameters.me in members and own_until_s > now
+        self.introduced = self.introduced or own_stands
+        for member, address in members.items():
+            if member != self.parameters.me and member not in self.gone:
+                record = self._note_member(member, address, now)
+                record.out_until_s = float("-inf")
+        if not own_stands:
+            return
+        for member, record in self.records.items():
+            if member not in members and self._is_silent(record, now):
+                record.out_until_s = own_until_s - LEASE_MARGIN_S
+
+    def on_vm_list(
+        self, live: frozenset[str], leaving: frozenset[str], now: float
+    ) -> None:
+        """Take in the platform's list of VMs, which lags."""
+        self.listed = live
+        for name, address in self.target_addresses.items():
+            if _is_listed(address, leaving):
+                self.leaving.note_leaving(name, now)
+            elif _is_listed(address, live):
+                self.leaving.note_live(name, now)
+        for member, record in list(self.records.items()):
+            record.vm_leaving = _is_listed(record.peer_address, leaving)
+            if record.vm_leaving or _is_listed(record.peer_address, live):
+                record.listed = True
+            elif record.listed and self._is_silent(record, now):
+                self._bury(member, now)
+
+    def note_leaving(self, target: TargetName, now: float) -> None:
+        """Record that a target said of itself that it is leaving."""
+        self.leaving.note_leaving(target, now)
+
+    def note_live(self, target: TargetName, now: float) -> None:
+        """Record that a target said of itself that it is not leaving."""
+        self.leaving.note_live(target, now)
+
+    def leaving_targets(self, now: float) -> frozenset[TargetName]:
+        """The targets that must get no new work."""
+        return self.leaving.names(now)
+
+    def live(self, now: float) -> tuple[MemberView, ...]:
+        """The other members that were heard within the member timeout."""
+        return tuple(
+            _view_of(member, record)
+            for member, record in self.records.items()
+            if record.heartbeat is not None and not self._is_silent(record, now)
+        )
+
+    def view(self, now: float) -> tuple[MemberId, ...]:
+        """The other processes that may still admit or shed, heard lately or not."""
+        return tuple(
+            member
+            for member, record in self.records.items()
+            if record.out_until_s <= now
+        )
+
+    def known(self) -> tuple[MemberId, ...]:
+        """Every other process that heartbeats are sent to."""
+        return tuple(self.records)
+
+    def addresses(self, now: float) -> dict[MemberId, str]:
+        """Peer address by member, of every process that heartbeats are sent to."""
+        return {member: record.peer_address for member, record in self.records.items()}
+
+    def strangers(self) -> frozenset[str]:
+        """Addresses on the VM list of neither a known member nor a known target."""
+        known = {record.peer_address for record in self.records.values()}
+        known.update(self.target_addresses.values())
+        known.add(self.parameters.peer_address)
+        return frozenset(address for address in self.listed if address not in known)
+
+    def joined(self, now: float) -> bool:
+        """Whether this process knows the members it has to reckon with."""
+        started_s = self.parameters.started_s
+        return self.introduced and now - started_s >= self.parameters.start_hold_s
+
+    def permitted(self, now: float) -> bool:
+        """Whether this process may admit requests below the highest tier."""
+        return self.joined(now) and all(
+            self.records[member].lease_until_s > now for member in self.view(now)
+        )
+
+    def find(self, member: MemberId, now: float) -> MemberView | None:
+        """The member if it was heard lately; None otherwise."""
+        record = self.records.get(member)
+        if record is None or record.heartbeat is None:
+            return None
+        if self._is_silent(record, now):
+            return None
+        return _view_of(member, record)
+
+    def clock_of(self, member: MemberId, now: float) -> float | None:
+        """A lower bound of the member's own clock; None if it was never heard."""
+        record = self.records.get(member)
+        if record is None or record.heartbeat is None:
+            return None
+        elapsed_s = max(0.0, now - record.heard_s)
+        return record.heartbeat.clock_s + elapsed_s * (1.0 - MAX_DRIFT)
+
+    def pick_entry(self, now: float, rng: random.Random) -> MemberView | None:
+        """The entry that a caller is sent to; None if no entry takes requests.
+
+        Two entries are drawn and the less loaded one is taken, which spreads callers
+        although the loads are a heartbeat old.
+        """
+        candidates = [view for view in self.live(now) if _takes_callers(view)]
+        own = self._own_view()
+        own_fits = not candidates or self.permitted(now)
+        if own is not None and _takes_callers(own) and own_fits:
+            candidates.append(own)
+        if not candidates:
+            return None
+        drawn = rng.sample(candidates, min(PICK_CHOICES, len(candidates)))
+        return min(drawn, key=lambda view: view.load)
+
+    def _own_view(self) -> MemberView | None:
+        if self.own is None:
+            return None
+        record = _Record(self.own.peer_address, 0.0, self.own)
+        return _view_of(self.parameters.me, record)
+
+    def _echoes(self, now: float) -> tuple[PeerEcho, ...]:
+        return tuple(
+            PeerEcho(
+                member.entry,
+                member.incarnation,
+                record.peer_address,
+                None if record.heartbeat is None else record.heartbeat.clock_s,
+            )
+            for member, record in self.records.items()
+            if record.out_until_s <= now
+        )
+
+    def _on_echo(self, sender: _Record, echo: PeerEcho, now: float) -> None:
+        member = MemberId(echo.entry, echo.incarnation)
+        if member != self.parameters.me:
+            if member not in self.gone:
+                self._note_member(member, echo.peer_address, now)
+            return
+        if echo.clock_s is None:
+            return
+        heard_s = self.parameters.started_s + echo.clock_s
+        sender.lease_until_s = max(sender.lease_until_s, heard_s + ADMISSION_LEASE_S)
+        self.introduced = True
+
+    def _note_member(self, member: MemberId, address: str, now: float) -> _Record:
+        return self.records.setdefault(member, _Record(address, now))
+
+    def _is_silent(self, record: _Record, now: float) -> bool:
+        return now - record.heard_s >= self.parameters.member_timeout_s
+
+    def _bury(self, member: MemberId, now: float) -> None:
+        self.records.pop(member, None)
+        self.gone[member] = now
+        for other, buried_s in list(self.gone.items()):
+            if now - buried_s >= TOMBSTONE_S:
+                del self.gone[other]
+
+    def _bury_superseded(self, now: float) -> None:
+        """Drop silent processes whose address another process answers at now."""
+        heard = {
+            record.peer_address
+            for record in self.records.values()
+            if not self._is_silent(record, now) and record.heartbeat is not None
+        }
+        for member, record in list(self.records.items()):
+            if self._is_silent(record, now) and record.peer_address in heard:
+                self._bury(member, now)
+
+
+def _takes_callers(view: MemberView) -> bool:
+    return view.ready and not view.draining
+
+
+def _is_listed(address: str, listing: frozenset[str]) -> bool:
+    return address in listing or address.rpartition(":")[0] in listing
+
+
+def _view_of(member: MemberId, record: _Record) -> MemberView:
+    heartbeat = record.heartbeat
+    return MemberView(
+        member=member,
+        peer_address=record.peer_address,
+        caller_address="" if heartbeat is None else heartbeat.caller_address,
+        zone="" if heartbeat is None else heartbeat.zone,
+        ready=heartbeat is not None and heartbeat.ready,
+        draining=record.vm_leaving or (heartbeat is not None and heartbeat.draining),
+        config_version=0 if heartbeat is None else heartbeat.config_version,
+        demand=() if heartbeat is None else heartbeat.demand,
+    )
--- a/packages/burdockhaven-core/src/burdockhaven_core/messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/messages.py
@@ -15,6 +15,25 @@
     in_flight: dict[TargetName, int]
 
 
+class PeerEcho(msgspec.Struct, frozen=True, array_like=True):
+    """What the sender of a heartbeat knows of one other member."""
+
+    entry: EntryName
+    incarnation: Incarnation
+    # Where other members reach that member, as host:port.
+    peer_address: str
+    # The newest `clock_s` that the sender has heard from it; None if it heard none.
+    clock_s: float | None
+
+
+class LeavingTarget(msgspec.Struct, frozen=True, array_like=True):
+    """A target that accepts no new work."""
+
+    target: TargetName
+    # Seconds since the target or the VM list last said so.
+    age_s: float
+
+
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """Sent by each member to each other one at a fixed interval."""
 
@@ -37,7 +56,12 @@
     config_version: int
     demand: tuple[GroupDemand, ...]
     # Targets that the member knows to be leaving.
-    leaving: tuple[TargetName, ...]
+    leaving: tuple[LeavingTarget, ...]
+    # The other members that the sender reckons with. Naming a member with its clock
+    # tells that member that it was heard, which extends its lease on admission.
+    peers: tuple[PeerEcho, ...] = ()
+    # Whether the sender will admit and dispatch nothing any more, for good.
+    resigned: bool = False
 
 
 class CloseAsk(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- /dev/null
+++ b/packages/burdockhaven-core/tests/test_membership.py
@@ -0,0 +1,175 @@
+"""Membership from heartbeats, leases and the VM list."""
+
+import random
+
+import pytest
+
+from burdockhaven_core.identity import MemberId
+from burdockhaven_core.membership import MemberParameters, Membership
+from burdockhaven_core.messages import GroupDemand
+
+STARTED_S = 100.0
+LATER_S = STARTED_S + 10.0
+
+
+def member(name, incarnation="1"):
+    return MemberId(name, f"{name}{incarnation}")
+
+
+def address(name):
+    return f"10.0.0.{ord(name)}:7000"
+
+
+def make(name, incarnation="1"):
+    parameters = MemberParameters(
+        member(name, incarnation), "z1", f"{name}:80", address(name), STARTED_S
+    )
+    return Membership.from_config(parameters)
+
+
+def beat(sender, receiver, now, queued=0, **changes):
+    state = {"ready": True, "draining": False, "config_version": 1, **changes}
+    demand = (GroupDemand("g", (queued,), {}),)
+    receiver.on_heartbeat(sender.heartbeat(now, demand=demand, **state), now)
+
+
+def pair(now=LATER_S):
+    """Two members that have heard each other twice."""
+    first, second = make("a"), make("b")
+    for _ in range(2):
+        beat(first, second, now)
+        beat(second, first, now)
+    return first, second
+
+
+def test_mutual_heartbeats_permit_admission_until_the_lease_ends():
+    first, _ = pair()
+    assert first.permitted(LATER_S + 1.9)
+    assert not first.permitted(LATER_S + 2.1)
+
+
+def test_a_member_that_is_heard_but_does_not_hear_us_gives_no_lease():
+    first, second = make("a"), make("b")
+    for _ in range(5):
+        beat(second, first, LATER_S)
+    assert not first.permitted(LATER_S)
+
+
+def test_a_late_heartbeat_extends_the_lease_only_from_the_echoed_clock():
+    first, second = pair()
+    late = second.heartbeat(LATER_S, ready=True, draining=False, config_version=1)
+    first.on_heartbeat(late, LATER_S + 5.0)
+    assert not first.permitted(LATER_S + 5.0)
+
+
+def test_nothing_is_permitted_during_the_start():
+    first, _ = pair(now=STARTED_S + 1.0)
+    assert not first.permitted(STARTED_S + 1.0)
+
+
+@pytest.mark.parametrize(
+    ("own_until_s", "listed", "after_s", "in_view"),
+    [
+        (LATER_S + 9, ["a"], 4.0, False),
+        (LATER_S + 9, ["a", "b"], 4.0, True),
+        (LATER_S + 9, ["a"], 2.0, True),
+        (LATER_S + 3, ["a"], 4.0, True),
+        (LATER_S + 9, [], 4.0, True),
+    ],
+    ids=["out", "lease stands", "not silent", "own lease ended", "own lease absent"],
+)
+def test_a_silent_member_without_a_lease_leaves_the_view(
+    own_until_s, listed, after_s, in_view
+):
+    first, _ = pair()
+    leases = {member(name): address(name) for name in listed}
+    first.on_leases(leases, own_until_s, LATER_S + after_s)
+    assert (member("b") in first.view(LATER_S + after_s)) is in_view
+
+
+def test_a_member_taken_out_returns_before_the_own_lease_ends():
+    first, _ = pair()
+    first.on_leases({member("a"): address("a")}, LATER_S + 9, LATER_S + 4)
+    assert member("b") in first.view(LATER_S + 9 - 2.4)
+
+
+@pytest.mark.parametrize(
+    ("listed_before", "silent_s", "in_view"),
+    [(True, 4.0, False), (False, 4.0, True), (True, 1.0, True)],
+)
+def test_the_vm_list_removes_only_silent_members_that_it_once_named(
+    listed_before, silent_s, in_view
+):
+    first, _ = pair()
+    if listed_before:
+        first.on_vm_list(frozenset({address("b")}), frozenset(), LATER_S)
+    first.on_vm_list(frozenset({"10.9.9.9:1"}), frozenset(), LATER_S + silent_s)
+    assert (member("b") in first.view(LATER_S + silent_s)) is in_view
+
+
+def test_a_restarted_process_replaces_the_silent_one_for_good():
+    first, second = pair()
+    late = second.heartbeat(LATER_S, ready=True, draining=False, config_version=1)
+    restarted = make("b", "2")
+    beat(restarted, first, LATER_S + 1)
+    assert set(first.view(LATER_S + 1)) == {member("b"), member("b", "2")}
+    beat(restarted, first, LATER_S + 4)
+    assert first.view(LATER_S + 4) == (member("b", "2"),)
+    first.on_heartbeat(late, LATER_S + 4)
+    assert first.view(LATER_S + 4) == (member("b", "2"),)
+
+
+def test_a_resigned_member_leaves_the_view_at_once():
+    first, second = pair()
+    beat(second, first, LATER_S, ready=False, draining=True, resigned=True)
+    assert first.view(LATER_S) == ()
+
+
+def test_members_are_learned_from_members():
+    first, second = pair()
+    third = make("c")
+    beat(second, third, LATER_S)
+    assert set(third.view(LATER_S)) == {member("a"), member("b")}
+
+
+def test_the_clock_of_a_member_is_a_lower_bound():
+    first, second = pair()
+    clock_s = first.clock_of(member("b"), LATER_S + 1)
+    assert 10.0 < clock_s <= 11.0
+    assert first.clock_of(member("x"), LATER_S) is None
+
+
+def test_callers_are_spread_over_ready_members_by_load():
+    first, second = pair()
+    third, fourth = make("c"), make("d")
+    beat(third, first, LATER_S, queued=50)
+    beat(fourth, first, LATER_S, draining=True)
+    rng = random.Random(1)
+    picks = [first.pick_entry(LATER_S, rng).member.entry for _ in range(300)]
+    assert set(picks) == {"b"}
+    for other in (second, third, fourth):
+        beat(first, other, LATER_S)
+        queued = 50 if other is third else 0
+        beat(other, first, LATER_S, queued, draining=other is fourth)
+    picks = [first.pick_entry(LATER_S, rng).member.entry for _ in range(300)]
+    assert picks.count("c") == 0
+    assert min(picks.count("a"), picks.count("b")) > 90
+
+
+def test_leaving_targets_spread_over_members_with_the_age_of_the_evidence():
+    first, second = pair()
+    third = make("c")
+    first.note_leaving("t", LATER_S)
+    beat(first, second, LATER_S + 1)
+    beat(second, third, LATER_S + 2)
+    assert third.leaving_targets(LATER_S + 2) == {"t"}
+    for late_s in range(3, 200, 10):
+        beat(second, third, LATER_S + late_s)
+        beat(third, second, LATER_S + late_s)
+    assert third.leaving_targets(LATER_S + 200) == {"t"}
+    for observer in (second, third):
+        observer.note_live("t", LATER_S + 200)
+        observer.note_live("t", LATER_S + 230)
+        assert observer.leaving_targets(LATER_S + 230) == {"t"}
+        observer.note_live("t", LATER_S + 261)
+        assert observer.leaving_targets(LATER_S + 261) == set()
--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/peer_link.py
@@ -0,0 +1,229 @@
+"""Carries messages between entry processes over ZeroMQ; messages may be lost.
+
+Each process binds one ROUTER socket, on which it only receives, and opens one DEALER
+socket per peer address, on which it only sends. Sending never waits: a message that
+finds no connection or a full queue is dropped, and the core sends what matters again.
+
+A connection can go silent for good. The peer's heartbeats name the newest heartbeat of
+ours that it heard, so a link on which ours no longer arrive is seen within a few
+intervals and gets a fresh socket, whichever direction failed.
+"""
+
+import asyncio
+import contextlib
+import itertools
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+import msgspec
+import zmq
+import zmq.asyncio
+
+from burdockhaven_core.identity import MemberId
+from burdockhaven_core.messages import (
+    Heartbeat,
+    PeerMessage,
+    decode_message,
+    encode_message,
+)
+
+# The largest message that is read, in bytes; a configuration is the largest one.
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+# Messages that wait for one peer, and for this process, before some are dropped.
+SEND_QUEUE_MESSAGES = 1_000
+RECEIVE_QUEUE_MESSAGES = 10_000
+# Milliseconds between attempts to connect, at first and at most.
+RECONNECT_MS = 100
+RECONNECT_MAX_MS = 1_000
+# Seconds without confirmation after which a socket is replaced.
+SILENT_AFTER_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class PeerLinkError:
+    """Something arrived or could not be sent that harms only itself."""
+
+    # What the link was doing: "decode", "receive" or "connect".
+    step: str
+    # The peer address, as far as it is known.
+    peer: str
+    detail: str
+
+
+@dataclass(slots=True)
+class PeerTraffic:
+    """What has gone over the link since the process start."""
+
+    sent_messages: int = 0
+    sent_bytes: int = 0
+    dropped_messages: int = 0
+    received_messages: int = 0
+    received_bytes: int = 0
+    # Sockets replaced because the connection was silent.
+    replaced_sockets: int = 0
+
+
+@dataclass(slots=True)
+class _Outgoing:
+    """The sending side towards one address."""
+
+    socket: zmq.Socket[bytes]
+    # Our `clock_s` when the socket was opened or last confirmed by the peer.
+    confirmed_clock_s: float
+
+
+OnMessage = Callable[[MemberId, PeerMessage], None]
+OnError = Callable[[PeerLinkError], None]
+
+
+@dataclass(slots=True)
+class PeerLink:
+    """The sockets of one entry process towards the others."""
+
+    me: MemberId
+    # Where to listen, as host:port; after `open` with the port in use.
+    address: str
+    on_message: OnMessage
+    on_error: OnError
+    silent_after_s: float = SILENT_AFTER_S
+    traffic: PeerTraffic = field(default_factory=PeerTraffic)
+    outgoing: dict[str, _Outgoing] = field(default_factory=dict)
+    # The address that each member's heartbeats come from.
+    address_of: dict[MemberId, str] = field(default_factory=dict)
+    context: zmq.asyncio.Context = field(default_factory=zmq.asyncio.Context)
+    socket_numbers: Iterator[int] = field(default_factory=itertools.count)
+    receiver: asyncio.Task[None] | None = None
+
+    @classmethod
+    def from_config(
+        cls,
+        me: MemberId,
+        peer_address: str,
+        on_message: OnMessage,
+        on_error: OnError,
+        silent_after_s: float = SILENT_AFTER_S,
+    ) -> "PeerLink":
+        """A link that is not open yet."""
+        return cls(me, peer_address, on_message, on_error, silent_after_s)
+
+    def open(self) -> None:
+        """Listen, and deliver what arrives; raises `zmq.ZMQError` if it can't."""
+        socket = self.context.socket(zmq.ROUTER)
+        socket.set(zmq.LINGER, 0)
+        socket.set(zmq.RCVHWM, RECEIVE_QUEUE_MESSAGES)
+        socket.set(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+        socket.bind(f"tcp://{self.address}")
+        endpoint = socket.get_string(zmq.LAST_ENDPOINT).rstrip("\0")
+        self.address = endpoint.removeprefix("tcp://")
+        self.receiver = asyncio.create_task(self._receive(socket))
+
+    async def close(self) -> None:
+        """Stop receiving and drop what has not been sent."""
+        if self.receiver is not None:
+            self.receiver.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self.receiver
+        for outgoing in self.outgoing.values():
+            outgoing.socket.close(linger=0)
+        self.outgoing.clear()
+        self.context.destroy(linger=0)
+
+    def send(self, address: str, message: PeerMessage) -> None:
+        """Send the message to the process that listens there; never waits."""
+        clock_s = message.clock_s if isinstance(message, Heartbeat) else None
+        outgoing = self._outgoing(address, clock_s)
+        if outgoing is None:
+            return
+        data = encode_message(message)
+        try:
+            outgoing.socket.send(data, zmq.NOBLOCK)
+        except zmq.Again:
+            self.traffic.dropped_messages += 1
+            return
+        self.traffic.sent_messages += 1
+        self.traffic.sent_bytes += len(data)
+
+    def forget(self, keep: frozenset[str]) -> None:
+        """Close the sockets towards all addresses but those named."""
+        for address in self.outgoing.keys() - keep:
+            self.outgoing.pop(address).socket.close(linger=0)
+        for member, address in list(self.address_of.items()):
+            if address not in keep:
+                del self.address_of[member]
+
+    def _outgoing(self, address: str, clock_s: float | None) -> _Outgoing | None:
+        outgoing = self.outgoing.get(address)
+        if outgoing is not None and not self._is_silent(outgoing, clock_s):
+            return outgoing
+        if outgoing is not None:
+            outgoing.socket.close(linger=0)
+            del self.outgoing[address]
+            self.traffic.replaced_sockets += 1
+        try:
+            socket = self._connect(address)
+        except zmq.ZMQError as error:
+            self.on_error(PeerLinkError("connect", address, str(error)))
+            return None
+        outgoing = _Outgoing(socket, clock_s or 0.0)
+        self.outgoing[address] = outgoing
+        return outgoing
+
+    def _is_silent(self, outgoing: _Outgoing, clock_s: float | None) -> bool:
+        if clock_s is None:
+            return False
+        return clock_s - outgoing.confirmed_clock_s >= self.silent_after_s
+
+    def _connect(self, address: str) -> zmq.Socket[bytes]:
+        # The plain socket: sending with NOBLOCK needs no event loop.
+        socket = zmq.Socket(self.context, zmq.DEALER)
+        try:
+            number = next(self.socket_numbers)
+            routing_id = f"{self.address}#{self.me.incarnation[:8]}#{number}"
+            socket.set(zmq.ROUTING_ID, routing_id.encode())
+            socket.set(zmq.LINGER, 0)
+            socket.set(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
+            socket.set(zmq.IMMEDIATE, 1)
+            socket.set(zmq.RECONNECT_IVL, RECONNECT_MS)
+            socket.set(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+            socket.connect(f"tcp://{address}")
+        except zmq.ZMQError:
+            socket.close(linger=0)
+            raise
+        return socket
+
+    async def _receive(self, socket: zmq.asyncio.Socket) -> None:
+        try:
+            while True:
+                parts = await socket.recv_multipart()
+                self._on_parts(parts)
+        finally:
+            socket.close(linger=0)
+
+    def _on_parts(self, parts: list[bytes]) -> None:
+        peer = parts[0].decode(errors="replace").partition("#")[0]
+        self.traffic.received_messages += 1
+        self.traffic.received_bytes += sum(len(part) for part in parts[1:])
+        if len(parts) != 2:
+            detail = f"a message has {len(parts) - 1} parts instead of 1"
+            self.on_error(PeerLinkError("receive", peer, detail))
+            return
+        try:
+            message = decode_message(parts[1])
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+            self.on_error(PeerLinkError("decode", peer, str(error)))
+            return
+        sender = MemberId(message.entry, message.incarnation)
+        if isinstance(message, Heartbeat):
+            self._confirm(sender, message)
+        self.on_message(sender, message)
+
+    def _confirm(self, sender: MemberId, heartbeat: Heartbeat) -> None:
+        self.address_of[sender] = heartbeat.peer_address
+        outgoing = self.outgoing.get(heartbeat.peer_address)
+        if outgoing is None:
+            return
+        for echo in heartbeat.peers:
+            is_me = MemberId(echo.entry, echo.incarnation) == self.me
+            if is_me and echo.clock_s is not None:
+                heard_s = max(outgoing.confirmed_clock_s, echo.clock_s)
+                outgoing.confirmed_clock_s = heard_s
