--- a/packages/burdockhaven-core/src/burdockhaven_core/messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/messages.py
@@ -13,6 +13,8 @@
     queued: tuple[int, ...]
     # Requests under way, by target.
     in_flight: dict[TargetName, int]
+    # Requests under way, by tier, the lowest first.
+    running: tuple[int, ...] = ()
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag=1):
--- a/packages/burdockhaven-core/src/burdockhaven_core/targets.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/targets.py
@@ -3,6 +3,7 @@
 Load reports are stale, so they only add to what the entry has seen itself.
 """
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -10,11 +11,17 @@
 from burdockhaven_core.identity import GroupName, RunId, TargetName
 
 # Weight of the newest sample in a moving average.
-AVERAGE_WEIGHT = 0.2
+AVERAGE_WEIGHT = 0.1
 # Seconds between tokens assumed of a target that has not been used yet.
 DEFAULT_TOKEN_INTERVAL_S = 0.04
 # Prompt tokens a second assumed of a target that has not been used yet.
 DEFAULT_PREFILL_RATE = 8_000.0
+# Seconds that a run is assumed to hold a slot of a target not used yet.
+DEFAULT_HOLD_S = 10.0
+# Seconds that a request may be kept from its slot by others already at the target.
+TARGET_QUEUE_S = 0.5
+# Requests beyond its slots that a target may have, as a multiple of the slots.
+MAX_OVERCOMMIT = 2.0
 # Seconds for which a target that refused a connection gets no new work.
 REFUSAL_PAUSE_S = 1.0
 
@@ -38,8 +45,14 @@
         self.report: LoadReport | None = None
         # Moving average of the seconds between tokens.
         self.token_interval_s = DEFAULT_TOKEN_INTERVAL_S
-        # Moving average of prompt tokens processed in a second.
-        self.prefill_rate = DEFAULT_PREFILL_RATE
+        # Moving averages of the prompt tokens of a run and of the seconds from its
+        # dispatch to the first token.
+        self.prompt_tokens = DEFAULT_PREFILL_RATE
+        self.prefill_s = 1.0
+        # Moving average of the seconds that a run holds a slot.
+        self.hold_s = DEFAULT_HOLD_S
+        # Requests that this entry may have under way here.
+        self.limit = spec.slots
         # No new work before this time.
         self.paused_until_s = 0.0
 
@@ -48,7 +61,22 @@
         """Requests of this entry under way at the target."""
         return len(self.runs)
 
-    def service_s(self, prompt_tokens: int, output_tokens: int) -> float:
+    @property
+    def prefill_rate(self) -> float:
+        """Prompt tokens processed in a second."""
+        return self.prompt_tokens / self.prefill_s
+
+    @property
+    def capacity(self) -> int:
+        """Requests of all entries that the target may have under way.
+
+        The slots are kept full between grants by a few more, which wait at the target
+        for no longer than `TARGET_QUEUE_S`.
+        """
+        overcommit = min(MAX_OVERCOMMIT, TARGET_QUEUE_S / self.hold_s)
+        return math.ceil(self.spec.slots * (1.0 + overcommit))
+
+    def service_s(self, prompt_tokens: int, output_tokens: float) -> float:
         """Predicted seconds from dispatch to the end of the answer."""
         prefill_s = prompt_tokens / self.prefill_rate
         return prefill_s + output_tokens * self.token_interval_s
@@ -57,16 +85,20 @@
         """Take in the time from a dispatch to its first token."""
         if prompt_tokens == 0 or seconds <= 0:
             return
-        rate = prompt_tokens / seconds
-        self.prefill_rate += AVERAGE_WEIGHT * (rate - self.prefill_rate)
+        self.prompt_tokens += AVERAGE_WEIGHT * (prompt_tokens - self.prompt_tokens)
+        self.prefill_s += AVERAGE_WEIGHT * (seconds - self.prefill_s)
 
     def learn_decode(self, tokens: int, seconds: float) -> None:
         """Take in the time that a number of tokens took after the first."""
-        if tokens == 0:
+        if tokens <= 0:
             return
         interval = seconds / tokens
         self.token_interval_s += AVERAGE_WEIGHT * (interval - self.token_interval_s)
 
+    def learn_hold(self, seconds: float) -> None:
+        """Take in the time from a dispatch to the end of the answer."""
+        self.hold_s += AVERAGE_WEIGHT * (seconds - self.hold_s)
+
 
 class TargetTable:
     """All targets of the configuration in force."""
