--- a/packages/burdockhaven-core/src/burdockhaven_core/actions.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/actions.py
@@ -3,16 +3,36 @@
 from dataclasses import dataclass
 
 from burdockhaven_core.configuration import TargetSpec
-from burdockhaven_core.identity import AccountName, ClassName, MemberId, RunId
+from burdockhaven_core.identity import (
+    AccountName,
+    ClassName,
+    EntryName,
+    MemberId,
+    RunId,
+)
 from burdockhaven_core.messages import PeerMessage
 from burdockhaven_core.outcome import Outcome
 
 
+@dataclass(frozen=True, slots=True)
+class Keep:
+    """Keep the body of a new request until it is dispatched or dropped."""
+
+    handle: int
+    run_id: RunId
+
+
+@dataclass(frozen=True, slots=True)
+class Drop:
+    """Forget the body of a request: it will never be dispatched."""
+
+    run_id: RunId
+
+
 @dataclass(frozen=True, slots=True)
 class StartRun:
     """Send the request to the target, once."""
 
-    handle: int
     run_id: RunId
     target: TargetSpec
     # Whether the request needs a connection that has not been used before.
@@ -35,6 +55,29 @@
     run_id: RunId
 
 
+@dataclass(frozen=True, slots=True)
+class AnswerLookUp:
+    """Tell the caller which entry to use, and for how long."""
+
+    handle: int
+    entry: EntryName
+    # Where to connect, as host:port.
+    address: str
+    # The signed assignment that requests present.
+    token: str
+    # Seconds for which the caller may keep this answer.
+    lasts_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Recover:
+    """Look for a run of a lost entry at the targets; read it but start nothing."""
+
+    handle: int
+    run_id: RunId
+    targets: tuple[TargetSpec, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class CancelRun:
     """Tell the target to stop the run; nobody wants its answer."""
@@ -88,9 +131,13 @@
 
 
 Action = (
-    StartRun
+    Keep
+    | Drop
+    | StartRun
     | Answer
     | Attach
+    | AnswerLookUp
+    | Recover
     | CancelRun
     | SendMessage
     | RecordRequest
--- /dev/null
+++ b/packages/burdockhaven-core/src/burdockhaven_core/dispatching.py
@@ -0,0 +1,105 @@
+"""Moves requests from the queues to the targets."""
+
+from burdockhaven_core.actions import StartRun
+from burdockhaven_core.entry_state import EntryState
+from burdockhaven_core.floor import Admission
+from burdockhaven_core.identity import GroupName
+from burdockhaven_core.ledger import RunState
+from burdockhaven_core.outcome import NotRun, NotRunReason
+from burdockhaven_core.queueing import GroupQueue, QueuedRequest
+from burdockhaven_core.shedding import retry_after_s, shed
+from burdockhaven_core.targets import TargetState
+
+
+def pump(state: EntryState, now: float) -> None:
+    """Dispatch what can go, the highest tier of each group first."""
+    for group, queue in state.queues.items():
+        if queue:
+            _pump_group(state, group, queue, now)
+
+
+def _pump_group(
+    state: EntryState, group: GroupName, queue: GroupQueue, now: float
+) -> None:
+    targets = state.open_targets(group, now)
+    for tier in queue.tiers():
+        admission = state.floor.admission(group, tier, now)
+        if admission is Admission.HOLD:
+            continue
+        if admission is Admission.REFUSE:
+            _close_out(state, queue, tier, now)
+            continue
+        if not _pump_tier(state, group, queue, tier, targets, now):
+            return
+
+
+def _close_out(state: EntryState, queue: GroupQueue, tier: int, now: float) -> None:
+    closed = NotRun(
+        NotRunReason.OVERLOAD,
+        "only higher tiers are admitted now",
+        retry_after_s(state, now),
+    )
+    for request in list(queue.requests.values()):
+        if request.tier == tier:
+            shed(state, request.run_id, closed, now)
+
+
+def _pump_tier(
+    state: EntryState,
+    group: GroupName,
+    queue: GroupQueue,
+    tier: int,
+    targets: list[TargetState],
+    now: float,
+) -> bool:
+    """Dispatch what can go of one tier; False if no target is left for anybody."""
+    while True:
+        sent = False
+        for request in queue.heads(tier):
+            target = _choose(state, request, targets, now)
+            if target is not None:
+                dispatch(state, group, queue, request, target, now)
+                sent = True
+                break
+            if request.targets is None:
+                return False
+        if not sent:
+            return True
+
+
+def _choose(
+    state: EntryState,
+    request: QueuedRequest,
+    targets: list[TargetState],
+    now: float,
+) -> TargetState | None:
+    allowed = request.targets
+    if allowed is not None:
+        targets = [target for target in targets if target.spec.name in allowed]
+    return state.choose(request, targets, now)
+
+
+def dispatch(
+    state: EntryState,
+    group: GroupName,
+    queue: GroupQueue,
+    request: QueuedRequest,
+    target: TargetState,
+    now: float,
+) -> None:
+    """Send one request to its target."""
+    run_id = request.run_id
+    queue.serve(run_id)
+    state.doomed.pop(run_id, None)
+    state.ledger.change(
+        run_id, state=RunState.DISPATCHED, target=target.spec, dispatched_s=now
+    )
+    target.runs.add(run_id)
+    state.dispatched[run_id] = request
+    state.out.append(
+        StartRun(
+            run_id=run_id,
+            target=target.spec,
+            fresh_connection=request.fresh_connection,
+        )
+    )
--- /dev/null
+++ b/packages/burdockhaven-core/src/burdockhaven_core/entry_state.py
@@ -0,0 +1,166 @@
+"""The state of one entry process, shared by the functions that handle its events."""
+
+import random
+from dataclasses import dataclass
+
+from burdockhaven_core.actions import Action, Answer, Note, RecordRequest
+from burdockhaven_core.choosing import Choose
+from burdockhaven_core.configuration import Configuration
+from burdockhaven_core.floor import Floor
+from burdockhaven_core.identity import (
+    AccountName,
+    EntryName,
+    GroupName,
+    MemberId,
+    RunId,
+)
+from burdockhaven_core.ledger import Ledger, Record
+from burdockhaven_core.log_numbers import EventNumber
+from burdockhaven_core.membership import MemberParameters, Membership
+from burdockhaven_core.outcome import NotRun, NotRunReason, Outcome, Unknown
+from burdockhaven_core.queueing import GroupQueue, QueuedRequest
+from burdockhaven_core.targets import TargetState, TargetTable
+
+
+@dataclass(frozen=True, slots=True)
+class EntryParameters:
+    """What an entry process learns from its settings."""
+
+    me: MemberId
+    zone: str
+    # Where callers and other members reach the process, as host:port.
+    caller_address: str
+    peer_address: str
+    # Signs and checks assignments; the same on every entry.
+    assignment_key: bytes
+    # Seconds for which a caller may keep the answer to a look-up.
+    assignment_lifetime_s: float = 30.0
+    # Seconds that a record is kept after its assignment has expired.
+    record_margin_s: float = 30.0
+    heartbeat_interval_s: float = 0.5
+    # Seconds without a heartbeat after which a member counts as gone.
+    member_timeout_s: float = 3.0
+    # Seconds for which a request whose caller went away is kept for its return.
+    resume_grace_s: float = 5.0
+    # Requests that may be queued over all groups.
+    max_queue: int = 4_096
+
+    def members(self, started_s: float) -> MemberParameters:
+        """How the process describes itself to the other members."""
+        return MemberParameters(
+            me=self.me,
+            zone=self.zone,
+            caller_address=self.caller_address,
+            peer_address=self.peer_address,
+            started_s=started_s,
+            member_timeout_s=self.member_timeout_s,
+        )
+
+
+class EntryState:
+    """Everything that one entry process knows."""
+
+    def __init__(
+        self,
+        parameters: EntryParameters,
+        choose: Choose,
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        self.parameters = parameters
+        self.choose = choose
+        self.rng = rng
+        self.started_s = now
+        self.configuration = Configuration()
+        # Client account by the SHA-256 of its key.
+        self.account_of_key: dict[str, AccountName] = {}
+        self.membership = Membership.from_config(parameters.members(now))
+        self.floor = Floor.from_config(self.membership)
+        self.ledger = Ledger()
+        self.targets = TargetTable()
+        self.queues: dict[GroupName, GroupQueue] = {}
+        # The group of each queued or dispatched run.
+        self.group_of: dict[RunId, GroupName] = {}
+        # Requests under way at a target, as they were queued.
+        self.dispatched: dict[RunId, QueuedRequest] = {}
+        # Queued requests that are to be shed as soon as the floor allows it.
+        self.doomed: dict[RunId, NotRun] = {}
+        # When a run without a caller is given up, by run.
+        self.abandoned: dict[RunId, float] = {}
+        self.next_heartbeat_s = now
+        # When the process may stop; None while it isn't asked to.
+        self.drain_until_s: float | None = None
+        self.stopped = False
+        self.out: list[Action] = []
+
+    @property
+    def ready(self) -> bool:
+        """Whether the entry has a configuration and takes new requests."""
+        return self.configuration.version > 0 and not self.stopped
+
+    @property
+    def draining(self) -> bool:
+        """Whether the entry was asked to stop."""
+        return self.drain_until_s is not None
+
+    def clock_s(self, now: float) -> float:
+        """The process's own clock, in which assignments are expressed."""
+        return now - self.started_s
+
+    def queue(self, group: GroupName) -> GroupQueue:
+        """The queue of a group, made on first use."""
+        return self.queues.setdefault(group, GroupQueue())
+
+    def queued(self) -> int:
+        """Requests that wait, over all groups."""
+        return sum(len(queue) for queue in self.queues.values())
+
+    def open_targets(self, group: GroupName, now: float) -> list[TargetState]:
+        """The targets of a group that take new work."""
+        leaving = self.membership.leaving_targets(now)
+        return [
+            target
+            for target in self.targets.of_group(group)
+            if target.spec.name not in leaving and target.paused_until_s <= now
+        ]
+
+    def note(self, number: EventNumber, **fields: str | int | float) -> None:
+        """Log a numbered event."""
+        self.out.append(Note(int(number), fields))
+
+    def answer(self, handle: int, outcome: Outcome) -> None:
+        """Give one caller its final answer."""
+        self.ledger.detach(handle)
+        self.out.append(Answer(handle, outcome))
+
+    def answer_all(self, run_id: RunId, outcome: NotRun | Unknown) -> None:
+        """Give the final answer to all callers of a run."""
+        for handle in self.ledger.release(run_id):
+            self.out.append(Answer(handle, outcome))
+
+    def record_result(self, record: Record, result: str, now: float) -> None:
+        """Add a finished request to the metrics."""
+        started_s = record.dispatched_s
+        first_s = record.first_token_s
+        wasted = record.prompt_tokens if started_s is not None else 0
+        self.out.append(
+            RecordRequest(
+                account=record.account,
+                class_name=record.spec.name,
+                tier=record.spec.tier,
+                result=result,
+                in_time=result == "whole" and now <= record.deadline_s,
+                queued_s=(now if started_s is None else started_s) - record.arrived_s,
+                first_token_s=None if first_s is None else first_s - record.arrived_s,
+                total_s=now - record.arrived_s,
+                wasted_prompt_tokens=0 if result == "whole" else wasted,
+                prompt_tokens=record.prompt_tokens,
+                service_s=0.0 if started_s is None else now - started_s,
+            )
+        )
+
+
+def unavailable(detail: str, entry: EntryName | None = None) -> NotRun:
+    """The answer of an entry that takes no new requests."""
+    text = detail if entry is None else f"{detail}; use {entry}"
+    return NotRun(NotRunReason.UNAVAILABLE, text, retry_after_s=0.0)
--- a/packages/burdockhaven-core/src/burdockhaven_core/events.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/events.py
@@ -35,6 +35,25 @@
     deadline_ms: int | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class LookUpArrived:
+    """A caller asks which entry to use."""
+
+    handle: int
+    account: AccountName
+
+
+@dataclass(frozen=True, slots=True)
+class ResumeArrived:
+    """A caller asks for the answer of a request sent before; nothing is dispatched."""
+
+    handle: int
+    token: str
+    key: str
+    account: AccountName
+    class_name: ClassName
+
+
 @dataclass(frozen=True, slots=True)
 class CallerGone:
     """The caller's connection closed before its answer was whole."""
@@ -143,6 +162,8 @@
 
 Event = (
     RequestArrived
+    | LookUpArrived
+    | ResumeArrived
     | CallerGone
     | RunRefused
     | RunProgressed
--- /dev/null
+++ b/packages/burdockhaven-core/src/burdockhaven_core/filters/__init__.py
@@ -0,0 +1,19 @@
+"""The steps that a request passes before it is queued.
+
+Each filter takes one typed message and gives the next one, or the final answer.
+"""
+
+from burdockhaven_core.filters.authorise import Authorised, authorise
+from burdockhaven_core.filters.identify import Identified, identify
+from burdockhaven_core.filters.limit import limit
+from burdockhaven_core.filters.plan import Planned, plan
+
+__all__ = [
+    "Authorised",
+    "Identified",
+    "Planned",
+    "authorise",
+    "identify",
+    "limit",
+    "plan",
+]
--- /dev/null
+++ b/packages/burdockhaven-core/src/burdockhaven_core/filters/limit.py
@@ -0,0 +1,27 @@
+"""Third filter: is the request within the sizes of its class?"""
+
+from result import Err, Ok, Result
+
+from burdockhaven_core.configuration import ClassSpec
+from burdockhaven_core.events import RequestArrived
+from burdockhaven_core.outcome import NotRun, NotRunReason
+
+
+def limit(request: RequestArrived, spec: ClassSpec) -> Result[RequestArrived, NotRun]:
+    """The request unchanged, or which size is beyond its limit."""
+    if request.prompt_tokens > spec.max_prompt_tokens:
+        detail = (
+            f"the prompt has {request.prompt_tokens} tokens, "
+            f"class {spec.name!r} allows {spec.max_prompt_tokens}"
+        )
+        return Err(NotRun(NotRunReason.TOO_LARGE, detail))
+    if request.max_output_tokens > spec.max_output_tokens:
+        detail = (
+            f"{request.max_output_tokens} tokens of answer are asked for, "
+            f"class {spec.name!r} allows {spec.max_output_tokens}"
+        )
+        return Err(NotRun(NotRunReason.TOO_LARGE, detail))
+    if request.deadline_ms is not None and request.deadline_ms <= 0:
+        detail = f"the deadline must be above 0 ms, not {request.deadline_ms}"
+        return Err(NotRun(NotRunReason.BAD_REQUEST, detail))
+    return Ok(request)
--- /dev/null
+++ b/packages/burdockhaven-core/src/burdockhaven_core/filters/plan.py
@@ -0,0 +1,70 @@
+"""Fourth filter: can the request be in time, and by when must it start?"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from burdockhaven_core.events import RequestArrived
+from burdockhaven_core.filters.authorise import Authorised
+from burdockhaven_core.identity import RunId
+from burdockhaven_core.outcome import NotRun, NotRunReason
+from burdockhaven_core.queueing import QueuedRequest
+from burdockhaven_core.targets import TargetState
+
+MS_PER_S = 1_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Planned:
+    """A request ready for the queue."""
+
+    request: QueuedRequest
+
+
+def plan(
+    arrival: RequestArrived,
+    run_id: RunId,
+    authorised: Authorised,
+    targets: Sequence[TargetState],
+    output_tokens: int,
+    now: float,
+) -> Result[Planned, NotRun]:
+    """The request with its deadline and latest start, or why it cannot be served.
+
+    `targets` are those of the group that take new work; `output_tokens` is the
+    predicted length of the answer.
+    """
+    spec = authorised.spec
+    allowed = authorised.account.targets
+    usable = [t for t in targets if allowed is None or t.spec.name in allowed]
+    if not usable:
+        detail = f"no target of group {spec.group!r} takes work for the account"
+        return Err(NotRun(NotRunReason.NO_TARGET, detail, retry_after_s=5.0))
+    deadline_ms = min(arrival.deadline_ms or spec.deadline_ms, spec.deadline_ms)
+    service_s = min(t.service_s(arrival.prompt_tokens, output_tokens) for t in usable)
+    deadline_s = now + deadline_ms / MS_PER_S
+    if now + service_s > deadline_s:
+        detail = (
+            f"the request needs about {service_s:.1f} s on an idle target, "
+            f"its deadline is {deadline_ms / MS_PER_S:.1f} s"
+        )
+        return Err(NotRun(NotRunReason.INFEASIBLE, detail))
+    return Ok(
+        Planned(
+            QueuedRequest(
+                run_id=run_id,
+                account=arrival.account,
+                tier=spec.tier,
+                weight=authorised.account.weight,
+                prompt_tokens=arrival.prompt_tokens,
+                output_tokens=output_tokens,
+                prefix=arrival.prefix,
+                arrived_s=now,
+                deadline_s=deadline_s,
+                latest_start_s=deadline_s - service_s,
+                targets=None if allowed is None else frozenset(allowed),
+                fresh_connection=not spec.idempotent,
+            )
+        )
+    )
--- /dev/null
+++ b/packages/burdockhaven-core/src/burdockhaven_core/intake.py
@@ -0,0 +1,279 @@
+"""Handles what callers send: look-ups, requests, resumes and lost connections."""
+
+from result import Err, Result
+
+from burdockhaven_core.actions import AnswerLookUp, Attach, Keep, Recover
+from burdockhaven_core.assignment import Assignment, sign_assignment
+from burdockhaven_core.configuration import GroupKind
+from burdockhaven_core.entry_state import EntryState, unavailable
+from burdockhaven_core.events import (
+    CallerGone,
+    LookUpArrived,
+    RequestArrived,
+    ResumeArrived,
+)
+from burdockhaven_core.filters import (
+    Authorised,
+    Identified,
+    authorise,
+    identify,
+    limit,
+    plan,
+)
+from burdockhaven_core.identity import GroupName, MemberId, RunId
+from burdockhaven_core.ledger import Record, RunState
+from burdockhaven_core.log_numbers import EventNumber
+from burdockhaven_core.outcome import (
+    Elsewhere,
+    NotRun,
+    NotRunReason,
+    Unknown,
+    UnknownReason,
+)
+from burdockhaven_core.queueing import QueuedRequest
+from burdockhaven_core.shedding import refuse, shed
+
+# Bits of an assignment's random part.
+NONCE_BITS = 128
+# Seconds after which a caller may try again when the queue is full.
+FULL_RETRY_AFTER_S = 2.0
+
+
+def on_look_up(state: EntryState, event: LookUpArrived, now: float) -> None:
+    """Answer an entry that takes requests, with an assignment to it."""
+    if event.account not in state.configuration.accounts:
+        detail = f"no client account {event.account!r} is in force"
+        state.answer(event.handle, NotRun(NotRunReason.UNKNOWN_ACCOUNT, detail))
+        return
+    me = state.parameters.me
+    view = state.membership.pick_entry(now, state.rng)
+    clock_s = None if view is None else state.membership.clock_of(view.member, now)
+    if view is not None and view.member != me and clock_s is not None:
+        _assign(state, event, view.member, view.caller_address, clock_s)
+    elif state.ready and not state.draining:
+        clock_s = state.clock_s(now)
+        _assign(state, event, me, state.parameters.caller_address, clock_s)
+    else:
+        state.answer(event.handle, unavailable("no entry takes requests"))
+
+
+def _assign(
+    state: EntryState,
+    event: LookUpArrived,
+    member: MemberId,
+    address: str,
+    clock_s: float,
+) -> None:
+    lasts_s = state.parameters.assignment_lifetime_s
+    assignment = Assignment(
+        entry=member.entry,
+        incarnation=member.incarnation,
+        account=event.account,
+        nonce=f"{state.rng.getrandbits(NONCE_BITS):032x}",
+        issued_s=clock_s,
+        expires_s=clock_s + lasts_s,
+    )
+    token = sign_assignment(assignment, state.parameters.assignment_key)
+    state.out.append(AnswerLookUp(event.handle, member.entry, address, token, lasts_s))
+
+
+def on_request(state: EntryState, event: RequestArrived, now: float) -> None:
+    """Queue a new request, or answer it at once; a copy joins the first one."""
+    identified = _identify(state, event)
+    if identified is None:
+        return
+    if identified.assignment.member != state.parameters.me:
+        _point_elsewhere(state, event, identified, now)
+        return
+    if _answer_again(state, event.handle, identified.run_id):
+        return
+    refusal = _expiry_answer(state, identified.assignment, now)
+    if refusal is not None:
+        state.answer(event.handle, refusal)
+        return
+    _admit(state, event, identified, now)
+
+
+def on_resume(state: EntryState, event: ResumeArrived, now: float) -> None:
+    """Join a request that was sent before; never start one."""
+    identified = _identify(state, event)
+    if identified is None:
+        return
+    if identified.assignment.member != state.parameters.me:
+        _point_elsewhere(state, event, identified, now)
+        return
+    if _answer_again(state, event.handle, identified.run_id):
+        return
+    refusal = _expiry_answer(state, identified.assignment, now)
+    not_seen = Unknown(UnknownReason.NOT_SEEN, "no such request has arrived yet")
+    state.answer(event.handle, refusal or not_seen)
+
+
+def on_caller_gone(state: EntryState, event: CallerGone, now: float) -> None:
+    """Keep the run of a lost caller for a while, in case the caller returns."""
+    run_id = state.ledger.detach(event.handle)
+    if run_id is None or run_id not in state.ledger.active:
+        return
+    state.abandoned[run_id] = now + state.parameters.resume_grace_s
+
+
+def _answer_again(state: EntryState, handle: int, run_id: RunId) -> bool:
+    """Join a run that is recorded or repeat its final answer; False if it is new."""
+    burnt = state.ledger.burnt.get(run_id)
+    if burnt is not None:
+        state.answer(handle, burnt)
+        return True
+    record = state.ledger.records.get(run_id)
+    if record is None:
+        return False
+    if record.outcome is not None:
+        state.answer(handle, record.outcome)
+        return True
+    state.abandoned.pop(run_id, None)
+    if record.state is not RunState.WHOLE:
+        state.ledger.attach(run_id, handle)
+    state.out.append(Attach(handle, run_id))
+    return True
+
+
+def _identify(
+    state: EntryState, event: RequestArrived | ResumeArrived
+) -> Identified | None:
+    secret = state.parameters.assignment_key
+    identified = identify(event.token, event.key, event.account, secret)
+    if isinstance(identified, Err):
+        refusal = identified.err_value
+        if refusal.reason is NotRunReason.BAD_ASSIGNMENT:
+            state.note(
+                EventNumber.ASSIGNMENT_FORGED,
+                account=event.account,
+                detail=refusal.detail,
+            )
+        state.answer(event.handle, refusal)
+        return None
+    return identified.ok_value
+
+
+def _expiry_answer(
+    state: EntryState, assignment: Assignment, now: float
+) -> NotRun | Unknown | None:
+    """The answer to an unrecorded request whose assignment is too old, if it is."""
+    age_s = state.clock_s(now) - assignment.expires_s
+    if age_s >= state.parameters.record_margin_s:
+        detail = "the record of such a request would be dropped by now"
+        return Unknown(UnknownReason.RECORD_EXPIRED, detail)
+    if age_s >= 0:
+        detail = "the assignment has expired; look up an entry again"
+        return NotRun(NotRunReason.ASSIGNMENT_EXPIRED, detail, retry_after_s=0.0)
+    return None
+
+
+def _point_elsewhere(
+    state: EntryState,
+    event: RequestArrived | ResumeArrived,
+    identified: Identified,
+    now: float,
+) -> None:
+    """Send the caller to the process that holds its request, or look for the run.
+
+    A process that is silent may still run the request, so the answer is never that it
+    was not run.
+    """
+    owner = identified.assignment.member
+    view = state.membership.find(owner, now)
+    if view is not None:
+        state.answer(event.handle, Elsewhere(owner.entry, view.caller_address))
+        return
+    lost = Unknown(UnknownReason.ENTRY_LOST, f"entry {owner.entry} is gone")
+    authorised = authorise(state.configuration, event.account, event.class_name)
+    if isinstance(authorised, Err):
+        state.answer(event.handle, lost)
+        return
+    group = authorised.ok_value.group
+    if group.kind is not GroupKind.MODEL:
+        state.answer(event.handle, lost)
+        return
+    state.out.append(Recover(event.handle, identified.run_id, group.targets))
+
+
+def _admit(
+    state: EntryState, event: RequestArrived, identified: Identified, now: float
+) -> None:
+    keep_until_s = _keep_until_s(state, identified)
+    accepted = _check(state, event)
+    if isinstance(accepted, Err):
+        state.ledger.burn(identified.run_id, accepted.err_value, keep_until_s)
+        state.note(
+            EventNumber.REQUEST_REFUSED,
+            account=event.account,
+            request_class=event.class_name,
+            reason=accepted.err_value.reason.value,
+        )
+        state.answer(event.handle, accepted.err_value)
+        return
+    authorised = accepted.ok_value
+    planned = plan(
+        event,
+        identified.run_id,
+        authorised,
+        state.open_targets(authorised.group.name, now),
+        max(1, event.max_output_tokens),
+        now,
+    )
+    _open(state, event, identified.run_id, authorised, keep_until_s, now)
+    if isinstance(planned, Err):
+        refuse(state, identified.run_id, planned.err_value, now)
+        return
+    state.out.append(Keep(event.handle, identified.run_id))
+    _enqueue(state, planned.ok_value.request, authorised.group.name, now)
+
+
+def _check(state: EntryState, event: RequestArrived) -> Result[Authorised, NotRun]:
+    """The filters that need no more than the configuration."""
+    if not state.ready:
+        return Err(unavailable("the entry takes no requests"))
+    authorised = authorise(state.configuration, event.account, event.class_name)
+    if isinstance(authorised, Err):
+        return authorised
+    limited = limit(event, authorised.ok_value.spec)
+    if isinstance(limited, Err):
+        return limited
+    return authorised
+
+
+def _enqueue(
+    state: EntryState, request: QueuedRequest, group: GroupName, now: float
+) -> None:
+    state.ledger.change(request.run_id, deadline_s=request.deadline_s)
+    state.group_of[request.run_id] = group
+    state.queue(group).put(request)
+    if state.queued() > state.parameters.max_queue:
+        detail = f"{state.parameters.max_queue} requests are queued"
+        full = NotRun(NotRunReason.OVERLOAD, detail, FULL_RETRY_AFTER_S)
+        shed(state, request.run_id, full, now)
+
+
+def _keep_until_s(state: EntryState, identified: Identified) -> float:
+    expires_s = state.started_s + identified.assignment.expires_s
+    return expires_s + state.parameters.record_margin_s
+
+
+def _open(
+    state: EntryState,
+    event: RequestArrived,
+    run_id: RunId,
+    authorised: Authorised,
+    keep_until_s: float,
+    now: float,
+) -> None:
+    record = Record(
+        run_id=run_id,
+        account=event.account,
+        spec=authorised.spec,
+        state=RunState.QUEUED,
+        prompt_tokens=event.prompt_tokens,
+        arrived_s=now,
+        deadline_s=now,
+        keep_until_s=keep_until_s,
+    )
+    state.ledger.open(record, event.handle)
--- a/packages/burdockhaven-core/src/burdockhaven_core/ledger.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/ledger.py
@@ -24,6 +24,8 @@
     UNKNOWN = "unknown"
 
 
+# Seconds after which an overdue record of an unfinished run is looked at again.
+ACTIVE_RECHECK_S = 1.0
 FINAL_STATES = frozenset({RunState.WHOLE, RunState.NOT_RUN, RunState.UNKNOWN})
 
 
@@ -55,6 +57,8 @@
 
     def __init__(self) -> None:
         self.records: dict[RunId, Record] = {}
+        # Requests that were refused before they were known well enough for a record.
+        self.burnt: dict[RunId, NotRun] = {}
         self.handles: dict[RunId, set[int]] = {}
         self.run_of_handle: dict[int, RunId] = {}
         self.active: set[RunId] = set()
@@ -68,6 +72,11 @@
         heapq.heappush(self._expiries, (record.keep_until_s, record.run_id))
         self.attach(record.run_id, handle)
 
+    def burn(self, run_id: RunId, outcome: NotRun, keep_until_s: float) -> None:
+        """Keep a refused identity from ever being run."""
+        self.burnt[run_id] = outcome
+        heapq.heappush(self._expiries, (keep_until_s, run_id))
+
     def attach(self, run_id: RunId, handle: int) -> None:
         """Let one more caller wait for the run."""
         self.handles.setdefault(run_id, set()).add(handle)
@@ -108,6 +117,7 @@
         while self._expiries and self._expiries[0][0] <= now:
             _, run_id = heapq.heappop(self._expiries)
             if run_id in self.active:
-                heapq.heappush(self._expiries, (now + 1.0, run_id))
-                return
+                heapq.heappush(self._expiries, (now + ACTIVE_RECHECK_S, run_id))
+                continue
             self.records.pop(run_id, None)
+            self.burnt.pop(run_id, None)
--- a/packages/burdockhaven-core/src/burdockhaven_core/outcome.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/outcome.py
@@ -41,6 +41,8 @@
     RECORD_EXPIRED = "record_expired"
     # The target sent something that is not a whole answer.
     BROKEN_ANSWER = "broken_answer"
+    # No request of this identity has arrived; one that is under way may still run.
+    NOT_SEEN = "not_seen"
     # The caller went away after the dispatch and the run was cancelled.
     CANCELLED = "cancelled"
 
--- a/packages/burdockhaven-core/src/burdockhaven_core/targets.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/targets.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from burdockhaven_core.configuration import Configuration, TargetSpec
+from burdockhaven_core.configuration import Configuration, GroupKind, TargetSpec
 from burdockhaven_core.identity import GroupName, RunId, TargetName
 
 # Weight of the newest sample in a moving average.
@@ -106,12 +106,14 @@
     def __init__(self) -> None:
         self.states: dict[TargetName, TargetState] = {}
         self.groups: dict[GroupName, tuple[TargetName, ...]] = {}
+        self.kinds: dict[GroupName, GroupKind] = {}
 
     def apply(self, configuration: Configuration) -> None:
         """Follow a new configuration; targets in use are kept until they are idle."""
         self.groups = {}
         for template in configuration.templates.values():
             for group in template.groups:
+                self.kinds[group.name] = group.kind
                 names = tuple(target.name for target in group.targets)
                 known = self.groups.get(group.name, ())
                 self.groups[group.name] = tuple(dict.fromkeys(known + names))
--- /dev/null
+++ b/packages/burdockhaven-core/src/burdockhaven_core/upkeep.py
@@ -0,0 +1,150 @@
+"""Handles time, other members, the configuration and the end of the process."""
+
+from burdockhaven_core.actions import CancelRun, SendMessage, Stopped
+from burdockhaven_core.entry_state import EntryState
+from burdockhaven_core.events import (
+    ConfigurationRead,
+    MemberLeasesRead,
+    MessageArrived,
+    StopRequested,
+    Tick,
+    VmListRead,
+)
+from burdockhaven_core.identity import RunId
+from burdockhaven_core.ledger import RunState
+from burdockhaven_core.log_numbers import EventNumber
+from burdockhaven_core.messages import (
+    CloseAsk,
+    ClosePromise,
+    GroupDemand,
+    Heartbeat,
+)
+from burdockhaven_core.outcome import NotRun, NotRunReason, Unknown, UnknownReason
+from burdockhaven_core.runs import end_unknown
+from burdockhaven_core.shedding import refuse, settle_doomed, shed_overdue
+
+
+def on_tick(state: EntryState, event: Tick, now: float) -> None:
+    """Do what time brings: expiries, heartbeats, renewals, the end of a drain."""
+    state.ledger.forget(now)
+    shed_overdue(state, now)
+    settle_doomed(state, now)
+    _give_up_abandoned(state, now)
+    state.out.extend(state.floor.on_tick(now))
+    if now >= state.next_heartbeat_s:
+        _send_heartbeats(state, now)
+    _finish_drain(state, now)
+
+
+def on_message(state: EntryState, event: MessageArrived, now: float) -> None:
+    """Hand a member's message to the part that it is for."""
+    message = event.message
+    if isinstance(message, Heartbeat):
+        state.membership.on_heartbeat(message, now)
+    elif isinstance(message, CloseAsk | ClosePromise):
+        state.out.extend(state.floor.on_message(event.sender, message, now))
+        settle_doomed(state, now)
+
+
+def on_member_leases(state: EntryState, event: MemberLeasesRead, now: float) -> None:
+    """Take in which members hold a lease."""
+    state.membership.on_leases(event.members, event.own_until_s, now)
+
+
+def on_vm_list(state: EntryState, event: VmListRead, now: float) -> None:
+    """Take in the platform's word on VMs; targets on leaving VMs get no new work."""
+    state.membership.on_vm_list(event.live, event.leaving, now)
+
+
+def on_configuration(state: EntryState, event: ConfigurationRead, now: float) -> None:
+    """Put a newer configuration in force; an older one is never gone back to."""
+    version = event.configuration.version
+    if version <= state.configuration.version:
+        if version < state.configuration.version:
+            state.note(
+                EventNumber.CONFIGURATION_OLDER_IGNORED,
+                version=version,
+                in_force=state.configuration.version,
+            )
+        return
+    state.configuration = event.configuration
+    state.account_of_key = {
+        parameters.key_sha256: name
+        for name, parameters in event.configuration.accounts.items()
+    }
+    state.targets.apply(event.configuration)
+    state.membership.on_configuration(event.configuration)
+    state.floor.on_configuration(event.configuration)
+    state.note(EventNumber.CONFIGURATION_IN_FORCE, version=version)
+
+
+def on_stop(state: EntryState, event: StopRequested, now: float) -> None:
+    """Start to drain: callers that hold an assignment are served until it expires."""
+    if state.drain_until_s is not None:
+        return
+    parameters = state.parameters
+    state.note(EventNumber.STOP_REQUESTED)
+    state.drain_until_s = (
+        now + parameters.assignment_lifetime_s + parameters.heartbeat_interval_s
+    )
+    _send_heartbeats(state, now)
+
+
+def _send_heartbeats(state: EntryState, now: float, resigned: bool = False) -> None:
+    state.next_heartbeat_s = now + state.parameters.heartbeat_interval_s
+    heartbeat = state.membership.heartbeat(
+        now,
+        ready=state.ready,
+        draining=state.draining,
+        config_version=state.configuration.version,
+        demand=_demand(state),
+        resigned=resigned,
+    )
+    for member in state.membership.known():
+        state.out.append(SendMessage(member, heartbeat))
+
+
+def _demand(state: EntryState) -> tuple[GroupDemand, ...]:
+    demand = []
+    for group in state.targets.groups:
+        queue = state.queue(group)
+        tiers = 1 + max((r.tier for r in queue.requests.values()), default=0)
+        in_flight = {
+            target.spec.name: target.in_flight
+            for target in state.targets.of_group(group)
+            if target.in_flight
+        }
+        queued = queue.queued_by_tier(tiers)
+        demand.append(GroupDemand(group, queued, in_flight))
+    return tuple(demand)
+
+
+def _give_up_abandoned(state: EntryState, now: float) -> None:
+    for run_id, until_s in list(state.abandoned.items()):
+        if until_s <= now:
+            del state.abandoned[run_id]
+            _give_up(state, run_id, now)
+
+
+def _give_up(state: EntryState, run_id: RunId, now: float) -> None:
+    record = state.ledger.records[run_id]
+    if record.state is RunState.QUEUED:
+        gone = NotRun(NotRunReason.CANCELLED, "the caller went away")
+        refuse(state, run_id, gone, now)
+        return
+    # A run that must not be repeated goes on: half of it may have had its effect.
+    if record.target is None or not record.spec.idempotent:
+        return
+    state.out.append(CancelRun(run_id, record.target))
+    gone_later = Unknown(UnknownReason.CANCELLED, "the caller went away")
+    end_unknown(state, record, gone_later, now)
+
+
+def _finish_drain(state: EntryState, now: float) -> None:
+    if state.stopped or state.drain_until_s is None or now < state.drain_until_s:
+        return
+    if state.ledger.active:
+        return
+    state.stopped = True
+    _send_heartbeats(state, now, resigned=True)
+    state.out.append(Stopped())
--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/caller_api.py
@@ -0,0 +1,279 @@
+"""The callers' API: look-up, request, resume and status."""
+
+import asyncio
+import hashlib
+import math
+from collections.abc import AsyncIterator, Sequence
+from typing import Any
+
+import msgspec
+from litestar import Litestar, Request, Response, get, post
+from litestar.datastructures import State
+from litestar.exceptions import HTTPException
+from litestar.openapi import OpenAPIConfig
+from litestar.response import Stream
+
+from burdockhaven_core.actions import AnswerLookUp
+from burdockhaven_core.events import RequestArrived, ResumeArrived
+from burdockhaven_core.identity import AccountName, ClassName, RunId
+from burdockhaven_core.outcome import (
+    Elsewhere,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Unknown,
+)
+from burdockhaven_entry.caller_wire import (
+    ChunkEvent,
+    EndEvent,
+    LookUpReply,
+    OutcomeReply,
+    RequestBody,
+    ResumeBody,
+    StartedEvent,
+    StatusReply,
+    outcome_reply,
+)
+from burdockhaven_entry.relay import Chunk, Relay
+from burdockhaven_entry.shell import Body, Exchange, Shell
+
+# Characters at the start of a prompt that are taken for its shared prefix.
+PREFIX_CHARS = 2_048
+PREFIX_DIGEST_BYTES = 8
+
+STATUS_OF_REASON = {
+    NotRunReason.BAD_REQUEST: 400,
+    NotRunReason.BAD_ASSIGNMENT: 403,
+    NotRunReason.ASSIGNMENT_EXPIRED: 409,
+    NotRunReason.UNKNOWN_ACCOUNT: 401,
+    NotRunReason.UNKNOWN_CLASS: 404,
+    NotRunReason.TOO_LARGE: 413,
+    NotRunReason.INFEASIBLE: 422,
+}
+STATUS_UNAVAILABLE = 503
+STATUS_UNKNOWN = 504
+STATUS_ELSEWHERE = 421
+STATUS_UNAUTHORIZED = 401
+STATUS_TOO_LARGE = 413
+
+_encoder = msgspec.json.Encoder()
+
+
+def caller_app(shell: Shell, max_body_bytes: int) -> Litestar:
+    """The application that serves callers."""
+    return Litestar(
+        route_handlers=[look_up, send_request, resume_request, read_status],
+        state=_state(shell),
+        request_max_body_size=max_body_bytes,
+        exception_handlers={HTTPException: _refuse_malformed},
+        openapi_config=OpenAPIConfig(title="burdockhaven for callers", version="1"),
+    )
+
+
+def _state(shell: Shell) -> State:
+    return State({"shell": shell})
+
+
+@get("/v1/lookup")
+async def look_up(request: Request[Any, Any, Any]) -> Response[Any]:
+    """Which entry to use, for how long, and the assignment to present there."""
+    shell: Shell = request.app.state.shell
+    account = _account(request, shell)
+    if account is None:
+        return _unauthorized()
+    exchange = shell.look_up(account)
+    result = await exchange.result
+    shell.leave(exchange.handle)
+    if isinstance(result, AnswerLookUp):
+        return Response(
+            LookUpReply(result.entry, result.address, result.token, result.lasts_s)
+        )
+    return _outcome_response(_outcome(result))
+
+
+@post("/v1/requests", status_code=200)
+async def send_request(
+    request: Request[Any, Any, Any], data: RequestBody
+) -> Response[Any] | Stream:
+    """Run a request once; the answer is a stream of server-sent events."""
+    shell: Shell = request.app.state.shell
+    account = _account(request, shell)
+    if account is None:
+        return _unauthorized()
+    arrival = RequestArrived(
+        handle=0,
+        token=data.assignment,
+        key=data.key,
+        account=account,
+        class_name=ClassName(data.request_class),
+        prompt_tokens=len(data.prompt.split()),
+        max_output_tokens=data.max_output_tokens,
+        prefix=_prefix(data.prompt),
+        deadline_ms=data.deadline_ms,
+    )
+    body = Body(arrival.class_name, data.prompt, data.max_output_tokens)
+    exchange = shell.submit(arrival, body)
+    return await _respond(request, shell, exchange, data.offset)
+
+
+@post("/v1/requests/resume", status_code=200)
+async def resume_request(
+    request: Request[Any, Any, Any], data: ResumeBody
+) -> Response[Any] | Stream:
+    """The answer of a request that was sent before, from a token on."""
+    shell: Shell = request.app.state.shell
+    account = _account(request, shell)
+    if account is None:
+        return _unauthorized()
+    exchange = shell.resume(_resume_event(account, data))
+    return await _respond(request, shell, exchange, data.offset)
+
+
+@post("/v1/requests/status", status_code=200)
+async def read_status(
+    request: Request[Any, Any, Any], data: ResumeBody
+) -> Response[Any]:
+    """How far a request has come."""
+    shell: Shell = request.app.state.shell
+    account = _account(request, shell)
+    if account is None:
+        return _unauthorized()
+    exchange = shell.resume(_resume_event(account, data))
+    try:
+        if not exchange.result.done():
+            return Response(StatusReply("queued"))
+        result = exchange.result.result()
+    finally:
+        shell.leave(exchange.handle)
+    if isinstance(result, Relay) and result.lost is None:
+        return Response(StatusReply("whole" if result.whole else "running"))
+    reply = outcome_reply(_outcome(result))
+    return Response(StatusReply(reply.outcome, reply))
+
+
+def _resume_event(account: AccountName, data: ResumeBody) -> ResumeArrived:
+    class_name = ClassName(data.request_class)
+    return ResumeArrived(0, data.assignment, data.key, account, class_name)
+
+
+async def _respond(
+    request: Request[Any, Any, Any], shell: Shell, exchange: Exchange, offset: int
+) -> Response[Any] | Stream:
+    """The stream once the first token is there, or the final answer before it."""
+    try:
+        result = await _result_or_gone(request, exchange)
+    except BaseException:
+        shell.leave(exchange.handle)
+        raise
+    if isinstance(result, Relay):
+        events = _events(shell, exchange.handle, result, offset)
+        return Stream(events, media_type="text/event-stream")
+    shell.leave(exchange.handle)
+    if result is None:
+        return Response(None, status_code=STATUS_UNAVAILABLE)
+    return _outcome_response(_outcome(result))
+
+
+async def _result_or_gone(
+    request: Request[Any, Any, Any], exchange: Exchange
+) -> Relay | AnswerLookUp | Outcome | None:
+    """What the caller waits for; None if the caller went away first."""
+    gone = asyncio.create_task(_disconnected(request))
+    waits: list[asyncio.Future[Any]] = [gone, exchange.result]
+    try:
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        gone.cancel()
+    return exchange.result.result() if exchange.result.done() else None
+
+
+async def _disconnected(request: Request[Any, Any, Any]) -> None:
+    while True:
+        message = await request.receive()
+        if message["type"] == "http.disconnect":
+            return
+
+
+async def _events(
+    shell: Shell, handle: int, relay: Relay, offset: int
+) -> AsyncIterator[bytes]:
+    run_id = relay.run_id
+    try:
+        yield _event("started", StartedEvent(run_id, relay.target))
+        async for batch in relay.batches(offset):
+            yield _event("chunk", _merged(run_id, batch))
+        if relay.lost is None:
+            yield _event("end", EndEvent(run_id, relay.length))
+        else:
+            reply = outcome_reply(relay.lost)
+            yield _event(reply.outcome, reply)
+    finally:
+        shell.leave(handle)
+
+
+def _merged(run_id: RunId, batch: Sequence[Chunk]) -> ChunkEvent:
+    first = batch[0]
+    if len(batch) == 1:
+        return ChunkEvent(run_id, first.offset, first.count, first.text)
+    count = sum(chunk.count for chunk in batch)
+    text = "".join(chunk.text for chunk in batch)
+    return ChunkEvent(run_id, first.offset, count, text)
+
+
+def _event(name: str, data: msgspec.Struct) -> bytes:
+    return b"event: %b\ndata: %b\n\n" % (name.encode(), _encoder.encode(data))
+
+
+def _account(request: Request[Any, Any, Any], shell: Shell) -> AccountName | None:
+    """The account whose key the caller shows; None if there is none."""
+    scheme, _, key = request.headers.get("authorization", "").partition(" ")
+    if scheme.lower() != "bearer":
+        return None
+    digest = hashlib.sha256(key.strip().encode()).hexdigest()
+    return shell.entry.state.account_of_key.get(digest)
+
+
+def _prefix(prompt: str) -> str:
+    if not prompt:
+        return ""
+    head = prompt[:PREFIX_CHARS].encode()
+    return hashlib.blake2b(head, digest_size=PREFIX_DIGEST_BYTES).hexdigest()
+
+
+def _outcome(result: Relay | AnswerLookUp | Outcome) -> Outcome:
+    if isinstance(result, Relay) and result.lost is not None:
+        return result.lost
+    if isinstance(result, NotRun | Unknown | Elsewhere):
+        return result
+    raise TypeError(f"{type(result).__name__} is not an outcome")
+
+
+def _outcome_response(outcome: Outcome) -> Response[Any]:
+    headers = {}
+    if isinstance(outcome, NotRun):
+        status = STATUS_OF_REASON.get(outcome.reason, STATUS_UNAVAILABLE)
+        if outcome.retry_after_s is not None:
+            headers["retry-after"] = str(math.ceil(outcome.retry_after_s))
+    elif isinstance(outcome, Unknown):
+        status = STATUS_UNKNOWN
+    else:
+        status = STATUS_ELSEWHERE
+    return Response(outcome_reply(outcome), status_code=status, headers=headers)
+
+
+def _unauthorized() -> Response[Any]:
+    detail = "the Authorization header must hold Bearer and a client account's key"
+    reply = OutcomeReply("not_run", NotRunReason.UNKNOWN_ACCOUNT.value, detail)
+    return Response(reply, status_code=STATUS_UNAUTHORIZED)
+
+
+def _refuse_malformed(
+    request: Request[Any, Any, Any], error: HTTPException
+) -> Response[Any]:
+    """The answer to what is not even a request: wrong types, oversize, wrong path."""
+    too_large = error.status_code == STATUS_TOO_LARGE
+    reason = NotRunReason.TOO_LARGE if too_large else NotRunReason.BAD_REQUEST
+    faults = "; ".join(str(extra) for extra in error.extra or ())
+    detail = f"{error.detail} {faults}".strip()
+    reply = OutcomeReply("not_run", reason.value, detail)
+    return Response(reply, status_code=error.status_code)
--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/target_link.py
@@ -0,0 +1,287 @@
+"""Connections to targets: starts runs, reads their answers, resumes and cancels them.
+
+Every run goes out on a new connection. A pooled one may have gone silent while it was
+idle, and a run on it would be lost without a way to tell whether it was started.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
+
+import httpx
+import msgspec
+from httpx_sse import EventSource
+
+from burdockhaven_core.configuration import TargetSpec
+from burdockhaven_core.events import (
+    Event,
+    LoadReported,
+    RunFinished,
+    RunLost,
+    RunProgressed,
+    RunRefused,
+)
+from burdockhaven_core.identity import RunId
+from burdockhaven_entry.relay import Chunk, Relay
+from burdockhaven_entry.target_wire import (
+    CompletionAsk,
+    CompletionChunk,
+    CompletionUsage,
+    ServiceCall,
+    chunk_decoder,
+    load_decoder,
+    refusal_decoder,
+    result_decoder,
+)
+
+# Seconds for a new connection to a target.
+CONNECT_TIMEOUT_S = 2.0
+# Seconds without a byte after which a connection is taken for a silent one.
+GAP_TIMEOUT_S = 5.0
+# Fresh connections in a row that bring no token before a run is given up.
+MAX_IDLE_RESUMES = 3
+# Seconds between two tries to resume.
+RESUME_PAUSE_S = 0.2
+# Seconds for a plain service to answer a call.
+SERVICE_TIMEOUT_S = 30.0
+# Tokens of one run between two reports of its progress to the core.
+PROGRESS_TOKENS = 16
+
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+HTTP_UNAVAILABLE = 503
+
+Report = Callable[[Event], None]
+
+
+@dataclass(frozen=True, slots=True)
+class RunOrder:
+    """One run to be started."""
+
+    run_id: RunId
+    target: TargetSpec
+    request_class: str
+    model: str
+    prompt: str
+    max_output_tokens: int
+
+
+class _NotAcceptedError(Exception):
+    """The target has provably not started the run."""
+
+    def __init__(self, detail: str, leaving: bool = False) -> None:
+        super().__init__(detail)
+        self.leaving = leaving
+
+
+class _BrokenAnswerError(Exception):
+    """The target sent something that does not continue the answer."""
+
+
+class TargetLink:
+    """The daemon's client of engines and plain services."""
+
+    def __init__(self, report: Report) -> None:
+        self.report = report
+        self.client = httpx.AsyncClient(
+            timeout=httpx.Timeout(GAP_TIMEOUT_S, connect=CONNECT_TIMEOUT_S, pool=None),
+            limits=httpx.Limits(max_connections=None, max_keepalive_connections=0),
+            trust_env=False,
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.client.aclose()
+
+    async def run_model(self, order: RunOrder, relay: Relay) -> None:
+        """Run a request on an engine; report how it went."""
+        try:
+            usage = await self._start(order, relay)
+            if usage is None:
+                usage = await self._resume(order.run_id, order.target, relay)
+        except _NotAcceptedError as error:
+            self._refused(order, str(error), error.leaving)
+        except (_BrokenAnswerError, httpx.HTTPError) as error:
+            detail = f"target {order.target.name}: {error or type(error).__name__}"
+            self.report(RunLost(order.run_id, detail))
+        else:
+            self._finished(order.run_id, relay, usage)
+
+    async def run_service(self, order: RunOrder, relay: Relay) -> None:
+        """Send a call to a plain service once; report how it went."""
+        call = ServiceCall(order.run_id, order.prompt, order.request_class)
+        try:
+            response = await self.client.post(
+                f"{order.target.address}/v1/calls",
+                content=msgspec.json.encode(call),
+                timeout=httpx.Timeout(SERVICE_TIMEOUT_S, connect=CONNECT_TIMEOUT_S),
+            )
+            _check_accepted(response.status_code, response.content)
+            result = result_decoder.decode(response.content)
+            if result.request_id != order.run_id:
+                raise _BrokenAnswerError("the answer is of another request")
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            self._refused(order, f"no connection: {error}", leaving=False)
+        except _NotAcceptedError as error:
+            self._refused(order, str(error), error.leaving)
+        except (httpx.HTTPError, msgspec.DecodeError, _BrokenAnswerError) as error:
+            detail = f"target {order.target.name}: {error or type(error).__name__}"
+            self.report(RunLost(order.run_id, detail))
+        else:
+            self.report(RunProgressed(order.run_id, 1))
+            relay.add(Chunk(0, 1, result.result))
+            self._finished(order.run_id, relay, CompletionUsage(completion_tokens=1))
+
+    async def recover(
+        self, run_id: RunId, targets: tuple[TargetSpec, ...], relay: Relay
+    ) -> bool:
+        """Read a run that another entry started; False if no target holds it."""
+        for target in targets:
+            try:
+                usage = await self._read_again(run_id, target, relay)
+                if usage is None and relay.length == 0:
+                    continue
+                relay.target = target.name
+                if usage is None:
+                    await self._resume(run_id, target, relay)
+            except (httpx.HTTPError, _BrokenAnswerError):
+                if relay.length == 0:
+                    continue
+                return False
+            relay.finish()
+            return True
+        return False
+
+    async def cancel(self, run_id: RunId, target: TargetSpec) -> None:
+        """Tell an engine to stop a run; that may fail."""
+        try:
+            await self.client.delete(f"{target.address}/v1/completions/{run_id}")
+        except httpx.HTTPError:
+            return
+
+    async def ask_load(self, target: TargetSpec) -> None:
+        """Ask a target for its load and report the answer, if there is one."""
+        try:
+            response = await self.client.get(f"{target.address}/load")
+            load = load_decoder.decode(response.content)
+        except (httpx.HTTPError, msgspec.DecodeError):
+            return
+        self.report(LoadReported(target.name, load.running, load.waiting, load.leaving))
+
+    async def _start(self, order: RunOrder, relay: Relay) -> CompletionUsage | None:
+        """Start a run and read it; None if the connection broke or went silent."""
+        ask = CompletionAsk(
+            model=order.model,
+            prompt=order.prompt,
+            max_tokens=order.max_output_tokens,
+            request_id=order.run_id,
+        )
+        url = f"{order.target.address}/v1/completions"
+        try:
+            async with self.client.stream(
+                "POST", url, content=msgspec.json.encode(ask)
+            ) as response:
+                if response.status_code != HTTP_OK:
+                    _check_accepted(response.status_code, await response.aread())
+                return await self._read(response, order.run_id, relay)
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            raise _NotAcceptedError(f"no connection: {error}") from error
+        except httpx.TransportError:
+            return None
+
+    async def _resume(
+        self, run_id: RunId, target: TargetSpec, relay: Relay
+    ) -> CompletionUsage:
+        """Read the rest of a run on new connections, as long as tokens come."""
+        idle = 0
+        while idle < MAX_IDLE_RESUMES:
+            length = relay.length
+            try:
+                usage = await self._read_again(run_id, target, relay)
+            except httpx.TransportError:
+                usage = None
+            if usage is not None:
+                return usage
+            idle = 0 if relay.length > length else idle + 1
+            await asyncio.sleep(RESUME_PAUSE_S)
+        raise _BrokenAnswerError(f"silent after token {relay.length}")
+
+    async def _read_again(
+        self, run_id: RunId, target: TargetSpec, relay: Relay
+    ) -> CompletionUsage | None:
+        """Read a run from where the relay ends; None if it broke off again."""
+        url = f"{target.address}/v1/completions/{run_id}"
+        async with self.client.stream(
+            "GET", url, params={"offset": relay.length}
+        ) as response:
+            if response.status_code == HTTP_NOT_FOUND:
+                raise _BrokenAnswerError("the target no longer holds the run")
+            if response.status_code != HTTP_OK:
+                raise _BrokenAnswerError(f"status {response.status_code} on a resume")
+            try:
+                return await self._read(response, run_id, relay)
+            except httpx.TransportError:
+                return None
+
+    async def _read(
+        self, response: httpx.Response, run_id: RunId, relay: Relay
+    ) -> CompletionUsage | None:
+        """Relay chunks until the last one; None if the stream ends before it."""
+        unreported = 0
+        async for chunk in _chunks(response):
+            if chunk.id != run_id:
+                raise _BrokenAnswerError(f"a chunk of run {chunk.id} arrived")
+            for choice in chunk.choices:
+                if choice.token_count:
+                    first = relay.length == 0
+                    _add(relay, chunk.offset, choice.token_count, choice.text)
+                    unreported += choice.token_count
+                    if first or unreported >= PROGRESS_TOKENS:
+                        self.report(RunProgressed(run_id, unreported))
+                        unreported = 0
+                if choice.finish_reason is not None:
+                    return _check_whole(chunk.usage, relay)
+        return None
+
+    def _finished(self, run_id: RunId, relay: Relay, usage: CompletionUsage) -> None:
+        relay.finish()
+        self.report(RunFinished(run_id, relay.length, usage.cached_tokens))
+
+    def _refused(self, order: RunOrder, detail: str, leaving: bool) -> None:
+        self.report(RunRefused(order.run_id, order.target.name, detail, leaving))
+
+
+def _check_accepted(status: int, body: bytes) -> None:
+    if status == HTTP_OK:
+        return
+    if status == HTTP_UNAVAILABLE:
+        try:
+            refusal = refusal_decoder.decode(body)
+        except msgspec.DecodeError as error:
+            raise _BrokenAnswerError(f"status {status}, unreadable: {error}") from error
+        if refusal.error == "not_accepted":
+            raise _NotAcceptedError(refusal.error, refusal.leaving)
+    raise _BrokenAnswerError(f"status {status}")
+
+
+async def _chunks(response: httpx.Response) -> AsyncIterator[CompletionChunk]:
+    async for event in EventSource(response).aiter_sse():
+        if event.data == "[DONE]":
+            return
+        try:
+            yield chunk_decoder.decode(event.data)
+        except msgspec.DecodeError as error:
+            raise _BrokenAnswerError(f"unreadable chunk: {error}") from error
+
+
+def _add(relay: Relay, offset: int, count: int, text: str) -> None:
+    try:
+        relay.add(Chunk(offset, count, text))
+    except ValueError as error:
+        raise _BrokenAnswerError(str(error)) from error
+
+
+def _check_whole(usage: CompletionUsage | None, relay: Relay) -> CompletionUsage:
+    if usage is None or usage.completion_tokens != relay.length:
+        raise _BrokenAnswerError(f"the answer ends at token {relay.length}, not whole")
+    return usage
