Add the stand-ins and a process harness

Engine, plain service, key-value service and VM list run as processes on a free port and take faults by /control.

--- /dev/null
+++ b/tools/burdockhaven_standins/engine.py
@@ -0,0 +1,291 @@
+"""A model engine as a process: `EngineModel` in real time behind HTTP."""
+
+import asyncio
+import math
+import time
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+import msgspec
+from litestar import Litestar, Response, delete, get, post
+from litestar.response import Stream
+
+from burdockhaven_standins.engine_messages import (
+    Choice,
+    Completion,
+    EngineControl,
+    EngineCounts,
+    EngineLoadReport,
+    Order,
+    StreamChunk,
+    Usage,
+)
+from burdockhaven_standins.engine_model import (
+    DuplicateRunError,
+    EngineChunk,
+    EngineConfig,
+    EngineFinished,
+    EngineModel,
+    EngineRun,
+)
+from burdockhaven_standins.faults import CutPoint, Faults
+from burdockhaven_standins.prefix_cache import prompt_blocks
+from burdockhaven_standins.server import (
+    AnyRequest,
+    ConnectionCutError,
+    answer,
+    cut_answer,
+    read_body,
+    stay_silent,
+)
+
+EVENT_STREAM_TYPE = "text/event-stream"
+# Characters of the run identity that each token shows.
+RUN_MARK_LENGTH = 6
+
+
+@dataclass(slots=True)
+class OpenStream:
+    """One connection that reads a run."""
+
+    run_id: str
+    # Tokens sent so far, from the start of the run.
+    sent: int
+    # Set when there may be more to send.
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+    cut: bool = False
+    silent: bool = False
+
+
+@dataclass(slots=True)
+class Engine:
+    """State of one engine process."""
+
+    model: EngineModel
+    # Whether orders with an old fencing number are refused.
+    checks_fencing: bool
+    faults: Faults = field(default_factory=Faults)
+    # Open streams by run identity.
+    streams: dict[str, list[OpenStream]] = field(default_factory=dict)
+    # How finished runs ended, by run identity.
+    finished: dict[str, EngineFinished] = field(default_factory=dict)
+    orders: list[Order] = field(default_factory=list)
+    cancelled: list[str] = field(default_factory=list)
+    # Set when the time of the next event may have changed.
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def start(self, completion: Completion) -> None:
+        """Takes a run; raises `DuplicateRunError` if its identity is in use."""
+        words = completion.prompt.split()
+        run = EngineRun(
+            run_id=completion.request_id,
+            prompt_tokens=len(words),
+            output_tokens=completion.max_tokens,
+            blocks=prompt_blocks(words, self.model.config.block_tokens),
+        )
+        self.advance()
+        self.model.submit(run, time.monotonic())
+        self.changed.set()
+
+    def advance(self) -> None:
+        """Brings the model up to the present and wakes the streams concerned."""
+        for output in self.model.advance(time.monotonic()):
+            if isinstance(output, EngineFinished):
+                self.finished[output.run_id] = output
+            for stream in self.streams.get(output.run_id, ()):
+                stream.changed.set()
+
+    async def run(self) -> None:
+        """Generates tokens as time passes, for ever."""
+        while True:
+            self.advance()
+            self.changed.clear()
+            wait_s = self.model.next_event_s() - time.monotonic()
+            timeout_s = None if wait_s == math.inf else max(0.0, wait_s)
+            try:
+                await asyncio.wait_for(self.changed.wait(), timeout_s)
+            except TimeoutError:
+                continue
+
+    def cancel(self, run_id: str) -> bool:
+        """Stops the run and ends its streams; false if it is not held."""
+        self.advance()
+        if not self.model.cancel(run_id, time.monotonic()):
+            return False
+        self.cancelled.append(run_id)
+        self.finished.pop(run_id, None)
+        for stream in self.streams.get(run_id, ()):
+            stream.changed.set()
+        self.changed.set()
+        return True
+
+    def take_order(self, order: Order) -> bool:
+        """Carries the order out; false if its fencing number is old."""
+        newest = max((each.fencing for each in self.orders), default=0)
+        if self.checks_fencing and order.fencing < newest:
+            return False
+        self.orders.append(order)
+        return True
+
+    async def stream(self, run_id: str, offset: int) -> AsyncIterator[bytes]:
+        """The run's events from a token on."""
+        stream = OpenStream(run_id, offset)
+        self.streams.setdefault(run_id, []).append(stream)
+        try:
+            while (events := self._next_events(stream)) is not None:
+                if events:
+                    yield events
+                if stream.silent:
+                    await stay_silent()
+                if stream.sent < 0:
+                    return
+                await stream.changed.wait()
+                stream.changed.clear()
+        finally:
+            self._close(stream)
+        raise ConnectionCutError
+
+    def _next_events(self, stream: OpenStream) -> bytes | None:
+        """What is to be sent now; None if the stream breaks off."""
+        state = self.model.states.get(stream.run_id)
+        if stream.cut or state is None:
+            return None
+        if stream.silent:
+            return b""
+        events = b""
+        if state.emitted > stream.sent:
+            count = state.emitted - stream.sent
+            events = _chunk_event(EngineChunk(stream.run_id, stream.sent, count, 0.0))
+            stream.sent = state.emitted
+        if state.finished_s is not None:
+            events += _end_events(self.finished[stream.run_id])
+            stream.sent = -1
+        return events
+
+    def _close(self, stream: OpenStream) -> None:
+        readers = self.streams[stream.run_id]
+        readers.remove(stream)
+        if not readers:
+            del self.streams[stream.run_id]
+
+    def apply(self, control: EngineControl) -> None:
+        """Brings the faults about."""
+        self.faults.apply(control)
+        self.advance()
+        if control.slowness is not None:
+            self.model.set_slowness(control.slowness or math.inf, time.monotonic())
+        if control.stall_run is not None:
+            self.model.stall(control.stall_run)
+        if control.continue_run is not None:
+            self.model.stall(control.continue_run, False)
+        if control.forget_runs:
+            self._forget_runs()
+        for stream in [each for all_ in self.streams.values() for each in all_]:
+            stream.cut |= control.cut_streams
+            stream.silent |= control.silence_streams
+            stream.changed.set()
+        self.changed.set()
+
+    def _forget_runs(self) -> None:
+        for run_id in list(self.model.states):
+            self.model.cancel(run_id, time.monotonic())
+
+    def counts(self) -> EngineCounts:
+        """What the engine did so far."""
+        return EngineCounts(
+            submissions=dict(self.model.submissions),
+            cancelled=self.cancelled,
+            orders=self.orders,
+            prefill_done_tokens=self.model.prefill_done_tokens,
+            prefill_wasted_tokens=self.model.prefill_wasted_tokens,
+            generated_tokens=self.model.generated_tokens,
+        )
+
+
+def make_app(config: EngineConfig, checks_fencing: bool) -> Litestar:
+    """The application of one engine."""
+    engine = Engine(EngineModel.from_config(config), checks_fencing)
+    faults = engine.faults
+
+    @post("/v1/completions", status_code=200)
+    async def complete(request: AnyRequest) -> Response[bytes] | Stream:
+        completion = await read_body(request, Completion)
+        refusal = await faults.before_start()
+        if refusal is not None:
+            return refusal
+        try:
+            engine.start(completion)
+        except DuplicateRunError:
+            return answer(None, 409)
+        if faults.take_cut(CutPoint.AFTER):
+            return cut_answer()
+        return _event_stream(engine, completion.request_id, 0)
+
+    @get("/v1/completions/{run_id:str}")
+    async def resume(run_id: str, offset: int = 0) -> Response[bytes] | Stream:
+        engine.advance()
+        if run_id not in engine.model.states:
+            return answer(None, 404)
+        return _event_stream(engine, run_id, offset)
+
+    @delete("/v1/completions/{run_id:str}", status_code=200)
+    async def cancel(run_id: str) -> Response[bytes]:
+        return answer(None, 200 if engine.cancel(run_id) else 404)
+
+    @get("/load")
+    async def load() -> Response[bytes]:
+        now = engine.model.load(time.monotonic())
+        return answer(EngineLoadReport(now.running, now.waiting, faults.leaving))
+
+    @post("/orders", status_code=200)
+    async def orders(request: AnyRequest) -> Response[bytes]:
+        order = await read_body(request, Order)
+        return answer(None, 200 if engine.take_order(order) else 409)
+
+    @post("/control", status_code=200)
+    async def control(request: AnyRequest) -> Response[bytes]:
+        engine.apply(await read_body(request, EngineControl))
+        return answer(None)
+
+    @get("/counts")
+    async def counts() -> Response[bytes]:
+        return answer(engine.counts())
+
+    tasks: list[asyncio.Task[None]] = []
+
+    async def start_engine() -> None:
+        tasks.append(asyncio.create_task(engine.run()))
+
+    return Litestar(
+        [complete, resume, cancel, load, orders, control, counts],
+        on_startup=[start_engine],
+    )
+
+
+def _event_stream(engine: Engine, run_id: str, offset: int) -> Stream:
+    return Stream(engine.stream(run_id, offset), media_type=EVENT_STREAM_TYPE)
+
+
+def token_text(run_id: str, index: int) -> str:
+    """The token at an index of a run; it shows which run it belongs to."""
+    return f"{run_id[:RUN_MARK_LENGTH]}-{index} "
+
+
+def _chunk_event(chunk: EngineChunk) -> bytes:
+    indices = range(chunk.offset, chunk.offset + chunk.count)
+    text = "".join(token_text(chunk.run_id, index) for index in indices)
+    choice = Choice(text, chunk.count)
+    return _event(StreamChunk(chunk.run_id, chunk.offset, (choice,)))
+
+
+def _end_events(finished: EngineFinished) -> bytes:
+    usage = Usage(
+        finished.prompt_tokens, finished.output_tokens, finished.cached_tokens
+    )
+    choice = Choice("", 0, "stop")
+    end = StreamChunk(finished.run_id, finished.output_tokens, (choice,), usage)
+    return _event(end) + b"data: [DONE]\n\n"
+
+
+def _event(chunk: StreamChunk) -> bytes:
+    return b"data: " + msgspec.json.encode(chunk) + b"\n\n"
--- /dev/null
+++ b/tools/burdockhaven_standins/key_value_model.py
@@ -0,0 +1,319 @@
+"""The key-value service without I/O: transactions, leases, watches, faults, counts."""
+
+import enum
+import itertools
+import operator
+from collections import Counter, deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+from burdockhaven_standins.key_value_messages import (
+    Compare,
+    DeleteRequest,
+    DeleteResponse,
+    GrantRequest,
+    Header,
+    KeepAliveRequest,
+    KeepAliveResponse,
+    KeyValue,
+    KeyValueRequest,
+    KeyValueResponse,
+    LeaseResponse,
+    Operation,
+    OperationResponse,
+    PutRequest,
+    PutResponse,
+    RangeRequest,
+    RangeResponse,
+    RevokeRequest,
+    TxnRequest,
+    TxnResponse,
+    WatchCreate,
+    WatchEvent,
+    WatchResult,
+)
+
+MAX_VALUE_BYTES = 1024 * 1024
+# Writes that watches can look back on.
+HISTORY_EVENTS = 10_000
+# A range end of one zero byte means all keys from the start of the range.
+ALL_FOLLOWING = b"\0"
+FIRST_LEASE_ID = 7_000
+
+
+class Outage(enum.Enum):
+    """How the service is down."""
+
+    # It works.
+    NONE = "none"
+    # It answers each call with an error.
+    REFUSE = "refuse"
+    # It takes each call and answers none.
+    SILENT = "silent"
+
+
+class KeyValueFailedError(Exception):
+    """The call failed; `code` is the gRPC status code."""
+
+    def __init__(self, code: int, message: str) -> None:
+        super().__init__(message)
+        self.code = code
+
+
+class OutageError(KeyValueFailedError):
+    """The service is down and the call had no effect."""
+
+
+class AnswerLostError(KeyValueFailedError):
+    """The call took effect but its answer does not arrive."""
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One stored key."""
+
+    value: bytes
+    create_revision: int
+    mod_revision: int
+    # Writes to the key since it was created.
+    version: int
+    # 0 means none.
+    lease: int
+
+
+@dataclass(slots=True)
+class Lease:
+    """A lease that stands."""
+
+    ttl_s: int
+    # When it lapses, in seconds.
+    expires_s: float
+    keys: set[bytes] = field(default_factory=set)
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One write, as watches see it."""
+
+    revision: int
+    event: WatchEvent
+
+
+@dataclass(slots=True)
+class KeyValueModel:
+    """The whole state of the service; time is an argument."""
+
+    revision: int = 1
+    entries: dict[bytes, Entry] = field(default_factory=dict)
+    leases: dict[int, Lease] = field(default_factory=dict)
+    history: deque[Change] = field(default_factory=lambda: deque(maxlen=HISTORY_EVENTS))
+    outage: Outage = Outage.NONE
+    # Calls whose effect stands but whose answer is lost, counted down.
+    lose_answers: int = 0
+    # Seconds that each answer takes.
+    slow_s: float = 0.0
+    # Calls by kind, whether they succeeded or not.
+    calls: Counter[str] = field(default_factory=Counter)
+    # Watches open at the moment.
+    waiting_watches: int = 0
+    lease_ids: Iterator[int] = field(
+        default_factory=lambda: itertools.count(FIRST_LEASE_ID)
+    )
+
+    def handle(self, request: KeyValueRequest, now: float) -> KeyValueResponse:
+        """Carries out one call; raises `KeyValueFailedError` where it would fail."""
+        self.calls[str(request.__struct_config__.tag)] += 1
+        self.expire(now)
+        if self.outage is not Outage.NONE:
+            raise OutageError(14, "the service is unavailable")
+        response = self._carry_out(request, now)
+        if self.lose_answers > 0 and not isinstance(request, RangeRequest):
+            self.lose_answers -= 1
+            raise AnswerLostError(14, "the answer is lost")
+        return response
+
+    def expire(self, now: float) -> None:
+        """Ends the leases that have lapsed, during an outage as well."""
+        for lease_id, lease in list(self.leases.items()):
+            if lease.expires_s <= now:
+                self._end_lease(lease_id)
+
+    def open_watch(self, create: WatchCreate) -> int:
+        """Counts a new watch and gives the revision that it starts from."""
+        self.calls["watch"] += 1
+        if self.outage is not Outage.NONE:
+            raise OutageError(14, "the service is unavailable")
+        return create.start_revision or self.revision + 1
+
+    def read_watch(self, create: WatchCreate, start: int) -> WatchResult | None:
+        """What a watch has to report from a revision on; None if nothing."""
+        if self.history and start < self.history[0].revision != 2:
+            oldest = str(self.history[0].revision)
+            return WatchResult(self.header, canceled=True, compact_revision=oldest)
+        events = tuple(
+            change.event
+            for change in self.history
+            if change.revision >= start
+            and _in_range(change.event.kv.key, create.key, create.range_end)
+        )
+        return WatchResult(self.header, events=events) if events else None
+
+    @property
+    def header(self) -> Header:
+        """The header of an answer given now."""
+        return Header(str(self.revision))
+
+    def _carry_out(self, request: KeyValueRequest, now: float) -> KeyValueResponse:
+        match request:
+            case RangeRequest():
+                return self._range(request)
+            case PutRequest():
+                self._check_put(request)
+                self.revision += 1
+                return self._put(request)
+            case DeleteRequest():
+                self.revision += 1
+                return self._delete(request)
+            case TxnRequest():
+                return self._txn(request)
+            case GrantRequest():
+                return self._grant(request, now)
+            case KeepAliveRequest():
+                return self._keep_alive(request, now)
+            case RevokeRequest():
+                return self._revoke(request)
+
+    def _range(self, request: RangeRequest) -> RangeResponse:
+        keys = self._keys_in(request.key, request.range_end)
+        shown = keys[: request.limit] if request.limit else keys
+        kvs = tuple(_key_value(key, self.entries[key]) for key in shown)
+        return RangeResponse(self.header, kvs, str(len(keys)))
+
+    def _check_put(self, request: PutRequest) -> None:
+        if len(request.value) > MAX_VALUE_BYTES:
+            raise KeyValueFailedError(3, "etcdserver: request is too large")
+        if request.lease and request.lease not in self.leases:
+            raise KeyValueFailedError(5, "etcdserver: requested lease not found")
+
+    def _put(self, request: PutRequest) -> PutResponse:
+        old = self.entries.get(request.key)
+        if old is not None and old.lease in self.leases:
+            self.leases[old.lease].keys.discard(request.key)
+        if request.lease:
+            self.leases[request.lease].keys.add(request.key)
+        entry = Entry(
+            value=request.value,
+            create_revision=old.create_revision if old else self.revision,
+            mod_revision=self.revision,
+            version=old.version + 1 if old else 1,
+            lease=request.lease,
+        )
+        self.entries[request.key] = entry
+        self._record(WatchEvent(_key_value(request.key, entry)))
+        return PutResponse(self.header)
+
+    def _delete(self, request: DeleteRequest) -> DeleteResponse:
+        keys = self._keys_in(request.key, request.range_end)
+        for key in keys:
+            entry = self.entries.pop(key)
+            if entry.lease in self.leases:
+                self.leases[entry.lease].keys.discard(key)
+            gone = KeyValue(key, mod_revision=str(self.revision))
+            self._record(WatchEvent(gone, "DELETE"))
+        return DeleteResponse(self.header, str(len(keys)))
+
+    def _txn(self, request: TxnRequest) -> TxnResponse:
+        holds = all(self._holds(compare) for compare in request.compare)
+        operations = request.success if holds else request.failure
+        for each in operations:
+            if each.request_put is not None:
+                self._check_put(each.request_put)
+        if any(each.request_range is None for each in operations):
+            self.revision += 1
+        responses = tuple(self._operate(each) for each in operations)
+        return TxnResponse(self.header, holds, responses)
+
+    def _operate(self, operation: Operation) -> OperationResponse:
+        if operation.request_put is not None:
+            put = self._put(operation.request_put)
+            return OperationResponse(response_put=put)
+        if operation.request_delete_range is not None:
+            deleted = self._delete(operation.request_delete_range)
+            return OperationResponse(response_delete_range=deleted)
+        if operation.request_range is not None:
+            found = self._range(operation.request_range)
+            return OperationResponse(response_range=found)
+        raise KeyValueFailedError(3, "an operation without a request")
+
+    def _holds(self, compare: Compare) -> bool:
+        entry = self.entries.get(compare.key) or Entry(b"", 0, 0, 0, 0)
+        name = _FIELD_BY_TARGET[compare.target]
+        if name == "value" and compare.key not in self.entries:
+            return False
+        test = _TEST_BY_RESULT[compare.result]
+        return test(getattr(entry, name), getattr(compare, name))
+
+    def _grant(self, request: GrantRequest, now: float) -> LeaseResponse:
+        lease_id = request.id or next(self.lease_ids)
+        self.leases[lease_id] = Lease(request.ttl, now + request.ttl)
+        return LeaseResponse(self.header, str(lease_id), str(request.ttl))
+
+    def _keep_alive(self, request: KeepAliveRequest, now: float) -> KeepAliveResponse:
+        lease = self.leases.get(request.id)
+        if lease is None:
+            return KeepAliveResponse(LeaseResponse(self.header, str(request.id)))
+        lease.expires_s = now + lease.ttl_s
+        ttl = str(lease.ttl_s)
+        return KeepAliveResponse(LeaseResponse(self.header, str(request.id), ttl))
+
+    def _revoke(self, request: RevokeRequest) -> LeaseResponse:
+        if request.id not in self.leases:
+            raise KeyValueFailedError(5, "etcdserver: requested lease not found")
+        self._end_lease(request.id)
+        return LeaseResponse(self.header)
+
+    def _end_lease(self, lease_id: int) -> None:
+        lease = self.leases.pop(lease_id)
+        if lease.keys:
+            self.revision += 1
+        for key in sorted(lease.keys):
+            self._delete(DeleteRequest(key))
+
+    def _keys_in(self, key: bytes, range_end: bytes) -> list[bytes]:
+        return sorted(each for each in self.entries if _in_range(each, key, range_end))
+
+    def _record(self, event: WatchEvent) -> None:
+        self.history.append(Change(self.revision, event))
+
+
+_FIELD_BY_TARGET = {
+    "VERSION": "version",
+    "CREATE": "create_revision",
+    "MOD": "mod_revision",
+    "VALUE": "value",
+    "LEASE": "lease",
+}
+_TEST_BY_RESULT: dict[str, Callable[[Any, Any], bool]] = {
+    "EQUAL": operator.eq,
+    "NOT_EQUAL": operator.ne,
+    "GREATER": operator.gt,
+    "LESS": operator.lt,
+}
+
+
+def _in_range(key: bytes, start: bytes, range_end: bytes) -> bool:
+    if not range_end:
+        return key == start
+    return start <= key and (range_end == ALL_FOLLOWING or key < range_end)
+
+
+def _key_value(key: bytes, entry: Entry) -> KeyValue:
+    return KeyValue(
+        key,
+        str(entry.create_revision),
+        str(entry.mod_revision),
+        str(entry.version),
+        entry.value,
+        str(entry.lease),
+    )
--- /dev/null
+++ b/tools/burdockhaven_standins/service.py
@@ -0,0 +1,104 @@
+"""A plain service as a process: it runs each call it gets and counts the runs."""
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass, field
+
+import msgspec
+from litestar import Litestar, Response, get, post
+from litestar.response import Stream
+
+from burdockhaven_standins.faults import CutPoint, FaultControl, Faults
+from burdockhaven_standins.server import AnyRequest, answer, cut_answer, read_body
+
+
+class Call(msgspec.Struct, frozen=True):
+    """One call as the service gets it."""
+
+    request_id: str
+    body: str = ""
+    class_name: str = msgspec.field(name="class", default="")
+
+
+class CallResult(msgspec.Struct, frozen=True):
+    """The answer to a call."""
+
+    request_id: str
+    result: str
+
+
+class ServiceLoad(msgspec.Struct, frozen=True):
+    """The load report."""
+
+    running: int
+    waiting: int
+    leaving: bool
+
+
+class ServiceControl(FaultControl, frozen=True, kw_only=True):
+    """Faults and speed; None leaves one as it is."""
+
+    # Seconds that a call takes.
+    call_s: float | None = None
+
+
+@dataclass(slots=True)
+class Service:
+    """State of one plain service."""
+
+    # Seconds that a call takes.
+    call_s: float
+    # Calls that run side by side; others wait.
+    slots: asyncio.Semaphore
+    faults: Faults = field(default_factory=Faults)
+    # Executions by request identity.
+    executions: Counter[str] = field(default_factory=Counter)
+    running: int = 0
+    waiting: int = 0
+
+    async def run(self, call: Call) -> CallResult:
+        """Runs the call, however often it came before."""
+        self.waiting += 1
+        async with self.slots:
+            self.waiting -= 1
+            self.running += 1
+            self.executions[call.request_id] += 1
+            await asyncio.sleep(self.call_s)
+            self.running -= 1
+        count = self.executions[call.request_id]
+        return CallResult(call.request_id, f"{call.class_name} done, run {count}")
+
+
+def make_app(call_s: float, slots: int) -> Litestar:
+    """The application of one plain service."""
+    service = Service(call_s, asyncio.Semaphore(slots))
+    faults = service.faults
+
+    @post("/v1/calls", status_code=200)
+    async def calls(request: AnyRequest) -> Response[bytes] | Stream:
+        call = await read_body(request, Call)
+        refusal = await faults.before_start()
+        if refusal is not None:
+            return refusal
+        result = await service.run(call)
+        if faults.take_cut(CutPoint.AFTER):
+            return cut_answer()
+        return answer(result)
+
+    @get("/load")
+    async def load() -> Response[bytes]:
+        return answer(ServiceLoad(service.running, service.waiting, faults.leaving))
+
+    @get("/counts")
+    async def counts() -> Response[bytes]:
+        return answer(dict(service.executions))
+
+    @post("/control", status_code=200)
+    async def control(request: AnyRequest) -> Response[bytes]:
+        wanted = await read_body(request, ServiceControl)
+        faults.apply(wanted)
+        if wanted.call_s is not None:
+            service.call_s = wanted.call_s
+        return answer(None)
+
+    return Litestar([calls, load, counts, control])
