Accept both spellings of a transaction's operations at the key-value stand-in

The daemon's link writes requestPut and requestDeleteRange, the stand-in read only request_put; the etcd gateway takes both.

--- a/tools/burdockhaven_standins/key_value_messages.py
+++ b/tools/burdockhaven_standins/key_value_messages.py
@@ -45,12 +45,24 @@
 
 
 class Operation(msgspec.Struct, frozen=True):
-    """One operation of a transaction; just one field is set."""
+    """One operation of a transaction, in either spelling of the gateway."""
 
+    camel_range: RangeRequest | None = msgspec.field(name="requestRange", default=None)
+    camel_put: PutRequest | None = msgspec.field(name="requestPut", default=None)
+    camel_delete: DeleteRequest | None = msgspec.field(
+        name="requestDeleteRange", default=None
+    )
     request_range: RangeRequest | None = None
     request_put: PutRequest | None = None
     request_delete_range: DeleteRequest | None = None
 
+    @property
+    def request(self) -> RangeRequest | PutRequest | DeleteRequest | None:
+        """The one request that is set."""
+        read = self.camel_range or self.request_range
+        put = self.camel_put or self.request_put
+        return read or put or self.camel_delete or self.request_delete_range
+
 
 class TxnRequest(msgspec.Struct, frozen=True, tag="txn"):
     """Does `success` if all conditions hold and `failure` otherwise, at one moment."""
--- a/tools/burdockhaven_standins/key_value_model.py
+++ b/tools/burdockhaven_standins/key_value_model.py
@@ -20,7 +20,6 @@
     KeyValueRequest,
     KeyValueResponse,
     LeaseResponse,
-    Operation,
     OperationResponse,
     PutRequest,
     PutResponse,
@@ -226,25 +225,27 @@
     def _txn(self, request: TxnRequest) -> TxnResponse:
         holds = all(self._holds(compare) for compare in request.compare)
         operations = request.success if holds else request.failure
-        for each in operations:
-            if each.request_put is not None:
-                self._check_put(each.request_put)
-        if any(each.request_range is None for each in operations):
+        requests = [operation.request for operation in operations]
+        for each in requests:
+            if isinstance(each, PutRequest):
+                self._check_put(each)
+        if any(not isinstance(each, RangeRequest) for each in requests):
             self.revision += 1
-        responses = tuple(self._operate(each) for each in operations)
+        responses = tuple(self._operate(each) for each in requests)
         return TxnResponse(self.header, holds, responses)
 
-    def _operate(self, operation: Operation) -> OperationResponse:
-        if operation.request_put is not None:
-            put = self._put(operation.request_put)
-            return OperationResponse(response_put=put)
-        if operation.request_delete_range is not None:
-            deleted = self._delete(operation.request_delete_range)
-            return OperationResponse(response_delete_range=deleted)
-        if operation.request_range is not None:
-            found = self._range(operation.request_range)
-            return OperationResponse(response_range=found)
-        raise KeyValueFailedError(3, "an operation without a request")
+    def _operate(
+        self, request: RangeRequest | PutRequest | DeleteRequest | None
+    ) -> OperationResponse:
+        match request:
+            case PutRequest():
+                return OperationResponse(response_put=self._put(request))
+            case DeleteRequest():
+                return OperationResponse(response_delete_range=self._delete(request))
+            case RangeRequest():
+                return OperationResponse(response_range=self._range(request))
+            case None:
+                raise KeyValueFailedError(3, "an operation without a request")
 
     def _holds(self, compare: Compare) -> bool:
         entry = self.entries.get(compare.key) or Entry(b"", 0, 0, 0, 0)
--- a/tools/tests/test_standins_process.py
+++ b/tools/tests/test_standins_process.py
@@ -112,7 +112,7 @@
         watched = {"create_request": {"key": key, "start_revision": "2"}}
         put = {"key": key, "value": text(b"v")}
         compare = {"key": key, "target": "VERSION", "result": "EQUAL", "version": "0"}
-        txn = {"compare": [compare], "success": [{"request_put": put}]}
+        txn = {"compare": [compare], "success": [{"requestPut": put}]}
         with client.stream("POST", "/v3/watch", json=watched) as watch:
             lines = watch.iter_lines()
             assert json.loads(next(lines))["result"]["created"]
