--- a/tools/tests/test_kv_link_process.py
+++ b/tools/tests/test_kv_link_process.py
@@ -2,7 +2,6 @@
 
 import random
 
-import httpx
 import pytest
 
 from burdockhaven_core.key_value import (
@@ -41,7 +40,7 @@
         assert (await anext(watch)).unwrap().value is None
         await watch.aclose()
 
-        httpx.post(f"{service.url}/control", json={"lose_answers": 1})
+        await link.client.post("/control", json={"lose_answers": 1})
         without_lease = Transaction((ValueIs("a/1", None),), (Put("a/1", b"w"),))
         failure = (await link.call(without_lease)).unwrap_err()
         assert failure.kind is FailureKind.AMBIGUOUS
