Publish each change by one compare-and-swap and resolve lost answers

Cause: a write to the key-value service may take effect while its answer is lost, and operators race. The version after the expected one is decided by one transaction whose condition is the old index, and its record names the operation, so reading it back gives yes or no; while there is no record the same transaction can be sent again. Ruled out: a condition on the revision of the index (a service that was restored counts the same revisions again); values that are overwritten in place (a reader could mix two versions). Each replica only moves up; an older version in the service is written back.

--- /dev/null
+++ b/packages/burdockhaven-core/src/burdockhaven_core/configuration_parts.py
@@ -0,0 +1,198 @@
+"""How a configuration is laid out in the key-value service.
+
+One small index names the version and the digest of each part. A part is one template
+or one bucket of accounts, so each value stays well below a megabyte and a change
+rewrites one part and the index. Parts are keyed by their digest and never overwritten:
+a reader that holds an index either finds the parts it names or finds them gone, and
+never finds parts of another version.
+"""
+
+import hashlib
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from typing import NewType
+
+import msgspec
+from result import Err, Ok, Result
+
+from burdockhaven_core.configuration import (
+    AccountParameters,
+    ChangeRecord,
+    Configuration,
+    Template,
+)
+from burdockhaven_core.configuration_check import Fault
+from burdockhaven_core.identity import AccountName
+
+PartName = NewType("PartName", str)
+Digest = NewType("Digest", str)
+
+KEY_PREFIX = "/burdockhaven/configuration/"
+INDEX_KEY = KEY_PREFIX + "index"
+PART_PREFIX = KEY_PREFIX + "part/"
+HISTORY_PREFIX = KEY_PREFIX + "history/"
+# The account parameters are spread over so many parts.
+ACCOUNT_BUCKETS = 64
+MAX_PART_BYTES = 512 * 1024
+DIGEST_BYTES = 16
+# Digits of a version in a key of the history, so that keys sort by version.
+VERSION_DIGITS = 12
+# Changes that the history keeps.
+HISTORY_KEPT = 5_000
+
+
+class Index(msgspec.Struct, frozen=True):
+    """The value that each change replaces by one compare-and-swap."""
+
+    version: int
+    # Digest of each part, by its name.
+    parts: dict[PartName, Digest]
+    # The last changes, the newest last.
+    recent: tuple[ChangeRecord, ...] = ()
+
+    @property
+    def order(self) -> tuple[int, str]:
+        """Sorts versions by age, as `Configuration.order` does."""
+        return (self.version, self.recent[-1].operation_id if self.recent else "")
+
+
+@dataclass(frozen=True, slots=True)
+class StoredIndex:
+    """The index as the key-value service holds it."""
+
+    index: Index
+    # The bytes of the value, which the next change names as its base; None if there
+    # is no index yet.
+    raw: bytes | None
+
+
+EMPTY_INDEX = StoredIndex(Index(0, {}), None)
+
+
+def decode_index(raw: bytes) -> Result[StoredIndex, Fault]:
+    """The index that the value holds."""
+    try:
+        return Ok(StoredIndex(msgspec.json.decode(raw, type=Index), raw))
+    except ValueError as error:
+        return Err(_unreadable(INDEX_KEY, error))
+
+
+def encode_index(index: Index) -> bytes:
+    """The index as a value of the key-value service."""
+    return msgspec.json.encode(index, order="sorted")
+
+
+def part_key(name: PartName, digest: Digest) -> str:
+    """Where the part is kept."""
+    return f"{PART_PREFIX}{name}/{digest}"
+
+
+def history_key(version: int) -> str:
+    """Where the record of the change that made the version is kept."""
+    return f"{HISTORY_PREFIX}{version:0{VERSION_DIGITS}d}"
+
+
+def encode_record(record: ChangeRecord) -> bytes:
+    """The record as a value of the key-value service."""
+    return msgspec.json.encode(record)
+
+
+def decode_record(raw: bytes) -> Result[ChangeRecord, Fault]:
+    """The record that the value holds."""
+    try:
+        return Ok(msgspec.json.decode(raw, type=ChangeRecord))
+    except ValueError as error:
+        return Err(_unreadable(HISTORY_PREFIX, error))
+
+
+def digest_of(part: bytes) -> Digest:
+    """The name of a part's content."""
+    return Digest(hashlib.blake2b(part, digest_size=DIGEST_BYTES).hexdigest())
+
+
+def template_part(name: str) -> PartName:
+    """The part that holds the template."""
+    return PartName(f"template/{name}")
+
+
+def account_part(account: AccountName) -> PartName:
+    """The part that holds the account's parameters."""
+    digest = hashlib.blake2b(account.encode(), digest_size=2).digest()
+    return PartName(f"accounts/{int.from_bytes(digest) % ACCOUNT_BUCKETS:02d}")
+
+
+def encode_parts(configuration: Configuration) -> dict[PartName, bytes]:
+    """All parts of the configuration; equal parts have equal bytes."""
+    parts = {
+        template_part(name): _encode((template,))
+        for name, template in configuration.templates.items()
+    }
+    for name, bucket in _buckets(configuration).items():
+        parts[name] = _encode(tuple(bucket))
+    return parts
+
+
+def index_of(configuration: Configuration, parts: Mapping[PartName, bytes]) -> Index:
+    """The index of the configuration, whose parts are given."""
+    digests = {name: digest_of(part) for name, part in parts.items()}
+    return Index(configuration.version, digests, configuration.recent)
+
+
+def decode_parts(
+    index: Index, parts: Mapping[PartName, bytes]
+) -> Result[Configuration, Fault]:
+    """The configuration that consists of the parts."""
+    templates: list[Template] = []
+    accounts: list[AccountParameters] = []
+    for name, part in parts.items():
+        try:
+            if name.startswith("template/"):
+                templates += msgspec.json.decode(part, type=tuple[Template, ...])
+            else:
+                found = msgspec.json.decode(part, type=tuple[AccountParameters, ...])
+                accounts += found
+        except ValueError as error:
+            return Err(_unreadable(name, error))
+    return Ok(
+        Configuration(
+            version=index.version,
+            templates={each.name: each for each in templates},
+            accounts={each.account: each for each in accounts},
+            recent=index.recent,
+        )
+    )
+
+
+def check_part_sizes(configuration: Configuration) -> tuple[Fault, ...]:
+    """A fault for each part that is too large for one value."""
+    return tuple(
+        Fault(
+            path=name,
+            seen=f"{len(part)} bytes",
+            allowed=f"at most {MAX_PART_BYTES} bytes",
+            remedy="split the template, or shorten what the accounts override",
+        )
+        for name, part in encode_parts(configuration).items()
+        if len(part) > MAX_PART_BYTES
+    )
+
+
+def _buckets(configuration: Configuration) -> dict[PartName, list[AccountParameters]]:
+    buckets: dict[PartName, list[AccountParameters]] = {}
+    for account in sorted(configuration.accounts):
+        bucket = buckets.setdefault(account_part(account), [])
+        bucket.append(configuration.accounts[account])
+    return buckets
+
+
+def _encode(items: Iterable[Template] | Iterable[AccountParameters]) -> bytes:
+    return msgspec.json.encode(items, order="sorted")
+
+
+def _unreadable(place: str, error: Exception) -> Fault:
+    return Fault(
+        path=place,
+        seen=str(error),
+        allowed="a value that this program wrote",
+        remedy="restore the value; the members keep the version that they have",
+    )
--- /dev/null
+++ b/packages/burdockhaven-core/src/burdockhaven_core/configuration_replica.py
@@ -0,0 +1,120 @@
+"""A member's own copy of the configuration.
+
+The copy only ever moves to a newer version, whoever offers it: the key-value service
+or another member. Members learn each other's versions from heartbeats and ask for what
+they lack, so an outage of the service right after a change was accepted delays nothing.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from result import Err, Ok, Result
+
+from burdockhaven_core.actions import SendMessage
+from burdockhaven_core.configuration import Configuration
+from burdockhaven_core.configuration_check import Fault
+from burdockhaven_core.configuration_codec import (
+    decode_configuration,
+    encode_configuration,
+)
+from burdockhaven_core.identity import MemberId
+from burdockhaven_core.messages import (
+    ConfigurationAsk,
+    ConfigurationOffer,
+    Heartbeat,
+)
+
+# Seconds before a member is asked again for a version it has not sent.
+ASK_INTERVAL_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class InForce:
+    """How far a version has spread; acceptance is another matter."""
+
+    version: int
+    # Members that have this version or a newer one in force.
+    on: int
+    # Members that are live.
+    of: int
+
+
+def count_in_force(version: int, versions: Iterable[int]) -> InForce:
+    """How many of the live members, whose versions are given, have the version."""
+    seen = tuple(versions)
+    return InForce(version, sum(each >= version for each in seen), len(seen))
+
+
+@dataclass(slots=True)
+class ConfigurationReplica:
+    """The newest configuration that this member has seen."""
+
+    me: MemberId
+    configuration: Configuration = field(default_factory=Configuration)
+    # Whether the key-value service or a member has told a configuration since the
+    # process started. An entry that knows none is not ready.
+    ready: bool = False
+    # When a newer version was last asked for, in monotonic seconds; None if never.
+    asked_at: float | None = None
+    # The version asked for at that time.
+    asked_version: int = 0
+
+    @property
+    def version(self) -> int:
+        """The version in force at this member."""
+        return self.configuration.version
+
+    def take(self, configuration: Configuration) -> bool:
+        """Put the configuration in force if it is newer; whether it was.
+
+        The key-value service may give an empty configuration: nothing was published
+        yet. The member then knows that and is ready.
+        """
+        self.ready = True
+        if configuration.order <= self.configuration.order:
+            return False
+        self.configuration = configuration
+        return True
+
+    def on_heartbeat(self, heartbeat: Heartbeat, now: float) -> list[SendMessage]:
+        """Ask the sender for its configuration if it has a newer version."""
+        version = heartbeat.config_version
+        if version <= self.version:
+            return []
+        pending = self.asked_at is not None and now < self.asked_at + ASK_INTERVAL_S
+        if pending and version <= self.asked_version:
+            return []
+        self.asked_at = now
+        self.asked_version = version
+        sender = MemberId(heartbeat.entry, heartbeat.incarnation)
+        ask = ConfigurationAsk(self.me.entry, self.me.incarnation, self.version)
+        return [SendMessage(sender, ask)]
+
+    def on_ask(self, sender: MemberId, ask: ConfigurationAsk) -> list[SendMessage]:
+        """Send the configuration to a member that has an older one."""
+        if not self.ready or self.version <= ask.have_version:
+            return []
+        offer = ConfigurationOffer(
+            self.me.entry,
+            self.me.incarnation,
+            self.version,
+            encode_configuration(self.configuration),
+        )
+        return [SendMessage(sender, offer)]
+
+    def on_offer(self, offer: ConfigurationOffer) -> Result[bool, Fault]:
+        """Put an offered configuration in force if it is newer; whether it was."""
+        decoded = decode_configuration(offer.body)
+        if isinstance(decoded, Err):
+            return Err(decoded.err_value)
+        configuration = decoded.ok_value
+        if configuration.version != offer.version:
+            return Err(
+                Fault(
+                    path="offer.version",
+                    seen=str(offer.version),
+                    allowed=f"{configuration.version}, the version of the body",
+                    remedy="none: the offer is dropped and asked for again",
+                )
+            )
+        return Ok(self.take(configuration))
--- /dev/null
+++ b/packages/burdockhaven-core/src/burdockhaven_core/configuration_store.py
@@ -0,0 +1,260 @@
+"""Reading the configuration from the key-value service, and writing it back.
+
+All functions are steps: they yield commands of `key_value` and are sent the results.
+"""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from burdockhaven_core.configuration import ChangeRecord, Configuration
+from burdockhaven_core.configuration_check import Fault
+from burdockhaven_core.configuration_parts import (
+    EMPTY_INDEX,
+    HISTORY_PREFIX,
+    INDEX_KEY,
+    Index,
+    PartName,
+    StoredIndex,
+    decode_index,
+    decode_parts,
+    decode_record,
+    digest_of,
+    encode_index,
+    encode_parts,
+    encode_record,
+    history_key,
+    index_of,
+    part_key,
+)
+from burdockhaven_core.key_value import (
+    Delete,
+    KeyValueFailure,
+    KeyValueSteps,
+    Put,
+    Range,
+    RangeAnswer,
+    ReadMany,
+    ReadManyAnswer,
+    Transaction,
+    TransactionAnswer,
+    ValueIs,
+)
+
+# Parts that are read in one call.
+PARTS_PER_READ = 32
+# Bytes and writes of one transaction, below what the service takes.
+BATCH_BYTES = 768 * 1024
+BATCH_WRITES = 64
+# Reads that start over because a change removed a part in between.
+READ_ATTEMPTS = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Unreadable:
+    """The service holds something that cannot be a configuration."""
+
+    fault: Fault
+
+
+StoreFailure = KeyValueFailure | Unreadable
+
+
+@dataclass(frozen=True, slots=True)
+class Newer:
+    """The service holds a newer configuration than the member."""
+
+    configuration: Configuration
+
+
+@dataclass(frozen=True, slots=True)
+class Same:
+    """Service and member agree."""
+
+
+@dataclass(frozen=True, slots=True)
+class WrittenBack:
+    """The service held an older version, and now holds the member's."""
+
+    # The version that was found in the service.
+    found_version: int
+
+
+@dataclass(frozen=True, slots=True)
+class NotSynchronised:
+    """The service could not be read or written; try again later."""
+
+    failure: StoreFailure
+
+
+Synchronisation = Newer | Same | WrittenBack | NotSynchronised
+
+
+def synchronise(known: Configuration) -> KeyValueSteps[Synchronisation]:
+    """Bring service and member to the newer of the two configurations.
+
+    A service that comes back with an older version than a member has lost accepted
+    changes; the member writes its own back, by compare-and-swap on what it found.
+    """
+    for _ in range(READ_ATTEMPTS):
+        read = yield from read_index()
+        if isinstance(read, Err):
+            return NotSynchronised(read.err_value)
+        stored = read.ok_value
+        if stored.index.order == known.order:
+            return Same()
+        if stored.index.order < known.order:
+            written = yield from write_back(known, stored)
+            if isinstance(written, Err):
+                return NotSynchronised(written.err_value)
+            if written.ok_value:
+                return WrittenBack(stored.index.version)
+            continue
+        loaded = yield from load(stored.index, known)
+        if isinstance(loaded, Err):
+            return NotSynchronised(loaded.err_value)
+        if loaded.ok_value is not None:
+            return Newer(loaded.ok_value)
+    return NotSynchronised(_unsteady())
+
+
+def read_index() -> KeyValueSteps[Result[StoredIndex, StoreFailure]]:
+    """The index; the empty one if there is none yet."""
+    called = yield Range(INDEX_KEY)
+    if isinstance(called, Err):
+        return Err(called.err_value)
+    answer = called.ok_value
+    assert isinstance(answer, RangeAnswer)
+    if not answer.items:
+        return Ok(EMPTY_INDEX)
+    decoded = decode_index(answer.items[0].value)
+    if isinstance(decoded, Err):
+        return Err(Unreadable(decoded.err_value))
+    return Ok(decoded.ok_value)
+
+
+def load(
+    index: Index, known: Configuration
+) -> KeyValueSteps[Result[Configuration | None, StoreFailure]]:
+    """The configuration of the index, reading only parts that the member lacks.
+
+    None if a part is gone because the index has changed since it was read.
+    """
+    if index.order == known.order:
+        return Ok(known)
+    parts = _parts_in_common(index, encode_parts(known))
+    missing = [name for name in index.parts if name not in parts]
+    for start in range(0, len(missing), PARTS_PER_READ):
+        names = missing[start : start + PARTS_PER_READ]
+        keys = tuple(Range(part_key(name, index.parts[name])) for name in names)
+        called = yield ReadMany(keys)
+        if isinstance(called, Err):
+            return Err(called.err_value)
+        answer = called.ok_value
+        assert isinstance(answer, ReadManyAnswer)
+        if not all(answer.ranges):
+            return Ok(None)
+        for name, (item, *_) in zip(names, answer.ranges, strict=True):
+            parts[name] = item.value
+    decoded = decode_parts(index, parts)
+    if isinstance(decoded, Err):
+        return Err(Unreadable(decoded.err_value))
+    return Ok(decoded.ok_value)
+
+
+def write_back(
+    known: Configuration, stored: StoredIndex
+) -> KeyValueSteps[Result[bool, StoreFailure]]:
+    """Replace the stored version by the member's; False if it has changed meanwhile.
+
+    Parts go first, in batches, and the index last: parts are removed only together
+    with a change of the index, which the last step would notice.
+    """
+    parts = encode_parts(known)
+    index = index_of(known, parts)
+    missing = tuple(
+        Put(part_key(name, index.parts[name]), part)
+        for name, part in sorted(parts.items())
+        if stored.index.parts.get(name) != index.parts[name]
+    )
+    for batch in _batches(missing):
+        staged = yield Transaction((), batch)
+        if isinstance(staged, Err):
+            return Err(staged.err_value)
+    history = tuple(
+        Put(history_key(record.version), encode_record(record))
+        for record in known.recent
+    )
+    called = yield Transaction(
+        (ValueIs(INDEX_KEY, stored.raw),),
+        (Put(INDEX_KEY, encode_index(index)), *history, *superseded(stored, index)),
+    )
+    if isinstance(called, Err):
+        return Err(called.err_value)
+    answer = called.ok_value
+    assert isinstance(answer, TransactionAnswer)
+    return Ok(answer.succeeded)
+
+
+def superseded(stored: StoredIndex, index: Index) -> tuple[Delete, ...]:
+    """Removal of the parts that the new index does not name any more."""
+    return tuple(
+        Delete(part_key(name, digest))
+        for name, digest in sorted(stored.index.parts.items())
+        if index.parts.get(name) != digest
+    )
+
+
+def read_history(
+    first_version: int, last_version: int
+) -> KeyValueSteps[Result[tuple[ChangeRecord, ...], StoreFailure]]:
+    """Records of the changes that made the versions, the oldest first."""
+    end = HISTORY_PREFIX + "~"
+    if last_version >= first_version:
+        end = history_key(last_version + 1)
+    called = yield Range(history_key(first_version), end)
+    if isinstance(called, Err):
+        return Err(called.err_value)
+    answer = called.ok_value
+    assert isinstance(answer, RangeAnswer)
+    records = [decode_record(item.value) for item in answer.items]
+    for record in records:
+        if isinstance(record, Err):
+            return Err(Unreadable(record.err_value))
+    return Ok(tuple(record.unwrap() for record in records))
+
+
+def _parts_in_common(
+    index: Index, known: Mapping[PartName, bytes]
+) -> dict[PartName, bytes]:
+    return {
+        name: part
+        for name, part in known.items()
+        if index.parts.get(name) == digest_of(part)
+    }
+
+
+def _batches(writes: tuple[Put, ...]) -> Iterator[tuple[Put, ...]]:
+    batch: list[Put] = []
+    size = 0
+    for write in writes:
+        full = size + len(write.value) > BATCH_BYTES or len(batch) == BATCH_WRITES
+        if batch and full:
+            yield tuple(batch)
+            batch, size = [], 0
+        batch.append(write)
+        size += len(write.value)
+    if batch:
+        yield tuple(batch)
+
+
+def _unsteady() -> Unreadable:
+    return Unreadable(
+        Fault(
+            path=INDEX_KEY,
+            seen="changes during each read",
+            allowed="an index that stands long enough to read its parts",
+            remedy="try again",
+        )
+    )
--- /dev/null
+++ b/packages/burdockhaven-core/src/burdockhaven_core/publishing.py
@@ -0,0 +1,254 @@
+"""Acceptance of operators' changes: one compare-and-swap per change.
+
+The version after the base is decided by exactly one transaction, whose condition is
+the base's index. A record of it stands in the history under the new version and names
+the operation. So a lost answer can always be resolved: the record of the version after
+the expected one names either this operation or the one that won, and as long as there
+is no record the same transaction can be sent again without harm.
+"""
+
+import enum
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from result import Err
+
+from burdockhaven_core.configuration import ChangeRecord, Configuration
+from burdockhaven_core.configuration_change import Operation, apply_operation
+from burdockhaven_core.configuration_check import Fault
+from burdockhaven_core.configuration_parts import (
+    HISTORY_KEPT,
+    INDEX_KEY,
+    StoredIndex,
+    encode_index,
+    encode_parts,
+    encode_record,
+    history_key,
+    index_of,
+    part_key,
+)
+from burdockhaven_core.configuration_store import (
+    StoreFailure,
+    load,
+    read_history,
+    read_index,
+    superseded,
+)
+from burdockhaven_core.key_value import (
+    Delete,
+    FailureKind,
+    KeyValueFailure,
+    KeyValueSteps,
+    Put,
+    Transaction,
+    TransactionAnswer,
+    ValueIs,
+)
+
+# Times that a lost answer is looked for before it is called unknown.
+RESOLVE_ATTEMPTS = 4
+
+
+class NotDoneReason(enum.Enum):
+    """Why a change was not made and will not be, unless it is asked for again."""
+
+    # The key-value service could not be reached or gave no usable answer.
+    UNREACHABLE = "unreachable"
+    # The service holds an older version than a member; it is written back first.
+    BEHIND = "behind"
+    # This entry has not heard all members yet, one of which may know a newer version.
+    NOT_SETTLED = "not_settled"
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The change is accepted; the members will put it in force."""
+
+    # The version that the change made.
+    version: int
+    # The configuration of that version; None if a newer one has replaced it already.
+    configuration: Configuration | None
+
+
+@dataclass(frozen=True, slots=True)
+class Conflict:
+    """The change is refused for good: another one was made to the expected version."""
+
+    # The version that is accepted now.
+    version: int
+    # The change that won; None if its record is no longer kept.
+    winner: ChangeRecord | None
+
+
+@dataclass(frozen=True, slots=True)
+class Invalid:
+    """The change is refused for good: the configuration would have faults."""
+
+    faults: tuple[Fault, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class NotDone:
+    """The change was not made; it may be asked for again."""
+
+    reason: NotDoneReason
+    # The failure behind the reason, if there was one.
+    failure: StoreFailure | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class OutcomeUnknown:
+    """The change may have been made, or may be yet; ask again with the same identity.
+
+    Asking again is safe at any entry: it gives `Accepted` or `Conflict` once the
+    key-value service can be reached.
+    """
+
+    operation_id: str
+    failure: StoreFailure | None
+
+
+PublishOutcome = Accepted | Conflict | Invalid | NotDone | OutcomeUnknown
+
+# Gives the highest version that any member has in force; None when some member has
+# not been heard lately.
+FloorVersion = Callable[[], int | None]
+
+
+def publish(
+    operation: Operation, known: Configuration, floor_version: FloorVersion
+) -> KeyValueSteps[PublishOutcome]:
+    """Make the change, unless the expected version is not the accepted one.
+
+    `known` is the member's own configuration. The floor is looked at again before
+    each write, for a change must not be built on a version that the service has gone
+    back to while members know a newer one.
+    """
+    read = yield from read_index()
+    if isinstance(read, Err):
+        return NotDone(NotDoneReason.UNREACHABLE, read.err_value)
+    stored = read.ok_value
+    below = _below_floor(stored, floor_version)
+    if below is not None:
+        return NotDone(below)
+    if stored.index.version != operation.expected_version:
+        return (yield from _outcome_of_earlier(operation, stored))
+    loaded = yield from load(stored.index, known)
+    if isinstance(loaded, Err):
+        return NotDone(NotDoneReason.UNREACHABLE, loaded.err_value)
+    if loaded.ok_value is None:
+        return NotDone(NotDoneReason.BEHIND)
+    applied = apply_operation(loaded.ok_value, operation)
+    if isinstance(applied, Err):
+        return Invalid(applied.err_value)
+    below = _below_floor(stored, floor_version)
+    if below is not None:
+        return NotDone(below)
+    return (yield from _submit(operation, stored, applied.ok_value, floor_version))
+
+
+def resolve(operation: Operation) -> KeyValueSteps[PublishOutcome]:
+    """What has become of an operation whose answer was lost."""
+    read = yield from read_index()
+    if isinstance(read, Err):
+        return OutcomeUnknown(operation.operation_id, read.err_value)
+    stored = read.ok_value
+    if stored.index.version <= operation.expected_version:
+        return OutcomeUnknown(operation.operation_id, None)
+    return (yield from _outcome_of_earlier(operation, stored))
+
+
+def _outcome_of_earlier(
+    operation: Operation, stored: StoredIndex
+) -> KeyValueSteps[PublishOutcome]:
+    """The outcome when the accepted version is not the expected one."""
+    index = stored.index
+    decided = operation.expected_version + 1
+    winner = next((each for each in index.recent if each.version == decided), None)
+    if winner is None and decided <= index.version:
+        read = yield from read_history(decided, decided)
+        if isinstance(read, Err):
+            return OutcomeUnknown(operation.operation_id, read.err_value)
+        winner = next(iter(read.ok_value), None)
+    if winner is not None and winner.operation_id == operation.operation_id:
+        return Accepted(decided, None)
+    return Conflict(index.version, winner)
+
+
+def _below_floor(
+    stored: StoredIndex, floor_version: FloorVersion
+) -> NotDoneReason | None:
+    floor = floor_version()
+    if floor is None:
+        return NotDoneReason.NOT_SETTLED
+    return NotDoneReason.BEHIND if stored.index.version < floor else None
+
+
+def _submit(
+    operation: Operation,
+    stored: StoredIndex,
+    changed: Configuration,
+    floor_version: FloorVersion,
+) -> KeyValueSteps[PublishOutcome]:
+    transaction = _transaction(stored, changed)
+    failure: StoreFailure | None = None
+    for attempt in range(RESOLVE_ATTEMPTS):
+        called = yield transaction
+        if isinstance(called, Err):
+            failure = called.err_value
+            if attempt == 0 and _had_no_effect(called.err_value):
+                return NotDone(NotDoneReason.UNREACHABLE, failure)
+            if _below_floor(stored, floor_version) is not None:
+                break
+            continue
+        answer = called.ok_value
+        assert isinstance(answer, TransactionAnswer)
+        if answer.succeeded:
+            return Accepted(changed.version, changed)
+        # Either an earlier attempt took effect or another operation won.
+        return (yield from _read_back(operation, changed))
+    return OutcomeUnknown(operation.operation_id, failure)
+
+
+def _read_back(
+    operation: Operation, changed: Configuration
+) -> KeyValueSteps[PublishOutcome]:
+    failure: StoreFailure | None = None
+    for _ in range(RESOLVE_ATTEMPTS):
+        outcome = yield from resolve(operation)
+        if not isinstance(outcome, OutcomeUnknown):
+            if isinstance(outcome, Accepted):
+                return Accepted(changed.version, changed)
+            return outcome
+        failure = outcome.failure
+    return OutcomeUnknown(operation.operation_id, failure)
+
+
+def _transaction(stored: StoredIndex, changed: Configuration) -> Transaction:
+    parts = encode_parts(changed)
+    index = index_of(changed, parts)
+    record = changed.recent[-1]
+    rewritten = tuple(
+        Put(part_key(name, index.parts[name]), part)
+        for name, part in sorted(parts.items())
+        if stored.index.parts.get(name) != index.parts[name]
+    )
+    return Transaction(
+        (ValueIs(INDEX_KEY, stored.raw),),
+        (
+            Put(INDEX_KEY, encode_index(index)),
+            Put(history_key(record.version), encode_record(record)),
+            *rewritten,
+            *superseded(stored, index),
+            *_outdated_history(record.version),
+        ),
+    )
+
+
+def _outdated_history(version: int) -> tuple[Delete, ...]:
+    oldest = version - HISTORY_KEPT
+    return (Delete(history_key(oldest)),) if oldest > 0 else ()
+
+
+def _had_no_effect(failure: KeyValueFailure) -> bool:
+    return failure.kind is not FailureKind.AMBIGUOUS
--- /dev/null
+++ b/packages/burdockhaven-core/tests/test_configuration_replica.py
@@ -0,0 +1,91 @@
+"""A member's configuration never goes back and spreads between members."""
+
+import pytest
+
+from burdockhaven_core.configuration import ChangeRecord, Configuration
+from burdockhaven_core.configuration_replica import (
+    ConfigurationReplica,
+    InForce,
+    count_in_force,
+)
+from burdockhaven_core.identity import MemberId
+from burdockhaven_core.messages import ConfigurationAsk, ConfigurationOffer, Heartbeat
+
+ME = MemberId("e1", "a")
+OTHER = MemberId("e2", "b")
+
+
+def version(number, operation="op"):
+    return Configuration(number, recent=(ChangeRecord(number, operation, ""),))
+
+
+def heartbeat(config_version):
+    return Heartbeat(
+        "e2", "b", 1, 0.0, "", "", "z", True, False, config_version, (), ()
+    )
+
+
+@pytest.mark.parametrize(
+    ("offered", "kept"),
+    [
+        ((1, 2, 3), 3),
+        ((3, 2, 1), 3),
+        ((2, 5, 4), 5),
+    ],
+)
+def test_the_highest_version_stays(offered, kept):
+    replica = ConfigurationReplica(ME)
+    for number in offered:
+        replica.take(version(number))
+    assert replica.version == kept
+
+
+def test_members_choose_alike_between_two_configurations_of_one_version():
+    one, other = version(3, "x"), version(3, "y")
+    kept = []
+    for order in ((one, other), (other, one)):
+        replica = ConfigurationReplica(ME)
+        for each in order:
+            replica.take(each)
+        kept.append(replica.configuration)
+    assert kept[0] == kept[1]
+
+
+def test_an_entry_is_not_ready_before_it_was_told_a_configuration():
+    replica = ConfigurationReplica(ME)
+    assert not replica.ready
+    assert replica.on_ask(OTHER, ConfigurationAsk("e2", "b", -1)) == []
+    replica.take(Configuration())
+    assert replica.ready
+
+
+def test_a_starting_entry_gets_the_configuration_from_a_member():
+    holder = ConfigurationReplica(OTHER, version(4), ready=True)
+    starting = ConfigurationReplica(ME)
+    (ask,) = starting.on_heartbeat(heartbeat(4), now=0.0)
+    assert ask.to == OTHER
+    (offer,) = holder.on_ask(ME, ask.message)
+    assert starting.on_offer(offer.message).unwrap()
+    assert starting.ready
+    assert starting.configuration == holder.configuration
+    assert starting.on_heartbeat(heartbeat(4), now=5.0) == []
+
+
+def test_a_version_is_asked_for_once_in_a_while():
+    replica = ConfigurationReplica(ME)
+    times = (0.0, 0.5, 0.9, 1.0, 1.5)
+    asked = [len(replica.on_heartbeat(heartbeat(4), now)) for now in times]
+    assert asked == [1, 0, 0, 1, 0]
+    assert len(replica.on_heartbeat(heartbeat(5), now=1.6)) == 1
+
+
+@pytest.mark.parametrize("body", [b"", b"\xc1", b"\x80"])
+def test_a_malformed_offer_is_dropped(body):
+    replica = ConfigurationReplica(ME, version(2), ready=True)
+    offer = ConfigurationOffer("e2", "b", 9, body)
+    assert replica.on_offer(offer).is_err()
+    assert replica.version == 2
+
+
+def test_accepted_and_in_force_are_counted_apart():
+    assert count_in_force(5, (5, 4, 6, 0)) == InForce(5, on=2, of=4)
