Let the entry keep its configuration in the replica that members share

The entry had a version check of its own beside the replica's; the replica also orders two configurations of one version and passes them between members.

--- a/packages/burdockhaven-core/src/burdockhaven_core/entry_state.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/entry_state.py
@@ -6,6 +6,7 @@
 from burdockhaven_core.actions import Action, Answer, Note, RecordRequest
 from burdockhaven_core.choosing import Choose
 from burdockhaven_core.configuration import Configuration
+from burdockhaven_core.configuration_replica import ConfigurationReplica
 from burdockhaven_core.floor import Floor
 from burdockhaven_core.identity import (
     AccountName,
@@ -71,7 +72,7 @@
         self.choose = choose
         self.rng = rng
         self.started_s = now
-        self.configuration = Configuration()
+        self.replica = ConfigurationReplica(parameters.me)
         # Client account by the SHA-256 of its key.
         self.account_of_key: dict[str, AccountName] = {}
         self.membership = Membership.from_config(parameters.members(now))
@@ -93,10 +94,15 @@
         self.stopped = False
         self.out: list[Action] = []
 
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration in force here."""
+        return self.replica.configuration
+
     @property
     def ready(self) -> bool:
         """Whether the entry has a configuration and takes new requests."""
-        return self.configuration.version > 0 and not self.stopped
+        return self.replica.ready and not self.stopped
 
     @property
     def draining(self) -> bool:
--- a/packages/burdockhaven-core/src/burdockhaven_core/runs.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/runs.py
@@ -68,7 +68,7 @@
         return
     state.note(
         EventNumber.RUN_LOST,
-        run_id=event.run_id,
+        run=event.run_id,
         target=record.target.name if record.target else "",
         detail=event.detail,
     )
--- a/packages/burdockhaven-core/src/burdockhaven_core/upkeep.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/upkeep.py
@@ -1,5 +1,7 @@
 """Handles time, other members, the configuration and the end of the process."""
 
+from result import Err
+
 from burdockhaven_core.actions import CancelRun, SendMessage, Stopped
 from burdockhaven_core.entry_state import EntryState
 from burdockhaven_core.events import (
@@ -16,6 +18,8 @@
 from burdockhaven_core.messages import (
     CloseAsk,
     ClosePromise,
+    ConfigurationAsk,
+    ConfigurationOffer,
     GroupDemand,
     Heartbeat,
 )
@@ -39,11 +43,17 @@
 def on_message(state: EntryState, event: MessageArrived, now: float) -> None:
     """Hand a member's message to the part that it is for."""
     message = event.message
-    if isinstance(message, Heartbeat):
-        state.membership.on_heartbeat(message, now)
-    elif isinstance(message, CloseAsk | ClosePromise):
-        state.out.extend(state.floor.on_message(event.sender, message, now))
-        settle_doomed(state, now)
+    match message:
+        case Heartbeat():
+            state.membership.on_heartbeat(message, now)
+            state.out.extend(state.replica.on_heartbeat(message, now))
+        case CloseAsk() | ClosePromise():
+            state.out.extend(state.floor.on_message(event.sender, message, now))
+            settle_doomed(state, now)
+        case ConfigurationAsk():
+            state.out.extend(state.replica.on_ask(event.sender, message))
+        case ConfigurationOffer():
+            _on_offer(state, message)
 
 
 def on_member_leases(state: EntryState, event: MemberLeasesRead, now: float) -> None:
@@ -59,23 +69,36 @@
 def on_configuration(state: EntryState, event: ConfigurationRead, now: float) -> None:
     """Put a newer configuration in force; an older one is never gone back to."""
     version = event.configuration.version
-    if version <= state.configuration.version:
-        if version < state.configuration.version:
-            state.note(
-                EventNumber.CONFIGURATION_OLDER_IGNORED,
-                version=version,
-                in_force=state.configuration.version,
-            )
-        return
-    state.configuration = event.configuration
+    if state.replica.take(event.configuration):
+        _put_in_force(state)
+    elif version < state.replica.version:
+        state.note(
+            EventNumber.CONFIGURATION_OLDER_IGNORED,
+            version=version,
+            in_force=state.replica.version,
+        )
+
+
+def _on_offer(state: EntryState, offer: ConfigurationOffer) -> None:
+    taken = state.replica.on_offer(offer)
+    if isinstance(taken, Err):
+        fault = taken.err_value
+        detail = f"{fault.path}: {fault.seen}, allowed: {fault.allowed}"
+        state.note(EventNumber.BAD_PEER_MESSAGE, peer=offer.entry, detail=detail)
+    elif taken.ok_value:
+        _put_in_force(state)
+
+
+def _put_in_force(state: EntryState) -> None:
+    configuration = state.configuration
     state.account_of_key = {
         parameters.key_sha256: name
-        for name, parameters in event.configuration.accounts.items()
+        for name, parameters in configuration.accounts.items()
     }
-    state.targets.apply(event.configuration)
-    state.membership.on_configuration(event.configuration)
-    state.floor.on_configuration(event.configuration)
-    state.note(EventNumber.CONFIGURATION_IN_FORCE, version=version)
+    state.targets.apply(configuration)
+    state.membership.on_configuration(configuration)
+    state.floor.on_configuration(configuration)
+    state.note(EventNumber.CONFIGURATION_IN_FORCE, version=configuration.version)
 
 
 def on_stop(state: EntryState, event: StopRequested, now: float) -> None:
--- a/packages/burdockhaven-core/tests/test_entry.py
+++ b/packages/burdockhaven-core/tests/test_entry.py
@@ -254,7 +254,7 @@
 def test_an_entry_without_configuration_refuses():
     one = entry()
     ticket = token(one, NOW)
-    one.state.configuration = configuration(0)
+    one.state.replica.ready = False
     ((_, outcome),) = answers(one.step(request(2, ticket), NOW))
     assert isinstance(outcome, NotRun)
     assert outcome.reason is NotRunReason.UNAVAILABLE
