--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the daemon: `python -m burdockhaven_entry --config FILE`."""
+
+import sys
+
+from burdockhaven_entry.main import main
+
+sys.exit(main())
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/caller_api.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/caller_api.py
@@ -66,6 +66,7 @@
         state=_state(shell),
         request_max_body_size=max_body_bytes,
         exception_handlers={HTTPException: _refuse_malformed},
+        logging_config=None,
         openapi_config=OpenAPIConfig(title="burdockhaven for callers", version="1"),
     )
 
--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/daemon.py
@@ -0,0 +1,160 @@
+"""One daemon process: its parts, how they are joined, and its start and end."""
+
+import asyncio
+import random
+import secrets
+import signal
+from collections.abc import Callable
+
+from result import Ok
+
+from burdockhaven_core.entry import Entry
+from burdockhaven_core.entry_state import EntryParameters
+from burdockhaven_core.events import (
+    MessageArrived,
+    StopRequested,
+    Tick,
+)
+from burdockhaven_core.identity import EntryName, Incarnation, MemberId
+from burdockhaven_core.log_numbers import EventNumber
+from burdockhaven_core.messages import PeerMessage
+from burdockhaven_entry.caller_api import caller_app
+from burdockhaven_entry.kv_link import KvLink
+from burdockhaven_entry.log_events import log
+from burdockhaven_entry.metrics import Metrics
+from burdockhaven_entry.peer_link import PeerLink, PeerLinkError
+from burdockhaven_entry.platform_sync import PlatformSync
+from burdockhaven_entry.servers import HttpServer
+from burdockhaven_entry.settings import EntrySettings
+from burdockhaven_entry.shell import Shell
+from burdockhaven_entry.timer import TimerService
+from burdockhaven_entry.vm_list_link import POLL_INTERVAL_S, VmListLink
+
+# Seconds between two ticks of the decisions.
+TICK_INTERVAL_S = 0.05
+# Seconds between two questions to a target for its load.
+LOAD_INTERVAL_S = 1.0
+SYNC_INTERVAL_S = 1.0
+# Share by which intervals of network calls are shortened at random.
+JITTER = 0.2
+INCARNATION_BYTES = 16
+MS_PER_S = 1_000.0
+
+
+class Daemon:
+    """All parts of one process."""
+
+    def __init__(
+        self, settings: EntrySettings, parameters: EntryParameters, shell: Shell
+    ) -> None:
+        rng = random.SystemRandom()
+        self.settings = settings
+        self.parameters = parameters
+        self.shell = shell
+        self.timer = TimerService(shell.clock, rng)
+        self.key_value = KvLink.from_url(settings.key_value_url, rng)
+        self.platform = PlatformSync(
+            self.key_value,
+            parameters.me,
+            parameters.peer_address,
+            shell.handle,
+            shell.clock,
+        )
+        self.vm_list = VmListLink.from_url(settings.vm_list_url)
+        self.peers = PeerLink.from_config(
+            parameters.me,
+            str(settings.peer_address),
+            self._on_message,
+            self._on_peer_error,
+        )
+        self.caller_server = HttpServer(
+            caller_app(shell, settings.max_body_bytes), settings.caller_address
+        )
+
+    @classmethod
+    def from_config(
+        cls, settings: EntrySettings, clock: Callable[[], float]
+    ) -> "Daemon":
+        """A daemon that has bound its addresses and sent nothing yet."""
+        incarnation = Incarnation(secrets.token_hex(INCARNATION_BYTES))
+        parameters = EntryParameters(
+            me=MemberId(EntryName(settings.name), incarnation),
+            zone=settings.zone,
+            caller_address=str(settings.caller_address),
+            peer_address=str(settings.peer_address),
+            assignment_key=settings.assignment_key.reveal().encode(),
+            assignment_lifetime_s=settings.assignment_lifetime_s,
+            heartbeat_interval_s=settings.heartbeat_interval_ms / MS_PER_S,
+            member_timeout_s=settings.member_timeout_ms / MS_PER_S,
+            max_queue=settings.max_queue,
+        )
+        entry = Entry.from_config(parameters, random.SystemRandom(), clock())
+        return cls(settings, parameters, Shell(entry, Metrics(), clock))
+
+    async def run(self) -> None:
+        """Serve until a stop was requested and everything in progress is finished."""
+        me = self.parameters.me
+        log(EventNumber.START, entry=me.entry, incarnation=me.incarnation)
+        self._catch_signals()
+        self.peers.open()
+        self.shell.send = self.peers.send
+        self._subscribe()
+        timer = asyncio.create_task(self.timer.run())
+        self.caller_server.start()
+        address = str(self.caller_server.address)
+        log(EventNumber.READY, entry=me.entry, address=address)
+        print(f"ready {me.entry}", flush=True)
+        await self.shell.stopped.wait()
+        await self.caller_server.stop()
+        self.timer.stop()
+        await timer
+        await self._close()
+        log(EventNumber.STOPPED)
+
+    def _catch_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.shell.handle, StopRequested())
+
+    def _subscribe(self) -> None:
+        self.timer.subscribe(TICK_INTERVAL_S, lambda now: self.shell.handle(Tick()))
+        self.timer.subscribe(
+            LOAD_INTERVAL_S, lambda now: self._ask_loads(), jitter=JITTER
+        )
+        self.timer.subscribe(
+            POLL_INTERVAL_S,
+            lambda now: self.shell.spawn(self._read_vm_list()),
+            jitter=JITTER,
+        )
+
+        self.timer.subscribe(
+            SYNC_INTERVAL_S, lambda now: self._synchronise(), jitter=JITTER
+        )
+        self._synchronise()
+
+    def _synchronise(self) -> None:
+        known = self.shell.entry.state.configuration
+        self.shell.spawn(self.platform.synchronise(known))
+        self.shell.spawn(self.platform.renew())
+
+    def _ask_loads(self) -> None:
+        for target in self.shell.entry.state.targets.states.values():
+            self.shell.spawn(self.shell.targets.ask_load(target.spec))
+
+    async def _read_vm_list(self) -> None:
+        read = await self.vm_list.read()
+        if isinstance(read, Ok):
+            self.shell.handle(read.ok_value)
+
+    def _on_message(self, sender: MemberId, message: PeerMessage) -> None:
+        self.shell.handle(MessageArrived(sender, message))
+
+    def _on_peer_error(self, error: PeerLinkError) -> None:
+        detail = f"{error.step}: {error.detail}"
+        log(EventNumber.BAD_PEER_MESSAGE, peer=error.peer, detail=detail)
+
+    async def _close(self) -> None:
+        await self.peers.close()
+        await self.shell.close()
+        await self.vm_list.close()
+        await self.key_value.close()
