--- /dev/null
+++ b/tools/burdockhaven_bench/entry_node.py
@@ -0,0 +1,67 @@
+"""Drives one `Entry`: events in, actions carried out on the virtual-time network."""
+
+from burdockhaven_bench.network import Network
+from burdockhaven_core import actions
+from burdockhaven_core.entry import Entry
+from burdockhaven_core.events import (
+    Event,
+    MessageArrived,
+    RunFinished,
+    RunProgressed,
+)
+from burdockhaven_core.identity import MemberId, RunId
+from burdockhaven_core.messages import PeerMessage, encode_message
+from burdockhaven_standins.engine_model import EngineChunk, EngineFinished
+
+
+class EntryNode:
+    """One entry process on the network."""
+
+    def __init__(self, entry: Entry, network: Network) -> None:
+        self.entry = entry
+        self.network = network
+        self.parameters = entry.state.parameters
+        self.me: MemberId = self.parameters.me
+        self.alive = True
+        self.messages_sent = 0
+        self.bytes_sent = 0
+
+    def feed(self, event: Event) -> None:
+        """Give one event to the entry and do what it says; nothing if it is dead."""
+        if not self.alive:
+            return
+        for action in self.entry.step(event, self.network.scheduler.now):
+            self._perform(action)
+
+    def _perform(self, action: actions.Action) -> None:
+        match action:
+            case actions.StartRun(handle=handle, run_id=run_id, target=target):
+                arrival = self.network.callers.arrival_of(handle)
+                self.network.callers.dispatched(handle, run_id)
+                self.network.start_run(self, run_id, target, arrival)
+            case actions.CancelRun(run_id=run_id, target=target):
+                self.network.cancel_run(self, run_id, target)
+            case actions.Answer(handle=handle, outcome=outcome):
+                self.network.to_caller(handle, outcome)
+            case actions.AnswerLookUp(handle=handle):
+                self.network.to_caller(handle, action)
+            case actions.SendMessage(to=to, message=message):
+                self._send(to, message)
+
+    def _send(self, to: MemberId, message: PeerMessage) -> None:
+        self.messages_sent += 1
+        self.bytes_sent += len(encode_message(message))
+        self.network.to_entry(self, to, MessageArrived(self.me, message))
+
+    def on_output(self, output: EngineChunk | EngineFinished) -> None:
+        """Take in what a target sent, when it gets here."""
+        if not self.alive:
+            return
+        run_id = RunId(output.run_id)
+        if isinstance(output, EngineChunk):
+            self.network.callers.progressed(run_id, output.count)
+            self.feed(RunProgressed(run_id, output.count))
+            return
+        self.network.callers.finished(run_id)
+        tokens = output.output_tokens
+        self.feed(RunFinished(run_id, tokens, output.cached_tokens))
--- /dev/null
+++ b/tools/burdockhaven_bench/network.py
@@ -0,0 +1,101 @@
+"""The network of a site in virtual time: entries, targets and callers with delays."""
+
+import random
+
+from burdockhaven_bench import entry_node
+from burdockhaven_bench.callers import Callers
+from burdockhaven_bench.sites import Site
+from burdockhaven_bench.target_node import TargetNode
+from burdockhaven_bench.virtual_time import Scheduler
+from burdockhaven_bench.workload import Arrival
+from burdockhaven_core.actions import AnswerLookUp
+from burdockhaven_core.configuration import GroupKind, TargetSpec
+from burdockhaven_core.events import Event, LoadReported
+from burdockhaven_core.identity import EntryName, MemberId, RunId, TargetName
+from burdockhaven_core.outcome import Outcome
+from burdockhaven_standins.engine_model import EngineChunk, EngineFinished
+
+# Seconds one way inside a zone.
+LOCAL_DELAY_S = 0.0001
+
+
+class Network:
+    """Everything that exchanges messages in one run of the bench."""
+
+    def __init__(self, site: Site, scheduler: Scheduler, rng: random.Random) -> None:
+        self.site = site
+        self.scheduler = scheduler
+        self.rng = rng
+        self.callers = Callers(self)
+        self.entries: dict[MemberId, entry_node.EntryNode] = {}
+        self.targets: dict[TargetName, TargetNode] = {}
+        # Targets whose answers come in one piece.
+        self.services: set[TargetName] = set()
+        for group in site.groups:
+            for spec, engine in zip(group.spec.targets, group.engines, strict=True):
+                self.targets[spec.name] = TargetNode(spec, engine, scheduler)
+                if group.spec.kind is GroupKind.SERVICE:
+                    self.services.add(spec.name)
+
+    def delay_s(self, zone: str, other: str) -> float:
+        """Seconds one way between two zones."""
+        return LOCAL_DELAY_S if zone == other else self.site.zone_delay_s
+
+    def living(self) -> list["entry_node.EntryNode"]:
+        """The entries that run."""
+        return [node for node in self.entries.values() if node.alive]
+
+    def find(self, name: EntryName) -> "entry_node.EntryNode":
+        """The entry of a name."""
+        return next(n for n in self.entries.values() if n.me.entry == name)
+
+    def to_entry(
+        self, sender: "entry_node.EntryNode", to: MemberId, event: Event
+    ) -> None:
+        """Deliver an event to another entry after the delay between the zones."""
+        node = self.entries.get(to)
+        if node is None:
+            return
+        delay_s = self.delay_s(sender.parameters.zone, node.parameters.zone)
+        self.scheduler.after(delay_s, lambda: node.feed(event))
+
+    def to_caller(self, handle: int, answer: Outcome | AnswerLookUp) -> None:
+        """Deliver an answer to the caller that holds the handle."""
+        self.scheduler.after(
+            self.site.client_delay_s, lambda: self.callers.answered(handle, answer)
+        )
+
+    def start_run(
+        self,
+        node: "entry_node.EntryNode",
+        run_id: RunId,
+        spec: TargetSpec,
+        arrival: Arrival,
+    ) -> None:
+        """Deliver a dispatch to its target, and the target's outputs to the entry."""
+        target = self.targets[spec.name]
+        delay_s = self.delay_s(node.parameters.zone, spec.zone)
+        whole_only = spec.name in self.services
+
+        def deliver(output: EngineChunk | EngineFinished) -> None:
+            if whole_only and isinstance(output, EngineChunk):
+                return
+            self.scheduler.after(delay_s, lambda: node.on_output(output))
+
+        self.scheduler.after(delay_s, lambda: target.start(run_id, arrival, deliver))
+
+    def cancel_run(
+        self, node: "entry_node.EntryNode", run_id: RunId, spec: TargetSpec
+    ) -> None:
+        """Deliver a cancellation to its target."""
+        delay_s = self.delay_s(node.parameters.zone, spec.zone)
+        target = self.targets[spec.name]
+        self.scheduler.after(delay_s, lambda: target.cancel(run_id))
+
+    def poll_loads(self) -> None:
+        """Let every entry read every target's load report."""
+        for target in self.targets.values():
+            load = target.model.load(self.scheduler.now)
+            event = LoadReported(target.spec.name, load.running, load.waiting)
+            for node in self.living():
+                node.feed(event)
--- /dev/null
+++ b/tools/burdockhaven_bench/report.py
@@ -0,0 +1,230 @@
+"""Figures of one run of the policy bench.
+
+Work is counted in output tokens (units for a plain service), because that is what
+limits the targets. Goodput is work of requests whose whole answer reached the caller
+before its deadline. Goodput by tier is compared with what was offered in the measured
+window; total goodput counts what was completed in the window and is compared with the
+smaller of what was offered and what the targets could have done.
+"""
+
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from burdockhaven_bench.callers import Request
+from burdockhaven_bench.sites import TIERS, GroupLoad
+
+# Histograms count microseconds, from 1 us to an hour, to two digits.
+HIGHEST_US = 3_600_000_000
+US_PER_S = 1_000_000.0
+QUANTILES = (50.0, 95.0, 99.0)
+
+
+class Times(msgspec.Struct, frozen=True):
+    """A distribution of durations, in milliseconds."""
+
+    count: int
+    p50_ms: float
+    p95_ms: float
+    p99_ms: float
+
+
+class TierFigures(msgspec.Struct, frozen=True):
+    """What became of one tier of one group."""
+
+    offered: int
+    in_time: int
+    late: int
+    # Part of the offered requests, and of the offered work, that were in time.
+    requests_part: float
+    work_part: float
+    first_token: Times
+    between_tokens: Times
+    # Results other than a whole answer, by reason.
+    refusals: dict[str, int]
+
+
+class GroupFigures(msgspec.Struct, frozen=True):
+    """What became of one group."""
+
+    capacity_per_s: float
+    offered_per_s: float
+    goodput_per_s: float
+    # Goodput as a part of the smaller of capacity and offered work.
+    goodput_part: float
+    # Part of the prompt tokens processed whose answer was thrown away.
+    wasted_prefill_part: float
+    # Part of the prompt tokens processed whose answer was late.
+    late_prefill_part: float
+    # Prompt tokens found in a prefix cache, as a part of all.
+    cached_prompt_part: float
+    # Seconds that runs were at their targets, by request completed in time.
+    service_s_per_completed: float
+    tiers: dict[int, TierFigures]
+
+
+class RunFigures(msgspec.Struct, frozen=True):
+    """All figures of one run."""
+
+    site: str
+    policy: str
+    scenario: str
+    load: float
+    seed: int
+    groups: dict[str, GroupFigures]
+    # Per entry and second.
+    control_messages: float
+    control_bytes: float
+
+
+@dataclass(frozen=True, slots=True)
+class Window:
+    """The measured part of a run, in seconds."""
+
+    start_s: float
+    end_s: float
+
+    @property
+    def length_s(self) -> float:
+        """Seconds measured."""
+        return self.end_s - self.start_s
+
+    def holds(self, at_s: float | None) -> bool:
+        """Whether a time is in the window."""
+        return at_s is not None and self.start_s <= at_s < self.end_s
+
+
+@dataclass(slots=True)
+class TargetUse:
+    """What the targets of one group did over a whole run."""
+
+    # Prompt tokens of the runs that ended, and those of them that were processed.
+    prompt_tokens: int = 0
+    processed_tokens: int = 0
+    # Processed for a run whose answer was thrown away, or was late.
+    wasted_tokens: int = 0
+    late_tokens: int = 0
+    # Seconds that runs were at the targets.
+    held_s: float = 0.0
+    # Requests that were completed in time.
+    completed: int = 0
+
+    def add(self, request: Request, processed: int, held_s: float) -> None:
+        """Take in one run that ended."""
+        self.prompt_tokens += request.arrival.prompt_tokens
+        self.processed_tokens += processed
+        self.held_s += held_s
+        if request.result != "whole":
+            self.wasted_tokens += processed
+        elif request.in_time:
+            self.completed += 1
+        else:
+            self.late_tokens += processed
+
+
+def group_figures(
+    group: GroupLoad,
+    capacity: float,
+    requests: Sequence[Request],
+    use: TargetUse,
+    window: Window,
+) -> GroupFigures:
+    """The figures of one group."""
+    names = {load.spec.name for load in group.classes}
+    own = [r for r in requests if r.arrival.load.spec.name in names]
+    offered = [r for r in own if window.holds(r.arrival.at_s)]
+    done = [r for r in own if r.in_time and window.holds(r.ended_s)]
+    offered_per_s = _work(offered) / window.length_s
+    goodput_per_s = _work(done) / window.length_s
+    return GroupFigures(
+        capacity_per_s=capacity,
+        offered_per_s=offered_per_s,
+        goodput_per_s=goodput_per_s,
+        goodput_part=goodput_per_s / min(capacity, offered_per_s),
+        wasted_prefill_part=_part(use.wasted_tokens, use.processed_tokens),
+        late_prefill_part=_part(use.late_tokens, use.processed_tokens),
+        cached_prompt_part=1.0 - _part(use.processed_tokens, use.prompt_tokens),
+        service_s_per_completed=_part(use.held_s, use.completed),
+        tiers={
+            tier: _tier_figures([r for r in offered if _tier(r) == tier])
+            for tier in reversed(range(TIERS))
+        },
+    )
+
+
+def _tier_figures(requests: Sequence[Request]) -> TierFigures:
+    in_time = [r for r in requests if r.in_time]
+    whole = [r for r in requests if r.result == "whole"]
+    first = HdrHistogram(1, HIGHEST_US, 2)
+    between = HdrHistogram(1, HIGHEST_US, 2)
+    for request in requests:
+        if request.first_s is not None:
+            first.record_value(_us(request.first_s - request.arrival.at_s))
+        for gap_s, tokens in request.gaps:
+            between.record_value(_us(gap_s), tokens)
+    refusals = Counter(r.result for r in requests if r.result != "whole")
+    return TierFigures(
+        offered=len(requests),
+        in_time=len(in_time),
+        late=len(whole) - len(in_time),
+        requests_part=_part(len(in_time), len(requests)),
+        work_part=_part(_work(in_time), _work(requests)),
+        first_token=_times(first),
+        between_tokens=_times(between),
+        refusals=dict(sorted(refusals.items())),
+    )
+
+
+def _times(histogram: HdrHistogram) -> Times:
+    values = [histogram.get_value_at_percentile(q) / 1000 for q in QUANTILES]
+    return Times(histogram.get_total_count(), *values)
+
+
+def _tier(request: Request) -> int:
+    return request.arrival.load.spec.tier
+
+
+def _work(requests: Sequence[Request]) -> int:
+    return sum(request.arrival.output_tokens for request in requests)
+
+
+def _part(part: float, whole: float) -> float:
+    return part / whole if whole else 0.0
+
+
+def _us(seconds: float) -> int:
+    return max(1, round(seconds * US_PER_S))
+
+
+def as_text(figures: RunFigures) -> str:
+    """The figures as a table for people."""
+    lines = [
+        f"{figures.site} {figures.policy} {figures.scenario} load {figures.load} "
+        f"seed {figures.seed}: control {figures.control_messages:.1f} messages/s "
+        f"{figures.control_bytes:.0f} bytes/s per entry"
+    ]
+    for name, group in figures.groups.items():
+        lines.append(
+            f"  {name}: goodput {group.goodput_per_s:.0f}/s of capacity "
+            f"{group.capacity_per_s:.0f}, offered {group.offered_per_s:.0f} = "
+            f"{group.goodput_part:.1%}; prefill wasted {group.wasted_prefill_part:.2%} "
+            f"late {group.late_prefill_part:.2%} cached {group.cached_prompt_part:.1%}; "
+            f"service {group.service_s_per_completed:.2f} s/completed"
+        )
+        lines.extend(_tier_line(tier, t) for tier, t in group.tiers.items())
+    return "\n".join(lines)
+
+
+def _tier_line(tier: int, figures: TierFigures) -> str:
+    first = figures.first_token
+    between = figures.between_tokens
+    return (
+        f"    tier {tier}: {figures.in_time}/{figures.offered} in time "
+        f"{figures.requests_part:.1%}, work {figures.work_part:.1%}, "
+        f"late {figures.late}; first token ms {first.p50_ms:.0f}/{first.p95_ms:.0f}/"
+        f"{first.p99_ms:.0f}, between {between.p50_ms:.0f}/{between.p95_ms:.0f}/"
+        f"{between.p99_ms:.0f}; {figures.refusals}"
+    )
--- a/tools/burdockhaven_bench/sites.py
+++ b/tools/burdockhaven_bench/sites.py
@@ -32,7 +32,7 @@
 ENGINE_SLOWNESS = (1.0, 1.0, 1.0, 1.3, 1.6, 2.5)
 SERVICE_SLOTS = 4
 # Seconds for one unit of work of a plain service.
-SERVICE_UNIT_S = 0.01
+SERVICE_UNIT_S = 0.05
 # Part of all requests that each client account sends: a few are large.
 ACCOUNT_PARTS = (0.40, 0.30, 0.15, 0.10, 0.05)
 # Longest deviation from the mean length, as a factor.
--- /dev/null
+++ b/tools/burdockhaven_bench/target_node.py
@@ -0,0 +1,102 @@
+"""A target of the bench: the engine model in virtual time."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from burdockhaven_bench.virtual_time import Scheduler
+from burdockhaven_bench.workload import Arrival
+from burdockhaven_core.configuration import TargetSpec
+from burdockhaven_standins.engine_model import (
+    EngineChunk,
+    EngineConfig,
+    EngineFinished,
+    EngineModel,
+    EngineRun,
+)
+
+Output = EngineChunk | EngineFinished
+Listener = Callable[[Output], None]
+
+
+@dataclass(frozen=True, slots=True)
+class EndedRun:
+    """What one run cost its target."""
+
+    run_id: str
+    # Prompt tokens that were not in the prefix cache and were processed.
+    processed_tokens: int
+    # Seconds from the start to the end or the cancellation.
+    held_s: float
+
+
+class TargetNode:
+    """One target; outputs go to whoever started the run."""
+
+    def __init__(
+        self, spec: TargetSpec, config: EngineConfig, scheduler: Scheduler
+    ) -> None:
+        self.spec = spec
+        self.model = EngineModel.from_config(config)
+        self.scheduler = scheduler
+        # Start of each run in progress, in seconds.
+        self.started_s: dict[str, float] = {}
+        self.ended: list[EndedRun] = []
+        self._listeners: dict[str, Listener] = {}
+        self._wake_s = float("inf")
+
+    def start(self, run_id: str, arrival: Arrival, listener: Listener) -> None:
+        """Begin a run."""
+        now = self.scheduler.now
+        self._advance()
+        blocks = prompt_blocks(arrival, self.model.config.block_tokens)
+        run = EngineRun(run_id, arrival.prompt_tokens, arrival.output_tokens, blocks)
+        self.started_s[run_id] = now
+        self._listeners[run_id] = listener
+        self.model.submit(run, now)
+        self._schedule()
+
+    def cancel(self, run_id: str) -> None:
+        """Stop a run."""
+        self._advance()
+        wasted = self.model.prefill_wasted_tokens
+        if run_id in self.started_s and self.model.cancel(run_id, self.scheduler.now):
+            self._end(run_id, self.model.prefill_wasted_tokens - wasted)
+        self._schedule()
+
+    def set_slowness(self, slowness: float) -> None:
+        """Make everything that the target does take longer by a factor."""
+        self._advance()
+        self.model.set_slowness(slowness, self.scheduler.now)
+        self._schedule()
+
+    def _advance(self) -> None:
+        for output in self.model.advance(self.scheduler.now):
+            listener = self._listeners[output.run_id]
+            if isinstance(output, EngineFinished):
+                self._end(output.run_id, output.prompt_tokens - output.cached_tokens)
+            listener(output)
+
+    def _end(self, run_id: str, processed_tokens: int) -> None:
+        del self._listeners[run_id]
+        held_s = self.scheduler.now - self.started_s.pop(run_id)
+        self.ended.append(EndedRun(run_id, processed_tokens, held_s))
+
+    def _schedule(self) -> None:
+        at_s = self.model.next_event_s()
+        if at_s < self._wake_s:
+            self._wake_s = at_s
+            self.scheduler.at(at_s, self._wake)
+
+    def _wake(self) -> None:
+        self._wake_s = float("inf")
+        self._advance()
+        self._schedule()
+
+
+def prompt_blocks(arrival: Arrival, block_tokens: int) -> tuple[int, ...]:
+    """Names of the prompt's blocks; requests of one prefix share the first ones."""
+    shared = arrival.load.shared_tokens // block_tokens if arrival.prefix else 0
+    total = arrival.prompt_tokens // block_tokens
+    common = [hash((arrival.prefix, index)) for index in range(min(shared, total))]
+    own = [hash((arrival.number, index)) for index in range(shared, total)]
+    return tuple(common + own)
