--- a/tools/burdockhaven_bench/entry_node.py
+++ b/tools/burdockhaven_bench/entry_node.py
@@ -35,10 +35,10 @@
 
     def _perform(self, action: actions.Action) -> None:
         match action:
-            case actions.StartRun(handle=handle, run_id=run_id, target=target):
-                arrival = self.network.callers.arrival_of(handle)
-                self.network.callers.dispatched(handle, run_id)
-                self.network.start_run(self, run_id, target, arrival)
+            case actions.Keep(handle=handle, run_id=run_id):
+                self.network.callers.kept(handle, run_id)
+            case actions.StartRun(run_id=run_id, target=target):
+                self.network.start_run(self, run_id, target)
             case actions.CancelRun(run_id=run_id, target=target):
                 self.network.cancel_run(self, run_id, target)
             case actions.Answer(handle=handle, outcome=outcome):
--- a/tools/burdockhaven_bench/network.py
+++ b/tools/burdockhaven_bench/network.py
@@ -7,7 +7,6 @@
 from burdockhaven_bench.sites import Site
 from burdockhaven_bench.target_node import TargetNode
 from burdockhaven_bench.virtual_time import Scheduler
-from burdockhaven_bench.workload import Arrival
 from burdockhaven_core.actions import AnswerLookUp
 from burdockhaven_core.configuration import GroupKind, TargetSpec
 from burdockhaven_core.events import Event, LoadReported
@@ -70,9 +69,9 @@
         node: "entry_node.EntryNode",
         run_id: RunId,
         spec: TargetSpec,
-        arrival: Arrival,
     ) -> None:
         """Deliver a dispatch to its target, and the target's outputs to the entry."""
+        arrival = self.callers.by_run[run_id].arrival
         target = self.targets[spec.name]
         delay_s = self.delay_s(node.parameters.zone, spec.zone)
         whole_only = spec.name in self.services
--- a/tools/burdockhaven_bench/scenarios.py
+++ b/tools/burdockhaven_bench/scenarios.py
@@ -3,8 +3,8 @@
 import enum
 
 from burdockhaven_bench.network import Network
-from burdockhaven_bench.report import Window
 from burdockhaven_bench.sites import GroupLoad
+from burdockhaven_bench.workload import Window
 
 # How many times slower a straggler is.
 STRAGGLER_SLOWNESS = 8.0
