--- /dev/null
+++ b/tools/burdockhaven_standins/site.py
@@ -0,0 +1,148 @@
+"""A small site of real processes on loopback: platform, targets and entries."""
+
+import asyncio
+import random
+import secrets
+import socket
+import tempfile
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import httpx
+
+from burdockhaven_core.configuration import Configuration
+from burdockhaven_core.configuration_store import WrittenBack, synchronise
+from burdockhaven_entry.kv_link import KvLink
+from burdockhaven_standins.processes import ProcessGroup, RunningProcess
+from burdockhaven_standins.vm_list import Vm
+
+HOST = "127.0.0.1"
+ZONE = "zone-a"
+SECRET_BYTES = 32
+
+SETTINGS = """\
+[entry]
+name = {name}
+zone = {zone}
+caller_address = {caller}
+admin_address = {admin}
+peer_address = {peer}
+
+[platform]
+key_value_url = {key_value}
+vm_list_url = {vm_list}
+
+[secrets]
+assignment_key_file = {directory}/assignment-key
+operator_token_file = {directory}/operator-token
+
+[timing]
+heartbeat_interval_ms = 200
+"""
+
+
+class NotPublishedError(Exception):
+    """The key-value service did not take the configuration."""
+
+
+@dataclass(frozen=True, slots=True)
+class SiteEntry:
+    """One running entry."""
+
+    process: RunningProcess
+    # Host and port of each of its sockets.
+    caller: str
+    admin: str
+    peer: str
+
+
+@dataclass(slots=True)
+class Site:
+    """The processes of one site, stopped when the `with` block ends."""
+
+    directory: Path
+    # The operators' token.
+    token: str
+    group: ProcessGroup
+    key_value: RunningProcess
+    vm_list: RunningProcess
+    vms: list[Vm] = field(default_factory=list)
+    entries: list[SiteEntry] = field(default_factory=list)
+
+    @classmethod
+    def start(cls) -> "Site":
+        """A site with its platform and nothing else."""
+        directory = Path(tempfile.mkdtemp(prefix="burdockhaven-"))
+        token = secrets.token_hex(SECRET_BYTES)
+        (directory / "operator-token").write_text(token)
+        (directory / "assignment-key").write_text(secrets.token_hex(SECRET_BYTES))
+        group = ProcessGroup()
+        key_value = group.stand_in("kv", "kv")
+        vm_list = group.stand_in("vms", "vms")
+        return cls(directory, token, group, key_value, vm_list)
+
+    def __enter__(self) -> "Site":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.group.stop()
+        for path in self.directory.iterdir():
+            path.unlink()
+        self.directory.rmdir()
+
+    def add_target(self, kind: str, name: str, *options: str) -> RunningProcess:
+        """Starts an engine or a plain service and lists its VM."""
+        target = self.group.stand_in(kind, name, *options)
+        self.vms.append(Vm(target.ready, ZONE))
+        self.show_vms()
+        return target
+
+    def add_entry(self, name: str) -> SiteEntry:
+        """Starts an entry and lists its VM."""
+        caller, admin, peer = free_addresses(3)
+        settings = SETTINGS.format(
+            name=name,
+            zone=ZONE,
+            caller=caller,
+            admin=admin,
+            peer=peer,
+            key_value=self.key_value.url,
+            vm_list=self.vm_list.url,
+            directory=self.directory,
+        )
+        path = self.directory / f"{name}.ini"
+        path.write_text(settings)
+        self.vms.append(Vm(peer, ZONE))
+        self.show_vms()
+        process = self.group.start(name, ["burdockhaven_entry", "--config", str(path)])
+        entry = SiteEntry(process, caller, admin, peer)
+        self.entries.append(entry)
+        return entry
+
+    def show_vms(self) -> None:
+        """Makes the VM list show the site's VMs."""
+        vms = [{"address": vm.address, "zone": vm.zone} for vm in self.vms]
+        url = f"{self.vm_list.url}/control"
+        httpx.post(url, json={"vms": vms}, trust_env=False).raise_for_status()
+
+    def publish(self, configuration: Configuration) -> None:
+        """Puts the configuration into the key-value service as accepted."""
+        asyncio.run(self._publish(configuration))
+
+    async def _publish(self, configuration: Configuration) -> None:
+        link = KvLink.from_url(self.key_value.url, random.Random(0))
+        try:
+            outcome = await link.run(synchronise(configuration))
+        finally:
+            await link.close()
+        if not isinstance(outcome, WrittenBack):
+            raise NotPublishedError(repr(outcome))
+
+
+def free_addresses(count: int) -> list[str]:
+    """Addresses on loopback that nothing listens on."""
+    sockets = [socket.create_server((HOST, 0)) for _ in range(count)]
+    addresses = [f"{HOST}:{each.getsockname()[1]}" for each in sockets]
+    for each in sockets:
+        each.close()
+    return addresses
