Add the capacity bench's probes of configuration and metrics

scripts/bench capacity runs the real code at five sizes of accounts and four of targets and prints slope, intercept, misfit and spread of each cost.

--- /dev/null
+++ b/tools/burdockhaven_bench/capacity_inputs.py
@@ -0,0 +1,102 @@
+"""Inputs of a given size for the capacity measurements, valid and repeatable."""
+
+import hashlib
+
+from burdockhaven_core.configuration import (
+    AccountParameters,
+    ClassSpec,
+    Configuration,
+    GroupKind,
+    GroupSpec,
+    TargetSpec,
+    Template,
+)
+from burdockhaven_core.identity import (
+    AccountName,
+    ClassName,
+    EntryName,
+    GroupName,
+    Incarnation,
+    MemberId,
+    TargetName,
+)
+
+MODELS = 4
+TIERS = 5
+ZONES = 3
+DEADLINE_MS = 60_000
+FIRST_TARGET_PORT = 10_000
+
+
+def configuration_of(accounts: int, targets: int, version: int = 1) -> Configuration:
+    """A configuration with so many accounts, and targets spread over the models."""
+    template = Template("site", _groups(targets), _classes())
+    parameters = [_account(number) for number in range(accounts)]
+    return Configuration(
+        version=version,
+        templates={template.name: template},
+        accounts={each.account: each for each in parameters},
+    )
+
+
+def member_of(number: int) -> MemberId:
+    """The identity of a member."""
+    digest = hashlib.blake2b(f"incarnation-{number}".encode(), digest_size=16)
+    return MemberId(EntryName(f"entry-{number:03}"), Incarnation(digest.hexdigest()))
+
+
+def peer_address_of(number: int) -> str:
+    """Where other members reach a member."""
+    return f"10.1.{number // 250}.{number % 250 + 1}:8300"
+
+
+def account_name(number: int) -> AccountName:
+    """The name of a client account."""
+    return AccountName(f"account-{number:04}")
+
+
+def class_name(tier: int) -> ClassName:
+    """The name of the class of a tier; each tier has one."""
+    return ClassName(f"class-{tier}")
+
+
+def group_name(model: int) -> GroupName:
+    """The name of the group of a model."""
+    return GroupName(f"model-{model}")
+
+
+def _groups(targets: int) -> tuple[GroupSpec, ...]:
+    return tuple(
+        GroupSpec(
+            group_name(model),
+            GroupKind.MODEL,
+            tuple(_target(number) for number in range(model, targets, MODELS)),
+        )
+        for model in range(MODELS)
+    )
+
+
+def _target(number: int) -> TargetSpec:
+    return TargetSpec(
+        TargetName(f"engine-{number:04}"),
+        f"http://10.2.{number // 250}.{number % 250 + 1}:{FIRST_TARGET_PORT}",
+        f"zone-{number % ZONES}",
+    )
+
+
+def _classes() -> tuple[ClassSpec, ...]:
+    return tuple(
+        ClassSpec(class_name(tier), group_name(tier % MODELS), tier, DEADLINE_MS)
+        for tier in range(TIERS)
+    )
+
+
+def _account(number: int) -> AccountParameters:
+    name = account_name(number)
+    return AccountParameters(
+        account=name,
+        template="site",
+        key_sha256=hashlib.sha256(name.encode()).hexdigest(),
+        weight=1.0 + number % 3,
+        deadline_ms_by_class={class_name(number % TIERS): DEADLINE_MS // 2},
+    )
--- /dev/null
+++ b/tools/burdockhaven_bench/capacity_platform.py
@@ -0,0 +1,184 @@
+"""Capacity probes of the configuration, the metrics and the administration."""
+
+from burdockhaven_bench.capacity_inputs import (
+    account_name,
+    class_name,
+    configuration_of,
+)
+from burdockhaven_bench.capacity_probe import Probe, Unit
+from burdockhaven_bench.probing import memory_bytes, processor_us
+from burdockhaven_core.actions import RecordRequest
+from burdockhaven_core.configuration import Configuration
+from burdockhaven_core.configuration_check import validate_configuration
+from burdockhaven_core.configuration_codec import (
+    decode_configuration,
+    encode_configuration,
+)
+from burdockhaven_core.targets import TargetTable
+from burdockhaven_entry.metrics import Metrics
+
+ACCOUNT_SIZES = (5, 1_500, 3_000, 4_500, 5_900)
+TARGET_SIZES = (10, 60, 120, 200)
+# Targets of the configurations whose accounts vary, and the other way round.
+TARGETS = 40
+ACCOUNTS = 100
+# Members' worth of label values in the metrics: one series for each kind of message.
+MESSAGE_KINDS = ("Heartbeat", "CloseAsk", "ClosePromise", "ShareGrant")
+
+
+def platform_probes() -> tuple[Probe, ...]:
+    """Probes whose size is the number of accounts or targets."""
+    return (
+        Probe(
+            "configuration encoded",
+            Unit.BYTES,
+            "accounts",
+            ACCOUNT_SIZES,
+            lambda size: (float(len(encode_configuration(_by_accounts(size)))),),
+        ),
+        Probe(
+            "configuration encoded",
+            Unit.BYTES,
+            "targets",
+            TARGET_SIZES,
+            lambda size: (float(len(encode_configuration(_by_targets(size)))),),
+        ),
+        Probe(
+            "encode configuration",
+            Unit.MICROSECONDS,
+            "accounts",
+            ACCOUNT_SIZES,
+            _encode,
+        ),
+        Probe(
+            "decode configuration",
+            Unit.MICROSECONDS,
+            "accounts",
+            ACCOUNT_SIZES,
+            _decode,
+        ),
+        Probe(
+            "validate configuration",
+            Unit.MICROSECONDS,
+            "accounts",
+            ACCOUNT_SIZES,
+            _validate,
+        ),
+        Probe(
+            "apply configuration",
+            Unit.MICROSECONDS,
+            "targets",
+            TARGET_SIZES,
+            _apply_targets,
+        ),
+        Probe(
+            "configuration kept",
+            Unit.BYTES,
+            "accounts",
+            ACCOUNT_SIZES,
+            lambda size: memory_bytes(lambda: _decoded(size)),
+        ),
+        Probe(
+            "record a request in the metrics",
+            Unit.MICROSECONDS,
+            "accounts",
+            ACCOUNT_SIZES,
+            _record,
+        ),
+        Probe(
+            "render the metrics",
+            Unit.MICROSECONDS,
+            "accounts",
+            ACCOUNT_SIZES,
+            lambda size: processor_us(_filled_metrics(size).render),
+        ),
+        Probe(
+            "page of metrics",
+            Unit.BYTES,
+            "accounts",
+            ACCOUNT_SIZES,
+            lambda size: (float(len(_filled_metrics(size).render())),),
+        ),
+        Probe(
+            "metrics kept",
+            Unit.BYTES,
+            "accounts",
+            ACCOUNT_SIZES,
+            lambda size: memory_bytes(lambda: _filled_metrics(size)),
+        ),
+    )
+
+
+def finished_request(number: int) -> RecordRequest:
+    """A finished request of one of the accounts."""
+    tier = number % 5
+    return RecordRequest(
+        account=account_name(number),
+        class_name=class_name(tier),
+        tier=tier,
+        result="whole",
+        in_time=True,
+        queued_s=0.01,
+        first_token_s=0.4,
+        total_s=9.0,
+        wasted_prompt_tokens=0,
+        prompt_tokens=700,
+        service_s=8.9,
+    )
+
+
+def _by_accounts(size: int) -> Configuration:
+    return configuration_of(size, TARGETS)
+
+
+def _by_targets(size: int) -> Configuration:
+    return configuration_of(ACCOUNTS, size)
+
+
+def _encode(size: int) -> tuple[float, ...]:
+    configuration = _by_accounts(size)
+    return processor_us(lambda: encode_configuration(configuration))
+
+
+def _decode(size: int) -> tuple[float, ...]:
+    data = encode_configuration(_by_accounts(size))
+    return processor_us(lambda: decode_configuration(data))
+
+
+def _validate(size: int) -> tuple[float, ...]:
+    configuration = _by_accounts(size)
+    return processor_us(lambda: validate_configuration(configuration))
+
+
+def _apply_targets(size: int) -> tuple[float, ...]:
+    table = TargetTable()
+    configuration = _by_targets(size)
+    return processor_us(lambda: table.apply(configuration))
+
+
+def _decoded(size: int) -> object:
+    data = encode_configuration(_by_accounts(size))
+    return decode_configuration(data).unwrap()
+
+
+def _filled_metrics(accounts: int) -> Metrics:
+    metrics = Metrics()
+    for number in range(accounts):
+        metrics.record(finished_request(number))
+    for kind in MESSAGE_KINDS:
+        metrics.record_peer_message("sent", kind, 100)
+        metrics.record_peer_message("received", kind, 100)
+    return metrics
+
+
+def _record(accounts: int) -> tuple[float, ...]:
+    metrics = _filled_metrics(accounts)
+    requests = [finished_request(number) for number in range(accounts)]
+    position = 0
+
+    def record() -> None:
+        nonlocal position
+        position = (position + 1) % len(requests)
+        metrics.record(requests[position])
+
+    return processor_us(record)
--- /dev/null
+++ b/tools/tests/test_capacity.py
@@ -0,0 +1,29 @@
+"""The capacity bench: valid inputs and a run of its cheapest probes."""
+
+import msgspec
+import pytest
+
+from burdockhaven_bench.capacity import main
+from burdockhaven_bench.capacity_inputs import configuration_of
+from burdockhaven_core.configuration_check import validate_configuration
+
+
+@pytest.mark.parametrize(("accounts", "targets"), [(5, 10), (200, 200)])
+def test_the_inputs_are_valid_configurations(accounts, targets):
+    configuration = configuration_of(accounts, targets)
+    assert validate_configuration(configuration) == ()
+    assert len(configuration.accounts) == accounts
+
+
+def test_a_run_prints_and_writes_each_cost(tmp_path, capsys):
+    only = "configuration encoded"
+    assert main(["--output", str(tmp_path), "--only", only]) == 0
+    assert capsys.readouterr().out.count(only) == 2
+    rows = msgspec.json.decode((tmp_path / "capacity.json").read_bytes())
+    assert {row["variable"] for row in rows} == {"accounts", "targets"}
+    assert all(row["slope"] > 0 for row in rows)
+    assert b"<svg" in (tmp_path / "capacity.svg").read_bytes()
+
+
+def test_an_unknown_cost_is_an_error(tmp_path):
+    assert main(["--output", str(tmp_path), "--only", "no such cost"]) == 2
