--- a/packages/burdockhaven-core/src/burdockhaven_core/events.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/events.py
@@ -35,6 +35,25 @@
     deadline_ms: int | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class LookUpArrived:
+    """A caller asks which entry to use."""
+
+    handle: int
+    account: AccountName
+
+
+@dataclass(frozen=True, slots=True)
+class ResumeArrived:
+    """A caller asks for the answer of a request sent before; nothing is dispatched."""
+
+    handle: int
+    token: str
+    key: str
+    account: AccountName
+    class_name: ClassName
+
+
 @dataclass(frozen=True, slots=True)
 class CallerGone:
     """The caller's connection closed before its answer was whole."""
@@ -125,6 +144,10 @@
 
     # Peer address by member.
     members: dict[MemberId, str]
+    # Monotonic time up to which the entry's own lease stands for certain: its lifetime
+    # counted from when its last renewal was sent, as known when this read was sent.
+    # 0 means that the own lease is not known to stand.
+    own_until_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,6 +162,8 @@
 
 Event = (
     RequestArrived
+    | LookUpArrived
+    | ResumeArrived
     | CallerGone
     | RunRefused
     | RunProgressed
