Park requests that may not be shed yet; evict the lowest tier first

Cause, found by reading: a full queue gave up the request that had just come, whatever its tier, and an overdue request whose tier could not be shed yet stood before the others of its account. A target that refused a connection was left out of the feasibility check, so that a second's pause refused requests. Bodies of lost runs were kept for good, and a stop cut callers that still read a finished answer.

--- a/packages/burdockhaven-core/src/burdockhaven_core/entry_state.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/entry_state.py
@@ -121,14 +121,16 @@
         """Requests that wait, over all groups."""
         return sum(len(queue) for queue in self.queues.values())
 
-    def open_targets(self, group: GroupName, now: float) -> list[TargetState]:
-        """The targets of a group that take new work."""
+    def staying_targets(self, group: GroupName, now: float) -> list[TargetState]:
+        """The targets of a group that are not leaving."""
         leaving = self.membership.leaving_targets(now)
-        return [
-            target
-            for target in self.targets.of_group(group)
-            if target.spec.name not in leaving and target.paused_until_s <= now
-        ]
+        targets = self.targets.of_group(group)
+        return [target for target in targets if target.spec.name not in leaving]
+
+    def open_targets(self, group: GroupName, now: float) -> list[TargetState]:
+        """The targets of a group that take new work now."""
+        staying = self.staying_targets(group, now)
+        return [target for target in staying if target.paused_until_s <= now]
 
     def note(self, number: EventNumber, **fields: str | int | float) -> None:
         """Log a numbered event."""
--- a/packages/burdockhaven-core/src/burdockhaven_core/intake.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/intake.py
@@ -216,7 +216,7 @@
         event,
         identified.run_id,
         authorised,
-        state.open_targets(authorised.group.name, now),
+        state.staying_targets(authorised.group.name, now),
         max(1, event.max_output_tokens),
         now,
     )
@@ -248,9 +248,20 @@
     state.group_of[request.run_id] = group
     state.queue(group).put(request)
     if state.queued() > state.parameters.max_queue:
-        detail = f"{state.parameters.max_queue} requests are queued"
-        full = NotRun(NotRunReason.OVERLOAD, detail, FULL_RETRY_AFTER_S)
-        shed(state, request.run_id, full, now)
+        _evict(state, now)
+
+
+def _evict(state: EntryState, now: float) -> None:
+    """Give up the newest request of the lowest tier that is queued."""
+    queues = state.queues.values()
+    heads = [queue.newest_of_lowest_tier() for queue in queues if queue]
+    evictable = [request for request in heads if request is not None]
+    if not evictable:
+        return
+    request = min(evictable, key=lambda r: (r.tier, -r.arrived_s))
+    detail = f"{state.parameters.max_queue} requests are queued"
+    full = NotRun(NotRunReason.OVERLOAD, detail, FULL_RETRY_AFTER_S)
+    shed(state, request.run_id, full, now)
 
 
 def _keep_until_s(state: EntryState, identified: Identified) -> float:
--- a/packages/burdockhaven-core/src/burdockhaven_core/queueing.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/queueing.py
@@ -51,6 +51,8 @@
 
     def __init__(self) -> None:
         self.requests: dict[RunId, QueuedRequest] = {}
+        # Requests that are given up but may not be refused yet; they are not served.
+        self.parked: set[RunId] = set()
         self._tiers: dict[int, dict[AccountName, _AccountQueue]] = {}
         # Virtual time of each tier: the due time of the request served last.
         self._clock: dict[int, float] = {}
@@ -75,9 +77,19 @@
         """Take a request out without serving it; None if it isn't queued."""
         request = self.requests.pop(run_id, None)
         if request is not None:
+            self.parked.discard(run_id)
             self._uncount(request)
         return request
 
+    def park(self, run_id: RunId) -> None:
+        """Keep a queued request from being served; it stays queued."""
+        self.parked.add(run_id)
+
+    def newest_of_lowest_tier(self) -> QueuedRequest | None:
+        """The request to evict first; None if all are parked."""
+        served = (r for r in self.requests.values() if r.run_id not in self.parked)
+        return min(served, key=lambda r: (r.tier, -r.arrived_s), default=None)
+
     def serve(self, run_id: RunId) -> QueuedRequest:
         """Take a request out and charge its account for it."""
         request = self.requests.pop(run_id)
@@ -117,8 +129,9 @@
 
     def _head(self, queue: _AccountQueue) -> QueuedRequest | None:
         while queue.heap:
-            request = self.requests.get(queue.heap[0][1])
-            if request is not None:
+            run_id = queue.heap[0][1]
+            request = self.requests.get(run_id)
+            if request is not None and run_id not in self.parked:
                 return request
             heapq.heappop(queue.heap)
         return None
--- a/packages/burdockhaven-core/src/burdockhaven_core/shedding.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/shedding.py
@@ -29,10 +29,12 @@
 def shed(state: EntryState, run_id: RunId, refusal: NotRun, now: float) -> None:
     """Refuse a queued request for overload, as soon as lower tiers are closed."""
     group = state.group_of[run_id]
-    tier = state.queue(group).requests[run_id].tier
+    queue = state.queue(group)
+    tier = queue.requests[run_id].tier
     if state.floor.may_shed(group, tier, now):
         refuse(state, run_id, refusal, now)
         return
+    queue.park(run_id)
     state.doomed.setdefault(run_id, refusal)
     state.out.extend(state.floor.want_shed(group, tier, now))
 
--- a/packages/burdockhaven-core/tests/test_entry.py
+++ b/packages/burdockhaven-core/tests/test_entry.py
@@ -258,3 +258,42 @@
     ((_, outcome),) = answers(one.step(request(2, ticket), NOW))
     assert isinstance(outcome, NotRun)
     assert outcome.reason is NotRunReason.UNAVAILABLE
+
+
+def test_a_full_queue_gives_up_the_newest_of_the_lowest_tier():
+    one = entry(max_queue=2)
+    ticket = token(one, NOW)
+    for number in range(4):
+        one.step(request(10 + number, ticket, f"k{number}"), NOW)
+    one.step(request(20, ticket, "old"), NOW + 1)
+    one.step(request(21, ticket, "new"), NOW + 2)
+    actions = one.step(request(22, ticket, "high", class_name=LOOKUP), NOW + 3)
+    ((handle, outcome),) = answers(actions)
+    assert handle == 21
+    assert outcome.reason is NotRunReason.OVERLOAD
+
+
+def test_a_request_that_may_not_be_shed_yet_does_not_block_its_account():
+    one = entry()
+    ticket = token(one, NOW)
+    starts = [
+        of_type(one.step(request(10 + n, ticket, f"k{n}"), NOW), StartRun)[0]
+        for n in range(4)
+    ]
+    one.state.membership.introduced = False
+    late = request(20, ticket, "late", class_name=LOOKUP, deadline_ms=3_000)
+    one.step(late, NOW)
+    one.step(request(21, ticket, "next", class_name=LOOKUP), NOW)
+    assert not answers(one.step(Tick(), NOW + 2.9))
+    (start,) = of_type(one.step(RunFinished(starts[0].run_id, 1), NOW + 3), StartRun)
+    (attached,) = one.state.ledger.handles[start.run_id]
+    assert attached == 21
+
+
+def test_a_paused_target_is_waited_for():
+    one = entry()
+    ticket = token(one, NOW)
+    for target in one.state.targets.states.values():
+        target.paused_until_s = NOW + 1
+    assert not answers(one.step(request(2, ticket), NOW))
+    assert of_type(one.step(Tick(), NOW + 1), StartRun)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/daemon.py
@@ -1,6 +1,7 @@
 """One daemon process: its parts, how they are joined, and its start and end."""
 
 import asyncio
+import contextlib
 import random
 import secrets
 import signal
@@ -35,6 +36,8 @@
 # Seconds between two questions to a target for its load.
 LOAD_INTERVAL_S = 1.0
 SYNC_INTERVAL_S = 1.0
+# Seconds that slow callers get at a stop to read answers that are finished.
+CALLER_DRAIN_TIMEOUT_S = 30.0
 # Share by which intervals of network calls are shortened at random.
 JITTER = 0.2
 INCARNATION_BYTES = 16
@@ -105,6 +108,7 @@
         log(EventNumber.READY, entry=me.entry, address=address)
         print(f"ready {me.entry}", flush=True)
         await self.shell.stopped.wait()
+        await self._let_callers_read()
         await self.caller_server.stop()
         self.timer.stop()
         await timer
@@ -153,6 +157,12 @@
         detail = f"{error.step}: {error.detail}"
         log(EventNumber.BAD_PEER_MESSAGE, peer=error.peer, detail=detail)
 
+    async def _let_callers_read(self) -> None:
+        """Give callers the time to read to the end what is finished."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CALLER_DRAIN_TIMEOUT_S):
+                await self.shell.no_callers.wait()
+
     async def _close(self) -> None:
         await self.peers.close()
         await self.shell.close()
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/relay.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/relay.py
@@ -126,7 +126,9 @@
 
     def close(self, run_id: RunId) -> None:
         """Count a finished relay against the bytes that are kept."""
-        relay = self.relays[run_id]
+        relay = self.relays.get(run_id)
+        if relay is None or run_id in self._finished:
+            return
         self._finished[run_id] = relay.bytes
         self._finished_bytes += relay.bytes
         while self._finished_bytes > self.kept_bytes:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/shell.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/shell.py
@@ -62,6 +62,9 @@
         # Sends a message to the member that listens at an address.
         self.send: Send = lambda address, message: None
         self.stopped = asyncio.Event()
+        # Set while no caller waits or reads.
+        self.no_callers = asyncio.Event()
+        self.no_callers.set()
         self.exchanges: dict[int, Exchange] = {}
         # Bodies of requests that are queued, and of those not taken in yet.
         self.bodies: dict[RunId, Body] = {}
@@ -117,6 +120,8 @@
         """Forget a caller, whether it has got its answer or not."""
         if self.exchanges.pop(handle, None) is not None:
             self.handle(CallerGone(handle))
+        if not self.exchanges:
+            self.no_callers.set()
 
     async def close(self) -> None:
         """End all tasks and connections."""
@@ -136,6 +141,7 @@
         future = asyncio.get_running_loop().create_future()
         exchange = Exchange(self._last_handle, future)
         self.exchanges[exchange.handle] = exchange
+        self.no_callers.clear()
         return exchange
 
     def _step(self, event: Event) -> None:
@@ -147,6 +153,8 @@
             self._let_read(event.run_id)
             self.relays.close(event.run_id)
         elif isinstance(event, RunLost):
+            self.bodies.pop(event.run_id, None)
+            self.waiting.pop(event.run_id, None)
             self.relays.close(event.run_id)
 
     def _perform(self, action: Action) -> None:
