--- a/tools/burdockhaven_bench/target_node.py
+++ b/tools/burdockhaven_bench/target_node.py
@@ -1,5 +1,6 @@
 """A target of the bench: the engine model in virtual time."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -42,7 +43,7 @@
         self.started_s: dict[str, float] = {}
         self.ended: list[EndedRun] = []
         self._listeners: dict[str, Listener] = {}
-        self._wake_s = float("inf")
+        self._wake_s = math.inf
 
     def start(self, run_id: str, arrival: Arrival, listener: Listener) -> None:
         """Begin a run."""
@@ -83,12 +84,15 @@
 
     def _schedule(self) -> None:
         at_s = self.model.next_event_s()
-        if at_s < self._wake_s:
+        if at_s != self._wake_s:
             self._wake_s = at_s
-            self.scheduler.at(at_s, self._wake)
+            if at_s < math.inf:
+                self.scheduler.at(at_s, lambda: self._wake(at_s))
 
-    def _wake(self) -> None:
-        self._wake_s = float("inf")
+    def _wake(self, at_s: float) -> None:
+        if at_s != self._wake_s:
+            return
+        self._wake_s = math.inf
         self._advance()
         self._schedule()
 
