--- a/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
@@ -108,10 +108,10 @@
     EventSpec(
         EventNumber.RUN_LOST,
         "warning",
-        "Run {run_id} at target {target} is lost: {detail}.",
+        "Run {run} at target {target} is lost: {detail}.",
         "The caller was told `unknown`. Look at the target and the network to it.",
         {
-            "run_id": "identity of the run",
+            "run": "identity of the run",
             "target": "name of the target",
             "detail": "what failed",
         },
@@ -119,10 +119,10 @@
     EventSpec(
         EventNumber.RUN_FINISHED,
         "debug",
-        "Run {run_id} at target {target} gave its whole answer of {tokens} tokens.",
+        "Run {run} at target {target} gave its whole answer of {tokens} tokens.",
         "Nothing.",
         {
-            "run_id": "identity of the run",
+            "run": "identity of the run",
             "target": "name of the target",
             "tokens": "length of the answer",
         },
