--- a/packages/burdockhaven-entry/src/burdockhaven_entry/caller_api.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/caller_api.py
@@ -11,6 +11,7 @@
 from litestar.datastructures import State
 from litestar.exceptions import HTTPException
 from litestar.openapi import OpenAPIConfig
+from litestar.params import JSONBody
 from litestar.response import Stream
 
 from burdockhaven_core.actions import AnswerLookUp
@@ -94,7 +95,7 @@
 
 @post("/v1/requests", status_code=200)
 async def send_request(
-    request: Request[Any, Any, Any], data: RequestBody
+    request: Request[Any, Any, Any], data: JSONBody[RequestBody]
 ) -> Response[Any] | Stream:
     """Run a request once; the answer is a stream of server-sent events."""
     shell: Shell = request.app.state.shell
@@ -119,7 +120,7 @@
 
 @post("/v1/requests/resume", status_code=200)
 async def resume_request(
-    request: Request[Any, Any, Any], data: ResumeBody
+    request: Request[Any, Any, Any], data: JSONBody[ResumeBody]
 ) -> Response[Any] | Stream:
     """The answer of a request that was sent before, from a token on."""
     shell: Shell = request.app.state.shell
@@ -132,7 +133,7 @@
 
 @post("/v1/requests/status", status_code=200)
 async def read_status(
-    request: Request[Any, Any, Any], data: ResumeBody
+    request: Request[Any, Any, Any], data: JSONBody[ResumeBody]
 ) -> Response[Any]:
     """How far a request has come."""
     shell: Shell = request.app.state.shell
--- /dev/null
+++ b/packages/burdockhaven-entry/tests/test_caller_api.py
@@ -0,0 +1,220 @@
+"""The callers' API over a shell whose targets are scripted."""
+
+import asyncio
+import hashlib
+from dataclasses import replace
+
+import pytest
+from litestar.testing import AsyncTestClient
+from samples import ACCOUNT, OTHER_ACCOUNT, configuration, entry
+
+from burdockhaven_core.events import (
+    ConfigurationRead,
+    RunFinished,
+    RunLost,
+    RunProgressed,
+    RunRefused,
+)
+from burdockhaven_entry.caller_api import caller_app
+from burdockhaven_entry.metrics import Metrics
+from burdockhaven_entry.relay import Chunk
+from burdockhaven_entry.shell import Shell
+
+NOW = 20.0
+MAX_BODY_BYTES = 10_000
+KEYS = {ACCOUNT: "key of north", OTHER_ACCOUNT: "key of south"}
+
+
+class ScriptedTargets:
+    """Stands for the target link: each run does what the next script says."""
+
+    def __init__(self, shell: Shell) -> None:
+        self.shell = shell
+        self.started: list[str] = []
+        self.scripts = [answer_words]
+
+    async def run_model(self, order, relay):
+        self.started.append(order.run_id)
+        script = self.scripts[min(len(self.started), len(self.scripts)) - 1]
+        script(self.shell, order, relay)
+
+    run_service = run_model
+
+    async def close(self):
+        return None
+
+
+def answer_words(shell, order, relay):
+    for offset, word in enumerate(("one ", "two ")):
+        relay.add(Chunk(offset, 1, word))
+        shell.handle(RunProgressed(order.run_id, 1))
+    relay.finish()
+    shell.handle(RunFinished(order.run_id, 2))
+
+
+def break_off(shell, order, relay):
+    relay.add(Chunk(0, 1, "one "))
+    shell.handle(RunProgressed(order.run_id, 1))
+    shell.handle(RunLost(order.run_id, "cut"))
+
+
+def lose(shell, order, relay):
+    shell.handle(RunLost(order.run_id, "cut"))
+
+
+def refuse(shell, order, relay):
+    shell.handle(RunRefused(order.run_id, order.target.name, "full"))
+
+
+@pytest.fixture
+async def shell():
+    one = entry()
+    config = configuration(2)
+    accounts = {
+        name: replace(
+            parameters, key_sha256=hashlib.sha256(KEYS[name].encode()).hexdigest()
+        )
+        for name, parameters in config.accounts.items()
+    }
+    one.step(ConfigurationRead(replace(config, accounts=accounts)), NOW)
+    shell = Shell(one, Metrics(), lambda: NOW)
+    await shell.targets.close()
+    shell.targets = ScriptedTargets(shell)
+    yield shell
+    await shell.close()
+
+
+@pytest.fixture
+async def client(shell):
+    async with AsyncTestClient(caller_app(shell, MAX_BODY_BYTES)) as made:
+        yield made
+
+
+def headers(account=ACCOUNT):
+    return {"authorization": f"Bearer {KEYS[account]}"}
+
+
+async def assignment(client) -> str:
+    reply = await client.get("/v1/lookup", headers=headers())
+    return reply.json()["assignment"]
+
+
+async def send(client, **changes):
+    body = {
+        "assignment": await assignment(client),
+        "key": "k",
+        "class": "review",
+        "prompt": "p " * 10,
+        "max_output_tokens": 5,
+    } | changes
+    return await client.post("/v1/requests", headers=headers(), json=body)
+
+
+async def test_a_look_up_names_an_entry_and_how_long_to_keep_it(client):
+    reply = await client.get("/v1/lookup", headers=headers())
+    assert reply.status_code == 200
+    assert reply.json()["address"] == "one:80"
+    assert reply.json()["lasts_s"] == 30
+
+
+async def test_a_whole_answer_ends_with_its_length(client):
+    reply = await send(client)
+    assert reply.headers["content-type"].startswith("text/event-stream")
+    events = [line for line in reply.text.splitlines() if line.startswith("event")]
+    assert events[0] == "event: started"
+    assert events[-1] == "event: end"
+    assert '"length":2' in reply.text
+
+
+async def test_a_repeated_request_is_answered_from_the_record(client, shell):
+    ticket = await assignment(client)
+    first = await send(client, assignment=ticket)
+    second = await send(client, assignment=ticket, offset=1)
+    assert "one " in first.text
+    assert "one " not in second.text
+    assert "two " in second.text
+    assert len(shell.targets.started) == 1
+
+
+async def test_a_broken_answer_ends_as_unknown(client, shell):
+    shell.targets.scripts = [break_off]
+    reply = await send(client)
+    assert "event: unknown" in reply.text
+    assert "event: end" not in reply.text
+
+
+async def test_a_lost_run_is_unknown(client, shell):
+    shell.targets.scripts = [lose]
+    reply = await send(client)
+    assert reply.status_code == 504
+    assert reply.json()["outcome"] == "unknown"
+    assert not shell.bodies
+    assert not shell.waiting
+
+
+async def test_a_refused_run_goes_to_another_target(client, shell):
+    shell.targets.scripts = [refuse, answer_words]
+    reply = await send(client)
+    assert "event: end" in reply.text
+    assert len(shell.targets.started) == 2
+
+
+@pytest.mark.parametrize(
+    ("changes", "status", "reason"),
+    [
+        ({"class": "none"}, 404, "unknown_class"),
+        ({"assignment": "forged.x"}, 403, "bad_assignment"),
+        ({"key": ""}, 400, "bad_request"),
+        ({"prompt": 5}, 400, "bad_request"),
+        ({"surplus": 1}, 400, "bad_request"),
+        ({"max_output_tokens": 10**6}, 413, "too_large"),
+        ({"prompt": "x" * MAX_BODY_BYTES}, 413, "too_large"),
+        ({"deadline_ms": 1}, 422, "infeasible"),
+    ],
+)
+async def test_bad_input_gets_a_typed_refusal(client, shell, changes, status, reason):
+    reply = await send(client, **changes)
+    assert reply.status_code == status
+    assert reply.json()["outcome"] == "not_run"
+    assert reply.json()["reason"] == reason
+    assert not shell.targets.started
+
+
+@pytest.mark.parametrize("header", [{}, {"authorization": "Bearer wrong"}])
+async def test_callers_without_a_key_are_turned_away(client, header):
+    reply = await client.get("/v1/lookup", headers=header)
+    assert reply.status_code == 401
+    assert reply.json()["reason"] == "unknown_account"
+
+
+async def test_an_account_cannot_read_anothers_request(client):
+    ticket = await assignment(client)
+    await send(client, assignment=ticket)
+    body = {"assignment": ticket, "key": "k", "class": "review"}
+    reply = await client.post(
+        "/v1/requests/resume", headers=headers(OTHER_ACCOUNT), json=body
+    )
+    assert reply.status_code == 403
+    assert "one " not in reply.text
+
+
+@pytest.mark.parametrize(("sent", "state"), [(True, "whole"), (False, "unknown")])
+async def test_the_status_of_a_request(client, sent, state):
+    ticket = await assignment(client)
+    if sent:
+        await send(client, assignment=ticket)
+    body = {"assignment": ticket, "key": "k", "class": "review"}
+    reply = await client.post("/v1/requests/status", headers=headers(), json=body)
+    assert reply.json()["state"] == state
+
+
+async def test_callers_that_have_read_everything_are_forgotten(client, shell):
+    await send(client)
+    await asyncio.sleep(0)
+    assert not shell.exchanges
+    assert shell.no_callers.is_set()
+
+
+async def test_the_openapi_document_is_served(client):
+    reply = await client.get("/schema/openapi.json")
+    assert "/v1/requests" in reply.json()["paths"]
