Measure the targets' best rate with the engine model alone; offer exact loads

The capacity was worked out as slots / token interval. The best rate is now that of one busy engine under its group's mix.

--- a/tools/burdockhaven_bench/callers.py
+++ b/tools/burdockhaven_bench/callers.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from burdockhaven_bench.sites import LENGTH_SPREAD
-from burdockhaven_bench.workload import MEAN_FACTOR, Arrival
+from burdockhaven_bench.lengths import longest
+from burdockhaven_bench.workload import Arrival
 from burdockhaven_core.actions import AnswerLookUp
 from burdockhaven_core.events import CallerGone, LookUpArrived, RequestArrived
 from burdockhaven_core.identity import AccountName, EntryName, RunId
@@ -163,7 +163,6 @@
 
 
 def _request_event(handle: int, token: str, arrival: Arrival) -> RequestArrived:
-    longest = arrival.load.output_tokens * LENGTH_SPREAD / MEAN_FACTOR
     return RequestArrived(
         handle=handle,
         token=token,
@@ -171,6 +170,6 @@
         account=arrival.account,
         class_name=arrival.load.spec.name,
         prompt_tokens=arrival.prompt_tokens,
-        max_output_tokens=round(longest) + 1,
+        max_output_tokens=2 * longest(arrival.load.output_tokens),
         prefix=arrival.prefix,
     )
--- a/tools/burdockhaven_bench/policy.py
+++ b/tools/burdockhaven_bench/policy.py
@@ -98,7 +98,7 @@
         groups={
             str(group.spec.name): group_figures(
                 group,
-                mean_capacity(options.scenario, group),
+                mean_capacity(options.scenario, site.name, group),
                 network.callers.requests,
                 _target_use(network, group),
                 window,
--- a/tools/burdockhaven_bench/report.py
+++ b/tools/burdockhaven_bench/report.py
@@ -3,8 +3,8 @@
 Work is counted in output tokens (units for a plain service), because that is what
 limits the targets. Goodput is work of requests whose whole answer reached the caller
 before its deadline. Goodput by tier is compared with what was offered in the measured
-window; total goodput counts what was completed in the window and is compared with the
-smaller of what was offered and what the targets could have done.
+window. So is total goodput, unless more was offered than the targets could do: then
+what was completed in the window is compared with what they could do in it.
 """
 
 from collections import Counter
@@ -123,11 +123,14 @@
     done = [r for r in own if r.in_time and window.holds(r.ended_s)]
     offered_per_s = _work(offered) / window.length_s
     goodput_per_s = _work(done) / window.length_s
+    goodput_part = goodput_per_s / capacity
+    if offered_per_s <= capacity:
+        goodput_part = _part(_work([r for r in offered if r.in_time]), _work(offered))
     return GroupFigures(
         capacity_per_s=capacity,
         offered_per_s=offered_per_s,
         goodput_per_s=goodput_per_s,
-        goodput_part=goodput_per_s / min(capacity, offered_per_s),
+        goodput_part=goodput_part,
         wasted_prefill_part=_part(use.wasted_tokens, use.processed_tokens),
         late_prefill_part=_part(use.late_tokens, use.processed_tokens),
         cached_prompt_part=1.0 - _part(use.processed_tokens, use.prompt_tokens),
--- a/tools/burdockhaven_bench/scenarios.py
+++ b/tools/burdockhaven_bench/scenarios.py
@@ -2,6 +2,7 @@
 
 import enum
 
+from burdockhaven_bench.best_rate import group_capacity
 from burdockhaven_bench.network import Network
 from burdockhaven_bench.sites import GroupLoad
 from burdockhaven_bench.workload import Window
@@ -43,15 +44,15 @@
         network.scheduler.at(begins_s, lambda: _kill_entry(network))
 
 
-def mean_capacity(scenario: Scenario, group: GroupLoad) -> float:
+def mean_capacity(scenario: Scenario, site: str, group: GroupLoad) -> float:
     """Output tokens per second that the group's targets can do, over the window."""
     if scenario is Scenario.STRAGGLER:
-        return group.capacity((STRAGGLER_SLOWNESS,))
+        return group_capacity(site, group, (STRAGGLER_SLOWNESS,))
     if scenario is Scenario.SLOWDOWN:
-        slow = group.capacity((STRAGGLER_SLOWNESS,) * 2)
+        slow = group_capacity(site, group, (STRAGGLER_SLOWNESS,) * 2)
         part = FAULT_ENDS - FAULT_BEGINS
-        return slow * part + group.capacity() * (1.0 - part)
-    return group.capacity()
+        return slow * part + group_capacity(site, group) * (1.0 - part)
+    return group_capacity(site, group)
 
 
 def _slow(network: Network, number: int, slowness: float) -> None:
--- a/tools/burdockhaven_bench/sites.py
+++ b/tools/burdockhaven_bench/sites.py
@@ -35,8 +35,6 @@
 SERVICE_UNIT_S = 0.05
 # Part of all requests that each client account sends: a few are large.
 ACCOUNT_PARTS = (0.40, 0.30, 0.15, 0.10, 0.05)
-# Longest deviation from the mean length, as a factor.
-LENGTH_SPREAD = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,21 +60,6 @@
     engines: tuple[EngineConfig, ...]
     classes: tuple[ClassLoad, ...]
 
-    def capacity(self, slowness: tuple[float, ...] = ()) -> float:
-        """Output tokens per second when every target is at its best rate.
-
-        `slowness` holds a further factor by target, in order; 1 where it ends.
-        """
-        total = 0.0
-        for number, engine in enumerate(self.engines):
-            factor = slowness[number] if number < len(slowness) else 1.0
-            total += engine.slots / engine.token_interval_s / factor
-        return total
-
-    def request_rate(self, load: ClassLoad) -> float:
-        """Requests of a class per second at capacity."""
-        return self.capacity() * load.part / load.output_tokens
-
 
 @dataclass(frozen=True, slots=True)
 class Site:
--- a/tools/burdockhaven_bench/workload.py
+++ b/tools/burdockhaven_bench/workload.py
@@ -1,12 +1,14 @@
 """Open-loop arrivals: requests come at their times, whatever the answers do."""
 
-import math
+import dataclasses
 import random
+from collections.abc import Iterator
 from dataclasses import dataclass
 
+from burdockhaven_bench.best_rate import group_capacity
+from burdockhaven_bench.lengths import spread_length
 from burdockhaven_bench.sites import (
     ACCOUNT_PARTS,
-    LENGTH_SPREAD,
     ClassLoad,
     Site,
     account_names,
@@ -21,8 +23,6 @@
 BURST_EVERY_S = 60.0
 BURST_LENGTH_S = 8.0
 BURST_FACTOR = 4.0
-# Mean of a factor spread evenly, on a logarithmic scale, from 1/spread to the spread.
-MEAN_FACTOR = (LENGTH_SPREAD - 1 / LENGTH_SPREAD) / (2 * math.log(LENGTH_SPREAD))
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,19 +62,43 @@
 def make_arrivals(
     site: Site, load: float, window: Window, burst: bool, rng: random.Random
 ) -> list[Arrival]:
-    """All arrivals in a window, in order of time."""
+    """All arrivals in a window, in order of time.
+
+    The answers of each group are lengthened or shortened by one factor, so that the
+    offered work is exactly the load that is asked for.
+    """
     arrivals: list[Arrival] = []
-    for group, of_class in site.classes():
-        rate = load * group.request_rate(of_class)
-        at_s = window.start_s + rng.expovariate(rate)
-        while at_s < window.end_s:
-            arrivals.append(_arrival(at_s, of_class, rng))
-            factor = BURST_FACTOR if burst and _in_burst(at_s) else 1.0
-            at_s += rng.expovariate(rate * factor)
+    for group in site.groups:
+        capacity = group_capacity(site.name, group)
+        drawn = [
+            arrival
+            for of_class in group.classes
+            for arrival in _of_class(of_class, load * capacity, window, burst, rng)
+        ]
+        work = sum(arrival.output_tokens for arrival in drawn)
+        factor = load * capacity * window.length_s / work
+        arrivals.extend(drawn if burst else _scaled(drawn, factor))
     arrivals.sort(key=lambda arrival: arrival.at_s)
     return arrivals
 
 
+def _of_class(
+    load: ClassLoad, work_per_s: float, window: Window, burst: bool, rng: random.Random
+) -> Iterator[Arrival]:
+    rate = work_per_s * load.part / load.output_tokens
+    at_s = window.start_s + rng.expovariate(rate)
+    while at_s < window.end_s:
+        yield _arrival(at_s, load, rng)
+        factor = BURST_FACTOR if burst and _in_burst(at_s) else 1.0
+        at_s += rng.expovariate(rate * factor)
+
+
+def _scaled(arrivals: list[Arrival], factor: float) -> Iterator[Arrival]:
+    for arrival in arrivals:
+        tokens = max(1, round(arrival.output_tokens * factor))
+        yield dataclasses.replace(arrival, output_tokens=tokens)
+
+
 def _arrival(at_s: float, load: ClassLoad, rng: random.Random) -> Arrival:
     accounts = account_names()
     index = rng.choices(range(len(accounts)), ACCOUNT_PARTS)[0]
@@ -89,18 +113,11 @@
         account=accounts[index],
         caller=rng.randrange(callers),
         load=load,
-        prompt_tokens=load.shared_tokens + _length(own_tokens, rng),
-        output_tokens=max(1, _length(load.output_tokens, rng)),
+        prompt_tokens=load.shared_tokens + spread_length(own_tokens, rng),
+        output_tokens=max(1, spread_length(load.output_tokens, rng)),
         prefix=prefix,
     )
 
 
-def _length(mean: int, rng: random.Random) -> int:
-    """A length spread evenly on a logarithmic scale, with the mean given."""
-    log_spread = math.log(LENGTH_SPREAD)
-    factor = math.exp(rng.uniform(-log_spread, log_spread))
-    return round(mean * factor / MEAN_FACTOR)
-
-
 def _in_burst(at_s: float) -> bool:
     return at_s % BURST_EVERY_S > BURST_EVERY_S - BURST_LENGTH_S
