Seal messages between entry processes with a key they share

Cause, found by reading: anybody who reached the peer address could send a heartbeat or a promise, and so admit or shut out tiers. CURVE of ZeroMQ was weighed: it needs a key pair per process and their distribution; a keyed hash from the secret that all entries have anyway costs 16 bytes a message.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/daemon.py
@@ -22,6 +22,7 @@
 from burdockhaven_entry.caller_api import caller_app
 from burdockhaven_entry.kv_link import KvLink
 from burdockhaven_entry.log_events import log
+from burdockhaven_entry.message_seal import derive_key
 from burdockhaven_entry.metrics import Metrics
 from burdockhaven_entry.peer_link import PeerLink, PeerLinkError
 from burdockhaven_entry.platform_sync import PlatformSync
@@ -67,6 +68,7 @@
         self.peers = PeerLink.from_config(
             parameters.me,
             str(settings.peer_address),
+            derive_key(parameters.assignment_key),
             self._on_message,
             self._on_peer_error,
         )
--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/message_seal.py
@@ -0,0 +1,38 @@
+"""Seals messages between entry processes, so that nobody else can send one.
+
+The key is derived from the assignment key, which all entries share. Replays are harmless:
+heartbeats carry a sequence, and promises name the question that they answer.
+"""
+
+import hashlib
+import hmac
+
+SEAL_BYTES = 16
+KEY_BYTES = 32
+PURPOSE = b"peer messages"
+
+
+class SealError(ValueError):
+    """The message was not sealed with this key."""
+
+
+def derive_key(assignment_key: bytes) -> bytes:
+    """The key for seals, which reveals nothing of the assignment key."""
+    return hmac.digest(assignment_key, PURPOSE, "sha256")
+
+
+def seal(data: bytes, key: bytes) -> bytes:
+    """The data with its seal in front."""
+    return _digest(data, key) + data
+
+
+def unseal(sealed: bytes, key: bytes) -> bytes:
+    """The data of a sealed message; raises `SealError` if the seal is wrong."""
+    data = sealed[SEAL_BYTES:]
+    if not hmac.compare_digest(sealed[:SEAL_BYTES], _digest(data, key)):
+        raise SealError("the seal is wrong; do all entries share one assignment key?")
+    return data
+
+
+def _digest(data: bytes, key: bytes) -> bytes:
+    return hashlib.blake2b(data, key=key, digest_size=SEAL_BYTES).digest()
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/peer_link.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/peer_link.py
@@ -26,6 +26,7 @@
     decode_message,
     encode_message,
 )
+from burdockhaven_entry.message_seal import SealError, seal, unseal
 
 # The largest message that is read, in bytes; a configuration is the largest one.
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
@@ -83,6 +84,8 @@
     me: MemberId
     # Where to listen, as host:port; after `open` with the port in use.
     address: str
+    # Seals the messages; the same on every entry.
+    key: bytes
     on_message: OnMessage
     on_error: OnError
     silent_after_s: float = SILENT_AFTER_S
@@ -99,12 +102,13 @@
         cls,
         me: MemberId,
         peer_address: str,
+        key: bytes,
         on_message: OnMessage,
         on_error: OnError,
         silent_after_s: float = SILENT_AFTER_S,
     ) -> "PeerLink":
         """A link that is not open yet."""
-        return cls(me, peer_address, on_message, on_error, silent_after_s)
+        return cls(me, peer_address, key, on_message, on_error, silent_after_s)
 
     def open(self) -> None:
         """Listen, and deliver what arrives; raises `zmq.ZMQError` if it can't."""
@@ -134,7 +138,7 @@
         outgoing = self._outgoing(address, clock_s)
         if outgoing is None:
             return
-        data = encode_message(message)
+        data = seal(encode_message(message), self.key)
         try:
             outgoing.socket.send(data, zmq.NOBLOCK)
         except zmq.Again:
@@ -208,8 +212,13 @@
             self.on_error(PeerLinkError("receive", peer, detail))
             return
         try:
-            message = decode_message(parts[1])
-        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+            message = decode_message(unseal(parts[1], self.key))
+        except (
+            SealError,
+            msgspec.DecodeError,
+            UnicodeDecodeError,
+            RecursionError,
+        ) as error:
             self.on_error(PeerLinkError("decode", peer, str(error)))
             return
         sender = MemberId(message.entry, message.incarnation)
--- a/packages/burdockhaven-entry/tests/test_peer_link.py
+++ b/packages/burdockhaven-entry/tests/test_peer_link.py
@@ -7,11 +7,18 @@
 import zmq.asyncio
 
 from burdockhaven_core.identity import MemberId
-from burdockhaven_core.messages import ConfigurationAsk, Heartbeat, PeerEcho
+from burdockhaven_core.messages import (
+    ConfigurationAsk,
+    Heartbeat,
+    PeerEcho,
+    encode_message,
+)
+from burdockhaven_entry.message_seal import seal
 from burdockhaven_entry.peer_link import PeerLink
 
 A = MemberId("a", "a1")
 B = MemberId("b", "b1")
+KEY = b"k" * 32
 
 
 class Side:
@@ -21,7 +28,7 @@
         self.arrived = asyncio.Queue()
         self.errors = asyncio.Queue()
         self.link = PeerLink.from_config(
-            me, "127.0.0.1:0", self._on_message, self.errors.put_nowait
+            me, "127.0.0.1:0", KEY, self._on_message, self.errors.put_nowait
         )
         self.link.open()
 
@@ -64,7 +71,21 @@
     assert second.link.traffic.received_messages >= 1
 
 
-@pytest.mark.parametrize("parts", [[b"\xc1"], [b"\x92\x01\x02"], [b"a", b"b"], [b""]])
+GENUINE = encode_message(ConfigurationAsk("a", "a1", 1))
+
+
+@pytest.mark.parametrize(
+    "parts",
+    [
+        [seal(b"\xc1", KEY)],
+        [seal(b"\x92\x01\x02", KEY)],
+        [seal(b"", KEY)],
+        [b"a", b"b"],
+        [b""],
+        [GENUINE],
+        [seal(GENUINE, b"j" * 32)],
+    ],
+)
 async def test_a_malformed_message_is_reported_and_harms_no_other(sides, parts):
     first, second = sides
     raw = zmq.asyncio.Context.instance().socket(zmq.DEALER)
