--- a/packages/burdockhaven-entry/src/burdockhaven_entry/message_seal.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/message_seal.py
@@ -1,7 +1,7 @@
 """Seals messages between entry processes, so that nobody else can send one.
 
-The key is derived from the assignment key, which all entries share. Replays are harmless:
-heartbeats carry a sequence, and promises name the question that they answer.
+The key is derived from the assignment key, which all entries share. Replays are
+harmless: heartbeats carry a sequence, and promises name the question they answer.
 """
 
 import hashlib
