--- a/tools/burdockhaven_bench/caller.py
+++ b/tools/burdockhaven_bench/caller.py
@@ -43,6 +43,8 @@
     target: str
     # Length of the answer.
     tokens: int
+    # Chunks that it came in.
+    pieces: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,7 +99,8 @@
             if data["length"] != self.tokens:
                 return Unknown("broken_answer", f"{self.tokens} of {data['length']}")
             text = "".join(self.pieces)
-            return Whole(text, self.request, self.target, self.tokens)
+            count = len(self.pieces)
+            return Whole(text, self.request, self.target, self.tokens, count)
         else:
             return _outcome(data)
         return None
--- a/tools/tests/test_caller.py
+++ b/tools/tests/test_caller.py
@@ -60,7 +60,7 @@
 
 def test_a_whole_answer():
     caller, sent = new_caller(sse(STARTED, chunk(0, 2), chunk(2), END))
-    assert caller.send("review", "text") == Whole("x x x ", "r1", "engine-1", 3)
+    assert caller.send("review", "text") == Whole("x x x ", "r1", "engine-1", 3, 2)
     assert len(sent) == 1
 
 
