--- /dev/null
+++ b/packages/burdockhaven-ctl/src/burdockhaven_ctl/main.py
@@ -0,0 +1,258 @@
+"""Entry point of the command line."""
+
+import argparse
+import getpass
+import os
+import sys
+import uuid
+from collections.abc import Mapping
+from pathlib import Path
+
+import msgspec
+from result import Err, Ok, Result
+
+from burdockhaven_core.admin_messages import (
+    ChangeReply,
+    ChangeResult,
+    ConfigurationReply,
+    FloorsReply,
+    HistoryReply,
+    MembersReply,
+    QueuesReply,
+    TargetsReply,
+)
+from burdockhaven_core.configuration import AccountParameters, Template
+from burdockhaven_core.configuration_check import Fault
+from burdockhaven_core.configuration_codec import decode_account, decode_template
+from burdockhaven_ctl.client import (
+    RETRY_INTERVAL_S,
+    AdminClient,
+    ChangeRequest,
+    Problem,
+    ProblemKind,
+)
+from burdockhaven_ctl.exit_codes import CODE_OF_RESULT, ExitCode
+from burdockhaven_ctl.options import (
+    ENDPOINT_VARIABLE,
+    TOKEN_VARIABLE,
+    build_parser,
+)
+from burdockhaven_ctl.render import Reply, render_json, render_table
+
+CODE_OF_PROBLEM = {
+    ProblemKind.UNREACHABLE: ExitCode.UNREACHABLE,
+    ProblemKind.UNAUTHORIZED: ExitCode.UNAUTHORIZED,
+    ProblemKind.REFUSED: ExitCode.USAGE,
+}
+READS: dict[str, tuple[str, type[Reply]]] = {
+    "show": ("/v1/configuration", ConfigurationReply),
+    "members": ("/v1/members", MembersReply),
+    "targets": ("/v1/targets", TargetsReply),
+    "floors": ("/v1/floors", FloorsReply),
+    "queues": ("/v1/queues", QueuesReply),
+}
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run one command; return its exit code."""
+    options = build_parser().parse_args(arguments)
+    built = build_client(options, os.environ)
+    if isinstance(built, Err):
+        print(built.err_value, file=sys.stderr)
+        return ExitCode.USAGE
+    client = built.ok_value
+    with client.client:
+        return run_command(options, client)
+
+
+def build_client(
+    options: argparse.Namespace, environ: Mapping[str, str]
+) -> Result[AdminClient, str]:
+    """The client that the options and the environment ask for."""
+    endpoints = options.endpoint or environ.get(ENDPOINT_VARIABLE, "").split()
+    if not endpoints:
+        return Err(f"give --endpoint or set {ENDPOINT_VARIABLE}")
+    token = environ.get(TOKEN_VARIABLE, "")
+    if options.token_file is not None:
+        try:
+            token = options.token_file.read_text().strip()
+        except OSError as error:
+            return Err(f"token file: {error}")
+    if not token:
+        return Err(f"give --token-file or set {TOKEN_VARIABLE}")
+    addresses = tuple(endpoint.rstrip("/") for endpoint in endpoints)
+    client = AdminClient.from_config(addresses, token, options.patience)
+    client.warn = lambda text: print(text, file=sys.stderr)
+    return Ok(client)
+
+
+def run_command(options: argparse.Namespace, client: AdminClient) -> int:
+    """Run the command that the options name."""
+    match options.command:
+        case "template" | "account" if options.verb == "show":
+            return _show_item(options, client)
+        case "template" | "account":
+            return _change(options, client)
+        case "history":
+            query = {"limit": str(options.limit)}
+            return _show(options, client.read("/v1/history", HistoryReply, query))
+        case "operation":
+            return _show_operation(options, client)
+        case command:
+            path, kind = READS[command]
+            return _show(options, client.read(path, kind))
+
+
+def _show(options: argparse.Namespace, read: Result[Reply, Problem]) -> int:
+    if isinstance(read, Err):
+        return _fail(read.err_value)
+    _print(options, read.ok_value)
+    return ExitCode.OK
+
+
+def _show_operation(options: argparse.Namespace, client: AdminClient) -> int:
+    query = {"expected_version": str(options.expected_version)}
+    path = f"/v1/operations/{options.operation_id}"
+    read = client.read(path, ChangeReply, query)
+    if isinstance(read, Err):
+        return _fail(read.err_value)
+    _print(options, read.ok_value)
+    return CODE_OF_RESULT[read.ok_value.result]
+
+
+def _show_item(options: argparse.Namespace, client: AdminClient) -> int:
+    read = client.read("/v1/configuration", ConfigurationReply)
+    if isinstance(read, Err):
+        return _fail(read.err_value)
+    found: Template | AccountParameters | None
+    if options.command == "template":
+        found = read.ok_value.templates.get(options.name)
+    else:
+        accounts = {str(k): v for k, v in read.ok_value.accounts.items()}
+        found = accounts.get(options.name)
+    if found is None:
+        print(f"there is no {options.command} {options.name}", file=sys.stderr)
+        return ExitCode.INVALID
+    print(msgspec.json.format(msgspec.json.encode(found), indent=2).decode())
+    return ExitCode.OK
+
+
+def _change(options: argparse.Namespace, client: AdminClient) -> int:
+    item = _read_item(options)
+    if isinstance(item, Err):
+        code, text = item.err_value
+        print(text, file=sys.stderr)
+        return code
+    name, body = item.ok_value
+    expected = options.expected_version
+    if expected is None:
+        read = client.read("/v1/configuration", ConfigurationReply)
+        if isinstance(read, Err):
+            return _fail(read.err_value)
+        expected = read.ok_value.in_force.version
+    request = ChangeRequest(
+        method="DELETE" if body is None else "PUT",
+        path=f"/v1/{options.command}s/{name}",
+        body=body,
+        expected_version=expected,
+        operation_id=options.operation_id or uuid.uuid4().hex,
+        operator=options.operator or _user(),
+        dry_run=options.dry_run,
+    )
+    changed = client.change(request)
+    if isinstance(changed, Err):
+        return _fail(changed.err_value)
+    reply = changed.ok_value
+    if reply.result is ChangeResult.ACCEPTED and options.wait > 0:
+        reply = _wait(client, reply, options.wait)
+    _print(options, reply)
+    if reply.result is ChangeResult.UNKNOWN:
+        print(_advice(request), file=sys.stderr)
+    if options.wait > 0 and not _everywhere(reply):
+        return ExitCode.NOT_IN_FORCE
+    return CODE_OF_RESULT[reply.result]
+
+
+def _read_item(
+    options: argparse.Namespace,
+) -> Result[tuple[str, bytes | None], tuple[ExitCode, str]]:
+    """Name and JSON of the item; without JSON for a removal."""
+    if options.verb == "delete":
+        return Ok((options.name, None))
+    path: Path = options.file
+    try:
+        body = path.read_bytes()
+    except OSError as error:
+        return Err((ExitCode.USAGE, str(error)))
+    if options.command == "template":
+        template = decode_template(body)
+        if isinstance(template, Err):
+            return Err((ExitCode.INVALID, _describe(path, template.err_value)))
+        return Ok((template.ok_value.name, body))
+    account = decode_account(body)
+    if isinstance(account, Err):
+        return Err((ExitCode.INVALID, _describe(path, account.err_value)))
+    return Ok((account.ok_value.account, body))
+
+
+def _wait(client: AdminClient, reply: ChangeReply, seconds: float) -> ChangeReply:
+    """The reply with the newest word on how far the version has spread."""
+    until = client.clock() + seconds
+    while not _everywhere(reply) and client.clock() < until:
+        client.sleep(RETRY_INTERVAL_S)
+        read = client.read("/v1/members", MembersReply)
+        if isinstance(read, Ok):
+            reply = _with_spread(reply, read.ok_value)
+    return reply
+
+
+def _with_spread(reply: ChangeReply, members: MembersReply) -> ChangeReply:
+    assert reply.in_force is not None
+    live = [each for each in members.members if each.state != "silent"]
+    on = sum(each.config_version >= reply.version for each in live)
+    spread = msgspec.structs.replace(reply.in_force, on=on, of=len(live))
+    return msgspec.structs.replace(reply, in_force=spread)
+
+
+def _everywhere(reply: ChangeReply) -> bool:
+    spread = reply.in_force
+    return spread is None or spread.on >= spread.of
+
+
+def _print(options: argparse.Namespace, reply: Reply) -> None:
+    render = render_json if options.output == "json" else render_table
+    print(render(reply))
+
+
+def _fail(problem: Problem) -> int:
+    place = f" at {problem.peer}" if problem.peer else ""
+    print(
+        f"{problem.kind.value}: {problem.step}{place}: {problem.detail}",
+        file=sys.stderr,
+    )
+    return CODE_OF_PROBLEM[problem.kind]
+
+
+def _describe(path: Path, fault: Fault) -> str:
+    return f"{path}: {fault.path}: {fault.seen}; allowed: {fault.allowed}"
+
+
+def _advice(request: ChangeRequest) -> str:
+    return (
+        "The change may have been made. Run the same command with "
+        f"--expected-version {request.expected_version} "
+        f"--operation-id {request.operation_id} to have it made once, or "
+        f"`operation {request.operation_id} --expected-version "
+        f"{request.expected_version}` to find out."
+    )
+
+
+def _user() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return ""
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/admin_api.py
@@ -0,0 +1,379 @@
+"""The administration API: changes of the configuration, and what is in force.
+
+Each call but `/metrics` needs the operators' token. A change names the version that
+the operator has seen and an identity of its own, so that it can be asked for again, at
+any entry, when its answer was lost.
+"""
+
+import datetime
+import hmac
+import re
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from litestar import Litestar, Request, Response, Router, delete, get, put
+from litestar.connection import ASGIConnection
+from litestar.datastructures import State
+from litestar.exceptions import HTTPException, NotAuthorizedException
+from litestar.handlers import BaseRouteHandler, HTTPRouteHandler
+from litestar.openapi import OpenAPIConfig
+from result import Err, Ok, Result
+
+from burdockhaven_core.admin_messages import (
+    ChangeReply,
+    ChangeResult,
+    ConfigurationReply,
+    ErrorReply,
+    FloorsReply,
+    HistoryReply,
+    InForceReply,
+    MembersReply,
+    QueuesReply,
+    TargetsReply,
+)
+from burdockhaven_core.configuration import Configuration
+from burdockhaven_core.configuration_change import (
+    Change,
+    DeleteAccount,
+    DeleteTemplate,
+    Operation,
+    PutAccount,
+    PutTemplate,
+    apply_operation,
+    describe_change,
+)
+from burdockhaven_core.configuration_check import Fault
+from burdockhaven_core.configuration_codec import decode_account, decode_template
+from burdockhaven_core.identity import AccountName
+from burdockhaven_core.log_numbers import EventNumber
+from burdockhaven_core.publishing import (
+    Accepted,
+    Conflict,
+    Invalid,
+    NotDone,
+    NotDoneReason,
+    OutcomeUnknown,
+    PublishOutcome,
+)
+from burdockhaven_entry.configuration_sync import ConfigurationSync
+from burdockhaven_entry.log_events import log
+
+AdminRequest = Request[Any, Any, Any]
+
+STATUS_OF_RESULT = {
+    ChangeResult.ACCEPTED: 200,
+    ChangeResult.VALID: 200,
+    ChangeResult.CONFLICT: 409,
+    ChangeResult.INVALID: 422,
+    ChangeResult.NOT_DONE: 503,
+    ChangeResult.UNKNOWN: 504,
+}
+STATUS_UNAVAILABLE = 503
+DEFAULT_HISTORY = 20
+MAX_HISTORY = 1_000
+# Digits of the longest number that is read.
+MAX_DIGITS = 15
+STATUS_UNAUTHORIZED = 401
+OPERATION_ID_PATTERN = re.compile(r"[A-Za-z0-9._-]{8,64}")
+MAX_OPERATOR_CHARACTERS = 64
+# Bytes of the largest template or account that is read.
+MAX_BODY_BYTES = 1 << 20
+REASON_TEXT = {
+    NotDoneReason.UNREACHABLE: "the key-value service gave no usable answer",
+    NotDoneReason.BEHIND: "the key-value service holds an older version than members",
+    NotDoneReason.NOT_SETTLED: "this entry has not heard every other entry lately",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class AdminView:
+    """What the API shows of the entry; each provider gives the present state."""
+
+    configuration: Callable[[], Configuration]
+    report_configuration: Callable[[], ConfigurationReply]
+    # How far the version has spread.
+    in_force: Callable[[int], InForceReply]
+    members: Callable[[], MembersReply]
+    targets: Callable[[], TargetsReply]
+    floors: Callable[[], FloorsReply]
+    queues: Callable[[], QueuesReply]
+
+
+@dataclass(frozen=True, slots=True)
+class _Part:
+    """What the handlers share."""
+
+    view: AdminView
+    sync: ConfigurationSync
+    token: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class _Terms:
+    """The parameters that go with a change."""
+
+    expected_version: int
+    operation_id: str
+    operator: str
+    dry_run: bool
+
+
+def admin_app(
+    view: AdminView,
+    sync: ConfigurationSync,
+    operator_token: str,
+    open_handlers: tuple[HTTPRouteHandler, ...] = (),
+) -> Litestar:
+    """The application that serves operators; the open handlers need no token."""
+    guarded = Router(
+        path="/v1",
+        guards=[_check_token],
+        route_handlers=[
+            put_template,
+            delete_template,
+            put_account,
+            delete_account,
+            read_operation,
+            read_configuration,
+            read_history,
+            read_members,
+            read_targets,
+            read_floors,
+            read_queues,
+        ],
+    )
+    return Litestar(
+        route_handlers=[guarded, *open_handlers],
+        state=State({"part": _Part(view, sync, operator_token.encode())}),
+        request_max_body_size=MAX_BODY_BYTES,
+        exception_handlers={HTTPException: _refuse},
+        logging_config=None,
+        openapi_config=OpenAPIConfig(title="burdockhaven for operators", version="1"),
+    )
+
+
+@put("/templates/{name:str}")
+async def put_template(request: AdminRequest, name: str) -> Response[Any]:
+    """Add or replace a template."""
+    decoded = decode_template(await request.body())
+    if isinstance(decoded, Err):
+        return _invalid(request, (decoded.err_value,))
+    if decoded.ok_value.name != name:
+        return _invalid(request, (_other_name(decoded.ok_value.name, name),))
+    return await _change(request, PutTemplate(decoded.ok_value))
+
+
+@delete("/templates/{name:str}", status_code=200)
+async def delete_template(request: AdminRequest, name: str) -> Response[Any]:
+    """Remove a template that no account uses."""
+    return await _change(request, DeleteTemplate(name))
+
+
+@put("/accounts/{name:str}")
+async def put_account(request: AdminRequest, name: str) -> Response[Any]:
+    """Add or replace the parameters of a client account."""
+    decoded = decode_account(await request.body())
+    if isinstance(decoded, Err):
+        return _invalid(request, (decoded.err_value,))
+    if decoded.ok_value.account != name:
+        return _invalid(request, (_other_name(decoded.ok_value.account, name),))
+    return await _change(request, PutAccount(decoded.ok_value))
+
+
+@delete("/accounts/{name:str}", status_code=200)
+async def delete_account(request: AdminRequest, name: str) -> Response[Any]:
+    """Remove the parameters of a client account."""
+    return await _change(request, DeleteAccount(AccountName(name)))
+
+
+@get("/operations/{operation_id:str}")
+async def read_operation(request: AdminRequest, operation_id: str) -> Response[Any]:
+    """What became of a change whose answer was lost."""
+    part = _part(request)
+    expected = _number(request, "expected_version")
+    if isinstance(expected, Err):
+        return _invalid(request, (expected.err_value,))
+    nothing = DeleteTemplate("")
+    operation = Operation(nothing, expected.ok_value, operation_id)
+    outcome = await part.sync.resolve(operation)
+    return _respond(part.view, operation, outcome)
+
+
+@get("/configuration", sync_to_thread=False)
+def read_configuration(request: AdminRequest) -> Response[Any]:
+    """The configuration in force, and on how many entries."""
+    return Response(_part(request).view.report_configuration())
+
+
+@get("/history")
+async def read_history(request: AdminRequest) -> Response[Any]:
+    """The last accepted changes."""
+    part = _part(request)
+    limit = _number(request, "limit", DEFAULT_HISTORY)
+    if isinstance(limit, Err):
+        return _invalid(request, (limit.err_value,))
+    last = part.view.configuration().version
+    first = max(1, last + 1 - min(limit.ok_value, MAX_HISTORY))
+    read = await part.sync.history(first, last)
+    if isinstance(read, Err):
+        return Response(
+            ErrorReply("unavailable", str(read.err_value)),
+            status_code=STATUS_UNAVAILABLE,
+        )
+    return Response(HistoryReply(read.ok_value))
+
+
+@get("/members", sync_to_thread=False)
+def read_members(request: AdminRequest) -> Response[Any]:
+    """The entries, with the version in force at each."""
+    return Response(_part(request).view.members())
+
+
+@get("/targets", sync_to_thread=False)
+def read_targets(request: AdminRequest) -> Response[Any]:
+    """The targets as this entry sees them."""
+    return Response(_part(request).view.targets())
+
+
+@get("/floors", sync_to_thread=False)
+def read_floors(request: AdminRequest) -> Response[Any]:
+    """The lowest tier that each group admits at this entry."""
+    return Response(_part(request).view.floors())
+
+
+@get("/queues", sync_to_thread=False)
+def read_queues(request: AdminRequest) -> Response[Any]:
+    """The requests that wait at this entry."""
+    return Response(_part(request).view.queues())
+
+
+async def _change(request: AdminRequest, change: Change) -> Response[Any]:
+    part = _part(request)
+    read = _read_terms(request)
+    if isinstance(read, Err):
+        return _invalid(request, read.err_value)
+    terms = read.ok_value
+    operation = Operation(
+        change=change,
+        expected_version=terms.expected_version,
+        operation_id=terms.operation_id,
+        operator=terms.operator,
+        at=datetime.datetime.now(datetime.UTC).isoformat(timespec="seconds"),
+    )
+    if terms.dry_run:
+        return _respond_dry_run(part.view, operation)
+    outcome = await part.sync.publish(operation)
+    response = _respond(part.view, operation, outcome)
+    log(
+        EventNumber.OPERATOR_CHANGE,
+        operation=operation.operation_id,
+        operator=operation.operator,
+        change=describe_change(change),
+        outcome=response.content.result.value,
+    )
+    return response
+
+
+def _respond_dry_run(view: AdminView, operation: Operation) -> Response[ChangeReply]:
+    base = view.configuration()
+    if base.version != operation.expected_version:
+        winner = base.recent[-1] if base.recent else None
+        return _respond(view, operation, Conflict(base.version, winner))
+    applied = apply_operation(base, operation)
+    if isinstance(applied, Err):
+        return _respond(view, operation, Invalid(applied.err_value))
+    reply = ChangeReply(ChangeResult.VALID, operation.operation_id, base.version)
+    return _reply(reply)
+
+
+def _respond(
+    view: AdminView, operation: Operation, outcome: PublishOutcome
+) -> Response[ChangeReply]:
+    name = operation.operation_id
+    match outcome:
+        case Accepted(version=version):
+            spread = view.in_force(version)
+            reply = ChangeReply(ChangeResult.ACCEPTED, name, version, spread)
+        case Conflict(version=version, winner=winner):
+            reply = ChangeReply(ChangeResult.CONFLICT, name, version, winner=winner)
+        case Invalid(faults=faults):
+            reply = ChangeReply(ChangeResult.INVALID, name, faults=faults)
+        case NotDone(reason=reason, failure=failure):
+            text = REASON_TEXT[reason]
+            detail = text if failure is None else f"{text}: {failure}"
+            reply = ChangeReply(ChangeResult.NOT_DONE, name, reason=detail)
+        case OutcomeUnknown(failure=failure):
+            detail = "no answer" if failure is None else str(failure)
+            reply = ChangeReply(ChangeResult.UNKNOWN, name, reason=detail)
+    return _reply(reply)
+
+
+def _reply(reply: ChangeReply) -> Response[ChangeReply]:
+    return Response(reply, status_code=STATUS_OF_RESULT[reply.result])
+
+
+def _invalid(request: AdminRequest, faults: tuple[Fault, ...]) -> Response[Any]:
+    name = request.query_params.get("operation_id", "")
+    return _reply(ChangeReply(ChangeResult.INVALID, name, faults=faults))
+
+
+def _read_terms(request: AdminRequest) -> Result[_Terms, tuple[Fault, ...]]:
+    query = request.query_params
+    faults = []
+    expected = _number(request, "expected_version")
+    if isinstance(expected, Err):
+        faults.append(expected.err_value)
+    name = str(query.get("operation_id", ""))
+    if OPERATION_ID_PATTERN.fullmatch(name) is None:
+        allowed = "8 to 64 letters, digits, '.', '_' or '-'"
+        remedy = "draw a random identity for each change, and keep it over retries"
+        faults.append(Fault("operation_id", repr(name), allowed, remedy))
+    dry_run = str(query.get("dry_run", "false"))
+    if dry_run not in ("true", "false"):
+        faults.append(Fault("dry_run", dry_run, "true or false", "write one of them"))
+    operator = str(query.get("operator", ""))
+    if len(operator) > MAX_OPERATOR_CHARACTERS or not operator.isprintable():
+        allowed = f"at most {MAX_OPERATOR_CHARACTERS} printable characters"
+        faults.append(Fault("operator", repr(operator), allowed, "shorten the name"))
+    if faults or isinstance(expected, Err):
+        return Err(tuple(faults))
+    return Ok(_Terms(expected.ok_value, name, operator, dry_run == "true"))
+
+
+def _number(
+    request: AdminRequest, name: str, default: int | None = None
+) -> Result[int, Fault]:
+    text = str(request.query_params.get(name, "" if default is None else default))
+    if text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS:
+        return Ok(int(text))
+    remedy = f"give ?{name}= a number"
+    return Err(Fault(name, repr(text), "a whole number from 0 on", remedy))
+
+
+def _other_name(seen: str, path_name: str) -> Fault:
+    remedy = "give the same name in the path and in the body"
+    return Fault("$.name", seen, path_name, remedy)
+
+
+def _part(request: AdminRequest) -> _Part:
+    part: _Part = request.app.state.part
+    return part
+
+
+def _check_token(
+    connection: ASGIConnection[Any, Any, Any, Any], handler: BaseRouteHandler
+) -> None:
+    part: _Part = connection.app.state.part
+    scheme, _, token = connection.headers.get("authorization", "").partition(" ")
+    shown = token.strip().encode()
+    if scheme.lower() == "bearer" and hmac.compare_digest(shown, part.token):
+        return
+    client = connection.client
+    log(EventNumber.OPERATOR_REFUSED, peer=client.host if client else "?")
+    raise NotAuthorizedException("the Authorization header must hold Bearer and token")
+
+
+def _refuse(request: AdminRequest, error: HTTPException) -> Response[ErrorReply]:
+    kind = "unauthorized" if error.status_code == STATUS_UNAUTHORIZED else "bad_request"
+    return Response(ErrorReply(kind, error.detail), status_code=error.status_code)
--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/admin_reports.py
@@ -0,0 +1,152 @@
+"""What operators are shown of one entry, made from its state."""
+
+from burdockhaven_core.admin_messages import (
+    ConfigurationReply,
+    FloorReport,
+    FloorsReply,
+    InForceReply,
+    MemberReport,
+    MembersReply,
+    QueueReport,
+    QueuesReply,
+    TargetReport,
+    TargetsReply,
+)
+from burdockhaven_core.configuration import MAX_TIER
+from burdockhaven_core.configuration_replica import count_in_force
+from burdockhaven_core.entry_state import EntryState
+from burdockhaven_core.identity import GroupName, MemberId
+from burdockhaven_core.membership import MemberView
+from burdockhaven_core.targets import TargetState
+
+MS_PER_S = 1_000.0
+
+
+def floor_version(state: EntryState, now: float) -> int | None:
+    """The highest version in force at any member.
+
+    None unless this entry has a configuration and has lately heard each member that
+    may still act: a silent one could have a newer version than all others.
+    """
+    membership = state.membership
+    if not (state.replica.ready and membership.joined(now)):
+        return None
+    live = {view.member: view for view in membership.live(now)}
+    if any(member not in live for member in membership.view(now)):
+        return None
+    versions = (view.config_version for view in live.values())
+    return max(state.replica.version, *versions, 0)
+
+
+def report_in_force(state: EntryState, version: int, now: float) -> InForceReply:
+    """How many of the live entries have the version in force."""
+    versions = [view.config_version for view in state.membership.live(now)]
+    spread = count_in_force(version, (*versions, state.replica.version))
+    return InForceReply(spread.version, spread.on, spread.of)
+
+
+def report_configuration(state: EntryState, now: float) -> ConfigurationReply:
+    """The configuration in force here, and how far it has spread."""
+    configuration = state.configuration
+    return ConfigurationReply(
+        in_force=report_in_force(state, configuration.version, now),
+        templates=configuration.templates,
+        accounts=configuration.accounts,
+    )
+
+
+def report_members(state: EntryState, now: float) -> MembersReply:
+    """This entry and all others that it knows."""
+    live = {view.member: view for view in state.membership.live(now)}
+    others = [_member(state, each, live.get(each)) for each in state.membership.known()]
+    reports = sorted([_myself(state), *others], key=lambda report: report.entry)
+    return MembersReply(tuple(reports))
+
+
+def report_targets(state: EntryState, now: float) -> TargetsReply:
+    """All targets as this entry sees them."""
+    leaving = state.membership.leaving_targets(now)
+    reports = []
+    for group in state.targets.groups:
+        for target in state.targets.of_group(group):
+            if target.spec.name in leaving:
+                condition = "leaving"
+            else:
+                condition = "paused" if target.paused_until_s > now else "open"
+            reports.append(_target(group, target, condition))
+    return TargetsReply(tuple(reports))
+
+
+def report_floors(state: EntryState, now: float) -> FloorsReply:
+    """The lowest tier that each group admits here."""
+    return FloorsReply(
+        tuple(
+            FloorReport(group, state.floor.closed_below(group, now))
+            for group in state.targets.groups
+        )
+    )
+
+
+def report_queues(state: EntryState, now: float) -> QueuesReply:
+    """The requests that wait here, by group and tier."""
+    return QueuesReply(
+        tuple(
+            QueueReport(group, state.queue(group).queued_by_tier(MAX_TIER + 1))
+            for group in state.targets.groups
+        )
+    )
+
+
+def _myself(state: EntryState) -> MemberReport:
+    parameters = state.parameters
+    return MemberReport(
+        entry=parameters.me.entry,
+        incarnation=parameters.me.incarnation,
+        zone=parameters.zone,
+        caller_address=parameters.caller_address,
+        peer_address=parameters.peer_address,
+        state=_condition(state.ready, state.draining),
+        config_version=state.replica.version,
+        load=state.queued() + len(state.dispatched),
+    )
+
+
+def _condition(ready: bool, draining: bool) -> str:
+    if draining:
+        return "draining"
+    return "ready" if ready else "starting"
+
+
+def _member(
+    state: EntryState, member: MemberId, view: MemberView | None
+) -> MemberReport:
+    if view is None:
+        address = state.membership.records[member].peer_address
+        return MemberReport(
+            member.entry, member.incarnation, "", "", address, "silent", 0, 0
+        )
+    return MemberReport(
+        entry=member.entry,
+        incarnation=member.incarnation,
+        zone=view.zone,
+        caller_address=view.caller_address,
+        peer_address=view.peer_address,
+        state=_condition(view.ready, view.draining),
+        config_version=view.config_version,
+        load=view.load,
+    )
+
+
+def _target(group: GroupName, target: TargetState, condition: str) -> TargetReport:
+    report = target.report
+    return TargetReport(
+        target=target.spec.name,
+        group=group,
+        zone=target.spec.zone,
+        address=target.spec.address,
+        state=condition,
+        in_flight=target.in_flight,
+        running=None if report is None else report.running,
+        waiting=None if report is None else report.waiting,
+        token_interval_ms=round(target.token_interval_s * MS_PER_S, 3),
+    )
--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/configuration_sync.py
@@ -0,0 +1,120 @@
+"""Keeps this member's configuration and the key-value service's in step.
+
+A watch on the index tells of each change. What it tells is not used: the index is read
+after it, which also covers changes made while no watch stood.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from result import Err, Result
+
+from burdockhaven_core.configuration import ChangeRecord, Configuration
+from burdockhaven_core.configuration_change import Operation
+from burdockhaven_core.configuration_parts import INDEX_KEY
+from burdockhaven_core.configuration_store import (
+    Newer,
+    NotSynchronised,
+    Same,
+    StoreFailure,
+    Synchronisation,
+    Unreadable,
+    WrittenBack,
+    read_history,
+    synchronise,
+)
+from burdockhaven_core.events import ConfigurationRead
+from burdockhaven_core.key_value import Range
+from burdockhaven_core.log_numbers import EventNumber
+from burdockhaven_core.publishing import (
+    Accepted,
+    FloorVersion,
+    NotDone,
+    NotDoneReason,
+    PublishOutcome,
+    publish,
+    resolve,
+)
+from burdockhaven_entry.kv_link import KvLink
+from burdockhaven_entry.log_events import log
+
+
+class ConfigurationSync:
+    """Reads, writes back and publishes the configuration over the link."""
+
+    def __init__(
+        self,
+        link: KvLink,
+        known: Callable[[], Configuration],
+        floor_version: FloorVersion,
+        report: Callable[[ConfigurationRead], None],
+    ) -> None:
+        self.link = link
+        # Gives the configuration in force at this member.
+        self.known = known
+        # Gives the highest version in force at any member; None if some are silent.
+        self.floor_version = floor_version
+        # Gets each configuration that the service has told.
+        self.report = report
+        self._busy = asyncio.Lock()
+
+    async def run(self) -> None:
+        """Follow the service until cancelled, through all its outages."""
+        while True:
+            async for seen in self.link.watch(Range(INDEX_KEY)):
+                if isinstance(seen, Err):
+                    break
+                outcome = await self.synchronise()
+                if isinstance(outcome, NotSynchronised):
+                    break
+            await asyncio.sleep(self.link.backoff.next_delay_s())
+
+    async def synchronise(self) -> Synchronisation:
+        """Bring service and member to the newer of their two configurations."""
+        async with self._busy:
+            outcome = await self.link.run(synchronise(self.known()))
+        match outcome:
+            case Newer(configuration):
+                self.report(ConfigurationRead(configuration))
+            case Same():
+                self.report(ConfigurationRead(self.known()))
+            case WrittenBack(found_version):
+                log(
+                    EventNumber.CONFIGURATION_WRITTEN_BACK,
+                    found=found_version,
+                    version=self.known().version,
+                )
+            case NotSynchronised(Unreadable(fault)):
+                detail = f"{fault.path}: {fault.seen}"
+                log(EventNumber.CONFIGURATION_UNREADABLE, detail=detail)
+        return outcome
+
+    async def publish(self, operation: Operation) -> PublishOutcome:
+        """Make an operator's change; a lost answer is resolved where possible."""
+        outcome = await self._publish(operation)
+        if outcome == NotDone(NotDoneReason.BEHIND):
+            await self.synchronise()
+            outcome = await self._publish(operation)
+        if isinstance(outcome, Accepted):
+            await self._take_accepted(outcome)
+        return outcome
+
+    async def resolve(self, operation: Operation) -> PublishOutcome:
+        """What became of an operation whose answer was lost."""
+        return await self.link.run(resolve(operation))
+
+    async def history(
+        self, first_version: int, last_version: int
+    ) -> Result[tuple[ChangeRecord, ...], StoreFailure]:
+        """The changes that made the versions."""
+        return await self.link.run(read_history(first_version, last_version))
+
+    async def _publish(self, operation: Operation) -> PublishOutcome:
+        steps = publish(operation, self.known(), self.floor_version)
+        return await self.link.run(steps)
+
+    async def _take_accepted(self, outcome: Accepted) -> None:
+        if outcome.configuration is not None:
+            self.report(ConfigurationRead(outcome.configuration))
+        else:
+            await self.synchronise()
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/kv_link.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/kv_link.py
@@ -1,8 +1,9 @@
 """Link to the platform's key-value service."""
 
+import asyncio
 import random
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import TypeVar
 
@@ -23,6 +24,7 @@
     Transaction,
     WatchEvent,
 )
+from burdockhaven_core.log_numbers import EventNumber
 from burdockhaven_entry.call_budget import Backoff, CallBudget
 from burdockhaven_entry.kv_wire import (
     decode_answer,
@@ -30,6 +32,7 @@
     encode_command,
     encode_watch,
 )
+from burdockhaven_entry.log_events import log
 
 T = TypeVar("T")
 
@@ -48,6 +51,7 @@
     RevokeLease: "lease_revoke",
 }
 WATCH_KIND = "watch"
+BUDGET_SPENT = "the budget of calls is spent"
 
 
 @dataclass(slots=True)
@@ -63,6 +67,12 @@
     clock: Callable[[], float] = time.monotonic
     # Failures since the start, by kind of call and of failure.
     failures: dict[tuple[str, FailureKind], int] = field(default_factory=dict)
+    # Told the kind of each call that is made.
+    count: Callable[[str], None] = lambda kind: None
+    # When the calls began to fail; None while they succeed.
+    failing_since_s: float | None = None
+    # Waits so many seconds.
+    sleep: Callable[[float], Awaitable[None]] = asyncio.sleep
 
     @classmethod
     def from_url(cls, url: str, rng: random.Random) -> "KvLink":
@@ -87,7 +97,8 @@
         """
         kind = KIND_BY_COMMAND[type(command)]
         if not self.budget.take(kind, self.clock()):
-            return self._fail(FailureKind.NOT_DONE, kind, "budget of calls is spent")
+            return self._fail(FailureKind.NOT_DONE, kind, BUDGET_SPENT)
+        self.count(kind)
         path, body = encode_command(command)
         try:
             response = await self.client.post(path, json=body)
@@ -98,11 +109,19 @@
         return self._read_response(command, kind, response)
 
     async def run(self, steps: KeyValueSteps[T]) -> T:
-        """Run a decision to its end, making the calls that it asks for."""
+        """Run a decision to its end, making the calls that it asks for.
+
+        A decision that goes on after a failure waits a random time before its next
+        call.
+        """
+        backoff = Backoff(self.backoff.rng)
         try:
             command = next(steps)
             while True:
-                command = steps.send(await self.call(command))
+                result = await self.call(command)
+                command = steps.send(result)
+                if isinstance(result, Err):
+                    await self.sleep(backoff.next_delay_s())
         except StopIteration as stop:
             value: T = stop.value
             return value
@@ -116,8 +135,9 @@
         keys after it, for changes before it are not told.
         """
         if not self.budget.take(WATCH_KIND, self.clock()):
-            yield self._fail(FailureKind.NOT_DONE, WATCH_KIND, "budget is spent")
+            yield self._fail(FailureKind.NOT_DONE, WATCH_KIND, BUDGET_SPENT)
             return
+        self.count(WATCH_KIND)
         timeout = httpx.Timeout(
             CALL_TIMEOUT_S, connect=CONNECT_TIMEOUT_S, read=WATCH_SILENCE_S
         )
@@ -135,7 +155,7 @@
             detail = "the service closed the watch"
         except (httpx.HTTPError, ValueError) as error:
             detail = _describe(error)
-        yield self._fail(FailureKind.NOT_DONE, WATCH_KIND, detail)
+        yield Err(KeyValueFailure(FailureKind.NOT_DONE, WATCH_KIND, self.peer, detail))
 
     def _read_response(
         self, command: Command, kind: str, response: httpx.Response
@@ -151,15 +171,26 @@
         except ValueError as error:
             # The service may well have done what was asked.
             return self._fail(FailureKind.AMBIGUOUS, kind, _describe(error))
-        self.backoff.succeeded()
+        self._note_success()
         return Ok(answer)
 
     def _fail(
         self, failure: FailureKind, kind: str, detail: str
     ) -> Err[KeyValueFailure]:
         self.failures[kind, failure] = self.failures.get((kind, failure), 0) + 1
+        if self.failing_since_s is None and detail != BUDGET_SPENT:
+            self.failing_since_s = self.clock()
+            shown = f"{kind} at {self.peer}: {detail}"
+            log(EventNumber.KEY_VALUE_OUTAGE_BEGIN, detail=shown)
         return Err(KeyValueFailure(failure, kind, self.peer, detail))
 
+    def _note_success(self) -> None:
+        self.backoff.succeeded()
+        if self.failing_since_s is not None:
+            seconds = round(self.clock() - self.failing_since_s, 1)
+            self.failing_since_s = None
+            log(EventNumber.KEY_VALUE_OUTAGE_END, seconds=seconds)
+
 
 def _describe(error: Exception) -> str:
     return f"{type(error).__name__}: {error}"
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
@@ -166,6 +166,51 @@
         "Nothing.",
         {"seconds": "length of the outage"},
     ),
+    EventSpec(
+        EventNumber.CONFIGURATION_WRITTEN_BACK,
+        "error",
+        "The key-value service held version {found}; version {version} was written "
+        "back.",
+        "The service lost accepted changes. Find out what else it lost, and compare "
+        "the history with what you published.",
+        {
+            "found": "version that the service held",
+            "version": "version that the members have in force",
+        },
+    ),
+    EventSpec(
+        EventNumber.CONFIGURATION_UNREADABLE,
+        "error",
+        "The configuration in the key-value service cannot be read: {detail}.",
+        "The members keep the version in force. Find out who wrote to the keys below "
+        "/burdockhaven/configuration/, and restore them.",
+        {"detail": "the place and what was found there"},
+    ),
+    EventSpec(
+        EventNumber.OPERATOR_CHANGE,
+        "info",
+        "Operation {operation} of {operator}, {change}: {outcome}.",
+        "Nothing.",
+        {
+            "operation": "identity of the operation",
+            "operator": "who asked, as the client said",
+            "change": "what was to be changed",
+            "outcome": "what came of it",
+        },
+    ),
+    EventSpec(
+        EventNumber.OPERATOR_REFUSED,
+        "warning",
+        "A call of {peer} to the administration API was refused: no valid token.",
+        "If it is not one of your operators, find out who reaches the address.",
+        {"peer": "address of the client"},
+    ),
+    EventSpec(
+        EventNumber.MEMBER_LEASE_LOST,
+        "warning",
+        "The member lease of this process has lapsed; a new one is asked for.",
+        "Expected after an outage of the key-value service or a pause of the VM.",
+    ),
     EventSpec(
         EventNumber.TARGET_LEAVING,
         "info",
--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/member_lease.py
@@ -0,0 +1,122 @@
+"""The lease by which this process counts as a member in the key-value service."""
+
+from collections.abc import Callable
+
+from result import Err, Ok
+
+from burdockhaven_core.events import MemberLeasesRead
+from burdockhaven_core.identity import EntryName, Incarnation, MemberId
+from burdockhaven_core.key_value import (
+    GrantLease,
+    KeepLeaseAlive,
+    LeaseAnswer,
+    Put,
+    Range,
+    RangeAnswer,
+    RevokeLease,
+    Transaction,
+)
+from burdockhaven_core.log_numbers import EventNumber
+from burdockhaven_entry.kv_link import KvLink
+from burdockhaven_entry.log_events import log
+
+LEASE_TTL_S = 10
+# Seconds between two renewals, each followed by a reading of all leases.
+RENEW_INTERVAL_S = 3.0
+# Share by which the interval is shortened at random.
+JITTER = 0.2
+MEMBER_PREFIX = "/burdockhaven/members/"
+
+
+def member_key(member: MemberId) -> str:
+    """Where the member's peer address is kept."""
+    return f"{MEMBER_PREFIX}{member.entry}/{member.incarnation}"
+
+
+class MemberLease:
+    """Grants, renews and gives up the lease, and reads those of the others."""
+
+    def __init__(
+        self,
+        link: KvLink,
+        me: MemberId,
+        peer_address: str,
+        report: Callable[[MemberLeasesRead], None],
+        clock: Callable[[], float],
+    ) -> None:
+        self.link = link
+        self.me = me
+        self.peer_address = peer_address
+        # Gets the leases each time they were read.
+        self.report = report
+        # Gives monotonic seconds.
+        self.clock = clock
+        # None before the first grant and after the lease has lapsed.
+        self.lease: int | None = None
+        # The lease stands at least until this monotonic time; counted from when its
+        # last renewal was sent, for the service started its time no earlier.
+        self.until_s = 0.0
+
+    async def renew(self) -> float:
+        """Renew the lease and read all; gives the seconds until the next renewal.
+
+        After a failure the delay is random, so that the members do not come back to
+        the service at the same moment.
+        """
+        succeeded = await self._hold() and await self._read_members()
+        if not succeeded:
+            return self.link.backoff.next_delay_s()
+        return RENEW_INTERVAL_S * (1.0 - JITTER * self.link.backoff.rng.random())
+
+    async def give_up(self) -> None:
+        """End the lease at a planned stop, so that the others need not wait for it."""
+        if self.lease is not None:
+            await self.link.call(RevokeLease(self.lease))
+            self.lease = None
+            self.until_s = 0.0
+
+    async def _hold(self) -> bool:
+        if self.lease is None:
+            return await self._grant()
+        sent_s = self.clock()
+        kept = await self.link.call(KeepLeaseAlive(self.lease))
+        if isinstance(kept, Err) or not isinstance(kept.ok_value, LeaseAnswer):
+            return False
+        if kept.ok_value.ttl_s > 0:
+            self.until_s = sent_s + kept.ok_value.ttl_s
+            return True
+        log(EventNumber.MEMBER_LEASE_LOST)
+        self.lease = None
+        self.until_s = 0.0
+        return False
+
+    async def _grant(self) -> bool:
+        sent_s = self.clock()
+        granted = await self.link.call(GrantLease(LEASE_TTL_S))
+        if isinstance(granted, Err) or not isinstance(granted.ok_value, LeaseAnswer):
+            return False
+        self.lease = granted.ok_value.lease
+        self.until_s = sent_s + granted.ok_value.ttl_s
+        return await self._write_key()
+
+    async def _write_key(self) -> bool:
+        """Write the member's key under its lease; writing it twice does no harm."""
+        assert self.lease is not None
+        put = Put(member_key(self.me), self.peer_address.encode(), self.lease)
+        return isinstance(await self.link.call(Transaction((), (put,))), Ok)
+
+    async def _read_members(self) -> bool:
+        until_s = self.until_s
+        read = await self.link.call(Range.from_prefix(MEMBER_PREFIX))
+        if isinstance(read, Err) or not isinstance(read.ok_value, RangeAnswer):
+            return False
+        members = {}
+        for item in read.ok_value.items:
+            entry, _, incarnation = item.key[len(MEMBER_PREFIX) :].partition("/")
+            member = MemberId(EntryName(entry), Incarnation(incarnation))
+            members[member] = item.value.decode(errors="replace")
+        self.report(MemberLeasesRead(members, until_s))
+        if self.me in members:
+            return True
+        # The write of the key was lost, or the service lost the key.
+        return await self._write_key()
