Share slots between entries, predict lengths and learn speed from each chunk

Cause: the bound was the target's slots for each entry on its own, so eight entries could have eight times the slots under way; work queued in the targets, where it has no tiers. Lengths were taken to be the caller's limit, so long requests were refused as infeasible. Token speed was learned only at the end of an answer.

Ruled out: bounding each entry to slots / entries for good; entries' loads differ with the callers they hold (not measured as a policy of its own).

Fails, not of this change: test_log_events (RUN_LOST's fields), as before.

--- a/packages/burdockhaven-core/src/burdockhaven_core/choosing.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/choosing.py
@@ -60,7 +60,7 @@
     def choose(
         request: QueuedRequest, targets: Sequence[TargetState], now: float
     ) -> TargetState | None:
-        free = [t for t in targets if t.in_flight < t.spec.slots]
+        free = [t for t in targets if t.in_flight < t.limit]
         if not free:
             return None
         return min(
--- a/packages/burdockhaven-core/src/burdockhaven_core/entry_state.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/entry_state.py
@@ -18,7 +18,9 @@
 from burdockhaven_core.log_numbers import EventNumber
 from burdockhaven_core.membership import MemberParameters, Membership
 from burdockhaven_core.outcome import NotRun, NotRunReason, Outcome, Unknown
+from burdockhaven_core.prediction import LengthPredictor
 from burdockhaven_core.queueing import GroupQueue, QueuedRequest
+from burdockhaven_core.shares import Shares
 from burdockhaven_core.targets import TargetState, TargetTable
 
 
@@ -78,6 +80,8 @@
         self.floor = Floor.from_config(self.membership)
         self.ledger = Ledger()
         self.targets = TargetTable()
+        self.shares = Shares.from_config(parameters.me, self.targets)
+        self.lengths = LengthPredictor()
         self.queues: dict[GroupName, GroupQueue] = {}
         # The group of each queued or dispatched run.
         self.group_of: dict[RunId, GroupName] = {}
--- a/packages/burdockhaven-core/src/burdockhaven_core/intake.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/intake.py
@@ -217,7 +217,7 @@
         identified.run_id,
         authorised,
         state.open_targets(authorised.group.name, now),
-        max(1, event.max_output_tokens),
+        _expected_tokens(state, event),
         now,
     )
     _open(state, event, identified.run_id, authorised, keep_until_s, now)
@@ -228,6 +228,12 @@
     _enqueue(state, planned.ok_value.request, authorised.group.name, now)
 
 
+def _expected_tokens(state: EntryState, event: RequestArrived) -> int:
+    limit = max(1, event.max_output_tokens)
+    estimate = state.lengths.expected(event.account, event.class_name, limit)
+    return max(1, round(estimate.mean))
+
+
 def _check(state: EntryState, event: RequestArrived) -> Result[Authorised, NotRun]:
     """The filters that need no more than the configuration."""
     if not state.ready:
--- a/packages/burdockhaven-core/src/burdockhaven_core/runs.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/runs.py
@@ -42,6 +42,10 @@
         if target is not None:
             target.learn_prefill(record.prompt_tokens, now - record.dispatched_s)
         record = state.ledger.change(event.run_id, first_token_s=now)
+    elif target is not None:
+        target.learn_decode(event.run_id, event.tokens, now)
+    if target is not None:
+        target.progressed_s[event.run_id] = now
     state.ledger.change(event.run_id, output_tokens=record.output_tokens + event.tokens)
 
 
@@ -51,8 +55,9 @@
     if record is None:
         return
     target = _free_slot(state, record)
-    if target is not None and record.first_token_s is not None:
-        target.learn_decode(event.output_tokens - 1, now - record.first_token_s)
+    if target is not None and record.dispatched_s is not None:
+        target.learn_hold(now - record.dispatched_s)
+    state.lengths.learn(record.account, record.spec.name, event.output_tokens)
     record = state.ledger.change(
         event.run_id, state=RunState.WHOLE, output_tokens=event.output_tokens
     )
@@ -116,7 +121,7 @@
         return None
     target = state.targets.states.get(record.target.name)
     if target is not None:
-        target.runs.discard(record.run_id)
+        target.forget(record.run_id)
     return target
 
 
--- a/packages/burdockhaven-core/src/burdockhaven_core/shares.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/shares.py
@@ -84,6 +84,12 @@
             return 0
         return math.ceil(state.capacity / len(self.members))
 
+    def apply(self, now: float) -> None:
+        """Put the limits in force at the targets' states."""
+        for group, names in self.targets.groups.items():
+            for name in names:
+                self.targets.states[name].limit = self.limit(group, name, now)
+
     def on_tick(
         self,
         members: Sequence[MemberId],
--- a/packages/burdockhaven-core/src/burdockhaven_core/targets.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/targets.py
@@ -12,6 +12,8 @@
 
 # Weight of the newest sample in a moving average.
 AVERAGE_WEIGHT = 0.1
+# Seconds of streaming that the average of token intervals covers.
+DECODE_AVERAGE_S = 4.0
 # Seconds between tokens assumed of a target that has not been used yet.
 DEFAULT_TOKEN_INTERVAL_S = 0.04
 # Prompt tokens a second assumed of a target that has not been used yet.
@@ -55,6 +57,8 @@
         self.limit = spec.slots
         # No new work before this time.
         self.paused_until_s = 0.0
+        # When each run last gave tokens.
+        self.progressed_s: dict[RunId, float] = {}
 
     @property
     def in_flight(self) -> int:
@@ -88,12 +92,19 @@
         self.prompt_tokens += AVERAGE_WEIGHT * (prompt_tokens - self.prompt_tokens)
         self.prefill_s += AVERAGE_WEIGHT * (seconds - self.prefill_s)
 
-    def learn_decode(self, tokens: int, seconds: float) -> None:
-        """Take in the time that a number of tokens took after the first."""
-        if tokens <= 0:
+    def learn_decode(self, run_id: RunId, tokens: int, now: float) -> None:
+        """Take in tokens of a run that has given some before."""
+        seconds = now - self.progressed_s.get(run_id, now)
+        if tokens <= 0 or seconds <= 0:
             return
-        interval = seconds / tokens
-        self.token_interval_s += AVERAGE_WEIGHT * (interval - self.token_interval_s)
+        weight = min(1.0, seconds / DECODE_AVERAGE_S)
+        interval_s = seconds / tokens
+        self.token_interval_s += weight * (interval_s - self.token_interval_s)
+
+    def forget(self, run_id: RunId) -> None:
+        """Free the slot of a run."""
+        self.runs.discard(run_id)
+        self.progressed_s.pop(run_id, None)
 
     def learn_hold(self, seconds: float) -> None:
         """Take in the time from a dispatch to the end of the answer."""
--- a/packages/burdockhaven-core/src/burdockhaven_core/upkeep.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/upkeep.py
@@ -1,5 +1,7 @@
 """Handles time, other members, the configuration and the end of the process."""
 
+from collections import Counter
+
 from burdockhaven_core.actions import CancelRun, SendMessage, Stopped
 from burdockhaven_core.entry_state import EntryState
 from burdockhaven_core.events import (
@@ -10,7 +12,7 @@
     Tick,
     VmListRead,
 )
-from burdockhaven_core.identity import RunId
+from burdockhaven_core.identity import GroupName, RunId
 from burdockhaven_core.ledger import RunState
 from burdockhaven_core.log_numbers import EventNumber
 from burdockhaven_core.messages import (
@@ -18,6 +20,7 @@
     ClosePromise,
     GroupDemand,
     Heartbeat,
+    ShareGrant,
 )
 from burdockhaven_core.outcome import NotRun, NotRunReason, Unknown, UnknownReason
 from burdockhaven_core.runs import end_unknown
@@ -33,6 +36,7 @@
     state.out.extend(state.floor.on_tick(now))
     if now >= state.next_heartbeat_s:
         _send_heartbeats(state, now)
+    _share(state, now)
     _finish_drain(state, now)
 
 
@@ -41,6 +45,9 @@
     message = event.message
     if isinstance(message, Heartbeat):
         state.membership.on_heartbeat(message, now)
+        state.shares.on_heartbeat(message, now)
+    elif isinstance(message, ShareGrant):
+        state.shares.on_grant(message, now)
     elif isinstance(message, CloseAsk | ClosePromise):
         state.out.extend(state.floor.on_message(event.sender, message, now))
         settle_doomed(state, now)
@@ -104,18 +111,31 @@
         state.out.append(SendMessage(member, heartbeat))
 
 
+def _share(state: EntryState, now: float) -> None:
+    if now >= state.shares.next_grant_s:
+        members = [view.member for view in state.membership.live(now)]
+        state.out.extend(state.shares.on_tick(members, _demand(state), now))
+    state.shares.apply(now)
+
+
 def _demand(state: EntryState) -> tuple[GroupDemand, ...]:
+    running: dict[GroupName, Counter[int]] = {}
+    for run_id, request in state.dispatched.items():
+        group = state.group_of[run_id]
+        running.setdefault(group, Counter())[request.tier] += 1
     demand = []
     for group in state.targets.groups:
         queue = state.queue(group)
-        tiers = 1 + max((r.tier for r in queue.requests.values()), default=0)
+        by_tier = running.get(group, Counter())
+        tiers = 1 + max([*queue.tiers(), *by_tier], default=0)
         in_flight = {
             target.spec.name: target.in_flight
             for target in state.targets.of_group(group)
             if target.in_flight
         }
         queued = queue.queued_by_tier(tiers)
-        demand.append(GroupDemand(group, queued, in_flight))
+        under_way = tuple(by_tier[tier] for tier in range(tiers))
+        demand.append(GroupDemand(group, queued, in_flight, under_way))
     return tuple(demand)
 
 
