--- a/packages/burdockhaven-core/src/burdockhaven_core/membership.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/membership.py
@@ -260,12 +260,17 @@
         """Peer address by member, of every process that heartbeats are sent to."""
         return {member: record.peer_address for member, record in self.records.items()}
 
-    def strangers(self) -> frozenset[str]:
-        """Addresses on the VM list of neither a known member nor a known target."""
-        known = {record.peer_address for record in self.records.values()}
-        known.update(self.target_addresses.values())
-        known.add(self.parameters.peer_address)
-        return frozenset(address for address in self.listed if address not in known)
+    def peer_addresses(self) -> tuple[str, ...]:
+        """Where heartbeats are sent: to known members, and to VMs that may be some.
+
+        A process that starts while the key-value service is down finds the others
+        through the VM list.
+        """
+        addresses = {record.peer_address for record in self.records.values()}
+        addresses.update(address for address in self.listed if ":" in address)
+        addresses.difference_update(self.target_addresses.values())
+        addresses.discard(self.parameters.peer_address)
+        return tuple(sorted(addresses))
 
     def joined(self, now: float) -> bool:
         """Whether this process knows the members it has to reckon with."""
--- /dev/null
+++ b/packages/burdockhaven-core/tests/test_floor_fuzz.py
@@ -0,0 +1,120 @@
+"""Stateful fuzzing of the order of tiers against the oracle in `Fleet.check`."""
+
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    precondition,
+    rule,
+)
+
+from burdockhaven_bench.floor_fleet import GROUP, TOP_TIER, Fleet
+
+SLOTS = 4
+slots = st.integers(0, SLOTS - 1)
+
+
+class FloorMachine(RuleBasedStateMachine):
+    """Faults in any order, and two at once, over a few entry processes."""
+
+    @initialize(seed=st.integers(0, 2**32 - 1))
+    def begin(self, seed):
+        self.fleet = Fleet(SLOTS, seed)
+        self.fleet.advance(5.0)
+
+    @rule(seconds=st.sampled_from([0.05, 0.3, 1.0, 2.5, 10.0]))
+    def advance(self, seconds):
+        self.fleet.advance(seconds)
+
+    @rule(slot=slots, tier=st.integers(0, TOP_TIER))
+    def press(self, slot, tier):
+        if slot in self.fleet.processes:
+            self.fleet.processes[slot].pressure = tier
+
+    @rule(first=slots, second=slots, both_ways=st.booleans())
+    def cut(self, first, second, both_ways):
+        self.fleet.cuts.add((first, second))
+        if both_ways:
+            self.fleet.cuts.add((second, first))
+
+    @rule(side=st.sets(slots, min_size=1, max_size=SLOTS - 1))
+    def split(self, side):
+        rest = set(range(SLOTS)) - side
+        self.fleet.cuts = {(a, b) for a in side for b in rest}
+        self.fleet.cuts |= {(b, a) for a, b in self.fleet.cuts}
+
+    @rule(side=st.sets(slots, min_size=1, max_size=SLOTS - 1))
+    def isolate(self, side):
+        """Cut a side from the rest and from the key-value service for long."""
+        self.split(side)
+        self.fleet.kv_cuts = set(side)
+        self.fleet.advance(10.0)
+
+    @rule()
+    def join_network(self):
+        self.fleet.cuts.clear()
+
+    @rule(
+        loss=st.sampled_from([0.0, 0.1, 0.5]),
+        doubling=st.sampled_from([0.0, 0.3]),
+        delay_s=st.sampled_from([0.01, 0.5, 3.0, 12.0]),
+    )
+    def disturb(self, loss, doubling, delay_s):
+        self.fleet.loss = loss
+        self.fleet.doubling = doubling
+        self.fleet.delay_s = delay_s
+
+    @rule(slot=slots)
+    def pause(self, slot):
+        if slot in self.fleet.processes:
+            self.fleet.processes[slot].paused = True
+
+    @rule(slot=slots)
+    def resume(self, slot):
+        if slot in self.fleet.processes:
+            self.fleet.processes[slot].paused = False
+            self.fleet.check()
+
+    @rule(slot=slots, pressure=st.integers(0, TOP_TIER))
+    def restart(self, slot, pressure):
+        self.fleet.start(slot)
+        self.fleet.processes[slot].pressure = pressure
+
+    @rule(slot=slots)
+    def kill(self, slot):
+        self.fleet.kill(slot)
+
+    @rule(slot=slots)
+    def resign(self, slot):
+        self.fleet.resign(slot)
+
+    @rule(keeps_leases=st.booleans())
+    def toggle_kv(self, keeps_leases):
+        self.fleet.set_kv(not self.fleet.kv_up, keeps_leases)
+
+    @rule(slot=slots)
+    def cut_from_kv(self, slot):
+        self.fleet.kv_cuts.add(slot)
+
+    @rule()
+    def join_kv(self):
+        self.fleet.kv_cuts.clear()
+
+    @precondition(lambda self: self.fleet.processes)
+    @rule()
+    def recover(self):
+        """Without faults, all admit again, and shed when one needs to."""
+        self.fleet.heal()
+        for process in self.fleet.processes.values():
+            process.pressure = 0
+        self.fleet.advance(14.0)
+        first, *_ = running = list(self.fleet.processes.values())
+        for process in running:
+            assert process.membership.permitted(process.clock(self.fleet.time_s))
+        first.pressure = TOP_TIER
+        self.fleet.advance(0.2)
+        now = first.clock(self.fleet.time_s)
+        assert first.floor.may_shed(GROUP, TOP_TIER, now)
+
+
+TestFloorMachine = FloorMachine.TestCase
--- /dev/null
+++ b/tools/burdockhaven_bench/floor_fleet.py
@@ -0,0 +1,248 @@
+"""Several memberships and floors in virtual time, with a network that misbehaves."""
+
+import heapq
+import itertools
+import random
+from dataclasses import dataclass, field
+
+from burdockhaven_core.floor import Admission, Floor
+from burdockhaven_core.identity import EntryName, GroupName, Incarnation, MemberId
+from burdockhaven_core.membership import MemberParameters, Membership
+from burdockhaven_core.messages import Heartbeat, PeerMessage
+
+GROUP = GroupName("g")
+TOP_TIER = 2
+TICK_S = 0.05
+HEARTBEAT_INTERVAL_S = 0.5
+KEEPALIVE_INTERVAL_S = 1.0
+LEASE_S = 6.0
+# Share by which a process shortens the lifetime of its own lease.
+LEASE_DRIFT = 0.01
+
+
+@dataclass(slots=True)
+class Process:
+    """One entry process, as far as the order of tiers goes."""
+
+    slot: int
+    membership: Membership
+    floor: Floor
+    # Local clock = offset + rate * virtual time.
+    offset_s: float
+    rate: float
+    paused: bool = False
+    next_heartbeat_s: float = 0.0
+    next_keepalive_s: float = 0.0
+    # The tier that the process has to shed at present.
+    pressure: int = 0
+    inbox: list[tuple[MemberId, PeerMessage]] = field(default_factory=list)
+
+    @property
+    def me(self) -> MemberId:
+        """The member that the process is."""
+        return self.membership.parameters.me
+
+    def clock(self, time_s: float) -> float:
+        """The process's own monotonic clock at a virtual time."""
+        return self.offset_s + self.rate * time_s
+
+
+class Fleet:
+    """Processes, the network between them, the key-value service and the VM list."""
+
+    def __init__(self, slots: int, seed: int, max_drift: float = 0.004) -> None:
+        self.rng = random.Random(seed)
+        self.max_drift = max_drift
+        self.time_s = 0.0
+        self.numbers = itertools.count()
+        self.processes: dict[int, Process] = {}
+        self.in_transit: list[tuple[float, int, int, MemberId, PeerMessage]] = []
+        # Ordered pairs of slots between which nothing gets through.
+        self.cuts: set[tuple[int, int]] = set()
+        self.loss = 0.0
+        self.doubling = 0.0
+        self.delay_s = 0.01
+        self.kv_up = True
+        self.kv_cuts: set[int] = set()
+        # Address and virtual end of each lease.
+        self.leases: dict[MemberId, tuple[str, float]] = {}
+        # Sheds seen, so that a run can be told from one in which nothing happened.
+        self.sheds = 0
+        self.slots = slots
+        for slot in range(slots):
+            self.start(slot)
+
+    def address(self, slot: int) -> str:
+        """The peer address of whatever process runs in the slot."""
+        return f"10.0.0.{slot + 1}:7000"
+
+    def start(self, slot: int) -> None:
+        """Start a new process in the slot, in place of the one there, if any."""
+        offset_s = self.rng.uniform(0, 1e5)
+        rate = 1 + self.rng.uniform(-self.max_drift, self.max_drift)
+        incarnation = Incarnation(f"{self.rng.getrandbits(64):x}")
+        me = MemberId(EntryName(f"e{slot}"), incarnation)
+        started_s = offset_s + rate * self.time_s
+        address = self.address(slot)
+        parameters = MemberParameters(me, "z", address, address, started_s)
+        membership = Membership.from_config(parameters)
+        floor = Floor.from_config(membership)
+        floor.top_tiers = {GROUP: TOP_TIER}
+        self.processes[slot] = Process(slot, membership, floor, offset_s, rate)
+
+    def kill(self, slot: int) -> None:
+        """End the process in the slot without a word."""
+        self.processes.pop(slot, None)
+
+    def resign(self, slot: int) -> None:
+        """Stop the process gracefully."""
+        process = self.processes.get(slot)
+        if process is not None and not process.paused:
+            self._heartbeat(process, resigned=True)
+            if self._kv_reachable(process):
+                self.leases.pop(process.me, None)
+            self.kill(slot)
+
+    def set_kv(self, up: bool, keeps_leases: bool = True) -> None:
+        """Take the key-value service down, or bring it back with or without leases."""
+        if up and not self.kv_up:
+            if keeps_leases:
+                self._renew_all_leases()
+            else:
+                self.leases.clear()
+        self.kv_up = up
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass, checking the oracle after each process's step."""
+        for _ in range(max(1, round(seconds / TICK_S))):
+            self.time_s += TICK_S
+            self._deliver()
+            for process in list(self.processes.values()):
+                if not process.paused:
+                    self._tick(process)
+                    self.check()
+        self._expire_leases()
+
+    def check(self) -> None:
+        """Where one process would shed, no process admits a lower tier."""
+        running = [p for p in self.processes.values() if not p.paused]
+        for shedder in running:
+            now = shedder.clock(self.time_s)
+            tiers = range(1, TOP_TIER + 1)
+            shed = [t for t in tiers if shedder.floor.may_shed(GROUP, t, now)]
+            if not shed:
+                continue
+            self.sheds += 1
+            for other in running:
+                self._check_admission(shedder, other, max(shed))
+
+    def heal(self) -> None:
+        """End all faults, except that dead processes stay dead."""
+        self.cuts.clear()
+        self.kv_cuts.clear()
+        self.set_kv(True)
+        self.loss = self.doubling = 0.0
+        self.delay_s = 0.01
+        for process in self.processes.values():
+            process.paused = False
+
+    def _check_admission(self, shedder: Process, other: Process, tier: int) -> None:
+        now = other.clock(self.time_s)
+        for lower in range(tier):
+            admission = other.floor.admission(GROUP, lower, now)
+            assert admission is not Admission.ADMIT, (
+                f"at {self.time_s:.2f} slot {shedder.slot} may shed tier {tier} "
+                f"while slot {other.slot} admits tier {lower}"
+            )
+
+    def _tick(self, process: Process) -> None:
+        inbox, process.inbox = process.inbox, []
+        for sender, message in inbox:
+            self._receive(process, sender, message)
+        now = process.clock(self.time_s)
+        if self.time_s >= process.next_keepalive_s:
+            process.next_keepalive_s = self.time_s + KEEPALIVE_INTERVAL_S
+            self._keepalive(process)
+        if self.time_s >= process.next_heartbeat_s:
+            process.next_heartbeat_s = self.time_s + HEARTBEAT_INTERVAL_S
+            self._heartbeat(process)
+        sends = process.floor.on_tick(now)
+        if process.pressure:
+            sends += process.floor.want_shed(GROUP, process.pressure, now)
+        for send in sends:
+            self._send(process, send.to, send.message)
+
+    def _receive(
+        self, process: Process, sender: MemberId, message: PeerMessage
+    ) -> None:
+        now = process.clock(self.time_s)
+        if isinstance(message, Heartbeat):
+            process.membership.on_heartbeat(message, now)
+            return
+        for send in process.floor.on_message(sender, message, now):
+            self._send(process, send.to, send.message)
+
+    def _heartbeat(self, process: Process, resigned: bool = False) -> None:
+        now = process.clock(self.time_s)
+        listed = frozenset(self.address(slot) for slot in range(self.slots))
+        process.membership.on_vm_list(listed, frozenset(), now)
+        heartbeat = process.membership.heartbeat(
+            now, ready=True, draining=False, config_version=1, resigned=resigned
+        )
+        for address in process.membership.peer_addresses():
+            self._send_to(process, _slot_of(address), heartbeat)
+
+    def _send(self, process: Process, to: MemberId, message: PeerMessage) -> None:
+        record = process.membership.records.get(to)
+        if record is not None:
+            slot = _slot_of(record.peer_address)
+            self._send_to(process, slot, message)
+
+    def _send_to(self, process: Process, slot: int, message: PeerMessage) -> None:
+        if (process.slot, slot) in self.cuts or self.rng.random() < self.loss:
+            return
+        copies = 2 if self.rng.random() < self.doubling else 1
+        for _ in range(copies):
+            due_s = self.time_s + self.rng.uniform(0, self.delay_s)
+            item = (due_s, next(self.numbers), slot, process.me, message)
+            heapq.heappush(self.in_transit, item)
+
+    def _deliver(self) -> None:
+        while self.in_transit and self.in_transit[0][0] <= self.time_s:
+            _, _, slot, sender, message = heapq.heappop(self.in_transit)
+            process = self.processes.get(slot)
+            if process is None:
+                continue
+            if process.paused:
+                process.inbox.append((sender, message))
+            else:
+                self._receive(process, sender, message)
+
+    def _kv_reachable(self, process: Process) -> bool:
+        return self.kv_up and process.slot not in self.kv_cuts
+
+    def _keepalive(self, process: Process) -> None:
+        if not self._kv_reachable(process):
+            return
+        self._expire_leases()
+        address = process.membership.parameters.peer_address
+        self.leases[process.me] = (address, self.time_s + LEASE_S)
+        now = process.clock(self.time_s)
+        own_until_s = now + LEASE_S * (1 - LEASE_DRIFT)
+        members = {member: lease[0] for member, lease in self.leases.items()}
+        process.membership.on_leases(members, own_until_s, now)
+
+    def _expire_leases(self) -> None:
+        if not self.kv_up:
+            return
+        for member, (_, until_s) in list(self.leases.items()):
+            if until_s <= self.time_s:
+                del self.leases[member]
+
+    def _renew_all_leases(self) -> None:
+        for member, (address, _) in list(self.leases.items()):
+            self.leases[member] = (address, self.time_s + LEASE_S)
+
+
+def _slot_of(address: str) -> int:
+    return int(address.partition(":")[0].rpartition(".")[2]) - 1
