Send each member its own echo, and the list of members only when it changed

A lease on admission now counts only if the receiver has the sender's list of members of that version (test failed first without the check: a bare echo extended the lease).

--- a/packages/burdockhaven-core/src/burdockhaven_core/actions.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/actions.py
@@ -94,6 +94,15 @@
     message: PeerMessage
 
 
+@dataclass(frozen=True, slots=True)
+class Greet:
+    """Send the message to whatever entry listens at the address, if one does."""
+
+    # A peer address from the VM list, as host:port.
+    address: str
+    message: PeerMessage
+
+
 @dataclass(frozen=True, slots=True)
 class RecordRequest:
     """Add one finished request to the metrics."""
@@ -140,6 +149,7 @@
     | Recover
     | CancelRun
     | SendMessage
+    | Greet
     | RecordRequest
     | Note
     | Stopped
--- a/packages/burdockhaven-core/src/burdockhaven_core/membership.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/membership.py
@@ -11,19 +11,23 @@
   breaks the order of tiers, so a member leaves the view only on proof (docs/DESIGN-
   tiers.md has the argument).
 
-Admission leases are mutual and ride on heartbeats: member B's heartbeat repeats the
-newest `clock_s` it heard from A, and A holds a lease from B until that clock plus
+Admission leases are mutual and ride on heartbeats: member B's heartbeat to A repeats
+the newest `clock_s` it heard from A, and A holds a lease from B until that clock plus
 `ADMISSION_LEASE_S`. Only A's clock is involved, so delay shortens the lease and never
 lengthens it. B reckons with A for at least the longer member timeout after hearing it.
+The lease counts only if A knows all members that B reckons with; B sends that list
+again until A's echo names its version.
 """
 
 import random
 from dataclasses import dataclass, field
 
+import msgspec
+
 from burdockhaven_core.configuration import Configuration
 from burdockhaven_core.identity import MemberId, TargetName
 from burdockhaven_core.leaving import LeavingTargets
-from burdockhaven_core.messages import GroupDemand, Heartbeat, PeerEcho
+from burdockhaven_core.messages import Echo, GroupDemand, Heartbeat, PeerName
 
 # Seconds, from the sending of a heartbeat, for which its echo permits admission.
 ADMISSION_LEASE_S = 2.0
@@ -96,6 +100,10 @@
     lease_until_s: float = float("-inf")
     # The process is out of the view up to this time.
     out_until_s: float = float("-inf")
+    # The newest version of the process's member list that is known here, and that of
+    # the own list that is known there; -1 if none.
+    view_version: int = -1
+    seen_version: int = -1
     # Whether the VM list has named the address.
     listed: bool = False
     # Whether the VM list calls the VM leaving.
@@ -115,6 +123,9 @@
     target_addresses: dict[TargetName, str] = field(default_factory=dict)
     # Whether a source that knows all members has shown them to this process.
     introduced: bool = False
+    # The members reckoned with at the newest heartbeat, and how often they changed.
+    told_view: tuple[MemberId, ...] = ()
+    view_version: int = 0
     # The newest heartbeat of this process; None before the first.
     own: Heartbeat | None = None
     # Addresses that the VM list last called live.
@@ -144,8 +155,15 @@
         demand: tuple[GroupDemand, ...] = (),
         resigned: bool = False,
     ) -> Heartbeat:
-        """The heartbeat to send to every member that is `known` now."""
+        """The next heartbeat, as for a process that knows nothing of this one.
+
+        To be sent to members as `heartbeat_for` shortens it.
+        """
         parameters = self.parameters
+        view = self.view(now)
+        if view != self.told_view:
+            self.told_view = view
+            self.view_version += 1
         sequence = 1 if self.own is None else self.own.sequence + 1
         self.own = Heartbeat(
             entry=parameters.me.entry,
@@ -160,11 +178,26 @@
             config_version=config_version,
             demand=demand,
             leaving=self.leaving.gossip(now),
-            peers=self._echoes(now),
+            peers=tuple(
+                PeerName(m.entry, m.incarnation, self.records[m].peer_address)
+                for m in view
+            ),
+            view_version=self.view_version,
             resigned=resigned,
         )
         return self.own
 
+    def heartbeat_for(self, member: MemberId, heartbeat: Heartbeat) -> Heartbeat:
+        """The heartbeat as it goes to one member: its echo, and only news of others."""
+        record = self.records[member]
+        echo = None
+        if record.heartbeat is not None:
+            heard_s = record.heartbeat.clock_s
+            echo = Echo(member.incarnation, heard_s, record.view_version)
+        is_known = record.seen_version == heartbeat.view_version
+        peers = None if is_known else heartbeat.peers
+        return msgspec.structs.replace(heartbeat, echo=echo, peers=peers)
+
     def on_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
         """Take in what another member says of itself and of the others."""
         member = MemberId(heartbeat.entry, heartbeat.incarnation)
@@ -180,8 +213,11 @@
         record.out_until_s = float("-inf")
         for target in heartbeat.leaving:
             self.leaving.note_leaving(target.target, now, target.age_s)
-        for echo in heartbeat.peers:
-            self._on_echo(record, echo, now)
+        if heartbeat.peers is not None:
+            record.view_version = heartbeat.view_version
+            self._note_peers(heartbeat.peers, now)
+        if heartbeat.echo is not None:
+            self._on_echo(record, heartbeat, heartbeat.echo)
         if heartbeat.resigned:
             self._bury(member, now)
         self._bury_superseded(now)
@@ -260,14 +296,13 @@
         """Peer address by member, of every process that heartbeats are sent to."""
         return {member: record.peer_address for member, record in self.records.items()}
 
-    def peer_addresses(self) -> tuple[str, ...]:
-        """Where heartbeats are sent: to known members, and to VMs that may be some.
+    def strangers(self) -> tuple[str, ...]:
+        """Addresses on the VM list of neither a known member nor a known target.
 
-        A process that starts while the key-value service is down finds the others
-        through the VM list.
+        A process that starts while the key-value service is down finds the others here.
         """
-        addresses = {record.peer_address for record in self.records.values()}
-        addresses.update(address for address in self.listed if ":" in address)
+        addresses = {address for address in self.listed if ":" in address}
+        addresses.difference_update(r.peer_address for r in self.records.values())
         addresses.difference_update(self.target_addresses.values())
         addresses.discard(self.parameters.peer_address)
         return tuple(sorted(addresses))
@@ -322,25 +357,17 @@
         record = _Record(self.own.peer_address, 0.0, self.own)
         return _view_of(self.parameters.me, record)
 
-    def _echoes(self, now: float) -> tuple[PeerEcho, ...]:
-        return tuple(
-            PeerEcho(
-                member.entry,
-                member.incarnation,
-                record.peer_address,
-                None if record.heartbeat is None else record.heartbeat.clock_s,
-            )
-            for member, record in self.records.items()
-            if record.out_until_s <= now
-        )
+    def _note_peers(self, peers: tuple[PeerName, ...], now: float) -> None:
+        for peer in peers:
+            member = MemberId(peer.entry, peer.incarnation)
+            if member != self.parameters.me and member not in self.gone:
+                self._note_member(member, peer.peer_address, now)
 
-    def _on_echo(self, sender: _Record, echo: PeerEcho, now: float) -> None:
-        member = MemberId(echo.entry, echo.incarnation)
-        if member != self.parameters.me:
-            if member not in self.gone:
-                self._note_member(member, echo.peer_address, now)
+    def _on_echo(self, sender: _Record, heartbeat: Heartbeat, echo: Echo) -> None:
+        if echo.incarnation != self.parameters.me.incarnation:
             return
-        if echo.clock_s is None:
+        sender.seen_version = max(sender.seen_version, echo.view_version)
+        if sender.view_version != heartbeat.view_version:
             return
         heard_s = self.parameters.started_s + echo.clock_s
         sender.lease_until_s = max(sender.lease_until_s, heard_s + ADMISSION_LEASE_S)
--- a/packages/burdockhaven-core/src/burdockhaven_core/messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/messages.py
@@ -17,15 +17,24 @@
     running: tuple[int, ...] = ()
 
 
-class PeerEcho(msgspec.Struct, frozen=True, array_like=True):
-    """What the sender of a heartbeat knows of one other member."""
+class PeerName(msgspec.Struct, frozen=True, array_like=True):
+    """A member that the sender of a heartbeat reckons with."""
 
     entry: EntryName
     incarnation: Incarnation
     # Where other members reach that member, as host:port.
     peer_address: str
-    # The newest `clock_s` that the sender has heard from it; None if it heard none.
-    clock_s: float | None
+
+
+class Echo(msgspec.Struct, frozen=True, array_like=True):
+    """What the sender of a heartbeat has heard from its receiver."""
+
+    # The process that was heard; another one may have taken its address since.
+    incarnation: Incarnation
+    # The newest `clock_s` heard from it.
+    clock_s: float
+    # The newest version of the receiver's `peers` that the sender has; -1 if none.
+    view_version: int
 
 
 class LeavingTarget(msgspec.Struct, frozen=True, array_like=True):
@@ -59,9 +68,13 @@
     demand: tuple[GroupDemand, ...]
     # Targets that the member knows to be leaving.
     leaving: tuple[LeavingTarget, ...]
-    # The other members that the sender reckons with. Naming a member with its clock
-    # tells that member that it was heard, which extends its lease on admission.
-    peers: tuple[PeerEcho, ...] = ()
+    # The members that the sender reckons with; None if the receiver has this version.
+    peers: tuple[PeerName, ...] | None = None
+    # Grows whenever the members that the sender reckons with change.
+    view_version: int = 0
+    # None if the sender has not heard the receiver. An echo extends the receiver's
+    # lease on admission, if the receiver has the sender's `peers` of this version.
+    echo: Echo | None = None
     # Whether the sender will admit and dispatch nothing any more, for good.
     resigned: bool = False
 
--- a/packages/burdockhaven-core/src/burdockhaven_core/upkeep.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/upkeep.py
@@ -2,7 +2,7 @@
 
 from result import Err
 
-from burdockhaven_core.actions import CancelRun, SendMessage, Stopped
+from burdockhaven_core.actions import CancelRun, Greet, SendMessage, Stopped
 from burdockhaven_core.entry_state import EntryState
 from burdockhaven_core.events import (
     ConfigurationRead,
@@ -124,7 +124,10 @@
         resigned=resigned,
     )
     for member in state.membership.known():
-        state.out.append(SendMessage(member, heartbeat))
+        message = state.membership.heartbeat_for(member, heartbeat)
+        state.out.append(SendMessage(member, message))
+    for address in state.membership.strangers():
+        state.out.append(Greet(address, heartbeat))
 
 
 def _demand(state: EntryState) -> tuple[GroupDemand, ...]:
--- a/packages/burdockhaven-core/tests/test_floor_fuzz_defences.py
+++ b/packages/burdockhaven-core/tests/test_floor_fuzz_defences.py
@@ -28,10 +28,11 @@
 def count_lease_from_receipt(patch):
     original = Membership._on_echo
 
-    def on_echo(self, sender, echo, now):
-        original(self, sender, echo, now)
-        if echo.clock_s is not None and echo.entry == self.parameters.me.entry:
-            sender.lease_until_s = now + membership.ADMISSION_LEASE_S
+    def on_echo(self, sender, heartbeat, echo):
+        original(self, sender, heartbeat, echo)
+        if echo.incarnation == self.parameters.me.incarnation:
+            receipt_s = sender.heard_s
+            sender.lease_until_s = receipt_s + membership.ADMISSION_LEASE_S
 
     patch.setattr(Membership, "_on_echo", on_echo)
 
--- a/packages/burdockhaven-core/tests/test_membership.py
+++ b/packages/burdockhaven-core/tests/test_membership.py
@@ -2,6 +2,7 @@
 
 import random
 
+import msgspec
 import pytest
 
 from burdockhaven_core.identity import MemberId
@@ -30,7 +31,10 @@
 def beat(sender, receiver, now, queued=0, **changes):
     state = {"ready": True, "draining": False, "config_version": 1, **changes}
     demand = (GroupDemand("g", (queued,), {}),)
-    receiver.on_heartbeat(sender.heartbeat(now, demand=demand, **state), now)
+    heartbeat = sender.heartbeat(now, demand=demand, **state)
+    if receiver.parameters.me in sender.known():
+        heartbeat = sender.heartbeat_for(receiver.parameters.me, heartbeat)
+    receiver.on_heartbeat(heartbeat, now)
 
 
 def pair(now=LATER_S):
@@ -58,6 +62,7 @@
 def test_a_late_heartbeat_extends_the_lease_only_from_the_echoed_clock():
     first, second = pair()
     late = second.heartbeat(LATER_S, ready=True, draining=False, config_version=1)
+    late = second.heartbeat_for(member("a"), late)
     first.on_heartbeat(late, LATER_S + 5.0)
     assert not first.permitted(LATER_S + 5.0)
 
@@ -110,6 +115,7 @@
 def test_a_restarted_process_replaces_the_silent_one_for_good():
     first, second = pair()
     late = second.heartbeat(LATER_S, ready=True, draining=False, config_version=1)
+    late = second.heartbeat_for(member("a"), late)
     restarted = make("b", "2")
     beat(restarted, first, LATER_S + 1)
     assert set(first.view(LATER_S + 1)) == {member("b"), member("b", "2")}
@@ -173,3 +179,32 @@
         assert observer.leaving_targets(LATER_S + 230) == {"t"}
         observer.note_live("t", LATER_S + 261)
         assert observer.leaving_targets(LATER_S + 261) == set()
+
+
+def test_a_lease_counts_only_with_the_list_of_members_that_goes_with_it():
+    first, second = pair()
+    third = make("c")
+    beat(third, second, LATER_S + 1)
+    changed = second.heartbeat(
+        LATER_S + 2.1, ready=True, draining=False, config_version=1
+    )
+    changed = second.heartbeat_for(member("a"), changed)
+    assert [peer.entry for peer in changed.peers] == ["a", "c"]
+    bare = msgspec.structs.replace(changed, peers=None)
+    first.on_heartbeat(bare, LATER_S + 2.1)
+    assert first.records[member("b")].lease_until_s == LATER_S + 2.0
+
+
+def test_a_list_of_members_is_sent_until_the_receiver_has_it():
+    first, second = pair()
+    beat(make("c"), second, LATER_S)
+    state = {"ready": True, "draining": False, "config_version": 1}
+    for _ in range(2):
+        heartbeat = second.heartbeat_for(
+            member("a"), second.heartbeat(LATER_S, **state)
+        )
+        assert heartbeat.peers is not None
+    first.on_heartbeat(heartbeat, LATER_S)
+    beat(first, second, LATER_S)
+    heartbeat = second.heartbeat_for(member("a"), second.heartbeat(LATER_S, **state))
+    assert heartbeat.peers is None
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/peer_link.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/peer_link.py
@@ -231,8 +231,7 @@
         outgoing = self.outgoing.get(heartbeat.peer_address)
         if outgoing is None:
             return
-        for echo in heartbeat.peers:
-            is_me = MemberId(echo.entry, echo.incarnation) == self.me
-            if is_me and echo.clock_s is not None:
-                heard_s = max(outgoing.confirmed_clock_s, echo.clock_s)
-                outgoing.confirmed_clock_s = heard_s
+        echo = heartbeat.echo
+        if echo is not None and echo.incarnation == self.me.incarnation:
+            heard_s = max(outgoing.confirmed_clock_s, echo.clock_s)
+            outgoing.confirmed_clock_s = heard_s
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/shell.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/shell.py
@@ -180,6 +180,8 @@
                 self.spawn(self.targets.cancel(run_id, target))
             case actions.SendMessage(to, message):
                 self._send(to, message)
+            case actions.Greet(address, message):
+                self.send(address, message)
             case actions.RecordRequest():
                 self.metrics.record(action)
             case actions.Note():
--- a/packages/burdockhaven-entry/tests/test_peer_link.py
+++ b/packages/burdockhaven-entry/tests/test_peer_link.py
@@ -9,8 +9,8 @@
 from burdockhaven_core.identity import MemberId
 from burdockhaven_core.messages import (
     ConfigurationAsk,
+    Echo,
     Heartbeat,
-    PeerEcho,
     encode_message,
 )
 from burdockhaven_entry.message_seal import seal
@@ -46,13 +46,12 @@
 
 def heartbeat(side, clock_s, echo_of=None, echo_clock_s=None):
     link = side.link
-    peers = ()
+    echo = None
     if echo_of is not None:
-        echo = (echo_of.link.me.entry, echo_of.link.me.incarnation)
-        peers = (PeerEcho(*echo, echo_of.link.address, echo_clock_s),)
+        echo = Echo(echo_of.link.me.incarnation, echo_clock_s, 0)
     names = (link.me.entry, link.me.incarnation)
-    rest = ("127.0.0.1:1", link.address, "z1", True, False, 1, (), (), peers)
-    return Heartbeat(*names, int(clock_s * 10), clock_s, *rest)
+    rest = ("127.0.0.1:1", link.address, "z1", True, False, 1, (), ())
+    return Heartbeat(*names, int(clock_s * 10), clock_s, *rest, echo=echo)
 
 
 async def deliver(sender, receiver, message):
--- a/tools/burdockhaven_bench/floor_fleet.py
+++ b/tools/burdockhaven_bench/floor_fleet.py
@@ -189,7 +189,10 @@
         heartbeat = process.membership.heartbeat(
             now, ready=True, draining=False, config_version=1, resigned=resigned
         )
-        for address in process.membership.peer_addresses():
+        for member in process.membership.known():
+            message = process.membership.heartbeat_for(member, heartbeat)
+            self._send(process, member, message)
+        for address in process.membership.strangers():
             self._send_to(process, _slot_of(address), heartbeat)
 
     def _send(self, process: Process, to: MemberId, message: PeerMessage) -> None:
