--- a/packages/burdockhaven-core/src/burdockhaven_core/entry_state.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/entry_state.py
@@ -6,6 +6,7 @@
 from burdockhaven_core.actions import Action, Answer, Note, RecordRequest
 from burdockhaven_core.choosing import Choose
 from burdockhaven_core.configuration import Configuration
+from burdockhaven_core.configuration_replica import ConfigurationReplica
 from burdockhaven_core.floor import Floor
 from burdockhaven_core.identity import (
     AccountName,
@@ -73,7 +74,7 @@
         self.choose = choose
         self.rng = rng
         self.started_s = now
-        self.configuration = Configuration()
+        self.replica = ConfigurationReplica(parameters.me)
         # Client account by the SHA-256 of its key.
         self.account_of_key: dict[str, AccountName] = {}
         self.membership = Membership.from_config(parameters.members(now))
@@ -97,10 +98,15 @@
         self.stopped = False
         self.out: list[Action] = []
 
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration in force here."""
+        return self.replica.configuration
+
     @property
     def ready(self) -> bool:
         """Whether the entry has a configuration and takes new requests."""
-        return self.configuration.version > 0 and not self.stopped
+        return self.replica.ready and not self.stopped
 
     @property
     def draining(self) -> bool:
@@ -119,14 +125,16 @@
         """Requests that wait, over all groups."""
         return sum(len(queue) for queue in self.queues.values())
 
-    def open_targets(self, group: GroupName, now: float) -> list[TargetState]:
-        """The targets of a group that take new work."""
+    def staying_targets(self, group: GroupName, now: float) -> list[TargetState]:
+        """The targets of a group that are not leaving."""
         leaving = self.membership.leaving_targets(now)
-        return [
-            target
-            for target in self.targets.of_group(group)
-            if target.spec.name not in leaving and target.paused_until_s <= now
-        ]
+        targets = self.targets.of_group(group)
+        return [target for target in targets if target.spec.name not in leaving]
+
+    def open_targets(self, group: GroupName, now: float) -> list[TargetState]:
+        """The targets of a group that take new work now."""
+        staying = self.staying_targets(group, now)
+        return [target for target in staying if target.paused_until_s <= now]
 
     def note(self, number: EventNumber, **fields: str | int | float) -> None:
         """Log a numbered event."""
--- a/packages/burdockhaven-core/src/burdockhaven_core/targets.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/targets.py
@@ -78,7 +78,7 @@
         for no longer than `TARGET_QUEUE_S`.
         """
         overcommit = min(MAX_OVERCOMMIT, TARGET_QUEUE_S / self.hold_s)
-        return math.ceil(self.spec.slots * (1.0 + overcommit))
+        return math.floor(self.spec.slots * (1.0 + overcommit))
 
     def service_s(self, prompt_tokens: int, output_tokens: float) -> float:
         """Predicted seconds from dispatch to the end of the answer."""
