--- a/packages/burdockhaven-core/src/burdockhaven_core/upkeep.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/upkeep.py
@@ -4,7 +4,7 @@
 
 from result import Err
 
-from burdockhaven_core.actions import CancelRun, SendMessage, Stopped
+from burdockhaven_core.actions import CancelRun, Greet, SendMessage, Stopped
 from burdockhaven_core.entry_state import EntryState
 from burdockhaven_core.events import (
     ConfigurationRead,
@@ -131,7 +131,10 @@
         resigned=resigned,
     )
     for member in state.membership.known():
-        state.out.append(SendMessage(member, heartbeat))
+        message = state.membership.heartbeat_for(member, heartbeat)
+        state.out.append(SendMessage(member, message))
+    for address in state.membership.strangers():
+        state.out.append(Greet(address, heartbeat))
 
 
 def _share(state: EntryState, now: float) -> None:
