--- a/tools/burdockhaven_standins/processes.py
+++ b/tools/burdockhaven_standins/processes.py
@@ -73,11 +73,15 @@
         """Sends a signal to just this process."""
         self.process.send_signal(number)
 
-    def stop(self) -> int:
-        """Asks the process to stop and gives its exit code; kills it if it stays."""
+    def ask_to_stop(self) -> None:
+        """Sends SIGTERM, also to a paused process."""
         if self.process.poll() is None:
-            self.signal(signal.SIGCONT)
             self.signal(signal.SIGTERM)
+            self.signal(signal.SIGCONT)
+
+    def stop(self) -> int:
+        """Asks the process to stop and gives its exit code; kills it if it stays."""
+        self.ask_to_stop()
         return self.wait()
 
     def wait(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
@@ -102,7 +106,7 @@
 
 @dataclass(slots=True)
 class ProcessGroup:
-    """Processes that are stopped together, the last started first."""
+    """Processes that are stopped together."""
 
     running: list[RunningProcess] = field(default_factory=list)
 
@@ -126,4 +130,6 @@
     def stop(self) -> None:
         """Stops all of them."""
         for process in reversed(self.running):
-            process.stop()
+            process.ask_to_stop()
+        for process in self.running:
+            process.wait()
--- a/tools/burdockhaven_standins/site.py
+++ b/tools/burdockhaven_standins/site.py
@@ -1,17 +1,28 @@
 """A small site of real processes on loopback: platform, targets and entries."""
 
 import asyncio
+import hashlib
 import random
 import secrets
 import socket
 import tempfile
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
 import httpx
 
-from burdockhaven_core.configuration import Configuration
+from burdockhaven_core.configuration import (
+    AccountParameters,
+    ClassSpec,
+    Configuration,
+    GroupKind,
+    GroupSpec,
+    TargetSpec,
+    Template,
+)
 from burdockhaven_core.configuration_store import WrittenBack, synchronise
+from burdockhaven_core.identity import AccountName, GroupName, TargetName
 from burdockhaven_entry.kv_link import KvLink
 from burdockhaven_standins.processes import ProcessGroup, RunningProcess
 from burdockhaven_standins.vm_list import Vm
@@ -38,7 +49,10 @@
 
 [timing]
 heartbeat_interval_ms = 200
+assignment_lifetime_s = {assignment_lifetime_s}
 """
+# Long enough for a caller to use it, and short for the drain that lasts as long.
+ASSIGNMENT_LIFETIME_S = 3
 
 
 class NotPublishedError(Exception):
@@ -66,7 +80,11 @@
     group: ProcessGroup
     key_value: RunningProcess
     vm_list: RunningProcess
+    # Seconds that an entry takes at least to drain.
+    assignment_lifetime_s: int = ASSIGNMENT_LIFETIME_S
     vms: list[Vm] = field(default_factory=list)
+    # Engines and plain services by name.
+    targets: dict[str, RunningProcess] = field(default_factory=dict)
     entries: list[SiteEntry] = field(default_factory=list)
 
     @classmethod
@@ -85,6 +103,8 @@
         return self
 
     def __exit__(self, *_: object) -> None:
+        for entry in self.entries:
+            entry.process.kill()
         self.group.stop()
         for path in self.directory.iterdir():
             path.unlink()
@@ -93,6 +113,7 @@
     def add_target(self, kind: str, name: str, *options: str) -> RunningProcess:
         """Starts an engine or a plain service and lists its VM."""
         target = self.group.stand_in(kind, name, *options)
+        self.targets[name] = target
         self.vms.append(Vm(target.ready, ZONE))
         self.show_vms()
         return target
@@ -109,6 +130,7 @@
             key_value=self.key_value.url,
             vm_list=self.vm_list.url,
             directory=self.directory,
+            assignment_lifetime_s=self.assignment_lifetime_s,
         )
         path = self.directory / f"{name}.ini"
         path.write_text(settings)
@@ -146,3 +168,24 @@
     for each in sockets:
         each.close()
     return addresses
+
+
+def group_spec(
+    name: str, kind: GroupKind, processes: Sequence[RunningProcess], slots: int = 8
+) -> GroupSpec:
+    """A group of running stand-ins."""
+    targets = tuple(
+        TargetSpec(TargetName(process.name), process.url, ZONE, slots)
+        for process in processes
+    )
+    return GroupSpec(GroupName(name), kind, targets)
+
+
+def site_configuration(
+    groups: Sequence[GroupSpec], classes: Sequence[ClassSpec], account_key: str
+) -> Configuration:
+    """The first version of a configuration with one template and one account."""
+    template = Template("site", tuple(groups), tuple(classes))
+    digest = hashlib.sha256(account_key.encode()).hexdigest()
+    account = AccountParameters(AccountName("crew"), template.name, digest)
+    return Configuration(1, {template.name: template}, {account.account: account})
--- /dev/null
+++ b/tools/tests/test_daemon_process.py
@@ -0,0 +1,225 @@
+"""Real daemons under signals and broken targets; each test waits on what it sees."""
+
+import json
+import signal
+import time
+
+import httpx
+import pytest
+from httpx_sse import EventSource
+
+from burdockhaven_core.configuration import ClassSpec, GroupKind
+from burdockhaven_core.identity import ClassName, GroupName
+from burdockhaven_standins.site import Site, group_spec, site_configuration
+
+pytestmark = pytest.mark.process
+
+KEY = "the-account-key"
+TOKENS = 100
+# Seconds after which a condition that does not come about fails the test.
+PATIENCE_S = 40.0
+CLASSES = [
+    ClassSpec(ClassName("review"), GroupName("survey"), tier=1, deadline_ms=60_000),
+    ClassSpec(
+        ClassName("sign-off"),
+        GroupName("permits"),
+        tier=1,
+        deadline_ms=60_000,
+        idempotent=False,
+    ),
+]
+
+
+class Caller:
+    """Reads one request's answer, piece by piece, from any entry."""
+
+    def __init__(self, client, assignment, request_class):
+        self.client = client
+        self.body = {
+            "assignment": assignment,
+            "key": "the-request",
+            "class": request_class,
+            "prompt": "a b c",
+            "max_output_tokens": TOKENS,
+        }
+        self.text = ""
+        self.tokens = 0
+        # Name and data of the last event, or status and answer without a stream.
+        self.last = None
+
+    def read(self, address, stop_at=None):
+        """Reads on at an entry; stops at a token to let something happen."""
+        body = self.body | {"offset": self.tokens}
+        url = f"http://{address}/v1/requests"
+        with self.client.stream("POST", url, json=body) as response:
+            if not response.headers["content-type"].startswith("text/event-stream"):
+                self.last = response.status_code, json.loads(response.read())
+                return
+            for event in EventSource(response).iter_sse():
+                data = json.loads(event.data)
+                self.last = event.event, data
+                if event.event == "chunk":
+                    assert data["offset"] == self.tokens
+                    self.tokens += data["count"]
+                    self.text += data["text"]
+                if stop_at is not None and self.tokens >= stop_at[0]:
+                    stop_at[1]()
+                    stop_at = None
+
+    @property
+    def whole(self):
+        words = self.text.split()
+        run = self.last[1]["request"][:6]
+        assert words == [f"{run}-{index}" for index in range(TOKENS)]
+        return self.last[0] == "end" and self.last[1]["length"] == TOKENS
+
+
+def eventually(probe):
+    """The first true result of the probe, which may fail with a broken connection."""
+    until = time.monotonic() + PATIENCE_S
+    while time.monotonic() < until:
+        try:
+            if result := probe():
+                return result
+        except httpx.TransportError:
+            pass
+        time.sleep(0.05)
+    raise AssertionError("it did not come about in time")
+
+
+@pytest.fixture
+def client():
+    headers = {"authorization": f"Bearer {KEY}"}
+    with httpx.Client(headers=headers, timeout=60.0, trust_env=False) as client:
+        yield client
+
+
+@pytest.fixture
+def site():
+    with Site.start() as site:
+        engine = site.add_target("engine", "engine", "--token-interval-s", "0.03")
+        service = site.add_target("service", "service")
+        groups = [
+            group_spec("survey", GroupKind.MODEL, [engine]),
+            group_spec("permits", GroupKind.SERVICE, [service]),
+        ]
+        site.publish(site_configuration(groups, CLASSES, KEY))
+        site.add_entry("entry-1")
+        site.add_entry("entry-2")
+        yield site
+
+
+@pytest.fixture
+def start(site, client):
+    """Starts a request that the first entry holds, once both entries are known."""
+
+    def look_up(entry, wanted):
+        reply = client.get(f"http://{entry.caller}/v1/lookup")
+        found = reply.is_success and reply.json()
+        return found if found and found["address"] == wanted.caller else None
+
+    def begin(request_class="review"):
+        one, two = site.entries
+        eventually(lambda: look_up(one, two))
+        found = eventually(lambda: look_up(two, one))
+        return Caller(client, found["assignment"], request_class)
+
+    return begin
+
+
+def count(client, target):
+    counts = client.get(f"{target.url}/counts").json()
+    return list(counts.get("submissions", counts).values())
+
+
+def read_on(caller, address):
+    """Reads on at an entry until it gives an answer of its own."""
+
+    def probe():
+        caller.read(address)
+        return caller.last[0] != 421
+
+    eventually(probe)
+
+
+def test_killed_entry_mid_stream(site, client, start):
+    caller = start()
+    one, two = site.entries
+    with pytest.raises(httpx.TransportError):
+        caller.read(one.caller, (10, one.process.kill))
+    read_on(caller, two.caller)
+    assert caller.last[0] == "end", caller.last
+    assert caller.whole
+    assert count(client, site.targets["engine"]) == [1]
+
+
+def test_stopped_entry_finishes_its_stream(site, client, start):
+    caller = start()
+    one, two = site.entries
+    caller.read(one.caller, (10, lambda: one.process.signal(signal.SIGTERM)))
+    assert caller.whole
+    assert one.process.wait() == 0
+    reply = eventually(lambda: client.get(f"http://{two.caller}/v1/lookup"))
+    assert reply.json()["address"] == two.caller
+
+
+def test_paused_entry_goes_on(site, client, start):
+    caller = start()
+    one, two = site.entries
+
+    def pause():
+        one.process.signal(signal.SIGSTOP)
+        eventually(lambda: others_see(client, two) == [two.caller])
+        one.process.signal(signal.SIGCONT)
+
+    caller.read(one.caller, (10, pause))
+    assert caller.whole
+    assert count(client, site.targets["engine"]) == [1]
+
+
+def others_see(client, entry):
+    """Addresses that an entry names in several look-ups."""
+    replies = [client.get(f"http://{entry.caller}/v1/lookup") for _ in range(20)]
+    return sorted({reply.json()["address"] for reply in replies})
+
+
+def test_stuck_engine_gives_unknown(site, client, start):
+    caller = start()
+    one, _ = site.entries
+    stuck = {"slowness": 0}
+    control = f"{site.targets['engine'].url}/control"
+    caller.read(one.caller, (10, lambda: client.post(control, json=stuck)))
+    assert caller.last[0] == "unknown"
+    assert caller.last[1]["reason"] == "target_lost"
+    caller.read(one.caller)
+    assert caller.last[1]["outcome"] == "unknown"
+    assert count(client, site.targets["engine"]) == [1]
+
+
+def test_sign_off_with_a_lost_answer_is_not_repeated(site, client, start):
+    caller = start("sign-off")
+    client.post(f"{site.targets['service'].url}/control", json={"cut_next": "after"})
+    for address in [site.entries[0].caller, site.entries[1].caller] * 2:
+        caller.read(address)
+        assert caller.last[1]["outcome"] in ("unknown", "elsewhere")
+    assert count(client, site.targets["service"]) == [1]
+
+
+def test_sign_off_at_a_killed_entry_is_not_repeated(site, client, start):
+    caller = start("sign-off")
+    one, two = site.entries
+    client.post(f"{site.targets['service'].url}/control", json={"call_s": 3600})
+    with pytest.raises(httpx.ReadTimeout):
+        client.post(f"http://{one.caller}/v1/requests", json=caller.body, timeout=1.0)
+    eventually(lambda: count(client, site.targets["service"]) == [1])
+    one.process.kill()
+    read_on(caller, two.caller)
+    assert caller.last[1] | {"detail": ""} == {
+        "outcome": "unknown",
+        "reason": "entry_lost",
+        "detail": "",
+        "retry_after_s": None,
+        "entry": None,
+        "address": None,
+    }
+    assert count(client, site.targets["service"]) == [1]
