--- /dev/null
+++ b/tools/burdockhaven_bench/demo.py
@@ -0,0 +1,241 @@
+"""`scripts/demo`: the whole path in separate processes on loopback.
+
+Starts stand-ins and three entries, publishes a template and a client account with the
+operators' command line, streams one review and runs one sign-off through the look-up,
+and stops everything. The exit code is 0 only if all of it went as it should.
+"""
+
+import os
+import secrets
+import signal
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from types import FrameType
+
+import httpx
+
+from burdockhaven_bench.caller import Caller, NotRun, Unknown, Whole
+from burdockhaven_bench.demo_files import (
+    ACCOUNT,
+    EntryPorts,
+    account_file,
+    free_port,
+    settings_file,
+    template_file,
+)
+from burdockhaven_bench.demo_operator import DemoError, Operator
+from burdockhaven_standins.processes import (
+    NotReadyError,
+    ProcessGroup,
+    RunningProcess,
+)
+
+ENTRIES = 3
+ZONES = ("mu-north-1", "mu-north-2", "mu-north-3")
+# Seconds for the entries to find each other and to put the configuration in force.
+SETTLE_TIMEOUT_S = 20.0
+POLL_INTERVAL_S = 0.2
+REVIEW_PROMPT = "Review trench 14: photos, compaction log and surface report agree"
+REVIEW_TOKENS = 24
+SIGN_OFF_BODY = "Sign off trench 14"
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One running entry."""
+
+    process: RunningProcess
+    ports: EntryPorts
+
+
+@dataclass(frozen=True, slots=True)
+class Targets:
+    """The running stand-ins that requests end up at."""
+
+    engines: tuple[RunningProcess, ...]
+    service: RunningProcess
+
+
+def main() -> int:
+    """Runs the demonstration; returns the exit code."""
+    signal.signal(signal.SIGTERM, _interrupt)
+    try:
+        with ProcessGroup() as group, tempfile.TemporaryDirectory() as directory:
+            try:
+                _run(group, Path(directory))
+            finally:
+                _stop(group)
+    except (DemoError, NotReadyError, httpx.HTTPError) as error:
+        print(f"FAILED: {error}", file=sys.stderr)
+        return 1
+    except KeyboardInterrupt:
+        print("interrupted; everything is stopped", file=sys.stderr)
+        return 130
+    print("done: every process is stopped")
+    return 0
+
+
+def _run(group: ProcessGroup, directory: Path) -> None:
+    account_key = secrets.token_urlsafe(24)
+    os.environ["BURDOCKHAVEN_ASSIGNMENT_KEY"] = secrets.token_urlsafe(32)
+    os.environ["BURDOCKHAVEN_OPERATOR_TOKEN"] = secrets.token_urlsafe(32)
+    print("1. stand-ins")
+    key_value = _stand_in(group, "kv", "key-value service")
+    vm_list = _stand_in(group, "vms", "VM list")
+    targets = Targets(
+        engines=(
+            _stand_in(group, "engine", "engine-1"),
+            _stand_in(group, "engine", "engine-2"),
+        ),
+        service=_stand_in(group, "service", "sign-off service"),
+    )
+    print("2. entries")
+    entries = _start_entries(group, directory, key_value, vm_list)
+    _tell_vm_list(vm_list, entries, targets)
+    print("3. the operator publishes")
+    _publish(directory, key_value, entries, targets, account_key)
+    caller = Caller([entry.ports.caller for entry in entries], account_key)
+    _wait_for("a look-up that succeeds", lambda: not _refused(caller))
+    print("4. one streamed review")
+    review = _sent(caller, "review", REVIEW_PROMPT)
+    _show(review)
+    if review.tokens != REVIEW_TOKENS:
+        raise DemoError(f"the review has {review.tokens} tokens, not {REVIEW_TOKENS}")
+    print("5. one sign-off, sent through another look-up")
+    caller.assignment = None
+    answer = _sent(caller, "sign-off", SIGN_OFF_BODY)
+    _show(answer)
+    _check_runs(targets.service, answer)
+
+
+def _stand_in(group: ProcessGroup, kind: str, name: str) -> RunningProcess:
+    process = group.stand_in(kind, name.replace(" ", "-"))
+    print(f"   {name} at {process.ready}")
+    return process
+
+
+def _start_entries(
+    group: ProcessGroup,
+    directory: Path,
+    key_value: RunningProcess,
+    vm_list: RunningProcess,
+) -> tuple[Entry, ...]:
+    entries = []
+    for number, zone in zip(range(1, ENTRIES + 1), ZONES, strict=True):
+        name = f"entry-{number}"
+        ports = EntryPorts(free_port(), free_port(), free_port())
+        path = directory / f"{name}.ini"
+        path.write_text(settings_file(name, zone, ports, key_value.url, vm_list.url))
+        process = group.start(name, ["burdockhaven_entry", "--config", str(path)])
+        print(f"   {name} in {zone} takes callers at {ports.caller}")
+        entries.append(Entry(process, ports))
+    return tuple(entries)
+
+
+def _tell_vm_list(
+    vm_list: RunningProcess, entries: tuple[Entry, ...], targets: Targets
+) -> None:
+    vms = [
+        {"address": entry.ports.peer, "zone": zone, "state": "live"}
+        for entry, zone in zip(entries, ZONES, strict=True)
+    ]
+    for process in (*targets.engines, targets.service):
+        vms.append({"address": process.ready, "zone": ZONES[0], "state": "live"})
+    httpx.post(f"{vm_list.url}/control", json={"vms": vms}).raise_for_status()
+
+
+def _publish(
+    directory: Path,
+    key_value: RunningProcess,
+    entries: tuple[Entry, ...],
+    targets: Targets,
+    account_key: str,
+) -> None:
+    operator = Operator(key_value.url)
+    template = directory / "template.json"
+    engines = [process.url for process in targets.engines]
+    template.write_bytes(template_file(engines, targets.service.url))
+    account = directory / "account.json"
+    account.write_bytes(account_file(account_key))
+    operator.publish_template(template)
+    print("   template `reinstatement` is accepted")
+    operator.publish_account(account)
+    print(f"   parameters of client account {ACCOUNT!r} are accepted")
+    version = operator.configuration.version
+    _wait_for(
+        "the configuration to be in force on every entry",
+        lambda: all(_has_in_force(entry, version) for entry in entries),
+    )
+    print(f"   in force on {len(entries)} of {len(entries)} entries")
+
+
+def _has_in_force(entry: Entry, version: int) -> bool:
+    line = f"Configuration version {version} is in force."
+    return any(line in each for each in entry.process.lines)
+
+
+def _refused(caller: Caller) -> bool:
+    return isinstance(caller.look_up(), NotRun)
+
+
+def _sent(caller: Caller, class_name: str, prompt: str) -> Whole:
+    assignment = caller.look_up()
+    if isinstance(assignment, NotRun):
+        raise DemoError(f"the look-up was refused: {assignment}")
+    print(f"   look-up: use {assignment.entry} at {assignment.address}")
+    match caller.send(class_name, prompt, max_output_tokens=REVIEW_TOKENS):
+        case Whole() as answer:
+            return answer
+        case NotRun() | Unknown() as outcome:
+            raise DemoError(f"{class_name}: {outcome}")
+
+
+def _show(answer: Whole) -> None:
+    print(f"   request {answer.request} ran at {answer.target}")
+    print(f"   whole answer: {answer.tokens} token(s) in {answer.pieces} piece(s)")
+    print(f"   {answer.text.strip()}")
+
+
+def _check_runs(service: RunningProcess, answer: Whole) -> None:
+    counts = httpx.get(f"{service.url}/counts").raise_for_status().json()
+    runs = counts.get(answer.request, 0)
+    print(f"   the sign-off service ran it {runs} time(s)")
+    if runs != 1:
+        raise DemoError(f"the sign-off ran {runs} times, not once: {counts}")
+
+
+def _wait_for(what: str, holds: Callable[[], bool]) -> None:
+    give_up_s = time.monotonic() + SETTLE_TIMEOUT_S
+    while not holds():
+        if time.monotonic() > give_up_s:
+            raise DemoError(f"waited {SETTLE_TIMEOUT_S} s for {what}")
+        time.sleep(POLL_INTERVAL_S)
+
+
+def _stop(group: ProcessGroup) -> None:
+    """Asks all processes to stop at once; a second Ctrl-C must not leave any."""
+    signal.signal(signal.SIGINT, signal.SIG_IGN)
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    print("6. stop: entries finish what they run, then the stand-ins")
+    entries = [each for each in group.running if each.name.startswith("entry-")]
+    for entry in entries:
+        if entry.process.poll() is None:
+            entry.signal(signal.SIGTERM)
+    codes = [entry.wait() for entry in entries]
+    for entry, code in zip(entries, codes, strict=True):
+        print(f"   {entry.name} ended with exit code {code}")
+    group.stop()
+    if any(codes):
+        raise DemoError(f"an entry did not stop gracefully: exit codes {codes}")
+
+
+def _interrupt(_number: int, _frame: FrameType | None) -> None:
+    raise KeyboardInterrupt
+
+
+if __name__ == "__main__":
+    sys.exit(main())
