Recover a killed entry's answer from the token that its caller lacks

Ruled out: cutting chunks, for an entry can't tell tokens apart in a text. Now the relay of a recovered run starts at the caller's token, and a chunk that holds the token is sent whole. A negative offset is refused (its case failed first).

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/caller_api.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/caller_api.py
@@ -114,8 +114,8 @@
         deadline_ms=data.deadline_ms,
     )
     body = Body(arrival.class_name, data.prompt, data.max_output_tokens)
-    exchange = shell.submit(arrival, body)
-    return await _respond(request, shell, exchange, data.offset)
+    exchange = shell.submit(arrival, body, data.offset)
+    return await _respond(request, shell, exchange)
 
 
 @post("/v1/requests/resume", status_code=200)
@@ -127,8 +127,8 @@
     account = _account(request, shell)
     if account is None:
         return _unauthorized()
-    exchange = shell.resume(_resume_event(account, data))
-    return await _respond(request, shell, exchange, data.offset)
+    exchange = shell.resume(_resume_event(account, data), data.offset)
+    return await _respond(request, shell, exchange)
 
 
 @post("/v1/requests/status", status_code=200)
@@ -159,7 +159,7 @@
 
 
 async def _respond(
-    request: Request[Any, Any, Any], shell: Shell, exchange: Exchange, offset: int
+    request: Request[Any, Any, Any], shell: Shell, exchange: Exchange
 ) -> Response[Any] | Stream:
     """The stream once the first token is there, or the final answer before it."""
     try:
@@ -168,7 +168,7 @@
         shell.leave(exchange.handle)
         raise
     if isinstance(result, Relay):
-        events = _events(shell, exchange.handle, result, offset)
+        events = _events(shell, exchange, result)
         return Stream(events, media_type="text/event-stream")
     shell.leave(exchange.handle)
     if result is None:
@@ -197,12 +197,12 @@
 
 
 async def _events(
-    shell: Shell, handle: int, relay: Relay, offset: int
+    shell: Shell, exchange: Exchange, relay: Relay
 ) -> AsyncIterator[bytes]:
     run_id = relay.run_id
     try:
         yield _event("started", StartedEvent(run_id, relay.target))
-        async for batch in relay.batches(offset):
+        async for batch in relay.batches(exchange.offset):
             yield _event("chunk", _merged(run_id, batch))
         if relay.lost is None:
             yield _event("end", EndEvent(run_id, relay.length))
@@ -210,7 +210,7 @@
             reply = outcome_reply(relay.lost)
             yield _event(reply.outcome, reply)
     finally:
-        shell.leave(handle)
+        shell.leave(exchange.handle)
 
 
 def _merged(run_id: RunId, batch: Sequence[Chunk]) -> ChunkEvent:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/caller_wire.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/caller_wire.py
@@ -1,9 +1,13 @@
 """What callers send and get."""
 
+from typing import Annotated
+
 import msgspec
 
 from burdockhaven_core.outcome import Elsewhere, NotRun, Outcome, Unknown
 
+TokenIndex = Annotated[int, msgspec.Meta(ge=0)]
+
 
 class RequestBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A request."""
@@ -19,7 +23,7 @@
     # Milliseconds for the whole answer; None means the deadline of the class.
     deadline_ms: int | None = None
     # The token of the answer to start from, when a request is sent again.
-    offset: int = 0
+    offset: TokenIndex = 0
 
 
 class ResumeBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -28,7 +32,7 @@
     assignment: str
     key: str
     request_class: str = msgspec.field(name="class")
-    offset: int = 0
+    offset: TokenIndex = 0
 
 
 class LookUpReply(msgspec.Struct, frozen=True):
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/relay.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/relay.py
@@ -24,14 +24,18 @@
 
 
 class Relay:
-    """One answer: the chunks so far, and whether it is whole."""
+    """One answer: the chunks so far, and whether it is whole.
 
-    def __init__(self, run_id: RunId, target: TargetName) -> None:
+    The relay of a run that another entry started may begin at a later token: the one
+    that its only caller lacks.
+    """
+
+    def __init__(self, run_id: RunId, target: TargetName, start: int = 0) -> None:
         self.run_id = run_id
         self.target = target
         self.chunks: list[Chunk] = []
-        # Tokens so far.
-        self.length = 0
+        # Tokens so far, those before the start included.
+        self.length = start
         self.bytes = 0
         self.whole = False
         # Why the answer will never be whole; None as long as it may be.
@@ -69,7 +73,10 @@
             self._wake()
 
     async def batches(self, offset: int) -> AsyncIterator[Sequence[Chunk]]:
-        """The chunks from a token on, as many at a time as have arrived."""
+        """The chunks from a token on, as many at a time as have arrived.
+
+        A chunk can't be divided: the first one may start before the token.
+        """
         position = self._position(offset)
         waker = asyncio.Event()
         self._wakers.add(waker)
@@ -89,7 +96,7 @@
 
     def _position(self, offset: int) -> int:
         for position, chunk in enumerate(self.chunks):
-            if chunk.offset >= offset:
+            if chunk.offset + chunk.count > offset:
                 return position
         return len(self.chunks)
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/shell.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/shell.py
@@ -46,6 +46,8 @@
 
     handle: int
     result: asyncio.Future[Relay | actions.AnswerLookUp | Outcome]
+    # The token of the answer that the caller wants first.
+    offset: int = 0
 
 
 class Shell:
@@ -94,17 +96,17 @@
         self.handle(LookUpArrived(exchange.handle, account))
         return exchange
 
-    def submit(self, event: RequestArrived, body: Body) -> Exchange:
+    def submit(self, event: RequestArrived, body: Body, offset: int = 0) -> Exchange:
         """Take in a request; its handle is set here."""
-        exchange = self._exchange()
+        exchange = self._exchange(offset)
         self.arriving[exchange.handle] = body
         self.handle(_with_handle(event, exchange.handle))
         self.arriving.pop(exchange.handle, None)
         return exchange
 
-    def resume(self, event: ResumeArrived) -> Exchange:
+    def resume(self, event: ResumeArrived, offset: int = 0) -> Exchange:
         """Join a request that was sent before; the handle is set here."""
-        exchange = self._exchange()
+        exchange = self._exchange(offset)
         self.handle(
             ResumeArrived(
                 exchange.handle,
@@ -136,10 +138,10 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _exchange(self) -> Exchange:
+    def _exchange(self, offset: int = 0) -> Exchange:
         self._last_handle += 1
         future = asyncio.get_running_loop().create_future()
-        exchange = Exchange(self._last_handle, future)
+        exchange = Exchange(self._last_handle, future, offset)
         self.exchanges[exchange.handle] = exchange
         self.no_callers.clear()
         return exchange
@@ -242,7 +244,10 @@
             exchange.result.set_result(result)
 
     async def _recover(self, action: actions.Recover) -> None:
-        relay = Relay(action.run_id, action.targets[0].name)
+        exchange = self.exchanges.get(action.handle)
+        if exchange is None:
+            return
+        relay = Relay(action.run_id, action.targets[0].name, exchange.offset)
         reading = asyncio.create_task(
             self.targets.recover(action.run_id, action.targets, relay)
         )
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/target_link.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/target_link.py
@@ -150,13 +150,13 @@
         for target in targets:
             try:
                 usage = await self._read_again(run_id, target, relay)
-                if usage is None and relay.length == 0:
+                if usage is None and not relay.chunks:
                     continue
                 relay.target = target.name
                 if usage is None:
                     await self._resume(run_id, target, relay)
             except (NotConnectedError, _BrokenAnswerError):
-                if relay.length == 0:
+                if not relay.chunks:
                     continue
                 return False
             relay.finish()
@@ -290,7 +290,7 @@
         return True
 
     def _add(self, chunk: Chunk) -> None:
-        first = self.relay.length == 0
+        first = not self.relay.chunks
         try:
             self.relay.add(chunk)
         except ValueError as error:
--- a/packages/burdockhaven-entry/tests/test_caller_api.py
+++ b/packages/burdockhaven-entry/tests/test_caller_api.py
@@ -167,6 +167,7 @@
         ({"key": ""}, 400, "bad_request"),
         ({"prompt": 5}, 400, "bad_request"),
         ({"surplus": 1}, 400, "bad_request"),
+        ({"offset": -1}, 400, "bad_request"),
         ({"max_output_tokens": 10**6}, 413, "too_large"),
         ({"prompt": "x" * MAX_BODY_BYTES}, 413, "too_large"),
         ({"deadline_ms": 1}, 422, "infeasible"),
--- a/packages/burdockhaven-entry/tests/test_relay.py
+++ b/packages/burdockhaven-entry/tests/test_relay.py
@@ -37,6 +37,22 @@
     assert await read(relay, offset) == text
 
 
+@pytest.mark.parametrize(("offset", "text"), [(0, "abc d"), (2, "abc d"), (3, "d")])
+async def test_an_offset_inside_a_chunk_misses_no_token(offset, text):
+    relay = Relay(RUN, TARGET)
+    relay.add(Chunk(0, 3, "abc "))
+    relay.add(Chunk(3, 1, "d"))
+    relay.finish()
+    assert await read(relay, offset) == text
+
+
+async def test_a_relay_may_begin_at_a_later_token():
+    relay = Relay(RUN, TARGET, start=3)
+    relay.add(Chunk(3, 1, "d"))
+    relay.finish()
+    assert (await read(relay, 3), relay.length) == ("d", 4)
+
+
 async def test_readers_get_what_arrives_later():
     relay = relay_of("a")
     readers = [asyncio.create_task(read(relay)) for _ in range(2)]
