Give orders to engines under a lease, with a fencing number

The holder's key stands under its member lease; the revision that created it goes with each order. An order is started only if the lease outlasts it, looked at directly before the send. Engines that do not check get a new holder's first order after a whole lease and the time of one order. Loads keep to one per interval, also over a change of holder. The test of a holder paused past its lease runs with the check before the send and without: without it, an engine that does not check fencing obeys the old holder after the new one; with it, neither kind does.

--- a/packages/burdockhaven-core/src/burdockhaven_core/configuration.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/configuration.py
@@ -28,6 +28,25 @@
     SERVICE = "service"
 
 
+class OrderKind(enum.Enum):
+    """What an engine can be ordered to do."""
+
+    # These three read from the weight store.
+    LOAD_MODEL = "load_model"
+    LOAD_ADAPTER = "load_adapter"
+    LOAD_VERSION = "load_version"
+    CHANGE_ROLE = "change_role"
+
+
+@dataclass(frozen=True, slots=True)
+class TargetOrder:
+    """One thing that an engine is to have loaded, or to be."""
+
+    kind: OrderKind
+    # The model, adapter, version or role.
+    argument: str
+
+
 @dataclass(frozen=True, slots=True)
 class TargetSpec:
     """One engine or plain service."""
@@ -42,6 +61,8 @@
     slots: int = 8
     # Whether the target refuses an order with an old fencing number.
     checks_fencing: bool = False
+    # What the target is to have loaded and to be, in the order of giving.
+    orders: tuple[TargetOrder, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/burdockhaven-core/src/burdockhaven_core/configuration_check.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/configuration_check.py
@@ -16,7 +16,9 @@
     AccountParameters,
     ClassSpec,
     Configuration,
+    GroupKind,
     GroupSpec,
+    OrderKind,
     TargetSpec,
     Template,
 )
@@ -30,6 +32,7 @@
 MAX_TOKENS = 10_000_000
 MIN_WEIGHT = 0.001
 MAX_WEIGHT = 1000.0
+MAX_ARGUMENT_CHARACTERS = 256
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,7 +126,9 @@
     if not group.targets:
         yield Fault(f"{path}.targets", "none", "one target or more", "add a target")
     for target in group.targets:
-        yield from _check_target(f"{path}.targets.{target.name}", target)
+        target_path = f"{path}.targets.{target.name}"
+        yield from _check_target(target_path, target)
+        yield from _check_orders(target_path, target, group.kind)
 
 
 def _check_target(path: str, target: TargetSpec) -> Iterator[Fault]:
@@ -139,6 +144,24 @@
         )
 
 
+def _check_orders(path: str, target: TargetSpec, kind: GroupKind) -> Iterator[Fault]:
+    if target.orders and kind is not GroupKind.MODEL:
+        allowed = "orders in groups of kind model only"
+        yield Fault(f"{path}.orders", "orders", allowed, "remove the orders")
+    roles = [each for each in target.orders if each.kind is OrderKind.CHANGE_ROLE]
+    if len(roles) > 1:
+        seen = ", ".join(each.argument for each in roles)
+        yield Fault(f"{path}.orders", seen, "one role at most", "choose one role")
+    for order in target.orders:
+        if not 1 <= len(order.argument) <= MAX_ARGUMENT_CHARACTERS:
+            yield Fault(
+                f"{path}.orders.{order.kind.value}",
+                f"{len(order.argument)} characters",
+                f"1 to {MAX_ARGUMENT_CHARACTERS} characters",
+                "name what the target is to load or to be",
+            )
+
+
 def _is_address(address: str) -> bool:
     try:
         parts = urlsplit(address)
--- a/packages/burdockhaven-core/src/burdockhaven_core/log_numbers.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/log_numbers.py
@@ -44,6 +44,9 @@
     # Targets.
     TARGET_LEAVING = 501
     TARGET_STRAGGLING = 502
+    ORDERS_TAKEN = 503
+    ORDER_DONE = 504
+    ORDER_FAILED = 505
 
     # Floors: the lowest tier that a group admits.
     FLOOR_CLOSED = 601
--- a/packages/burdockhaven-core/tests/test_configuration_check.py
+++ b/packages/burdockhaven-core/tests/test_configuration_check.py
@@ -5,7 +5,12 @@
 
 import pytest
 
-from burdockhaven_core.configuration import Configuration, GroupSpec
+from burdockhaven_core.configuration import (
+    Configuration,
+    GroupSpec,
+    OrderKind,
+    TargetOrder,
+)
 from burdockhaven_core.configuration_check import validate_configuration
 from burdockhaven_standins.samples import (
     ACCOUNT,
@@ -15,6 +20,7 @@
     TEMPLATE,
 )
 
+ROLE = TargetOrder(OrderKind.CHANGE_ROLE, "prefill")
 CLASS = "templates.site.classes.review"
 NAMESAKE = dataclasses.replace(
     TEMPLATE.groups[0], targets=(dataclasses.replace(TARGET, name="engine-2"),)
@@ -67,6 +73,11 @@
         (with_target(address="http://10.0.0.1:99999"), f"{TARGETS}.address"),
         (with_target(slots=0), f"{TARGETS}.slots"),
         (with_target(zone=""), f"{TARGETS}.zone"),
+        (with_target(orders=(ROLE, ROLE)), f"{TARGETS}.orders"),
+        (
+            with_target(orders=(dataclasses.replace(ROLE, argument=""),)),
+            f"{TARGETS}.orders.change_role",
+        ),
         (with_account(weight=math.nan), "accounts.crew.weight"),
         (with_account(weight=0.0), "accounts.crew.weight"),
         (with_account(key_sha256="secret"), "accounts.crew.key_sha256"),
--- /dev/null
+++ b/packages/burdockhaven-core/tests/test_orders.py
@@ -0,0 +1,195 @@
+"""Orders: one holder, also when one is paused past its lease."""
+
+import dataclasses
+import itertools
+
+import pytest
+
+from burdockhaven_core.configuration import (
+    Configuration,
+    GroupKind,
+    GroupSpec,
+    OrderKind,
+    TargetOrder,
+    TargetSpec,
+    Template,
+)
+from burdockhaven_core.orders import (
+    LEASE_TTL_S,
+    LOAD_INTERVAL_S,
+    ORDER_TIMEOUT_S,
+    PREDECESSOR_S,
+    REPEAT_INTERVAL_S,
+    RETRY_INTERVAL_S,
+    Holding,
+    OrderDone,
+    OrderFailed,
+    OrderPlanner,
+)
+
+LOAD = TargetOrder(OrderKind.LOAD_MODEL, "survey-7b")
+ROLE = TargetOrder(OrderKind.CHANGE_ROLE, "prefill")
+FOR_EVER = 1e9
+
+
+def target(number, *orders, checks_fencing=True):
+    address = f"http://127.0.0.1:{9000 + number}"
+    return TargetSpec(
+        f"engine-{number}",
+        address,
+        "zone",
+        checks_fencing=checks_fencing,
+        orders=orders,
+    )
+
+
+def configuration(*targets):
+    group = GroupSpec("g", GroupKind.MODEL, targets)
+    return Configuration(1, {"t": Template("t", (group,), ())})
+
+
+def run(planner, wanted, holding, seconds, fail=lambda sent: False):
+    """Plan each second; gives (time, order) of each order, answered at once."""
+    sent = []
+    for now in range(seconds):
+        for order in planner.plan(wanted, holding, float(now)):
+            sent.append((now, order))
+            failed = OrderFailed(order, outdated=False, detail="fault")
+            planner.on_result(failed if fail(order) else OrderDone(order), now)
+    return sent
+
+
+@pytest.mark.parametrize(
+    ("now", "checks_fencing", "may_send"),
+    [
+        (0.0, True, True),
+        (0.0, False, False),
+        (PREDECESSOR_S - 0.1, False, False),
+        (PREDECESSOR_S, False, True),
+        (100.0 - ORDER_TIMEOUT_S, True, False),
+        (100.0 - ORDER_TIMEOUT_S, False, False),
+        (100.0 - 2 * ORDER_TIMEOUT_S, False, True),
+        (200.0, True, False),
+    ],
+)
+def test_an_order_is_started_only_well_within_the_lease(now, checks_fencing, may_send):
+    holding = Holding(fencing=7, acquired_s=0.0, until_s=100.0)
+    engine = target(1, ROLE, checks_fencing=checks_fencing)
+    assert holding.may_send(engine, now) is may_send
+
+
+def test_nothing_is_ordered_without_the_right():
+    assert OrderPlanner().plan(configuration(target(1, LOAD)), None, 50.0) == []
+
+
+def test_each_order_is_given_once_and_again_after_a_long_time():
+    wanted = configuration(target(1, ROLE), target(2, ROLE))
+    holding = Holding(7, 0.0, FOR_EVER)
+    sent = run(OrderPlanner(), wanted, holding, int(REPEAT_INTERVAL_S) + 10)
+    times = [(now, order.target.name) for now, order in sent]
+    again = int(REPEAT_INTERVAL_S)
+    assert times == [
+        (0, "engine-1"),
+        (0, "engine-2"),
+        (again, "engine-1"),
+        (again, "engine-2"),
+    ]
+
+
+def test_load_orders_keep_within_the_rate_of_the_weight_store():
+    wanted = configuration(*(target(n, LOAD, ROLE) for n in range(20)))
+    sent = run(OrderPlanner(), wanted, Holding(7, 0.0, FOR_EVER), 300)
+    loads = [now for now, order in sent if order.order is LOAD]
+    assert len(loads) == 20
+    gaps = [after - before for before, after in itertools.pairwise([0, *loads])]
+    assert min(gaps) >= LOAD_INTERVAL_S
+
+
+def test_the_rate_is_kept_over_a_change_of_holder():
+    wanted = configuration(*(target(n, LOAD) for n in range(5)))
+    first, second = OrderPlanner(), OrderPlanner()
+    before = run(first, wanted, Holding(7, 0.0, 30.0), 60)
+    after = run(second, wanted, Holding(9, 31.0, FOR_EVER), 60)
+    assert after[0][0] - before[-1][0] >= LOAD_INTERVAL_S
+
+
+def test_a_target_has_one_order_under_way():
+    planner = OrderPlanner()
+    wanted = configuration(target(1, ROLE, TargetOrder(OrderKind.LOAD_ADAPTER, "a")))
+    holding = Holding(7, 0.0, FOR_EVER)
+    (sent,) = planner.plan(wanted, holding, 50.0)
+    assert planner.plan(wanted, holding, 70.0) == []
+    planner.on_result(OrderDone(sent), 70.0)
+    assert len(planner.plan(wanted, holding, 70.0)) == 1
+
+
+def test_an_order_that_failed_is_given_again_later():
+    wanted = configuration(target(1, ROLE))
+    outcomes = iter([True, False])
+    sent = run(
+        OrderPlanner(),
+        wanted,
+        Holding(7, 0.0, FOR_EVER),
+        20,
+        fail=lambda order: next(outcomes),
+    )
+    assert [now for now, _ in sent] == [0, RETRY_INTERVAL_S]
+
+
+class Engine:
+    """Carries orders out; refuses old fencing numbers if it checks them."""
+
+    def __init__(self, spec):
+        self.spec = spec
+        self.fencing = []
+
+    def order(self, sent):
+        newest = max(self.fencing, default=0)
+        if self.spec.checks_fencing and sent.fencing < newest:
+            return False
+        self.fencing.append(sent.fencing)
+        return True
+
+    @property
+    def obeyed_old_holder(self):
+        return self.fencing != sorted(self.fencing)
+
+
+@pytest.mark.parametrize("checks_fencing", [True, False])
+@pytest.mark.parametrize("checks_deadline", [True, False])
+def test_a_holder_paused_past_its_lease(checks_fencing, checks_deadline):
+    """The holder plans, is paused until another one has given its order, resumes.
+
+    Without the check directly before the send, an engine that does not check fencing
+    obeys the old holder after the new one.
+    """
+    spec = target(1, ROLE, checks_fencing=checks_fencing)
+    engine = Engine(spec)
+    wanted = configuration(spec)
+    old = Holding(7, 0.0, 20.0)
+    (late,) = OrderPlanner().plan(wanted, old, 13.0)
+    new = Holding(9, 21.0, FOR_EVER)
+    (sent,) = OrderPlanner().plan(wanted, new, 21.0 + PREDECESSOR_S)
+    assert engine.order(sent)
+    resumed = 40.0
+    if not checks_deadline or old.may_send(spec, resumed):
+        engine.order(late)
+    assert engine.obeyed_old_holder == (not checks_deadline and not checks_fencing)
+
+
+def test_a_new_holder_waits_out_what_the_old_one_may_have_under_way():
+    """The old holder starts an order at the last moment that its lease allows."""
+    spec = target(1, ROLE, checks_fencing=False)
+    old = Holding(7, 0.0, 30.0)
+    last = max(now / 10 for now in range(400) if old.may_send(spec, now / 10))
+    arrives = last + ORDER_TIMEOUT_S
+    # The service ends the old lease no earlier than the old holder counts on.
+    new = Holding(9, old.until_s, FOR_EVER)
+    first = min(now / 10 for now in range(900) if new.may_send(spec, now / 10))
+    assert arrives < old.until_s
+    assert first >= arrives + LEASE_TTL_S
+
+
+def test_a_renewed_right_keeps_its_number_and_its_begin():
+    holding = Holding(7, 1.0, 11.0)
+    assert holding.renewed(14.0) == dataclasses.replace(holding, until_s=14.0)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/admin_reports.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/admin_reports.py
@@ -54,6 +54,14 @@
     return max(state.replica.version, *versions, 0)
 
 
+def is_first_member(state: EntryState, now: float) -> bool:
+    """Whether no live member that stays has a name before this one's."""
+    if state.draining:
+        return False
+    others = [view for view in state.membership.live(now) if not view.draining]
+    return all(state.parameters.me.entry < view.member.entry for view in others)
+
+
 def report_in_force(state: EntryState, version: int, now: float) -> InForceReply:
     """How many of the live entries have the version in force."""
     versions = [view.config_version for view in state.membership.live(now)]
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/daemon.py
@@ -20,7 +20,11 @@
 from burdockhaven_core.log_numbers import EventNumber
 from burdockhaven_core.messages import PeerMessage
 from burdockhaven_entry.admin_api import admin_app
-from burdockhaven_entry.admin_reports import admin_view, floor_version
+from burdockhaven_entry.admin_reports import (
+    admin_view,
+    floor_version,
+    is_first_member,
+)
 from burdockhaven_entry.caller_api import caller_app
 from burdockhaven_entry.configuration_sync import ConfigurationSync
 from burdockhaven_entry.kv_link import KvLink
@@ -29,6 +33,7 @@
 from burdockhaven_entry.message_seal import derive_key
 from burdockhaven_entry.metrics import Metrics
 from burdockhaven_entry.metrics_page import metrics_handler
+from burdockhaven_entry.order_link import OrderLink
 from burdockhaven_entry.peer_link import PeerLink, PeerLinkError
 from burdockhaven_entry.servers import HttpServer
 from burdockhaven_entry.settings import EntrySettings
@@ -40,6 +45,8 @@
 TICK_INTERVAL_S = 0.05
 # Seconds between two questions to a target for its load.
 LOAD_INTERVAL_S = 1.0
+# Seconds between two looks at the orders that are due.
+ORDER_INTERVAL_S = 1.0
 # Seconds that slow callers get at a stop to read answers that are finished.
 CALLER_DRAIN_TIMEOUT_S = 30.0
 # Share by which intervals of network calls are shortened at random.
@@ -74,6 +81,12 @@
             shell.handle,
             shell.clock,
         )
+        self.orders = OrderLink(
+            self.key_value,
+            self.lease,
+            lambda: is_first_member(shell.entry.state, shell.clock()),
+            shell.clock,
+        )
         self.vm_list = VmListLink.from_url(settings.vm_list_url)
         self.peers = PeerLink.from_config(
             parameters.me,
@@ -131,6 +144,7 @@
         print(f"ready {me.entry}", flush=True)
         await self.shell.stopped.wait()
         await self._let_callers_read()
+        await self.orders.close()
         await self.lease.give_up()
         await self.caller_server.stop()
         await self.admin_server.stop()
@@ -154,15 +168,23 @@
             lambda now: self.shell.spawn(self._read_vm_list()),
             jitter=JITTER,
         )
+        self.timer.subscribe(
+            ORDER_INTERVAL_S, lambda now: self._give_orders(), jitter=JITTER
+        )
         self.shell.spawn(self.configuration.run())
         self.shell.spawn(self._renew_lease())
 
     async def _renew_lease(self) -> None:
         delay_s = await self.lease.renew()
+        await self.orders.renew()
         if not self.shell.stopped.is_set():
             due = self.shell.clock() + delay_s
             self.timer.at(due, lambda now: self.shell.spawn(self._renew_lease()))
 
+    def _give_orders(self) -> None:
+        for order in self.orders.due(self.shell.entry.state.configuration):
+            self.shell.spawn(self.orders.send(order))
+
     def _ask_loads(self) -> None:
         for target in self.shell.entry.state.targets.states.values():
             self.shell.spawn(self.shell.targets.ask_load(target.spec))
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
@@ -225,6 +225,36 @@
         "Look at the target; it gets less work until it recovers.",
         {"target": "name of the target", "factor": "its slowness against the group"},
     ),
+    EventSpec(
+        EventNumber.ORDERS_TAKEN,
+        "info",
+        "This process gives the orders to engines now, with fencing number {fencing}.",
+        "Nothing.",
+        {"fencing": "number that goes with its orders"},
+    ),
+    EventSpec(
+        EventNumber.ORDER_DONE,
+        "info",
+        "Target {target} has carried out the order {order} {argument}.",
+        "Nothing.",
+        {
+            "target": "name of the target",
+            "order": "kind of the order",
+            "argument": "what it is to load or to be",
+        },
+    ),
+    EventSpec(
+        EventNumber.ORDER_FAILED,
+        "warning",
+        "The order {order} to target {target} failed: {detail}.",
+        "It is given again. If it keeps failing, look at the target and at the name "
+        "that the template orders.",
+        {
+            "target": "name of the target",
+            "order": "kind of the order",
+            "detail": "what failed",
+        },
+    ),
     EventSpec(
         EventNumber.FLOOR_CLOSED,
         "warning",
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/member_lease.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/member_lease.py
@@ -17,10 +17,10 @@
     Transaction,
 )
 from burdockhaven_core.log_numbers import EventNumber
+from burdockhaven_core.orders import LEASE_TTL_S
 from burdockhaven_entry.kv_link import KvLink
 from burdockhaven_entry.log_events import log
 
-LEASE_TTL_S = 10
 # Seconds between two renewals, each followed by a reading of all leases.
 RENEW_INTERVAL_S = 3.0
 # Share by which the interval is shortened at random.
--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/order_link.py
@@ -0,0 +1,158 @@
+"""Gives orders to engines while this member holds the right to."""
+
+import asyncio
+from collections.abc import Callable
+
+import httpx
+from result import Err
+
+from burdockhaven_core.configuration import Configuration
+from burdockhaven_core.key_value import (
+    KeyValue,
+    Put,
+    Range,
+    RangeAnswer,
+    Transaction,
+    ValueIs,
+)
+from burdockhaven_core.log_numbers import EventNumber
+from burdockhaven_core.orders import (
+    ORDER_TIMEOUT_S,
+    Holding,
+    OrderDone,
+    OrderFailed,
+    OrderPlanner,
+    SendOrder,
+)
+from burdockhaven_entry.kv_link import KvLink
+from burdockhaven_entry.log_events import log
+from burdockhaven_entry.member_lease import MemberLease
+
+HOLDER_KEY = "/burdockhaven/orders/holder"
+STATUS_OUTDATED = 409
+
+
+class OrderLink:
+    """Takes and keeps the right to give orders, and gives those that are due."""
+
+    def __init__(
+        self,
+        link: KvLink,
+        lease: MemberLease,
+        is_candidate: Callable[[], bool],
+        clock: Callable[[], float],
+    ) -> None:
+        self.link = link
+        self.lease = lease
+        # Whether this member is to ask for the right if nobody has it. Only spares
+        # calls: the key-value service decides.
+        self.is_candidate = is_candidate
+        # Gives monotonic seconds.
+        self.clock = clock
+        self.client = httpx.AsyncClient(timeout=ORDER_TIMEOUT_S, trust_env=False)
+        self.planner = OrderPlanner()
+        # None while another member has the right, or nobody.
+        self.holding: Holding | None = None
+
+    async def close(self) -> None:
+        """Give no more orders and close all connections."""
+        self.holding = None
+        await self.client.aclose()
+
+    async def renew(self) -> None:
+        """Take the right if it is free, or keep it; after each renewal of the lease."""
+        if self.lease.lease is None:
+            self.holding = None
+            return
+        if self.holding is None and not self.is_candidate():
+            return
+        key = await self._read_key()
+        if key is None and self.holding is None and self.is_candidate():
+            await self._ask()
+            key = await self._read_key()
+        self._take_in(key)
+
+    def due(self, configuration: Configuration) -> list[SendOrder]:
+        """The orders to send now."""
+        return self.planner.plan(configuration, self.holding, self.clock())
+
+    async def send(self, sent: SendOrder) -> None:
+        """Send one order, unless the right has lapsed meanwhile."""
+        result = await self._send(sent)
+        self.planner.on_result(result, self.clock())
+        match result:
+            case OrderDone():
+                log(
+                    EventNumber.ORDER_DONE,
+                    target=sent.target.name,
+                    order=sent.order.kind.value,
+                    argument=sent.order.argument,
+                )
+            case OrderFailed(outdated=outdated, detail=detail):
+                log(
+                    EventNumber.ORDER_FAILED,
+                    target=sent.target.name,
+                    order=sent.order.kind.value,
+                    detail=detail,
+                )
+                if outdated:
+                    self.holding = None
+
+    async def _send(self, sent: SendOrder) -> OrderDone | OrderFailed:
+        body = {
+            "order": sent.order.kind.value,
+            "argument": sent.order.argument,
+            "fencing": sent.fencing,
+        }
+        request = self.client.build_request(
+            "POST", f"{sent.target.address}/orders", json=body
+        )
+        holding = self.holding
+        if holding is None or holding.fencing != sent.fencing:
+            return OrderFailed(sent, False, "the right to give orders was lost")
+        if not holding.may_send(sent.target, self.clock()):
+            return OrderFailed(sent, False, "the lease ends too soon")
+        try:
+            async with asyncio.timeout(ORDER_TIMEOUT_S):
+                response = await self.client.send(request)
+        except (httpx.HTTPError, TimeoutError) as error:
+            return OrderFailed(sent, False, f"{type(error).__name__}: {error}")
+        if response.is_success:
+            return OrderDone(sent)
+        outdated = response.status_code == STATUS_OUTDATED
+        return OrderFailed(sent, outdated, f"status {response.status_code}")
+
+    async def _ask(self) -> None:
+        assert self.lease.lease is not None
+        put = Put(HOLDER_KEY, self._name(), self.lease.lease)
+        await self.link.call(Transaction((ValueIs(HOLDER_KEY, None),), (put,)))
+
+    async def _read_key(self) -> KeyValue | None:
+        read = await self.link.call(Range(HOLDER_KEY))
+        if isinstance(read, Err) or not isinstance(read.ok_value, RangeAnswer):
+            return self._unread()
+        return read.ok_value.items[0] if read.ok_value.items else None
+
+    def _unread(self) -> KeyValue | None:
+        """What is assumed of the key in an outage: no change, up to the lease's end."""
+        if self.holding is None or self.lease.lease is None:
+            return None
+        fencing = self.holding.fencing
+        return KeyValue(
+            HOLDER_KEY, self._name(), fencing, fencing, lease=self.lease.lease
+        )
+
+    def _take_in(self, key: KeyValue | None) -> None:
+        mine = key is not None and key.value == self._name()
+        if key is None or not mine or key.lease != self.lease.lease:
+            self.holding = None
+        elif self.holding is None or self.holding.fencing != key.create_revision:
+            self.holding = Holding(
+                key.create_revision, self.clock(), self.lease.until_s
+            )
+            log(EventNumber.ORDERS_TAKEN, fencing=key.create_revision)
+        else:
+            self.holding = self.holding.renewed(self.lease.until_s)
+
+    def _name(self) -> bytes:
+        return f"{self.lease.me.entry}/{self.lease.me.incarnation}".encode()
