Forget a refused dispatch, so that shedding it later breaks nothing

The record of the dispatch stayed after the target's refusal. When the request was then shed, the next heartbeat looked up its group and raised KeyError, on every heartbeat after. Found by fuzzing whole entries; the test failed first.

--- a/packages/burdockhaven-core/src/burdockhaven_core/runs.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/runs.py
@@ -20,7 +20,7 @@
     record = _dispatched(state, event.run_id)
     if record is None:
         return
-    request = state.dispatched[event.run_id]
+    request = state.dispatched.pop(event.run_id)
     target = _free_slot(state, record)
     if target is not None:
         target.paused_until_s = now + REFUSAL_PAUSE_S
--- a/packages/burdockhaven-core/tests/test_entry.py
+++ b/packages/burdockhaven-core/tests/test_entry.py
@@ -299,3 +299,14 @@
         target.paused_until_s = NOW + 1
     assert not answers(one.step(request(2, ticket), NOW))
     assert of_type(one.step(Tick(), NOW + 1), StartRun)
+
+
+def test_a_refused_run_that_is_then_shed_leaves_nothing_behind():
+    one = entry()
+    (start,) = of_type(one.step(request(2, token(one, NOW)), NOW), StartRun)
+    one.step(RunRefused(start.run_id, start.target.name, "busy"), NOW)
+    one.step(RunRefused(start.run_id, TargetName("e2"), "busy"), NOW)
+    late_s = NOW + 61.0
+    one.step(Tick(), late_s)
+    assert not one.state.dispatched
+    one.step(Tick(), late_s + 1.0)
