--- a/packages/burdockhaven-entry/src/burdockhaven_entry/event_stream.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/event_stream.py
@@ -39,6 +39,8 @@
     url: str
     # JSON; empty for none.
     body: bytes = b""
+    # Headers beside those that every request has.
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +96,7 @@
         ("host", host),
         ("accept", "text/event-stream"),
         ("connection", "close"),
+        *request.headers,
     ]
     if request.body:
         headers.append(("content-type", "application/json"))
--- a/packages/burdockhaven-entry/tests/test_event_stream.py
+++ b/packages/burdockhaven-entry/tests/test_event_stream.py
@@ -72,9 +72,10 @@
 
 async def test_request_names_its_path_and_body():
     async with peer([HEAD, END]) as (url, requests):
-        request = StreamRequest("POST", url, b'{"a":1}')
+        request = StreamRequest("POST", url, b'{"a":1}', (("x", "y"),))
         await read_stream(request, TIMEOUTS, lambda data: False)
     assert requests[0].startswith(b"POST /path?offset=1 HTTP/1.1\r\n")
+    assert b"x: y\r\n" in requests[0]
     assert b"content-length: 7\r\n" in requests[0].lower()
 
 
--- /dev/null
+++ b/tools/burdockhaven_bench/latency.py
@@ -0,0 +1,45 @@
+"""Histograms of short times."""
+
+from dataclasses import dataclass, field
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+# Range in microseconds and significant digits of a histogram.
+LOWEST_US = 1
+HIGHEST_US = 60_000_000
+DIGITS = 3
+US_PER_S = 1_000_000
+US_PER_MS = 1_000
+
+
+class LatencySummary(msgspec.Struct, frozen=True):
+    """A histogram in a few figures, in milliseconds."""
+
+    count: int
+    p50_ms: float
+    p99_ms: float
+    max_ms: float
+
+
+@dataclass(slots=True)
+class Latency:
+    """A histogram of times in seconds."""
+
+    histogram: HdrHistogram = field(
+        default_factory=lambda: HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+    )
+
+    def record(self, seconds: float) -> None:
+        """Adds one time."""
+        self.histogram.record_value(max(LOWEST_US, int(seconds * US_PER_S)))
+
+    def summary(self) -> LatencySummary:
+        """The figures of all times so far."""
+        histogram = self.histogram
+        return LatencySummary(
+            histogram.get_total_count(),
+            histogram.get_value_at_percentile(50) / US_PER_MS,
+            histogram.get_value_at_percentile(99) / US_PER_MS,
+            histogram.get_max_value() / US_PER_MS,
+        )
--- /dev/null
+++ b/tools/burdockhaven_bench/relay_client.py
@@ -0,0 +1,238 @@
+"""A process that sends requests at a fixed rate and counts what comes back.
+
+Prints `ready`, then `measuring` and `measured` at the ends of the measured time, and
+last its `ClientResult` as JSON.
+"""
+
+import argparse
+import asyncio
+import hashlib
+import itertools
+import time
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+import httpx
+import msgspec
+import uvloop
+
+from burdockhaven_bench.latency import Latency, LatencySummary
+from burdockhaven_entry.event_stream import (
+    NotConnectedError,
+    StreamBrokenError,
+    StreamRequest,
+    StreamTimeouts,
+    read_stream,
+)
+
+TIMEOUTS = StreamTimeouts(connect_s=5.0, gap_s=30.0)
+PROMPT = "a prompt of some words"
+# Share of an assignment's time after which a new one is asked for.
+RENEW_AFTER = 0.5
+
+
+class ClientOptions(msgspec.Struct, frozen=True):
+    """What one client process does."""
+
+    # Where the entry listens for callers, as host:port.
+    entry: str
+    account_key: str
+    request_class: str
+    requests_per_s: float
+    # Tokens of each answer.
+    tokens: int
+    warm_up_s: float
+    measure_s: float
+    # Base URL of an engine that gets every second request directly; empty for none.
+    direct: str = ""
+
+
+class ClientResult(msgspec.Struct, frozen=True):
+    """What one client process saw in the measured time."""
+
+    tokens_per_s: float
+    # Answers by how they ended: "end" is a whole one.
+    outcomes: dict[str, int]
+    # Streams open at the end of the measured time.
+    open_streams: int
+    # First-token time beside the engine's own, through the entry and directly.
+    through_entry: LatencySummary
+    directly: LatencySummary
+
+
+class _Event(msgspec.Struct):
+    """The fields of a caller's events that are counted."""
+
+    count: int = 0
+    text: str = ""
+    length: int | None = None
+    outcome: str | None = None
+    choices: tuple["_Choice", ...] = ()
+
+
+class _Choice(msgspec.Struct):
+    """The field of an engine's events that is counted."""
+
+    text: str = ""
+
+
+class _LookUp(msgspec.Struct):
+    """The fields of a look-up's answer that are used."""
+
+    address: str
+    assignment: str
+    lasts_s: float
+
+
+_decoder = msgspec.json.Decoder(_Event)
+
+
+@dataclass(slots=True)
+class Client:
+    """State of one client process."""
+
+    options: ClientOptions
+    tokens: int = 0
+    open_streams: int = 0
+    measuring: bool = False
+    outcomes: Counter[str] = field(default_factory=Counter)
+    through_entry: Latency = field(default_factory=Latency)
+    directly: Latency = field(default_factory=Latency)
+    numbers: Iterator[int] = field(default_factory=itertools.count)
+    found: _LookUp | None = None
+    # Set once there is an assignment.
+    assigned: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def run(self) -> ClientResult:
+        """Sends requests through warm-up and measured time."""
+        options = self.options
+        looking_up = asyncio.create_task(self._keep_assignment())
+        await self.assigned.wait()
+        print("ready", flush=True)
+        sending = asyncio.create_task(self._send_at_rate())
+        await asyncio.sleep(options.warm_up_s)
+        tokens_before, began_s = self.tokens, time.monotonic()
+        self.measuring = True
+        print("measuring", flush=True)
+        await asyncio.sleep(options.measure_s)
+        self.measuring = False
+        print("measured", flush=True)
+        rate = (self.tokens - tokens_before) / (time.monotonic() - began_s)
+        for task in (looking_up, sending):
+            task.cancel()
+        return ClientResult(
+            rate,
+            dict(self.outcomes),
+            self.open_streams,
+            self.through_entry.summary(),
+            self.directly.summary(),
+        )
+
+    async def _keep_assignment(self) -> None:
+        headers = {"authorization": f"Bearer {self.options.account_key}"}
+        async with httpx.AsyncClient(headers=headers, trust_env=False) as client:
+            while True:
+                reply = await client.get(f"http://{self.options.entry}/v1/lookup")
+                if not reply.is_success:
+                    await asyncio.sleep(0.1)
+                    continue
+                self.found = msgspec.json.decode(reply.content, type=_LookUp)
+                self.assigned.set()
+                await asyncio.sleep(self.found.lasts_s * RENEW_AFTER)
+
+    async def _send_at_rate(self) -> None:
+        tasks = set()
+        began_s = time.monotonic()
+        for number in itertools.count():
+            due_s = began_s + number / self.options.requests_per_s
+            await asyncio.sleep(max(0.0, due_s - time.monotonic()))
+            direct = self.options.direct and number % 2
+            work = self._send_directly() if direct else self._send_through_entry()
+            task = asyncio.create_task(work)
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+
+    async def _send_through_entry(self) -> None:
+        assert self.found is not None
+        options = self.options
+        body = {
+            "assignment": self.found.assignment,
+            "key": f"k{next(self.numbers)}",
+            "class": options.request_class,
+            "prompt": PROMPT,
+            "max_output_tokens": options.tokens,
+        }
+        request = StreamRequest(
+            "POST",
+            f"http://{self.found.address}/v1/requests",
+            msgspec.json.encode(body),
+            (("authorization", f"Bearer {options.account_key}"),),
+        )
+        await self._read(request, self.through_entry)
+
+    async def _send_directly(self) -> None:
+        identity = f"{self.options.account_key}{next(self.numbers)}{id(self)}"
+        body = {
+            "request_id": hashlib.sha256(identity.encode()).hexdigest(),
+            "prompt": PROMPT,
+            "max_tokens": self.options.tokens,
+        }
+        url = f"{self.options.direct}/v1/completions"
+        request = StreamRequest("POST", url, msgspec.json.encode(body))
+        await self._read(request, self.directly)
+
+    async def _read(self, request: StreamRequest, latency: Latency) -> None:
+        sent_s = time.monotonic()
+        received = 0
+        outcome = ""
+
+        def on_event(data: bytes) -> bool:
+            nonlocal received, outcome
+            if data == b"[DONE]":
+                outcome = "end"
+                return True
+            event = _decoder.decode(data)
+            text = event.choices[0].text if event.choices else event.text
+            if received == 0 and text and self.measuring:
+                self._time_first_token(latency, sent_s, text)
+            received += event.count or len(event.choices)
+            self.tokens += event.count
+            if event.length is not None:
+                outcome = "end" if event.length == received else "truncated"
+            outcome = event.outcome or outcome
+            return bool(outcome)
+
+        self.open_streams += 1
+        try:
+            end = await read_stream(request, TIMEOUTS, on_event)
+            outcome = outcome or f"status {end.status}"
+        except (NotConnectedError, StreamBrokenError) as error:
+            outcome = type(error).__name__
+        finally:
+            self.open_streams -= 1
+        if self.measuring:
+            self.outcomes[outcome] += 1
+
+    def _time_first_token(self, latency: Latency, sent_s: float, text: str) -> None:
+        """Counts the time on the way, if the engine stamped its first token."""
+        now = time.monotonic()
+        try:
+            arrived_s, emitted_s = map(float, text.split())
+        except ValueError:
+            return
+        latency.record((now - emitted_s) + (arrived_s - sent_s))
+
+
+def main() -> None:
+    """Runs one client with the options that the command line gives as JSON."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("options", help="ClientOptions as JSON")
+    text = parser.parse_args().options
+    options = msgspec.json.decode(text, type=ClientOptions)
+    result = uvloop.run(Client(options).run())
+    print("result " + msgspec.json.encode(result).decode(), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/tools/burdockhaven_standins/__main__.py
+++ b/tools/burdockhaven_standins/__main__.py
@@ -47,6 +47,7 @@
 
 def _add_engine(parser: argparse.ArgumentParser) -> None:
     parser.add_argument("--checks-fencing", action="store_true")
+    parser.add_argument("--stamps", action="store_true")
     for field in dataclasses.fields(EngineConfig):
         option = "--" + field.name.replace("_", "-")
         parser.add_argument(option, type=field.type, default=field.default)
@@ -55,7 +56,9 @@
 def _engine_app(options: argparse.Namespace) -> Litestar:
     names = [field.name for field in dataclasses.fields(EngineConfig)]
     config = EngineConfig(**{name: getattr(options, name) for name in names})
-    return engine.make_app(config, options.checks_fencing)
+    return engine.make_app(
+        config, engine.EngineOptions(options.checks_fencing, options.stamps)
+    )
 
 
 def _service_app(options: argparse.Namespace) -> Litestar:
--- a/tools/burdockhaven_standins/engine.py
+++ b/tools/burdockhaven_standins/engine.py
@@ -22,7 +22,6 @@
 )
 from burdockhaven_standins.engine_model import (
     DuplicateRunError,
-    EngineChunk,
     EngineConfig,
     EngineFinished,
     EngineModel,
@@ -57,13 +56,23 @@
     silent: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class EngineOptions:
+    """How the process differs from the model in it."""
+
+    # Whether orders with an old fencing number are refused.
+    checks_fencing: bool = False
+    # Whether the first token of a run is the times at which the run arrived and the
+    # token left, in monotonic seconds, for benches on one machine.
+    stamps: bool = False
+
+
 @dataclass(slots=True)
 class Engine:
     """State of one engine process."""
 
     model: EngineModel
-    # Whether orders with an old fencing number are refused.
-    checks_fencing: bool
+    options: EngineOptions
     faults: Faults = field(default_factory=Faults)
     # Open streams by run identity.
     streams: dict[str, list[OpenStream]] = field(default_factory=dict)
@@ -71,6 +80,8 @@
     finished: dict[str, EngineFinished] = field(default_factory=dict)
     orders: list[Order] = field(default_factory=list)
     cancelled: list[str] = field(default_factory=list)
+    # When each run arrived, in monotonic seconds.
+    arrived: dict[str, float] = field(default_factory=dict)
     # Set when the time of the next event may have changed.
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -83,6 +94,7 @@
             output_tokens=completion.max_tokens,
             blocks=prompt_blocks(words, self.model.config.block_tokens),
         )
+        self.arrived[run.run_id] = time.monotonic()
         self.advance()
         self.model.submit(run, time.monotonic())
         self.changed.set()
@@ -122,7 +134,7 @@
     def take_order(self, order: Order) -> bool:
         """Carries the order out; false if its fencing number is old."""
         newest = max((each.fencing for each in self.orders), default=0)
-        if self.checks_fencing and order.fencing < newest:
+        if self.options.checks_fencing and order.fencing < newest:
             return False
         self.orders.append(order)
         return True
@@ -155,13 +167,21 @@
         events = b""
         if state.emitted > stream.sent:
             count = state.emitted - stream.sent
-            events = _chunk_event(EngineChunk(stream.run_id, stream.sent, count, 0.0))
+            events = self._chunk_event(stream.run_id, stream.sent, count)
             stream.sent = state.emitted
         if state.finished_s is not None:
             events += _end_events(self.finished[stream.run_id])
             stream.sent = -1
         return events
 
+    def _chunk_event(self, run_id: str, offset: int, count: int) -> bytes:
+        indices = range(offset, offset + count)
+        text = "".join(token_text(run_id, index) for index in indices)
+        if self.options.stamps and offset == 0:
+            text = f"{self.arrived[run_id]} {time.monotonic()} "
+        choice = Choice(text, count)
+        return _event(StreamChunk(run_id, offset, (choice,)))
+
     def _close(self, stream: OpenStream) -> None:
         readers = self.streams[stream.run_id]
         readers.remove(stream)
@@ -202,9 +222,9 @@
         )
 
 
-def make_app(config: EngineConfig, checks_fencing: bool) -> Litestar:
+def make_app(config: EngineConfig, options: EngineOptions) -> Litestar:
     """The application of one engine."""
-    engine = Engine(EngineModel.from_config(config), checks_fencing)
+    engine = Engine(EngineModel.from_config(config), options)
     faults = engine.faults
 
     @post("/v1/completions", status_code=200)
@@ -271,13 +291,6 @@
     return f"{run_id[:RUN_MARK_LENGTH]}-{index} "
 
 
-def _chunk_event(chunk: EngineChunk) -> bytes:
-    indices = range(chunk.offset, chunk.offset + chunk.count)
-    text = "".join(token_text(chunk.run_id, index) for index in indices)
-    choice = Choice(text, chunk.count)
-    return _event(StreamChunk(chunk.run_id, chunk.offset, (choice,)))
-
-
 def _end_events(finished: EngineFinished) -> bytes:
     usage = Usage(
         finished.prompt_tokens, finished.output_tokens, finished.cached_tokens
--- a/tools/burdockhaven_standins/processes.py
+++ b/tools/burdockhaven_standins/processes.py
@@ -12,7 +12,7 @@
 READY_TIMEOUT_S = 20.0
 # Seconds in which a process has to end after SIGTERM.
 STOP_TIMEOUT_S = 10.0
-READY_WORD = "ready "
+READY_WORD = "ready"
 
 
 class NotReadyError(Exception):
@@ -45,7 +45,8 @@
         started = cls(name, process)
         threading.Thread(target=started._read_output, daemon=True).start()
         try:
-            started.ready = started.wait_for_line(READY_WORD)[len(READY_WORD) :]
+            line = started.wait_for_line(READY_WORD)
+            started.ready = line[len(READY_WORD) :].strip()
         except BaseException:
             started.kill()
             raise
--- a/tools/burdockhaven_standins/site.py
+++ b/tools/burdockhaven_standins/site.py
@@ -81,14 +81,14 @@
     key_value: RunningProcess
     vm_list: RunningProcess
     # Seconds that an entry takes at least to drain.
-    assignment_lifetime_s: int = ASSIGNMENT_LIFETIME_S
+    assignment_lifetime_s: int
     vms: list[Vm] = field(default_factory=list)
     # Engines and plain services by name.
     targets: dict[str, RunningProcess] = field(default_factory=dict)
     entries: list[SiteEntry] = field(default_factory=list)
 
     @classmethod
-    def start(cls) -> "Site":
+    def start(cls, assignment_lifetime_s: int = ASSIGNMENT_LIFETIME_S) -> "Site":
         """A site with its platform and nothing else."""
         directory = Path(tempfile.mkdtemp(prefix="burdockhaven-"))
         token = secrets.token_hex(SECRET_BYTES)
@@ -97,7 +97,7 @@
         group = ProcessGroup()
         key_value = group.stand_in("kv", "kv")
         vm_list = group.stand_in("vms", "vms")
-        return cls(directory, token, group, key_value, vm_list)
+        return cls(directory, token, group, key_value, vm_list, assignment_lifetime_s)
 
     def __enter__(self) -> "Site":
         return self
