Offer single parts of the configuration between members; leave the rest to the watch

A ready member that is behind waits a second before it asks, for its watch mostly tells it sooner.

The demonstration's command line could outlive it when a second interrupt came while it was being stopped (seen as one failure of test_demo under load): it now belongs to the group of processes that is stopped with signals in mind. That test still failed in 1 of 6 runs of its 3 cases after the change; the cause is not found yet. The process tests of the configuration wait until the entries know each other; without that, 1 of 10 runs failed under load, and the failure was not caught in detail.

--- a/packages/burdockhaven-core/src/burdockhaven_core/configuration_parts.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/configuration_parts.py
@@ -8,7 +8,7 @@
 """
 
 import hashlib
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 from typing import NewType
 
@@ -66,6 +66,14 @@
     raw: bytes | None
 
 
+class PartsOffer(msgspec.Struct, frozen=True, array_like=True):
+    """What one member sends to another that has an older configuration."""
+
+    index: Index
+    # Parts of the index that the receiver does not have.
+    parts: dict[PartName, bytes]
+
+
 EMPTY_INDEX = StoredIndex(Index(0, {}), None)
 
 
@@ -163,6 +171,39 @@
     )
 
 
+def digests_of(configuration: Configuration) -> tuple[str, ...]:
+    """Digests of all parts of the configuration."""
+    return tuple(digest_of(part) for part in encode_parts(configuration).values())
+
+
+def encode_offer(configuration: Configuration, digests: Collection[str]) -> bytes:
+    """The configuration for a member that has the parts of the digests."""
+    parts = encode_parts(configuration)
+    index = index_of(configuration, parts)
+    known = frozenset(digests)
+    lacking = {
+        name: part for name, part in parts.items() if index.parts[name] not in known
+    }
+    return msgspec.msgpack.encode(PartsOffer(index, lacking))
+
+
+def decode_offer(body: bytes, own: Configuration) -> Result[Configuration, Fault]:
+    """The configuration that an offer and the own parts make up."""
+    try:
+        offer = msgspec.msgpack.decode(body, type=PartsOffer)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Err(_unreadable("offer", error))
+    available = {digest_of(part): part for part in encode_parts(own).values()}
+    available |= {digest_of(part): part for part in offer.parts.values()}
+    missing = [n for n, digest in offer.index.parts.items() if digest not in available]
+    if missing:
+        remedy = "none: the offer is dropped and asked for again"
+        seen = f"no such part: {missing[0]}"
+        return Err(Fault("offer", seen, "each part of the index", remedy))
+    parts = {name: available[digest] for name, digest in offer.index.parts.items()}
+    return decode_parts(offer.index, parts)
+
+
 def check_part_sizes(configuration: Configuration) -> tuple[Fault, ...]:
     """A fault for each part that is too large for one value."""
     return tuple(
--- a/packages/burdockhaven-core/src/burdockhaven_core/configuration_replica.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/configuration_replica.py
@@ -13,9 +13,10 @@
 from burdockhaven_core.actions import SendMessage
 from burdockhaven_core.configuration import Configuration
 from burdockhaven_core.configuration_check import Fault
-from burdockhaven_core.configuration_codec import (
-    decode_configuration,
-    encode_configuration,
+from burdockhaven_core.configuration_parts import (
+    decode_offer,
+    digests_of,
+    encode_offer,
 )
 from burdockhaven_core.identity import MemberId
 from burdockhaven_core.messages import (
@@ -26,6 +27,8 @@
 
 # Seconds before a member is asked again for a version it has not sent.
 ASK_INTERVAL_S = 1.0
+# Seconds for which a member that is behind leaves it to its watch.
+ASK_DELAY_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +57,8 @@
     # Whether the key-value service or a member has told a configuration since the
     # process started. An entry that knows none is not ready.
     ready: bool = False
+    # When a newer version was first heard of; None while there is none.
+    behind_since: float | None = None
     # When a newer version was last asked for, in monotonic seconds; None if never.
     asked_at: float | None = None
     # The version asked for at that time.
@@ -74,20 +79,34 @@
         if configuration.order <= self.configuration.order:
             return False
         self.configuration = configuration
+        self.behind_since = None
         return True
 
     def on_heartbeat(self, heartbeat: Heartbeat, now: float) -> list[SendMessage]:
-        """Ask the sender for its configuration if it has a newer version."""
+        """Ask the sender for its configuration if it has a newer version.
+
+        A member that is ready first waits a moment: its watch on the key-value service
+        tells it sooner, unless there is an outage.
+        """
         version = heartbeat.config_version
         if version <= self.version:
             return []
+        if self.behind_since is None:
+            self.behind_since = now
+        if self.ready and now < self.behind_since + ASK_DELAY_S:
+            return []
         pending = self.asked_at is not None and now < self.asked_at + ASK_INTERVAL_S
         if pending and version <= self.asked_version:
             return []
         self.asked_at = now
         self.asked_version = version
         sender = MemberId(heartbeat.entry, heartbeat.incarnation)
-        ask = ConfigurationAsk(self.me.entry, self.me.incarnation, self.version)
+        ask = ConfigurationAsk(
+            self.me.entry,
+            self.me.incarnation,
+            self.version,
+            digests_of(self.configuration),
+        )
         return [SendMessage(sender, ask)]
 
     def on_ask(self, sender: MemberId, ask: ConfigurationAsk) -> list[SendMessage]:
@@ -98,13 +117,13 @@
             self.me.entry,
             self.me.incarnation,
             self.version,
-            encode_configuration(self.configuration),
+            encode_offer(self.configuration, ask.digests),
         )
         return [SendMessage(sender, offer)]
 
     def on_offer(self, offer: ConfigurationOffer) -> Result[bool, Fault]:
         """Put an offered configuration in force if it is newer; whether it was."""
-        decoded = decode_configuration(offer.body)
+        decoded = decode_offer(offer.body, self.configuration)
         if isinstance(decoded, Err):
             return Err(decoded.err_value)
         configuration = decoded.ok_value
--- a/packages/burdockhaven-core/src/burdockhaven_core/messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/messages.py
@@ -115,12 +115,12 @@
 
 
 class ConfigurationOffer(msgspec.Struct, frozen=True, array_like=True, tag=5):
-    """A whole configuration, sent to a member that has an older one."""
+    """A configuration, sent to a member that has an older one."""
 
     entry: EntryName
     incarnation: Incarnation
     version: int
-    # The configuration as MessagePack.
+    # The index and the parts that the receiver lacks, see `configuration_parts`.
     body: bytes
 
 
@@ -130,6 +130,8 @@
     entry: EntryName
     incarnation: Incarnation
     have_version: int
+    # Digests of the parts that the asker has.
+    digests: tuple[str, ...] = ()
 
 
 PeerMessage = (
--- a/packages/burdockhaven-core/tests/test_configuration_replica.py
+++ b/packages/burdockhaven-core/tests/test_configuration_replica.py
@@ -1,15 +1,21 @@
 """A member's configuration never goes back and spreads between members."""
 
+import dataclasses
+
 import pytest
 
 from burdockhaven_core.configuration import ChangeRecord, Configuration
+from burdockhaven_core.configuration_codec import encode_configuration
+from burdockhaven_core.configuration_parts import digests_of, encode_offer
 from burdockhaven_core.configuration_replica import (
+    ASK_DELAY_S,
     ConfigurationReplica,
     InForce,
     count_in_force,
 )
 from burdockhaven_core.identity import MemberId
 from burdockhaven_core.messages import ConfigurationAsk, ConfigurationOffer, Heartbeat
+from burdockhaven_standins.samples import ACCOUNT, TEMPLATE
 
 ME = MemberId("e1", "a")
 OTHER = MemberId("e2", "b")
@@ -79,6 +85,45 @@
     assert len(replica.on_heartbeat(heartbeat(5), now=1.6)) == 1
 
 
+def test_a_ready_member_leaves_it_to_its_watch_for_a_moment():
+    replica = ConfigurationReplica(ME, version(3), ready=True)
+    times = (10.0, 10.5, 10.0 + ASK_DELAY_S)
+    asked = [len(replica.on_heartbeat(heartbeat(4), now)) for now in times]
+    assert asked == [0, 0, 1]
+    replica.take(version(4))
+    assert replica.on_heartbeat(heartbeat(5), 30.0) == []
+
+
+def crowd(weight, count=5_900):
+    """A configuration of many accounts, one of which has the weight."""
+    accounts = {
+        name: dataclasses.replace(ACCOUNT, account=name)
+        for name in (f"account-{number}" for number in range(count))
+    }
+    changed = dataclasses.replace(accounts["account-7"], weight=weight)
+    accounts["account-7"] = changed
+    number = 10 + int(weight)
+    record = ChangeRecord(number, "op", "put account account-7")
+    return Configuration(number, {"site": TEMPLATE}, accounts, (record,))
+
+
+def test_an_offer_holds_only_the_parts_that_the_asker_lacks():
+    asker = ConfigurationReplica(ME, crowd(1.0), ready=True, behind_since=0.0)
+    holder = ConfigurationReplica(OTHER, crowd(2.0), ready=True)
+    (ask,) = asker.on_heartbeat(heartbeat(12), ASK_DELAY_S)
+    (offer,) = holder.on_ask(ME, ask.message)
+    assert len(offer.message.body) < len(encode_configuration(crowd(2.0))) / 30
+    assert asker.on_offer(offer.message).unwrap()
+    assert asker.configuration == holder.configuration
+
+
+def test_an_offer_that_lacks_a_part_is_dropped():
+    asker = ConfigurationReplica(ME)
+    body = encode_offer(crowd(1.0, count=50), digests_of(crowd(1.0, count=50)))
+    assert asker.on_offer(ConfigurationOffer("e2", "b", 11, body)).is_err()
+    assert asker.version == 0
+
+
 @pytest.mark.parametrize("body", [b"", b"\xc1", b"\x80"])
 def test_a_malformed_offer_is_dropped(body):
     replica = ConfigurationReplica(ME, version(2), ready=True)
--- a/packages/burdockhaven-core/tests/test_publishing_machine.py
+++ b/packages/burdockhaven-core/tests/test_publishing_fuzz.py
@@ -8,6 +8,7 @@
 import dataclasses
 from dataclasses import dataclass, field
 from itertools import chain, repeat
+from os import environ
 
 import pytest
 from hypothesis import Phase, settings
@@ -25,7 +26,7 @@
 from burdockhaven_core import configuration_store, publishing
 from burdockhaven_core.configuration import Configuration
 from burdockhaven_core.configuration_change import Operation, PutAccount, PutTemplate
-from burdockhaven_core.configuration_replica import ConfigurationReplica
+from burdockhaven_core.configuration_replica import ASK_DELAY_S, ConfigurationReplica
 from burdockhaven_core.configuration_store import Newer, synchronise
 from burdockhaven_core.identity import MemberId
 from burdockhaven_core.key_value import Command, FailureKind, KeyValueSteps, Transaction
@@ -258,6 +259,7 @@
             f"e{one}", "i", 1, 0.0, "", "", "z", True, False, sender.version, (), ()
         )
         receiver.asked_at = None
+        receiver.behind_since = -ASK_DELAY_S
         for ask in receiver.on_heartbeat(beat, 0.0):
             for offer in sender.on_ask(receiver.me, ask.message):
                 assert receiver.on_offer(offer.message).is_ok()
@@ -333,10 +335,10 @@
         self.members_hold_what_was_accepted_and_nothing_refused()
 
 
+IN_CI = settings(settings.get_profile("ci"), max_examples=200, stateful_step_count=50)
+
 TestPublishing = PublishingMachine.TestCase
-TestPublishing.settings = settings(
-    derandomize=True, deadline=None, max_examples=200, stateful_step_count=50
-)
+TestPublishing.settings = settings() if "BURDOCKHAVEN_FUZZ_STEPS" in environ else IN_CI
 
 
 def without_floor(monkeypatch):
@@ -401,7 +403,7 @@
 def test_the_oracle_notices_a_missing_defence(remove_defence, monkeypatch):
     remove_defence(monkeypatch)
     quick = settings(
-        TestPublishing.settings,
+        IN_CI,
         max_examples=2_000,
         phases=[Phase.generate],
         report_multiple_bugs=False,
--- a/tools/burdockhaven_bench/demo.py
+++ b/tools/burdockhaven_bench/demo.py
@@ -96,7 +96,7 @@
     entries = _start_entries(group, directory, key_value, vm_list)
     _tell_vm_list(vm_list, entries, targets)
     print("3. the operator publishes")
-    _publish(directory, entries, targets, account_key)
+    _publish(group, directory, entries, targets, account_key)
     caller = Caller([entry.ports.caller for entry in entries], account_key)
     _wait_for("a look-up that succeeds", lambda: not _refused(caller))
     print("4. one streamed review")
@@ -148,12 +148,13 @@
 
 
 def _publish(
+    group: ProcessGroup,
     directory: Path,
     entries: tuple[Entry, ...],
     targets: Targets,
     account_key: str,
 ) -> None:
-    operator = Operator([f"http://{entry.ports.admin}" for entry in entries])
+    operator = Operator(group, [f"http://{entry.ports.admin}" for entry in entries])
     template = directory / "template.json"
     engines = [process.url for process in targets.engines]
     template.write_bytes(template_file(engines, targets.service.url))
--- a/tools/burdockhaven_bench/demo_operator.py
+++ b/tools/burdockhaven_bench/demo_operator.py
@@ -5,6 +5,8 @@
 from collections.abc import Sequence
 from pathlib import Path
 
+from burdockhaven_standins.processes import ProcessGroup, RunningProcess
+
 # Seconds that a change may take to be in force on every entry.
 WAIT_S = 15
 
@@ -16,7 +18,9 @@
 class Operator:
     """Publishes changes with `burdockhaven-ctl`, one after another."""
 
-    def __init__(self, endpoints: Sequence[str]) -> None:
+    def __init__(self, group: ProcessGroup, endpoints: Sequence[str]) -> None:
+        # Stops a command that is interrupted.
+        self.group = group
         # Base URLs of the administration addresses.
         self.endpoints = tuple(endpoints)
 
@@ -39,10 +43,18 @@
     def _run(self, *arguments: str) -> None:
         options = [f"--endpoint={endpoint}" for endpoint in self.endpoints]
         command = [sys.executable, "-m", "burdockhaven_ctl", *options, *arguments]
-        done = subprocess.run(command, capture_output=True, text=True, check=False)
+        running = RunningProcess(
+            "burdockhaven-ctl",
+            subprocess.Popen(
+                command, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True
+            ),
+        )
+        self.group.running.append(running)
+        output, _ = running.process.communicate()
+        self.group.running.remove(running)
         print(f"   $ burdockhaven-ctl {' '.join(arguments[:2])}")
-        for line in (done.stdout + done.stderr).splitlines():
+        for line in output.splitlines():
             print(f"     {line}")
-        if done.returncode != 0:
-            text = f"burdockhaven-ctl ended with exit code {done.returncode}"
-            raise DemoError(text)
+        code = running.process.returncode
+        if code != 0:
+            raise DemoError(f"burdockhaven-ctl ended with exit code {code}")
--- /dev/null
+++ b/tools/tests/test_configuration_process.py
@@ -0,0 +1,152 @@
+"""Publishing, outages and restores of the key-value service with real processes."""
+
+import asyncio
+import dataclasses
+import json
+import random
+import subprocess
+import sys
+
+import httpx
+import pytest
+
+from burdockhaven_core.configuration_codec import encode_json
+from burdockhaven_core.configuration_parts import INDEX_KEY
+from burdockhaven_core.key_value import Delete, Transaction
+from burdockhaven_ctl.exit_codes import ExitCode
+from burdockhaven_entry.kv_link import KvLink
+from burdockhaven_standins.samples import ACCOUNT, TEMPLATE
+from burdockhaven_standins.site import Site
+
+pytestmark = pytest.mark.process
+
+# Seconds that a change may be tried again and may take to be in force.
+PATIENCE_S = "20"
+# Runs of the command line until the entries have to know each other.
+MEMBER_TRIES = 30
+
+
+class Operator:
+    """Runs the command line against the entries of a site."""
+
+    def __init__(self, site):
+        self.site = site
+
+    def run(self, *arguments, patience=PATIENCE_S, entries=None):
+        entries = self.site.entries if entries is None else entries
+        command = [sys.executable, "-m", "burdockhaven_ctl", "--output", "json"]
+        command += ["--patience", patience, "--token-file"]
+        command.append(str(self.site.directory / "operator-token"))
+        command += [f"--endpoint=http://{entry.admin}" for entry in entries]
+        done = subprocess.run(
+            [*command, *arguments], capture_output=True, text=True, timeout=90
+        )
+        return done.returncode, json.loads(done.stdout) if done.stdout else {}
+
+    def put(self, noun, item, *arguments, version="current", **options):
+        path = self.site.directory / f"{noun}.json"
+        path.write_bytes(encode_json(item))
+        expected = ("--expected-version", version)
+        return self.run(noun, "put", str(path), *expected, *arguments, **options)
+
+    def wait_until_all_are_known(self):
+        """Wait until each entry has heard all others."""
+        for entry in self.site.entries:
+            known = []
+            for _ in range(MEMBER_TRIES):
+                known = self.run("members", entries=[entry])[1].get("members", [])
+                if sum(member["state"] != "silent" for member in known) == len(
+                    self.site.entries
+                ):
+                    break
+            else:
+                pytest.fail(f"{entry.process.name} does not know all: {known}")
+
+    def control(self, **faults):
+        url = f"{self.site.key_value.url}/control"
+        httpx.post(url, json=faults, trust_env=False).raise_for_status()
+
+
+@pytest.fixture
+def site():
+    with Site.start() as started:
+        started.add_entry("entry-1")
+        started.add_entry("entry-2")
+        yield started
+
+
+@pytest.fixture
+def operator(site):
+    made = Operator(site)
+    made.wait_until_all_are_known()
+    return made
+
+
+def in_force(number):
+    return f"Configuration version {number} is in force."
+
+
+def wait_for_text(process, text):
+    while text not in process.wait_for_line(""):
+        pass
+
+
+def test_a_change_is_in_force_on_every_entry(site, operator):
+    code, reply = operator.put("template", TEMPLATE, "--wait", PATIENCE_S)
+    assert (code, reply["result"], reply["version"]) == (0, "accepted", 1)
+    assert reply["in_force"] == {"version": 1, "on": 2, "of": 2}
+    code, reply = operator.put("account", ACCOUNT, version="0")
+    assert (code, reply["result"]) == (ExitCode.CONFLICT, "conflict")
+    assert reply["winner"]["summary"] == "put template site"
+    code, reply = operator.run("history")
+    assert [change["version"] for change in reply["changes"]] == [1]
+    wrong = dataclasses.replace(ACCOUNT, weight=-1.0)
+    code, reply = operator.put("account", wrong, "--dry-run")
+    assert (code, reply["faults"][0]["path"]) == (
+        ExitCode.INVALID,
+        "accounts.crew.weight",
+    )
+
+
+def test_a_lost_answer_is_resolved_to_yes(site, operator):
+    operator.put("template", TEMPLATE, "--wait", PATIENCE_S)
+    # The lease renewals of the entries lose some answers, too.
+    operator.control(lose_answers=5)
+    code, reply = operator.put("account", ACCOUNT, version="1")
+    assert (code, reply["version"]) == (0, 2)
+    code, reply = operator.run("history")
+    assert [change["version"] for change in reply["changes"]] == [1, 2]
+
+
+@pytest.mark.parametrize("outage", ["refuse", "silent"])
+def test_an_outage_refuses_changes_and_keeps_what_is_in_force(site, operator, outage):
+    operator.put("template", TEMPLATE, "--wait", PATIENCE_S)
+    operator.control(outage=outage)
+    code, reply = operator.put("account", ACCOUNT, version="1", patience="0")
+    assert (code, reply["result"]) == (ExitCode.UNREACHABLE, "not_done")
+    started = site.add_entry("entry-3")
+    wait_for_text(started.process, in_force(1))
+    code, reply = operator.run("show", entries=[started])
+    assert reply["in_force"]["version"] == 1
+    operator.control(outage="none")
+    code, reply = operator.put("account", ACCOUNT, "--wait", PATIENCE_S, version="1")
+    assert (code, reply["in_force"]["on"]) == (0, 3)
+
+
+def test_a_service_that_lost_its_data_gets_the_newer_version_back():
+    with Site.start() as site:
+        entry = site.add_entry("entry-1")
+        operator = Operator(site)
+        operator.put("template", TEMPLATE, "--wait", PATIENCE_S)
+        operator.put("account", ACCOUNT, "--wait", PATIENCE_S)
+        asyncio.run(remove_index(site.key_value.url))
+        wait_for_text(entry.process, "held version 0; version 2 was written back")
+        changed = dataclasses.replace(ACCOUNT, weight=2.0)
+        code, reply = operator.put("account", changed, version="2")
+        assert (code, reply["version"]) == (0, 3)
+
+
+async def remove_index(url):
+    link = KvLink.from_url(url, random.Random(1))
+    assert (await link.call(Transaction((), (Delete(INDEX_KEY),)))).is_ok()
+    await link.close()
