Read streams by aiohttp and httpx-sse in place of an own transport and parser

A comment in a stream is no event any more (its test case follows the library); events are text now.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/target_link.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/target_link.py
@@ -56,7 +56,7 @@
 
 STREAM_TIMEOUTS = StreamTimeouts(connect_s=CONNECT_TIMEOUT_S, gap_s=GAP_TIMEOUT_S)
 # Data of the event that follows the last one of a run.
-DONE = b"[DONE]"
+DONE = "[DONE]"
 
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
@@ -267,7 +267,7 @@
         # Tokens since the last report of progress.
         self.unreported = 0
 
-    def on_event(self, data: bytes) -> bool:
+    def on_event(self, data: str) -> bool:
         """Take in one event; True for the last one."""
         if not data:
             return False
