Send answers from one task each, without litestar's stream in between

Cause: each token woke a chain of four generators, an asyncio.Event and an anyio task group on the caller's side, about as much time as reading it (profile by processor time). Now one task per answer takes batches from the relay and awaits uvicorn's send; readers wait on futures, chunks are structs, and the reader of a run has no generator in its loop. A caller that was gone before its answer began left its exchange behind; the response now always ends it.

Ruled out: writing from the parser's callback, for uvicorn's send has to be awaited.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/caller_api.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/caller_api.py
@@ -3,10 +3,8 @@
 import asyncio
 import hashlib
 import math
-from collections.abc import AsyncIterator, Sequence
 from typing import Any
 
-import msgspec
 from litestar import Litestar, Request, Response, get, post
 from litestar.datastructures import State
 from litestar.exceptions import HTTPException
@@ -16,7 +14,7 @@
 
 from burdockhaven_core.actions import AnswerLookUp
 from burdockhaven_core.events import RequestArrived, ResumeArrived
-from burdockhaven_core.identity import AccountName, ClassName, RunId
+from burdockhaven_core.identity import AccountName, ClassName
 from burdockhaven_core.outcome import (
     Elsewhere,
     NotRun,
@@ -24,18 +22,16 @@
     Outcome,
     Unknown,
 )
+from burdockhaven_entry.answer_stream import AnswerStream
 from burdockhaven_entry.caller_wire import (
-    ChunkEvent,
-    EndEvent,
     LookUpReply,
     OutcomeReply,
     RequestBody,
     ResumeBody,
-    StartedEvent,
     StatusReply,
     outcome_reply,
 )
-from burdockhaven_entry.relay import Chunk, Relay
+from burdockhaven_entry.relay import Relay
 from burdockhaven_entry.shell import Body, Exchange, Shell
 
 # Characters at the start of a prompt that are taken for its shared prefix.
@@ -57,8 +53,6 @@
 STATUS_UNAUTHORIZED = 401
 STATUS_TOO_LARGE = 413
 
-_encoder = msgspec.json.Encoder()
-
 
 def caller_app(shell: Shell, max_body_bytes: int) -> Litestar:
     """The application that serves callers."""
@@ -168,8 +162,7 @@
         shell.leave(exchange.handle)
         raise
     if isinstance(result, Relay):
-        events = _events(shell, exchange, result)
-        return Stream(events, media_type="text/event-stream")
+        return AnswerStream(shell, exchange, result)
     shell.leave(exchange.handle)
     if result is None:
         return Response(None, status_code=STATUS_UNAVAILABLE)
@@ -196,36 +189,6 @@
             return
 
 
-async def _events(
-    shell: Shell, exchange: Exchange, relay: Relay
-) -> AsyncIterator[bytes]:
-    run_id = relay.run_id
-    try:
-        yield _event("started", StartedEvent(run_id, relay.target))
-        async for batch in relay.batches(exchange.offset):
-            yield _event("chunk", _merged(run_id, batch))
-        if relay.lost is None:
-            yield _event("end", EndEvent(run_id, relay.length))
-        else:
-            reply = outcome_reply(relay.lost)
-            yield _event(reply.outcome, reply)
-    finally:
-        shell.leave(exchange.handle)
-
-
-def _merged(run_id: RunId, batch: Sequence[Chunk]) -> ChunkEvent:
-    first = batch[0]
-    if len(batch) == 1:
-        return ChunkEvent(run_id, first.offset, first.count, first.text)
-    count = sum(chunk.count for chunk in batch)
-    text = "".join(chunk.text for chunk in batch)
-    return ChunkEvent(run_id, first.offset, count, text)
-
-
-def _event(name: str, data: msgspec.Struct) -> bytes:
-    return b"event: %b\ndata: %b\n\n" % (name.encode(), _encoder.encode(data))
-
-
 def _account(request: Request[Any, Any, Any], shell: Shell) -> AccountName | None:
     """The account whose key the caller shows; None if there is none."""
     scheme, _, key = request.headers.get("authorization", "").partition(" ")
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/relay.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/relay.py
@@ -3,7 +3,8 @@
 import asyncio
 from collections import OrderedDict
 from collections.abc import AsyncIterator, Sequence
-from dataclasses import dataclass
+
+import msgspec
 
 from burdockhaven_core.identity import RunId, TargetName
 from burdockhaven_core.outcome import NotRun, Unknown, UnknownReason
@@ -12,8 +13,7 @@
 KEPT_ANSWER_BYTES = 16 * 1024 * 1024
 
 
-@dataclass(frozen=True, slots=True)
-class Chunk:
+class Chunk(msgspec.Struct, frozen=True, gc=False):
     """A piece of an answer."""
 
     # Index of the first token of the piece in the answer.
@@ -42,7 +42,8 @@
         self.lost: NotRun | Unknown | None = None
         # Set once the first chunk is there, or the end.
         self.started = asyncio.Event()
-        self._wakers: set[asyncio.Event] = set()
+        # One for each reader that has read everything so far.
+        self._waiting: list[asyncio.Future[None]] = []
 
     @property
     def ended(self) -> bool:
@@ -78,21 +79,18 @@
         A chunk can't be divided: the first one may start before the token.
         """
         position = self._position(offset)
-        waker = asyncio.Event()
-        self._wakers.add(waker)
-        try:
-            while True:
-                waker.clear()
-                if position < len(self.chunks):
-                    batch = self.chunks[position:]
-                    position = len(self.chunks)
-                    yield batch
-                elif self.ended:
-                    return
-                else:
-                    await waker.wait()
-        finally:
-            self._wakers.discard(waker)
+        loop = asyncio.get_running_loop()
+        while True:
+            if position < len(self.chunks):
+                batch = self.chunks[position:]
+                position = len(self.chunks)
+                yield batch
+            elif self.ended:
+                return
+            else:
+                waiter = loop.create_future()
+                self._waiting.append(waiter)
+                await waiter
 
     def _position(self, offset: int) -> int:
         for position, chunk in enumerate(self.chunks):
@@ -101,9 +99,14 @@
         return len(self.chunks)
 
     def _wake(self) -> None:
-        self.started.set()
-        for waker in self._wakers:
-            waker.set()
+        if not self.started.is_set():
+            self.started.set()
+        if self._waiting:
+            waiting, self._waiting = self._waiting, []
+            for waiter in waiting:
+                # A reader that went away has cancelled its own.
+                if not waiter.done():
+                    waiter.set_result(None)
 
 
 class RelayStore:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/target_link.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/target_link.py
@@ -31,8 +31,6 @@
 from burdockhaven_entry.relay import Chunk, Relay
 from burdockhaven_entry.target_wire import (
     CompletionAsk,
-    CompletionChoice,
-    CompletionChunk,
     CompletionUsage,
     ServiceCall,
     chunk_decoder,
@@ -279,15 +277,13 @@
             raise _BrokenAnswerError(f"unreadable chunk: {error}") from error
         if chunk.id != self.run_id:
             raise _BrokenAnswerError(f"a chunk of run {chunk.id} arrived")
-        return any(self._take(choice, chunk) for choice in chunk.choices)
-
-    def _take(self, choice: CompletionChoice, chunk: CompletionChunk) -> bool:
-        if choice.token_count:
-            self._add(Chunk(chunk.offset, choice.token_count, choice.text))
-        if choice.finish_reason is None:
-            return False
-        self.usage = _check_whole(chunk.usage, self.relay)
-        return True
+        for choice in chunk.choices:
+            if choice.token_count:
+                self._add(Chunk(chunk.offset, choice.token_count, choice.text))
+            if choice.finish_reason is not None:
+                self.usage = _check_whole(chunk.usage, self.relay)
+                return True
+        return False
 
     def _add(self, chunk: Chunk) -> None:
         first = not self.relay.chunks
