Refuse at the door what would wait too long; expire by the long estimate

Cause: at twice the capacity requests were kept until they expired, just before or after which they were dispatched and ended late: 8% of the prompt tokens of survey were for late answers, and plain services answered thousands near their deadline. The wait is now predicted from the work ahead (higher tiers, fair share of the own account's sooner requests) over the slots that higher tiers leave, and a request whose wait would take more than 0.7 of its slack is refused at once. The latest start allows for a long answer.

Seen once: test_publishing_machine [without_floor] did not raise; reported, not touched.

--- a/packages/burdockhaven-core/src/burdockhaven_core/entry_state.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/entry_state.py
@@ -86,6 +86,8 @@
         self.queues: dict[GroupName, GroupQueue] = {}
         # The group of each queued or dispatched run.
         self.group_of: dict[RunId, GroupName] = {}
+        # Moving average of the requests under way by tier, the lowest first.
+        self.running: dict[GroupName, tuple[float, ...]] = {}
         # Requests under way at a target, as they were queued.
         self.dispatched: dict[RunId, QueuedRequest] = {}
         # Queued requests that are to be shed as soon as the floor allows it.
--- a/packages/burdockhaven-core/src/burdockhaven_core/filters/plan.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/filters/plan.py
@@ -9,6 +9,7 @@
 from burdockhaven_core.filters.authorise import Authorised
 from burdockhaven_core.identity import RunId
 from burdockhaven_core.outcome import NotRun, NotRunReason
+from burdockhaven_core.prediction import LengthEstimate
 from burdockhaven_core.queueing import QueuedRequest
 from burdockhaven_core.targets import TargetState
 
@@ -27,12 +28,12 @@
     run_id: RunId,
     authorised: Authorised,
     targets: Sequence[TargetState],
-    output_tokens: int,
+    length: LengthEstimate,
     now: float,
 ) -> Result[Planned, NotRun]:
     """The request with its deadline and latest start, or why it cannot be served.
 
-    `targets` are those of the group that take new work; `output_tokens` is the
+    `targets` are those of the group that take new work; `length` is the
     predicted length of the answer.
     """
     spec = authorised.spec
@@ -42,7 +43,9 @@
         detail = f"no target of group {spec.group!r} takes work for the account"
         return Err(NotRun(NotRunReason.NO_TARGET, detail, retry_after_s=5.0))
     deadline_ms = min(arrival.deadline_ms or spec.deadline_ms, spec.deadline_ms)
-    service_s = min(t.service_s(arrival.prompt_tokens, output_tokens) for t in usable)
+    prompt_tokens = arrival.prompt_tokens
+    service_s = min(t.service_s(prompt_tokens, length.mean) for t in usable)
+    longest_s = min(t.service_s(prompt_tokens, length.high) for t in usable)
     deadline_s = now + deadline_ms / MS_PER_S
     if now + service_s > deadline_s:
         detail = (
@@ -58,13 +61,22 @@
                 tier=spec.tier,
                 weight=authorised.account.weight,
                 prompt_tokens=arrival.prompt_tokens,
-                output_tokens=output_tokens,
+                output_tokens=max(1, round(length.mean)),
                 prefix=arrival.prefix,
                 arrived_s=now,
                 deadline_s=deadline_s,
-                latest_start_s=deadline_s - service_s,
+                latest_start_s=_latest_start_s(deadline_s, service_s, longest_s, now),
                 targets=None if allowed is None else frozenset(allowed),
                 fresh_connection=not spec.idempotent,
+                service_s=service_s,
             )
         )
     )
+
+
+def _latest_start_s(
+    deadline_s: float, service_s: float, longest_s: float, now: float
+) -> float:
+    """When a long answer can still be in time, but not before half of the slack."""
+    half_slack_s = (deadline_s - service_s - now) / 2
+    return max(deadline_s - longest_s, now + half_slack_s)
--- a/packages/burdockhaven-core/src/burdockhaven_core/intake.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/intake.py
@@ -30,8 +30,10 @@
     Unknown,
     UnknownReason,
 )
+from burdockhaven_core.prediction import LengthEstimate
 from burdockhaven_core.queueing import QueuedRequest
 from burdockhaven_core.shedding import refuse, shed
+from burdockhaven_core.waiting import expected_wait_s, is_hopeless
 
 # Bits of an assignment's random part.
 NONCE_BITS = 128
@@ -217,7 +219,7 @@
         identified.run_id,
         authorised,
         state.staying_targets(authorised.group.name, now),
-        _expected_tokens(state, event),
+        _expected(state, event),
         now,
     )
     _open(state, event, identified.run_id, authorised, keep_until_s, now)
@@ -228,10 +230,9 @@
     _enqueue(state, planned.ok_value.request, authorised.group.name, now)
 
 
-def _expected_tokens(state: EntryState, event: RequestArrived) -> int:
+def _expected(state: EntryState, event: RequestArrived) -> LengthEstimate:
     limit = max(1, event.max_output_tokens)
-    estimate = state.lengths.expected(event.account, event.class_name, limit)
-    return max(1, round(estimate.mean))
+    return state.lengths.expected(event.account, event.class_name, limit)
 
 
 def _check(state: EntryState, event: RequestArrived) -> Result[Authorised, NotRun]:
@@ -252,7 +253,16 @@
 ) -> None:
     state.ledger.change(request.run_id, deadline_s=request.deadline_s)
     state.group_of[request.run_id] = group
-    state.queue(group).put(request)
+    queue = state.queue(group)
+    targets = state.open_targets(group, now)
+    running = state.running.get(group, ())
+    wait_s = expected_wait_s(request, queue, targets, running)
+    queue.put(request)
+    if is_hopeless(request, wait_s, now):
+        detail = f"the wait would be about {wait_s:.1f} s"
+        busy = NotRun(NotRunReason.OVERLOAD, detail, retry_after_s=wait_s)
+        shed(state, request.run_id, busy, now)
+        return
     if state.queued() > state.parameters.max_queue:
         _evict(state, now)
 
--- a/packages/burdockhaven-core/src/burdockhaven_core/queueing.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/queueing.py
@@ -29,12 +29,14 @@
     prefix: str
     arrived_s: float
     deadline_s: float
-    # The last time at which a dispatch can still be in time.
+    # The last time at which a dispatch is likely to be in time.
     latest_start_s: float
     # Targets that the account may reach; None means all of the group.
     targets: frozenset[TargetName] | None
     # Whether the request needs a connection that has not been used before.
     fresh_connection: bool
+    # Predicted seconds from dispatch to the whole answer.
+    service_s: float = 0.0
 
 
 class _AccountQueue:
@@ -44,6 +46,9 @@
         self.heap: list[tuple[float, RunId]] = []
         # Virtual time at which the account's next request is due.
         self.due = 0.0
+        self.weight = 1.0
+        # Predicted seconds of service of the requests that will be served.
+        self.work_s = 0.0
 
 
 class GroupQueue:
@@ -69,6 +74,8 @@
         if self._head(queue) is None:
             # An account that was idle earns nothing by it.
             queue.due = max(queue.due, self._clock.get(request.tier, 0.0))
+        queue.weight = request.weight
+        queue.work_s += request.service_s
         heapq.heappush(queue.heap, (request.latest_start_s, request.run_id))
         self.requests[request.run_id] = request
         self._counts[request.tier] += 1
@@ -77,13 +84,15 @@
         """Take a request out without serving it; None if it isn't queued."""
         request = self.requests.pop(run_id, None)
         if request is not None:
-            self.parked.discard(run_id)
             self._uncount(request)
         return request
 
     def park(self, run_id: RunId) -> None:
         """Keep a queued request from being served; it stays queued."""
-        self.parked.add(run_id)
+        if run_id not in self.parked:
+            request = self.requests[run_id]
+            self.parked.add(run_id)
+            self._account_queue(request).work_s -= request.service_s
 
     def newest_of_lowest_tier(self) -> QueuedRequest | None:
         """The request to evict first; None if all are parked."""
@@ -94,14 +103,30 @@
         """Take a request out and charge its account for it."""
         request = self.requests.pop(run_id)
         self._uncount(request)
-        accounts = self._tiers[request.tier]
-        queue = accounts[request.account]
+        queue = self._account_queue(request)
         clock = max(self._clock.get(request.tier, 0.0), queue.due)
         self._clock[request.tier] = clock
         cost = request.prompt_tokens + request.output_tokens
         queue.due += cost / request.weight
         return request
 
+    def work_ahead_s(self, request: QueuedRequest) -> float:
+        """Predicted seconds of service that come before a request not queued yet."""
+        higher_s = sum(
+            queue.work_s
+            for tier, accounts in self._tiers.items()
+            if tier > request.tier
+            for queue in accounts.values()
+        )
+        same = self._tiers.get(request.tier, {})
+        busy = {name: queue for name, queue in same.items() if queue.work_s > 0}
+        total_s = sum(queue.work_s for queue in busy.values())
+        own = busy.get(request.account)
+        own_s = 0.0 if own is None else self._sooner_s(own, request)
+        others = sum(q.weight for name, q in busy.items() if name != request.account)
+        fair_s = own_s + (own_s + request.service_s) * others / request.weight
+        return max(0.0, higher_s + min(total_s, fair_s))
+
     def tiers(self) -> tuple[int, ...]:
         """The tiers that have requests, the highest first."""
         return tuple(sorted(self._counts, reverse=True))
@@ -122,7 +147,24 @@
         """Requests that can no longer be in time."""
         return tuple(r for r in self.requests.values() if r.latest_start_s < now)
 
+    def _sooner_s(self, queue: _AccountQueue, request: QueuedRequest) -> float:
+        sooner = (
+            self.requests[run_id].service_s
+            for latest_start_s, run_id in queue.heap
+            if latest_start_s <= request.latest_start_s
+            and run_id in self.requests
+            and run_id not in self.parked
+        )
+        return sum(sooner)
+
+    def _account_queue(self, request: QueuedRequest) -> _AccountQueue:
+        return self._tiers[request.tier][request.account]
+
     def _uncount(self, request: QueuedRequest) -> None:
+        if request.run_id in self.parked:
+            self.parked.discard(request.run_id)
+        else:
+            self._account_queue(request).work_s -= request.service_s
         self._counts[request.tier] -= 1
         if not self._counts[request.tier]:
             del self._counts[request.tier]
--- a/packages/burdockhaven-core/src/burdockhaven_core/upkeep.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/upkeep.py
@@ -29,6 +29,7 @@
 from burdockhaven_core.outcome import NotRun, NotRunReason, Unknown, UnknownReason
 from burdockhaven_core.runs import end_unknown
 from burdockhaven_core.shedding import refuse, settle_doomed, shed_overdue
+from burdockhaven_core.waiting import moving_average
 
 
 def on_tick(state: EntryState, event: Tick, now: float) -> None:
@@ -161,6 +162,8 @@
         }
         queued = queue.queued_by_tier(tiers)
         under_way = tuple(by_tier[tier] for tier in range(tiers))
+        before = state.running.get(group, ())
+        state.running[group] = moving_average(before, under_way)
         demand.append(GroupDemand(group, queued, in_flight, under_way))
     return tuple(demand)
 
--- /dev/null
+++ b/packages/burdockhaven-core/src/burdockhaven_core/waiting.py
@@ -0,0 +1,61 @@
+"""Predicts how long a request would wait, so that it can be refused at the door.
+
+The prediction is work before the request, in seconds of service, divided by the slots
+that this entry may fill. It is made once, when the request arrives: a request that is
+let in and then overtaken by higher tiers may still expire.
+"""
+
+import itertools
+from collections.abc import Sequence
+
+from burdockhaven_core.queueing import GroupQueue, QueuedRequest
+from burdockhaven_core.targets import TargetState
+
+# The part of a request's slack that the predicted wait may take.
+MAX_WAIT_PART = 0.7
+# The least part of the slots that is taken to be left by higher tiers.
+MIN_PART_LEFT = 0.1
+# Weight of the newest count in the average of requests under way.
+RUNNING_WEIGHT = 0.05
+
+
+def expected_wait_s(
+    request: QueuedRequest,
+    queue: GroupQueue,
+    targets: Sequence[TargetState],
+    running: Sequence[float],
+) -> float:
+    """Seconds until a request that is queued now would be dispatched.
+
+    `running` is the average of this entry's requests under way by tier, the lowest
+    first.
+    """
+    slots = sum(target.limit * _speed(target, targets) for target in targets)
+    higher = sum(running[request.tier + 1 :])
+    part_left = 1.0 - higher / max(1.0, sum(running))
+    rate = max(1.0, slots) * max(MIN_PART_LEFT, part_left)
+    free = sum(max(0, target.limit - target.in_flight) for target in targets)
+    ahead_s = queue.work_ahead_s(request)
+    if free and not ahead_s:
+        return 0.0
+    return ahead_s / rate
+
+
+def is_hopeless(request: QueuedRequest, wait_s: float, now: float) -> bool:
+    """Whether a request with this predicted wait is to be refused at the door."""
+    return wait_s > MAX_WAIT_PART * (request.latest_start_s - now)
+
+
+def moving_average(
+    before: Sequence[float], newest: Sequence[float]
+) -> tuple[float, ...]:
+    """The average by tier with one more count."""
+    if not before:
+        return tuple(newest)
+    pairs = itertools.zip_longest(before, newest, fillvalue=0.0)
+    return tuple(old + RUNNING_WEIGHT * (new - old) for old, new in pairs)
+
+
+def _speed(target: TargetState, targets: Sequence[TargetState]) -> float:
+    fastest_s = min(other.token_interval_s for other in targets)
+    return fastest_s / target.token_interval_s
