Send a request only to a target on which a long answer is in time

A request that fits no target with room is passed over for the next account or tier, instead of blocking them. Why no target was chosen is an enum now.

--- a/packages/burdockhaven-core/src/burdockhaven_core/choosing.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/choosing.py
@@ -1,16 +1,28 @@
 """Policies that choose the target of a request.
 
 A policy is a closure over its own state: given a request and the targets that it may
-use now, it names one, or None to let the request wait.
+use now, it names one, or says why the request has to wait.
 """
 
+import enum
 import random
 from collections.abc import Callable, Sequence
 
 from burdockhaven_core.queueing import QueuedRequest
 from burdockhaven_core.targets import TargetState
 
-Choose = Callable[[QueuedRequest, Sequence[TargetState], float], TargetState | None]
+
+class NoTarget(enum.Enum):
+    """Why no target was chosen."""
+
+    # No target has room for any request.
+    FULL = "full"
+    # Those that have room would be too slow for this request.
+    TOO_SLOW = "too_slow"
+
+
+Choice = TargetState | NoTarget
+Choose = Callable[[QueuedRequest, Sequence[TargetState], float], Choice]
 
 
 def round_robin() -> Choose:
@@ -19,10 +31,10 @@
 
     def choose(
         request: QueuedRequest, targets: Sequence[TargetState], now: float
-    ) -> TargetState | None:
+    ) -> Choice:
         nonlocal position
         if not targets:
-            return None
+            return NoTarget.FULL
         position += 1
         return targets[position % len(targets)]
 
@@ -34,8 +46,8 @@
 
     def choose(
         request: QueuedRequest, targets: Sequence[TargetState], now: float
-    ) -> TargetState | None:
-        return min(targets, key=_reported_load, default=None)
+    ) -> Choice:
+        return min(targets, key=_reported_load, default=NoTarget.FULL)
 
     return choose
 
@@ -45,9 +57,9 @@
 
     def choose(
         request: QueuedRequest, targets: Sequence[TargetState], now: float
-    ) -> TargetState | None:
+    ) -> Choice:
         if not targets:
-            return None
+            return NoTarget.FULL
         drawn = rng.sample(targets, min(2, len(targets)))
         return min(drawn, key=lambda target: target.in_flight)
 
@@ -55,26 +67,33 @@
 
 
 def bounded(rng: random.Random) -> Choose:
-    """The target predicted to finish first, of those with a free slot."""
+    """The target predicted to finish first, of those with room that finish in time."""
 
     def choose(
         request: QueuedRequest, targets: Sequence[TargetState], now: float
-    ) -> TargetState | None:
+    ) -> Choice:
         free = [t for t in targets if t.in_flight < t.limit]
         if not free:
-            return None
+            return NoTarget.FULL
+        fit = [t for t in free if _fits(request, t, now)]
         return min(
-            free,
+            fit,
             key=lambda t: (
                 t.service_s(request.prompt_tokens, request.output_tokens),
                 t.in_flight,
                 rng.random(),
             ),
+            default=NoTarget.TOO_SLOW,
         )
 
     return choose
 
 
+def _fits(request: QueuedRequest, target: TargetState, now: float) -> bool:
+    longest_s = target.service_s(request.prompt_tokens, request.long_output_tokens)
+    return now + longest_s <= request.deadline_s
+
+
 def _reported_load(target: TargetState) -> int:
     if target.report is None:
         return 0
--- a/packages/burdockhaven-core/src/burdockhaven_core/dispatching.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/dispatching.py
@@ -1,6 +1,7 @@
 """Moves requests from the queues to the targets."""
 
 from burdockhaven_core.actions import StartRun
+from burdockhaven_core.choosing import Choice, NoTarget
 from burdockhaven_core.entry_state import EntryState
 from burdockhaven_core.floor import Admission
 from burdockhaven_core.identity import GroupName
@@ -56,12 +57,12 @@
     while True:
         sent = False
         for request in queue.heads(tier):
-            target = _choose(state, request, targets, now)
-            if target is not None:
-                dispatch(state, group, queue, request, target, now)
+            choice = _choose(state, request, targets, now)
+            if isinstance(choice, TargetState):
+                dispatch(state, group, queue, request, choice, now)
                 sent = True
                 break
-            if request.targets is None:
+            if choice is NoTarget.FULL and request.targets is None:
                 return False
         if not sent:
             return True
@@ -72,7 +73,7 @@
     request: QueuedRequest,
     targets: list[TargetState],
     now: float,
-) -> TargetState | None:
+) -> Choice:
     allowed = request.targets
     if allowed is not None:
         targets = [target for target in targets if target.spec.name in allowed]
--- a/packages/burdockhaven-core/src/burdockhaven_core/filters/plan.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/filters/plan.py
@@ -69,6 +69,7 @@
                 targets=None if allowed is None else frozenset(allowed),
                 fresh_connection=not spec.idempotent,
                 service_s=service_s,
+                long_output_tokens=max(1, round(length.high)),
             )
         )
     )
--- a/packages/burdockhaven-core/src/burdockhaven_core/queueing.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/queueing.py
@@ -37,6 +37,8 @@
     fresh_connection: bool
     # Predicted seconds from dispatch to the whole answer.
     service_s: float = 0.0
+    # Tokens that few answers of its kind exceed.
+    long_output_tokens: int = 0
 
 
 class _AccountQueue:
--- a/packages/burdockhaven-core/tests/test_choosing.py
+++ b/packages/burdockhaven-core/tests/test_choosing.py
@@ -5,6 +5,7 @@
 import pytest
 
 from burdockhaven_core.choosing import (
+    NoTarget,
     bounded,
     least_reported,
     round_robin,
@@ -28,6 +29,7 @@
     latest_start_s=50.0,
     targets=None,
     fresh_connection=False,
+    long_output_tokens=100,
 )
 
 
@@ -66,17 +68,22 @@
     [
         ([0, 0, 0], [0.04, 0.02, 0.32], "t1"),
         ([0, 4, 0], [0.04, 0.02, 0.32], "t0"),
-        ([4, 4, 4], [0.04, 0.02, 0.32], None),
+        ([4, 4, 4], [0.04, 0.02, 0.32], NoTarget.FULL),
+        ([4, 4, 0], [0.04, 0.02, 0.32], "t2"),
+        ([4, 4, 0], [0.04, 0.02, 0.60], NoTarget.TOO_SLOW),
     ],
 )
 def test_bounded(in_flight, interval_s, chosen):
     states = targets(in_flight, interval_s)
-    target = bounded(random.Random(1))(REQUEST, states, 0.0)
-    assert (target.spec.name if target else None) == chosen
+    choice = bounded(random.Random(1))(REQUEST, states, 0.0)
+    if isinstance(choice, TargetState):
+        assert choice.spec.name == chosen
+    else:
+        assert choice is chosen
 
 
 @pytest.mark.parametrize(
     "policy", [round_robin(), least_reported(), two_choices(random.Random(1))]
 )
 def test_no_target_is_chosen_from_none(policy):
-    assert policy(REQUEST, [], 0.0) is None
+    assert policy(REQUEST, [], 0.0) is NoTarget.FULL
