Let a target have a fifth more requests than slots

Cause: requests in prefill count as under way but use no slot, so that 16 requests keep fewer than 16 slots busy; the engine model alone does 748 tokens/s with 16 side by side and 813 with 20 (authoring).

--- a/packages/burdockhaven-core/src/burdockhaven_core/targets.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/targets.py
@@ -24,6 +24,8 @@
 TARGET_QUEUE_S = 0.5
 # Requests beyond its slots that a target may have, as a multiple of the slots.
 MAX_OVERCOMMIT = 2.0
+# The same at least: some requests are in prefill and use no slot yet.
+MIN_OVERCOMMIT = 0.2
 # Seconds for which a target that refused a connection gets no new work.
 REFUSAL_PAUSE_S = 1.0
 
@@ -77,7 +79,8 @@
         The slots are kept full between grants by a few more, which wait at the target
         for no longer than `TARGET_QUEUE_S`.
         """
-        overcommit = min(MAX_OVERCOMMIT, TARGET_QUEUE_S / self.hold_s)
+        overcommit = TARGET_QUEUE_S / self.hold_s
+        overcommit = min(MAX_OVERCOMMIT, max(MIN_OVERCOMMIT, overcommit))
         return math.floor(self.spec.slots * (1.0 + overcommit))
 
     def service_s(self, prompt_tokens: int, output_tokens: float) -> float:
