Predict waits over all entries, and how fast plain services are

Cause: at 0.9 of capacity permits refused 13 lookups for a wait that the next grant of slots would have ended, and each closed the lowest tier everywhere (56 of 323 exports refused). The wait is now the smaller of that over the own slots and that over all, with the queues that heartbeats tell of. Plain services had no speed, so a straggler got sign-offs it could not end in time; each now has a pace against its fastest equal.

Tried first (trial): learning a pace from calls of a class not seen before put it 300 times too high and refused everything as infeasible; such calls are left out.

--- a/packages/burdockhaven-core/src/burdockhaven_core/intake.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/intake.py
@@ -4,7 +4,7 @@
 
 from burdockhaven_core.actions import AnswerLookUp, Attach, Keep, Recover
 from burdockhaven_core.assignment import Assignment, sign_assignment
-from burdockhaven_core.configuration import GroupKind
+from burdockhaven_core.configuration import GroupKind, GroupSpec
 from burdockhaven_core.entry_state import EntryState, unavailable
 from burdockhaven_core.events import (
     CallerGone,
@@ -219,7 +219,7 @@
         identified.run_id,
         authorised,
         state.staying_targets(authorised.group.name, now),
-        _expected(state, event),
+        _expected(state, authorised.group, event),
         now,
     )
     _open(state, event, identified.run_id, authorised, keep_until_s, now)
@@ -230,7 +230,11 @@
     _enqueue(state, planned.ok_value.request, authorised.group.name, now)
 
 
-def _expected(state: EntryState, event: RequestArrived) -> LengthEstimate:
+def _expected(
+    state: EntryState, group: GroupSpec, event: RequestArrived
+) -> LengthEstimate:
+    if group.kind is GroupKind.SERVICE:
+        return state.lengths.expected_call(event.account, event.class_name)
     limit = max(1, event.max_output_tokens)
     return state.lengths.expected(event.account, event.class_name, limit)
 
@@ -256,7 +260,8 @@
     queue = state.queue(group)
     targets = state.open_targets(group, now)
     running = state.running.get(group, ())
-    wait_s = expected_wait_s(request, queue, targets, running)
+    elsewhere = state.shares.queued_elsewhere(group, request.tier, now)
+    wait_s = expected_wait_s(request, queue, targets, running, elsewhere)
     queue.put(request)
     if is_hopeless(request, wait_s, now):
         detail = f"the wait would be about {wait_s:.1f} s"
--- a/packages/burdockhaven-core/src/burdockhaven_core/prediction.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/prediction.py
@@ -1,5 +1,8 @@
 """Predicts the length of an answer from the answers that an account had before.
 
+A length is counted in tokens; that of a plain service's call in the milliseconds that
+the fastest target of its group takes.
+
 Lengths differ a hundredfold between classes but little inside one account and class, so
 one moving estimate for each pair is enough. A pair that was not seen yet takes the
 estimate of its class, and an unseen class the caller's own limit.
@@ -70,6 +73,17 @@
         by_class = self.by_class.get(class_name, UNSEEN)
         self.by_class[class_name] = by_class.learned(tokens)
 
+    def expected_call(
+        self, account: AccountName, class_name: ClassName
+    ) -> LengthEstimate:
+        """What to expect of a call of a plain service, in milliseconds."""
+        estimate = self._by_pair.get((account, class_name))
+        if estimate is None:
+            estimate = self.by_class.get(class_name, UNSEEN)
+        if estimate.samples == 0:
+            return LengthEstimate(1, 1, 0)
+        return estimate
+
     def expected(
         self, account: AccountName, class_name: ClassName, limit: int
     ) -> LengthEstimate:
--- a/packages/burdockhaven-core/src/burdockhaven_core/queueing.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/queueing.py
@@ -129,6 +129,10 @@
         fair_s = own_s + (own_s + request.service_s) * others / request.weight
         return max(0.0, higher_s + min(total_s, fair_s))
 
+    def count_ahead(self, tier: int) -> int:
+        """Requests of a tier or higher."""
+        return sum(n for other, n in self._counts.items() if other >= tier)
+
     def tiers(self) -> tuple[int, ...]:
         """The tiers that have requests, the highest first."""
         return tuple(sorted(self._counts, reverse=True))
--- a/packages/burdockhaven-core/src/burdockhaven_core/runs.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/runs.py
@@ -1,5 +1,6 @@
 """Handles what happens to the runs at the targets."""
 
+from burdockhaven_core.configuration import GroupKind
 from burdockhaven_core.entry_state import EntryState
 from burdockhaven_core.events import (
     LoadReported,
@@ -14,6 +15,10 @@
 from burdockhaven_core.outcome import Unknown, UnknownReason
 from burdockhaven_core.targets import REFUSAL_PAUSE_S, LoadReport, TargetState
 
+MS_PER_S = 1_000.0
+# Predicted length of a call whose class has not been seen yet.
+UNSEEN_CALL_MS = 1
+
 
 def on_run_refused(state: EntryState, event: RunRefused, now: float) -> None:
     """Queue the request again: the target has provably not started it."""
@@ -56,8 +61,7 @@
         return
     target = _free_slot(state, record)
     if target is not None and record.dispatched_s is not None:
-        target.learn_hold(now - record.dispatched_s)
-    state.lengths.learn(record.account, record.spec.name, event.output_tokens)
+        _learn(state, record, target, event, now - record.dispatched_s)
     record = state.ledger.change(
         event.run_id, state=RunState.WHOLE, output_tokens=event.output_tokens
     )
@@ -66,6 +70,27 @@
     state.ledger.release(event.run_id)
 
 
+def _learn(
+    state: EntryState,
+    record: Record,
+    target: TargetState,
+    event: RunFinished,
+    seconds: float,
+) -> None:
+    """Learn the target's speed and the length of such answers from a whole one."""
+    target.learn_hold(seconds)
+    group = record.spec.group
+    if state.targets.kinds[group] is not GroupKind.SERVICE:
+        state.lengths.learn(record.account, record.spec.name, event.output_tokens)
+        return
+    predicted_ms = state.dispatched[event.run_id].output_tokens
+    if predicted_ms > UNSEEN_CALL_MS:
+        target.learn_call(predicted_ms, seconds)
+    part = state.targets.fastest_interval_s(group) / target.token_interval_s
+    length_ms = round(seconds * MS_PER_S * part)
+    state.lengths.learn(record.account, record.spec.name, length_ms)
+
+
 def on_run_lost(state: EntryState, event: RunLost, now: float) -> None:
     """Tell the callers that the outcome is lost; the request is not sent again."""
     record = _dispatched(state, event.run_id)
--- a/packages/burdockhaven-core/src/burdockhaven_core/shares.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/shares.py
@@ -38,6 +38,8 @@
     # Requests under way, by target.
     in_flight: Mapping[TargetName, int]
     heard_s: float
+    # Requests queued by tier, the lowest first, as last heard.
+    queued: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +86,14 @@
             return 0
         return math.ceil(state.capacity / len(self.members))
 
+    def queued_elsewhere(self, group: GroupName, tier: int, now: float) -> int:
+        """Requests of a tier or higher that other members had queued lately."""
+        return sum(
+            sum(need.queued[tier:])
+            for member, need in self.needs.get(group, {}).items()
+            if member != self.me and need.heard_s > now - DEMAND_LASTS_S
+        )
+
     def apply(self, now: float) -> None:
         """Put the limits in force at the targets' states."""
         for group, names in self.targets.groups.items():
@@ -138,7 +148,7 @@
         wanted = _wanted(demand)
         if before is not None:
             wanted = _smoothed(before.by_tier, wanted)
-        by_member[member] = MemberNeed(wanted, demand.in_flight, now)
+        by_member[member] = MemberNeed(wanted, demand.in_flight, now, demand.queued)
 
 
 def coordinator(group: GroupName, members: Sequence[MemberId]) -> MemberId:
--- a/packages/burdockhaven-core/src/burdockhaven_core/targets.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/targets.py
@@ -12,6 +12,10 @@
 
 # Weight of the newest sample in a moving average.
 AVERAGE_WEIGHT = 0.1
+# Weight of the newest call in the average pace of a plain service.
+CALL_WEIGHT = 0.1
+# Pace of a plain service that has not been used yet.
+DEFAULT_PACE_S = 0.001
 # Seconds of streaming that the average of token intervals covers.
 DECODE_AVERAGE_S = 4.0
 # Seconds between tokens assumed of a target that has not been used yet.
@@ -42,13 +46,16 @@
 class TargetState:
     """One target as seen by this entry."""
 
-    def __init__(self, spec: TargetSpec) -> None:
+    def __init__(
+        self, spec: TargetSpec, interval_s: float = DEFAULT_TOKEN_INTERVAL_S
+    ) -> None:
         self.spec = spec
         # Runs of this entry that hold a slot of the target.
         self.runs: set[RunId] = set()
         self.report: LoadReport | None = None
-        # Moving average of the seconds between tokens.
-        self.token_interval_s = DEFAULT_TOKEN_INTERVAL_S
+        # Moving average of the seconds between tokens; for a plain service, of the
+        # seconds in which it does a millisecond's work of its fastest equal.
+        self.token_interval_s = interval_s
         # Moving averages of the prompt tokens of a run and of the seconds from its
         # dispatch to the first token.
         self.prompt_tokens = DEFAULT_PREFILL_RATE
@@ -109,6 +116,11 @@
         self.runs.discard(run_id)
         self.progressed_s.pop(run_id, None)
 
+    def learn_call(self, predicted_ms: int, seconds: float) -> None:
+        """Take in the time that a call of a plain service took."""
+        pace = seconds / max(1, predicted_ms)
+        self.token_interval_s += CALL_WEIGHT * (pace - self.token_interval_s)
+
     def learn_hold(self, seconds: float) -> None:
         """Take in the time from a dispatch to the end of the answer."""
         self.hold_s += AVERAGE_WEIGHT * (seconds - self.hold_s)
@@ -131,7 +143,9 @@
                 names = tuple(target.name for target in group.targets)
                 known = self.groups.get(group.name, ())
                 self.groups[group.name] = tuple(dict.fromkeys(known + names))
-                self._add(group.targets)
+                is_service = group.kind is GroupKind.SERVICE
+                pace_s = DEFAULT_PACE_S if is_service else DEFAULT_TOKEN_INTERVAL_S
+                self._add(group.targets, pace_s)
         wanted = {name for names in self.groups.values() for name in names}
         for name in list(self.states):
             if name not in wanted and not self.states[name].runs:
@@ -141,10 +155,14 @@
         """The targets of a group."""
         return tuple(self.states[name] for name in self.groups.get(group, ()))
 
-    def _add(self, specs: Iterable[TargetSpec]) -> None:
+    def fastest_interval_s(self, group: GroupName) -> float:
+        """The least token interval of the targets of a group."""
+        return min(state.token_interval_s for state in self.of_group(group))
+
+    def _add(self, specs: Iterable[TargetSpec], interval_s: float) -> None:
         for spec in specs:
             state = self.states.get(spec.name)
             if state is None:
-                self.states[spec.name] = TargetState(spec)
+                self.states[spec.name] = TargetState(spec, interval_s)
             else:
                 state.spec = spec
--- a/packages/burdockhaven-core/src/burdockhaven_core/waiting.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/waiting.py
@@ -15,6 +15,8 @@
 MAX_WAIT_PART = 0.7
 # The least part of the slots that is taken to be left by higher tiers.
 MIN_PART_LEFT = 0.1
+# Seconds until shares have followed a change of demand.
+SHARE_LAG_S = 1.0
 # Weight of the newest count in the average of requests under way.
 RUNNING_WEIGHT = 0.05
 
@@ -24,21 +26,27 @@
     queue: GroupQueue,
     targets: Sequence[TargetState],
     running: Sequence[float],
+    queued_elsewhere: int,
 ) -> float:
     """Seconds until a request that is queued now would be dispatched.
 
     `running` is the average of this entry's requests under way by tier, the lowest
-    first.
+    first. `queued_elsewhere` counts the requests of the tier or higher that the other
+    entries have queued: an entry with more than its part gets more slots before long.
     """
-    slots = sum(target.limit * _speed(target, targets) for target in targets)
-    higher = sum(running[request.tier + 1 :])
-    part_left = 1.0 - higher / max(1.0, sum(running))
-    rate = max(1.0, slots) * max(MIN_PART_LEFT, part_left)
-    free = sum(max(0, target.limit - target.in_flight) for target in targets)
     ahead_s = queue.work_ahead_s(request)
+    free = sum(max(0, target.limit - target.in_flight) for target in targets)
     if free and not ahead_s:
         return 0.0
-    return ahead_s / rate
+    higher = sum(running[request.tier + 1 :])
+    part_left = max(MIN_PART_LEFT, 1.0 - higher / max(1.0, sum(running)))
+    own = sum(target.limit * _speed(target, targets) for target in targets)
+    own_wait_s = ahead_s / max(1.0, own) / part_left
+    everybody = sum(target.capacity * _speed(target, targets) for target in targets)
+    mean_s = ahead_s / max(1, queue.count_ahead(request.tier))
+    all_ahead_s = ahead_s + queued_elsewhere * mean_s
+    even_wait_s = SHARE_LAG_S + all_ahead_s / max(1.0, everybody) / part_left
+    return min(own_wait_s, even_wait_s)
 
 
 def is_hopeless(request: QueuedRequest, wait_s: float, now: float) -> bool:
