Start the demonstration's command line without leaving it to nobody

Ruled out: blocking the signals, which the new process would inherit. Adds tests of configuration_sync.

--- /dev/null
+++ b/packages/burdockhaven-entry/tests/test_configuration_sync.py
@@ -0,0 +1,102 @@
+"""Following the key-value service, over a service in memory."""
+
+import asyncio
+import dataclasses
+
+import pytest
+
+from burdockhaven_core.configuration import Configuration
+from burdockhaven_core.configuration_change import Operation, PutTemplate
+from burdockhaven_core.configuration_parts import INDEX_KEY
+from burdockhaven_core.configuration_replica import ConfigurationReplica
+from burdockhaven_core.configuration_store import NotSynchronised, WrittenBack
+from burdockhaven_core.identity import MemberId
+from burdockhaven_core.key_value import Put, Transaction
+from burdockhaven_core.publishing import Accepted, NotDone
+from burdockhaven_entry.configuration_sync import ConfigurationSync
+from burdockhaven_standins.key_value_memory import MemoryKeyValue
+from burdockhaven_standins.memory_link import MemoryLink
+from burdockhaven_standins.samples import TEMPLATE
+
+
+class Member:
+    def __init__(self, service):
+        self.replica = ConfigurationReplica(MemberId("e1", "a"))
+        self.taken = asyncio.Event()
+        self.sync = ConfigurationSync(
+            MemoryLink(service),
+            lambda: self.replica.configuration,
+            lambda: self.replica.version,
+            self.take,
+        )
+
+    def take(self, event):
+        self.replica.take(event.configuration)
+        self.taken.set()
+
+    async def publish(self, name):
+        template = dataclasses.replace(TEMPLATE, name=name)
+        version = self.replica.version
+        return await self.sync.publish(Operation(PutTemplate(template), version, name))
+
+
+@pytest.fixture
+def service():
+    return MemoryKeyValue()
+
+
+async def test_a_member_learns_what_another_has_published(service):
+    one, other = Member(service), Member(service)
+    assert isinstance(await one.publish("first"), Accepted)
+    await other.sync.synchronise()
+    assert other.replica.configuration == one.replica.configuration
+
+
+async def test_an_empty_service_makes_a_member_ready(service):
+    member = Member(service)
+    await member.sync.synchronise()
+    assert member.replica.ready
+
+
+async def test_following_outlives_an_outage(service):
+    one, other = Member(service), Member(service)
+    await one.publish("first")
+    service.down = True
+    following = asyncio.create_task(other.sync.run())
+    while not service.calls["Range"] > 3:
+        await asyncio.sleep(0)
+    assert not other.replica.ready
+    service.down = False
+    await other.taken.wait()
+    assert other.replica.version == 1
+    following.cancel()
+
+
+async def test_during_an_outage_nothing_changes(service):
+    member = Member(service)
+    await member.publish("first")
+    service.down = True
+    assert isinstance(await member.publish("second"), NotDone)
+    assert isinstance(await member.sync.synchronise(), NotSynchronised)
+    assert member.replica.version == 1
+
+
+async def test_an_older_service_gets_the_version_in_force(service):
+    member = Member(service)
+    await member.publish("first")
+    older = service.snapshot()
+    await member.publish("second")
+    service.restore(older)
+    assert await member.sync.synchronise() == WrittenBack(1)
+    fresh = Member(service)
+    await fresh.sync.synchronise()
+    assert set(fresh.replica.configuration.templates) == {"first", "second"}
+
+
+async def test_what_cannot_be_read_leaves_the_version_in_force(service):
+    member = Member(service)
+    await member.publish("first")
+    service.call(Transaction((), (Put(INDEX_KEY, b"what?"),)))
+    assert isinstance(await member.sync.synchronise(), NotSynchronised)
+    assert member.replica.version == 1
+    assert member.replica.configuration != Configuration()
--- a/tools/burdockhaven_bench/demo_operator.py
+++ b/tools/burdockhaven_bench/demo_operator.py
@@ -1,8 +1,10 @@
 """The operator's part in the demonstration: the command line, as operators use it."""
 
+import contextlib
+import signal
 import subprocess
 import sys
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from pathlib import Path
 
 from burdockhaven_standins.processes import ProcessGroup, RunningProcess
@@ -15,6 +17,27 @@
     """The demonstration did not go as it should."""
 
 
+@contextlib.contextmanager
+def interrupts_deferred() -> Iterator[None]:
+    """Raises an interrupt that comes in the block only at the block's end.
+
+    An interrupt while a process is being started would leave it to nobody. Blocking
+    the signals instead would block them in the new process as well.
+    """
+    deferred: list[int] = []
+    handlers = {
+        number: signal.signal(number, lambda got, frame: deferred.append(got))
+        for number in (signal.SIGINT, signal.SIGTERM)
+    }
+    try:
+        yield
+    finally:
+        for number, handler in handlers.items():
+            signal.signal(number, handler)
+    if deferred:
+        raise KeyboardInterrupt
+
+
 class Operator:
     """Publishes changes with `burdockhaven-ctl`, one after another."""
 
@@ -43,13 +66,12 @@
     def _run(self, *arguments: str) -> None:
         options = [f"--endpoint={endpoint}" for endpoint in self.endpoints]
         command = [sys.executable, "-m", "burdockhaven_ctl", *options, *arguments]
-        running = RunningProcess(
-            "burdockhaven-ctl",
-            subprocess.Popen(
+        with interrupts_deferred():
+            process = subprocess.Popen(
                 command, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True
-            ),
-        )
-        self.group.running.append(running)
+            )
+            running = RunningProcess("burdockhaven-ctl", process)
+            self.group.running.append(running)
         output, _ = running.process.communicate()
         self.group.running.remove(running)
         print(f"   $ burdockhaven-ctl {' '.join(arguments[:2])}")
