--- a/packages/burdockhaven-entry/tests/test_configuration_sync.py
+++ b/packages/burdockhaven-entry/tests/test_configuration_sync.py
@@ -19,12 +19,26 @@
 from burdockhaven_standins.samples import TEMPLATE
 
 
+class TellingLink(MemoryLink):
+    """Tells when a decision has been run to its end."""
+
+    def __init__(self, service, tried):
+        super().__init__(service)
+        self.tried = tried
+
+    async def run(self, steps):
+        result = await super().run(steps)
+        self.tried.set()
+        return result
+
+
 class Member:
     def __init__(self, service):
+        self.tried = asyncio.Event()
         self.replica = ConfigurationReplica(MemberId("e1", "a"))
         self.taken = asyncio.Event()
         self.sync = ConfigurationSync(
-            MemoryLink(service),
+            TellingLink(service, self.tried),
             lambda: self.replica.configuration,
             lambda: self.replica.version,
             self.take,
@@ -63,8 +77,7 @@
     await one.publish("first")
     service.down = True
     following = asyncio.create_task(other.sync.run())
-    while not service.calls["Range"] > 3:
-        await asyncio.sleep(0)
+    await other.tried.wait()
     assert not other.replica.ready
     service.down = False
     await other.taken.wait()
