--- /dev/null
+++ b/packages/burdockhaven-core/tests/test_publishing_matrix.py
@@ -0,0 +1,155 @@
+"""Every fault at every step of a configuration change: what is said is what is so."""
+
+import dataclasses
+
+import pytest
+
+from burdockhaven_core.configuration import Configuration
+from burdockhaven_core.configuration_change import Operation, PutAccount, PutTemplate
+from burdockhaven_core.configuration_store import synchronise
+from burdockhaven_core.key_value import FailureKind
+from burdockhaven_core.publishing import (
+    Accepted,
+    Conflict,
+    NotDone,
+    OutcomeUnknown,
+    publish,
+    resolve,
+)
+from burdockhaven_standins.key_value_memory import MemoryKeyValue
+from burdockhaven_standins.samples import ACCOUNT, TEMPLATE
+
+MINE = Operation(PutAccount(ACCOUNT), 1, "mine")
+RIVAL = Operation(PutAccount(dataclasses.replace(ACCOUNT, account="rival")), 1, "rival")
+# The longest way: reading, writing, and looking for lost answers.
+STEPS = range(6)
+FAULTS = (
+    "not sent",
+    "answer lost",
+    "never arrived",
+    "arrives late",
+    "down from here on",
+    "down once done",
+    "rival before",
+    "rival after",
+    "rival and answer lost",
+    "member knows more",
+)
+
+
+class Run:
+    """One change that meets a fault at one of its steps."""
+
+    def __init__(self):
+        self.service = MemoryKeyValue()
+        template = Operation(PutTemplate(TEMPLATE), 0, "template")
+        made = self.service.run(publish(template, Configuration(), lambda: 0))
+        # A member that still has the version before reads parts, too.
+        self.known = Configuration()
+        self.floor = made.version
+        self.late = []
+        self.rival_won = False
+
+    def publish(self, step, fault):
+        steps = publish(MINE, self.known, lambda: self.floor)
+        number = 0
+        command = next(steps)
+        try:
+            while True:
+                meets = number == step
+                result = self.meet(command, fault) if meets else self.call(command)
+                command = steps.send(result)
+                number += 1
+        except StopIteration as stop:
+            return stop.value
+
+    def call(self, command):
+        return self.service.call(command)
+
+    def meet(self, command, fault):
+        service = self.service
+        match fault:
+            case "not sent":
+                return service.failure(FailureKind.NOT_DONE, command)
+            case "answer lost":
+                return service.call_and_lose_answer(command)
+            case "never arrived":
+                return service.failure(FailureKind.AMBIGUOUS, command)
+            case "arrives late":
+                self.late.append(command)
+                return service.failure(FailureKind.AMBIGUOUS, command)
+            case "down from here on":
+                service.down = True
+                return service.call(command)
+            case "down once done":
+                service.call(command)
+                service.down = True
+                return service.failure(FailureKind.AMBIGUOUS, command)
+            case "rival before":
+                self.let_rival_publish()
+                return service.call(command)
+            case "rival after":
+                result = service.call(command)
+                self.let_rival_publish()
+                return result
+            case "rival and answer lost":
+                self.let_rival_publish()
+                return service.call_and_lose_answer(command)
+            case "member knows more":
+                self.floor = 2
+                return service.call(command)
+
+    def let_rival_publish(self):
+        known = self.stored()
+        outcome = self.service.run(publish(RIVAL, known, lambda: 0))
+        self.rival_won = isinstance(outcome, Accepted)
+
+    def stored(self):
+        return self.service.run(synchronise(Configuration())).configuration
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+@pytest.mark.parametrize("step", STEPS)
+def test_what_is_said_of_a_change_is_so(step, fault):
+    run = Run()
+    outcome = run.publish(step, fault)
+    run.service.down = False
+    for command in run.late:
+        run.service.call(command)
+    stored = run.stored()
+    is_made = ACCOUNT.account in stored.accounts
+    match outcome:
+        case Accepted(version=version):
+            assert is_made
+            assert version == 2
+            assert not run.rival_won
+        case Conflict(winner=winner):
+            assert not is_made
+            assert winner.operation_id == "rival"
+        case NotDone():
+            assert not is_made
+        case OutcomeUnknown():
+            found = run.service.run(resolve(MINE))
+            assert isinstance(found, Accepted) == is_made
+    if run.rival_won:
+        assert "rival" in stored.accounts
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+@pytest.mark.parametrize("step", STEPS)
+def test_asking_again_with_the_same_identity_makes_the_change_once(step, fault):
+    run = Run()
+    run.publish(step, fault)
+    run.service.down = False
+    run.floor = 1
+    again = run.service.run(publish(MINE, run.known, lambda: 1))
+    for command in run.late:
+        run.service.call(command)
+    assert isinstance(again, Conflict if run.rival_won else Accepted)
+    assert run.stored().version == 2
+
+
+@pytest.mark.parametrize("step", [0, 1])
+def test_a_newer_version_heard_of_before_the_write_stops_the_change(step):
+    run = Run()
+    assert isinstance(run.publish(step, "member knows more"), NotDone)
