--- a/tools/burdockhaven_bench/capacity.py
+++ b/tools/burdockhaven_bench/capacity.py
@@ -10,9 +10,12 @@
 
 import msgspec
 
+from burdockhaven_bench.capacity_links import link_probes
+from burdockhaven_bench.capacity_members import member_probes
 from burdockhaven_bench.capacity_platform import platform_probes
 from burdockhaven_bench.capacity_plot import write_plot
 from burdockhaven_bench.capacity_probe import Measurement, Probe, Unit
+from burdockhaven_bench.capacity_requests import request_probes
 
 OUTPUT_DIRECTORY = Path("out")
 HEADER = (
@@ -37,7 +40,7 @@
 
 def all_probes() -> tuple[Probe, ...]:
     """Every capacity probe."""
-    return platform_probes()
+    return request_probes() + member_probes() + platform_probes() + link_probes()
 
 
 def line_of(measurement: Measurement) -> str:
--- /dev/null
+++ b/tools/burdockhaven_bench/capacity_entry.py
@@ -0,0 +1,193 @@
+"""An entry of a given surroundings, and the messages that its peers send it."""
+
+import itertools
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from burdockhaven_bench.capacity_inputs import (
+    FIRST_TARGET_PORT,
+    MODELS,
+    TIERS,
+    account_name,
+    class_name,
+    configuration_of,
+    group_name,
+    member_of,
+    peer_address_of,
+)
+from burdockhaven_core.actions import Action, StartRun
+from burdockhaven_core.assignment import Assignment, sign_assignment
+from burdockhaven_core.entry import Entry
+from burdockhaven_core.entry_state import EntryParameters
+from burdockhaven_core.events import (
+    ConfigurationRead,
+    Event,
+    MemberLeasesRead,
+    MessageArrived,
+    RequestArrived,
+    RunFinished,
+    RunProgressed,
+    Tick,
+)
+from burdockhaven_core.identity import MemberId, TargetName
+from burdockhaven_core.messages import Echo, GroupDemand, Heartbeat, PeerName
+
+# The measured entry is member 0.
+ME = 0
+SECRET = b"the assignment key of the capacity bench"
+# Monotonic seconds at which the entry is past its start hold.
+READY_S = 10.0
+# An own lease that outlasts every probe.
+LEASE_UNTIL_S = 1e12
+ASSIGNMENT_LIFETIME_S = 30.0
+# Seconds that a run takes: so short that neither assignments nor heartbeats get old
+# while a probe runs.
+RUN_S = 0.0001
+PROMPT_TOKENS = 400
+OUTPUT_TOKENS = 64
+# Tokens between two reports of a run's progress, as the daemon has it.
+PROGRESS_TOKENS = 16
+# Targets of a group that one member has requests at, as far as there are so many.
+BUSY_TARGETS_PER_GROUP = 20
+
+
+@dataclass(slots=True)
+class Bench:
+    """One entry with the clock and the handles that drive it."""
+
+    entry: Entry
+    now: float = READY_S
+    handles: Iterator[int] = field(default_factory=lambda: itertools.count(1))
+    sequence: int = 1
+
+    @classmethod
+    def from_sizes(cls, members: int, targets: int, accounts: int) -> "Bench":
+        """An entry that admits all tiers among so many members."""
+        me = member_of(ME)
+        parameters = EntryParameters(
+            me=me,
+            zone="zone-0",
+            caller_address="10.1.0.1:8100",
+            peer_address=peer_address_of(ME),
+            assignment_key=SECRET,
+        )
+        entry = Entry.from_config(parameters, random.Random(11), 0.0)
+        bench = cls(entry)
+        bench.step(ConfigurationRead(configuration_of(accounts, targets)))
+        bench.step(MemberLeasesRead(leases_of(members), LEASE_UNTIL_S))
+        bench.step(Tick())
+        for number in range(1, members):
+            arrived = heartbeat_of(number, members, targets, with_peers=True)
+            bench.step(arrived)
+        return bench
+
+    def step(self, event: Event) -> list[Action]:
+        """One step of the real code."""
+        return self.entry.step(event, self.now)
+
+    def token(self, account: int = 0) -> str:
+        """An assignment to this very entry, fresh at the bench's time."""
+        me = member_of(ME)
+        issued_s = self.entry.state.clock_s(self.now)
+        assignment = Assignment(
+            entry=me.entry,
+            incarnation=me.incarnation,
+            account=account_name(account),
+            nonce=f"{next(self.handles):032x}",
+            issued_s=issued_s,
+            expires_s=issued_s + ASSIGNMENT_LIFETIME_S,
+        )
+        return sign_assignment(assignment, SECRET)
+
+    def arrive(self, token: str, number: int, account: int = 0) -> list[Action]:
+        """One request arrives."""
+        arrival = RequestArrived(
+            handle=next(self.handles),
+            token=token,
+            key=str(number),
+            account=account_name(account),
+            class_name=class_name(number % TIERS),
+            prompt_tokens=PROMPT_TOKENS,
+            max_output_tokens=OUTPUT_TOKENS,
+            prefix="0123456789abcdef",
+        )
+        return self.step(arrival)
+
+    def whole_request(self, token: str, number: int, account: int = 0) -> None:
+        """One request from its arrival to its end, shortly after."""
+        actions = self.arrive(token, number, account)
+        (start,) = (a for a in actions if isinstance(a, StartRun))
+        self.now += RUN_S
+        self.step(RunProgressed(start.run_id, 1))
+        for _ in range(OUTPUT_TOKENS // PROGRESS_TOKENS):
+            self.step(RunProgressed(start.run_id, PROGRESS_TOKENS))
+        self.step(RunFinished(start.run_id, OUTPUT_TOKENS))
+
+
+def leases_of(members: int) -> dict[MemberId, str]:
+    """The leases that stand, of all members."""
+    return {member_of(number): peer_address_of(number) for number in range(members)}
+
+
+def heartbeat_of(
+    number: int, members: int, targets: int, *, with_peers: bool = False
+) -> MessageArrived:
+    """A heartbeat, to the measured entry, of a busy member that knows all others.
+
+    Each names the others only while the receiver does not know them yet.
+    """
+    member = member_of(number)
+    peers = tuple(
+        PeerName(
+            member_of(other).entry,
+            member_of(other).incarnation,
+            peer_address_of(other),
+        )
+        for other in range(members)
+        if other != number
+    )
+    heartbeat = Heartbeat(
+        entry=member.entry,
+        incarnation=member.incarnation,
+        sequence=1,
+        clock_s=READY_S,
+        caller_address=peer_address_of(number).replace(":8300", ":8100"),
+        peer_address=peer_address_of(number),
+        zone=f"zone-{number % 3}",
+        ready=True,
+        draining=False,
+        config_version=1,
+        demand=demand_of(targets),
+        leaving=(),
+        peers=peers if with_peers else None,
+        view_version=1,
+        echo=Echo(member_of(ME).incarnation, READY_S, 1),
+    )
+    return MessageArrived(member, heartbeat)
+
+
+def demand_of(targets: int) -> tuple[GroupDemand, ...]:
+    """The demand of a busy member."""
+    return tuple(
+        GroupDemand(
+            group_name(model),
+            queued=(0, 1, 0, 2, 0),
+            in_flight={
+                TargetName(f"engine-{number:04}"): 3
+                for number in range(model, targets, MODELS)[:BUSY_TARGETS_PER_GROUP]
+            },
+            running=(20, 10, 10, 10, 10),
+        )
+        for model in range(MODELS)
+    )
+
+
+def vm_addresses(members: int, targets: int) -> frozenset[str]:
+    """Addresses on the VM list of all members and targets."""
+    addresses = {peer_address_of(number) for number in range(members)}
+    addresses.update(
+        f"10.2.{number // 250}.{number % 250 + 1}:{FIRST_TARGET_PORT}"
+        for number in range(targets)
+    )
+    return frozenset(addresses)
--- /dev/null
+++ b/tools/burdockhaven_bench/capacity_forecast.py
@@ -0,0 +1,263 @@
+"""What the measured slopes give at a size: the table of docs/CAPACITY.md.
+
+`python -m burdockhaven_bench.capacity_forecast out/capacity.json` prints it.
+"""
+
+import argparse
+import sys
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from burdockhaven_bench.capacity import Row
+
+# What a daemon may spend on control.
+BUDGET_CORE = 0.014
+BUDGET_BYTES_PER_S = 7_000.0
+BUDGET_MB = 32.0
+
+US_PER_S = 1e6
+BYTES_PER_MB = 1e6
+SECONDS_PER_DAY = 86_400
+MODELS = 4
+# Intervals and lengths of the code as it is, in seconds.
+HEARTBEAT_S = 0.5
+TICK_S = 0.05
+GRANT_S = 0.5
+RENEW_CLOSURE_S = 0.5
+RECORD_S = 60.0
+LOAD_ASK_S = 0.9
+VM_LIST_S = 1.8
+LEASE_RENEWAL_S = 2.7
+CALLS_PER_RENEWAL = 2
+SCRAPE_S = 15.0
+# Tokens of an answer, and of one report of progress to the decisions.
+ANSWER_TOKENS = 333
+PROGRESS_TOKENS = 16
+# Progress reports that the measured whole request holds already.
+MEASURED_REPORTS = 5
+# Targets beyond which a heartbeat of the bench names no more.
+HEARTBEAT_TARGETS = 80
+# Sizes of the bench where the other variable was measured.
+BENCH_MEMBERS = 9
+BENCH_TARGETS = 40
+MAX_QUEUED = 4_096
+# Bytes of one VM in the list, of a member's lease, of a load report with its headers
+# on both ways, and of a question or promise about a floor.
+VM_BYTES = 65
+LEASE_BYTES = 190
+LOAD_BYTES = 420
+FLOOR_BYTES = 85
+
+
+@dataclass(frozen=True, slots=True)
+class Size:
+    """One size of the whole system, as one member meets it."""
+
+    name: str
+    # Members that exchange heartbeats.
+    members: int
+    # Targets that a member knows.
+    targets: int
+    accounts: int
+    # Requests a second at one member.
+    requests_per_s: float
+    # Changes of the configuration a day.
+    changes: int
+
+
+TODAY = Size("today", 9, 10, 5, 10.0, 50)
+REGION = Size("two years, a region", 78, 529, 5_900, 78.0, 4_200)
+FLEET = Size("two years, one fleet", 540, 3_700, 5_900, 78.0, 4_200)
+
+
+@dataclass(frozen=True, slots=True)
+class Cost:
+    """What a role costs one daemon."""
+
+    role: str
+    # Share of one core.
+    core: float
+    # Bytes a second, sent and received.
+    bytes_per_s: float
+    memory_mb: float
+    # Whether it counts against the budget for control.
+    control: bool = True
+
+
+class Lines:
+    """The measured lines, by name and variable."""
+
+    def __init__(self, rows: Sequence[Row]) -> None:
+        self.rows = {(row.name, row.variable): row for row in rows}
+
+    def at(self, name: str, variable: str, size: float) -> float:
+        """The value that the line gives at a size."""
+        row = self.rows[name, variable]
+        return max(0.0, row.intercept + row.slope * size)
+
+    def slope(self, name: str, variable: str) -> float:
+        """The growth for each unit of size."""
+        return self.rows[name, variable].slope
+
+
+def costs(lines: Lines, size: Size) -> tuple[Cost, ...]:
+    """The cost of each role at the size."""
+    return (
+        _requests(lines, size),
+        _member(lines, size),
+        _coordinator(lines, size),
+        _floor(lines, size),
+        _configuration(lines, size),
+        _target_watcher(lines, size),
+        _platform(lines, size),
+        _administration(lines, size),
+        _metrics(lines, size),
+    )
+
+
+def _requests(lines: Lines, size: Size) -> Cost:
+    whole_us = lines.at("whole request, decisions", "targets", size.targets)
+    reports = ANSWER_TOKENS / PROGRESS_TOKENS - MEASURED_REPORTS
+    progress_us = reports * lines.at("progress of a run", "targets", size.targets)
+    look_up_us = lines.at("look-up", "members", size.members)
+    per_request_us = whole_us + progress_us + look_up_us
+    records = size.requests_per_s * RECORD_S
+    memory = records * lines.slope("records kept", "requests")
+    memory += MAX_QUEUED * lines.slope("queued requests kept", "requests")
+    core = per_request_us * size.requests_per_s / US_PER_S
+    return Cost("queue and admission", core, 0.0, memory / BYTES_PER_MB, control=False)
+
+
+def _member(lines: Lines, size: Size) -> Cost:
+    others = size.members - 1
+    per_s = others / HEARTBEAT_S
+    targets = min(size.targets, HEARTBEAT_TARGETS)
+    link_us = lines.at("send and receive a heartbeat", "targets", targets)
+    take_us = lines.at("take in a heartbeat", "members", size.members)
+    make_us = lines.at("tick with heartbeats", "members", size.members)
+    tick_us = lines.at("tick without heartbeats", "targets", size.targets)
+    core_us = per_s * (link_us + take_us) + make_us / HEARTBEAT_S + tick_us / TICK_S
+    length = lines.at("heartbeat", "targets", targets)
+    memory = lines.at("entry kept", "members", size.members)
+    memory += lines.slope("entry kept", "targets") * size.targets
+    return Cost(
+        "member",
+        core_us / US_PER_S,
+        2 * per_s * length,
+        memory / BYTES_PER_MB,
+    )
+
+
+def _coordinator(lines: Lines, size: Size) -> Cost:
+    """The member that grants the shares of one group; most members grant none."""
+    by_member = lines.slope("grant one group's shares", "members") * MODELS
+    pair_us = by_member / BENCH_TARGETS
+    group_targets = size.targets / MODELS
+    grant_us = pair_us * size.members * group_targets
+    length = lines.at("share grant", "targets", size.targets)
+    sent = (size.members - 1) * length / GRANT_S
+    return Cost("coordinator of a group", grant_us / GRANT_S / US_PER_S, sent, 0.0)
+
+
+def _floor(lines: Lines, size: Size) -> Cost:
+    """While the member sheds; nothing otherwise."""
+    close_us = lines.at("close a floor once", "members", size.members)
+    messages = 2 * (size.members - 1) / RENEW_CLOSURE_S
+    link_us = messages / 2 * lines.at("send and receive a heartbeat", "targets", 0)
+    core = (close_us / RENEW_CLOSURE_S + link_us) / US_PER_S
+    return Cost("floor, while shedding", core, messages * FLOOR_BYTES, 0.0)
+
+
+def _configuration(lines: Lines, size: Size) -> Cost:
+    per_s = size.changes / SECONDS_PER_DAY
+    make_us = lines.at("make an offer", "accounts", size.accounts)
+    take_us = lines.at("take in an offer", "accounts", size.accounts)
+    length = lines.at("configuration offer", "accounts", size.accounts)
+    memory = lines.at("configuration kept", "accounts", size.accounts)
+    return Cost(
+        "configuration relay",
+        per_s * (make_us + take_us) / US_PER_S,
+        per_s * 2 * length,
+        memory / BYTES_PER_MB,
+    )
+
+
+def _target_watcher(lines: Lines, size: Size) -> Cost:
+    asks = size.targets / LOAD_ASK_S
+    ask_us = lines.slope("ask targets for their load", "calls")
+    vms = size.members + size.targets
+    read_us = lines.at("read the VM list", "VMs", vms)
+    take_us = lines.at("take in the VM list", "targets", size.targets)
+    core = (asks * ask_us + (read_us + take_us) / VM_LIST_S) / US_PER_S
+    sent = asks * LOAD_BYTES + vms * VM_BYTES / VM_LIST_S
+    return Cost("target watcher", core, sent, 0.0)
+
+
+def _platform(lines: Lines, size: Size) -> Cost:
+    calls = CALLS_PER_RENEWAL / LEASE_RENEWAL_S
+    call_us = lines.slope("call the key-value service", "calls")
+    sent = size.members * LEASE_BYTES / LEASE_RENEWAL_S
+    return Cost("lease in the key-value service", calls * call_us / US_PER_S, sent, 0.0)
+
+
+def _administration(lines: Lines, size: Size) -> Cost:
+    """If one entry takes all changes."""
+    per_s = size.changes / SECONDS_PER_DAY
+    check_us = lines.at("validate configuration", "accounts", size.accounts)
+    encode_us = lines.at("encode configuration", "accounts", size.accounts)
+    core = per_s * (check_us + encode_us) / US_PER_S
+    return Cost("administration", core, 0.0, 0.0)
+
+
+def _metrics(lines: Lines, size: Size) -> Cost:
+    record_us = lines.at("record a request in the metrics", "accounts", size.accounts)
+    render_us = lines.at("render the metrics", "accounts", size.accounts)
+    length = lines.at("page of metrics", "accounts", size.accounts)
+    memory = lines.at("metrics kept", "accounts", size.accounts)
+    core = (size.requests_per_s * record_us + render_us / SCRAPE_S) / US_PER_S
+    return Cost("metrics", core, length / SCRAPE_S, memory / BYTES_PER_MB)
+
+
+def table(lines: Lines, size: Size) -> str:
+    """The costs at the size as a Markdown table."""
+    head = f"| Role ({size.name}) | Core | Bytes a second | Memory, MB | Fits |"
+    rows = [head, "|---|---|---|---|---|"]
+    rows += [_table_row(cost) for cost in costs(lines, size)]
+    return "\n".join(rows)
+
+
+def _table_row(cost: Cost) -> str:
+    over = [
+        name
+        for name, value, budget in (
+            ("processor", cost.core, BUDGET_CORE),
+            ("bytes", cost.bytes_per_s, BUDGET_BYTES_PER_S),
+            ("memory", cost.memory_mb, BUDGET_MB),
+        )
+        if value > budget
+    ]
+    verdict = "**no**: " + ", ".join(over) if over else "yes"
+    verdict = verdict if cost.control else "not control"
+    return (
+        f"| {cost.role} | {cost.core:.2%} | {cost.bytes_per_s:,.0f} | "
+        f"{cost.memory_mb:.1f} | {verdict} |"
+    )
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Prints the tables; returns the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("measured", type=Path, help="out/capacity.json")
+    options = parser.parse_args(arguments)
+    rows = msgspec.json.decode(options.measured.read_bytes(), type=list[Row])
+    lines = Lines(rows)
+    for size in (TODAY, REGION, FLEET):
+        print(table(lines, size), end="\n\n")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tools/burdockhaven_bench/capacity_links.py
@@ -0,0 +1,211 @@
+"""Capacity probes of the links: real sockets on loopback, stand-ins as processes.
+
+The processor time is that of this process alone: the daemon's side of each call.
+"""
+
+import asyncio
+import os
+import random
+import tempfile
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import httpx
+
+from burdockhaven_bench.capacity_entry import SECRET, heartbeat_of, vm_addresses
+from burdockhaven_bench.capacity_inputs import member_of
+from burdockhaven_bench.capacity_probe import Probe, Unit
+from burdockhaven_bench.demo_files import EntryPorts, free_port, settings_file
+from burdockhaven_bench.probing import MICROSECONDS_PER_S, SAMPLES
+from burdockhaven_core.configuration import TargetSpec
+from burdockhaven_core.events import Event
+from burdockhaven_core.identity import MemberId, TargetName
+from burdockhaven_core.key_value import Range
+from burdockhaven_core.messages import PeerMessage
+from burdockhaven_entry.call_budget import CallBudget
+from burdockhaven_entry.kv_link import KvLink
+from burdockhaven_entry.message_seal import derive_key
+from burdockhaven_entry.peer_link import PeerLink, PeerLinkError
+from burdockhaven_entry.settings import (
+    ASSIGNMENT_KEY_VARIABLE,
+    OPERATOR_TOKEN_VARIABLE,
+)
+from burdockhaven_entry.target_link import TargetLink
+from burdockhaven_entry.vm_list_link import VmListLink
+from burdockhaven_standins.processes import ProcessGroup
+
+CALL_SIZES = (20, 60, 120, 200)
+TARGET_SIZES = (10, 60, 120, 200)
+VM_SIZES = (20, 200, 400, 600)
+MEMBERS = 9
+MESSAGES = 200
+READS = 20
+CONNECT_PAUSE_S = 0.05
+# Calls that a probe makes at once, as a daemon does that asks all of its targets.
+UNLIMITED = 1e9
+
+KEY = derive_key(SECRET)
+
+Work = Callable[[], Awaitable[object]]
+
+
+def link_probes() -> tuple[Probe, ...]:
+    """Probes whose size is the number of calls, members or VMs."""
+    us = Unit.MICROSECONDS
+    return (
+        Probe("ask targets for their load", us, "calls", CALL_SIZES, _ask_loads),
+        Probe("call the key-value service", us, "calls", CALL_SIZES, _call_key_value),
+        Probe("read the VM list", us, "VMs", VM_SIZES, _read_vm_list),
+        Probe("idle daemons, resident", Unit.BYTES, "daemons", (1, 2, 4), _resident),
+        Probe("send and receive a heartbeat", us, "targets", TARGET_SIZES, _exchange),
+    )
+
+
+def _ask_loads(calls: int) -> tuple[float, ...]:
+    with ProcessGroup() as group:
+        engine = group.stand_in("engine", "engine")
+        spec = TargetSpec(TargetName("engine"), engine.url, "zone-0")
+
+        async def measure() -> tuple[float, ...]:
+            link = TargetLink(_ignore)
+            try:
+                return await _samples(
+                    lambda: _repeat(calls, lambda: link.ask_load(spec))
+                )
+            finally:
+                await link.close()
+
+        return asyncio.run(measure())
+
+
+def _call_key_value(calls: int) -> tuple[float, ...]:
+    with ProcessGroup() as group:
+        service = group.stand_in("kv", "kv")
+
+        async def measure() -> tuple[float, ...]:
+            link = KvLink.from_url(service.url, random.Random(1))
+            link.budget = CallBudget(UNLIMITED, UNLIMITED, UNLIMITED)
+            try:
+                return await _samples(
+                    lambda: _repeat(calls, lambda: link.call(Range("k")))
+                )
+            finally:
+                await link.close()
+
+        return asyncio.run(measure())
+
+
+def _read_vm_list(vms: int) -> tuple[float, ...]:
+    with ProcessGroup() as group:
+        service = group.stand_in("vms", "vms")
+        listed = [
+            {"address": address, "zone": "zone-0", "state": "live"}
+            for address in sorted(vm_addresses(0, vms))
+        ]
+        reply = httpx.post(f"{service.url}/control", json={"vms": listed})
+        reply.raise_for_status()
+
+        async def measure() -> tuple[float, ...]:
+            link = VmListLink.from_url(service.url)
+            try:
+                totals = await _samples(lambda: _repeat(READS, link.read))
+            finally:
+                await link.close()
+            return tuple(total / READS for total in totals)
+
+        return asyncio.run(measure())
+
+
+def _exchange(targets: int) -> tuple[float, ...]:
+    """One heartbeat through both ends of a peer link, in this process."""
+
+    async def measure() -> tuple[float, ...]:
+        received = 0
+        arrived = asyncio.Event()
+
+        def count(sender: MemberId, message: PeerMessage) -> None:
+            nonlocal received
+            received += 1
+            if received % MESSAGES == 0:
+                arrived.set()
+
+        sender = PeerLink.from_config(member_of(0), "127.0.0.1:0", KEY, count, _fail)
+        receiver = PeerLink.from_config(member_of(1), "127.0.0.1:0", KEY, count, _fail)
+        sender.silent_after_s = UNLIMITED
+        sender.open()
+        receiver.open()
+        message = heartbeat_of(1, MEMBERS, targets).message
+
+        async def exchange() -> None:
+            nonlocal received
+            received = 0
+            arrived.clear()
+            for _ in range(MESSAGES):
+                sender.send(receiver.address, message)
+            await arrived.wait()
+
+        async def connect() -> None:
+            """Sends until something arrives: what finds no connection is dropped."""
+            while received == 0:
+                sender.send(receiver.address, message)
+                await asyncio.sleep(CONNECT_PAUSE_S)
+            await asyncio.sleep(CONNECT_PAUSE_S)
+
+        try:
+            await connect()
+            totals = await _samples(exchange)
+        finally:
+            await sender.close()
+            await receiver.close()
+        return tuple(total / MESSAGES for total in totals)
+
+    return asyncio.run(measure())
+
+
+def _resident(daemons: int) -> tuple[float, ...]:
+    """Resident memory of so many daemons that know no configuration yet."""
+    for variable in (ASSIGNMENT_KEY_VARIABLE, OPERATOR_TOKEN_VARIABLE):
+        os.environ.setdefault(variable, "a secret of the capacity bench")
+    with ProcessGroup() as group, tempfile.TemporaryDirectory() as directory:
+        key_value = group.stand_in("kv", "kv")
+        vm_list = group.stand_in("vms", "vms")
+        total = 0
+        for number in range(daemons):
+            name = f"entry-{number}"
+            ports = EntryPorts(free_port(), free_port(), free_port())
+            path = Path(directory) / f"{name}.ini"
+            text = settings_file(name, "zone-0", ports, key_value.url, vm_list.url)
+            path.write_text(text)
+            started = group.start(name, ["burdockhaven_entry", "--config", str(path)])
+            total += _resident_bytes(started.process.pid)
+        return (float(total),)
+
+
+def _resident_bytes(pid: int) -> int:
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE")
+
+
+async def _repeat(times: int, work: Work) -> None:
+    for _ in range(times):
+        await work()
+
+
+async def _samples(work: Work) -> tuple[float, ...]:
+    """Processor microseconds of the work, after one round that warms it up."""
+    await work()
+    samples = []
+    for _ in range(SAMPLES):
+        start = time.process_time()
+        await work()
+        samples.append((time.process_time() - start) * MICROSECONDS_PER_S)
+    return tuple(samples)
+
+
+def _ignore(event: Event) -> None:
+    """Drops what a link reports."""
+
+
+def _fail(error: PeerLinkError) -> None:
+    raise RuntimeError(f"{error.step}: {error.detail}")
--- /dev/null
+++ b/tools/burdockhaven_bench/capacity_members.py
@@ -0,0 +1,248 @@
+"""Capacity probes of members: heartbeats, floors, shares and configurations."""
+
+from burdockhaven_bench.capacity_entry import (
+    ME,
+    READY_S,
+    Bench,
+    demand_of,
+    heartbeat_of,
+    vm_addresses,
+)
+from burdockhaven_bench.capacity_inputs import (
+    configuration_of,
+    group_name,
+    member_of,
+)
+from burdockhaven_bench.capacity_probe import Probe, Unit
+from burdockhaven_bench.probing import memory_bytes, processor_us
+from burdockhaven_core.actions import SendMessage
+from burdockhaven_core.configuration_replica import ConfigurationReplica
+from burdockhaven_core.events import MessageArrived, Tick, VmListRead
+from burdockhaven_core.messages import (
+    CloseAsk,
+    ClosePromise,
+    ConfigurationAsk,
+    ConfigurationOffer,
+    decode_message,
+    encode_message,
+)
+from burdockhaven_core.shares import Shares
+from burdockhaven_core.targets import TargetTable
+
+MEMBER_SIZES = (8, 40, 70, 100)
+TARGET_SIZES = (10, 60, 120, 200)
+ACCOUNT_SIZES = (5, 1_500, 3_000, 4_500, 5_900)
+CHANGE_SIZES = (1, 10, 20, 30)
+MEMBERS = 9
+TARGETS = 40
+ACCOUNTS = 100
+HEARTBEAT_INTERVAL_S = 0.5
+TOP_TIER = 4
+
+
+def member_probes() -> tuple[Probe, ...]:
+    """Probes whose size is the number of members, targets, accounts or changes."""
+    us, length = Unit.MICROSECONDS, Unit.BYTES
+    return (
+        Probe(
+            "heartbeat that names members",
+            length,
+            "members",
+            MEMBER_SIZES,
+            lambda size: _message_bytes(
+                heartbeat_of(1, size, TARGETS, with_peers=True)
+            ),
+        ),
+        Probe(
+            "heartbeat",
+            length,
+            "targets",
+            TARGET_SIZES,
+            lambda size: _message_bytes(heartbeat_of(1, MEMBERS, size)),
+        ),
+        Probe("decode a heartbeat", us, "targets", TARGET_SIZES, _decode_heartbeat),
+        Probe("take in a heartbeat", us, "members", MEMBER_SIZES, _take_heartbeat),
+        Probe("tick with heartbeats", us, "members", MEMBER_SIZES, _tick_members),
+        Probe("tick without heartbeats", us, "members", MEMBER_SIZES, _idle_tick),
+        Probe(
+            "tick without heartbeats",
+            us,
+            "targets",
+            TARGET_SIZES,
+            lambda size: _tick(Bench.from_sizes(MEMBERS, size, ACCOUNTS), 0.0),
+        ),
+        Probe("encode a heartbeat", us, "targets", TARGET_SIZES, _encode_heartbeat),
+        Probe("close a floor once", us, "members", MEMBER_SIZES, _close_floor),
+        Probe("grant one group's shares", us, "members", MEMBER_SIZES, _grant_members),
+        Probe("grant one group's shares", us, "targets", TARGET_SIZES, _grant_targets),
+        Probe("share grant", length, "targets", TARGET_SIZES, _grant_bytes),
+        Probe("take in the VM list", us, "targets", TARGET_SIZES, _take_vm_list),
+        Probe("configuration offer", length, "accounts", ACCOUNT_SIZES, _offer_bytes),
+        Probe("make an offer", us, "accounts", ACCOUNT_SIZES, _make_offer),
+        Probe("take in an offer", us, "accounts", ACCOUNT_SIZES, _take_offer),
+        Probe("offers taken in", us, "changes", CHANGE_SIZES, _take_offers),
+        Probe(
+            "entry kept",
+            length,
+            "members",
+            MEMBER_SIZES,
+            lambda size: memory_bytes(lambda: Bench.from_sizes(size, TARGETS, 100)),
+        ),
+        Probe(
+            "entry kept",
+            length,
+            "targets",
+            TARGET_SIZES,
+            lambda size: memory_bytes(lambda: Bench.from_sizes(MEMBERS, size, 100)),
+        ),
+    )
+
+
+def _message_bytes(arrived: MessageArrived) -> tuple[float, ...]:
+    return (float(len(encode_message(arrived.message))),)
+
+
+def _encode_heartbeat(targets: int) -> tuple[float, ...]:
+    message = heartbeat_of(1, MEMBERS, targets).message
+    return processor_us(lambda: encode_message(message))
+
+
+def _decode_heartbeat(targets: int) -> tuple[float, ...]:
+    data = encode_message(heartbeat_of(1, MEMBERS, targets).message)
+    return processor_us(lambda: decode_message(data))
+
+
+def _take_heartbeat(members: int) -> tuple[float, ...]:
+    bench = Bench.from_sizes(members, TARGETS, ACCOUNTS)
+    # Made beforehand, so that only taking them in is measured; used in turn with
+    # growing sequence numbers.
+    arrived = heartbeat_of(1, members, TARGETS)
+    heartbeat = arrived.message
+    fields = {name: getattr(heartbeat, name) for name in heartbeat.__struct_fields__}
+    sequence = 1
+
+    def take() -> None:
+        nonlocal sequence
+        sequence += 1
+        fields["sequence"] = sequence
+        bench.step(MessageArrived(arrived.sender, type(heartbeat)(**fields)))
+
+    return processor_us(take)
+
+
+def _tick(bench: Bench, elapsed_s: float) -> tuple[float, ...]:
+    def tick() -> None:
+        bench.now += elapsed_s
+        bench.step(Tick())
+
+    return processor_us(tick)
+
+
+def _tick_members(members: int) -> tuple[float, ...]:
+    bench = Bench.from_sizes(members, TARGETS, ACCOUNTS)
+    return _tick(bench, HEARTBEAT_INTERVAL_S)
+
+
+def _idle_tick(members: int) -> tuple[float, ...]:
+    return _tick(Bench.from_sizes(members, TARGETS, ACCOUNTS), 0.0)
+
+
+def _close_floor(members: int) -> tuple[float, ...]:
+    """One closure: a question to all members and all of their promises."""
+    bench = Bench.from_sizes(members, TARGETS, ACCOUNTS)
+    floor = bench.entry.state.floor
+    group = group_name(0)
+
+    def close() -> None:
+        bench.now += 1.0
+        for sent in floor.want_shed(group, TOP_TIER, bench.now):
+            if not isinstance(sent.message, CloseAsk):
+                continue
+            ask = sent.message
+            promise = ClosePromise(
+                sent.to.entry, sent.to.incarnation, group, ask.tier, ask.round, 2.0
+            )
+            floor.on_message(sent.to, promise, bench.now)
+        floor.on_tick(bench.now)
+
+    return processor_us(close)
+
+
+def _coordinator(members: int, targets: int) -> tuple[Shares, list[SendMessage]]:
+    """Shares of a member that coordinates the first group, and its first grants."""
+    table = TargetTable()
+    table.apply(configuration_of(ACCOUNTS, targets))
+    shares = Shares.from_config(member_of(ME), table)
+    shares.members = tuple(member_of(number) for number in range(members))
+    for number in range(members):
+        for demand in demand_of(targets):
+            shares._note_demand(member_of(number), demand, READY_S)
+    return shares, shares._grant(group_name(0), READY_S)
+
+
+def _grant_members(members: int) -> tuple[float, ...]:
+    shares, _ = _coordinator(members, TARGETS)
+    return processor_us(lambda: shares._grant(group_name(0), READY_S))
+
+
+def _grant_targets(targets: int) -> tuple[float, ...]:
+    shares, _ = _coordinator(MEMBERS, targets)
+    return processor_us(lambda: shares._grant(group_name(0), READY_S))
+
+
+def _grant_bytes(targets: int) -> tuple[float, ...]:
+    _, sends = _coordinator(MEMBERS, targets)
+    return tuple(float(len(encode_message(sent.message))) for sent in sends)
+
+
+def _take_vm_list(targets: int) -> tuple[float, ...]:
+    bench = Bench.from_sizes(MEMBERS, targets, ACCOUNTS)
+    read = VmListRead(vm_addresses(MEMBERS, targets), frozenset())
+    return processor_us(lambda: bench.step(read))
+
+
+def _offer(accounts: int, version: int = 2) -> ConfigurationOffer:
+    replica = ConfigurationReplica(member_of(1))
+    replica.take(configuration_of(accounts, TARGETS, version))
+    ask = ConfigurationAsk(member_of(ME).entry, member_of(ME).incarnation, 1)
+    (sent,) = replica.on_ask(member_of(ME), ask)
+    assert isinstance(sent.message, ConfigurationOffer)
+    return sent.message
+
+
+def _offer_bytes(accounts: int) -> tuple[float, ...]:
+    return (float(len(encode_message(_offer(accounts)))),)
+
+
+def _make_offer(accounts: int) -> tuple[float, ...]:
+    replica = ConfigurationReplica(member_of(1))
+    replica.take(configuration_of(accounts, TARGETS, 2))
+    ask = ConfigurationAsk(member_of(ME).entry, member_of(ME).incarnation, 1)
+    return processor_us(lambda: replica.on_ask(member_of(ME), ask))
+
+
+def _take_offer(accounts: int) -> tuple[float, ...]:
+    bench = Bench.from_sizes(MEMBERS, TARGETS, accounts)
+    arrived = MessageArrived(member_of(1), _offer(accounts))
+
+    def take() -> None:
+        bench.entry.state.replica.configuration = _EMPTY
+        bench.step(arrived)
+
+    return processor_us(take)
+
+
+def _take_offers(changes: int) -> tuple[float, ...]:
+    """So many changes, one after another, at the largest number of accounts."""
+    bench = Bench.from_sizes(MEMBERS, TARGETS, ACCOUNT_SIZES[-1])
+    arrived = MessageArrived(member_of(1), _offer(ACCOUNT_SIZES[-1]))
+
+    def take() -> None:
+        for _ in range(changes):
+            bench.entry.state.replica.configuration = _EMPTY
+            bench.step(arrived)
+
+    return processor_us(take)
+
+
+_EMPTY = configuration_of(1, 1, version=1)
--- a/tools/tests/test_capacity.py
+++ b/tools/tests/test_capacity.py
@@ -3,8 +3,11 @@
 import msgspec
 import pytest
 
-from burdockhaven_bench.capacity import main
+from burdockhaven_bench.capacity import Row, all_probes, main
+from burdockhaven_bench.capacity_entry import Bench
+from burdockhaven_bench.capacity_forecast import REGION, Lines, table
 from burdockhaven_bench.capacity_inputs import configuration_of
+from burdockhaven_bench.capacity_probe import Unit
 from burdockhaven_core.configuration_check import validate_configuration
 
 
@@ -27,3 +30,19 @@
 
 def test_an_unknown_cost_is_an_error(tmp_path):
     assert main(["--output", str(tmp_path), "--only", "no such cost"]) == 2
+
+
+def test_the_members_of_a_bench_entry_let_it_admit_every_tier():
+    bench = Bench.from_sizes(members=8, targets=10, accounts=5)
+    membership = bench.entry.state.membership
+    assert len(membership.live(bench.now)) == 7
+    assert membership.permitted(bench.now)
+    bench.whole_request(bench.token(), 0)
+
+
+def test_the_forecast_names_what_does_not_fit():
+    names = [(probe.name, probe.variable) for probe in all_probes()]
+    rows = [Row(name, Unit.BYTES, var, 1, 1, 0, 0, ()) for name, var in names]
+    printed = table(Lines(rows), REGION)
+    assert "| member | " in printed
+    assert "**no**" in printed
