--- a/packages/burdockhaven-entry/src/burdockhaven_entry/event_stream.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/event_stream.py
@@ -10,7 +10,6 @@
 from dataclasses import dataclass
 from urllib.parse import urlsplit
 
-import h11
 import httptools
 
 # Gets the data of one event; True ends the reading.
@@ -92,18 +91,16 @@
 
 def _encode(request: StreamRequest, host: str) -> bytes:
     path = request.url.partition(host)[2] or "/"
-    headers = [
-        ("host", host),
-        ("accept", "text/event-stream"),
-        ("connection", "close"),
-        *request.headers,
+    lines = [
+        f"{request.method} {path} HTTP/1.1",
+        f"host: {host}",
+        "accept: text/event-stream",
+        "connection: close",
+        "content-type: application/json",
+        f"content-length: {len(request.body)}",
+        *(f"{name}: {value}" for name, value in request.headers),
     ]
-    if request.body:
-        headers.append(("content-type", "application/json"))
-    headers.append(("content-length", str(len(request.body))))
-    connection = h11.Connection(our_role=h11.CLIENT)
-    head = h11.Request(method=request.method, target=path, headers=headers)
-    return (connection.send(head) or b"") + request.body
+    return "\r\n".join([*lines, "", ""]).encode("ascii") + request.body
 
 
 class _StreamReader(asyncio.Protocol):
