--- a/packages/burdockhaven-core/src/burdockhaven_core/intake.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/intake.py
@@ -4,7 +4,7 @@
 
 from burdockhaven_core.actions import AnswerLookUp, Attach, Keep, Recover
 from burdockhaven_core.assignment import Assignment, sign_assignment
-from burdockhaven_core.configuration import GroupKind
+from burdockhaven_core.configuration import GroupKind, GroupSpec
 from burdockhaven_core.entry_state import EntryState, unavailable
 from burdockhaven_core.events import (
     CallerGone,
@@ -30,8 +30,10 @@
     Unknown,
     UnknownReason,
 )
+from burdockhaven_core.prediction import LengthEstimate
 from burdockhaven_core.queueing import QueuedRequest
 from burdockhaven_core.shedding import refuse, shed
+from burdockhaven_core.waiting import expected_wait_s, is_hopeless
 
 # Bits of an assignment's random part.
 NONCE_BITS = 128
@@ -217,7 +219,7 @@
         identified.run_id,
         authorised,
         state.staying_targets(authorised.group.name, now),
-        _expected_tokens(state, event),
+        _expected(state, authorised.group, event),
         now,
     )
     _open(state, event, identified.run_id, authorised, keep_until_s, now)
@@ -228,10 +230,13 @@
     _enqueue(state, planned.ok_value.request, authorised.group.name, now)
 
 
-def _expected_tokens(state: EntryState, event: RequestArrived) -> int:
+def _expected(
+    state: EntryState, group: GroupSpec, event: RequestArrived
+) -> LengthEstimate:
+    if group.kind is GroupKind.SERVICE:
+        return state.lengths.expected_call(event.account, event.class_name)
     limit = max(1, event.max_output_tokens)
-    estimate = state.lengths.expected(event.account, event.class_name, limit)
-    return max(1, round(estimate.mean))
+    return state.lengths.expected(event.account, event.class_name, limit)
 
 
 def _check(state: EntryState, event: RequestArrived) -> Result[Authorised, NotRun]:
@@ -252,7 +257,17 @@
 ) -> None:
     state.ledger.change(request.run_id, deadline_s=request.deadline_s)
     state.group_of[request.run_id] = group
-    state.queue(group).put(request)
+    queue = state.queue(group)
+    targets = state.open_targets(group, now)
+    running = state.running.get(group, ())
+    elsewhere = state.shares.queued_elsewhere(group, request.tier, now)
+    wait_s = expected_wait_s(request, queue, targets, running, elsewhere)
+    queue.put(request)
+    if is_hopeless(request, wait_s, now):
+        detail = f"the wait would be about {wait_s:.1f} s"
+        busy = NotRun(NotRunReason.OVERLOAD, detail, retry_after_s=wait_s)
+        shed(state, request.run_id, busy, now)
+        return
     if state.queued() > state.parameters.max_queue:
         _evict(state, now)
 
