Wait for a run's prefill until its deadline, not for four silences

Cause: before the first token a target that queues a long prompt is silent with nothing wrong; after four silences the run was called lost while it went on, and its prefill was wasted. StartRun now carries the deadline, and a target that can be reached is asked again until then; after the first token, and at a target that cannot be reached, it stays at MAX_IDLE_RESUMES.

--- a/packages/burdockhaven-core/src/burdockhaven_core/actions.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/actions.py
@@ -37,6 +37,8 @@
     target: TargetSpec
     # Whether the request needs a connection that has not been used before.
     fresh_connection: bool
+    # When the answer is wanted whole, in monotonic seconds.
+    deadline_s: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/burdockhaven-core/src/burdockhaven_core/dispatching.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/dispatching.py
@@ -102,5 +102,6 @@
             run_id=run_id,
             target=target.spec,
             fresh_connection=request.fresh_connection,
+            deadline_s=request.deadline_s,
         )
     )
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/shell.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/shell.py
@@ -59,7 +59,7 @@
         self.entry = entry
         self.metrics = metrics
         self.clock = clock
-        self.targets = TargetLink(self.handle)
+        self.targets = TargetLink(self.handle, clock)
         self.relays = RelayStore()
         # Sends a message to the member that listens at an address.
         self.send: Send = lambda address, message: None
@@ -209,6 +209,7 @@
             model=group_name,
             prompt=body.prompt,
             max_output_tokens=body.max_output_tokens,
+            deadline_s=action.deadline_s,
         )
         relay = self.relays.open(action.run_id, action.target.name)
         if kind is GroupKind.MODEL:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/target_link.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/target_link.py
@@ -73,6 +73,8 @@
     model: str
     prompt: str
     max_output_tokens: int
+    # When the answer is wanted whole, in monotonic seconds.
+    deadline_s: float
 
 
 class _NotAcceptedError(Exception):
@@ -90,8 +92,10 @@
 class TargetLink:
     """The daemon's client of engines and plain services."""
 
-    def __init__(self, report: Report) -> None:
+    def __init__(self, report: Report, clock: Callable[[], float]) -> None:
         self.report = report
+        # Gives monotonic seconds.
+        self.clock = clock
         self.client = httpx.AsyncClient(
             timeout=httpx.Timeout(GAP_TIMEOUT_S, connect=CONNECT_TIMEOUT_S, pool=None),
             limits=httpx.Limits(max_connections=None, max_keepalive_connections=0),
@@ -107,7 +111,9 @@
         try:
             usage = await self._start(order, relay)
             if usage is None:
-                usage = await self._resume(order.run_id, order.target, relay)
+                usage = await self._resume(
+                    order.run_id, order.target, relay, order.deadline_s
+                )
         except _NotAcceptedError as error:
             self._refused(order, str(error), error.leaving)
         except _BrokenAnswerError as error:
@@ -198,19 +204,28 @@
         return reader.usage
 
     async def _resume(
-        self, run_id: RunId, target: TargetSpec, relay: Relay
+        self,
+        run_id: RunId,
+        target: TargetSpec,
+        relay: Relay,
+        prefill_until_s: float = 0.0,
     ) -> CompletionUsage:
-        """Read the rest of a run on new connections, as long as tokens come."""
+        """Read the rest of a run on new connections, as long as tokens come.
+
+        Before its first token a run may wait for its prefill, and the target that can
+        be reached is asked again until the time given.
+        """
         idle = 0
         while idle < MAX_IDLE_RESUMES:
             length = relay.length
+            waits = not relay.chunks and self.clock() < prefill_until_s
             try:
                 usage = await self._read_again(run_id, target, relay)
             except NotConnectedError:
-                usage = None
+                usage, waits = None, False
             if usage is not None:
                 return usage
-            idle = 0 if relay.length > length else idle + 1
+            idle = 0 if waits or relay.length > length else idle + 1
             await asyncio.sleep(RESUME_PAUSE_S)
         raise _BrokenAnswerError(f"silent after token {relay.length}")
 
--- a/tools/tests/test_target_link_process.py
+++ b/tools/tests/test_target_link_process.py
@@ -1,6 +1,7 @@
 """The daemon's target link against the stand-ins, over HTTP."""
 
 import asyncio
+import time
 
 import httpx
 import pytest
@@ -48,13 +49,14 @@
         return (await client.get(f"{url}/counts")).json()
 
 
-async def run(url, kind="model", at_token=None, **fault):
+async def run(url, kind="model", at_token=None, deadline_s=0.0, **fault):
     """The reports of a run; the fault comes at the first token if told so."""
     reports = []
     relay = Relay(RUN, TargetName("t"))
-    link = TargetLink(reports.append)
+    deadline = time.monotonic() + deadline_s
+    link = TargetLink(reports.append, time.monotonic)
     order = RunOrder(
-        RUN, TargetSpec(TargetName("t"), url, "z"), "c", "m", "a b", TOKENS
+        RUN, TargetSpec(TargetName("t"), url, "z"), "c", "m", "a b", TOKENS, deadline
     )
     work = link.run_model if kind == "model" else link.run_service
     task = asyncio.create_task(work(order, relay))
@@ -110,6 +112,27 @@
     assert (await counts(engine))["submissions"] == {RUN: 1}
 
 
+@pytest.mark.parametrize(
+    ("deadline_s", "expected"), [(60.0, RunFinished), (0.0, RunLost)]
+)
+async def test_long_prefill_is_waited_for_until_the_deadline(
+    group, deadline_s, expected
+):
+    slow = group.stand_in("engine", "slow", "--prefill-tokens-per-s", "0.6")
+    reports, _ = await run(slow.url, deadline_s=deadline_s)
+    assert kinds(reports) == [expected]
+
+
+async def test_a_killed_engine_is_not_waited_for(group):
+    slow = group.stand_in("engine", "slow", "--prefill-tokens-per-s", "0.01")
+    task = asyncio.create_task(run(slow.url, deadline_s=3600.0))
+    while not (await counts(slow.url))["submissions"]:
+        pass
+    slow.kill()
+    reports, _ = await task
+    assert kinds(reports) == [RunLost]
+
+
 @pytest.mark.parametrize(
     ("fault", "expected", "executions"),
     [
