Let the highest tier go beyond the slots; tell speeds; use slow targets for new requests

(2) A straggler idled, since no request at the head of a queue had time enough for it: the newest request of each account is tried as well. (3) Each entry learned of a straggler by its own late requests: heartbeats carry the intervals measured lately, 0.3 kB/s per entry. (5) Waits of short prompts spoiled the prefill rate, now weighted by length.

Two tests of the entry filled the slots and expected the highest tier to wait: they now fill its room beyond the slots too, and a new one holds that only it goes there.

--- a/packages/burdockhaven-core/src/burdockhaven_core/choosing.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/choosing.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import math
 import random
 from collections.abc import Callable, Sequence
 
@@ -21,6 +22,9 @@
     TOO_SLOW = "too_slow"
 
 
+# The part of its limit that a target has room for beyond it, for the highest tier.
+OVERTAKING_PART = 0.25
+
 Choice = TargetState | NoTarget
 Choose = Callable[[QueuedRequest, Sequence[TargetState], float], Choice]
 
@@ -72,7 +76,7 @@
     def choose(
         request: QueuedRequest, targets: Sequence[TargetState], now: float
     ) -> Choice:
-        free = [t for t in targets if t.in_flight < t.limit]
+        free = [t for t in targets if t.in_flight < _room(request, t)]
         if not free:
             return NoTarget.FULL
         fit = [t for t in free if _fits(request, t, now)]
@@ -89,6 +93,12 @@
     return choose
 
 
+def _room(request: QueuedRequest, target: TargetState) -> int:
+    if not request.overtakes:
+        return target.limit
+    return target.limit + math.ceil(target.limit * OVERTAKING_PART)
+
+
 def _fits(request: QueuedRequest, target: TargetState, now: float) -> bool:
     longest_s = target.service_s(request.prompt_tokens, request.long_output_tokens)
     return now + longest_s <= request.deadline_s
--- a/packages/burdockhaven-core/src/burdockhaven_core/dispatching.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/dispatching.py
@@ -1,5 +1,7 @@
 """Moves requests from the queues to the targets."""
 
+import itertools
+
 from burdockhaven_core.actions import StartRun
 from burdockhaven_core.choosing import Choice, NoTarget
 from burdockhaven_core.entry_state import EntryState
@@ -56,7 +58,7 @@
     """Dispatch what can go of one tier; False if no target is left for anybody."""
     while True:
         sent = False
-        for request in queue.heads(tier):
+        for request in itertools.chain(queue.heads(tier), queue.newest(tier)):
             choice = _choose(state, request, targets, now)
             if isinstance(choice, TargetState):
                 dispatch(state, group, queue, request, choice, now)
--- a/packages/burdockhaven-core/src/burdockhaven_core/filters/plan.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/filters/plan.py
@@ -14,6 +14,10 @@
 from burdockhaven_core.targets import TargetState
 
 MS_PER_S = 1_000.0
+# The part of a request's slack that may be kept in reserve for a long answer.
+MAX_SPARE_PART = 0.5
+# Seconds that stand for no time at all in a division.
+TINY_S = 1e-9
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,7 +49,6 @@
     deadline_ms = min(arrival.deadline_ms or spec.deadline_ms, spec.deadline_ms)
     prompt_tokens = arrival.prompt_tokens
     service_s = min(t.service_s(prompt_tokens, length.mean) for t in usable)
-    longest_s = min(t.service_s(prompt_tokens, length.high) for t in usable)
     deadline_s = now + deadline_ms / MS_PER_S
     if now + service_s > deadline_s:
         detail = (
@@ -53,6 +56,11 @@
             f"its deadline is {deadline_ms / MS_PER_S:.1f} s"
         )
         return Err(NotRun(NotRunReason.INFEASIBLE, detail))
+    longest_s = min(t.service_s(prompt_tokens, length.high) for t in usable)
+    spare_s = (deadline_s - service_s - now) * MAX_SPARE_PART
+    part = min(1.0, spare_s / max(spare_s, longest_s - service_s, TINY_S))
+    long_tokens = length.mean + part * (length.high - length.mean)
+    latest_start_s = deadline_s - service_s - part * (longest_s - service_s)
     return Ok(
         Planned(
             QueuedRequest(
@@ -65,19 +73,11 @@
                 prefix=arrival.prefix,
                 arrived_s=now,
                 deadline_s=deadline_s,
-                latest_start_s=_latest_start_s(deadline_s, service_s, longest_s, now),
+                latest_start_s=latest_start_s,
                 targets=None if allowed is None else frozenset(allowed),
                 fresh_connection=not spec.idempotent,
                 service_s=service_s,
-                long_output_tokens=max(1, round(length.high)),
+                long_output_tokens=max(1, round(long_tokens)),
             )
         )
     )
-
-
-def _latest_start_s(
-    deadline_s: float, service_s: float, longest_s: float, now: float
-) -> float:
-    """When a long answer can still be in time, but not before half of the slack."""
-    half_slack_s = (deadline_s - service_s - now) / 2
-    return max(deadline_s - longest_s, now + half_slack_s)
--- a/packages/burdockhaven-core/src/burdockhaven_core/intake.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/intake.py
@@ -1,5 +1,7 @@
 """Handles what callers send: look-ups, requests, resumes and lost connections."""
 
+import dataclasses
+
 from result import Err, Result
 
 from burdockhaven_core.actions import AnswerLookUp, Attach, Keep, Recover
@@ -261,6 +263,9 @@
     targets = state.open_targets(group, now)
     running = state.running.get(group, ())
     elsewhere = state.shares.queued_elsewhere(group, request.tier, now)
+    top_tier = state.floor.top_tiers.get(group, 0)
+    if 0 < top_tier <= request.tier:
+        request = dataclasses.replace(request, overtakes=True)
     wait_s = expected_wait_s(request, queue, targets, running, elsewhere)
     queue.put(request)
     if is_hopeless(request, wait_s, now):
--- a/packages/burdockhaven-core/src/burdockhaven_core/messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/messages.py
@@ -15,6 +15,9 @@
     in_flight: dict[TargetName, int]
     # Requests under way, by tier, the lowest first.
     running: tuple[int, ...] = ()
+    # Token intervals measured lately in microseconds, 0 for none, in the order of the
+    # group's targets at the configuration version of the heartbeat.
+    intervals_us: tuple[int, ...] = ()
 
 
 class PeerName(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/burdockhaven-core/src/burdockhaven_core/prediction.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/prediction.py
@@ -5,7 +5,7 @@
 
 Lengths differ a hundredfold between classes but little inside one account and class, so
 one moving estimate for each pair is enough. A pair that was not seen yet takes the
-estimate of its class, and an unseen class the caller's own limit.
+estimate of its class.
 """
 
 import math
@@ -20,6 +20,10 @@
 HIGH_QUANTILE = 0.9
 # Step of the high estimate for each answer, as a natural logarithm.
 QUANTILE_STEP = 0.1
+# Estimates for a class that was not seen yet. The caller's limit is often many times
+# the length, and a class that is refused for it would never be seen.
+UNSEEN_MEAN_TOKENS = 256
+UNSEEN_HIGH_TOKENS = 512
 # Pairs of account and class that are kept; the one unused for longest is dropped.
 MAX_PAIRS = 20_000
 
@@ -92,7 +96,8 @@
         if estimate is None:
             estimate = self.by_class.get(class_name, UNSEEN)
         if estimate.samples == 0:
-            return LengthEstimate(limit, limit, 0)
+            mean, high = UNSEEN_MEAN_TOKENS, UNSEEN_HIGH_TOKENS
+            return LengthEstimate(min(mean, limit), min(high, limit), 0)
         return LengthEstimate(
             min(estimate.mean, limit), min(estimate.high, limit), estimate.samples
         )
--- a/packages/burdockhaven-core/src/burdockhaven_core/queueing.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/queueing.py
@@ -39,6 +39,8 @@
     service_s: float = 0.0
     # Tokens that few answers of its kind exceed.
     long_output_tokens: int = 0
+    # Whether the request may go beyond the limits of the targets.
+    overtakes: bool = False
 
 
 class _AccountQueue:
@@ -46,6 +48,8 @@
 
     def __init__(self) -> None:
         self.heap: list[tuple[float, RunId]] = []
+        # The same requests, the newest last.
+        self.arrived: list[RunId] = []
         # Virtual time at which the account's next request is due.
         self.due = 0.0
         self.weight = 1.0
@@ -79,6 +83,7 @@
         queue.weight = request.weight
         queue.work_s += request.service_s
         heapq.heappush(queue.heap, (request.latest_start_s, request.run_id))
+        queue.arrived.append(request.run_id)
         self.requests[request.run_id] = request
         self._counts[request.tier] += 1
 
@@ -143,12 +148,22 @@
 
     def heads(self, tier: int) -> Iterator[QueuedRequest]:
         """The next request of each account of a tier, in the order of service."""
-        accounts = self._tiers.get(tier, {})
-        for account in sorted(accounts, key=lambda name: (accounts[name].due, name)):
-            request = self._head(accounts[account])
+        for queue in self._in_turn(tier):
+            request = self._head(queue)
             if request is not None:
                 yield request
 
+    def newest(self, tier: int) -> Iterator[QueuedRequest]:
+        """The newest request of each account of a tier, in the order of service.
+
+        It has the most time left, so that it may suit a target too slow for the head.
+        """
+        for queue in self._in_turn(tier):
+            while queue.arrived and not self._is_served(queue.arrived[-1]):
+                queue.arrived.pop()
+            if queue.arrived:
+                yield self.requests[queue.arrived[-1]]
+
     def overdue(self, now: float) -> tuple[QueuedRequest, ...]:
         """Requests that can no longer be in time."""
         return tuple(r for r in self.requests.values() if r.latest_start_s < now)
@@ -163,6 +178,14 @@
         )
         return sum(sooner)
 
+    def _in_turn(self, tier: int) -> list[_AccountQueue]:
+        accounts = self._tiers.get(tier, {})
+        names = sorted(accounts, key=lambda name: (accounts[name].due, name))
+        return [accounts[name] for name in names]
+
+    def _is_served(self, run_id: RunId) -> bool:
+        return run_id in self.requests and run_id not in self.parked
+
     def _account_queue(self, request: QueuedRequest) -> _AccountQueue:
         return self._tiers[request.tier][request.account]
 
@@ -178,8 +201,8 @@
     def _head(self, queue: _AccountQueue) -> QueuedRequest | None:
         while queue.heap:
             run_id = queue.heap[0][1]
-            request = self.requests.get(run_id)
-            if request is not None and run_id not in self.parked:
-                return request
+            if self._is_served(run_id):
+                return self.requests[run_id]
             heapq.heappop(queue.heap)
+        queue.arrived.clear()
         return None
--- a/packages/burdockhaven-core/src/burdockhaven_core/runs.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/runs.py
@@ -61,7 +61,7 @@
         return
     target = _free_slot(state, record)
     if target is not None and record.dispatched_s is not None:
-        _learn(state, record, target, event, now - record.dispatched_s)
+        _learn(state, record, target, event, now)
     record = state.ledger.change(
         event.run_id, state=RunState.WHOLE, output_tokens=event.output_tokens
     )
@@ -75,9 +75,10 @@
     record: Record,
     target: TargetState,
     event: RunFinished,
-    seconds: float,
+    now: float,
 ) -> None:
     """Learn the target's speed and the length of such answers from a whole one."""
+    seconds = now - (record.dispatched_s or now)
     target.learn_hold(seconds)
     group = record.spec.group
     if state.targets.kinds[group] is not GroupKind.SERVICE:
@@ -85,7 +86,7 @@
         return
     predicted_ms = state.dispatched[event.run_id].output_tokens
     if predicted_ms > UNSEEN_CALL_MS:
-        target.learn_call(predicted_ms, seconds)
+        target.learn_call(predicted_ms, seconds, now)
     part = state.targets.fastest_interval_s(group) / target.token_interval_s
     length_ms = round(seconds * MS_PER_S * part)
     state.lengths.learn(record.account, record.spec.name, length_ms)
--- a/packages/burdockhaven-core/src/burdockhaven_core/targets.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/targets.py
@@ -4,11 +4,12 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 from burdockhaven_core.configuration import Configuration, GroupKind, TargetSpec
 from burdockhaven_core.identity import GroupName, RunId, TargetName
+from burdockhaven_core.messages import GroupDemand
 
 # Weight of the newest sample in a moving average.
 AVERAGE_WEIGHT = 0.1
@@ -22,6 +23,13 @@
 DEFAULT_TOKEN_INTERVAL_S = 0.04
 # Prompt tokens a second assumed of a target that has not been used yet.
 DEFAULT_PREFILL_RATE = 8_000.0
+# Prompts at least this long count in full in the average prefill rate.
+FULL_WEIGHT_PROMPT_TOKENS = 4_000
+# Weight of another entry's measurement of a target's speed.
+ELSEWHERE_WEIGHT = 0.1
+# Seconds for which a measurement of a target's speed is told to others.
+MEASURED_LASTS_S = 2.0
+US_PER_S = 1_000_000
 # Seconds that a run is assumed to hold a slot of a target not used yet.
 DEFAULT_HOLD_S = 10.0
 # Seconds that a request may be kept from its slot by others already at the target.
@@ -66,6 +74,8 @@
         self.limit = spec.slots
         # No new work before this time.
         self.paused_until_s = 0.0
+        # When this entry last measured the token interval.
+        self.measured_s = -math.inf
         # When each run last gave tokens.
         self.progressed_s: dict[RunId, float] = {}
 
@@ -99,25 +109,41 @@
         """Take in the time from a dispatch to its first token."""
         if prompt_tokens == 0 or seconds <= 0:
             return
-        self.prompt_tokens += AVERAGE_WEIGHT * (prompt_tokens - self.prompt_tokens)
-        self.prefill_s += AVERAGE_WEIGHT * (seconds - self.prefill_s)
+        # A short prompt mostly waits for others, which says little on the rate.
+        weight = AVERAGE_WEIGHT * min(1.0, prompt_tokens / FULL_WEIGHT_PROMPT_TOKENS)
+        self.prompt_tokens += weight * (prompt_tokens - self.prompt_tokens)
+        self.prefill_s += weight * (seconds - self.prefill_s)
 
     def learn_decode(self, run_id: RunId, tokens: int, now: float) -> None:
         """Take in tokens of a run that has given some before."""
         seconds = now - self.progressed_s.get(run_id, now)
         if tokens <= 0 or seconds <= 0:
             return
+        self.measured_s = now
         weight = min(1.0, seconds / DECODE_AVERAGE_S)
         interval_s = seconds / tokens
         self.token_interval_s += weight * (interval_s - self.token_interval_s)
 
+    def measured_us(self, now: float) -> int:
+        """The token interval in microseconds; 0 if it was not measured lately."""
+        if now - self.measured_s > MEASURED_LASTS_S:
+            return 0
+        return round(self.token_interval_s * US_PER_S)
+
+    def learn_elsewhere(self, measured_us: int) -> None:
+        """Take in another entry's measurement."""
+        if measured_us > 0:
+            difference_s = measured_us / US_PER_S - self.token_interval_s
+            self.token_interval_s += ELSEWHERE_WEIGHT * difference_s
+
     def forget(self, run_id: RunId) -> None:
         """Free the slot of a run."""
         self.runs.discard(run_id)
         self.progressed_s.pop(run_id, None)
 
-    def learn_call(self, predicted_ms: int, seconds: float) -> None:
+    def learn_call(self, predicted_ms: int, seconds: float, now: float) -> None:
         """Take in the time that a call of a plain service took."""
+        self.measured_s = now
         pace = seconds / max(1, predicted_ms)
         self.token_interval_s += CALL_WEIGHT * (pace - self.token_interval_s)
 
@@ -155,6 +181,14 @@
         """The targets of a group."""
         return tuple(self.states[name] for name in self.groups.get(group, ()))
 
+    def learn_elsewhere(self, demands: Sequence[GroupDemand]) -> None:
+        """Take in the speeds that another entry measured."""
+        for demand in demands:
+            states = self.of_group(demand.group)
+            if len(states) == len(demand.intervals_us):
+                for state, measured_us in zip(states, demand.intervals_us, strict=True):
+                    state.learn_elsewhere(measured_us)
+
     def fastest_interval_s(self, group: GroupName) -> float:
         """The least token interval of the targets of a group."""
         return min(state.token_interval_s for state in self.of_group(group))
--- a/packages/burdockhaven-core/src/burdockhaven_core/upkeep.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/upkeep.py
@@ -52,6 +52,8 @@
         case Heartbeat():
             state.membership.on_heartbeat(message, now)
             state.shares.on_heartbeat(message, now)
+            if message.config_version == state.configuration.version:
+                state.targets.learn_elsewhere(message.demand)
             state.out.extend(state.replica.on_heartbeat(message, now))
         case ShareGrant():
             state.shares.on_grant(message, now)
@@ -128,7 +130,7 @@
         ready=state.ready,
         draining=state.draining,
         config_version=state.configuration.version,
-        demand=_demand(state),
+        demand=_demand(state, now),
         resigned=resigned,
     )
     for member in state.membership.known():
@@ -141,11 +143,11 @@
 def _share(state: EntryState, now: float) -> None:
     if now >= state.shares.next_grant_s:
         members = [view.member for view in state.membership.live(now)]
-        state.out.extend(state.shares.on_tick(members, _demand(state), now))
+        state.out.extend(state.shares.on_tick(members, _demand(state, now), now))
     state.shares.apply(now)
 
 
-def _demand(state: EntryState) -> tuple[GroupDemand, ...]:
+def _demand(state: EntryState, now: float) -> tuple[GroupDemand, ...]:
     running: dict[GroupName, Counter[int]] = {}
     for run_id, request in state.dispatched.items():
         group = state.group_of[run_id]
@@ -164,7 +166,10 @@
         under_way = tuple(by_tier[tier] for tier in range(tiers))
         before = state.running.get(group, ())
         state.running[group] = moving_average(before, under_way)
-        demand.append(GroupDemand(group, queued, in_flight, under_way))
+        intervals = tuple(
+            target.measured_us(now) for target in state.targets.of_group(group)
+        )
+        demand.append(GroupDemand(group, queued, in_flight, under_way, intervals))
     return tuple(demand)
 
 
--- a/packages/burdockhaven-core/tests/test_entry.py
+++ b/packages/burdockhaven-core/tests/test_entry.py
@@ -199,13 +199,31 @@
     assert outcome.retry_after_s is not None
 
 
+def fill(one, ticket):
+    """Fill all slots, and the room beyond them that only the highest tier has."""
+    return [
+        of_type(
+            one.step(request(10 + n, ticket, f"k{n}", class_name=name), NOW), StartRun
+        )[0]
+        for n, name in enumerate([REVIEW] * 4 + [LOOKUP] * 2)
+    ]
+
+
+def test_only_the_highest_tier_goes_beyond_the_slots():
+    one = entry()
+    ticket = token(one, NOW)
+    fill(one, ticket)
+    for name in (REVIEW, LOOKUP):
+        assert not of_type(
+            one.step(request(20, ticket, f"more {name}", class_name=name), NOW),
+            StartRun,
+        )
+
+
 def test_the_higher_tier_goes_first():
     one = entry()
     ticket = token(one, NOW)
-    first = [
-        of_type(one.step(request(10 + n, ticket, f"k{n}"), NOW), StartRun)[0]
-        for n in range(4)
-    ]
+    first = fill(one, ticket)
     one.step(request(20, ticket, "low"), NOW)
     one.step(request(21, ticket, "high", class_name=LOOKUP), NOW)
     (next_start,) = of_type(one.step(RunFinished(first[0].run_id, 1), NOW), StartRun)
@@ -276,10 +294,7 @@
 def test_a_request_that_may_not_be_shed_yet_does_not_block_its_account():
     one = entry()
     ticket = token(one, NOW)
-    starts = [
-        of_type(one.step(request(10 + n, ticket, f"k{n}"), NOW), StartRun)[0]
-        for n in range(4)
-    ]
+    starts = fill(one, ticket)
     one.state.membership.introduced = False
     late = request(20, ticket, "late", class_name=LOOKUP, deadline_ms=3_000)
     one.step(late, NOW)
--- a/packages/burdockhaven-core/tests/test_prediction.py
+++ b/packages/burdockhaven-core/tests/test_prediction.py
@@ -5,7 +5,7 @@
 import pytest
 
 from burdockhaven_core.identity import AccountName, ClassName
-from burdockhaven_core.prediction import LengthPredictor
+from burdockhaven_core.prediction import UNSEEN_MEAN_TOKENS, LengthPredictor
 
 ONE = AccountName("one")
 TWO = AccountName("two")
@@ -15,7 +15,8 @@
 @pytest.mark.parametrize(
     ("learned", "account", "limit", "mean"),
     [
-        ([], ONE, 500, 500),
+        ([], ONE, 500, UNSEEN_MEAN_TOKENS),
+        ([], ONE, 50, 50),
         ([(ONE, 100)], ONE, 500, 100),
         ([(ONE, 100), (ONE, 200)], ONE, 500, 150),
         ([(ONE, 100)], TWO, 500, 100),
