--- a/tools/burdockhaven_bench/capacity_links.py
+++ b/tools/burdockhaven_bench/capacity_links.py
@@ -68,7 +68,7 @@
         spec = TargetSpec(TargetName("engine"), engine.url, "zone-0")
 
         async def measure() -> tuple[float, ...]:
-            link = TargetLink(_ignore)
+            link = TargetLink(_ignore, time.monotonic)
             try:
                 return await _samples(
                     lambda: _repeat(calls, lambda: link.ask_load(spec))
