--- a/packages/burdockhaven-ctl/src/burdockhaven_ctl/main.py
+++ b/packages/burdockhaven-ctl/src/burdockhaven_ctl/main.py
@@ -7,6 +7,7 @@
 import uuid
 from collections.abc import Mapping
 from pathlib import Path
+from urllib.parse import quote
 
 import msgspec
 from result import Err, Ok, Result
@@ -112,7 +113,7 @@
 
 def _show_operation(options: argparse.Namespace, client: AdminClient) -> int:
     query = {"expected_version": str(options.expected_version)}
-    path = f"/v1/operations/{options.operation_id}"
+    path = f"/v1/operations/{quote(options.operation_id, safe='')}"
     read = client.read(path, ChangeReply, query)
     if isinstance(read, Err):
         return _fail(read.err_value)
@@ -152,7 +153,7 @@
         expected = read.ok_value.in_force.version
     request = ChangeRequest(
         method="DELETE" if body is None else "PUT",
-        path=f"/v1/{options.command}s/{name}",
+        path=f"/v1/{options.command}s/{quote(name, safe='')}",
         body=body,
         expected_version=expected,
         operation_id=options.operation_id or uuid.uuid4().hex,
--- a/packages/burdockhaven-ctl/tests/test_main.py
+++ b/packages/burdockhaven-ctl/tests/test_main.py
@@ -107,6 +107,15 @@
     assert run(server, *arguments, "--wait", "5") == code
 
 
+def test_a_name_cannot_change_the_path():
+    server = Server(ChangeReply(ChangeResult.INVALID, "op"))
+    name = "a/../b?expected_version=9#c"
+    run(server, "template", "delete", name, "--expected-version", "3")
+    (request,) = server.requests
+    assert request.url.raw_path.startswith(b"/v1/templates/a%2F..%2Fb%3Fexpected")
+    assert request.url.params["expected_version"] == "3"
+
+
 def test_an_unknown_outcome_tells_how_to_ask_again(template, capsys):
     server = Server(ChangeReply(ChangeResult.UNKNOWN, "op"))
     arguments = ("--expected-version", "3", "--operation-id", "my-operation")
--- a/tools/tests/test_configuration_process.py
+++ b/tools/tests/test_configuration_process.py
@@ -10,16 +10,18 @@
 import httpx
 import pytest
 
+from burdockhaven_core.configuration import OrderKind, TargetOrder
 from burdockhaven_core.configuration_codec import encode_json
 from burdockhaven_core.configuration_parts import INDEX_KEY
 from burdockhaven_core.key_value import Delete, Transaction
 from burdockhaven_ctl.exit_codes import ExitCode
 from burdockhaven_entry.kv_link import KvLink
-from burdockhaven_standins.samples import ACCOUNT, TEMPLATE
+from burdockhaven_standins.samples import ACCOUNT, TARGET, TEMPLATE
 from burdockhaven_standins.site import Site
 
 pytestmark = pytest.mark.process
 
+ROLE = TargetOrder(OrderKind.CHANGE_ROLE, "prefill")
 # Seconds that a change may be tried again and may take to be in force.
 PATIENCE_S = "20"
 # Runs of the command line until the entries have to know each other.
@@ -146,6 +148,22 @@
         assert (code, reply["version"]) == (0, 3)
 
 
+def test_engines_are_ordered_what_the_template_says():
+    with Site.start() as site:
+        engine = site.add_target("engine", "engine-1", "--checks-fencing")
+        entry = site.add_entry("entry-1")
+        target = dataclasses.replace(TARGET, address=engine.url, orders=(ROLE,))
+        target = dataclasses.replace(target, checks_fencing=True)
+        group = dataclasses.replace(TEMPLATE.groups[0], targets=(target,))
+        template = dataclasses.replace(TEMPLATE, groups=(group,))
+        Operator(site).put("template", template)
+        wait_for_text(entry.process, "carried out the order change_role prefill")
+        counts = httpx.get(f"{engine.url}/counts", trust_env=False).json()
+        (order,) = counts["orders"]
+        assert (order["order"], order["argument"]) == ("change_role", "prefill")
+        assert order["fencing"] > 0
+
+
 async def remove_index(url):
     link = KvLink.from_url(url, random.Random(1))
     assert (await link.call(Transaction((), (Delete(INDEX_KEY),)))).is_ok()
