--- a/packages/burdockhaven-entry/src/burdockhaven_entry/target_link.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/target_link.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -92,7 +93,9 @@
 class TargetLink:
     """The daemon's client of engines and plain services."""
 
-    def __init__(self, report: Report, clock: Callable[[], float]) -> None:
+    def __init__(
+        self, report: Report, clock: Callable[[], float] = time.monotonic
+    ) -> None:
         self.report = report
         # Gives monotonic seconds.
         self.clock = clock
--- /dev/null
+++ b/tools/burdockhaven_bench/recovery.py
@@ -0,0 +1,333 @@
+"""`scripts/bench recovery`: how soon a site of today's size is itself again.
+
+Real processes on loopback: entries, two engine stand-ins and the platform. While each
+fault lasts, callers look up at each entry in turn and send requests of the lower tier,
+which feel every wait for the order of tiers.
+"""
+
+import argparse
+import dataclasses
+import secrets
+import statistics
+import threading
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from functools import partial
+
+import httpx
+
+from burdockhaven_core.configuration import ClassSpec, GroupKind
+from burdockhaven_core.configuration_codec import encode_json
+from burdockhaven_core.identity import ClassName, GroupName
+from burdockhaven_standins.site import (
+    Site,
+    SiteEntry,
+    SiteTiming,
+    group_spec,
+    site_configuration,
+)
+
+ACCOUNT_KEY = "the-account-key-of-the-bench"
+TIMING = SiteTiming(heartbeat_interval_ms=500, assignment_lifetime_s=5)
+TOKENS = 5
+CLASSES = (
+    ClassSpec(ClassName("low"), GroupName("model"), tier=0, deadline_ms=30_000),
+    ClassSpec(ClassName("high"), GroupName("model"), tier=1, deadline_ms=30_000),
+)
+# A request that takes longer has met the fault.
+SLOW_S = 0.5
+# Seconds between two requests of one caller.
+CALL_INTERVAL_S = 0.05
+SAMPLE_INTERVAL_S = 1.0
+POLL_INTERVAL_S = 0.02
+REST_S = 10.0
+WATCH_S = 12.0
+OUTAGE_S = 10.0
+CHANGES = 5
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One look-up and request of a caller."""
+
+    began_s: float
+    ended_s: float
+    # The entry that the look-up named; empty if there was no answer.
+    address: str
+    # "whole", or what came instead.
+    outcome: str
+
+
+@dataclass(slots=True)
+class Callers:
+    """Threads that call, one for each entry that is asked for look-ups."""
+
+    addresses: list[str]
+    calls: list[Call] = field(default_factory=list)
+    stopping: threading.Event = field(default_factory=threading.Event)
+
+    @contextmanager
+    def calling(self) -> Iterator[None]:
+        """Calls while the block runs."""
+        threads = [
+            threading.Thread(target=self._call_on, args=(address,))
+            for address in self.addresses
+        ]
+        for thread in threads:
+            thread.start()
+        try:
+            yield
+        finally:
+            self.stopping.set()
+            for thread in threads:
+                thread.join()
+
+    def _call_on(self, address: str) -> None:
+        headers = {"authorization": f"Bearer {ACCOUNT_KEY}"}
+        with httpx.Client(headers=headers, timeout=30.0, trust_env=False) as client:
+            while not self.stopping.wait(CALL_INTERVAL_S):
+                self.calls.append(_call(client, address))
+
+
+def _call(client: httpx.Client, address: str) -> Call:
+    began_s = time.monotonic()
+    named, outcome = "", "no look-up"
+    try:
+        found = client.get(f"http://{address}/v1/lookup")
+        if found.is_success:
+            named, outcome = _send(client, found.json())
+    except httpx.TransportError as error:
+        outcome = type(error).__name__
+    return Call(began_s, time.monotonic(), named, outcome)
+
+
+def _send(client: httpx.Client, found: dict[str, str]) -> tuple[str, str]:
+    body = {
+        "assignment": found["assignment"],
+        "key": secrets.token_hex(8),
+        "class": "low",
+        "prompt": "a b c",
+        "max_output_tokens": TOKENS,
+    }
+    try:
+        reply = client.post(f"http://{found['address']}/v1/requests", json=body)
+    except httpx.TransportError as error:
+        return found["address"], type(error).__name__
+    if not reply.is_success:
+        return found["address"], f"status {reply.status_code}"
+    whole = "event: end" in reply.text
+    return found["address"], "whole" if whole else "not whole"
+
+
+class Bench:
+    """A site of entries under faults."""
+
+    def __init__(self, site: Site, entries: int) -> None:
+        self.site = site
+        self.client = httpx.Client(timeout=30.0, trust_env=False)
+        self.engines = [
+            site.add_target("engine", name, "--token-interval-s", "0.005")
+            for name in ("engine-a", "engine-b")
+        ]
+        group = group_spec("model", GroupKind.MODEL, self.engines, 64)
+        self.configuration = site_configuration([group], CLASSES, ACCOUNT_KEY)
+        site.publish(self.configuration)
+        for number in range(entries):
+            site.add_entry(f"entry-{number}")
+
+    def settle(self) -> float:
+        """Seconds until every entry reckons with all others and serves low tiers."""
+        began_s = time.monotonic()
+        count = len(self.site.entries)
+        _eventually(lambda: all(self._in_force(e) == count for e in self.site.entries))
+        headers = {"authorization": f"Bearer {ACCOUNT_KEY}"}
+        with httpx.Client(headers=headers, timeout=30.0, trust_env=False) as client:
+            for entry in self.site.entries:
+                _eventually(partial(_serves, client, entry))
+        return time.monotonic() - began_s
+
+    def change(self) -> float:
+        """Seconds from the acceptance of a change until it is in force everywhere."""
+        account = next(iter(self.configuration.accounts.values()))
+        weight = account.weight + 1.0
+        changed = dataclasses.replace(account, weight=weight)
+        self.configuration = dataclasses.replace(
+            self.configuration,
+            version=self.configuration.version + 1,
+            accounts={account.account: changed},
+        )
+        version = self.configuration.version
+        reply = self.client.put(
+            f"http://{self.site.entries[0].admin}/v1/accounts/{account.account}",
+            params={
+                "expected_version": version - 1,
+                "operation_id": secrets.token_hex(8),
+            },
+            headers=self._operator(),
+            content=encode_json(changed),
+        )
+        reply.raise_for_status()
+        accepted_s = time.monotonic()
+        for entry in self.site.entries:
+            _eventually(partial(self._has_version, entry, version))
+        return time.monotonic() - accepted_s
+
+    def kill_entry(self) -> None:
+        """Kills an entry; prints when look-ups and requests are undisturbed again."""
+        dead = self.site.entries.pop()
+        callers = Callers([entry.caller for entry in self.site.entries])
+        with callers.calling():
+            time.sleep(1.0)
+            dead.process.kill()
+            killed_s = time.monotonic()
+            time.sleep(WATCH_S)
+        named_s = [c.began_s for c in callers.calls if c.address == dead.caller]
+        disturbed = [c for c in callers.calls if _is_disturbed(c)]
+        _show("look-ups name the dead entry until", _after(named_s, killed_s), "s")
+        ends_s = [call.ended_s for call in disturbed]
+        _show("low-tier requests are disturbed until", _after(ends_s, killed_s), "s")
+        _show_calls(callers.calls)
+
+    def leave_target(self) -> None:
+        """Marks an engine as leaving in the VM list; prints when its last run came."""
+        leaving = self.engines[0]
+        callers = Callers([entry.caller for entry in self.site.entries])
+        with callers.calling():
+            time.sleep(1.0)
+            self.site.mark_leaving(leaving.ready)
+            marked_s = last_s = time.monotonic()
+            before = self._submissions(leaving.url)
+            while time.monotonic() < marked_s + WATCH_S:
+                now = self._submissions(leaving.url)
+                if now != before:
+                    before, last_s = now, time.monotonic()
+                time.sleep(POLL_INTERVAL_S)
+        _show("a leaving engine's last new run comes after", last_s - marked_s, "s")
+        _show_calls(callers.calls)
+
+    def restart_entries(self, count: int) -> None:
+        """Restarts entries one after another under calls."""
+        callers = Callers([entry.caller for entry in self.site.entries[count:]])
+        with callers.calling():
+            codes = [self.site.restart(e) for e in self.site.entries[:count]]
+            time.sleep(1.0)
+        print(f"  exit codes of {count} restarts, one after another: {codes}")
+        _show_calls(callers.calls)
+
+    @contextmanager
+    def counting(self, what: str) -> Iterator[None]:
+        """Prints the calls to the key-value service while the block runs."""
+        samples = [self._key_value_calls()]
+        stopping = threading.Event()
+
+        def sample() -> None:
+            while not stopping.wait(SAMPLE_INTERVAL_S):
+                samples.append(self._key_value_calls())
+
+        thread = threading.Thread(target=sample)
+        thread.start()
+        try:
+            yield
+        finally:
+            stopping.set()
+            thread.join()
+        pairs = zip(samples, samples[1:], strict=False)
+        rates = [sum(b.values()) - sum(a.values()) for a, b in pairs]
+        kinds = {
+            kind: round((samples[-1][kind] - samples[0].get(kind, 0)) / len(rates), 1)
+            for kind in samples[-1]
+        }
+        mean = statistics.mean(rates)
+        print(f"  key-value calls per second {what}: mean {mean:.1f}, max {max(rates)}")
+        print(f"    by kind: {kinds}, {len(rates)} s")
+
+    def control_key_value(self, **fault: object) -> None:
+        """Brings a fault of the key-value service about."""
+        url = f"{self.site.key_value.url}/control"
+        self.client.post(url, json=fault).raise_for_status()
+
+    def _key_value_calls(self) -> dict[str, int]:
+        reply = self.client.get(f"{self.site.key_value.url}/counts")
+        calls: dict[str, int] = reply.json()["calls"]
+        return calls
+
+    def _submissions(self, url: str) -> int:
+        return len(self.client.get(f"{url}/counts").json()["submissions"])
+
+    def _operator(self) -> dict[str, str]:
+        return {"authorization": f"Bearer {self.site.token}"}
+
+    def _configuration(self, entry: SiteEntry) -> dict[str, int]:
+        url = f"http://{entry.admin}/v1/configuration"
+        reply = self.client.get(url, headers=self._operator())
+        in_force: dict[str, int] = reply.raise_for_status().json()["in_force"]
+        return in_force
+
+    def _in_force(self, entry: SiteEntry) -> int:
+        return self._configuration(entry)["on"]
+
+    def _has_version(self, entry: SiteEntry, version: int) -> bool:
+        return self._configuration(entry)["version"] >= version
+
+
+def _serves(client: httpx.Client, entry: SiteEntry) -> bool:
+    return _call(client, entry.caller).outcome == "whole"
+
+
+def _eventually(holds: Callable[[], bool]) -> None:
+    while not holds():
+        time.sleep(POLL_INTERVAL_S)
+
+
+def _is_disturbed(call: Call) -> bool:
+    return call.outcome != "whole" or call.ended_s - call.began_s > SLOW_S
+
+
+def _after(times_s: list[float], began_s: float) -> float:
+    return max([0.0, *(each - began_s for each in times_s)])
+
+
+def _show(what: str, value: float, unit: str) -> None:
+    print(f"  {what}: {value:.2f} {unit}", flush=True)
+
+
+def _show_calls(calls: list[Call]) -> None:
+    outcomes: dict[str, int] = {}
+    for call in calls:
+        outcomes[call.outcome] = outcomes.get(call.outcome, 0) + 1
+    longest = max(call.ended_s - call.began_s for call in calls)
+    print(f"    calls: {outcomes}, the longest {longest:.2f} s", flush=True)
+
+
+def main() -> None:
+    """Runs each fault once and prints what was measured."""
+    parser = argparse.ArgumentParser(prog="scripts/bench recovery")
+    parser.add_argument("--entries", type=int, default=9)
+    parser.add_argument("--restarts", type=int, default=4)
+    options = parser.parse_args()
+    print(f"{options.entries} entries, {TIMING}")
+    with Site.start(TIMING) as site:
+        bench = Bench(site, options.entries)
+        _show("start of the last entry until full service", bench.settle(), "s")
+        with bench.counting("at rest"):
+            time.sleep(REST_S)
+        spreads = [bench.change() for _ in range(CHANGES)]
+        _show("change in force everywhere, median", statistics.median(spreads), "s")
+        _show("change in force everywhere, longest", max(spreads), "s")
+        bench.leave_target()
+        bench.kill_entry()
+        with bench.counting("at a rolling restart"):
+            bench.restart_entries(options.restarts)
+        bench.settle()
+        bench.control_key_value(outage="refuse")
+        with bench.counting("in an outage"):
+            time.sleep(OUTAGE_S)
+        bench.control_key_value(outage="none")
+        with bench.counting("after an outage"):
+            time.sleep(REST_S)
+
+
+if __name__ == "__main__":
+    main()
--- a/tools/burdockhaven_bench/relay.py
+++ b/tools/burdockhaven_bench/relay.py
@@ -18,7 +18,12 @@
 from burdockhaven_core.configuration import ClassSpec, GroupKind
 from burdockhaven_core.identity import ClassName, GroupName
 from burdockhaven_standins.processes import RunningProcess
-from burdockhaven_standins.site import Site, group_spec, site_configuration
+from burdockhaven_standins.site import (
+    Site,
+    SiteTiming,
+    group_spec,
+    site_configuration,
+)
 
 ACCOUNT_KEY = "the-account-key-of-the-bench"
 DEADLINE_MS = 120_000
@@ -27,7 +32,7 @@
 PREFILL_TOKENS_PER_S = 1_000_000
 PROBES_PER_S = 20.0
 PROBE_TOKENS = 2
-ASSIGNMENT_LIFETIME_S = 30
+TIMING = SiteTiming(heartbeat_interval_ms=500, assignment_lifetime_s=30)
 # Extra seconds of warm-up after the time that a stream takes.
 SETTLE_S = 4.0
 CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
@@ -213,7 +218,7 @@
     arguments = vars(parser.parse_args())
     as_json, loads = arguments.pop("json"), arguments.pop("load") or [1.0, 0.5]
     options = RelayOptions(**arguments)
-    with Site.start(ASSIGNMENT_LIFETIME_S) as site:
+    with Site.start(TIMING) as site:
         bench = Bench(options, site)
         for share in loads:
             result = bench.measure(share)
--- a/tools/burdockhaven_standins/site.py
+++ b/tools/burdockhaven_standins/site.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 import httpx
+import msgspec
 
 from burdockhaven_core.configuration import (
     AccountParameters,
@@ -30,6 +31,8 @@
 HOST = "127.0.0.1"
 ZONE = "zone-a"
 SECRET_BYTES = 32
+# Seconds that a stop may take beside the drain.
+STOP_MARGIN_S = 30.0
 
 SETTINGS = """\
 [entry]
@@ -48,18 +51,26 @@
 operator_token_file = {directory}/operator-token
 
 [timing]
-heartbeat_interval_ms = 200
+heartbeat_interval_ms = {heartbeat_interval_ms}
 assignment_lifetime_s = {assignment_lifetime_s}
 """
-# Long enough for a caller to use it, and short for the drain that lasts as long.
-ASSIGNMENT_LIFETIME_S = 3
+
+
+@dataclass(frozen=True, slots=True)
+class SiteTiming:
+    """Settings of the entries; the defaults suit tests that wait for them."""
+
+    # Milliseconds between two heartbeats.
+    heartbeat_interval_ms: int = 200
+    # Seconds that an assignment lasts, and that an entry takes at least to drain.
+    assignment_lifetime_s: int = 3
 
 
 class NotPublishedError(Exception):
     """The key-value service did not take the configuration."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class SiteEntry:
     """One running entry."""
 
@@ -80,15 +91,14 @@
     group: ProcessGroup
     key_value: RunningProcess
     vm_list: RunningProcess
-    # Seconds that an entry takes at least to drain.
-    assignment_lifetime_s: int
+    timing: SiteTiming
     vms: list[Vm] = field(default_factory=list)
     # Engines and plain services by name.
     targets: dict[str, RunningProcess] = field(default_factory=dict)
     entries: list[SiteEntry] = field(default_factory=list)
 
     @classmethod
-    def start(cls, assignment_lifetime_s: int = ASSIGNMENT_LIFETIME_S) -> "Site":
+    def start(cls, timing: SiteTiming | None = None) -> "Site":
         """A site with its platform and nothing else."""
         directory = Path(tempfile.mkdtemp(prefix="burdockhaven-"))
         token = secrets.token_hex(SECRET_BYTES)
@@ -97,7 +107,7 @@
         group = ProcessGroup()
         key_value = group.stand_in("kv", "kv")
         vm_list = group.stand_in("vms", "vms")
-        return cls(directory, token, group, key_value, vm_list, assignment_lifetime_s)
+        return cls(directory, token, group, key_value, vm_list, timing or SiteTiming())
 
     def __enter__(self) -> "Site":
         return self
@@ -130,20 +140,39 @@
             key_value=self.key_value.url,
             vm_list=self.vm_list.url,
             directory=self.directory,
-            assignment_lifetime_s=self.assignment_lifetime_s,
+            heartbeat_interval_ms=self.timing.heartbeat_interval_ms,
+            assignment_lifetime_s=self.timing.assignment_lifetime_s,
         )
         path = self.directory / f"{name}.ini"
         path.write_text(settings)
         self.vms.append(Vm(peer, ZONE))
         self.show_vms()
-        process = self.group.start(name, ["burdockhaven_entry", "--config", str(path)])
-        entry = SiteEntry(process, caller, admin, peer)
+        entry = SiteEntry(self._start_entry(name), caller, admin, peer)
         self.entries.append(entry)
         return entry
 
+    def _start_entry(self, name: str) -> RunningProcess:
+        path = self.directory / f"{name}.ini"
+        return self.group.start(name, ["burdockhaven_entry", "--config", str(path)])
+
+    def restart(self, entry: SiteEntry) -> int:
+        """Stops an entry gracefully and starts it again; gives its exit code."""
+        entry.process.ask_to_stop()
+        code = entry.process.wait(self.timing.assignment_lifetime_s + STOP_MARGIN_S)
+        entry.process = self._start_entry(entry.process.name)
+        return code
+
+    def mark_leaving(self, address: str) -> None:
+        """Lets the VM list show a VM as leaving."""
+        self.vms = [
+            Vm(vm.address, vm.zone, "leaving") if vm.address == address else vm
+            for vm in self.vms
+        ]
+        self.show_vms()
+
     def show_vms(self) -> None:
         """Makes the VM list show the site's VMs."""
-        vms = [{"address": vm.address, "zone": vm.zone} for vm in self.vms]
+        vms = [msgspec.to_builtins(vm) for vm in self.vms]
         url = f"{self.vm_list.url}/control"
         httpx.post(url, json={"vms": vms}, trust_env=False).raise_for_status()
 
