Bound how far the highest tier goes beyond the slots over all targets

The room is now a quarter of all limits together, on the least crowded target. The mean service time that counts the other entries' queues left out most of the own queue. A wait may take 0.6 of the slack.

--- a/packages/burdockhaven-core/src/burdockhaven_core/choosing.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/choosing.py
@@ -22,7 +22,7 @@
     TOO_SLOW = "too_slow"
 
 
-# The part of its limit that a target has room for beyond it, for the highest tier.
+# The part of all targets' limits by which the highest tier may go beyond them.
 OVERTAKING_PART = 0.25
 
 Choice = TargetState | NoTarget
@@ -76,7 +76,7 @@
     def choose(
         request: QueuedRequest, targets: Sequence[TargetState], now: float
     ) -> Choice:
-        free = [t for t in targets if t.in_flight < _room(request, t)]
+        free = _with_room(request, targets)
         if not free:
             return NoTarget.FULL
         fit = [t for t in free if _fits(request, t, now)]
@@ -93,10 +93,19 @@
     return choose
 
 
-def _room(request: QueuedRequest, target: TargetState) -> int:
-    if not request.overtakes:
-        return target.limit
-    return target.limit + math.ceil(target.limit * OVERTAKING_PART)
+def _with_room(
+    request: QueuedRequest, targets: Sequence[TargetState]
+) -> Sequence[TargetState]:
+    free = [t for t in targets if t.in_flight < t.limit]
+    if free or not request.overtakes:
+        return free
+    under_way = sum(target.in_flight for target in targets)
+    limit = sum(target.limit for target in targets)
+    beyond = max(1, math.floor(limit * OVERTAKING_PART))
+    if under_way >= limit + beyond:
+        return ()
+    least = min(target.in_flight - target.limit for target in targets)
+    return [t for t in targets if t.in_flight - t.limit == least]
 
 
 def _fits(request: QueuedRequest, target: TargetState, now: float) -> bool:
--- a/packages/burdockhaven-core/src/burdockhaven_core/queueing.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/queueing.py
@@ -134,9 +134,12 @@
         fair_s = own_s + (own_s + request.service_s) * others / request.weight
         return max(0.0, higher_s + min(total_s, fair_s))
 
-    def count_ahead(self, tier: int) -> int:
-        """Requests of a tier or higher."""
-        return sum(n for other, n in self._counts.items() if other >= tier)
+    def mean_service_s(self, tier: int) -> float:
+        """Predicted seconds of service of a request of a tier or higher; 0 if none."""
+        tiers = [self._tiers[other] for other in self._counts if other >= tier]
+        work_s = sum(queue.work_s for accounts in tiers for queue in accounts.values())
+        count = sum(n for other, n in self._counts.items() if other >= tier)
+        return work_s / count if count else 0.0
 
     def tiers(self) -> tuple[int, ...]:
         """The tiers that have requests, the highest first."""
--- a/packages/burdockhaven-core/src/burdockhaven_core/waiting.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/waiting.py
@@ -12,7 +12,7 @@
 from burdockhaven_core.targets import TargetState
 
 # The part of a request's slack that the predicted wait may take.
-MAX_WAIT_PART = 0.7
+MAX_WAIT_PART = 0.6
 # The least part of the slots that is taken to be left by higher tiers.
 MIN_PART_LEFT = 0.1
 # Seconds until shares have followed a change of demand.
@@ -43,7 +43,7 @@
     own = sum(target.limit * _speed(target, targets) for target in targets)
     own_wait_s = ahead_s / max(1.0, own) / part_left
     everybody = sum(target.capacity * _speed(target, targets) for target in targets)
-    mean_s = ahead_s / max(1, queue.count_ahead(request.tier))
+    mean_s = queue.mean_service_s(request.tier) or request.service_s
     all_ahead_s = ahead_s + queued_elsewhere * mean_s
     even_wait_s = SHARE_LAG_S + all_ahead_s / max(1.0, everybody) / part_left
     return min(own_wait_s, even_wait_s)
