--- a/packages/burdockhaven-core/src/burdockhaven_core/queueing.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/queueing.py
@@ -12,10 +12,6 @@
 
 from burdockhaven_core.identity import AccountName, RunId, TargetName
 
-# What another account is expected to have served before a request waits no more, as a
-# multiple of what it has queued.
-REFILL = 2.0
-
 
 @dataclass(frozen=True, slots=True)
 class QueuedRequest:
@@ -130,15 +126,13 @@
             for queue in accounts.values()
         )
         same = self._tiers.get(request.tier, {})
-        own = same.get(request.account)
+        busy = {name: queue for name, queue in same.items() if queue.work_s > 0}
+        total_s = sum(queue.work_s for queue in busy.values())
+        own = busy.get(request.account)
         own_s = 0.0 if own is None else self._sooner_s(own, request)
-        fair_s = (own_s + request.service_s) / request.weight
-        others_s = sum(
-            min(fair_s * queue.weight, REFILL * queue.work_s)
-            for account, queue in same.items()
-            if account != request.account
-        )
-        return max(0.0, higher_s + own_s + others_s)
+        others = sum(q.weight for name, q in busy.items() if name != request.account)
+        fair_s = own_s + (own_s + request.service_s) * others / request.weight
+        return max(0.0, higher_s + min(total_s, fair_s))
 
     def mean_service_s(self, tier: int) -> float:
         """Predicted seconds of service of a request of a tier or higher; 0 if none."""
