--- a/packages/burdockhaven-core/src/burdockhaven_core/prediction.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/prediction.py
@@ -17,7 +17,7 @@
 # Weight of the newest answer once an estimate has settled.
 SETTLED_WEIGHT = 0.05
 # The part of answers that is to be at most as long as the high estimate.
-HIGH_QUANTILE = 0.97
+HIGH_QUANTILE = 0.9
 # Step of the high estimate for each answer, as a natural logarithm.
 QUANTILE_STEP = 0.1
 # Estimates for a class that was not seen yet. The caller's limit is often many times
