--- a/tools/burdockhaven_bench/capacity.py
+++ b/tools/burdockhaven_bench/capacity.py
@@ -88,8 +88,8 @@
     rows = [row_of(measurement) for measurement in measurements]
     data = msgspec.json.format(msgspec.json.encode(rows), indent=2)
     (options.output / "capacity.json").write_bytes(data)
-    write_plot(measurements, options.output / "capacity.svg")
-    print(f"written: {options.output}/capacity.json, {options.output}/capacity.svg")
+    write_plot(measurements, options.output / "capacity.png")
+    print(f"written: {options.output}/capacity.json, {options.output}/capacity.png")
     return 0
 
 
--- a/tools/burdockhaven_bench/capacity_forecast.py
+++ b/tools/burdockhaven_bench/capacity_forecast.py
@@ -44,6 +44,8 @@
 BENCH_MEMBERS = 9
 BENCH_TARGETS = 40
 MAX_QUEUED = 4_096
+# Bytes that the seal and ZeroMQ's frames add to a message between members.
+OVERHEAD_BYTES = 26
 # Bytes of one VM in the list, of a member's lease, of a load report with its headers
 # on both ways, and of a question or promise about a floor.
 VM_BYTES = 65
@@ -140,9 +142,10 @@
     make_us = lines.at("tick with heartbeats", "members", size.members)
     tick_us = lines.at("tick without heartbeats", "targets", size.targets)
     core_us = per_s * (link_us + take_us) + make_us / HEARTBEAT_S + tick_us / TICK_S
-    length = lines.at("heartbeat", "targets", targets)
-    memory = lines.at("entry kept", "members", size.members)
-    memory += lines.slope("entry kept", "targets") * size.targets
+    length = lines.at("heartbeat", "targets", targets) + OVERHEAD_BYTES
+    memory = lines.at("entry kept", "targets", size.targets)
+    more_members = max(0, size.members - BENCH_MEMBERS)
+    memory += more_members * lines.slope("entry kept", "members")
     return Cost(
         "member",
         core_us / US_PER_S,
@@ -157,7 +160,7 @@
     pair_us = by_member / BENCH_TARGETS
     group_targets = size.targets / MODELS
     grant_us = pair_us * size.members * group_targets
-    length = lines.at("share grant", "targets", size.targets)
+    length = lines.at("share grant", "targets", size.targets) + OVERHEAD_BYTES
     sent = (size.members - 1) * length / GRANT_S
     return Cost("coordinator of a group", grant_us / GRANT_S / US_PER_S, sent, 0.0)
 
@@ -175,11 +178,12 @@
     per_s = size.changes / SECONDS_PER_DAY
     make_us = lines.at("make an offer", "accounts", size.accounts)
     take_us = lines.at("take in an offer", "accounts", size.accounts)
+    read_us = lines.at("read a change from the store", "accounts", size.accounts)
     length = lines.at("configuration offer", "accounts", size.accounts)
     memory = lines.at("configuration kept", "accounts", size.accounts)
     return Cost(
         "configuration relay",
-        per_s * (make_us + take_us) / US_PER_S,
+        per_s * (make_us + take_us + read_us) / US_PER_S,
         per_s * 2 * length,
         memory / BYTES_PER_MB,
     )
--- a/tools/burdockhaven_bench/capacity_platform.py
+++ b/tools/burdockhaven_bench/capacity_platform.py
@@ -14,6 +14,12 @@
     decode_configuration,
     encode_configuration,
 )
+from burdockhaven_core.configuration_parts import (
+    PartName,
+    decode_parts,
+    encode_parts,
+    index_of,
+)
 from burdockhaven_core.targets import TargetTable
 from burdockhaven_entry.metrics import Metrics
 
@@ -57,6 +63,20 @@
             ACCOUNT_SIZES,
             _decode,
         ),
+        Probe(
+            "read a change from the store",
+            Unit.MICROSECONDS,
+            "accounts",
+            ACCOUNT_SIZES,
+            _read_change,
+        ),
+        Probe(
+            "largest part in the store",
+            Unit.BYTES,
+            "accounts",
+            ACCOUNT_SIZES,
+            lambda size: (float(max(map(len, _parts(size).values()))),),
+        ),
         Probe(
             "validate configuration",
             Unit.MICROSECONDS,
@@ -145,6 +165,17 @@
     return processor_us(lambda: decode_configuration(data))
 
 
+def _parts(size: int) -> dict[PartName, bytes]:
+    return encode_parts(_by_accounts(size))
+
+
+def _read_change(size: int) -> tuple[float, ...]:
+    """What a member does once it has read the index and the part that changed."""
+    known = _by_accounts(size)
+    index = index_of(known, encode_parts(known))
+    return processor_us(lambda: decode_parts(index, encode_parts(known)))
+
+
 def _validate(size: int) -> tuple[float, ...]:
     configuration = _by_accounts(size)
     return processor_us(lambda: validate_configuration(configuration))
