--- a/tools/burdockhaven_bench/capacity_links.py
+++ b/tools/burdockhaven_bench/capacity_links.py
@@ -40,7 +40,7 @@
 VM_SIZES = (20, 200, 400, 600)
 MEMBERS = 9
 MESSAGES = 200
-READS = 20
+READS = 100
 CONNECT_PAUSE_S = 0.05
 # Calls that a probe makes at once, as a daemon does that asks all of its targets.
 UNLIMITED = 1e9
