Close the order of tiers against newcomers, and fuzz whole entries

A process that had just started, unknown to the others and cut from them, took them out once their leases ended, and shed while they admitted; they had nothing to notice. Now a process is kept out of the view only if it has shown that it knows this one, or if a member that it knows keeps it out; a process that no member has introduced waits for the VM list to show nobody else; members tell which processes are out or gone. Ruled out: the leases of processes that know each other (no failure there). The fake key-value service ended leases early when it lost them; no service that keeps its lease contract does, so that fault is out, and named as not proved.

--- a/packages/burdockhaven-core/src/burdockhaven_core/membership.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/membership.py
@@ -27,7 +27,13 @@
 from burdockhaven_core.configuration import Configuration
 from burdockhaven_core.identity import MemberId, TargetName
 from burdockhaven_core.leaving import LeavingTargets
-from burdockhaven_core.messages import Echo, GroupDemand, Heartbeat, PeerName
+from burdockhaven_core.messages import (
+    Echo,
+    GroupDemand,
+    Heartbeat,
+    PeerName,
+    Standing,
+)
 
 # Seconds, from the sending of a heartbeat, for which its echo permits admission.
 ADMISSION_LEASE_S = 2.0
@@ -41,6 +47,8 @@
 LEASE_MARGIN_S = 2.5
 # Clocks of two members drift apart by at most this share.
 MAX_DRIFT = 0.01
+# Seconds within which every running VM is on the VM list.
+VM_LIST_LAG_S = 30.0
 # Seconds for which a process that is gone for good is remembered.
 TOMBSTONE_S = 3_600.0
 # Entries compared when a caller is sent to the less loaded one.
@@ -92,6 +100,8 @@
     """Everything known of one other process, heard or only heard of."""
 
     peer_address: str
+    # When the process was first heard of.
+    known_s: float
     # When the process was last heard, or first heard of.
     heard_s: float
     # The newest heartbeat; None if none arrived.
@@ -104,6 +114,10 @@
     # the own list that is known there; -1 if none.
     view_version: int = -1
     seen_version: int = -1
+    # Whether the process has shown that it knows this one.
+    acknowledged: bool = False
+    # The processes that it says are out of its view.
+    told_out: frozenset[MemberId] = frozenset()
     # Whether the VM list has named the address.
     listed: bool = False
     # Whether the VM list calls the VM leaving.
@@ -123,13 +137,13 @@
     target_addresses: dict[TargetName, str] = field(default_factory=dict)
     # Whether a source that knows all members has shown them to this process.
     introduced: bool = False
-    # The members reckoned with at the newest heartbeat, and how often they changed.
-    told_view: tuple[MemberId, ...] = ()
+    # What the newest heartbeat said of the others, and how often that has changed.
+    told: tuple[PeerName, ...] = ()
     view_version: int = 0
     # The newest heartbeat of this process; None before the first.
     own: Heartbeat | None = None
-    # Addresses that the VM list last called live.
-    listed: frozenset[str] = frozenset()
+    # Addresses that the VM list last called live; None before it was read.
+    listed: frozenset[str] | None = None
 
     @classmethod
     def from_config(cls, parameters: MemberParameters) -> "Membership":
@@ -160,9 +174,9 @@
         To be sent to members as `heartbeat_for` shortens it.
         """
         parameters = self.parameters
-        view = self.view(now)
-        if view != self.told_view:
-            self.told_view = view
+        told = self._names(now)
+        if told != self.told:
+            self.told = told
             self.view_version += 1
         sequence = 1 if self.own is None else self.own.sequence + 1
         self.own = Heartbeat(
@@ -178,12 +192,10 @@
             config_version=config_version,
             demand=demand,
             leaving=self.leaving.gossip(now),
-            peers=tuple(
-                PeerName(m.entry, m.incarnation, self.records[m].peer_address)
-                for m in view
-            ),
+            peers=told,
             view_version=self.view_version,
             resigned=resigned,
+            introduced=self.introduced,
         )
         return self.own
 
@@ -201,7 +213,7 @@
     def on_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
         """Take in what another member says of itself and of the others."""
         member = MemberId(heartbeat.entry, heartbeat.incarnation)
-        if member == self.parameters.me or member in self.gone:
+        if not self._may_run(member, heartbeat.peer_address, now):
             return
         record = self._note_member(member, heartbeat.peer_address, now)
         newest = record.heartbeat
@@ -215,7 +227,7 @@
             self.leaving.note_leaving(target.target, now, target.age_s)
         if heartbeat.peers is not None:
             record.view_version = heartbeat.view_version
-            self._note_peers(heartbeat.peers, now)
+            self._note_peers(record, heartbeat.peers, now)
         if heartbeat.echo is not None:
             self._on_echo(record, heartbeat, heartbeat.echo)
         if heartbeat.resigned:
@@ -230,15 +242,18 @@
         Silent members without a lease leave the view, but only for as long as this
         member's own lease stands: whoever takes this member out later must have seen
         its lease gone, and by then the member so taken out is back in the view.
+        A process that no member has introduced knows all members once its lease
+        stands, the leases are read and nobody else is on the VM list.
         """
         own_stands = self.parameters.me in members and own_until_s > now
-        self.introduced = self.introduced or own_stands
         for member, address in members.items():
-            if member != self.parameters.me and member not in self.gone:
+            if self._may_run(member, address, now):
                 record = self._note_member(member, address, now)
                 record.out_until_s = float("-inf")
         if not own_stands:
             return
+        is_alone = self.listed is not None and not self.strangers()
+        self.introduced = self.introduced or is_alone
         for member, record in self.records.items():
             if member not in members and self._is_silent(record, now):
                 record.out_until_s = own_until_s - LEASE_MARGIN_S
@@ -257,7 +272,9 @@
             record.vm_leaving = _is_listed(record.peer_address, leaving)
             if record.vm_leaving or _is_listed(record.peer_address, live):
                 record.listed = True
-            elif record.listed and self._is_silent(record, now):
+            elif self._is_silent(record, now) and (
+                record.listed or now - record.known_s >= VM_LIST_LAG_S
+            ):
                 self._bury(member, now)
 
     def note_leaving(self, target: TargetName, now: float) -> None:
@@ -285,7 +302,7 @@
         return tuple(
             member
             for member, record in self.records.items()
-            if record.out_until_s <= now
+            if not self._is_out(member, record, now)
         )
 
     def known(self) -> tuple[MemberId, ...]:
@@ -301,7 +318,7 @@
 
         A process that starts while the key-value service is down finds the others here.
         """
-        addresses = {address for address in self.listed if ":" in address}
+        addresses = {address for address in self.listed or () if ":" in address}
         addresses.difference_update(r.peer_address for r in self.records.values())
         addresses.difference_update(self.target_addresses.values())
         addresses.discard(self.parameters.peer_address)
@@ -354,27 +371,72 @@
     def _own_view(self) -> MemberView | None:
         if self.own is None:
             return None
-        record = _Record(self.own.peer_address, 0.0, self.own)
+        record = _Record(self.own.peer_address, 0.0, 0.0, self.own)
         return _view_of(self.parameters.me, record)
 
-    def _note_peers(self, peers: tuple[PeerName, ...], now: float) -> None:
+    def _names(self, now: float) -> tuple[PeerName, ...]:
+        names = []
+        for member, record in self.records.items():
+            out = self._is_out(member, record, now)
+            standing = Standing.OUT if out else Standing.MEMBER
+            address = record.peer_address
+            names.append(PeerName(member.entry, member.incarnation, address, standing))
+        for member in self.gone:
+            names.append(PeerName(member.entry, member.incarnation, "", Standing.GONE))
+        return tuple(names)
+
+    def _note_peers(
+        self, sender: _Record, peers: tuple[PeerName, ...], now: float
+    ) -> None:
+        told_out = set()
         for peer in peers:
             member = MemberId(peer.entry, peer.incarnation)
-            if member != self.parameters.me and member not in self.gone:
-                self._note_member(member, peer.peer_address, now)
+            if peer.standing is Standing.GONE:
+                if member not in self.gone:
+                    self._bury(member, now)
+                continue
+            if not self._may_run(member, peer.peer_address, now):
+                continue
+            self._note_member(member, peer.peer_address, now)
+            if peer.standing is Standing.OUT:
+                told_out.add(member)
+        sender.told_out = frozenset(told_out)
 
     def _on_echo(self, sender: _Record, heartbeat: Heartbeat, echo: Echo) -> None:
         if echo.incarnation != self.parameters.me.incarnation:
             return
+        sender.acknowledged = True
         sender.seen_version = max(sender.seen_version, echo.view_version)
         if sender.view_version != heartbeat.view_version:
             return
         heard_s = self.parameters.started_s + echo.clock_s
         sender.lease_until_s = max(sender.lease_until_s, heard_s + ADMISSION_LEASE_S)
-        self.introduced = True
+        self.introduced = self.introduced or heartbeat.introduced
+
+    def _may_run(self, member: MemberId, address: str, now: float) -> bool:
+        """Whether this is another process that may still run."""
+        if member == self.parameters.me or member in self.gone:
+            return False
+        if address == self.parameters.peer_address:
+            self._bury(member, now)
+            return False
+        return True
 
     def _note_member(self, member: MemberId, address: str, now: float) -> _Record:
-        return self.records.setdefault(member, _Record(address, now))
+        return self.records.setdefault(member, _Record(address, now, now))
+
+    def _is_out(self, member: MemberId, record: _Record, now: float) -> bool:
+        """Whether the process is kept out of the view.
+
+        A process that never knew this one needs no lease of it, so its silence proves
+        nothing, unless a member that it does know keeps it out too.
+        """
+        if record.out_until_s <= now:
+            return False
+        return record.acknowledged or any(
+            member in other.told_out and other.lease_until_s > now
+            for other in self.records.values()
+        )
 
     def _is_silent(self, record: _Record, now: float) -> bool:
         return now - record.heard_s >= self.parameters.member_timeout_s
--- a/packages/burdockhaven-core/src/burdockhaven_core/messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/messages.py
@@ -1,5 +1,7 @@
 """Messages between entry processes, encoded as MessagePack."""
 
+import enum
+
 import msgspec
 
 from burdockhaven_core.identity import EntryName, GroupName, Incarnation, TargetName
@@ -17,13 +19,25 @@
     running: tuple[int, ...] = ()
 
 
+class Standing(enum.IntEnum):
+    """How the sender of a heartbeat sees another process."""
+
+    # It may admit and shed.
+    MEMBER = 0
+    # It was taken out: it can do neither while the sender keeps it out.
+    OUT = 1
+    # It has ended for good.
+    GONE = 2
+
+
 class PeerName(msgspec.Struct, frozen=True, array_like=True):
-    """A member that the sender of a heartbeat reckons with."""
+    """What the sender of a heartbeat says of another process."""
 
     entry: EntryName
     incarnation: Incarnation
-    # Where other members reach that member, as host:port.
+    # Where other members reach that member, as host:port; empty if it has ended.
     peer_address: str
+    standing: Standing = Standing.MEMBER
 
 
 class Echo(msgspec.Struct, frozen=True, array_like=True):
@@ -68,15 +82,17 @@
     demand: tuple[GroupDemand, ...]
     # Targets that the member knows to be leaving.
     leaving: tuple[LeavingTarget, ...]
-    # The members that the sender reckons with; None if the receiver has this version.
+    # The processes that the sender knows; None if the receiver has this version.
     peers: tuple[PeerName, ...] | None = None
-    # Grows whenever the members that the sender reckons with change.
+    # Grows whenever the sender's view of the others changes.
     view_version: int = 0
     # None if the sender has not heard the receiver. An echo extends the receiver's
     # lease on admission, if the receiver has the sender's `peers` of this version.
     echo: Echo | None = None
     # Whether the sender will admit and dispatch nothing any more, for good.
     resigned: bool = False
+    # Whether the sender knows all members, so that it can introduce others.
+    introduced: bool = False
 
 
 class CloseAsk(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- /dev/null
+++ b/packages/burdockhaven-core/tests/fuzz_settings.py
@@ -0,0 +1,26 @@
+"""Settings of the state machines: a fixed short run in CI, a longer one on demand."""
+
+import os
+
+from hypothesis import HealthCheck, Phase, settings
+
+# Steps of a long run, set by scripts/fuzz; not set in CI.
+STEPS_VARIABLE = "BURDOCKHAVEN_FUZZ_STEPS"
+STEPS_PER_EXAMPLE = 40
+EXAMPLES_IN_CI = 25
+
+IS_LONG = STEPS_VARIABLE in os.environ
+LONG_EXAMPLES = max(1, int(os.environ.get(STEPS_VARIABLE, "0")) // STEPS_PER_EXAMPLE)
+
+FUZZING = settings(
+    derandomize=not IS_LONG,
+    deadline=None,
+    max_examples=LONG_EXAMPLES if IS_LONG else EXAMPLES_IN_CI,
+    stateful_step_count=STEPS_PER_EXAMPLE,
+    suppress_health_check=list(HealthCheck),
+    report_multiple_bugs=False,
+    database=None,
+)
+
+# Looks for a violation that must be found, and does not make it smaller.
+SEARCH = settings(FUZZING, derandomize=False, max_examples=600, phases=[Phase.generate])
--- a/packages/burdockhaven-core/tests/samples.py
+++ b/packages/burdockhaven-core/tests/samples.py
@@ -19,6 +19,7 @@
     LookUpArrived,
     MemberLeasesRead,
     RequestArrived,
+    VmListRead,
 )
 from burdockhaven_core.identity import (
     AccountName,
@@ -90,6 +91,7 @@
         now=0.0,
     )
     made.step(ConfigurationRead(configuration()), READY_S)
+    made.step(VmListRead(frozenset({f"{name}:81"}), frozenset()), READY_S)
     leases = {me: f"{name}:81"}
     made.step(MemberLeasesRead(leases, own_until_s=1e9), READY_S)
     return made
--- /dev/null
+++ b/packages/burdockhaven-core/tests/test_fault_matrix.py
@@ -0,0 +1,226 @@
+"""Every fault at every step of the request path, of joining and of leaving.
+
+`EntryFleet` passes each dispatch and answer to the oracle, which raises on a run that
+is dispatched twice, on a false "not run", on another's answer and on a tier that is
+shed while a lower one is admitted.
+"""
+
+import pytest
+from samples import LOOKUP, REVIEW, SIGN_OFF
+from test_entry_fuzz import URGENT, tiered_configuration
+
+from burdockhaven_bench.entry_fleet import EntryFleet, Fate
+from burdockhaven_core.identity import TargetName
+
+SLOTS = 3
+OWNER = 0
+# Seconds after the look-up at which the fault strikes, and whether targets are full.
+REQUEST_STEPS = {
+    "before the look-up": (None, False),
+    "on the way": (0.001, False),
+    "queued": (0.3, True),
+    "dispatched": (0.008, False),
+    "streaming": (0.6, False),
+    "finished": (1.5, False),
+}
+JOIN_STEPS_S = (0.0, 0.4, 2.9, 3.2, 6.5)
+LEAVE_STEPS_S = (0.0, 0.6, 5.0, 31.0)
+
+
+def restart(fleet, slot):
+    fleet.kill(slot)
+    fleet.start(slot)
+
+
+def pause_past_leases(fleet, slot):
+    fleet.pause(slot)
+    fleet.advance(9.0)
+    fleet.resume(slot)
+
+
+def isolate_past_leases(fleet, slot):
+    fleet.split({slot}, from_kv=True)
+    fleet.advance(9.0)
+
+
+def lose_messages(fleet, slot):
+    fleet.loss, fleet.doubling, fleet.delay_s = 0.3, 0.3, 2.0
+
+
+def key_value_outage(fleet, slot):
+    fleet.set_kv(False)
+
+
+def outage_and_kill(fleet, slot):
+    fleet.set_kv(False)
+    fleet.kill(slot)
+
+
+def isolate_and_restart(fleet, slot):
+    fleet.split({slot}, from_kv=True)
+    restart(fleet, slot)
+
+
+def hang_up(fleet, slot):
+    for handle in list(fleet.live_handles)[-1:]:
+        fleet.hang_up(handle)
+
+
+def fate(kind):
+    def strike(fleet, slot):
+        fleet.fates = {kind: 1.0}
+
+    strike.__name__ = f"targets: {kind.value}"
+    return strike
+
+
+MEMBER_FAULTS = (
+    EntryFleet.kill,
+    restart,
+    pause_past_leases,
+    isolate_past_leases,
+    lose_messages,
+    key_value_outage,
+    outage_and_kill,
+    isolate_and_restart,
+)
+REQUEST_FAULTS = (
+    *MEMBER_FAULTS,
+    EntryFleet.stop,
+    hang_up,
+    *(fate(kind) for kind in Fate if kind is not Fate.WHOLE),
+)
+
+
+def table(steps, faults):
+    return [
+        pytest.param(step, fault, id=f"{step}-{fault.__name__}")
+        for step in steps
+        for fault in faults
+    ]
+
+
+def site(seed=5):
+    fleet = EntryFleet(SLOTS, seed, tiered_configuration())
+    fleet.advance(10.0)
+    return fleet
+
+
+def load(fleet, number=4):
+    """Requests of all tiers at all entries, more than the targets can take."""
+    for slot in range(SLOTS):
+        for _ in range(number):
+            for kind in (REVIEW, LOOKUP, URGENT):
+                fleet.request(slot, kind)
+
+
+def send_copies(fleet):
+    """Callers try again everywhere, with what they were given."""
+    for ticket in fleet.tickets[-6:]:
+        for slot in range(SLOTS):
+            fleet.send(ticket, slot)
+            fleet.ask_again(ticket, slot)
+
+
+def settle(fleet):
+    send_copies(fleet)
+    fleet.advance(4.0)
+    fleet.heal()
+    send_copies(fleet)
+    fleet.advance(45.0)
+    assert fleet.unanswered() == []
+
+
+def run_request(step, fault, kind):
+    delay_s, is_full = REQUEST_STEPS[step]
+    fleet = site()
+    if is_full:
+        load(fleet)
+        fleet.advance(0.1)
+    if delay_s is None:
+        fault(fleet, OWNER)
+        delay_s = 0.0
+        fleet.request(OWNER, kind)
+    else:
+        fleet.request(OWNER, kind)
+        fleet.advance(delay_s)
+        owner = fleet.tickets[-1].slot if fleet.tickets else OWNER
+        fault(fleet, owner)
+    fleet.advance(0.5)
+    settle(fleet)
+    return fleet
+
+
+@pytest.mark.parametrize("kind", [URGENT, SIGN_OFF])
+@pytest.mark.parametrize(("step", "fault"), table(REQUEST_STEPS, REQUEST_FAULTS))
+def test_a_request(step, fault, kind):
+    run_request(step, fault, kind)
+
+
+@pytest.mark.parametrize(("step", "fault"), table(JOIN_STEPS_S, MEMBER_FAULTS))
+@pytest.mark.parametrize("struck", [OWNER, 1], ids=["newcomer", "another"])
+def test_joining_under_load(step, fault, struck):
+    fleet = site()
+    load(fleet)
+    restart(fleet, OWNER)
+    fleet.advance(step)
+    load(fleet)
+    fault(fleet, struck)
+    load(fleet)
+    fleet.advance(3.0)
+    settle(fleet)
+
+
+@pytest.mark.parametrize(("step", "fault"), table(LEAVE_STEPS_S, MEMBER_FAULTS))
+@pytest.mark.parametrize("struck", [OWNER, 1], ids=["leaver", "another"])
+def test_leaving_under_load(step, fault, struck):
+    fleet = site()
+    load(fleet)
+    fleet.stop(OWNER)
+    fleet.advance(step)
+    load(fleet)
+    fault(fleet, struck)
+    load(fleet)
+    fleet.advance(3.0)
+    settle(fleet)
+
+
+def test_a_planned_stop_cuts_and_refuses_nothing():
+    fleet = site()
+    for slot in range(SLOTS):
+        fleet.stop(slot)
+        for _ in range(400):
+            fleet.request(slot if slot in fleet.processes else 1, URGENT)
+            fleet.advance(0.5)
+            fleet.request((slot + 1) % SLOTS, SIGN_OFF)
+            if slot not in fleet.processes:
+                break
+        assert slot not in fleet.processes
+        fleet.start(slot)
+        fleet.advance(10.0)
+    fleet.advance(10.0)
+    assert fleet.answers == {}
+    assert fleet.unanswered() == []
+
+
+@pytest.mark.parametrize("learner", range(SLOTS))
+@pytest.mark.parametrize("kv_up", [True, False])
+def test_a_leaving_target_gets_no_new_work_after_two_seconds(learner, kv_up):
+    fleet = site()
+    fleet.set_kv(kv_up)
+    fleet.advance(8.0)
+    fleet.reporting = {learner}
+    fleet.refusing = False
+    fleet.leaving = {TargetName("e1")}
+    begin_s = fleet.scheduler.now
+    for _ in range(60):
+        for slot in range(SLOTS):
+            fleet.request(slot, URGENT)
+        fleet.advance(0.2)
+    late = [
+        (at_s - begin_s, slot)
+        for at_s, slot, target, _ in fleet.dispatches
+        if target == "e1" and at_s > begin_s + 2.0
+    ]
+    assert late == []
+    assert len(fleet.dispatches) > 30
--- a/packages/burdockhaven-core/tests/test_floor_fuzz.py
+++ b/packages/burdockhaven-core/tests/test_floor_fuzz.py
@@ -1,5 +1,6 @@
 """Stateful fuzzing of the order of tiers against the oracle in `Fleet.check`."""
 
+from fuzz_settings import FUZZING
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -107,7 +108,7 @@
         self.fleet.heal()
         for process in self.fleet.processes.values():
             process.pressure = 0
-        self.fleet.advance(14.0)
+        self.fleet.advance(40.0)
         first, *_ = running = list(self.fleet.processes.values())
         for process in running:
             assert process.membership.permitted(process.clock(self.fleet.time_s))
@@ -118,3 +119,4 @@
 
 
 TestFloorMachine = FloorMachine.TestCase
+TestFloorMachine.settings = FUZZING
--- a/packages/burdockhaven-core/tests/test_floor_fuzz_defences.py
+++ b/packages/burdockhaven-core/tests/test_floor_fuzz_defences.py
@@ -1,7 +1,8 @@
 """The fuzzing finds each defence of the order of tiers that is taken out."""
 
 import pytest
-from hypothesis import Phase, seed, settings
+from fuzz_settings import SEARCH
+from hypothesis import seed
 from hypothesis.stateful import run_state_machine_as_test
 
 from burdockhaven_bench.floor_fleet import TOP_TIER, Fleet
@@ -11,15 +12,6 @@
 
 from .test_floor_fuzz import FloorMachine
 
-SEARCH = settings(
-    max_examples=600,
-    stateful_step_count=40,
-    phases=[Phase.generate],
-    report_multiple_bugs=False,
-    derandomize=False,
-    database=None,
-)
-
 
 def admit_without_leases(patch):
     patch.setattr(Membership, "permitted", lambda self, now: self.joined(now))
--- a/packages/burdockhaven-core/tests/test_membership.py
+++ b/packages/burdockhaven-core/tests/test_membership.py
@@ -40,6 +40,9 @@
 def pair(now=LATER_S):
     """Two members that have heard each other twice."""
     first, second = make("a"), make("b")
+    leases = {member("a"): address("a"), member("b"): address("b")}
+    first.on_vm_list(frozenset(leases.values()), frozenset(), now)
+    first.on_leases(leases, now + 1.0, now)
     for _ in range(2):
         beat(first, second, now)
         beat(second, first, now)
@@ -100,12 +103,13 @@
 
 @pytest.mark.parametrize(
     ("listed_before", "silent_s", "in_view"),
-    [(True, 4.0, False), (False, 4.0, True), (True, 1.0, True)],
+    [(True, 4.0, False), (False, 4.0, True), (True, 1.0, True), (False, 31.0, False)],
 )
-def test_the_vm_list_removes_only_silent_members_that_it_once_named(
+def test_the_vm_list_removes_silent_members_that_it_has_dropped(
     listed_before, silent_s, in_view
 ):
-    first, _ = pair()
+    first, second = make("a"), make("b")
+    beat(second, first, LATER_S)
     if listed_before:
         first.on_vm_list(frozenset({address("b")}), frozenset(), LATER_S)
     first.on_vm_list(frozenset({"10.9.9.9:1"}), frozenset(), LATER_S + silent_s)
--- a/tools/burdockhaven_bench/floor_fleet.py
+++ b/tools/burdockhaven_bench/floor_fleet.py
@@ -69,6 +69,8 @@
         # Sheds seen, so that a run can be told from one in which nothing happened.
         self.sheds = 0
         self.slots = slots
+        # Slots whose VM is on the VM list, whether or not its process runs.
+        self.vms = set(range(slots))
         for slot in range(slots):
             self.start(slot)
 
@@ -88,6 +90,7 @@
         membership = Membership.from_config(parameters)
         floor = Floor.from_config(membership)
         floor.top_tiers = {GROUP: TOP_TIER}
+        self.vms.add(slot)
         self.processes[slot] = Process(slot, membership, floor, offset_s, rate)
 
     def kill(self, slot: int) -> None:
@@ -104,12 +107,11 @@
             self.kill(slot)
 
     def set_kv(self, up: bool, keeps_leases: bool = True) -> None:
-        """Take the key-value service down, or bring it back with or without leases."""
+        """Take the key-value service down, or bring it back; no lease ends early."""
         if up and not self.kv_up:
             if keeps_leases:
                 self._renew_all_leases()
-            else:
-                self.leases.clear()
+            self._expire_leases(always=True)
         self.kv_up = up
 
     def advance(self, seconds: float) -> None:
@@ -137,7 +139,8 @@
                 self._check_admission(shedder, other, max(shed))
 
     def heal(self) -> None:
-        """End all faults, except that dead processes stay dead."""
+        """End all faults; the VMs of dead processes leave the VM list."""
+        self.vms = set(self.processes)
         self.cuts.clear()
         self.kv_cuts.clear()
         self.set_kv(True)
@@ -184,7 +187,7 @@
 
     def _heartbeat(self, process: Process, resigned: bool = False) -> None:
         now = process.clock(self.time_s)
-        listed = frozenset(self.address(slot) for slot in range(self.slots))
+        listed = frozenset(self.address(slot) for slot in self.vms)
         process.membership.on_vm_list(listed, frozenset(), now)
         heartbeat = process.membership.heartbeat(
             now, ready=True, draining=False, config_version=1, resigned=resigned
@@ -235,8 +238,8 @@
         members = {member: lease[0] for member, lease in self.leases.items()}
         process.membership.on_leases(members, own_until_s, now)
 
-    def _expire_leases(self) -> None:
-        if not self.kv_up:
+    def _expire_leases(self, always: bool = False) -> None:
+        if not self.kv_up and not always:
             return
         for member, (_, until_s) in list(self.leases.items()):
             if until_s <= self.time_s:
