--- a/tools/burdockhaven_bench/capacity_entry.py
+++ b/tools/burdockhaven_bench/capacity_entry.py
@@ -163,6 +163,7 @@
         peers=peers if with_peers else None,
         view_version=1,
         echo=Echo(member_of(ME).incarnation, READY_S, 1),
+        introduced=True,
     )
     return MessageArrived(member, heartbeat)
 
--- a/tools/burdockhaven_bench/entry_fleet.py
+++ b/tools/burdockhaven_bench/entry_fleet.py
@@ -11,7 +11,7 @@
 from burdockhaven_bench.virtual_time import Scheduler
 from burdockhaven_core import actions
 from burdockhaven_core.assignment import read_assignment
-from burdockhaven_core.configuration import Configuration, TargetSpec
+from burdockhaven_core.configuration import Configuration, GroupKind, TargetSpec
 from burdockhaven_core.entry import Entry
 from burdockhaven_core.entry_state import EntryParameters
 from burdockhaven_core.events import (
@@ -113,6 +113,14 @@
         self.configuration = configuration
         self.account = next(iter(configuration.accounts))
         self.slots = slots
+        # Targets whose answers come in one piece.
+        self.services = {
+            target.name
+            for template in configuration.templates.values()
+            for group in template.groups
+            if group.kind is GroupKind.SERVICE
+            for target in group.targets
+        }
         self.processes: dict[int, Process] = {}
         # Slots whose VM is on the VM list, whether or not its process runs.
         self.vms = set(range(slots))
@@ -398,8 +406,9 @@
         if fate in {Fate.LOST_BEFORE_START, Fate.LOST_AT_START}:
             self._later(process, TARGET_DELAY_S, lost)
             return
-        self._later(process, SERVICE_S / 4, RunProgressed(run_id, 1))
-        self._later(process, SERVICE_S / 2, RunProgressed(run_id, TOKENS // 2))
+        if target.name not in self.services:
+            self._later(process, SERVICE_S / 4, RunProgressed(run_id, 1))
+            self._later(process, SERVICE_S / 2, RunProgressed(run_id, TOKENS // 2))
         if fate in {Fate.LOST_MIDWAY, Fate.LATE}:
             self._later(process, SERVICE_S * 0.6, lost)
         if fate is Fate.STUCK:
@@ -407,7 +416,8 @@
         if fate is Fate.LATE:
             self._later(process, SERVICE_S, RunProgressed(run_id, 1))
         if fate in {Fate.WHOLE, Fate.LATE}:
-            self._later(process, SERVICE_S, RunFinished(run_id, TOKENS))
+            tokens = 1 if target.name in self.services else TOKENS
+            self._later(process, SERVICE_S, RunFinished(run_id, tokens))
 
     def _later(self, process: Process, seconds: float, event: Event) -> None:
         self.scheduler.after(seconds, lambda: self.feed(process, event))
