--- /dev/null
+++ b/tools/tests/test_policy_bench.py
@@ -0,0 +1,47 @@
+"""The decisions under load, in virtual time: the stated targets, each with one seed."""
+
+import functools
+
+import pytest
+
+from burdockhaven_bench.policy import Options, run_policy
+from burdockhaven_bench.scenarios import Scenario
+from burdockhaven_bench.sites import SITES, TIERS
+
+# Stated targets, as parts.
+HIGHEST_TIER_GOODPUT = 0.99
+TOTAL_GOODPUT = 0.95
+WASTED_PREFILL = 0.01
+HIGHEST_TIER = TIERS - 1
+
+
+@functools.cache
+def figures(site, load, scenario=Scenario.STEADY):
+    return run_policy(Options(site, load, 1, scenario=scenario))
+
+
+@pytest.mark.parametrize("site", sorted(SITES))
+def test_the_same_seed_gives_the_same_figures(site):
+    options = Options(site, 1.2, 3, window_s=5.0, warm_up_s=5.0)
+    assert run_policy(options) == run_policy(options)
+
+
+@pytest.mark.parametrize("site", sorted(SITES))
+def test_overload_costs_neither_the_highest_tier_nor_the_total(site):
+    for group in figures(site, 1.2).groups.values():
+        assert group.tiers[HIGHEST_TIER].work_part >= HIGHEST_TIER_GOODPUT
+        assert group.goodput_part >= TOTAL_GOODPUT
+        assert group.wasted_prefill_part < WASTED_PREFILL
+
+
+@pytest.mark.parametrize("site", sorted(SITES))
+def test_a_straggler_costs_only_its_own_speed(site):
+    for group in figures(site, 0.9, Scenario.STRAGGLER).groups.values():
+        assert group.goodput_part >= TOTAL_GOODPUT
+
+
+@pytest.mark.parametrize("site", sorted(SITES))
+def test_goodput_does_not_fall_with_more_load(site):
+    at_overload = figures(site, 1.2).groups
+    for name, group in figures(site, 2.0).groups.items():
+        assert group.goodput_per_s >= at_overload[name].goodput_per_s
