--- a/packages/burdockhaven-entry/src/burdockhaven_entry/target_link.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/target_link.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -31,8 +32,6 @@
 from burdockhaven_entry.relay import Chunk, Relay
 from burdockhaven_entry.target_wire import (
     CompletionAsk,
-    CompletionChoice,
-    CompletionChunk,
     CompletionUsage,
     ServiceCall,
     chunk_decoder,
@@ -43,6 +42,8 @@
 
 # Seconds for a new connection to a target.
 CONNECT_TIMEOUT_S = 2.0
+# Seconds for a target to tell its load.
+LOAD_TIMEOUT_S = 2.0
 # Seconds without a byte after which a connection is taken for a silent one.
 GAP_TIMEOUT_S = 5.0
 # Fresh connections in a row that bring no token before a run is given up.
@@ -56,7 +57,7 @@
 
 STREAM_TIMEOUTS = StreamTimeouts(connect_s=CONNECT_TIMEOUT_S, gap_s=GAP_TIMEOUT_S)
 # Data of the event that follows the last one of a run.
-DONE = b"[DONE]"
+DONE = "[DONE]"
 
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
@@ -75,6 +76,8 @@
     model: str
     prompt: str
     max_output_tokens: int
+    # When the answer is wanted whole, in monotonic seconds.
+    deadline_s: float
 
 
 class _NotAcceptedError(Exception):
@@ -92,24 +95,35 @@
 class TargetLink:
     """The daemon's client of engines and plain services."""
 
-    def __init__(self, report: Report) -> None:
+    def __init__(
+        self, report: Report, clock: Callable[[], float] = time.monotonic
+    ) -> None:
         self.report = report
+        # Gives monotonic seconds.
+        self.clock = clock
         self.client = httpx.AsyncClient(
             timeout=httpx.Timeout(GAP_TIMEOUT_S, connect=CONNECT_TIMEOUT_S, pool=None),
             limits=httpx.Limits(max_connections=None, max_keepalive_connections=0),
             trust_env=False,
         )
+        # Keeps its connections: a question for the load may be lost or repeated.
+        self.load_client = httpx.AsyncClient(
+            timeout=LOAD_TIMEOUT_S, limits=httpx.Limits(), trust_env=False
+        )
 
     async def close(self) -> None:
         """Close all connections."""
         await self.client.aclose()
+        await self.load_client.aclose()
 
     async def run_model(self, order: RunOrder, relay: Relay) -> None:
         """Run a request on an engine; report how it went."""
         try:
             usage = await self._start(order, relay)
             if usage is None:
-                usage = await self._resume(order.run_id, order.target, relay)
+                usage = await self._resume(
+                    order.run_id, order.target, relay, order.deadline_s
+                )
         except _NotAcceptedError as error:
             self._refused(order, str(error), error.leaving)
         except _BrokenAnswerError as error:
@@ -173,7 +187,7 @@
     async def ask_load(self, target: TargetSpec) -> None:
         """Ask a target for its load and report the answer, if there is one."""
         try:
-            response = await self.client.get(f"{target.address}/load")
+            response = await self.load_client.get(f"{target.address}/load")
             load = load_decoder.decode(response.content)
         except (httpx.HTTPError, msgspec.DecodeError):
             return
@@ -200,19 +214,28 @@
         return reader.usage
 
     async def _resume(
-        self, run_id: RunId, target: TargetSpec, relay: Relay
+        self,
+        run_id: RunId,
+        target: TargetSpec,
+        relay: Relay,
+        prefill_until_s: float = 0.0,
     ) -> CompletionUsage:
-        """Read the rest of a run on new connections, as long as tokens come."""
+        """Read the rest of a run on new connections, as long as tokens come.
+
+        Before its first token a run may wait for its prefill, and the target that can
+        be reached is asked again until the time given.
+        """
         idle = 0
         while idle < MAX_IDLE_RESUMES:
             length = relay.length
+            waits = not relay.chunks and self.clock() < prefill_until_s
             try:
                 usage = await self._read_again(run_id, target, relay)
             except NotConnectedError:
-                usage = None
+                usage, waits = None, False
             if usage is not None:
                 return usage
-            idle = 0 if relay.length > length else idle + 1
+            idle = 0 if waits or relay.length > length else idle + 1
             await asyncio.sleep(RESUME_PAUSE_S)
         raise _BrokenAnswerError(f"silent after token {relay.length}")
 
@@ -267,7 +290,7 @@
         # Tokens since the last report of progress.
         self.unreported = 0
 
-    def on_event(self, data: bytes) -> bool:
+    def on_event(self, data: str) -> bool:
         """Take in one event; True for the last one."""
         if not data:
             return False
@@ -279,15 +302,13 @@
             raise _BrokenAnswerError(f"unreadable chunk: {error}") from error
         if chunk.id != self.run_id:
             raise _BrokenAnswerError(f"a chunk of run {chunk.id} arrived")
-        return any(self._take(choice, chunk) for choice in chunk.choices)
-
-    def _take(self, choice: CompletionChoice, chunk: CompletionChunk) -> bool:
-        if choice.token_count:
-            self._add(Chunk(chunk.offset, choice.token_count, choice.text))
-        if choice.finish_reason is None:
-            return False
-        self.usage = _check_whole(chunk.usage, self.relay)
-        return True
+        for choice in chunk.choices:
+            if choice.token_count:
+                self._add(Chunk(chunk.offset, choice.token_count, choice.text))
+            if choice.finish_reason is not None:
+                self.usage = _check_whole(chunk.usage, self.relay)
+                return True
+        return False
 
     def _add(self, chunk: Chunk) -> None:
         first = not self.relay.chunks
