--- a/tools/burdockhaven_standins/site.py
+++ b/tools/burdockhaven_standins/site.py
@@ -105,8 +105,12 @@
         (directory / "operator-token").write_text(token)
         (directory / "assignment-key").write_text(secrets.token_hex(SECRET_BYTES))
         group = ProcessGroup()
-        key_value = group.stand_in("kv", "kv")
-        vm_list = group.stand_in("vms", "vms")
+        try:
+            key_value = group.stand_in("kv", "kv")
+            vm_list = group.stand_in("vms", "vms")
+        except BaseException:
+            group.stop()
+            raise
         return cls(directory, token, group, key_value, vm_list, timing or SiteTiming())
 
     def __enter__(self) -> "Site":
