--- a/tools/burdockhaven_bench/policy.py
+++ b/tools/burdockhaven_bench/policy.py
@@ -143,7 +143,7 @@
     )
     for node in network.living():
         node.feed(VmListRead(frozenset(addresses), frozenset()))
-        if not kv_down:
+        if not kv_down or network.scheduler.now < MEETING_S:
             own_until_s = network.scheduler.now + LEASE_S
             node.feed(MemberLeasesRead(living, own_until_s))
 
--- a/tools/burdockhaven_bench/scenarios.py
+++ b/tools/burdockhaven_bench/scenarios.py
@@ -26,7 +26,7 @@
     SLOWDOWN = "slowdown"
     # One entry process dies.
     ENTRY_KILLED = "entry-killed"
-    # The key-value service is down throughout.
+    # The key-value service is down from before the first request.
     KV_DOWN = "kv-down"
 
 
