Publish the first configuration although the VM list names targets

Cause: before the first configuration nothing tells targets on the VM list from entries that have not been heard; a first process waited for them for ever, so no change could be made. test_engines_are_ordered_what_the_template_says failed on it, and the new row of test_membership. Ruled out: taking an empty configuration as leave to publish; a service that lost its index would then be published over while a member holds a newer one. An address that neither answers nor holds a lease for 10 s, longer than a lease and its renewal, is now taken for a VM that runs no entry.

--- a/packages/burdockhaven-core/src/burdockhaven_core/membership.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/membership.py
@@ -49,6 +49,9 @@
 MAX_DRIFT = 0.01
 # Seconds within which every running VM is on the VM list.
 VM_LIST_LAG_S = 30.0
+# Seconds after which a VM on the list that neither answers nor holds a lease is taken
+# for one that runs no entry. Longer than a member's lease and its renewal.
+STRANGER_TIMEOUT_S = 10.0
 # Seconds for which a process that is gone for good is remembered.
 TOMBSTONE_S = 3_600.0
 # Entries compared when a caller is sent to the less loaded one.
@@ -144,6 +147,8 @@
     own: Heartbeat | None = None
     # Addresses that the VM list last called live; None before it was read.
     listed: frozenset[str] | None = None
+    # When each of these addresses was first seen there.
+    listed_since: dict[str, float] = field(default_factory=dict)
 
     @classmethod
     def from_config(cls, parameters: MemberParameters) -> "Membership":
@@ -243,7 +248,9 @@
         member's own lease stands: whoever takes this member out later must have seen
         its lease gone, and by then the member so taken out is back in the view.
         A process that no member has introduced knows all members once its lease
-        stands, the leases are read and nobody else is on the VM list.
+        stands, the leases are read and nobody else is on the VM list. The list names
+        targets too, and before the first configuration nothing tells them from
+        entries: an address that stays unknown is waited for a while only.
         """
         own_stands = self.parameters.me in members and own_until_s > now
         for member, address in members.items():
@@ -252,7 +259,7 @@
                 record.out_until_s = float("-inf")
         if not own_stands:
             return
-        is_alone = self.listed is not None and not self.strangers()
+        is_alone = self.listed is not None and not self._awaited(now)
         self.introduced = self.introduced or is_alone
         for member, record in self.records.items():
             if member not in members and self._is_silent(record, now):
@@ -263,6 +270,8 @@
     ) -> None:
         """Take in the platform's list of VMs, which lags."""
         self.listed = live
+        known = self.listed_since
+        self.listed_since = {address: known.get(address, now) for address in live}
         for name, address in self.target_addresses.items():
             if _is_listed(address, leaving):
                 self.leaving.note_leaving(name, now)
@@ -324,6 +333,14 @@
         addresses.discard(self.parameters.peer_address)
         return tuple(sorted(addresses))
 
+    def _awaited(self, now: float) -> tuple[str, ...]:
+        """The strangers that may still turn out to be entries."""
+        return tuple(
+            address
+            for address in self.strangers()
+            if now - self.listed_since[address] < STRANGER_TIMEOUT_S
+        )
+
     def joined(self, now: float) -> bool:
         """Whether this process knows the members it has to reckon with."""
         started_s = self.parameters.started_s
--- a/packages/burdockhaven-core/tests/test_membership.py
+++ b/packages/burdockhaven-core/tests/test_membership.py
@@ -212,3 +212,16 @@
     beat(first, second, LATER_S)
     heartbeat = second.heartbeat_for(member("a"), second.heartbeat(LATER_S, **state))
     assert heartbeat.peers is None
+
+
+@pytest.mark.parametrize(
+    ("unknown", "after_s", "joined"),
+    [(False, 0.0, True), (True, 0.0, False), (True, 9.9, False), (True, 10.0, True)],
+)
+def test_an_unknown_vm_is_waited_for_a_while_only(unknown, after_s, joined):
+    first = make("a")
+    listed = {address("a")} | ({address("t")} if unknown else set())
+    for now in (LATER_S, LATER_S + after_s):
+        first.on_vm_list(frozenset(listed), frozenset(), now)
+        first.on_leases({member("a"): address("a")}, now + 5.0, now)
+    assert first.joined(LATER_S + after_s) is joined
