Let the highest tier wait when no target of its group takes work

Cause: the search for the least crowded target beyond the slots took the minimum of none (ValueError) when every target was paused or leaving.

--- a/packages/burdockhaven-core/src/burdockhaven_core/choosing.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/choosing.py
@@ -97,7 +97,7 @@
     request: QueuedRequest, targets: Sequence[TargetState]
 ) -> Sequence[TargetState]:
     free = [t for t in targets if t.in_flight < t.limit]
-    if free or not request.overtakes:
+    if free or not targets or not request.overtakes:
         return free
     under_way = sum(target.in_flight for target in targets)
     limit = sum(target.limit for target in targets)
--- a/packages/burdockhaven-core/tests/test_choosing.py
+++ b/packages/burdockhaven-core/tests/test_choosing.py
@@ -1,5 +1,6 @@
 """Policies that choose a target."""
 
+import dataclasses
 import random
 
 import pytest
@@ -83,7 +84,15 @@
 
 
 @pytest.mark.parametrize(
-    "policy", [round_robin(), least_reported(), two_choices(random.Random(1))]
+    "policy",
+    [
+        round_robin(),
+        least_reported(),
+        two_choices(random.Random(1)),
+        bounded(random.Random(1)),
+    ],
 )
-def test_no_target_is_chosen_from_none(policy):
-    assert policy(REQUEST, [], 0.0) is NoTarget.FULL
+@pytest.mark.parametrize("overtakes", [False, True])
+def test_no_target_is_chosen_from_none(policy, overtakes):
+    request = dataclasses.replace(REQUEST, overtakes=overtakes)
+    assert policy(request, [], 0.0) is NoTarget.FULL
