--- a/packages/burdockhaven-core/src/burdockhaven_core/entry.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/entry.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from burdockhaven_core import events, intake, runs, upkeep
+from burdockhaven_core import events, intake, look_up, runs, upkeep
 from burdockhaven_core.actions import Action
 from burdockhaven_core.choosing import Choose, bounded
 from burdockhaven_core.dispatching import pump
@@ -17,7 +17,7 @@
 Handler = Callable[[EntryState, Any, float], None]
 
 HANDLERS: dict[type, Handler] = {
-    events.LookUpArrived: intake.on_look_up,
+    events.LookUpArrived: look_up.on_look_up,
     events.RequestArrived: intake.on_request,
     events.ResumeArrived: intake.on_resume,
     events.CallerGone: intake.on_caller_gone,
--- a/packages/burdockhaven-core/src/burdockhaven_core/intake.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/intake.py
@@ -1,16 +1,15 @@
-"""Handles what callers send: look-ups, requests, resumes and lost connections."""
+"""Handles what callers send: requests, resumes and lost connections."""
 
 import dataclasses
 
 from result import Err, Result
 
-from burdockhaven_core.actions import AnswerLookUp, Attach, Keep, Recover
-from burdockhaven_core.assignment import Assignment, sign_assignment
+from burdockhaven_core.actions import Attach, Keep, Recover
+from burdockhaven_core.assignment import Assignment
 from burdockhaven_core.configuration import GroupKind, GroupSpec
 from burdockhaven_core.entry_state import EntryState, unavailable
 from burdockhaven_core.events import (
     CallerGone,
-    LookUpArrived,
     RequestArrived,
     ResumeArrived,
 )
@@ -22,7 +21,7 @@
     limit,
     plan,
 )
-from burdockhaven_core.identity import GroupName, MemberId, RunId
+from burdockhaven_core.identity import GroupName, RunId
 from burdockhaven_core.ledger import Record, RunState
 from burdockhaven_core.log_numbers import EventNumber
 from burdockhaven_core.outcome import (
@@ -37,80 +36,41 @@
 from burdockhaven_core.shedding import refuse, shed
 from burdockhaven_core.waiting import expected_wait_s, is_hopeless
 
-# Bits of an assignment's random part.
-NONCE_BITS = 128
 # Seconds after which a caller may try again when the queue is full.
 FULL_RETRY_AFTER_S = 2.0
 
 
-def on_look_up(state: EntryState, event: LookUpArrived, now: float) -> None:
-    """Answer an entry that takes requests, with an assignment to it."""
-    if event.account not in state.configuration.accounts:
-        detail = f"no client account {event.account!r} is in force"
-        state.answer(event.handle, NotRun(NotRunReason.UNKNOWN_ACCOUNT, detail))
-        return
-    me = state.parameters.me
-    view = state.membership.pick_entry(now, state.rng)
-    clock_s = None if view is None else state.membership.clock_of(view.member, now)
-    if view is not None and view.member != me and clock_s is not None:
-        _assign(state, event, view.member, view.caller_address, clock_s)
-    elif state.ready and not state.draining:
-        clock_s = state.clock_s(now)
-        _assign(state, event, me, state.parameters.caller_address, clock_s)
-    else:
-        state.answer(event.handle, unavailable("no entry takes requests"))
-
-
-def _assign(
-    state: EntryState,
-    event: LookUpArrived,
-    member: MemberId,
-    address: str,
-    clock_s: float,
-) -> None:
-    lasts_s = state.parameters.assignment_lifetime_s
-    assignment = Assignment(
-        entry=member.entry,
-        incarnation=member.incarnation,
-        account=event.account,
-        nonce=f"{state.rng.getrandbits(NONCE_BITS):032x}",
-        issued_s=clock_s,
-        expires_s=clock_s + lasts_s,
-    )
-    token = sign_assignment(assignment, state.parameters.assignment_key)
-    state.out.append(AnswerLookUp(event.handle, member.entry, address, token, lasts_s))
-
-
 def on_request(state: EntryState, event: RequestArrived, now: float) -> None:
     """Queue a new request, or answer it at once; a copy joins the first one."""
-    identified = _identify(state, event)
-    if identified is None:
-        return
-    if identified.assignment.member != state.parameters.me:
-        _point_elsewhere(state, event, identified, now)
-        return
-    if _answer_again(state, event.handle, identified.run_id):
-        return
-    refusal = _expiry_answer(state, identified.assignment, now)
-    if refusal is not None:
-        state.answer(event.handle, refusal)
-        return
-    _admit(state, event, identified, now)
+    identified = _new_here(state, event, now)
+    if identified is not None:
+        _admit(state, event, identified, now)
 
 
 def on_resume(state: EntryState, event: ResumeArrived, now: float) -> None:
     """Join a request that was sent before; never start one."""
+    if _new_here(state, event, now) is not None:
+        not_seen = Unknown(UnknownReason.NOT_SEEN, "no such request has arrived yet")
+        state.answer(event.handle, not_seen)
+
+
+def _new_here(
+    state: EntryState, event: RequestArrived | ResumeArrived, now: float
+) -> Identified | None:
+    """The request if this process may run it and has not seen it; else answered."""
     identified = _identify(state, event)
     if identified is None:
-        return
+        return None
     if identified.assignment.member != state.parameters.me:
         _point_elsewhere(state, event, identified, now)
-        return
+        return None
     if _answer_again(state, event.handle, identified.run_id):
-        return
+        return None
     refusal = _expiry_answer(state, identified.assignment, now)
-    not_seen = Unknown(UnknownReason.NOT_SEEN, "no such request has arrived yet")
-    state.answer(event.handle, refusal or not_seen)
+    if refusal is not None:
+        state.answer(event.handle, refusal)
+        return None
+    return identified
 
 
 def on_caller_gone(state: EntryState, event: CallerGone, now: float) -> None:
--- a/packages/burdockhaven-core/src/burdockhaven_core/membership.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/membership.py
@@ -27,6 +27,13 @@
 from burdockhaven_core.configuration import Configuration
 from burdockhaven_core.identity import MemberId, TargetName
 from burdockhaven_core.leaving import LeavingTargets
+from burdockhaven_core.member_record import (
+    MemberRecord,
+    MemberView,
+    is_listed,
+    takes_callers,
+    view_of,
+)
 from burdockhaven_core.messages import (
     Echo,
     GroupDemand,
@@ -75,64 +82,12 @@
     start_hold_s: float = START_HOLD_S
 
 
-@dataclass(frozen=True, slots=True)
-class MemberView:
-    """What is known of one member that was heard lately."""
-
-    member: MemberId
-    peer_address: str
-    caller_address: str
-    zone: str
-    # Whether the member takes new requests.
-    ready: bool
-    # Whether the member or its VM is on its way out.
-    draining: bool
-    config_version: int
-    demand: tuple[GroupDemand, ...]
-
-    @property
-    def load(self) -> int:
-        """Requests that the member has queued or under way."""
-        return sum(
-            sum(group.queued) + sum(group.in_flight.values()) for group in self.demand
-        )
-
-
-@dataclass(slots=True)
-class _Record:
-    """Everything known of one other process, heard or only heard of."""
-
-    peer_address: str
-    # When the process was first heard of.
-    known_s: float
-    # When the process was last heard, or first heard of.
-    heard_s: float
-    # The newest heartbeat; None if none arrived.
-    heartbeat: Heartbeat | None = None
-    # This member's admission lease from the process ends at this time.
-    lease_until_s: float = float("-inf")
-    # The process is out of the view up to this time.
-    out_until_s: float = float("-inf")
-    # The newest version of the process's member list that is known here, and that of
-    # the own list that is known there; -1 if none.
-    view_version: int = -1
-    seen_version: int = -1
-    # Whether the process has shown that it knows this one.
-    acknowledged: bool = False
-    # The processes that it says are out of its view.
-    told_out: frozenset[MemberId] = frozenset()
-    # Whether the VM list has named the address.
-    listed: bool = False
-    # Whether the VM list calls the VM leaving.
-    vm_leaving: bool = False
-
-
 @dataclass(slots=True)
 class Membership:
     """The members as this process knows them."""
 
     parameters: MemberParameters
-    records: dict[MemberId, _Record] = field(default_factory=dict)
+    records: dict[MemberId, MemberRecord] = field(default_factory=dict)
     # Processes that are gone for good, and when that was learned.
     gone: dict[MemberId, float] = field(default_factory=dict)
     leaving: LeavingTargets = field(default_factory=LeavingTargets)
@@ -273,13 +228,13 @@
         known = self.listed_since
         self.listed_since = {address: known.get(address, now) for address in live}
         for name, address in self.target_addresses.items():
-            if _is_listed(address, leaving):
+            if is_listed(address, leaving):
                 self.leaving.note_leaving(name, now)
-            elif _is_listed(address, live):
+            elif is_listed(address, live):
                 self.leaving.note_live(name, now)
         for member, record in list(self.records.items()):
-            record.vm_leaving = _is_listed(record.peer_address, leaving)
-            if record.vm_leaving or _is_listed(record.peer_address, live):
+            record.vm_leaving = is_listed(record.peer_address, leaving)
+            if record.vm_leaving or is_listed(record.peer_address, live):
                 record.listed = True
             elif self._is_silent(record, now) and (
                 record.listed or now - record.known_s >= VM_LIST_LAG_S
@@ -301,7 +256,7 @@
     def live(self, now: float) -> tuple[MemberView, ...]:
         """The other members that were heard within the member timeout."""
         return tuple(
-            _view_of(member, record)
+            view_of(member, record)
             for member, record in self.records.items()
             if record.heartbeat is not None and not self._is_silent(record, now)
         )
@@ -359,7 +314,7 @@
             return None
         if self._is_silent(record, now):
             return None
-        return _view_of(member, record)
+        return view_of(member, record)
 
     def clock_of(self, member: MemberId, now: float) -> float | None:
         """A lower bound of the member's own clock; None if it was never heard."""
@@ -375,10 +330,10 @@
         Two entries are drawn and the less loaded one is taken, which spreads callers
         although the loads are a heartbeat old.
         """
-        candidates = [view for view in self.live(now) if _takes_callers(view)]
+        candidates = [view for view in self.live(now) if takes_callers(view)]
         own = self._own_view()
         own_fits = not candidates or self.permitted(now)
-        if own is not None and _takes_callers(own) and own_fits:
+        if own is not None and takes_callers(own) and own_fits:
             candidates.append(own)
         if not candidates:
             return None
@@ -388,8 +343,8 @@
     def _own_view(self) -> MemberView | None:
         if self.own is None:
             return None
-        record = _Record(self.own.peer_address, 0.0, 0.0, self.own)
-        return _view_of(self.parameters.me, record)
+        record = MemberRecord(self.own.peer_address, 0.0, 0.0, self.own)
+        return view_of(self.parameters.me, record)
 
     def _names(self, now: float) -> tuple[PeerName, ...]:
         names = []
@@ -403,7 +358,7 @@
         return tuple(names)
 
     def _note_peers(
-        self, sender: _Record, peers: tuple[PeerName, ...], now: float
+        self, sender: MemberRecord, peers: tuple[PeerName, ...], now: float
     ) -> None:
         told_out = set()
         for peer in peers:
@@ -419,7 +374,7 @@
                 told_out.add(member)
         sender.told_out = frozenset(told_out)
 
-    def _on_echo(self, sender: _Record, heartbeat: Heartbeat, echo: Echo) -> None:
+    def _on_echo(self, sender: MemberRecord, heartbeat: Heartbeat, echo: Echo) -> None:
         if echo.incarnation != self.parameters.me.incarnation:
             return
         sender.acknowledged = True
@@ -439,10 +394,10 @@
             return False
         return True
 
-    def _note_member(self, member: MemberId, address: str, now: float) -> _Record:
-        return self.records.setdefault(member, _Record(address, now, now))
+    def _note_member(self, member: MemberId, address: str, now: float) -> MemberRecord:
+        return self.records.setdefault(member, MemberRecord(address, now, now))
 
-    def _is_out(self, member: MemberId, record: _Record, now: float) -> bool:
+    def _is_out(self, member: MemberId, record: MemberRecord, now: float) -> bool:
         """Whether the process is kept out of the view.
 
         A process that never knew this one needs no lease of it, so its silence proves
@@ -455,7 +410,7 @@
             for other in self.records.values()
         )
 
-    def _is_silent(self, record: _Record, now: float) -> bool:
+    def _is_silent(self, record: MemberRecord, now: float) -> bool:
         return now - record.heard_s >= self.parameters.member_timeout_s
 
     def _bury(self, member: MemberId, now: float) -> None:
@@ -475,25 +430,3 @@
         for member, record in list(self.records.items()):
             if self._is_silent(record, now) and record.peer_address in heard:
                 self._bury(member, now)
-
-
-def _takes_callers(view: MemberView) -> bool:
-    return view.ready and not view.draining
-
-
-def _is_listed(address: str, listing: frozenset[str]) -> bool:
-    return address in listing or address.rpartition(":")[0] in listing
-
-
-def _view_of(member: MemberId, record: _Record) -> MemberView:
-    heartbeat = record.heartbeat
-    return MemberView(
-        member=member,
-        peer_address=record.peer_address,
-        caller_address="" if heartbeat is None else heartbeat.caller_address,
-        zone="" if heartbeat is None else heartbeat.zone,
-        ready=heartbeat is not None and heartbeat.ready,
-        draining=record.vm_leaving or (heartbeat is not None and heartbeat.draining),
-        config_version=0 if heartbeat is None else heartbeat.config_version,
-        demand=() if heartbeat is None else heartbeat.demand,
-    )
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/admin_reports.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/admin_reports.py
@@ -18,7 +18,7 @@
 from burdockhaven_core.configuration_replica import count_in_force
 from burdockhaven_core.entry_state import EntryState
 from burdockhaven_core.identity import GroupName, MemberId
-from burdockhaven_core.membership import MemberView
+from burdockhaven_core.member_record import MemberView
 from burdockhaven_core.targets import TargetState
 from burdockhaven_entry.admin_api import AdminView
 
--- a/tools/burdockhaven_bench/capacity_links.py
+++ b/tools/burdockhaven_bench/capacity_links.py
@@ -16,7 +16,7 @@
 from burdockhaven_bench.capacity_entry import SECRET, heartbeat_of, vm_addresses
 from burdockhaven_bench.capacity_inputs import member_of
 from burdockhaven_bench.capacity_probe import Probe, Unit
-from burdockhaven_bench.demo_files import EntryPorts, free_port, settings_file
+from burdockhaven_bench.demo_files import EntryAddresses, settings_file
 from burdockhaven_bench.probing import MICROSECONDS_PER_S, SAMPLES
 from burdockhaven_core.configuration import TargetSpec
 from burdockhaven_core.events import Event
@@ -33,6 +33,7 @@
 )
 from burdockhaven_entry.target_link import TargetLink
 from burdockhaven_entry.vm_list_link import VmListLink
+from burdockhaven_standins.ports import free_addresses
 from burdockhaven_standins.processes import ProcessGroup
 
 CALL_SIZES = (20, 60, 120, 200)
@@ -173,9 +174,9 @@
         total = 0
         for number in range(daemons):
             name = f"entry-{number}"
-            ports = EntryPorts(free_port(), free_port(), free_port())
+            addresses = EntryAddresses(*free_addresses(3))
             path = Path(directory) / f"{name}.ini"
-            text = settings_file(name, "zone-0", ports, key_value.url, vm_list.url)
+            text = settings_file(name, "zone-0", addresses, key_value.url, vm_list.url)
             path.write_text(text)
             started = group.start(name, ["burdockhaven_entry", "--config", str(path)])
             total += _resident_bytes(started.process.pid)
--- a/tools/burdockhaven_bench/demo.py
+++ b/tools/burdockhaven_bench/demo.py
@@ -19,14 +19,14 @@
 
 from burdockhaven_bench.caller import Caller, NotRun, Unknown, Whole
 from burdockhaven_bench.demo_files import (
-    EntryPorts,
+    EntryAddresses,
     account_file,
-    free_port,
     settings_file,
     template_file,
 )
 from burdockhaven_bench.demo_operator import DemoError, Operator
 from burdockhaven_bench.interrupts import Interrupts
+from burdockhaven_standins.ports import free_addresses
 from burdockhaven_standins.processes import (
     NotReadyError,
     ProcessGroup,
@@ -48,7 +48,7 @@
     """One running entry."""
 
     process: RunningProcess
-    ports: EntryPorts
+    addresses: EntryAddresses
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,7 +100,7 @@
     interrupts.check()
     print("3. the operator publishes")
     _publish(directory, entries, targets, account_key, interrupts)
-    caller = Caller([entry.ports.caller for entry in entries], account_key)
+    caller = Caller([entry.addresses.caller for entry in entries], account_key)
     _wait_for("a look-up that succeeds", lambda: not _refused(caller))
     interrupts.check()
     print("4. one streamed review")
@@ -131,12 +131,14 @@
     entries = []
     for number, zone in zip(range(1, ENTRIES + 1), ZONES, strict=True):
         name = f"entry-{number}"
-        ports = EntryPorts(free_port(), free_port(), free_port())
+        addresses = EntryAddresses(*free_addresses(3))
         path = directory / f"{name}.ini"
-        path.write_text(settings_file(name, zone, ports, key_value.url, vm_list.url))
+        path.write_text(
+            settings_file(name, zone, addresses, key_value.url, vm_list.url)
+        )
         process = group.start(name, ["burdockhaven_entry", "--config", str(path)])
-        print(f"   {name} in {zone} takes callers at {ports.caller}")
-        entries.append(Entry(process, ports))
+        print(f"   {name} in {zone} takes callers at {addresses.caller}")
+        entries.append(Entry(process, addresses))
     return tuple(entries)
 
 
@@ -144,7 +146,7 @@
     vm_list: RunningProcess, entries: tuple[Entry, ...], targets: Targets
 ) -> None:
     vms = [
-        {"address": entry.ports.peer, "zone": zone, "state": "live"}
+        {"address": entry.addresses.peer, "zone": zone, "state": "live"}
         for entry, zone in zip(entries, ZONES, strict=True)
     ]
     for process in (*targets.engines, targets.service):
@@ -159,7 +161,7 @@
     account_key: str,
     interrupts: Interrupts,
 ) -> None:
-    operator = Operator([f"http://{entry.ports.admin}" for entry in entries])
+    operator = Operator([f"http://{entry.addresses.admin}" for entry in entries])
     template = directory / "template.json"
     engines = [process.url for process in targets.engines]
     template.write_bytes(template_file(engines, targets.service.url))
--- a/tools/burdockhaven_bench/demo_files.py
+++ b/tools/burdockhaven_bench/demo_files.py
@@ -1,7 +1,6 @@
 """The files of the demonstration: settings, template and client account."""
 
 import hashlib
-import socket
 from dataclasses import dataclass
 
 from burdockhaven_core.configuration import (
@@ -30,48 +29,30 @@
 
 
 @dataclass(frozen=True, slots=True)
-class EntryPorts:
-    """Ports of one entry on loopback."""
+class EntryAddresses:
+    """Addresses of one entry, as host:port."""
 
-    caller_port: int
-    admin_port: int
-    peer_port: int
-
-    @property
-    def caller(self) -> str:
-        """Where callers connect."""
-        return f"127.0.0.1:{self.caller_port}"
-
-    @property
-    def admin(self) -> str:
-        """Where operators connect."""
-        return f"127.0.0.1:{self.admin_port}"
-
-    @property
-    def peer(self) -> str:
-        """Where other members connect."""
-        return f"127.0.0.1:{self.peer_port}"
-
-
-def free_port() -> int:
-    """A port that nothing listens on at the moment."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
+    # Where callers, operators and other entries reach it.
+    caller: str
+    admin: str
+    peer: str
 
 
 def settings_file(
-    name: str, zone: str, ports: EntryPorts, key_value_url: str, vm_list_url: str
+    name: str,
+    zone: str,
+    addresses: EntryAddresses,
+    key_value_url: str,
+    vm_list_url: str,
 ) -> str:
     """The settings of one entry."""
     return f"""\
 [entry]
 name = {name}
 zone = {zone}
-caller_address = {ports.caller}
-admin_address = {ports.admin}
-peer_address = {ports.peer}
+caller_address = {addresses.caller}
+admin_address = {addresses.admin}
+peer_address = {addresses.peer}
 
 [platform]
 key_value_url = {key_value_url}
--- a/tools/burdockhaven_standins/site.py
+++ b/tools/burdockhaven_standins/site.py
@@ -4,7 +4,6 @@
 import hashlib
 import random
 import secrets
-import socket
 import tempfile
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -25,6 +24,7 @@
 from burdockhaven_core.configuration_store import WrittenBack, synchronise
 from burdockhaven_core.identity import AccountName, GroupName, TargetName
 from burdockhaven_entry.kv_link import KvLink
+from burdockhaven_standins.ports import free_addresses
 from burdockhaven_standins.processes import ProcessGroup, RunningProcess
 from burdockhaven_standins.vm_list import Vm
 
@@ -194,15 +194,6 @@
             raise NotPublishedError(repr(outcome))
 
 
-def free_addresses(count: int) -> list[str]:
-    """Addresses on loopback that nothing listens on."""
-    sockets = [socket.create_server((HOST, 0)) for _ in range(count)]
-    addresses = [f"{HOST}:{each.getsockname()[1]}" for each in sockets]
-    for each in sockets:
-        each.close()
-    return addresses
-
-
 def group_spec(
     name: str, kind: GroupKind, processes: Sequence[RunningProcess], slots: int = 8
 ) -> GroupSpec:
--- a/tools/tests/test_target_link_process.py
+++ b/tools/tests/test_target_link_process.py
@@ -13,8 +13,8 @@
 from burdockhaven_entry.event_stream import StreamTimeouts
 from burdockhaven_entry.relay import Relay
 from burdockhaven_entry.target_link import RunOrder, TargetLink
+from burdockhaven_standins.ports import free_addresses
 from burdockhaven_standins.processes import ProcessGroup
-from burdockhaven_standins.site import free_addresses
 
 pytestmark = pytest.mark.process
 
@@ -33,6 +33,12 @@
     return group.stand_in("engine", "engine", "--token-interval-s", "0.005").url
 
 
+@pytest.fixture
+def slow_engine(group):
+    """Slow enough that a fault takes effect before the run ends on a busy machine."""
+    return group.stand_in("engine", "engine", "--token-interval-s", "0.05").url
+
+
 @pytest.fixture(autouse=True)
 def short_gap(monkeypatch):
     timeouts = StreamTimeouts(connect_s=2.0, gap_s=0.3)
@@ -102,14 +108,14 @@
         ({"slowness": 0}, RunLost),
     ],
 )
-async def test_faults_in_the_stream(engine, fault, expected):
-    reports, relay = await run(engine, at_token=1, **fault)
+async def test_faults_in_the_stream(slow_engine, fault, expected):
+    reports, relay = await run(slow_engine, at_token=1, **fault)
     assert kinds(reports) == [expected]
     if expected is RunFinished:
         assert reports[-1].output_tokens == TOKENS
         text = "".join(chunk.text for chunk in relay.chunks)
         assert text.split() == [f"run-on-{index}" for index in range(TOKENS)]
-    assert (await counts(engine))["submissions"] == {RUN: 1}
+    assert (await counts(slow_engine))["submissions"] == {RUN: 1}
 
 
 @pytest.mark.parametrize(
