--- a/tools/tests/test_pages.py
+++ b/tools/tests/test_pages.py
@@ -41,3 +41,9 @@
     named = set(re.findall(r"[`/]([a-z_]+\.py)`", MAP)) - {"entry_node.py"}
     assert named
     assert named <= names
+
+
+@pytest.mark.parametrize("page", sorted((ROOT / "docs").glob("*.md")))
+def test_links_between_pages_lead_somewhere(page):
+    links = re.findall(r"\]\((?!https?:)([^)#]+)", page.read_text())
+    assert [link for link in links if not (page.parent / link).exists()] == []
