--- a/packages/burdockhaven-core/src/burdockhaven_core/log_numbers.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/log_numbers.py
@@ -29,6 +29,7 @@
     RUN_LOST = 302
     RUN_FINISHED = 303
     ASSIGNMENT_FORGED = 304
+    REQUEST_MALFORMED = 305
 
     # Configuration and the platform's services.
     CONFIGURATION_IN_FORCE = 401
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/caller_api.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/caller_api.py
@@ -15,6 +15,7 @@
 from burdockhaven_core.actions import AnswerLookUp
 from burdockhaven_core.events import RequestArrived, ResumeArrived
 from burdockhaven_core.identity import AccountName, ClassName
+from burdockhaven_core.log_numbers import EventNumber
 from burdockhaven_core.outcome import (
     Elsewhere,
     NotRun,
@@ -31,6 +32,7 @@
     StatusReply,
     outcome_reply,
 )
+from burdockhaven_entry.log_events import log
 from burdockhaven_entry.relay import Relay
 from burdockhaven_entry.shell import Body, Exchange, Shell
 
@@ -240,5 +242,11 @@
     reason = NotRunReason.TOO_LARGE if too_large else NotRunReason.BAD_REQUEST
     faults = "; ".join(str(extra) for extra in error.extra or ())
     detail = f"{error.detail} {faults}".strip()
+    log(
+        EventNumber.REQUEST_MALFORMED,
+        path=request.url.path,
+        status=error.status_code,
+        detail=detail,
+    )
     reply = OutcomeReply("not_run", reason.value, detail)
     return Response(reply, status_code=error.status_code)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
@@ -134,6 +134,17 @@
         "If it is not an entry with another assignment key, ask the client account.",
         {"account": "client account that showed it", "detail": "what was wrong"},
     ),
+    EventSpec(
+        EventNumber.REQUEST_MALFORMED,
+        "info",
+        "A call to {path} was refused with status {status}: {detail}.",
+        "Tell the client account's developers; docs/CALLERS.md has the formats.",
+        {
+            "path": "path that was called",
+            "status": "HTTP status of the answer",
+            "detail": "what was wrong with it",
+        },
+    ),
     EventSpec(
         EventNumber.CONFIGURATION_IN_FORCE,
         "info",
--- a/packages/burdockhaven-entry/tests/test_caller_api.py
+++ b/packages/burdockhaven-entry/tests/test_caller_api.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import hashlib
+import io
 from dataclasses import replace
 
 import pytest
 from litestar.testing import AsyncTestClient
+from loguru import logger
 from samples import ACCOUNT, OTHER_ACCOUNT, configuration, entry
 
 from burdockhaven_core.events import (
@@ -16,6 +18,7 @@
     RunRefused,
 )
 from burdockhaven_entry.caller_api import caller_app
+from burdockhaven_entry.log_events import configure_logging
 from burdockhaven_entry.metrics import Metrics
 from burdockhaven_entry.relay import Chunk
 from burdockhaven_entry.shell import Shell
@@ -181,6 +184,14 @@
     assert not shell.targets.started
 
 
+async def test_malformed_input_is_logged_as_a_numbered_event(client):
+    stream = io.StringIO()
+    configure_logging("json", "info", stream)
+    await send(client, prompt=5)
+    assert '"number":305' in stream.getvalue()
+    logger.remove()
+
+
 @pytest.mark.parametrize("header", [{}, {"authorization": "Bearer wrong"}])
 async def test_callers_without_a_key_are_turned_away(client, header):
     reply = await client.get("/v1/lookup", headers=header)
