--- a/packages/burdockhaven-core/src/burdockhaven_core/publishing.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/publishing.py
@@ -131,6 +131,8 @@
     below = _below_floor(stored, floor_version)
     if below is not None:
         return NotDone(below)
+    if stored.index.version < known.version:
+        return NotDone(NotDoneReason.BEHIND)
     if stored.index.version != operation.expected_version:
         return (yield from _outcome_of_earlier(operation, stored))
     loaded = yield from load(stored.index, known)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/admin_api.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/admin_api.py
@@ -18,6 +18,7 @@
 from litestar.exceptions import HTTPException, NotAuthorizedException
 from litestar.handlers import BaseRouteHandler, HTTPRouteHandler
 from litestar.openapi import OpenAPIConfig
+from litestar.params import FromPath
 from result import Err, Ok, Result
 
 from burdockhaven_core.admin_messages import (
@@ -154,7 +155,7 @@
 
 
 @put("/templates/{name:str}")
-async def put_template(request: AdminRequest, name: str) -> Response[Any]:
+async def put_template(request: AdminRequest, name: FromPath[str]) -> Response[Any]:
     """Add or replace a template."""
     decoded = decode_template(await request.body())
     if isinstance(decoded, Err):
@@ -165,13 +166,13 @@
 
 
 @delete("/templates/{name:str}", status_code=200)
-async def delete_template(request: AdminRequest, name: str) -> Response[Any]:
+async def delete_template(request: AdminRequest, name: FromPath[str]) -> Response[Any]:
     """Remove a template that no account uses."""
     return await _change(request, DeleteTemplate(name))
 
 
 @put("/accounts/{name:str}")
-async def put_account(request: AdminRequest, name: str) -> Response[Any]:
+async def put_account(request: AdminRequest, name: FromPath[str]) -> Response[Any]:
     """Add or replace the parameters of a client account."""
     decoded = decode_account(await request.body())
     if isinstance(decoded, Err):
@@ -182,13 +183,15 @@
 
 
 @delete("/accounts/{name:str}", status_code=200)
-async def delete_account(request: AdminRequest, name: str) -> Response[Any]:
+async def delete_account(request: AdminRequest, name: FromPath[str]) -> Response[Any]:
     """Remove the parameters of a client account."""
     return await _change(request, DeleteAccount(AccountName(name)))
 
 
 @get("/operations/{operation_id:str}")
-async def read_operation(request: AdminRequest, operation_id: str) -> Response[Any]:
+async def read_operation(
+    request: AdminRequest, operation_id: FromPath[str]
+) -> Response[Any]:
     """What became of a change whose answer was lost."""
     part = _part(request)
     expected = _number(request, "expected_version")
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/admin_reports.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/admin_reports.py
@@ -1,5 +1,7 @@
 """What operators are shown of one entry, made from its state."""
 
+from collections.abc import Callable
+
 from burdockhaven_core.admin_messages import (
     ConfigurationReply,
     FloorReport,
@@ -18,10 +20,24 @@
 from burdockhaven_core.identity import GroupName, MemberId
 from burdockhaven_core.membership import MemberView
 from burdockhaven_core.targets import TargetState
+from burdockhaven_entry.admin_api import AdminView
 
 MS_PER_S = 1_000.0
 
 
+def admin_view(state: EntryState, clock: Callable[[], float]) -> AdminView:
+    """The providers of the administration API over the state of the entry."""
+    return AdminView(
+        configuration=lambda: state.configuration,
+        report_configuration=lambda: report_configuration(state, clock()),
+        in_force=lambda version: report_in_force(state, version, clock()),
+        members=lambda: report_members(state, clock()),
+        targets=lambda: report_targets(state, clock()),
+        floors=lambda: report_floors(state, clock()),
+        queues=lambda: report_queues(state, clock()),
+    )
+
+
 def floor_version(state: EntryState, now: float) -> int | None:
     """The highest version in force at any member.
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/configuration_sync.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/configuration_sync.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
 from result import Err, Result
@@ -61,12 +62,10 @@
     async def run(self) -> None:
         """Follow the service until cancelled, through all its outages."""
         while True:
-            async for seen in self.link.watch(Range(INDEX_KEY)):
-                if isinstance(seen, Err):
-                    break
-                outcome = await self.synchronise()
-                if isinstance(outcome, NotSynchronised):
-                    break
+            try:
+                await self._follow()
+            except Exception as error:
+                log(EventNumber.INTERNAL_ERROR, step="configuration", error=repr(error))
             await asyncio.sleep(self.link.backoff.next_delay_s())
 
     async def synchronise(self) -> Synchronisation:
@@ -109,6 +108,15 @@
         """The changes that made the versions."""
         return await self.link.run(read_history(first_version, last_version))
 
+    async def _follow(self) -> None:
+        """Read the configuration at each word of one watch, until it fails."""
+        async with contextlib.aclosing(self.link.watch(Range(INDEX_KEY))) as watch:
+            async for seen in watch:
+                if isinstance(seen, Err):
+                    return
+                if isinstance(await self.synchronise(), NotSynchronised):
+                    return
+
     async def _publish(self, operation: Operation) -> PublishOutcome:
         steps = publish(operation, self.known(), self.floor_version)
         return await self.link.run(steps)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/daemon.py
@@ -19,13 +19,17 @@
 from burdockhaven_core.identity import EntryName, Incarnation, MemberId
 from burdockhaven_core.log_numbers import EventNumber
 from burdockhaven_core.messages import PeerMessage
+from burdockhaven_entry.admin_api import admin_app
+from burdockhaven_entry.admin_reports import admin_view, floor_version
 from burdockhaven_entry.caller_api import caller_app
+from burdockhaven_entry.configuration_sync import ConfigurationSync
 from burdockhaven_entry.kv_link import KvLink
 from burdockhaven_entry.log_events import log
+from burdockhaven_entry.member_lease import MemberLease
 from burdockhaven_entry.message_seal import derive_key
 from burdockhaven_entry.metrics import Metrics
+from burdockhaven_entry.metrics_page import metrics_handler
 from burdockhaven_entry.peer_link import PeerLink, PeerLinkError
-from burdockhaven_entry.platform_sync import PlatformSync
 from burdockhaven_entry.servers import HttpServer
 from burdockhaven_entry.settings import EntrySettings
 from burdockhaven_entry.shell import Shell
@@ -36,7 +40,6 @@
 TICK_INTERVAL_S = 0.05
 # Seconds between two questions to a target for its load.
 LOAD_INTERVAL_S = 1.0
-SYNC_INTERVAL_S = 1.0
 # Seconds that slow callers get at a stop to read answers that are finished.
 CALLER_DRAIN_TIMEOUT_S = 30.0
 # Share by which intervals of network calls are shortened at random.
@@ -57,7 +60,14 @@
         self.shell = shell
         self.timer = TimerService(shell.clock, rng)
         self.key_value = KvLink.from_url(settings.key_value_url, rng)
-        self.platform = PlatformSync(
+        self.key_value.count = shell.metrics.record_key_value_call
+        self.configuration = ConfigurationSync(
+            self.key_value,
+            known=lambda: shell.entry.state.configuration,
+            floor_version=lambda: floor_version(shell.entry.state, shell.clock()),
+            report=shell.handle,
+        )
+        self.lease = MemberLease(
             self.key_value,
             parameters.me,
             parameters.peer_address,
@@ -75,6 +85,15 @@
         self.caller_server = HttpServer(
             caller_app(shell, settings.max_body_bytes), settings.caller_address
         )
+        self.admin_server = HttpServer(
+            admin_app(
+                admin_view(shell.entry.state, shell.clock),
+                self.configuration,
+                settings.operator_token.reveal(),
+                (metrics_handler(shell.metrics),),
+            ),
+            settings.admin_address,
+        )
 
     @classmethod
     def from_config(
@@ -106,12 +125,15 @@
         self._subscribe()
         timer = asyncio.create_task(self.timer.run())
         self.caller_server.start()
+        self.admin_server.start()
         address = str(self.caller_server.address)
         log(EventNumber.READY, entry=me.entry, address=address)
         print(f"ready {me.entry}", flush=True)
         await self.shell.stopped.wait()
         await self._let_callers_read()
+        await self.lease.give_up()
         await self.caller_server.stop()
+        await self.admin_server.stop()
         self.timer.stop()
         await timer
         await self._close()
@@ -132,16 +154,14 @@
             lambda now: self.shell.spawn(self._read_vm_list()),
             jitter=JITTER,
         )
-
-        self.timer.subscribe(
-            SYNC_INTERVAL_S, lambda now: self._synchronise(), jitter=JITTER
-        )
-        self._synchronise()
-
-    def _synchronise(self) -> None:
-        known = self.shell.entry.state.configuration
-        self.shell.spawn(self.platform.synchronise(known))
-        self.shell.spawn(self.platform.renew())
+        self.shell.spawn(self.configuration.run())
+        self.shell.spawn(self._renew_lease())
+
+    async def _renew_lease(self) -> None:
+        delay_s = await self.lease.renew()
+        if not self.shell.stopped.is_set():
+            due = self.shell.clock() + delay_s
+            self.timer.at(due, lambda now: self.shell.spawn(self._renew_lease()))
 
     def _ask_loads(self) -> None:
         for target in self.shell.entry.state.targets.states.values():
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/kv_link.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/kv_link.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import time
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncGenerator, Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import TypeVar
 
@@ -128,7 +128,7 @@
 
     async def watch(
         self, watched: Range
-    ) -> AsyncIterator[Result[WatchEvent | None, KeyValueFailure]]:
+    ) -> AsyncGenerator[Result[WatchEvent | None, KeyValueFailure], None]:
         """Changes of the keys, until the watch fails; the failure comes last.
 
         `None` says that the watch stands and nothing has changed since: read the
--- /dev/null
+++ b/packages/burdockhaven-entry/tests/test_admin_api.py
@@ -0,0 +1,181 @@
+"""The administration API over an entry's state and a service in memory."""
+
+import dataclasses
+
+import msgspec
+import pytest
+from litestar.testing import TestClient
+
+from burdockhaven_core.admin_messages import InForceReply, MembersReply
+from burdockhaven_core.configuration import Configuration
+from burdockhaven_core.configuration_codec import encode_json
+from burdockhaven_core.configuration_replica import ConfigurationReplica
+from burdockhaven_core.identity import MemberId
+from burdockhaven_entry.admin_api import AdminView, admin_app
+from burdockhaven_entry.configuration_sync import ConfigurationSync
+from burdockhaven_standins.key_value_memory import MemoryKeyValue
+from burdockhaven_standins.memory_link import MemoryLink
+from burdockhaven_standins.samples import ACCOUNT, TEMPLATE
+
+TOKEN = "operators-token-of-16"
+TEMPLATE_PATH = "/v1/templates/site"
+
+
+class Entry:
+    """What the API needs of an entry."""
+
+    def __init__(self):
+        self.service = MemoryKeyValue()
+        self.replica = ConfigurationReplica(MemberId("e1", "a"))
+        self.floor = 0
+        self.sync = ConfigurationSync(
+            MemoryLink(self.service),
+            lambda: self.replica.configuration,
+            lambda: self.floor,
+            lambda event: self.replica.take(event.configuration),
+        )
+        view = AdminView(
+            configuration=lambda: self.replica.configuration,
+            report_configuration=lambda: None,
+            in_force=lambda version: InForceReply(version, 1, 3),
+            members=lambda: MembersReply(()),
+            targets=lambda: None,
+            floors=lambda: None,
+            queues=lambda: None,
+        )
+        app = admin_app(view, self.sync, TOKEN)
+        self.client = TestClient(app)
+        self.client.headers["authorization"] = f"Bearer {TOKEN}"
+
+    def put(self, path, item, expected, name="operation-1", **more):
+        query = {"expected_version": expected, "operation_id": name} | more
+        return self.client.put(path, params=query, content=encode_json(item))
+
+
+@pytest.fixture
+def entry():
+    return Entry()
+
+
+def test_a_template_is_published_and_an_account_put_and_removed(entry):
+    first = entry.put(TEMPLATE_PATH, TEMPLATE, 0)
+    assert (first.status_code, first.json()["result"]) == (200, "accepted")
+    assert first.json()["in_force"] == {"version": 1, "on": 1, "of": 3}
+    second = entry.put("/v1/accounts/crew", ACCOUNT, 1, "operation-2")
+    assert second.json()["version"] == 2
+    query = {"expected_version": 2, "operation_id": "operation-3"}
+    assert entry.client.delete("/v1/accounts/crew", params=query).json()["version"] == 3
+    assert entry.replica.configuration.accounts == {}
+    changes = entry.client.get("/v1/history").json()["changes"]
+    assert [change["summary"] for change in changes] == [
+        "put template site",
+        "put account crew",
+        "delete account crew",
+    ]
+
+
+@pytest.mark.parametrize("header", ["", "Bearer ", "Bearer wrong", f"Basic {TOKEN}"])
+@pytest.mark.parametrize("path", ["/v1/members", "/v1/configuration"])
+def test_a_call_without_the_token_is_refused(entry, header, path):
+    answer = entry.client.get(path, headers={"authorization": header})
+    assert answer.status_code == 401
+    assert TOKEN not in answer.text
+
+
+def test_a_conflicting_change_names_the_winner(entry):
+    entry.put(TEMPLATE_PATH, TEMPLATE, 0, "operation-1", operator="ann")
+    answer = entry.put(TEMPLATE_PATH, TEMPLATE, 0, "operation-2")
+    assert answer.status_code == 409
+    assert answer.json()["winner"]["operator"] == "ann"
+    assert answer.json()["version"] == 1
+
+
+def test_a_change_asked_for_twice_is_made_once(entry):
+    answers = [entry.put(TEMPLATE_PATH, TEMPLATE, 0) for _ in range(2)]
+    assert [each.json()["version"] for each in answers] == [1, 1]
+    query = {"expected_version": 0}
+    found = entry.client.get("/v1/operations/operation-1", params=query)
+    assert found.json()["result"] == "accepted"
+    other = entry.client.get("/v1/operations/operation-9", params=query)
+    assert (other.status_code, other.json()["result"]) == (409, "conflict")
+
+
+def test_a_dry_run_changes_nothing(entry):
+    answer = entry.put(TEMPLATE_PATH, TEMPLATE, 0, dry_run="true")
+    assert (answer.status_code, answer.json()["result"]) == (200, "valid")
+    assert entry.service.items == {}
+    wrong = dataclasses.replace(TEMPLATE.classes[0], tier=99)
+    template = dataclasses.replace(TEMPLATE, classes=(wrong,))
+    answer = entry.put(TEMPLATE_PATH, template, 0, dry_run="true")
+    assert answer.status_code == 422
+    assert answer.json()["faults"][0]["path"] == "templates.site.classes.review.tier"
+
+
+@pytest.mark.parametrize(
+    ("query", "paths"),
+    [
+        ({}, ["expected_version", "operation_id"]),
+        ({"expected_version": "-1", "operation_id": "operation-1"}, None),
+        ({"expected_version": "1e3", "operation_id": "operation-1"}, None),
+        (
+            {"expected_version": "x", "operation_id": "a b", "dry_run": "no"},
+            ["expected_version", "operation_id", "dry_run"],
+        ),
+    ],
+)
+def test_all_faults_of_the_parameters_are_told_at_once(entry, query, paths):
+    body = encode_json(TEMPLATE)
+    answer = entry.client.put(TEMPLATE_PATH, params=query, content=body)
+    assert answer.status_code == 422
+    found = [fault["path"] for fault in answer.json()["faults"]]
+    assert found == (paths or ["expected_version"])
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"", b"{", b"[]", b'{"name": 1}', encode_json(ACCOUNT), b"\xff"],
+)
+def test_a_body_that_does_not_parse_is_refused(entry, body):
+    query = {"expected_version": 0, "operation_id": "operation-1"}
+    answer = entry.client.put(TEMPLATE_PATH, params=query, content=body)
+    assert (answer.status_code, answer.json()["result"]) == (422, "invalid")
+
+
+def test_an_oversize_body_is_refused(entry):
+    query = {"expected_version": 0, "operation_id": "operation-1"}
+    answer = entry.client.put(TEMPLATE_PATH, params=query, content=b"x" * (2 << 20))
+    assert answer.status_code == 413
+    assert answer.json()["error"] == "bad_request"
+
+
+def test_a_body_under_another_name_is_refused(entry):
+    answer = entry.put("/v1/templates/other", TEMPLATE, 0)
+    assert answer.json()["faults"][0]["path"] == "$.name"
+
+
+def test_during_an_outage_a_change_is_refused_and_the_entry_still_answers(entry):
+    entry.service.down = True
+    answer = entry.put(TEMPLATE_PATH, TEMPLATE, 0)
+    assert (answer.status_code, answer.json()["result"]) == (503, "not_done")
+    assert entry.client.get("/v1/history").status_code == 503
+    assert entry.client.get("/v1/members").status_code == 200
+
+
+def test_a_service_that_went_back_is_written_before_the_change(entry):
+    entry.put(TEMPLATE_PATH, TEMPLATE, 0)
+    entry.service.restore(MemoryKeyValue().snapshot())
+    answer = entry.put("/v1/accounts/crew", ACCOUNT, 1, "operation-2")
+    assert (answer.json()["result"], answer.json()["version"]) == ("accepted", 2)
+
+
+def test_an_entry_that_has_not_heard_all_members_refuses_changes(entry):
+    entry.floor = None
+    answer = entry.put(TEMPLATE_PATH, TEMPLATE, 0)
+    assert answer.json()["result"] == "not_done"
+    assert entry.replica.configuration == Configuration()
+
+
+def test_the_answers_are_described(entry):
+    described = entry.client.get("/schema/openapi.json")
+    paths = msgspec.json.decode(described.content)["paths"]
+    assert "/v1/templates/{name}" in paths
--- /dev/null
+++ b/tools/burdockhaven_standins/memory_link.py
@@ -0,0 +1,51 @@
+"""A link to the key-value service in memory, with the interface of the daemon's."""
+
+import random
+from collections.abc import AsyncGenerator
+from dataclasses import dataclass, field
+from typing import TypeVar
+
+from result import Err, Ok, Result
+
+from burdockhaven_core.key_value import (
+    CallResult,
+    Command,
+    FailureKind,
+    KeyValueFailure,
+    KeyValueSteps,
+    Range,
+    WatchEvent,
+)
+from burdockhaven_entry.call_budget import Backoff
+from burdockhaven_standins.key_value_memory import MemoryKeyValue
+
+T = TypeVar("T")
+
+
+@dataclass(slots=True)
+class MemoryLink:
+    """Runs commands against the service in memory."""
+
+    service: MemoryKeyValue
+    backoff: Backoff = field(default_factory=lambda: Backoff(random.Random(1)))
+    # Fails the next calls, one each: True if the call takes effect all the same.
+    lose: list[bool] = field(default_factory=list)
+
+    async def call(self, command: Command) -> CallResult:
+        """Make one call."""
+        if not self.lose:
+            return self.service.call(command)
+        if self.lose.pop(0):
+            return self.service.call_and_lose_answer(command)
+        return self.service.failure(FailureKind.AMBIGUOUS, command)
+
+    async def run(self, steps: KeyValueSteps[T]) -> T:
+        """Run a decision to its end."""
+        return self.service.run(steps)
+
+    async def watch(
+        self, watched: Range
+    ) -> AsyncGenerator[Result[WatchEvent | None, KeyValueFailure], None]:
+        """A watch that stands and then breaks."""
+        yield Ok(None)
+        yield Err(KeyValueFailure(FailureKind.NOT_DONE, "watch", "memory", "end"))
