--- a/packages/burdockhaven-core/src/burdockhaven_core/dispatching.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/dispatching.py
@@ -1,6 +1,9 @@
 """Moves requests from the queues to the targets."""
 
+import itertools
+
 from burdockhaven_core.actions import StartRun
+from burdockhaven_core.choosing import Choice, NoTarget
 from burdockhaven_core.entry_state import EntryState
 from burdockhaven_core.floor import Admission
 from burdockhaven_core.identity import GroupName
@@ -55,13 +58,13 @@
     """Dispatch what can go of one tier; False if no target is left for anybody."""
     while True:
         sent = False
-        for request in queue.heads(tier):
-            target = _choose(state, request, targets, now)
-            if target is not None:
-                dispatch(state, group, queue, request, target, now)
+        for request in itertools.chain(queue.heads(tier), queue.newest(tier)):
+            choice = _choose(state, request, targets, now)
+            if isinstance(choice, TargetState):
+                dispatch(state, group, queue, request, choice, now)
                 sent = True
                 break
-            if request.targets is None:
+            if choice is NoTarget.FULL and request.targets is None:
                 return False
         if not sent:
             return True
@@ -72,7 +75,7 @@
     request: QueuedRequest,
     targets: list[TargetState],
     now: float,
-) -> TargetState | None:
+) -> Choice:
     allowed = request.targets
     if allowed is not None:
         targets = [target for target in targets if target.spec.name in allowed]
@@ -101,5 +104,6 @@
             run_id=run_id,
             target=target.spec,
             fresh_connection=request.fresh_connection,
+            deadline_s=request.deadline_s,
         )
     )
--- a/packages/burdockhaven-core/src/burdockhaven_core/filters/plan.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/filters/plan.py
@@ -9,10 +9,15 @@
 from burdockhaven_core.filters.authorise import Authorised
 from burdockhaven_core.identity import RunId
 from burdockhaven_core.outcome import NotRun, NotRunReason
+from burdockhaven_core.prediction import LengthEstimate
 from burdockhaven_core.queueing import QueuedRequest
 from burdockhaven_core.targets import TargetState
 
 MS_PER_S = 1_000.0
+# The part of a request's slack that may be kept in reserve for a long answer.
+MAX_SPARE_PART = 0.5
+# Seconds that stand for no time at all in a division.
+TINY_S = 1e-9
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,12 +32,12 @@
     run_id: RunId,
     authorised: Authorised,
     targets: Sequence[TargetState],
-    output_tokens: int,
+    length: LengthEstimate,
     now: float,
 ) -> Result[Planned, NotRun]:
     """The request with its deadline and latest start, or why it cannot be served.
 
-    `targets` are those of the group that take new work; `output_tokens` is the
+    `targets` are those of the group that take new work; `length` is the
     predicted length of the answer.
     """
     spec = authorised.spec
@@ -42,7 +47,8 @@
         detail = f"no target of group {spec.group!r} takes work for the account"
         return Err(NotRun(NotRunReason.NO_TARGET, detail, retry_after_s=5.0))
     deadline_ms = min(arrival.deadline_ms or spec.deadline_ms, spec.deadline_ms)
-    service_s = min(t.service_s(arrival.prompt_tokens, output_tokens) for t in usable)
+    prompt_tokens = arrival.prompt_tokens
+    service_s = min(t.service_s(prompt_tokens, length.mean) for t in usable)
     deadline_s = now + deadline_ms / MS_PER_S
     if now + service_s > deadline_s:
         detail = (
@@ -50,6 +56,11 @@
             f"its deadline is {deadline_ms / MS_PER_S:.1f} s"
         )
         return Err(NotRun(NotRunReason.INFEASIBLE, detail))
+    longest_s = min(t.service_s(prompt_tokens, length.high) for t in usable)
+    spare_s = (deadline_s - service_s - now) * MAX_SPARE_PART
+    part = min(1.0, spare_s / max(spare_s, longest_s - service_s, TINY_S))
+    long_tokens = length.mean + part * (length.high - length.mean)
+    latest_start_s = deadline_s - service_s - part * (longest_s - service_s)
     return Ok(
         Planned(
             QueuedRequest(
@@ -58,13 +69,15 @@
                 tier=spec.tier,
                 weight=authorised.account.weight,
                 prompt_tokens=arrival.prompt_tokens,
-                output_tokens=output_tokens,
+                output_tokens=max(1, round(length.mean)),
                 prefix=arrival.prefix,
                 arrived_s=now,
                 deadline_s=deadline_s,
-                latest_start_s=deadline_s - service_s,
+                latest_start_s=latest_start_s,
                 targets=None if allowed is None else frozenset(allowed),
                 fresh_connection=not spec.idempotent,
+                service_s=service_s,
+                long_output_tokens=max(1, round(long_tokens)),
             )
         )
     )
--- a/packages/burdockhaven-core/src/burdockhaven_core/messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/messages.py
@@ -17,6 +17,9 @@
     in_flight: dict[TargetName, int]
     # Requests under way, by tier, the lowest first.
     running: tuple[int, ...] = ()
+    # Token intervals measured lately in microseconds, 0 for none, in the order of the
+    # group's targets at the configuration version of the heartbeat.
+    intervals_us: tuple[int, ...] = ()
 
 
 class Standing(enum.IntEnum):
@@ -131,12 +134,12 @@
 
 
 class ConfigurationOffer(msgspec.Struct, frozen=True, array_like=True, tag=5):
-    """A whole configuration, sent to a member that has an older one."""
+    """A configuration, sent to a member that has an older one."""
 
     entry: EntryName
     incarnation: Incarnation
     version: int
-    # The configuration as MessagePack.
+    # The index and the parts that the receiver lacks, see `configuration_parts`.
     body: bytes
 
 
@@ -146,6 +149,8 @@
     entry: EntryName
     incarnation: Incarnation
     have_version: int
+    # Digests of the parts that the asker has.
+    digests: tuple[str, ...] = ()
 
 
 PeerMessage = (
--- a/packages/burdockhaven-core/src/burdockhaven_core/shares.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/shares.py
@@ -7,7 +7,6 @@
 else depends on them.
 """
 
-import hashlib
 import math
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
@@ -15,6 +14,7 @@
 from burdockhaven_core.actions import SendMessage
 from burdockhaven_core.identity import GroupName, MemberId, TargetName
 from burdockhaven_core.messages import GroupDemand, Heartbeat, ShareGrant
+from burdockhaven_core.rendezvous import pick_members
 from burdockhaven_core.targets import TargetTable
 
 # Seconds between two grants of a coordinator.
@@ -38,6 +38,8 @@
     # Requests under way, by target.
     in_flight: Mapping[TargetName, int]
     heard_s: float
+    # Requests queued by tier, the lowest first, as last heard.
+    queued: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +86,14 @@
             return 0
         return math.ceil(state.capacity / len(self.members))
 
+    def queued_elsewhere(self, group: GroupName, tier: int, now: float) -> int:
+        """Requests of a tier or higher that other members had queued lately."""
+        return sum(
+            sum(need.queued[tier:])
+            for member, need in self.needs.get(group, {}).items()
+            if member != self.me and need.heard_s > now - DEMAND_LASTS_S
+        )
+
     def apply(self, now: float) -> None:
         """Put the limits in force at the targets' states."""
         for group, names in self.targets.groups.items():
@@ -138,12 +148,12 @@
         wanted = _wanted(demand)
         if before is not None:
             wanted = _smoothed(before.by_tier, wanted)
-        by_member[member] = MemberNeed(wanted, demand.in_flight, now)
+        by_member[member] = MemberNeed(wanted, demand.in_flight, now, demand.queued)
 
 
 def coordinator(group: GroupName, members: Sequence[MemberId]) -> MemberId:
     """The member that grants shares of the group, by rendezvous hashing."""
-    return max(members, key=lambda member: _score(group, member))
+    return pick_members(group, members, 1)[0]
 
 
 def divide(
@@ -237,8 +247,3 @@
 
 def _at(numbers: Sequence[float], index: int) -> float:
     return numbers[index] if index < len(numbers) else 0.0
-
-
-def _score(group: GroupName, member: MemberId) -> bytes:
-    text = f"{group}\0{member.entry}\0{member.incarnation}"
-    return hashlib.blake2b(text.encode(), digest_size=8).digest()
--- a/packages/burdockhaven-core/src/burdockhaven_core/targets.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/targets.py
@@ -4,26 +4,40 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 from burdockhaven_core.configuration import Configuration, GroupKind, TargetSpec
 from burdockhaven_core.identity import GroupName, RunId, TargetName
+from burdockhaven_core.messages import GroupDemand
 
 # Weight of the newest sample in a moving average.
 AVERAGE_WEIGHT = 0.1
+# Weight of the newest call in the average pace of a plain service.
+CALL_WEIGHT = 0.1
+# Pace of a plain service that has not been used yet.
+DEFAULT_PACE_S = 0.001
 # Seconds of streaming that the average of token intervals covers.
 DECODE_AVERAGE_S = 4.0
 # Seconds between tokens assumed of a target that has not been used yet.
 DEFAULT_TOKEN_INTERVAL_S = 0.04
 # Prompt tokens a second assumed of a target that has not been used yet.
 DEFAULT_PREFILL_RATE = 8_000.0
+# Prompts at least this long count in full in the average prefill rate.
+FULL_WEIGHT_PROMPT_TOKENS = 4_000
+# Weight of another entry's measurement of a target's speed.
+ELSEWHERE_WEIGHT = 0.1
+# Seconds for which a measurement of a target's speed is told to others.
+MEASURED_LASTS_S = 2.0
+US_PER_S = 1_000_000
 # Seconds that a run is assumed to hold a slot of a target not used yet.
 DEFAULT_HOLD_S = 10.0
 # Seconds that a request may be kept from its slot by others already at the target.
 TARGET_QUEUE_S = 0.5
 # Requests beyond its slots that a target may have, as a multiple of the slots.
 MAX_OVERCOMMIT = 2.0
+# The same at least: some requests are in prefill and use no slot yet.
+MIN_OVERCOMMIT = 0.2
 # Seconds for which a target that refused a connection gets no new work.
 REFUSAL_PAUSE_S = 1.0
 
@@ -40,13 +54,16 @@
 class TargetState:
     """One target as seen by this entry."""
 
-    def __init__(self, spec: TargetSpec) -> None:
+    def __init__(
+        self, spec: TargetSpec, interval_s: float = DEFAULT_TOKEN_INTERVAL_S
+    ) -> None:
         self.spec = spec
         # Runs of this entry that hold a slot of the target.
         self.runs: set[RunId] = set()
         self.report: LoadReport | None = None
-        # Moving average of the seconds between tokens.
-        self.token_interval_s = DEFAULT_TOKEN_INTERVAL_S
+        # Moving average of the seconds between tokens; for a plain service, of the
+        # seconds in which it does a millisecond's work of its fastest equal.
+        self.token_interval_s = interval_s
         # Moving averages of the prompt tokens of a run and of the seconds from its
         # dispatch to the first token.
         self.prompt_tokens = DEFAULT_PREFILL_RATE
@@ -57,6 +74,8 @@
         self.limit = spec.slots
         # No new work before this time.
         self.paused_until_s = 0.0
+        # When this entry last measured the token interval.
+        self.measured_s = -math.inf
         # When each run last gave tokens.
         self.progressed_s: dict[RunId, float] = {}
 
@@ -77,8 +96,9 @@
         The slots are kept full between grants by a few more, which wait at the target
         for no longer than `TARGET_QUEUE_S`.
         """
-        overcommit = min(MAX_OVERCOMMIT, TARGET_QUEUE_S / self.hold_s)
-        return math.ceil(self.spec.slots * (1.0 + overcommit))
+        overcommit = TARGET_QUEUE_S / self.hold_s
+        overcommit = min(MAX_OVERCOMMIT, max(MIN_OVERCOMMIT, overcommit))
+        return math.floor(self.spec.slots * (1.0 + overcommit))
 
     def service_s(self, prompt_tokens: int, output_tokens: float) -> float:
         """Predicted seconds from dispatch to the end of the answer."""
@@ -89,23 +109,44 @@
         """Take in the time from a dispatch to its first token."""
         if prompt_tokens == 0 or seconds <= 0:
             return
-        self.prompt_tokens += AVERAGE_WEIGHT * (prompt_tokens - self.prompt_tokens)
-        self.prefill_s += AVERAGE_WEIGHT * (seconds - self.prefill_s)
+        # A short prompt mostly waits for others, which says little on the rate.
+        weight = AVERAGE_WEIGHT * min(1.0, prompt_tokens / FULL_WEIGHT_PROMPT_TOKENS)
+        self.prompt_tokens += weight * (prompt_tokens - self.prompt_tokens)
+        self.prefill_s += weight * (seconds - self.prefill_s)
 
     def learn_decode(self, run_id: RunId, tokens: int, now: float) -> None:
         """Take in tokens of a run that has given some before."""
         seconds = now - self.progressed_s.get(run_id, now)
         if tokens <= 0 or seconds <= 0:
             return
+        self.measured_s = now
         weight = min(1.0, seconds / DECODE_AVERAGE_S)
         interval_s = seconds / tokens
         self.token_interval_s += weight * (interval_s - self.token_interval_s)
 
+    def measured_us(self, now: float) -> int:
+        """The token interval in microseconds; 0 if it was not measured lately."""
+        if now - self.measured_s > MEASURED_LASTS_S:
+            return 0
+        return round(self.token_interval_s * US_PER_S)
+
+    def learn_elsewhere(self, measured_us: int) -> None:
+        """Take in another entry's measurement."""
+        if measured_us > 0:
+            difference_s = measured_us / US_PER_S - self.token_interval_s
+            self.token_interval_s += ELSEWHERE_WEIGHT * difference_s
+
     def forget(self, run_id: RunId) -> None:
         """Free the slot of a run."""
         self.runs.discard(run_id)
         self.progressed_s.pop(run_id, None)
 
+    def learn_call(self, predicted_ms: int, seconds: float, now: float) -> None:
+        """Take in the time that a call of a plain service took."""
+        self.measured_s = now
+        pace = seconds / max(1, predicted_ms)
+        self.token_interval_s += CALL_WEIGHT * (pace - self.token_interval_s)
+
     def learn_hold(self, seconds: float) -> None:
         """Take in the time from a dispatch to the end of the answer."""
         self.hold_s += AVERAGE_WEIGHT * (seconds - self.hold_s)
@@ -128,7 +169,9 @@
                 names = tuple(target.name for target in group.targets)
                 known = self.groups.get(group.name, ())
                 self.groups[group.name] = tuple(dict.fromkeys(known + names))
-                self._add(group.targets)
+                is_service = group.kind is GroupKind.SERVICE
+                pace_s = DEFAULT_PACE_S if is_service else DEFAULT_TOKEN_INTERVAL_S
+                self._add(group.targets, pace_s)
         wanted = {name for names in self.groups.values() for name in names}
         for name in list(self.states):
             if name not in wanted and not self.states[name].runs:
@@ -138,10 +181,22 @@
         """The targets of a group."""
         return tuple(self.states[name] for name in self.groups.get(group, ()))
 
-    def _add(self, specs: Iterable[TargetSpec]) -> None:
+    def learn_elsewhere(self, demands: Sequence[GroupDemand]) -> None:
+        """Take in the speeds that another entry measured."""
+        for demand in demands:
+            states = self.of_group(demand.group)
+            if len(states) == len(demand.intervals_us):
+                for state, measured_us in zip(states, demand.intervals_us, strict=True):
+                    state.learn_elsewhere(measured_us)
+
+    def fastest_interval_s(self, group: GroupName) -> float:
+        """The least token interval of the targets of a group."""
+        return min(state.token_interval_s for state in self.of_group(group))
+
+    def _add(self, specs: Iterable[TargetSpec], interval_s: float) -> None:
         for spec in specs:
             state = self.states.get(spec.name)
             if state is None:
-                self.states[spec.name] = TargetState(spec)
+                self.states[spec.name] = TargetState(spec, interval_s)
             else:
                 state.spec = spec
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/target_link.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/target_link.py
@@ -5,12 +5,11 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import httpx
 import msgspec
-from httpx_sse import EventSource
 
 from burdockhaven_core.configuration import TargetSpec
 from burdockhaven_core.events import (
@@ -22,10 +21,16 @@
     RunRefused,
 )
 from burdockhaven_core.identity import RunId
+from burdockhaven_entry.event_stream import (
+    NotConnectedError,
+    StreamBrokenError,
+    StreamRequest,
+    StreamTimeouts,
+    read_stream,
+)
 from burdockhaven_entry.relay import Chunk, Relay
 from burdockhaven_entry.target_wire import (
     CompletionAsk,
-    CompletionChunk,
     CompletionUsage,
     ServiceCall,
     chunk_decoder,
@@ -36,6 +41,8 @@
 
 # Seconds for a new connection to a target.
 CONNECT_TIMEOUT_S = 2.0
+# Seconds for a target to tell its load.
+LOAD_TIMEOUT_S = 2.0
 # Seconds without a byte after which a connection is taken for a silent one.
 GAP_TIMEOUT_S = 5.0
 # Fresh connections in a row that bring no token before a run is given up.
@@ -47,6 +54,10 @@
 # Tokens of one run between two reports of its progress to the core.
 PROGRESS_TOKENS = 16
 
+STREAM_TIMEOUTS = StreamTimeouts(connect_s=CONNECT_TIMEOUT_S, gap_s=GAP_TIMEOUT_S)
+# Data of the event that follows the last one of a run.
+DONE = "[DONE]"
+
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
 HTTP_UNAVAILABLE = 503
@@ -64,6 +75,8 @@
     model: str
     prompt: str
     max_output_tokens: int
+    # When the answer is wanted whole, in monotonic seconds.
+    deadline_s: float
 
 
 class _NotAcceptedError(Exception):
@@ -81,27 +94,36 @@
 class TargetLink:
     """The daemon's client of engines and plain services."""
 
-    def __init__(self, report: Report) -> None:
+    def __init__(self, report: Report, clock: Callable[[], float]) -> None:
         self.report = report
+        # Gives monotonic seconds.
+        self.clock = clock
         self.client = httpx.AsyncClient(
             timeout=httpx.Timeout(GAP_TIMEOUT_S, connect=CONNECT_TIMEOUT_S, pool=None),
             limits=httpx.Limits(max_connections=None, max_keepalive_connections=0),
             trust_env=False,
         )
+        # Keeps its connections: a question for the load may be lost or repeated.
+        self.load_client = httpx.AsyncClient(
+            timeout=LOAD_TIMEOUT_S, limits=httpx.Limits(), trust_env=False
+        )
 
     async def close(self) -> None:
         """Close all connections."""
         await self.client.aclose()
+        await self.load_client.aclose()
 
     async def run_model(self, order: RunOrder, relay: Relay) -> None:
         """Run a request on an engine; report how it went."""
         try:
             usage = await self._start(order, relay)
             if usage is None:
-                usage = await self._resume(order.run_id, order.target, relay)
+                usage = await self._resume(
+                    order.run_id, order.target, relay, order.deadline_s
+                )
         except _NotAcceptedError as error:
             self._refused(order, str(error), error.leaving)
-        except (_BrokenAnswerError, httpx.HTTPError) as error:
+        except _BrokenAnswerError as error:
             detail = f"target {order.target.name}: {error or type(error).__name__}"
             self.report(RunLost(order.run_id, detail))
         else:
@@ -139,13 +161,13 @@
         for target in targets:
             try:
                 usage = await self._read_again(run_id, target, relay)
-                if usage is None and relay.length == 0:
+                if usage is None and not relay.chunks:
                     continue
                 relay.target = target.name
                 if usage is None:
                     await self._resume(run_id, target, relay)
-            except (httpx.HTTPError, _BrokenAnswerError):
-                if relay.length == 0:
+            except (NotConnectedError, _BrokenAnswerError):
+                if not relay.chunks:
                     continue
                 return False
             relay.finish()
@@ -162,7 +184,7 @@
     async def ask_load(self, target: TargetSpec) -> None:
         """Ask a target for its load and report the answer, if there is one."""
         try:
-            response = await self.client.get(f"{target.address}/load")
+            response = await self.load_client.get(f"{target.address}/load")
             load = load_decoder.decode(response.content)
         except (httpx.HTTPError, msgspec.DecodeError):
             return
@@ -177,32 +199,40 @@
             request_id=order.run_id,
         )
         url = f"{order.target.address}/v1/completions"
+        request = StreamRequest("POST", url, msgspec.json.encode(ask))
+        reader = _RunReader(order.run_id, relay, self.report)
         try:
-            async with self.client.stream(
-                "POST", url, content=msgspec.json.encode(ask)
-            ) as response:
-                if response.status_code != HTTP_OK:
-                    _check_accepted(response.status_code, await response.aread())
-                return await self._read(response, order.run_id, relay)
-        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            end = await read_stream(request, STREAM_TIMEOUTS, reader.on_event)
+        except NotConnectedError as error:
             raise _NotAcceptedError(f"no connection: {error}") from error
-        except httpx.TransportError:
+        except StreamBrokenError:
             return None
+        _check_accepted(end.status, end.body)
+        return reader.usage
 
     async def _resume(
-        self, run_id: RunId, target: TargetSpec, relay: Relay
+        self,
+        run_id: RunId,
+        target: TargetSpec,
+        relay: Relay,
+        prefill_until_s: float = 0.0,
     ) -> CompletionUsage:
-        """Read the rest of a run on new connections, as long as tokens come."""
+        """Read the rest of a run on new connections, as long as tokens come.
+
+        Before its first token a run may wait for its prefill, and the target that can
+        be reached is asked again until the time given.
+        """
         idle = 0
         while idle < MAX_IDLE_RESUMES:
             length = relay.length
+            waits = not relay.chunks and self.clock() < prefill_until_s
             try:
                 usage = await self._read_again(run_id, target, relay)
-            except httpx.TransportError:
-                usage = None
+            except NotConnectedError:
+                usage, waits = None, False
             if usage is not None:
                 return usage
-            idle = 0 if relay.length > length else idle + 1
+            idle = 0 if waits or relay.length > length else idle + 1
             await asyncio.sleep(RESUME_PAUSE_S)
         raise _BrokenAnswerError(f"silent after token {relay.length}")
 
@@ -210,38 +240,19 @@
         self, run_id: RunId, target: TargetSpec, relay: Relay
     ) -> CompletionUsage | None:
         """Read a run from where the relay ends; None if it broke off again."""
-        url = f"{target.address}/v1/completions/{run_id}"
-        async with self.client.stream(
-            "GET", url, params={"offset": relay.length}
-        ) as response:
-            if response.status_code == HTTP_NOT_FOUND:
-                raise _BrokenAnswerError("the target no longer holds the run")
-            if response.status_code != HTTP_OK:
-                raise _BrokenAnswerError(f"status {response.status_code} on a resume")
-            try:
-                return await self._read(response, run_id, relay)
-            except httpx.TransportError:
-                return None
-
-    async def _read(
-        self, response: httpx.Response, run_id: RunId, relay: Relay
-    ) -> CompletionUsage | None:
-        """Relay chunks until the last one; None if the stream ends before it."""
-        unreported = 0
-        async for chunk in _chunks(response):
-            if chunk.id != run_id:
-                raise _BrokenAnswerError(f"a chunk of run {chunk.id} arrived")
-            for choice in chunk.choices:
-                if choice.token_count:
-                    first = relay.length == 0
-                    _add(relay, chunk.offset, choice.token_count, choice.text)
-                    unreported += choice.token_count
-                    if first or unreported >= PROGRESS_TOKENS:
-                        self.report(RunProgressed(run_id, unreported))
-                        unreported = 0
-                if choice.finish_reason is not None:
-                    return _check_whole(chunk.usage, relay)
-        return None
+        url = f"{target.address}/v1/completions/{run_id}?offset={relay.length}"
+        reader = _RunReader(run_id, relay, self.report)
+        try:
+            end = await read_stream(
+                StreamRequest("GET", url), STREAM_TIMEOUTS, reader.on_event
+            )
+        except StreamBrokenError:
+            return None
+        if end.status == HTTP_NOT_FOUND:
+            raise _BrokenAnswerError("the target no longer holds the run")
+        if end.status != HTTP_OK:
+            raise _BrokenAnswerError(f"status {end.status} on a resume")
+        return reader.usage
 
     def _finished(self, run_id: RunId, relay: Relay, usage: CompletionUsage) -> None:
         relay.finish()
@@ -264,21 +275,48 @@
     raise _BrokenAnswerError(f"status {status}")
 
 
-async def _chunks(response: httpx.Response) -> AsyncIterator[CompletionChunk]:
-    async for event in EventSource(response).aiter_sse():
-        if event.data == "[DONE]":
-            return
+class _RunReader:
+    """Checks the events of a run and adds their tokens to its relay."""
+
+    def __init__(self, run_id: RunId, relay: Relay, report: Report) -> None:
+        self.run_id = run_id
+        self.relay = relay
+        self.report = report
+        # What the run has cost; None until its last event.
+        self.usage: CompletionUsage | None = None
+        # Tokens since the last report of progress.
+        self.unreported = 0
+
+    def on_event(self, data: str) -> bool:
+        """Take in one event; True for the last one."""
+        if not data:
+            return False
+        if data == DONE:
+            return True
         try:
-            yield chunk_decoder.decode(event.data)
+            chunk = chunk_decoder.decode(data)
         except msgspec.DecodeError as error:
             raise _BrokenAnswerError(f"unreadable chunk: {error}") from error
+        if chunk.id != self.run_id:
+            raise _BrokenAnswerError(f"a chunk of run {chunk.id} arrived")
+        for choice in chunk.choices:
+            if choice.token_count:
+                self._add(Chunk(chunk.offset, choice.token_count, choice.text))
+            if choice.finish_reason is not None:
+                self.usage = _check_whole(chunk.usage, self.relay)
+                return True
+        return False
 
-
-def _add(relay: Relay, offset: int, count: int, text: str) -> None:
-    try:
-        relay.add(Chunk(offset, count, text))
-    except ValueError as error:
-        raise _BrokenAnswerError(str(error)) from error
+    def _add(self, chunk: Chunk) -> None:
+        first = not self.relay.chunks
+        try:
+            self.relay.add(chunk)
+        except ValueError as error:
+            raise _BrokenAnswerError(str(error)) from error
+        self.unreported += chunk.count
+        if first or self.unreported >= PROGRESS_TOKENS:
+            self.report(RunProgressed(self.run_id, self.unreported))
+            self.unreported = 0
 
 
 def _check_whole(usage: CompletionUsage | None, relay: Relay) -> CompletionUsage:
--- a/tools/burdockhaven_standins/processes.py
+++ b/tools/burdockhaven_standins/processes.py
@@ -12,7 +12,7 @@
 READY_TIMEOUT_S = 20.0
 # Seconds in which a process has to end after SIGTERM.
 STOP_TIMEOUT_S = 10.0
-READY_WORD = "ready "
+READY_WORD = "ready"
 
 
 class NotReadyError(Exception):
@@ -45,7 +45,8 @@
         started = cls(name, process)
         threading.Thread(target=started._read_output, daemon=True).start()
         try:
-            started.ready = started.wait_for_line(READY_WORD)[len(READY_WORD) :]
+            line = started.wait_for_line(READY_WORD)
+            started.ready = line[len(READY_WORD) :].strip()
         except BaseException:
             started.kill()
             raise
@@ -73,11 +74,15 @@
         """Sends a signal to just this process."""
         self.process.send_signal(number)
 
-    def stop(self) -> int:
-        """Asks the process to stop and gives its exit code; kills it if it stays."""
+    def ask_to_stop(self) -> None:
+        """Sends SIGTERM, also to a paused process."""
         if self.process.poll() is None:
-            self.signal(signal.SIGCONT)
             self.signal(signal.SIGTERM)
+            self.signal(signal.SIGCONT)
+
+    def stop(self) -> int:
+        """Asks the process to stop and gives its exit code; kills it if it stays."""
+        self.ask_to_stop()
         return self.wait()
 
     def wait(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
@@ -102,7 +107,7 @@
 
 @dataclass(slots=True)
 class ProcessGroup:
-    """Processes that are stopped together, the last started first."""
+    """Processes that are stopped together."""
 
     running: list[RunningProcess] = field(default_factory=list)
 
@@ -126,4 +131,6 @@
     def stop(self) -> None:
         """Stops all of them."""
         for process in reversed(self.running):
-            process.stop()
+            process.ask_to_stop()
+        for process in self.running:
+            process.wait()
