--- a/packages/burdockhaven-core/src/burdockhaven_core/log_numbers.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/log_numbers.py
@@ -48,6 +48,7 @@
     ORDERS_TAKEN = 503
     ORDER_DONE = 504
     ORDER_FAILED = 505
+    TARGET_ENTRY_UNREADABLE = 506
 
     # Floors: the lowest tier that a group admits.
     FLOOR_CLOSED = 601
--- /dev/null
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -0,0 +1,363 @@
+"""Places the requests of all members on the model engines, from one queue.
+
+Each member has a broker; the members ask the one that has run longest, and their own
+when no other answers. A broker that takes over learns from the members' reports what is
+under way.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from burdockhaven_core.scheduling.engine_load import EngineLoad, Run
+from burdockhaven_core.scheduling.peer_messages import (
+    Ask,
+    MemberName,
+    Progress,
+    Reply,
+    Report,
+    RunEnd,
+    RunNews,
+    RunState,
+    Verdict,
+)
+from burdockhaven_core.scheduling.placement import Placement, PlacementNeed, place
+from burdockhaven_core.scheduling.quotas import QuotaRule, Quotas, quota_cost
+from burdockhaven_core.scheduling.routing import Account, RoutingTable
+from burdockhaven_core.scheduling.sliding_window import SlidingWindow
+from burdockhaven_core.scheduling.target_registry import TargetEntry
+
+# Seconds that a grant may be missing from its member's reports before it counts as
+# lost; a report may have left before the grant arrived.
+GRANT_SETTLE_S = 0.4
+# Seconds over which the rate of finished runs is measured.
+RATE_WINDOW_S = 2.0
+# Seconds of a request's time that its run is assumed to need at least.
+LEAST_RUN_S = 0.25
+# Seconds for a client to come back, at least and at most.
+RETRY_AFTER_MIN_S = 0.3
+RETRY_AFTER_MAX_S = 4.0
+# Engine limits assumed for a service whose configuration states none.
+DEFAULT_CACHE_TOKENS = 500_000
+DEFAULT_TOKENS_PER_EVENT = 1
+
+AskKey = tuple[str, int, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """A reply and the member that gets it."""
+
+    to: MemberName
+    reply: Reply
+
+
+@dataclass(slots=True)
+class Waiting:
+    """A request in the queue."""
+
+    ask: Ask
+    arrived_s: float
+    # Monotonic seconds at which the first event is late, and the request is given up.
+    objective_s: float
+    deadline_s: float
+
+    def order(self, now: float) -> tuple[int, bool, bool, float]:
+        """Sorts the queue: urgent tiers, then what can still be on time."""
+        late = self.objective_s - now < LEAST_RUN_S / 2
+        return (self.ask.priority, late, not self.ask.returning, self.arrived_s)
+
+
+class Broker:
+    """The queue, the engines' load and the quotas."""
+
+    def __init__(self, rule: QuotaRule) -> None:
+        self.table: RoutingTable | None = None
+        self.quotas = Quotas(rule)
+        self.engines: dict[str, EngineLoad] = {}
+        # Engines that take new work, by service.
+        self.open_by_service: dict[str, list[EngineLoad]] = {}
+        self.queue: dict[AskKey, Waiting] = {}
+        self.granted: dict[AskKey, str] = {}
+        self.ended: dict[str, SlidingWindow] = {}
+        self.accounts: dict[str, Account] = {}
+        # Members whose whole usage was taken in.
+        self.known_usage: set[tuple[str, int]] = set()
+        # Part of each engine's slots that this broker may fill.
+        self.slot_share = 1.0
+
+    def set_table(self, table: RoutingTable) -> None:
+        """Use the quotas and engine limits of this configuration."""
+        self.table = table
+        keys = table.account_of_key or {}
+        self.accounts = {account.name: account for account in keys.values()}
+
+    def exhausted(self, now: float) -> tuple[str, ...]:
+        """The accounts that may send nothing more for the moment."""
+        return tuple(
+            account.name
+            for account in self.accounts.values()
+            if not self.quotas.admits(account, account.default_tokens, now)
+        )
+
+    def set_targets(
+        self, entries: Mapping[str, TargetEntry], leaving: set[str]
+    ) -> None:
+        """Use these targets; what is under way at others is forgotten."""
+        for target in self.engines.keys() - entries.keys():
+            del self.engines[target]
+        self.open_by_service = {}
+        for entry in entries.values():
+            engine = self._engine(entry)
+            if not entry.draining and entry.id not in leaving:
+                self.open_by_service.setdefault(entry.service, []).append(engine)
+
+    def ask(self, ask: Ask, now: float) -> Reply:
+        """Grant a target, queue the request or refuse it."""
+        key = (ask.sender.node, ask.sender.boot, ask.number)
+        granted = self.granted.get(key)
+        if granted is not None:
+            return Reply(ask.number, Verdict.GRANTED, granted)
+        if key in self.queue:
+            return Reply(ask.number, Verdict.QUEUED)
+        account = self.accounts.get(ask.account)
+        cost = quota_cost(account, ask.prompt_tokens, ask.output_tokens)
+        if account is not None and not self.quotas.admits(account, cost, now):
+            wait_s = self.quotas.retry_after_s(account, cost, now)
+            return _refusal(ask, Verdict.OVER_QUOTA, wait_s)
+        waiting = Waiting(
+            ask, now, now + ask.objective_ms / 1e3, now + ask.deadline_ms / 1e3
+        )
+        ahead = self._ahead_of(waiting, now)
+        if not ahead:
+            found = self._find(waiting, now)
+            if found is not None:
+                return self._grant(key, waiting, found, now)
+        wait_s = self._wait_s(ask.service, len(ahead) + 1, now)
+        if now + wait_s + LEAST_RUN_S > waiting.deadline_s:
+            return _refusal(ask, Verdict.OVERLOADED, wait_s)
+        self.queue[key] = waiting
+        return Reply(ask.number, Verdict.QUEUED)
+
+    def pump(self, now: float) -> list[Answered]:
+        """Grant what fits now and refuse what can't be served in time any more."""
+        out: list[Answered] = []
+        ranks: dict[str, int] = {}
+        ordered = sorted(self.queue.items(), key=lambda item: item[1].order(now))
+        for key, waiting in ordered:
+            ask = waiting.ask
+            found = self._find(waiting, now)
+            if found is not None:
+                del self.queue[key]
+                out.append(Answered(ask.sender, self._grant(key, waiting, found, now)))
+                continue
+            rank = ranks[ask.service] = ranks.get(ask.service, 0) + 1
+            wait_s = self._wait_s(ask.service, rank, now)
+            if now + wait_s / 2 + LEAST_RUN_S > waiting.deadline_s:
+                del self.queue[key]
+                refusal = _refusal(ask, Verdict.OVERLOADED, wait_s)
+                out.append(Answered(ask.sender, refusal))
+        return out
+
+    def withdraw(self, sender: MemberName, number: int) -> None:
+        """The sender does not want this target any more."""
+        key = (sender.node, sender.boot, number)
+        self.queue.pop(key, None)
+        self._release(key)
+
+    def progress(self, message: Progress, now: float) -> None:
+        """Take in first events and ends of runs."""
+        for news in message.news:
+            key = (message.sender.node, message.sender.boot, news.number)
+            engine = self.engines.get(self.granted.get(key, ""))
+            if engine is None:
+                self.granted.pop(key, None)
+                continue
+            if news.end is None:
+                self._begun(engine, key)
+            else:
+                self._ended(engine, key, news, now)
+
+    def report(self, message: Report, now: float) -> None:
+        """Make the belief about a member's runs agree with its own list."""
+        name = message.sender
+        for account, amount in message.spent:
+            self.quotas.charge(account, amount, now)
+        if message.usage is not None and (name.node, name.boot) not in self.known_usage:
+            self.known_usage.add((name.node, name.boot))
+            for usage in message.usage:
+                window = self.quotas.window(usage.account)
+                window.merge(list(usage.buckets), now)
+        listed = {run.number: run for run in message.runs}
+        for run in listed.values():
+            self._adopt(name, run, now)
+        for key in [k for k in self.granted if k[0] == name.node]:
+            self._reconcile(key, name, listed.keys(), now)
+        waiting = set(message.waiting)
+        for key in [k for k in self.queue if k[0] == name.node]:
+            old = now - self.queue[key].arrived_s > GRANT_SETTLE_S
+            if key[1] != name.boot or (old and key[2] not in waiting):
+                del self.queue[key]
+
+    def forget_member(self, node: str) -> None:
+        """The member is gone; so are its runs and questions."""
+        for key in [k for k in self.granted if k[0] == node]:
+            self._release(key)
+        for key in [k for k in self.queue if k[0] == node]:
+            del self.queue[key]
+        self.known_usage = {name for name in self.known_usage if name[0] != node}
+
+    def reset(self) -> None:
+        """Forget all runs and questions; another broker has taken over."""
+        self.queue.clear()
+        for key in list(self.granted):
+            self._release(key)
+        self.known_usage.clear()
+        self.quotas.used.clear()
+
+    def _engine(self, entry: TargetEntry) -> EngineLoad:
+        engine = self.engines.get(entry.id)
+        if engine is None:
+            service = self.table.services.get(entry.service) if self.table else None
+            limits = service.engine if service else None
+            engine = self.engines[entry.id] = EngineLoad(
+                target=entry.id,
+                slots=entry.slots,
+                tokens_per_event=(
+                    limits.tokens_per_event if limits else DEFAULT_TOKENS_PER_EVENT
+                ),
+                cache_tokens=limits.cache_tokens if limits else DEFAULT_CACHE_TOKENS,
+            )
+        return engine
+
+    def _find(self, waiting: Waiting, now: float) -> Placement | None:
+        ask = waiting.ask
+        need = PlacementNeed(
+            ask.prompt_tokens,
+            ask.parts,
+            (waiting.objective_s - now) * 1e3,
+            ask.gap_objective_ms,
+            ask.excluded,
+        )
+        return place(need, self._fillable(ask.service), now)
+
+    def _fillable(self, service: str) -> Iterable[EngineLoad]:
+        engines = self.open_by_service.get(service, [])
+        if self.slot_share >= 1.0:
+            return engines
+        return [
+            engine
+            for engine in engines
+            if len(engine.runs) < max(2.0, self.slot_share * engine.slots)
+        ]
+
+    def _ahead_of(self, waiting: Waiting, now: float) -> list[Waiting]:
+        order = waiting.order(now)
+        return [
+            other
+            for other in self.queue.values()
+            if other.ask.service == waiting.ask.service and other.order(now) < order
+        ]
+
+    def _grant(
+        self, key: AskKey, waiting: Waiting, found: Placement, now: float
+    ) -> Reply:
+        ask = waiting.ask
+        account = self.accounts.get(ask.account)
+        if account is not None:
+            cost = quota_cost(account, ask.prompt_tokens, ask.output_tokens)
+            self.quotas.charge(account.name, cost, now)
+        self.granted[key] = found.engine.target
+        run = Run(
+            sender=key[0],
+            boot=key[1],
+            number=key[2],
+            prompt_tokens=ask.prompt_tokens,
+            uncached_tokens=found.uncached_tokens,
+            granted_s=now,
+            predicted_ms=found.first_event_ms,
+            priority=ask.priority,
+        )
+        found.engine.start(run, ask.parts)
+        return Reply(ask.number, Verdict.GRANTED, found.engine.target)
+
+    def _wait_s(self, service: str, rank: int, now: float) -> float:
+        """Seconds until the request of that rank in the queue gets a slot."""
+        window = self.ended.get(service)
+        rate = 0.0 if window is None else window.sum(now) / RATE_WINDOW_S
+        slots = sum(engine.slots for engine in self.open_by_service.get(service, []))
+        # Before anything has ended, a run of two seconds in each slot is assumed.
+        return rank / max(rate, slots / 4.0, 0.5)
+
+    def _begun(self, engine: EngineLoad, key: AskKey) -> None:
+        run = engine.runs.get(key)
+        if run is not None:
+            run.begun = True
+            engine.unreachable = 0
+
+    def _ended(
+        self, engine: EngineLoad, key: AskKey, news: RunNews, now: float
+    ) -> None:
+        self._release(key)
+        service = self.service_of_engine(engine.target)
+        if service is not None and news.end is RunEnd.WHOLE:
+            window = self.ended.setdefault(service, SlidingWindow(RATE_WINDOW_S))
+            window.add(1.0, now)
+        if news.pause_tenth_ms:
+            engine.learn_pause(news.pause_tenth_ms / 10)
+        if news.end is RunEnd.WHOLE:
+            engine.succeeded()
+        elif news.end is RunEnd.UNREACHABLE:
+            engine.eject(now)
+        elif news.end in (RunEnd.FAILED, RunEnd.REJECTED):
+            engine.failed()
+        elif news.end is RunEnd.LEAVING:
+            engine.ejected_until_s = now + 60.0
+
+    def service_of_engine(self, target: str) -> str | None:
+        """The service of an engine that takes work; None if it takes none."""
+        for service, engines in self.open_by_service.items():
+            if any(engine.target == target for engine in engines):
+                return service
+        return None
+
+    def _release(self, key: AskKey) -> None:
+        target = self.granted.pop(key, None)
+        engine = self.engines.get(target) if target is not None else None
+        if engine is not None:
+            engine.runs.pop(key, None)
+
+    def _adopt(self, name: MemberName, run: RunState, now: float) -> None:
+        key = (name.node, name.boot, run.number)
+        engine = self.engines.get(run.target)
+        if engine is None:
+            return
+        known = engine.runs.get(key)
+        if known is not None:
+            known.begun = known.begun or run.begun
+            return
+        self.granted[key] = run.target
+        engine.runs[key] = Run(
+            sender=name.node,
+            boot=name.boot,
+            number=run.number,
+            prompt_tokens=run.prompt_tokens,
+            uncached_tokens=run.prompt_tokens,
+            granted_s=now - run.age_ms / 1e3,
+            predicted_ms=engine.first_event_ms(run.prompt_tokens, now),
+            begun=run.begun,
+        )
+
+    def _reconcile(
+        self, key: AskKey, name: MemberName, listed: Iterable[int], now: float
+    ) -> None:
+        if key[1] == name.boot and key[2] in listed:
+            return
+        engine = self.engines.get(self.granted[key])
+        run = engine.runs.get(key) if engine is not None else None
+        if run is None or key[1] != name.boot or now - run.granted_s > GRANT_SETTLE_S:
+            self._release(key)
+
+
+def _refusal(ask: Ask, verdict: Verdict, wait_s: float) -> Reply:
+    wait_s = min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, wait_s))
+    return Reply(ask.number, verdict, retry_after_ms=int(wait_s * 1e3))
--- /dev/null
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
@@ -0,0 +1,166 @@
+"""What a broker believes of one model engine: its work, its speed, its cached parts.
+
+Reports of engines are stale, so all of this comes from what was sent and answered.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+# Milliseconds in which an engine of ordinary speed reads one prompt token. The platform
+# states 125 tokens a millisecond; the speed of each engine is learned relative to this.
+PREFILL_MS_PER_TOKEN = 1 / 125
+# Milliseconds that reading adds for each million pairs of tokens of one prompt.
+PREFILL_MS_PER_M_PAIRS = 0.263
+# Milliseconds from an empty engine to the first event beside the reading of the prompt.
+FIRST_EVENT_BASE_MS = 70.0
+# Milliseconds of one step at a half full batch, by the platform's figures.
+STEP_MS = 3.9
+# Prompt tokens that are read between two steps of the other requests.
+CHUNK_TOKENS = 2048
+# Weight of a new measurement of the speed.
+SPEED_WEIGHT = 0.25
+# Weight of a new outcome in the rate of failures.
+FAILURE_WEIGHT = 0.15
+# An engine counts as stalled when a first event is so many times later than predicted,
+STALL_FACTOR = 4.0
+# and at least so many milliseconds late.
+STALL_FLOOR_MS = 900.0
+# Seconds for which an engine that could not be reached gets nothing, at first and at
+# most; each failure in a row doubles it.
+EJECT_S = 0.5
+EJECT_MAX_S = 4.0
+# Part of an engine's memory that its cached parts are assumed to fill.
+CACHED_PART = 0.7
+
+
+@dataclass(slots=True)
+class Run:
+    """One request that is under way at an engine."""
+
+    sender: str
+    boot: int
+    number: int
+    prompt_tokens: int
+    # Prompt tokens that the engine has to read.
+    uncached_tokens: int
+    # Monotonic seconds of the grant.
+    granted_s: float
+    # Milliseconds from the grant in which the first event was predicted.
+    predicted_ms: float
+    priority: int = 0
+    begun: bool = False
+
+
+@dataclass(slots=True)
+class EngineLoad:
+    """The belief about one engine."""
+
+    target: str
+    slots: int
+    tokens_per_event: int
+    cache_tokens: int
+    # Time for a step relative to an engine of ordinary speed.
+    slowness: float = 1.0
+    # Whether the speed was measured.
+    measured: bool = False
+    # Share of the last runs that failed.
+    failures: float = 0.0
+    # Failures to reach it in a row.
+    unreachable: int = 0
+    ejected_until_s: float = 0.0
+    runs: dict[tuple[str, int, int], Run] = field(default_factory=dict)
+    # Tokens of each part that the engine is assumed to keep, the oldest use first.
+    parts: OrderedDict[str, int] = field(default_factory=OrderedDict)
+    part_tokens: int = 0
+
+    def prefill_ms(self, tokens: int) -> float:
+        """Milliseconds to read so many tokens of one prompt, alone."""
+        pairs_m = tokens * tokens / 2e6
+        plain = tokens * PREFILL_MS_PER_TOKEN + pairs_m * PREFILL_MS_PER_M_PAIRS
+        return plain * self.slowness
+
+    def uncached(self, parts: tuple[tuple[str, int], ...], prompt_tokens: int) -> int:
+        """Tokens of a prompt that the engine has to read."""
+        kept = 0
+        for part, tokens in parts:
+            if part not in self.parts:
+                break
+            kept += tokens
+        return max(0, prompt_tokens - kept)
+
+    def backlog_tokens(self) -> int:
+        """Tokens of prompts that were sent and are not read yet."""
+        return sum(run.uncached_tokens for run in self.runs.values() if not run.begun)
+
+    def backlog_ms(self, now: float) -> float:
+        """Milliseconds until the prompts before a new one are read."""
+        total = 0.0
+        oldest_s = now
+        for run in self.runs.values():
+            if not run.begun:
+                total += self.prefill_ms(run.uncached_tokens)
+                oldest_s = min(oldest_s, run.granted_s)
+        return max(0.0, total - (now - oldest_s) * 1e3)
+
+    def first_event_ms(self, uncached_tokens: int, now: float) -> float:
+        """Milliseconds in which a new request would bring its first event."""
+        reading = self.backlog_ms(now) + self.prefill_ms(uncached_tokens)
+        return FIRST_EVENT_BASE_MS * self.slowness + reading
+
+    def pause_ms(self, uncached_tokens: int) -> float:
+        """The longest pause that a new prompt causes in the other streams."""
+        steps = self.tokens_per_event
+        read = min(self.backlog_tokens() + uncached_tokens, steps * CHUNK_TOKENS)
+        return self.slowness * (read * PREFILL_MS_PER_TOKEN + steps * STEP_MS)
+
+    def is_stalled(self, now: float) -> bool:
+        """Whether a first event is so late that the engine seems to hang."""
+        for run in self.runs.values():
+            if run.begun:
+                continue
+            limit_ms = max(STALL_FACTOR * run.predicted_ms, STALL_FLOOR_MS)
+            if (now - run.granted_s) * 1e3 > limit_ms:
+                return True
+        return False
+
+    def free_slots(self) -> int:
+        """Requests that fit into its batch."""
+        return self.slots - len(self.runs)
+
+    def start(self, run: Run, parts: tuple[tuple[str, int], ...]) -> None:
+        """A request is about to be sent."""
+        self.runs[run.sender, run.boot, run.number] = run
+        for part, tokens in parts:
+            if part in self.parts:
+                self.parts.move_to_end(part)
+            else:
+                self.parts[part] = tokens
+                self.part_tokens += tokens
+        while self.part_tokens > CACHED_PART * self.cache_tokens and self.parts:
+            self.part_tokens -= self.parts.popitem(last=False)[1]
+
+    def learn_pause(self, pause_ms: float) -> None:
+        """An undisturbed pause between two events of a stream."""
+        seen = pause_ms / (self.tokens_per_event * STEP_MS)
+        if not self.measured:
+            self.slowness, self.measured = seen, True
+        else:
+            self.slowness += SPEED_WEIGHT * (seen - self.slowness)
+        self.slowness = min(20.0, max(0.2, self.slowness))
+
+    def succeeded(self) -> None:
+        """A run ended well."""
+        self.failures *= 1 - FAILURE_WEIGHT
+        self.unreachable = 0
+
+    def failed(self) -> None:
+        """A run failed at the engine."""
+        self.failures += FAILURE_WEIGHT * (1 - self.failures)
+
+    def eject(self, now: float) -> None:
+        """The engine could not be reached; send it nothing for a while."""
+        pause_s = min(EJECT_MAX_S, EJECT_S * 2**self.unreachable)
+        self.unreachable += 1
+        self.ejected_until_s = now + pause_s
+        self.parts.clear()
+        self.part_tokens = 0
--- /dev/null
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
@@ -0,0 +1,178 @@
+"""Messages between members, encoded as MessagePack; each may be lost."""
+
+import enum
+
+import msgspec
+
+
+class MemberName(msgspec.Struct, frozen=True, array_like=True):
+    """One start of one member."""
+
+    node: str
+    # Random number drawn at the start.
+    boot: int
+
+
+class Hello(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """Sent to each member at a fixed interval."""
+
+    name: MemberName
+    sequence: int
+    # Wall-clock milliseconds of the start; orders the members by age.
+    started_ms: int
+    # Where members send datagrams, and where they fetch configurations.
+    peer_address: str
+    control_address: str
+    # Where clients connect.
+    front_address: str
+    zone: str
+    ready: bool
+    draining: bool
+    # Version of the configuration in force; 0 while there is none.
+    config_version: int
+    # Ids of targets that the sender knows to leave.
+    leaving: tuple[str, ...] = ()
+    # Accounts whose quota is used up, as far as the sender's broker knows.
+    exhausted: tuple[str, ...] = ()
+
+
+class Ask(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """Asks for a target for one request."""
+
+    sender: MemberName
+    # Names the request; the same when the question is sent again.
+    number: int
+    service: str
+    # Empty for requests without an account.
+    account: str
+    # 0 is the most urgent.
+    priority: int
+    prompt_tokens: int
+    output_tokens: int
+    # Parts of the prompt and their tokens, in order.
+    parts: tuple[tuple[str, int], ...]
+    # Milliseconds until the first event is late, and until the request is given up.
+    objective_ms: int
+    deadline_ms: int
+    # Longest pause between events that is on time.
+    gap_objective_ms: int
+    # Targets that have failed this request.
+    excluded: tuple[str, ...] = ()
+    # Whether the client was refused before, or the request is sent again.
+    returning: bool = False
+
+
+class Verdict(enum.IntEnum):
+    """What a broker says to a question."""
+
+    GRANTED = 1
+    QUEUED = 2
+    # No target is free in time.
+    OVERLOADED = 3
+    # The account's quota is used up.
+    OVER_QUOTA = 4
+
+
+class Reply(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """Answers an `Ask`."""
+
+    number: int
+    verdict: Verdict
+    # Id of the target; empty unless granted.
+    target: str = ""
+    # Milliseconds after which the client may come back.
+    retry_after_ms: int = 0
+    # Node that answers; empty where the answer does not leave the process.
+    broker: str = ""
+
+
+class RunEnd(enum.IntEnum):
+    """How a run left its target."""
+
+    # The whole answer arrived.
+    WHOLE = 1
+    # The client left or gave up.
+    CANCELLED = 2
+    # The target failed, or broke off.
+    FAILED = 3
+    # The target said that it did not run the request.
+    REJECTED = 4
+    # No connection could be opened.
+    UNREACHABLE = 5
+    # The target said that it leaves.
+    LEAVING = 6
+
+
+class RunNews(msgspec.Struct, frozen=True, array_like=True):
+    """The first event or the end of one run."""
+
+    number: int
+    # None for the first event.
+    end: RunEnd | None = None
+    # Milliseconds from the send to the first event; 0 if none came.
+    first_event_ms: int = 0
+    # Lower quartile of the pauses between events in 0.1 ms; 0 if not known.
+    pause_tenth_ms: int = 0
+
+
+class Progress(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """What happened to runs since the last such message."""
+
+    sender: MemberName
+    news: tuple[RunNews, ...]
+
+
+class RunState(msgspec.Struct, frozen=True, array_like=True):
+    """A run that is under way at its target."""
+
+    number: int
+    target: str
+    prompt_tokens: int
+    # Milliseconds since it was sent.
+    age_ms: int
+    # Whether its first event has come.
+    begun: bool
+
+
+class AccountUsage(msgspec.Struct, frozen=True, array_like=True):
+    """Quota units that a member has sent for one account."""
+
+    account: str
+    # Age in seconds and units of each bucket of the window.
+    buckets: tuple[tuple[float, float], ...]
+
+
+class Report(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """All runs of a member, for the broker that it asks."""
+
+    sender: MemberName
+    runs: tuple[RunState, ...]
+    # Numbers of the questions that wait for a target.
+    waiting: tuple[int, ...]
+    # Units used without a question since the last report, by account.
+    spent: tuple[tuple[str, float], ...] = ()
+    # The whole window, for a broker that has not heard it; None otherwise.
+    usage: tuple[AccountUsage, ...] | None = None
+
+
+class Withdraw(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """The sender does not want an answer to a question any more."""
+
+    sender: MemberName
+    number: int
+
+
+PeerMessage = Hello | Ask | Reply | Progress | Report | Withdraw
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder: msgspec.msgpack.Decoder[PeerMessage] = msgspec.msgpack.Decoder(PeerMessage)
+
+
+def encode_message(message: PeerMessage) -> bytes:
+    """The message as it goes over the wire."""
+    return _encoder.encode(message)
+
+
+def decode_message(data: bytes) -> PeerMessage:
+    """The message that the bytes hold; raises `msgspec.DecodeError` otherwise."""
+    return _decoder.decode(data)
--- /dev/null
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/placement.py
@@ -0,0 +1,94 @@
+"""Chooses the engine of a request by its predicted first event and pauses."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from burdockhaven_core.scheduling.engine_load import EngineLoad
+
+# Part of the objective that a predicted first event may take; the rest is for errors of
+# the prediction and the way to the client.
+OBJECTIVE_PART = 0.8
+# Part of the allowed pause that a predicted pause may take.
+PAUSE_PART = 0.9
+# How much a full batch weighs against a first event that takes the whole objective.
+FIRST_EVENT_WEIGHT = 0.6
+# What each multiple of the ordinary step time adds; keeps slow engines for the time
+# when the fast ones fill.
+SLOWNESS_WEIGHT = 0.15
+# What a failure rate of one adds.
+FAILURE_WEIGHT = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementNeed:
+    """What decides where a request can go."""
+
+    prompt_tokens: int
+    # Parts of the prompt and their tokens, in order.
+    parts: tuple[tuple[str, int], ...]
+    # Milliseconds until the first event is late; negative if it is late already.
+    objective_left_ms: float
+    # Longest pause in milliseconds that is on time.
+    gap_objective_ms: float
+    # Targets that have failed this request.
+    excluded: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """An engine for a request."""
+
+    engine: EngineLoad
+    uncached_tokens: int
+    first_event_ms: float
+    # Whether the first event is predicted to be on time.
+    on_time: bool
+
+
+def place(
+    need: PlacementNeed, engines: Iterable[EngineLoad], now: float
+) -> Placement | None:
+    """The best engine with a free slot; None if the request should wait.
+
+    An engine on which the prompt would hold up the streams of others for too long is
+    taken only by a request that finds no other one at all.
+    """
+    best: tuple[tuple[bool, float], Placement] | None = None
+    for engine in engines:
+        if not _takes_work(engine, need, now):
+            continue
+        uncached = engine.uncached(need.parts, need.prompt_tokens)
+        first_ms = engine.first_event_ms(uncached, now)
+        on_time = first_ms <= OBJECTIVE_PART * need.objective_left_ms
+        if engine.runs and not _spares_others(engine, uncached, need):
+            continue
+        found = Placement(engine, uncached, first_ms, on_time)
+        rank = (not on_time, _cost(found, need))
+        if best is None or rank < best[0]:
+            best = (rank, found)
+    return None if best is None else best[1]
+
+
+def _takes_work(engine: EngineLoad, need: PlacementNeed, now: float) -> bool:
+    return (
+        engine.free_slots() > 0
+        and engine.ejected_until_s <= now
+        and engine.target not in need.excluded
+        and not engine.is_stalled(now)
+    )
+
+
+def _spares_others(engine: EngineLoad, uncached: int, need: PlacementNeed) -> bool:
+    return engine.pause_ms(uncached) <= PAUSE_PART * need.gap_objective_ms
+
+
+def _cost(found: Placement, need: PlacementNeed) -> float:
+    engine = found.engine
+    objective_ms = max(200.0, need.objective_left_ms)
+    occupancy = len(engine.runs) / max(1, engine.slots)
+    return (
+        occupancy
+        + FIRST_EVENT_WEIGHT * found.first_event_ms / objective_ms
+        + SLOWNESS_WEIGHT * (engine.slowness - 1.0)
+        + FAILURE_WEIGHT * engine.failures
+    )
--- /dev/null
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/retry_budget.py
@@ -0,0 +1,55 @@
+"""The budget of repeated sends that all members share.
+
+Each member keeps to its part: a ratio of its own requests and an equal part of the
+fixed allowance. The sum over the members then stays within the budget without a
+message, whoever dies or joins.
+"""
+
+from dataclasses import dataclass
+
+from burdockhaven_core.scheduling.sliding_window import SlidingWindow
+
+# Part of the budget that is used; the rest covers members whose views differ.
+USED_PART = 0.8
+
+
+@dataclass(frozen=True, slots=True)
+class RetryRule:
+    """The budget as the platform states it."""
+
+    # Repeats for each request.
+    ratio: float
+    # Seconds over which both are counted.
+    window_s: float
+    # Repeats beyond the ratio, all members together.
+    slack: float
+
+
+class RetryBudget:
+    """What one member has sent and repeated, by service."""
+
+    def __init__(self, rule: RetryRule) -> None:
+        self.rule = rule
+        self.requests: dict[str, SlidingWindow] = {}
+        self.repeats: dict[str, SlidingWindow] = {}
+
+    def count_request(self, service: str, now: float) -> None:
+        """Count a request of a client."""
+        self._window(self.requests, service).add(1.0, now)
+
+    def take(self, service: str, members: int, now: float) -> bool:
+        """Count one more send of a request, if the budget allows it."""
+        requests = self._window(self.requests, service).sum(now)
+        repeats = self._window(self.repeats, service)
+        fixed = self.rule.slack / max(1, members)
+        allowed = USED_PART * (self.rule.ratio * requests + fixed)
+        if repeats.sum(now) + 1 > allowed:
+            return False
+        repeats.add(1.0, now)
+        return True
+
+    def _window(self, windows: dict[str, SlidingWindow], service: str) -> SlidingWindow:
+        found = windows.get(service)
+        if found is None:
+            found = windows[service] = SlidingWindow(self.rule.window_s)
+        return found
--- /dev/null
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/sliding_window.py
@@ -0,0 +1,62 @@
+"""Sums over the last seconds, kept in buckets."""
+
+from collections import deque
+
+# Buckets that a window is divided into; the error of a sum is one bucket.
+BUCKETS_PER_WINDOW = 32
+
+
+class SlidingWindow:
+    """The sum of what was added within the last `length_s` seconds, rounded up."""
+
+    def __init__(self, length_s: float) -> None:
+        self.length_s = length_s
+        self.bucket_s = length_s / BUCKETS_PER_WINDOW
+        self.total = 0.0
+        # Number of the bucket and what was added in it.
+        self.buckets: deque[tuple[int, float]] = deque()
+
+    def add(self, amount: float, now: float) -> None:
+        """Add an amount at a monotonic time in seconds."""
+        number = int(now / self.bucket_s)
+        if self.buckets and self.buckets[-1][0] >= number:
+            last, held = self.buckets.pop()
+            self.buckets.append((last, held + amount))
+        else:
+            self.buckets.append((number, amount))
+        self.total += amount
+
+    def sum(self, now: float) -> float:
+        """What was added within the window."""
+        oldest = int((now - self.length_s) / self.bucket_s)
+        while self.buckets and self.buckets[0][0] < oldest:
+            self.total -= self.buckets.popleft()[1]
+        if not self.buckets:
+            self.total = 0.0
+        return self.total
+
+    def frees_in_s(self, amount: float, now: float) -> float:
+        """Seconds until so much of the sum has left the window."""
+        freed = 0.0
+        for number, held in self.buckets:
+            freed += held
+            if freed >= amount:
+                return max(0.0, (number + 1) * self.bucket_s + self.length_s - now)
+        return self.length_s
+
+    def history(self, now: float) -> list[tuple[float, float]]:
+        """The age in seconds and the amount of each bucket, the oldest first."""
+        self.sum(now)
+        return [
+            (max(0.0, now - number * self.bucket_s), held)
+            for number, held in self.buckets
+        ]
+
+    def merge(self, history: list[tuple[float, float]], now: float) -> None:
+        """Add what another process has counted."""
+        merged = dict(self.buckets)
+        for age_s, amount in history:
+            number = int((now - age_s) / self.bucket_s)
+            merged[number] = merged.get(number, 0.0) + amount
+        self.buckets = deque(sorted(merged.items()))
+        self.total = sum(merged.values())
--- /dev/null
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/target_registry.py
@@ -0,0 +1,126 @@
+"""The targets that registered themselves, through outages of the store.
+
+An entry that lapsed while the store was away is kept until the store has been back for
+`RETURN_GRACE_S`; one that is still missing then is gone.
+"""
+
+import dataclasses
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+# Seconds after the store's return within which live targets register again; the
+# platform's protocol says about two seconds.
+RETURN_GRACE_S = 2.2
+
+
+@dataclass(frozen=True, slots=True)
+class TargetEntry:
+    """One running target."""
+
+    # Identity of this start of the target.
+    id: str
+    service: str
+    # host:port.
+    address: str
+    zone: str
+    # Requests that it processes at once.
+    slots: int
+    # Whether it finishes its work and takes none.
+    draining: bool
+    # Unix milliseconds of its start; 0 if it does not say.
+    born_ms: int = 0
+    # Grows with each write of one start.
+    sequence: int = 0
+
+    def is_same_start(self, other: "TargetEntry") -> bool:
+        """Whether both entries were written by one start of the target."""
+        return self.id == other.id and self.born_ms == other.born_ms
+
+
+class TargetRegistry:
+    """The registered targets by id."""
+
+    def __init__(self) -> None:
+        self.entries: dict[str, TargetEntry] = {}
+        # The last entry of each target that was dropped.
+        self.dropped: dict[str, TargetEntry] = {}
+        # Targets that are known to leave although their entry does not say so.
+        self.leaving: set[str] = set()
+        # When entries that the store does not hold are dropped, by id.
+        self.lapsing: dict[str, float] = {}
+        # Until when missing entries may still come back; 0 while the store is steady.
+        self.forgiving_until_s = 0.0
+
+    def put(self, entry: TargetEntry) -> bool:
+        """Take in an entry as it was written; False if it is a late, older write.
+
+        A start of a target that has drained takes no work again.
+        """
+        last = self.entries.get(entry.id) or self.dropped.get(entry.id)
+        if last is not None and last.is_same_start(entry):
+            if entry.sequence < last.sequence:
+                return False
+            if last.draining and not entry.draining:
+                entry = dataclasses.replace(entry, draining=True)
+        else:
+            self.leaving.discard(entry.id)
+        self.entries[entry.id] = entry
+        self.dropped.pop(entry.id, None)
+        self.lapsing.pop(entry.id, None)
+        return True
+
+    def remove(self, target_id: str, now: float) -> None:
+        """The entry was removed; its target left, or its lease lapsed in an outage."""
+        if target_id not in self.entries:
+            return
+        if now < self.forgiving_until_s:
+            self.lapsing.setdefault(target_id, self.forgiving_until_s)
+            return
+        self._drop(target_id)
+
+    def store_returned(self, now: float) -> None:
+        """The store answers again after it did not for a while."""
+        self.forgiving_until_s = now + RETURN_GRACE_S
+
+    def replace(self, entries: Iterable[TargetEntry], now: float) -> None:
+        """Take in a whole list of entries."""
+        found = {entry.id: entry for entry in entries}
+        for target_id in self.entries.keys() - found.keys():
+            self.remove(target_id, now)
+        for entry in found.values():
+            self.put(entry)
+
+    def mark_leaving(self, target_id: str) -> None:
+        """The target itself or a member said that it leaves."""
+        if target_id in self.entries:
+            self.leaving.add(target_id)
+
+    def expire(self, now: float) -> None:
+        """Drop the entries that did not come back in time."""
+        for target_id, due in list(self.lapsing.items()):
+            if due <= now:
+                self._drop(target_id)
+
+    def open_targets(self, service: str) -> list[TargetEntry]:
+        """The service's targets that take new work."""
+        return [
+            entry
+            for entry in self.entries.values()
+            if entry.service == service
+            and not entry.draining
+            and entry.id not in self.leaving
+        ]
+
+    def by_id(self) -> Mapping[str, TargetEntry]:
+        """All entries, whether their targets take work or not."""
+        return self.entries
+
+    def discard(self, target_id: str) -> None:
+        """The entry can't be read any more and names no target to use."""
+        if target_id in self.entries:
+            self._drop(target_id)
+
+    def _drop(self, target_id: str) -> None:
+        self.dropped[target_id] = self.entries.pop(target_id)
+        self.leaving.discard(target_id)
+        self.lapsing.pop(target_id, None)
--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon's edge towards the users' platform."""
--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/control.py
@@ -0,0 +1,63 @@
+"""Calls that clients, the platform and other members make of this process."""
+
+from aiohttp import web
+
+from burdockhaven_entry.gateway.gateway_state import GatewayState
+from burdockhaven_entry.gateway.replies import NOT_FOUND, UNAVAILABLE, reply
+from burdockhaven_entry.platform import (
+    LOOK_UP_PATH,
+    READINESS_PATH,
+    encode_look_up,
+)
+
+# Where members fetch the configuration in force.
+CONFIGURATION_PATH = "/configuration"
+VERSION_HEADER = "Burdockhaven-Version"
+# Seconds for which clients keep a look-up; shorter is more calls, longer is more
+# connections to members that have ended.
+LOOK_UP_TTL_S = 1.0
+# Addresses in one answer at most; the platform's clients use so many.
+MAX_ADDRESSES = 64
+
+
+class Control:
+    """Answers look-ups, readiness checks and members."""
+
+    def __init__(self, state: GatewayState) -> None:
+        self.state = state
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one call."""
+        if request.path == READINESS_PATH:
+            return self._readiness()
+        if request.path == LOOK_UP_PATH:
+            return self._look_up()
+        if request.path == CONFIGURATION_PATH:
+            return self._configuration()
+        return reply(NOT_FOUND, "no such call")
+
+    def _readiness(self) -> web.Response:
+        if self.state.ready:
+            return web.Response(text="ready\n")
+        return reply(UNAVAILABLE, "not ready")
+
+    def _look_up(self) -> web.Response:
+        state = self.state
+        views = state.roster.serving(state.clock())
+        addresses = [view.hello.front_address for view in views]
+        if state.ready:
+            addresses.append(state.settings.front_address)
+        if not addresses:
+            return reply(UNAVAILABLE, "no member serves")
+        state.rng.shuffle(addresses)
+        ttl_s = min(LOOK_UP_TTL_S, state.settings.look_up_ttl_max_s)
+        body = encode_look_up(addresses[:MAX_ADDRESSES], ttl_s)
+        return web.Response(body=body, content_type="application/json")
+
+    def _configuration(self) -> web.Response:
+        if self.state.table is None:
+            return reply(UNAVAILABLE, "no configuration is known yet")
+        return web.Response(
+            body=self.state.table_bytes,
+            headers={VERSION_HEADER: str(self.state.version)},
+        )
--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/front.py
@@ -0,0 +1,138 @@
+"""Takes requests of clients: reads, routes and allows them, then forwards them."""
+
+import zlib
+from dataclasses import dataclass
+
+from aiohttp import web
+
+from burdockhaven_core.scheduling.routing import Account, Route, RouteKind, RoutingTable
+from burdockhaven_entry.gateway.call import Call
+from burdockhaven_entry.gateway.gateway_state import GatewayState
+from burdockhaven_entry.gateway.plain_forwarding import PlainForwarding
+from burdockhaven_entry.gateway.replies import (
+    BAD_REQUEST,
+    NOT_FOUND,
+    RETRY_SOON_S,
+    TOO_LARGE,
+    UNAUTHORIZED,
+    UNAVAILABLE,
+    not_run,
+    reply,
+)
+from burdockhaven_entry.gateway.stream_forwarding import StreamForwarding
+from burdockhaven_entry.platform import (
+    ClientRequest,
+    MalformedRequestError,
+    read_client_request,
+)
+
+
+class RefusedError(Exception):
+    """The request is answered here; carries the answer."""
+
+    def __init__(self, response: web.Response) -> None:
+        super().__init__(response.status)
+        self.response = response
+
+
+@dataclass(slots=True)
+class Front:
+    """The edge towards clients."""
+
+    state: GatewayState
+    plain: PlainForwarding
+    streams: StreamForwarding
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request of a client."""
+        try:
+            call = await self._read(request)
+        except RefusedError as refused:
+            response: web.StreamResponse = refused.response
+        else:
+            now = self.state.clock()
+            self.state.retry_budget.count_request(call.service, now)
+            if call.route.kind is RouteKind.STREAMING:
+                response = await self.streams.forward(call)
+            else:
+                response = await self.plain.forward(call)
+        if self.state.draining and not response.prepared:
+            response.force_close()
+        return response
+
+    async def _read(self, request: web.BaseRequest) -> Call:
+        arrived_s = self.state.clock()
+        table = self.state.table
+        if table is None:
+            detail = "no configuration is known yet"
+            raise RefusedError(not_run(UNAVAILABLE, detail, "", RETRY_SOON_S))
+        said = self._said(request)
+        body = await self._body(request, table)
+        # A newer version may have come while the body was read.
+        table = self.state.table or table
+        route = self._route(table, request, said)
+        account = self._account(table, route, said)
+        limit_s = route.timeout_s
+        if said.deadline_ms is not None:
+            limit_s = min(limit_s, said.deadline_ms / 1e3)
+        digest = zlib.crc32(repr((route.name, said.parts)).encode() + body)
+        return Call(
+            request=request,
+            said=said,
+            body=body,
+            route=route,
+            account=account,
+            service=route.pick_service(self.state.rng),
+            arrived_s=arrived_s,
+            deadline_s=arrived_s + limit_s,
+            digest=digest,
+            returning=self.state.refused.take(digest, arrived_s),
+        )
+
+    def _said(self, request: web.BaseRequest) -> ClientRequest:
+        try:
+            return read_client_request(request.headers)
+        except MalformedRequestError as error:
+            raise RefusedError(reply(BAD_REQUEST, str(error))) from error
+
+    async def _body(self, request: web.BaseRequest, table: RoutingTable) -> bytes:
+        length = request.content_length
+        limit = table.limits.max_body_bytes
+        if length is not None and length > limit:
+            raise RefusedError(_too_large(limit))
+        if not request.can_read_body:
+            return b""
+        parts = []
+        size = 0
+        async for part in request.content.iter_any():
+            size += len(part)
+            if size > limit:
+                raise RefusedError(_too_large(limit))
+            parts.append(part)
+        return b"".join(parts)
+
+    def _route(
+        self, table: RoutingTable, request: web.BaseRequest, said: ClientRequest
+    ) -> Route:
+        path = request.raw_path.partition("?")[0]
+        route = table.find_route(request.host, path)
+        if route is None:
+            raise RefusedError(reply(NOT_FOUND, "no such route", said.attempt_id))
+        return route
+
+    def _account(
+        self, table: RoutingTable, route: Route, said: ClientRequest
+    ) -> Account | None:
+        keys = table.account_of_key
+        if keys is None:
+            return None
+        account = keys.get(said.api_key) if said.api_key is not None else None
+        if account is None and not route.public:
+            raise RefusedError(reply(UNAUTHORIZED, "unknown key", said.attempt_id))
+        return account
+
+
+def _too_large(limit: int) -> web.Response:
+    response = reply(TOO_LARGE, f"the body is larger than {limit} bytes")
+    response.force_close()
+    return response
--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -0,0 +1,364 @@
+"""One process on the users' platform: wires the parts together and runs them."""
+
+import asyncio
+import contextlib
+import gc
+import random
+import signal
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from burdockhaven_core.log_numbers import EventNumber
+from burdockhaven_core.scheduling.target_registry import TargetEntry
+from burdockhaven_entry.gateway.control import Control
+from burdockhaven_entry.gateway.front import Front
+from burdockhaven_entry.gateway.gateway_state import GatewayState
+from burdockhaven_entry.gateway.membership import MembershipLink
+from burdockhaven_entry.gateway.peer_endpoint import PeerEndpoint
+from burdockhaven_entry.gateway.placer import Placer
+from burdockhaven_entry.gateway.plain_forwarding import PlainForwarding
+from burdockhaven_entry.gateway.store_sync import (
+    Follower,
+    StoreFeed,
+    stay_registered,
+)
+from burdockhaven_entry.gateway.stream_forwarding import StreamForwarding
+from burdockhaven_entry.gateway.target_client import TargetClient
+from burdockhaven_entry.log_events import log
+from burdockhaven_entry.platform import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_PREFIX,
+    MEMBERS_PREFIX,
+    TARGETS_PREFIX,
+    ConfigurationError,
+    Item,
+    PlatformSettings,
+    PlatformStore,
+    StoreFailure,
+    TargetEntryError,
+    read_configuration,
+    read_target_entry,
+)
+from burdockhaven_entry.timer import TimerService
+
+# Seconds between two hellos to each member.
+BEAT_S = 0.15
+# Seconds between two reports of all runs to the broker.
+REPORT_S = 0.25
+# Seconds between two sends of news of runs; first events and ends are sent together.
+NEWS_S = 0.005
+# Seconds between two looks at the broker's queue.
+PUMP_S = 0.02
+# Seconds between two looks at entries that may have lapsed.
+EXPIRE_S = 0.1
+# Seconds after SIGTERM in which new connections are still taken; clients keep a look-up
+# for three times its lifetime.
+ACCEPT_AFTER_STOP_S = 3.2
+# Seconds before the platform kills the process at which it ends by itself.
+STOP_MARGIN_S = 0.5
+# Connections that wait to be accepted.
+BACKLOG = 1024
+# Seconds for which idle connections of clients are kept; longer than any client's.
+CLIENT_IDLE_S = 120.0
+# Bytes of one header line.
+MAX_FIELD_BYTES = 32_768
+BOOT_BITS = 48
+
+
+class GatewayDaemon:
+    """All parts of one process."""
+
+    def __init__(self, state: GatewayState) -> None:
+        self.state = state
+        settings = state.settings
+        self.timer = TimerService(state.clock, state.rng)
+        self.store = PlatformStore.from_address(settings.store_address)
+        self.targets = TargetClient.create()
+        self.session = aiohttp.ClientSession()
+        self.endpoint = PeerEndpoint(self._on_peer_message, self._on_peer_error)
+        self.placer = Placer(
+            me=state.me,
+            roster=state.roster,
+            broker=state.broker,
+            own_hello=state.hello,
+            send=lambda node, message: self.members.send(node, message),
+            clock=state.clock,
+            usage=state.usage,
+        )
+        self.members = MembershipLink(
+            state,
+            self.endpoint,
+            self.placer,
+            self.session,
+            self._take_configuration,
+            self.spawn,
+        )
+        self.front = Front(
+            state,
+            PlainForwarding(state, self.targets, self.placer),
+            StreamForwarding(state, self.targets, self.placer),
+        )
+        self.control = Control(state)
+        self.front_server = _server(self.front.handle)
+        self.control_server = _server(self.control.handle)
+        self.listeners: list[asyncio.Server] = []
+        self.stop_requested = asyncio.Event()
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    @classmethod
+    def from_settings(
+        cls, settings: PlatformSettings, clock: Callable[[], float]
+    ) -> "GatewayDaemon":
+        """A daemon that has bound nothing yet; needs a running event loop."""
+        rng = random.SystemRandom()
+        started_ms = int(time.time() * 1e3)
+        boot = rng.getrandbits(BOOT_BITS)
+        # Decisions draw many numbers; a seeded generator is faster than the system's.
+        state = GatewayState.from_settings(
+            settings, boot, started_ms, clock, random.Random(boot)
+        )
+        return cls(state)
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then finish what is in progress."""
+        state = self.state
+        log(EventNumber.START, entry=state.me.node, incarnation=str(state.me.boot))
+        self._catch_signals()
+        await self.endpoint.open(state.settings.ip, state.settings.peer_port)
+        self._subscribe()
+        self._follow()
+        timer = asyncio.create_task(self.timer.run())
+        await self._listen()
+        self.members.greet_seeds()
+        self.members.beat()
+        log(
+            EventNumber.READY,
+            entry=state.me.node,
+            address=state.settings.front_address,
+        )
+        gc.collect()
+        gc.freeze()
+        await self.stop_requested.wait()
+        await self._stop()
+        self.timer.stop()
+        await timer
+        await self._close()
+        log(EventNumber.STOPPED)
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run work beside the rest until it ends or the daemon stops."""
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def _catch_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stop_requested.set)
+        # The settings hold nothing that changes while a process runs.
+        loop.add_signal_handler(signal.SIGHUP, lambda: None)
+
+    def _subscribe(self) -> None:
+        timer = self.timer
+        timer.subscribe(BEAT_S, lambda now: self.members.beat(), jitter=0.1)
+        timer.subscribe(REPORT_S, lambda now: self.placer.report(), jitter=0.1)
+        timer.subscribe(NEWS_S, lambda now: self.placer.flush_news())
+        timer.subscribe(PUMP_S, lambda now: self._pump())
+        timer.subscribe(EXPIRE_S, self._expire)
+
+    def _follow(self) -> None:
+        feeds = (
+            StoreFeed(
+                CONFIGURATION_PREFIX,
+                self._on_configuration_items,
+                self._on_configuration_item,
+                self._on_store_return,
+                self._on_store_failure,
+            ),
+            StoreFeed(
+                TARGETS_PREFIX,
+                self._on_all_targets,
+                self._on_target,
+                self._on_targets_return,
+                self._on_store_failure,
+            ),
+        )
+        for feed in feeds:
+            follower = Follower(self.store, feed, self.state.clock, self.state.rng)
+            self.spawn(follower.run())
+        key = MEMBERS_PREFIX + self.state.me.node
+        self.spawn(stay_registered(self.store, key, self.members.entry()))
+        self.spawn(self._read_members())
+
+    async def _read_members(self) -> None:
+        """Learn the other members; those that start later greet us."""
+        for delay_s in (0.5, 1.0, 2.0, 4.0):
+            await asyncio.sleep(delay_s)
+            found = await self.store.read_prefix(MEMBERS_PREFIX)
+            if found.is_ok():
+                self.members.on_entries(found.unwrap().items)
+
+    async def _listen(self) -> None:
+        loop = asyncio.get_running_loop()
+        settings = self.state.settings
+        places = (
+            (self.control_server, settings.readiness_address),
+            (self.control_server, settings.control_address),
+            (self.control_server, settings.directory_address),
+            (self.front_server, settings.front_address),
+        )
+        for server, address in places:
+            host, _, port = address.rpartition(":")
+            listener = await loop.create_server(
+                server, host, int(port), backlog=BACKLOG
+            )
+            self.listeners.append(listener)
+
+    async def _stop(self) -> None:
+        """Leave the look-ups, finish what is in progress, then end.
+
+        Connections without a request are closed at once; others close after their
+        answer. New connections are taken for as long as clients keep old look-ups.
+        """
+        state = self.state
+        started_s = state.clock()
+        state.draining = True
+        log(EventNumber.STOP_REQUESTED)
+        self.members.beat()
+        end_s = started_s + state.settings.grace_s - STOP_MARGIN_S
+        accept_until_s = min(end_s, started_s + ACCEPT_AFTER_STOP_S)
+        while state.clock() < accept_until_s:
+            await asyncio.sleep(0.05)
+            self._close_idle()
+        self.listeners[-1].close()
+        while self._busy() and state.clock() < end_s:
+            self._close_idle()
+            await asyncio.sleep(0.02)
+
+    def _busy(self) -> bool:
+        return any(
+            connection._request_in_progress or connection._messages
+            for connection in self.front_server.connections
+        )
+
+    def _close_idle(self) -> None:
+        for connection in list(self.front_server.connections):
+            if not connection._request_in_progress and not connection._messages:
+                connection.close()
+
+    async def _close(self) -> None:
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.endpoint.close()
+        for listener in self.listeners:
+            listener.close()
+        await self.front_server.shutdown(0.1)
+        await self.control_server.shutdown(0.1)
+        await self.targets.close()
+        await self.session.close()
+        await self.store.close()
+
+    def _pump(self) -> None:
+        if self.state.broker.queue:
+            self.placer.pump()
+
+    def _expire(self, now: float) -> None:
+        before = len(self.state.registry.entries)
+        self.state.registry.expire(now)
+        if len(self.state.registry.entries) != before:
+            self.state.targets_changed()
+
+    def _on_peer_message(self, message: Any) -> None:
+        self.members.on_message(message)
+
+    def _on_peer_error(self, peer: str, detail: str) -> None:
+        log(EventNumber.BAD_PEER_MESSAGE, peer=peer, detail=detail)
+
+    def _on_configuration_items(self, items: tuple[Item, ...]) -> None:
+        for item in items:
+            self._on_configuration_item(item)
+
+    def _on_configuration_item(self, item: Item) -> None:
+        if item.key == CONFIGURATION_KEY and item.value is not None:
+            self._take_configuration(item.value, f"store revision {item.revision}")
+
+    def _take_configuration(self, data: bytes, source: str) -> None:
+        try:
+            table = read_configuration(data)
+        except ConfigurationError as error:
+            detail = f"{source}: {error}"
+            log(EventNumber.CONFIGURATION_UNREADABLE, detail=detail)
+            return
+        if self.state.use_table(table, data):
+            self.state.targets_changed()
+            log(EventNumber.CONFIGURATION_IN_FORCE, version=table.version)
+
+    def _on_all_targets(self, items: tuple[Item, ...]) -> None:
+        entries = [entry for item in items if (entry := self._read_target(item))]
+        self.state.registry.replace(entries, self.state.clock())
+        self.state.targets_changed()
+
+    def _on_target(self, item: Item) -> None:
+        target_id = item.key.removeprefix(TARGETS_PREFIX)
+        if item.value is None:
+            self.state.registry.remove(target_id, self.state.clock())
+        else:
+            entry = self._read_target(item)
+            if entry is None:
+                self.state.registry.discard(target_id)
+            else:
+                self.state.registry.put(entry)
+        self.state.targets_changed()
+
+    def _read_target(self, item: Item) -> TargetEntry | None:
+        target_id = item.key.removeprefix(TARGETS_PREFIX)
+        try:
+            return read_target_entry(target_id, item.value or b"")
+        except TargetEntryError as error:
+            log(
+                EventNumber.TARGET_ENTRY_UNREADABLE,
+                key=item.key,
+                revision=item.revision,
+                detail=str(error),
+            )
+            return None
+
+    def _on_store_failure(self, failure: StoreFailure) -> None:
+        detail = f"{failure.step} at {failure.peer}: {failure.detail}"
+        log(EventNumber.KEY_VALUE_OUTAGE_BEGIN, detail=detail)
+
+    def _on_store_return(self, seconds: float) -> None:
+        log(EventNumber.KEY_VALUE_OUTAGE_END, seconds=round(seconds, 1))
+
+    def _on_targets_return(self, seconds: float) -> None:
+        self._on_store_return(seconds)
+        self.state.registry.store_returned(self.state.clock())
+
+
+def _server(handler: Any) -> web.Server:
+    return web.Server(
+        handler,
+        handler_cancellation=True,
+        access_log=None,
+        keepalive_timeout=CLIENT_IDLE_S,
+        max_line_size=MAX_FIELD_BYTES,
+        max_field_size=MAX_FIELD_BYTES,
+        lingering_time=0.0,
+        auto_decompress=False,
+    )
+
+
+def run_gateway(settings: PlatformSettings) -> None:
+    """Run one process until it is told to stop."""
+
+    async def main() -> None:
+        daemon = GatewayDaemon.from_settings(settings, time.monotonic)
+        await daemon.run()
+
+    with contextlib.suppress(KeyboardInterrupt):
+        asyncio.run(main())
--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
@@ -0,0 +1,138 @@
+"""What one process knows, shared by the parts that serve requests."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from burdockhaven_core.scheduling import (
+    Broker,
+    QuotaRule,
+    Quotas,
+    RetryBudget,
+    RetryRule,
+    Roster,
+    RoutingTable,
+    TargetRegistry,
+)
+from burdockhaven_core.scheduling.peer_messages import (
+    AccountUsage,
+    Hello,
+    MemberName,
+)
+from burdockhaven_core.scheduling.plain_balancer import PlainBalancer
+from burdockhaven_core.scheduling.refused_clients import RefusedClients
+from burdockhaven_entry.platform import PlatformSettings
+
+# Part of the platform's slack that quotas use; the rest covers members that cannot hear
+# each other.
+QUOTA_SLACK_PART = 0.15
+
+
+@dataclass(slots=True)
+class GatewayState:
+    """The beliefs of one process."""
+
+    settings: PlatformSettings
+    me: MemberName
+    # Unix milliseconds of the start.
+    started_ms: int
+    clock: Callable[[], float]
+    rng: random.Random
+    roster: Roster
+    registry: TargetRegistry
+    balancer: PlainBalancer
+    broker: Broker
+    # What this process itself has sent, by account.
+    own_usage: Quotas
+    retry_budget: RetryBudget
+    refused: RefusedClients
+    # The configuration in force and the bytes that hold it; None before the first.
+    table: RoutingTable | None = None
+    table_bytes: bytes = b""
+    draining: bool = False
+    sequence: int = 0
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: PlatformSettings,
+        boot: int,
+        started_ms: int,
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> "GatewayState":
+        """The beliefs of a process that starts now."""
+        me = MemberName(settings.node, boot)
+        rule = QuotaRule(
+            settings.quota_window_s, settings.quota_slack * QUOTA_SLACK_PART
+        )
+        retry_rule = RetryRule(
+            settings.retry_ratio, settings.retry_window_s, settings.retry_slack
+        )
+        return cls(
+            settings=settings,
+            me=me,
+            started_ms=started_ms,
+            clock=clock,
+            rng=rng,
+            roster=Roster(me),
+            registry=TargetRegistry(),
+            balancer=PlainBalancer(rng),
+            broker=Broker(rule),
+            own_usage=Quotas(rule),
+            retry_budget=RetryBudget(retry_rule),
+            refused=RefusedClients(),
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Whether the process takes requests of clients."""
+        return self.table is not None and not self.draining
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force; 0 before the first."""
+        return 0 if self.table is None else self.table.version
+
+    @property
+    def peer_address(self) -> str:
+        """Where other members send datagrams."""
+        return f"{self.settings.ip}:{self.settings.peer_port}"
+
+    def hello(self) -> Hello:
+        """What this process tells the other members of itself."""
+        return Hello(
+            name=self.me,
+            sequence=self.sequence,
+            started_ms=self.started_ms,
+            peer_address=self.peer_address,
+            control_address=self.settings.control_address,
+            front_address=self.settings.front_address,
+            zone=self.settings.zone,
+            ready=self.table is not None,
+            draining=self.draining,
+            config_version=self.version,
+            leaving=tuple(self.registry.leaving),
+            exhausted=self.broker.exhausted(self.clock()),
+        )
+
+    def usage(self) -> tuple[AccountUsage, ...]:
+        """Everything that this process has sent within the quotas' window."""
+        now = self.clock()
+        return tuple(
+            AccountUsage(account, tuple(window.history(now)))
+            for account, window in self.own_usage.used.items()
+        )
+
+    def targets_changed(self) -> None:
+        """Let the broker and the balancer know of a change of the registry."""
+        self.broker.set_targets(self.registry.entries, self.registry.leaving)
+        self.balancer.keep_only(self.registry.entries)
+
+    def use_table(self, table: RoutingTable, data: bytes) -> bool:
+        """Put a configuration in force; False if it is not newer."""
+        if table.version <= self.version:
+            return False
+        self.table, self.table_bytes = table, data
+        self.broker.set_table(table)
+        return True
--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
@@ -0,0 +1,161 @@
+"""Exchanges beliefs with the other members: who lives, which configuration holds."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import aiohttp
+import msgspec
+
+from burdockhaven_core.scheduling.peer_messages import (
+    Ask,
+    Hello,
+    PeerMessage,
+    Progress,
+    Reply,
+    Report,
+    Verdict,
+    Withdraw,
+)
+from burdockhaven_entry.gateway.control import CONFIGURATION_PATH
+from burdockhaven_entry.gateway.gateway_state import GatewayState
+from burdockhaven_entry.gateway.peer_endpoint import PeerEndpoint
+from burdockhaven_entry.gateway.placer import Placer
+from burdockhaven_entry.platform import Item
+
+# Seconds for another member to send a configuration.
+FETCH_TIMEOUT_S = 1.0
+# Seconds between two greetings of an address at which no member was heard.
+GREET_AGAIN_S = 1.0
+# Seconds for which such an address is greeted.
+GREET_FOR_S = 20.0
+
+
+class MemberEntry(msgspec.Struct, frozen=True):
+    """What a member writes of itself into the store."""
+
+    peer_address: str
+    control_address: str
+
+
+@dataclass(slots=True)
+class MembershipLink:
+    """This process among the members."""
+
+    state: GatewayState
+    endpoint: PeerEndpoint
+    placer: Placer
+    session: aiohttp.ClientSession
+    # Takes in a configuration's bytes and their source.
+    on_configuration: Callable[[bytes, str], None]
+    spawn: Callable[..., None]
+    fetching: bool = False
+    # Addresses to greet, with the time from when and the time of the last greeting.
+    strangers: dict[str, tuple[float, float]] = field(default_factory=dict)
+
+    def entry(self) -> bytes:
+        """What this process writes of itself into the store."""
+        state = self.state
+        return msgspec.json.encode(
+            MemberEntry(state.peer_address, state.settings.control_address)
+        )
+
+    def on_entries(self, items: tuple[Item, ...]) -> None:
+        """Greet the members that the store names."""
+        for item in items:
+            try:
+                entry = msgspec.json.decode(item.value or b"", type=MemberEntry)
+            except msgspec.MsgspecError:
+                # Left by another version; it greets us itself.
+                continue
+            self.greet(entry.peer_address)
+
+    def greet_seeds(self) -> None:
+        """Greet the members that the settings name."""
+        for seed in self.state.settings.seeds:
+            host = seed.rpartition(":")[0]
+            self.greet(f"{host}:{self.state.settings.peer_port}")
+
+    def greet(self, address: str) -> None:
+        """Send our hello to an address until a member is heard there."""
+        known = {v.hello.peer_address for v in self.state.roster.views.values()}
+        if address != self.state.peer_address and address not in known:
+            self.strangers.setdefault(address, (self.state.clock(), 0.0))
+
+    def beat(self) -> None:
+        """Tell all members that this process lives."""
+        state = self.state
+        now = state.clock()
+        state.sequence += 1
+        hello = state.hello()
+        for view in state.roster.views.values():
+            self.endpoint.send(view.hello.peer_address, hello)
+        for address, (since_s, greeted_s) in list(self.strangers.items()):
+            if now - since_s > GREET_FOR_S:
+                del self.strangers[address]
+            elif now - greeted_s > GREET_AGAIN_S:
+                self.strangers[address] = (since_s, now)
+                self.endpoint.send(address, hello)
+        state.roster.forget(now)
+
+    def send(self, node: str, message: PeerMessage) -> None:
+        """Send a message to the node, if it is known."""
+        view = self.state.roster.views.get(node)
+        if view is not None:
+            self.endpoint.send(view.hello.peer_address, message)
+
+    def on_message(self, message: PeerMessage) -> None:
+        """Take in a message of another member."""
+        now = self.state.clock()
+        match message:
+            case Hello():
+                self._on_hello(message, now)
+            case Ask():
+                reply = msgspec.structs.replace(
+                    self.state.broker.ask(message, now), broker=self.state.me.node
+                )
+                self.send(message.sender.node, reply)
+                if reply.verdict is Verdict.QUEUED:
+                    self.placer.pump()
+            case Reply():
+                self.placer.on_reply(message, message.broker)
+            case Progress():
+                self.state.broker.progress(message, now)
+                self.placer.pump()
+            case Report():
+                self.state.broker.report(message, now)
+                self.placer.pump()
+            case Withdraw():
+                self.state.broker.withdraw(message.sender, message.number)
+                self.placer.pump()
+
+    def _on_hello(self, hello: Hello, now: float) -> None:
+        if hello.name.node == self.state.me.node:
+            return
+        self.strangers.pop(hello.peer_address, None)
+        if self.state.roster.hear(hello, now):
+            # A member that starts learns of us at once, and of the others by us.
+            self.endpoint.send(hello.peer_address, self.state.hello())
+        changed = False
+        for target in hello.leaving:
+            if target not in self.state.registry.leaving:
+                self.state.registry.mark_leaving(target)
+                changed = True
+        if changed:
+            self.state.targets_changed()
+        if hello.config_version > self.state.version and not self.fetching:
+            self.fetching = True
+            self.spawn(self._fetch(hello))
+
+    async def _fetch(self, hello: Hello) -> None:
+        url = f"http://{hello.control_address}{CONFIGURATION_PATH}"
+        timeout = aiohttp.ClientTimeout(total=FETCH_TIMEOUT_S)
+        try:
+            async with self.session.get(url, timeout=timeout) as response:
+                data = await response.read()
+                if response.status == 200:
+                    self.on_configuration(data, hello.name.node)
+        except (aiohttp.ClientError, TimeoutError) as error:
+            # The next hello of any member with a newer version tries again.
+            self.endpoint.on_error(hello.control_address, repr(error))
+        finally:
+            self.fetching = False
--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placer.py
@@ -0,0 +1,315 @@
+"""Asks a broker for the engine of a request, and tells it how the run goes.
+
+The broker of the member that has run longest is asked first. A member that does not
+answer is passed over for a while; the last resort is this process's own broker.
+"""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from burdockhaven_core.scheduling.broker import Answered, Broker
+from burdockhaven_core.scheduling.peer_messages import (
+    AccountUsage,
+    Ask,
+    Hello,
+    MemberName,
+    PeerMessage,
+    Progress,
+    Reply,
+    Report,
+    RunEnd,
+    RunNews,
+    RunState,
+    Verdict,
+    Withdraw,
+)
+from burdockhaven_core.scheduling.roster import Roster
+
+# Seconds for another member to answer a question; one way between zones takes about a
+# millisecond, and a busy process some tens.
+ASK_TIMEOUT_S = 0.06
+# Questions in a row without an answer after which a member is passed over.
+ASK_TRIES = 2
+# Seconds for which it is passed over.
+SUSPECT_S = 1.5
+# Seconds after which a queued question is asked again, in case a reply was lost.
+QUEUED_RECHECK_S = 0.3
+# Reports to a new broker that carry the whole usage of the quotas.
+USAGE_REPORTS = 3
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementQuestion:
+    """What a request needs."""
+
+    service: str
+    account: str
+    priority: int
+    prompt_tokens: int
+    output_tokens: int
+    parts: tuple[tuple[str, int], ...]
+    # Monotonic seconds at which the first event is late, and the request is given up.
+    objective_s: float
+    deadline_s: float
+    gap_objective_s: float
+    excluded: tuple[str, ...] = ()
+    returning: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Placed:
+    """The request may be sent, once."""
+
+    number: int
+    target: str
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The request is not to be sent."""
+
+    over_quota: bool
+    # Seconds after which the client may come back.
+    retry_after_s: float
+
+
+@dataclass(slots=True)
+class OwnRun:
+    """A run of this process, as it reports it to brokers."""
+
+    number: int
+    target: str
+    prompt_tokens: int
+    sent_s: float
+    begun: bool = False
+
+
+@dataclass(slots=True)
+class _Pending:
+    """A question that waits for its answer."""
+
+    reply: asyncio.Future[Reply]
+    broker: str = ""
+
+
+Send = Callable[[str, PeerMessage], None]
+
+
+@dataclass(slots=True)
+class Placer:
+    """The questions and runs of this process."""
+
+    me: MemberName
+    roster: Roster
+    broker: Broker
+    own_hello: Callable[[], Hello]
+    # Sends a message to the node of that name.
+    send: Send
+    # Gives monotonic seconds.
+    clock: Callable[[], float]
+    # Quota units that this process has sent, by account.
+    usage: Callable[[], tuple[AccountUsage, ...]]
+    pending: dict[int, _Pending] = field(default_factory=dict)
+    runs: dict[int, OwnRun] = field(default_factory=dict)
+    news: list[RunNews] = field(default_factory=list)
+    # Units used without a question since the last report, by account.
+    spent: dict[str, float] = field(default_factory=dict)
+    last_number: int = 0
+    # The broker of the last report and how many reports it had.
+    reported_to: str = ""
+    reports: int = 0
+
+    async def place(self, question: PlacementQuestion) -> Placed | Refused:
+        """An engine for the request; waits in the broker's queue for it."""
+        self.last_number += 1
+        number = self.last_number
+        try:
+            reply = await self._answer(number, question)
+        except asyncio.CancelledError:
+            self._withdraw(number)
+            raise
+        finally:
+            self.pending.pop(number, None)
+        if reply.verdict is Verdict.GRANTED:
+            self.runs[number] = OwnRun(
+                number, reply.target, question.prompt_tokens, self.clock()
+            )
+            return Placed(number, reply.target)
+        return Refused(reply.verdict is Verdict.OVER_QUOTA, reply.retry_after_ms / 1e3)
+
+    def begun(self, number: int) -> None:
+        """The first event of a run has come."""
+        run = self.runs.get(number)
+        if run is not None and not run.begun:
+            run.begun = True
+            first_ms = int((self.clock() - run.sent_s) * 1e3)
+            self.news.append(RunNews(number, None, first_ms))
+
+    def ended(self, number: int, end: RunEnd, pause_s: float = 0.0) -> None:
+        """A run has left its target."""
+        if self.runs.pop(number, None) is not None:
+            pause = min(65_535, int(pause_s * 1e4))
+            self.news.append(RunNews(number, end, 0, pause))
+
+    def spend(self, account: str, units: float) -> None:
+        """A request was sent without a question."""
+        self.spent[account] = self.spent.get(account, 0.0) + units
+
+    def flush_news(self) -> None:
+        """Tell the broker what has happened to runs."""
+        if not self.news:
+            return
+        message = Progress(self.me, tuple(self.news))
+        self.news.clear()
+        node = self.broker_node()
+        if node == self.me.node:
+            self.broker.progress(message, self.clock())
+            self.pump()
+        else:
+            self.send(node, message)
+
+    def report(self) -> None:
+        """Tell the broker all runs, so that it can correct what messages lost."""
+        node = self.broker_node()
+        self.reports = self.reports + 1 if node == self.reported_to else 1
+        self.reported_to = node
+        now = self.clock()
+        message = Report(
+            sender=self.me,
+            runs=tuple(
+                RunState(
+                    run.number,
+                    run.target,
+                    run.prompt_tokens,
+                    int((now - run.sent_s) * 1e3),
+                    run.begun,
+                )
+                for run in self.runs.values()
+            ),
+            waiting=tuple(self.pending),
+            spent=tuple(self.spent.items()),
+            usage=self.usage() if self.reports <= USAGE_REPORTS else None,
+        )
+        self.spent.clear()
+        if node == self.me.node:
+            self.broker.report(message, now)
+        else:
+            self.send(node, message)
+
+    def pump(self) -> None:
+        """Let the own broker grant what fits now."""
+        for answered in self.broker.pump(self.clock()):
+            self.deliver(answered)
+
+    def deliver(self, answered: Answered) -> None:
+        """Bring a reply of the own broker to the member that asked."""
+        if answered.to.node == self.me.node:
+            self.on_reply(answered.reply, self.me.node)
+        else:
+            reply = msgspec.structs.replace(answered.reply, broker=self.me.node)
+            self.send(answered.to.node, reply)
+
+    def on_reply(self, reply: Reply, node: str) -> None:
+        """A broker has answered."""
+        pending = self.pending.get(reply.number)
+        wanted = pending is not None and not pending.reply.done()
+        if wanted and pending is not None:
+            pending.reply.set_result(reply)
+        elif reply.verdict is Verdict.GRANTED and reply.number not in self.runs:
+            # The question was given up or answered by another broker.
+            self._send_withdraw(node, reply.number)
+
+    def broker_node(self) -> str:
+        """The member to ask now."""
+        nodes = self.roster.brokers(self.clock(), self.own_hello())
+        return nodes[0] if nodes else self.me.node
+
+    async def _answer(self, number: int, question: PlacementQuestion) -> Reply:
+        tries = 0
+        queued_at = ""
+        while True:
+            node = self.broker_node()
+            queued = queued_at == node
+            reply = await self._exchange(number, question, node, queued)
+            if reply is None:
+                tries = 0 if queued else tries + 1
+                if tries >= ASK_TRIES:
+                    self._suspect(node)
+                    tries = 0
+            elif reply.verdict is Verdict.QUEUED:
+                queued_at, tries = node, 0
+            else:
+                return reply
+
+    async def _exchange(
+        self, number: int, question: PlacementQuestion, node: str, queued: bool
+    ) -> Reply | None:
+        """One question; None if no answer came in time."""
+        loop = asyncio.get_running_loop()
+        future: asyncio.Future[Reply] = loop.create_future()
+        self.pending[number] = _Pending(future, node)
+        # A queued question is asked again, which confirms that it still waits.
+        timeout_s = QUEUED_RECHECK_S if queued else ASK_TIMEOUT_S
+        if not queued:
+            self._ask(number, question, node)
+            if future.done():
+                return future.result()
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await future
+        except TimeoutError:
+            if queued:
+                self._ask(number, question, node)
+                if future.done():
+                    reply = future.result()
+                    return None if reply.verdict is Verdict.QUEUED else reply
+            return None
+
+    def _ask(self, number: int, question: PlacementQuestion, node: str) -> None:
+        now = self.clock()
+        ask = Ask(
+            sender=self.me,
+            number=number,
+            service=question.service,
+            account=question.account,
+            priority=question.priority,
+            prompt_tokens=question.prompt_tokens,
+            output_tokens=question.output_tokens,
+            parts=question.parts,
+            objective_ms=int((question.objective_s - now) * 1e3),
+            deadline_ms=int((question.deadline_s - now) * 1e3),
+            gap_objective_ms=int(question.gap_objective_s * 1e3),
+            excluded=question.excluded,
+            returning=question.returning,
+        )
+        if node == self.me.node:
+            self.on_reply(self.broker.ask(ask, now), node)
+        else:
+            self.send(node, ask)
+
+    def _suspect(self, node: str) -> None:
+        view = self.roster.views.get(node)
+        if view is not None:
+            view.suspect_until_s = self.clock() + SUSPECT_S
+
+    def _withdraw(self, number: int) -> None:
+        pending = self.pending.get(number)
+        if pending is not None:
+            self._send_withdraw(pending.broker, number)
+
+    def _send_withdraw(self, node: str, number: int) -> None:
+        if node == self.me.node:
+            self.broker.withdraw(self.me, number)
+        else:
+            self.send(node, Withdraw(self.me, number))
+
+
+def with_excluded(question: PlacementQuestion, target: str) -> PlacementQuestion:
+    """The question of a request that a target has failed."""
+    return dataclasses.replace(
+        question, excluded=(*question.excluded, target), returning=True
+    )
--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_sync.py
@@ -0,0 +1,155 @@
+"""Keeps what this process knows in step with the platform's store."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from result import Err, Ok
+
+from burdockhaven_entry.platform import (
+    ChangeBatch,
+    Item,
+    PlatformStore,
+    StoreFailure,
+    StoreFailureKind,
+)
+
+# Seconds that a watch waits. A connection that has gone silent is noticed after this
+# and the store's allowance, within the two seconds in which a change is to be in force.
+WATCH_WAIT_S = 1.2
+# Seconds between two tries after a failure, at first and at most.
+RETRY_FIRST_S = 0.1
+RETRY_MAX_S = 0.5
+# Seconds without success after which the store counts as having been away.
+AWAY_AFTER_S = 0.6
+# Seconds that the lease of a member's own entry lasts, and between renewals.
+LEASE_S = 12.0
+RENEW_S = 4.0
+# Seconds between two tries to register.
+REGISTER_RETRY_S = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class StoreFeed:
+    """What to do with the keys of one prefix."""
+
+    prefix: str
+    # Told all keys of the prefix.
+    on_all: Callable[[tuple[Item, ...]], None]
+    # Told one change.
+    on_change: Callable[[Item], None]
+    # Told the length of an outage in seconds, before the keys are read again.
+    on_return: Callable[[float], None]
+    # Told the failure that begins an outage.
+    on_failure: Callable[[StoreFailure], None]
+
+
+class Follower:
+    """Follows one prefix: reads it, then watches it."""
+
+    def __init__(
+        self,
+        store: PlatformStore,
+        feed: StoreFeed,
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self.store = store
+        self.feed = feed
+        self.clock = clock
+        self.rng = rng
+        # The revision up to which changes are known; None before the first read.
+        self.revision: int | None = None
+        # Monotonic time of the last success; None before the first.
+        self.success_s: float | None = None
+        self.failing = False
+        self.delay_s = RETRY_FIRST_S
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            if self.revision is None:
+                await self._read()
+            else:
+                await self._watch(self.revision)
+
+    async def _read(self) -> None:
+        found = await self.store.read_prefix(self.feed.prefix)
+        if isinstance(found, Err):
+            await self._failed(found.err_value)
+            return
+        self._succeeded()
+        self.feed.on_all(found.ok_value.items)
+        self.revision = found.ok_value.store_revision
+
+    async def _watch(self, after: int) -> None:
+        found = await self.store.watch(self.feed.prefix, after, WATCH_WAIT_S)
+        if isinstance(found, Ok):
+            self._succeeded()
+            self._apply(found.ok_value)
+            return
+        failure = found.err_value
+        if failure.kind is StoreFailureKind.HISTORY_LOST:
+            self.revision = None
+            return
+        await self._failed(failure)
+        if self.failing:
+            # What was missed is read whole: removals during an outage need it.
+            self.revision = None
+
+    def _apply(self, batch: ChangeBatch) -> None:
+        for item in batch.items:
+            self.feed.on_change(item)
+        if self.revision is not None:
+            self.revision = max(self.revision, batch.store_revision)
+
+    def _succeeded(self) -> None:
+        now = self.clock()
+        if self.failing:
+            self.failing = False
+            self.feed.on_return(0.0 if self.success_s is None else now - self.success_s)
+        self.success_s = now
+        self.delay_s = RETRY_FIRST_S
+
+    async def _failed(self, failure: StoreFailure) -> None:
+        now = self.clock()
+        since_s = self.success_s
+        if not self.failing and (since_s is None or now - since_s > AWAY_AFTER_S):
+            self.failing = True
+            self.feed.on_failure(failure)
+        await asyncio.sleep(self.delay_s * (0.5 + self.rng.random() / 2))
+        self.delay_s = min(RETRY_MAX_S, self.delay_s * 2)
+
+
+async def stay_registered(
+    store: PlatformStore,
+    key: str,
+    value: bytes,
+    sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
+) -> None:
+    """Hold an entry in the store under a lease until cancelled."""
+    while True:
+        granted = await store.grant_lease(LEASE_S)
+        if isinstance(granted, Err):
+            await sleep(REGISTER_RETRY_S)
+            continue
+        lease = granted.ok_value
+        written = await store.put(key, value, lease)
+        if isinstance(written, Err):
+            await sleep(REGISTER_RETRY_S)
+            continue
+        await _keep(store, lease, sleep)
+
+
+async def _keep(
+    store: PlatformStore, lease: int, sleep: Callable[[float], Awaitable[None]]
+) -> None:
+    """Renew a lease until it has ended."""
+    while True:
+        await sleep(RENEW_S)
+        kept = await store.keep_lease(lease)
+        if isinstance(kept, Err) and (
+            kept.err_value.kind is StoreFailureKind.LEASE_ENDED
+        ):
+            return
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
@@ -236,6 +236,17 @@
         "Look at the target; it gets less work until it recovers.",
         {"target": "name of the target", "factor": "its slowness against the group"},
     ),
+    EventSpec(
+        EventNumber.TARGET_ENTRY_UNREADABLE,
+        "warning",
+        "The entry {key} at revision {revision} names no target: {detail}.",
+        "Find out who writes to the key; the other entries hold.",
+        {
+            "key": "key in the store",
+            "revision": "the store's revision of the write",
+            "detail": "what was wrong with it",
+        },
+    ),
     EventSpec(
         EventNumber.ORDERS_TAKEN,
         "info",
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/main.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/main.py
@@ -6,13 +6,15 @@
 import sys
 from pathlib import Path
 
-import uvloop
 from result import Err
 
 from burdockhaven_core.log_numbers import EventNumber
-from burdockhaven_entry.daemon import Daemon
 from burdockhaven_entry.log_events import configure_logging, log
-from burdockhaven_entry.settings import EntrySettings
+from burdockhaven_entry.platform import (
+    SETTINGS_VARIABLE,
+    SettingsError,
+    read_settings,
+)
 
 EXIT_OK = 0
 EXIT_SETTINGS = 2
@@ -21,6 +23,47 @@
 def main(arguments: list[str] | None = None) -> int:
     """Run the daemon until it is told to stop; return the exit code."""
     options = _parser().parse_args(arguments)
+    if options.platform:
+        return _run_on_platform(options)
+    if options.config is None:
+        _parser().error("--config is needed unless --platform is given")
+    return _run_alone(options)
+
+
+def _run_on_platform(options: argparse.Namespace) -> int:
+    """Run behind the users' platform, with the settings file that it writes."""
+    configure_logging("json", "info", sys.stdout)
+    path = options.config or Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    try:
+        settings = read_settings(path.read_text())
+    except SettingsError as error:
+        for fault in error.faults:
+            log(EventNumber.SETTINGS_FAULT, fault=f"{path}: {fault}")
+        return EXIT_SETTINGS
+    except OSError as error:
+        log(EventNumber.SETTINGS_FAULT, fault=f"{path}: {error}")
+        return EXIT_SETTINGS
+    if options.check:
+        print(f"{path}: the settings of VM {settings.node} are right")
+        return EXIT_OK
+    # Each edge loads its own libraries: memory is dear on the platform's VMs.
+    from burdockhaven_entry.gateway.gateway_daemon import run_gateway
+
+    run_gateway(settings)
+    return EXIT_OK
+
+
+def _run_alone(options: argparse.Namespace) -> int:
+    """Run with the product's own interfaces and settings."""
+    import uvloop
+
+    from burdockhaven_entry.daemon import Daemon
+    from burdockhaven_entry.settings import EntrySettings
+
+    async def run() -> None:
+        daemon = Daemon.from_config(settings, asyncio.get_running_loop().time)
+        await daemon.run()
+
     read = EntrySettings.from_file(options.config, os.environ)
     if isinstance(read, Err):
         configure_logging("text", "info")
@@ -32,21 +75,23 @@
         print(f"{options.config}: the settings of entry {settings.name} are right")
         return EXIT_OK
     configure_logging(settings.log_format, settings.log_level)
-    uvloop.run(_run(settings))
+    uvloop.run(run())
     return EXIT_OK
 
 
-async def _run(settings: EntrySettings) -> None:
-    daemon = Daemon.from_config(settings, asyncio.get_running_loop().time)
-    await daemon.run()
-
-
 def _parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog="burdockhaven-entry", description="The daemon of an entry VM."
     )
     parser.add_argument(
-        "--config", type=Path, required=True, help="the settings, an INI file"
+        "--config",
+        type=Path,
+        help="the settings: an INI file, or with --platform the platform's YAML file",
+    )
+    parser.add_argument(
+        "--platform",
+        action="store_true",
+        help=f"run on the users' platform; reads {SETTINGS_VARIABLE} unless --config",
     )
     parser.add_argument(
         "--check", action="store_true", help="check the settings and do nothing else"
--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/__init__.py
@@ -0,0 +1,80 @@
+"""The users' platform: its names, formats and calls, and nothing that decides.
+
+Everything outside this folder uses the project's own types; a test keeps it so.
+"""
+
+from burdockhaven_entry.platform.answers import (
+    TargetAnswer,
+    client_headers,
+    read_answer,
+    refusal_headers,
+)
+from burdockhaven_entry.platform.client_request import (
+    ClientRequest,
+    MalformedRequestError,
+    read_client_request,
+    target_headers,
+)
+from burdockhaven_entry.platform.configuration import (
+    ConfigurationError,
+    read_configuration,
+)
+from burdockhaven_entry.platform.look_up import (
+    LOOK_UP_PATH,
+    READINESS_PATH,
+    encode_look_up,
+)
+from burdockhaven_entry.platform.settings import (
+    SETTINGS_VARIABLE,
+    PlatformSettings,
+    SettingsError,
+    read_settings,
+)
+from burdockhaven_entry.platform.store import (
+    ChangeBatch,
+    Item,
+    PlatformStore,
+    StoreFailure,
+    StoreFailureKind,
+)
+from burdockhaven_entry.platform.store_keys import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_PREFIX,
+    MEMBERS_PREFIX,
+    TARGETS_PREFIX,
+)
+from burdockhaven_entry.platform.target_entry import (
+    TargetEntryError,
+    read_target_entry,
+)
+
+__all__ = [
+    "CONFIGURATION_KEY",
+    "CONFIGURATION_PREFIX",
+    "LOOK_UP_PATH",
+    "MEMBERS_PREFIX",
+    "READINESS_PATH",
+    "SETTINGS_VARIABLE",
+    "TARGETS_PREFIX",
+    "ChangeBatch",
+    "ClientRequest",
+    "ConfigurationError",
+    "Item",
+    "MalformedRequestError",
+    "PlatformSettings",
+    "PlatformStore",
+    "SettingsError",
+    "StoreFailure",
+    "StoreFailureKind",
+    "TargetAnswer",
+    "TargetEntryError",
+    "client_headers",
+    "encode_look_up",
+    "read_answer",
+    "read_client_request",
+    "read_configuration",
+    "read_settings",
+    "read_target_entry",
+    "refusal_headers",
+    "target_headers",
+]
--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/configuration.py
@@ -0,0 +1,160 @@
+"""Decodes the operators' configuration as it lies in the store."""
+
+import msgspec
+
+from burdockhaven_core.scheduling.routing import (
+    Account,
+    ClientLimits,
+    EngineLimits,
+    Route,
+    RouteKind,
+    RoutingTable,
+    Service,
+    ServiceShare,
+)
+
+MS_PER_S = 1_000.0
+TOKENS_UNIT = "tokens"
+
+
+class ConfigurationError(ValueError):
+    """The bytes hold no configuration that can be used."""
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float
+    # "target" means the objective here, not a server.
+    target_latency_ms: float = 0.0
+    priority: int = 0
+    # Given instead of `split` where all requests go to one service.
+    service: str | None = None
+    split: list[_Split] = []
+    max_attempts: int = 1
+    public: bool = False
+    sticky: bool = False
+    resumable: bool = False
+    target_gap_ms: float | None = None
+
+
+class _Engine(msgspec.Struct):
+    slots: int
+    kv_capacity: int = 500_000
+    # Tokens in one event of a stream.
+    stride: int = 1
+
+
+class _Service(msgspec.Struct):
+    name: str
+    max_conns: int = 100
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    unit: str = ""
+    uncached_tokens: int = 0
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] | None = None
+
+
+_decoder = msgspec.json.Decoder(_Configuration)
+
+
+def read_configuration(data: bytes) -> RoutingTable:
+    """The routing table of one version; raises `ConfigurationError`."""
+    try:
+        raw = _decoder.decode(data)
+        return RoutingTable.from_parts(
+            version=raw.version,
+            routes=tuple(_route(route) for route in raw.routes),
+            services={service.name: _service(service) for service in raw.services},
+            account_of_key=_accounts(raw.tenants),
+            limits=_client_limits(raw.limits),
+        )
+    except (msgspec.MsgspecError, UnicodeDecodeError, ValueError) as error:
+        raise ConfigurationError(str(error)) from error
+
+
+def _route(raw: _Route) -> Route:
+    if raw.split:
+        shares = tuple(ServiceShare(part.service, part.weight) for part in raw.split)
+    elif raw.service is not None:
+        shares = (ServiceShare(raw.service, 1.0),)
+    else:
+        raise ConfigurationError(f"route {raw.name} names no service")
+    gap_ms = raw.target_gap_ms
+    return Route(
+        name=raw.name,
+        host=raw.host,
+        prefix=raw.prefix,
+        kind=RouteKind(raw.kind),
+        timeout_s=raw.timeout_ms / MS_PER_S,
+        objective_s=(raw.target_latency_ms or raw.timeout_ms) / MS_PER_S,
+        gap_objective_s=None if gap_ms is None else gap_ms / MS_PER_S,
+        priority=raw.priority,
+        shares=shares,
+        max_attempts=max(1, raw.max_attempts),
+        public=raw.public,
+        sticky=raw.sticky,
+        resumable=raw.resumable,
+    )
+
+
+def _service(raw: _Service) -> Service:
+    engine = raw.engine
+    limits = None
+    if engine is not None:
+        limits = EngineLimits(engine.slots, engine.kv_capacity, engine.stride)
+    return Service(raw.name, raw.max_conns, limits)
+
+
+def _accounts(raw: list[_Tenant] | None) -> dict[str, Account] | None:
+    if raw is None:
+        return None
+    found = {}
+    for tenant in raw:
+        account = Account(
+            name=tenant.name,
+            priority=tenant.priority,
+            rate_per_s=tenant.rate_per_s,
+            burst=tenant.burst,
+            counts_tokens=tenant.unit == TOKENS_UNIT,
+            default_tokens=tenant.uncached_tokens,
+        )
+        found.update(dict.fromkeys(tenant.api_keys, account))
+    return found
+
+
+def _client_limits(raw: _Limits) -> ClientLimits:
+    return ClientLimits(
+        raw.max_header_bytes,
+        raw.max_body_bytes,
+        raw.header_timeout_ms / MS_PER_S,
+        raw.idle_timeout_ms / MS_PER_S,
+    )
--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/settings.py
@@ -0,0 +1,166 @@
+"""The settings file that the platform writes for each process, in YAML."""
+
+from dataclasses import dataclass
+from typing import Annotated, Any
+
+import msgspec
+
+SETTINGS_VARIABLE = "BURDOCKHAVEN_SETTINGS"
+
+Address = Annotated[str, msgspec.Meta(pattern=r"^\d+\.\d+\.\d+\.\d+:\d+$")]
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+NotNegative = Annotated[float, msgspec.Meta(ge=0)]
+
+
+class SettingsError(ValueError):
+    """The settings can't be used; `faults` names each one."""
+
+    def __init__(self, faults: list[str]) -> None:
+        super().__init__("; ".join(faults))
+        self.faults = faults
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """What a process learns from the platform's file."""
+
+    # Name of the VM.
+    node: str
+    ip: str
+    zone: str
+    # Where clients connect.
+    front_address: str
+    readiness_address: str
+    # Where other members fetch configurations.
+    control_address: str
+    # Where clients look addresses up.
+    directory_address: str
+    # Port for datagrams between members; the same on all VMs.
+    peer_port: int
+    # Control addresses of some members; may be stale.
+    seeds: tuple[str, ...]
+    store_address: str
+    # Seconds that a process has after SIGTERM.
+    grace_s: float
+    # Repeats for each request, the window in seconds and the fixed allowance.
+    retry_ratio: float
+    retry_window_s: float
+    retry_slack: float
+    # Seconds of a quota's window and units allowed beyond it.
+    quota_window_s: float
+    quota_slack: float
+    # Longest time in seconds that a client keeps a look-up.
+    look_up_ttl_max_s: float
+
+
+class _Listen(msgspec.Struct):
+    front: Address
+    readiness: Address
+    control: Address
+    directory: Address
+
+
+class _Bounds(msgspec.Struct):
+    grace_s: Positive
+    retry_budget_ratio: NotNegative
+    retry_window_s: Positive
+    retry_slack: NotNegative
+    quota_window_s: Positive
+    quota_slack: NotNegative
+    ttl_max_s: Positive = 5.0
+
+
+class _Platform(msgspec.Struct):
+    address: Address
+
+
+class _File(msgspec.Struct):
+    node: str
+    ip: str
+    zone: str
+    listen: _Listen
+    port_range: Annotated[list[int], msgspec.Meta(min_length=2)]
+    bounds: _Bounds
+    platform: _Platform
+    seeds: list[Address] = []
+
+
+def read_settings(text: str) -> PlatformSettings:
+    """The settings that the file holds; raises `SettingsError` with all faults."""
+    # Imported here: the library is needed at start and reload only.
+    import yaml
+
+    try:
+        # The C loader is several times faster; a restart waits for it.
+        loader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+        raw: Any = yaml.load(text, Loader=loader)  # noqa: S506
+    except yaml.YAMLError as error:
+        raise SettingsError([f"not YAML: {error}"]) from error
+    if not isinstance(raw, dict):
+        raise SettingsError(["the file holds no table of settings"])
+    faults = _faults(raw)
+    if faults:
+        raise SettingsError(faults)
+    return _to_settings(msgspec.convert(raw, _File))
+
+
+def _faults(raw: dict[str, Any]) -> list[str]:
+    """Each fault of the file; a section's own faults are told one by one."""
+    faults = []
+    for field in msgspec.structs.fields(_File):
+        if field.name not in raw:
+            if field.required:
+                faults.append(f"{field.name}: missing")
+            continue
+        value = raw[field.name]
+        nested = field.type if isinstance(field.type, type) else None
+        if nested is not None and issubclass(nested, msgspec.Struct):
+            faults += _section_faults(field.name, value, nested)
+        else:
+            faults += _value_faults(field.name, value, field.type)
+    return faults
+
+
+def _section_faults(
+    section: str, value: Any, wanted: type[msgspec.Struct]
+) -> list[str]:
+    if not isinstance(value, dict):
+        return [f"{section}: not a table"]
+    faults = []
+    for field in msgspec.structs.fields(wanted):
+        name = f"{section}.{field.name}"
+        if field.name in value:
+            faults += _value_faults(name, value[field.name], field.type)
+        elif field.required:
+            faults.append(f"{name}: missing")
+    return faults
+
+
+def _value_faults(name: str, value: Any, wanted: Any) -> list[str]:
+    try:
+        msgspec.convert(value, wanted)
+    except msgspec.ValidationError as error:
+        return [f"{name}: {error}"]
+    return []
+
+
+def _to_settings(file: _File) -> PlatformSettings:
+    return PlatformSettings(
+        node=file.node,
+        ip=file.ip,
+        zone=file.zone,
+        front_address=file.listen.front,
+        readiness_address=file.listen.readiness,
+        control_address=file.listen.control,
+        directory_address=file.listen.directory,
+        peer_port=file.port_range[0],
+        seeds=tuple(file.seeds),
+        store_address=file.platform.address,
+        grace_s=file.bounds.grace_s,
+        retry_ratio=file.bounds.retry_budget_ratio,
+        retry_window_s=file.bounds.retry_window_s,
+        retry_slack=file.bounds.retry_slack,
+        quota_window_s=file.bounds.quota_window_s,
+        quota_slack=file.bounds.quota_slack,
+        look_up_ttl_max_s=file.bounds.ttl_max_s,
+    )
--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/store.py
@@ -0,0 +1,280 @@
+"""Calls to the platform's store."""
+
+import base64
+import enum
+from dataclasses import dataclass
+from typing import Any
+
+import aiohttp
+import msgspec
+from result import Err, Ok, Result
+
+# Seconds for a call, and for its connection. The store answers in milliseconds; a call
+# that takes longer has lost its connection or the store.
+CALL_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 0.6
+# Seconds that a waiting watch may overrun before its connection counts as silent.
+WATCH_OVERRUN_S = 0.7
+
+
+class StoreFailureKind(enum.Enum):
+    """What a failed call allows to conclude."""
+
+    # The store did nothing.
+    NOT_DONE = "not done"
+    # The call may have been executed, or may be later.
+    AMBIGUOUS = "ambiguous"
+    # The history that a watch asked for is not kept any more.
+    HISTORY_LOST = "history lost"
+    # The lease has ended.
+    LEASE_ENDED = "lease ended"
+    # The condition of a write does not hold.
+    CONDITION = "condition"
+
+
+@dataclass(frozen=True, slots=True)
+class StoreFailure:
+    """A call that did not succeed."""
+
+    kind: StoreFailureKind
+    # The call.
+    step: str
+    # Address of the store.
+    peer: str
+    detail: str
+
+
+class _RawItem(msgspec.Struct):
+    key: str
+    value: str = ""
+    revision: int = 0
+    tombstone: Any = None
+
+
+class _RangeAnswer(msgspec.Struct):
+    items: list[_RawItem]
+    truncated: bool
+    store_revision: int
+
+
+class _WatchAnswer(msgspec.Struct):
+    events: list[_RawItem]
+    store_revision: int
+
+
+class _LeaseAnswer(msgspec.Struct):
+    lease: int
+    ttl_ms: int
+
+
+class _Write(msgspec.Struct):
+    key: str
+    value: str
+    lease: int
+
+
+class _Transaction(msgspec.Struct):
+    writes: list[_Write]
+    expect_rev: list[Any] = []
+    remove: list[str] = []
+
+
+@dataclass(frozen=True, slots=True)
+class Item:
+    """A key as it stands in the store."""
+
+    key: str
+    # None if the key was removed.
+    value: bytes | None
+    # The store's revision of the last change.
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeBatch:
+    """Items and the revision up to which they are known."""
+
+    items: tuple[Item, ...]
+    store_revision: int
+
+
+_STATUS_KINDS = {
+    404: StoreFailureKind.LEASE_ENDED,
+    410: StoreFailureKind.HISTORY_LOST,
+    412: StoreFailureKind.CONDITION,
+    429: StoreFailureKind.NOT_DONE,
+    503: StoreFailureKind.NOT_DONE,
+}
+
+
+class PlatformStore:
+    """The one client of the store."""
+
+    def __init__(self, address: str, session: aiohttp.ClientSession) -> None:
+        self.address = address
+        self.session = session
+        # Calls made since the start, by name and outcome.
+        self.calls: dict[tuple[str, str], int] = {}
+
+    @classmethod
+    def from_address(cls, address: str) -> "PlatformStore":
+        """A client that has sent nothing yet; needs a running event loop."""
+        connector = aiohttp.TCPConnector(limit=8, keepalive_timeout=10.0)
+        session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
+        return cls(address, session)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.session.close()
+
+    async def read_prefix(self, prefix: str) -> Result[ChangeBatch, StoreFailure]:
+        """All keys that begin so; pages are put together."""
+        items: list[Item] = []
+        after = ""
+        revision: int | None = None
+        while True:
+            query = {"prefix": prefix} | ({"after": after} if after else {})
+            found = await self._call(
+                "GET", "/-/kv-range", _RangeAnswer, query=query, step="read"
+            )
+            if isinstance(found, Err):
+                return found
+            page = found.ok_value
+            items += [_item(raw) for raw in page.items]
+            # Changes since the first page are told again by a watch from there.
+            revision = page.store_revision if revision is None else revision
+            if not page.truncated or not page.items:
+                return Ok(ChangeBatch(tuple(items), revision))
+            after = page.items[-1].key
+
+    async def watch(
+        self, prefix: str, after: int, wait_s: float
+    ) -> Result[ChangeBatch, StoreFailure]:
+        """What has changed since a revision; waits so long for the first change."""
+        query = {
+            "prefix": prefix,
+            "after": str(after),
+            "wait_ms": str(int(wait_s * 1e3)),
+        }
+        found = await self._call(
+            "GET",
+            "/-/kv-watch",
+            _WatchAnswer,
+            query=query,
+            step="watch",
+            timeout_s=wait_s + WATCH_OVERRUN_S,
+        )
+        if isinstance(found, Err):
+            return found
+        answer = found.ok_value
+        return Ok(
+            ChangeBatch(
+                tuple(_item(raw) for raw in answer.events), answer.store_revision
+            )
+        )
+
+    async def grant_lease(self, ttl_s: float) -> Result[int, StoreFailure]:
+        """A new lease; gives its number."""
+        body = {"ttl_ms": int(ttl_s * 1e3)}
+        found = await self._call(
+            "POST", "/-/kv-lease", _LeaseAnswer, body=body, step="grant lease"
+        )
+        return found.map(lambda answer: answer.lease)
+
+    async def keep_lease(self, lease: int) -> Result[None, StoreFailure]:
+        """Renew a lease."""
+        found = await self._call(
+            "POST", f"/-/kv-keep/{lease}", dict[str, Any], step="keep lease"
+        )
+        return found.map(lambda answer: None)
+
+    async def end_lease(self, lease: int) -> Result[None, StoreFailure]:
+        """End a lease and remove its keys."""
+        found = await self._call(
+            "DELETE", f"/-/kv-lease-end/{lease}", Any, step="end lease"
+        )
+        return found.map(lambda answer: None)
+
+    async def put(
+        self, key: str, value: bytes, lease: int
+    ) -> Result[None, StoreFailure]:
+        """Write a key that lasts as long as the lease."""
+        encoded = base64.b64encode(value).decode()
+        body = _Transaction([_Write(key, encoded, lease)])
+        found = await self._call(
+            "POST", "/-/kv-txn", dict[str, Any], body=body, step="write"
+        )
+        return found.map(lambda answer: None)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        answer_type: Any,
+        *,
+        step: str,
+        query: dict[str, str] | None = None,
+        body: Any = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> Result[Any, StoreFailure]:
+        result = await self._send(
+            method, path, answer_type, step, query, body, timeout_s
+        )
+        outcome = "ok" if isinstance(result, Ok) else result.err_value.kind.value
+        self.calls[step, outcome] = self.calls.get((step, outcome), 0) + 1
+        return result
+
+    async def _send(
+        self,
+        method: str,
+        path: str,
+        answer_type: Any,
+        step: str,
+        query: dict[str, str] | None,
+        body: Any,
+        timeout_s: float,
+    ) -> Result[Any, StoreFailure]:
+        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+        headers = {"Content-Type": "application/json"} if body is not None else {}
+        try:
+            async with self.session.request(
+                method,
+                f"http://{self.address}{path}",
+                params=query,
+                data=None if body is None else msgspec.json.encode(body),
+                headers=headers,
+                timeout=timeout,
+            ) as response:
+                data = await response.read()
+                status = response.status
+        except aiohttp.ClientConnectorError as error:
+            return self._fail(StoreFailureKind.NOT_DONE, step, repr(error))
+        except (TimeoutError, aiohttp.ClientError) as error:
+            return self._fail(StoreFailureKind.AMBIGUOUS, step, repr(error))
+        if status != 200:
+            kind = _STATUS_KINDS.get(status, StoreFailureKind.AMBIGUOUS)
+            return self._fail(kind, step, f"status {status}")
+        try:
+            return Ok(
+                None
+                if answer_type is Any
+                else msgspec.json.decode(data, type=answer_type)
+            )
+        except msgspec.MsgspecError as error:
+            return self._fail(StoreFailureKind.AMBIGUOUS, step, str(error))
+
+    def _fail(
+        self, kind: StoreFailureKind, step: str, detail: str
+    ) -> Err[StoreFailure]:
+        return Err(StoreFailure(kind, step, self.address, detail))
+
+
+def _item(raw: _RawItem) -> Item:
+    if raw.tombstone:
+        return Item(raw.key, None, raw.revision)
+    try:
+        value = base64.b64decode(raw.value, validate=True)
+    except ValueError:
+        # Decoded further on, where unreadable bytes are logged with their key.
+        value = b""
+    return Item(raw.key, value, raw.revision)
--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/target_entry.py
@@ -0,0 +1,48 @@
+"""Decodes the entries under which servers register in the store."""
+
+import msgspec
+
+from burdockhaven_core.scheduling.target_registry import TargetEntry
+
+DRAINING = "draining"
+STATES = frozenset({"ready", DRAINING})
+
+
+class TargetEntryError(ValueError):
+    """The bytes name no server that can be used."""
+
+
+class _Entry(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    state: str
+    seq: int
+    slots: int = 1
+    born: int = 0
+
+
+_decoder = msgspec.json.Decoder(_Entry)
+
+
+def read_target_entry(target_id: str, data: bytes) -> TargetEntry:
+    """The target that an entry names; raises `TargetEntryError`."""
+    try:
+        raw = _decoder.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise TargetEntryError(str(error)) from error
+    if raw.state not in STATES:
+        raise TargetEntryError(f"unknown state {raw.state!r}")
+    host, colon, port = raw.address.rpartition(":")
+    if not (host and colon and port.isdigit()):
+        raise TargetEntryError(f"address {raw.address!r} is not IP:PORT")
+    return TargetEntry(
+        id=target_id,
+        service=raw.service,
+        address=raw.address,
+        zone=raw.zone,
+        slots=max(1, raw.slots),
+        draining=raw.state == DRAINING,
+        born_ms=raw.born,
+        sequence=raw.seq,
+    )
