--- /dev/null
+++ b/packages/burdockhaven-core/tests/scheduling/test_broker.py
@@ -0,0 +1,159 @@
+import pytest
+from scheduling_samples import ENGINES, ME, account, ask, table, target
+
+from burdockhaven_core.scheduling.broker import GRANT_SETTLE_S, Broker
+from burdockhaven_core.scheduling.peer_messages import (
+    AccountUsage,
+    MemberName,
+    Progress,
+    Report,
+    RunEnd,
+    RunNews,
+    RunState,
+    Verdict,
+)
+from burdockhaven_core.scheduling.quotas import QuotaRule
+
+
+def broker(targets=("i-1", "i-2"), accounts=(), slots=2):
+    made = Broker(QuotaRule(8.0, 0.0))
+    made.set_table(table(accounts=accounts, slots=slots))
+    entries = {name: target(name, slots=slots) for name in targets}
+    made.set_targets(entries, set())
+    return made
+
+
+def ended(number, end=RunEnd.WHOLE, sender=ME):
+    return Progress(sender, (RunNews(number, end),))
+
+
+def test_slots_are_filled_and_then_requests_wait_for_an_end():
+    made = broker()
+    verdicts = [made.ask(ask(n), 0.0).verdict for n in range(5)]
+    assert verdicts == [Verdict.GRANTED] * 4 + [Verdict.QUEUED]
+    assert made.pump(0.1) == []
+    made.progress(ended(0), 0.2)
+    (answered,) = made.pump(0.2)
+    assert answered.reply.number == 4
+    assert answered.reply.verdict is Verdict.GRANTED
+
+
+def test_a_question_that_is_sent_again_is_answered_alike():
+    made = broker()
+    first = made.ask(ask(1), 0.0)
+    assert made.ask(ask(1), 0.1) == first
+    assert len(made.granted) == 1
+
+
+def test_the_urgent_tier_goes_first_and_returners_before_newcomers():
+    made = broker(targets=("i-1",), slots=1)
+    made.ask(ask(1), 0.0)
+    made.ask(ask(2, priority=1), 0.1)
+    made.ask(ask(3, priority=0), 0.2)
+    made.ask(ask(4, priority=0, returning=True), 0.3)
+    order = []
+    for last in (1, 4, 3):
+        made.progress(ended(last), 0.5)
+        order += [a.reply.number for a in made.pump(0.5)]
+    assert order == [4, 3, 2]
+
+
+def test_a_request_that_can_only_be_late_waits_behind_those_still_on_time():
+    made = broker(targets=("i-1",), slots=1)
+    made.ask(ask(1), 0.0)
+    made.ask(ask(2, objective_ms=-1), 0.1)
+    made.ask(ask(3), 0.2)
+    made.progress(ended(1), 0.3)
+    assert [a.reply.number for a in made.pump(0.3)] == [3]
+
+
+def test_a_request_that_can_not_be_served_in_time_is_refused_at_once():
+    made = broker(targets=("i-1",), slots=1)
+    made.ask(ask(1), 0.0)
+    reply = made.ask(ask(2, deadline_ms=300), 0.0)
+    assert reply.verdict is Verdict.OVERLOADED
+    assert reply.retry_after_ms >= 300
+
+
+def test_a_waiting_request_is_refused_when_its_time_runs_out():
+    made = broker(targets=("i-1",), slots=1)
+    made.ask(ask(1), 0.0)
+    made.ask(ask(2, deadline_ms=3_500), 0.0)
+    assert made.pump(0.5) == []
+    (answered,) = made.pump(3.4)
+    assert answered.reply.verdict is Verdict.OVERLOADED
+    assert made.queue == {}
+
+
+def test_a_quota_is_kept_and_the_refusal_says_when_to_come_back():
+    acme = account(rate_per_s=200.0)
+    made = broker(accounts=(acme,))
+    question = {"account": "acme", "prompt_tokens": 1_000, "output_tokens": 500}
+    assert made.ask(ask(1, **question), 0.0).verdict is Verdict.GRANTED
+    reply = made.ask(ask(2, **question), 1.0)
+    assert reply.verdict is Verdict.OVER_QUOTA
+    assert reply.retry_after_ms > 0
+    assert made.ask(ask(3, **question), 8.6).verdict is not Verdict.OVER_QUOTA
+
+
+def test_a_new_broker_learns_what_was_used_and_counts_it_once():
+    acme = account(rate_per_s=200.0)
+    made = broker(accounts=(acme,))
+    usage = (AccountUsage("acme", ((1.0, 1_000.0),)),)
+    for _ in range(3):
+        made.report(Report(ME, (), (), usage=usage), 10.0)
+    assert made.quotas.window("acme").sum(10.0) == 1_000
+
+
+def test_a_new_broker_learns_from_reports_what_is_under_way():
+    made = broker(targets=("i-1",), slots=2)
+    runs = (RunState(7, "i-1", 500, 100, True), RunState(8, "i-1", 500, 50, False))
+    made.report(Report(ME, runs, ()), 1.0)
+    assert made.ask(ask(9), 1.0).verdict is Verdict.QUEUED
+    made.progress(ended(7), 1.1)
+    assert [a.reply.number for a in made.pump(1.1)] == [9]
+
+
+def test_a_lost_grant_or_end_is_found_by_the_next_report():
+    made = broker(targets=("i-1",), slots=1)
+    made.ask(ask(1), 0.0)
+    made.report(Report(ME, (), (1,)), 0.1)
+    assert len(made.granted) == 1
+    made.report(Report(ME, (), ()), GRANT_SETTLE_S + 0.1)
+    assert made.granted == {}
+
+
+@pytest.mark.parametrize("boot", [1, 2])
+def test_the_runs_of_an_earlier_start_of_a_member_are_forgotten(boot):
+    made = broker(targets=("i-1",), slots=1)
+    made.ask(ask(1), 0.0)
+    made.report(Report(MemberName(ME.node, boot), (), ()), 0.1)
+    assert bool(made.granted) is (boot == ME.boot)
+
+
+def test_a_target_that_can_not_be_reached_gets_nothing_for_a_while():
+    made = broker(targets=("i-1", "i-2"), slots=4)
+    first = made.ask(ask(1), 0.0).target
+    made.progress(ended(1, RunEnd.UNREACHABLE), 0.1)
+    assert {made.ask(ask(n), 0.1).target for n in (2, 3)} == {"i-1", "i-2"} - {first}
+
+
+def test_a_target_whose_first_event_is_overdue_gets_nothing_more():
+    made = broker(targets=("i-1", "i-2"), slots=4)
+    silent = made.ask(ask(1), 0.0).target
+    assert made.ask(ask(2), 5.0).target != silent
+
+
+def test_a_withdrawn_question_frees_its_slot():
+    made = broker(targets=("i-1",), slots=1)
+    made.ask(ask(1), 0.0)
+    made.ask(ask(2), 0.0)
+    made.withdraw(ME, 1)
+    assert [a.reply.number for a in made.pump(0.1)] == [2]
+
+
+def test_targets_that_leave_are_not_used_and_their_slots_not_counted():
+    made = broker(targets=("i-1",), slots=1)
+    made.set_targets({"i-1": target("i-1", draining=True)}, set())
+    assert made.ask(ask(1), 0.0).verdict is Verdict.QUEUED
+    assert ENGINES not in made.open_by_service
