Keep a queued question alive over its rechecks; test the adapter and its boundary

Cause: a wait for a broker's reply that timed out cancelled its future; reading the cancelled future ended the handler as if the client had gone, 0.3 s after the request was queued. Ruled out: the connect time-out (0.3 s too, but an error of its own); clients leaving.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
@@ -42,7 +42,7 @@
     number: int
     prompt_tokens: int
     # Prompt tokens that the engine has to read.
-    uncached_tokens: int
+    unread_tokens: int
     # Monotonic seconds of the grant.
     granted_s: float
     # Milliseconds from the grant in which the first event was predicted.
@@ -79,7 +79,7 @@
         plain = tokens * PREFILL_MS_PER_TOKEN + pairs_m * PREFILL_MS_PER_M_PAIRS
         return plain * self.slowness
 
-    def uncached(self, parts: tuple[tuple[str, int], ...], prompt_tokens: int) -> int:
+    def unread(self, parts: tuple[tuple[str, int], ...], prompt_tokens: int) -> int:
         """Tokens of a prompt that the engine has to read."""
         kept = 0
         for part, tokens in parts:
@@ -90,7 +90,7 @@
 
     def backlog_tokens(self) -> int:
         """Tokens of prompts that were sent and are not read yet."""
-        return sum(run.uncached_tokens for run in self.runs.values() if not run.begun)
+        return sum(run.unread_tokens for run in self.runs.values() if not run.begun)
 
     def backlog_ms(self, now: float) -> float:
         """Milliseconds until the prompts before a new one are read."""
@@ -98,19 +98,19 @@
         oldest_s = now
         for run in self.runs.values():
             if not run.begun:
-                total += self.prefill_ms(run.uncached_tokens)
+                total += self.prefill_ms(run.unread_tokens)
                 oldest_s = min(oldest_s, run.granted_s)
         return max(0.0, total - (now - oldest_s) * 1e3)
 
-    def first_event_ms(self, uncached_tokens: int, now: float) -> float:
+    def first_event_ms(self, unread_tokens: int, now: float) -> float:
         """Milliseconds in which a new request would bring its first event."""
-        reading = self.backlog_ms(now) + self.prefill_ms(uncached_tokens)
+        reading = self.backlog_ms(now) + self.prefill_ms(unread_tokens)
         return FIRST_EVENT_BASE_MS * self.slowness + reading
 
-    def pause_ms(self, uncached_tokens: int) -> float:
+    def pause_ms(self, unread_tokens: int) -> float:
         """The longest pause that a new prompt causes in the other streams."""
         steps = self.tokens_per_event
-        read = min(self.backlog_tokens() + uncached_tokens, steps * CHUNK_TOKENS)
+        read = min(self.backlog_tokens() + unread_tokens, steps * CHUNK_TOKENS)
         return self.slowness * (read * PREFILL_MS_PER_TOKEN + steps * STEP_MS)
 
     def is_stalled(self, now: float) -> bool:
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/placement.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/placement.py
@@ -39,7 +39,7 @@
     """An engine for a request."""
 
     engine: EngineLoad
-    uncached_tokens: int
+    unread_tokens: int
     first_event_ms: float
     # Whether the first event is predicted to be on time.
     on_time: bool
@@ -57,12 +57,12 @@
     for engine in engines:
         if not _takes_work(engine, need, now):
             continue
-        uncached = engine.uncached(need.parts, need.prompt_tokens)
-        first_ms = engine.first_event_ms(uncached, now)
+        unread = engine.unread(need.parts, need.prompt_tokens)
+        first_ms = engine.first_event_ms(unread, now)
         on_time = first_ms <= OBJECTIVE_PART * need.objective_left_ms
-        if engine.runs and not _spares_others(engine, uncached, need):
+        if engine.runs and not _spares_others(engine, unread, need):
             continue
-        found = Placement(engine, uncached, first_ms, on_time)
+        found = Placement(engine, unread, first_ms, on_time)
         rank = (not on_time, _cost(found, need))
         if best is None or rank < best[0]:
             best = (rank, found)
@@ -78,8 +78,8 @@
     )
 
 
-def _spares_others(engine: EngineLoad, uncached: int, need: PlacementNeed) -> bool:
-    return engine.pause_ms(uncached) <= PAUSE_PART * need.gap_objective_ms
+def _spares_others(engine: EngineLoad, unread: int, need: PlacementNeed) -> bool:
+    return engine.pause_ms(unread) <= PAUSE_PART * need.gap_objective_ms
 
 
 def _cost(found: Placement, need: PlacementNeed) -> float:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placer.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placer.py
@@ -37,7 +37,7 @@
 # Seconds for which it is passed over.
 SUSPECT_S = 1.5
 # Seconds after which a queued question is asked again, in case a reply was lost.
-QUEUED_RECHECK_S = 0.3
+QUEUED_RECHECK_S = 0.2
 # Reports to a new broker that carry the whole usage of the quotas.
 USAGE_REPORTS = 3
 
@@ -229,14 +229,21 @@
         return nodes[0] if nodes else self.me.node
 
     async def _answer(self, number: int, question: PlacementQuestion) -> Reply:
+        """The final answer of a broker; asks again while none comes."""
         tries = 0
+        # The broker that holds the question in its queue; empty while none is known to.
         queued_at = ""
         while True:
             node = self.broker_node()
-            queued = queued_at == node
-            reply = await self._exchange(number, question, node, queued)
-            if reply is None:
-                tries = 0 if queued else tries + 1
+            if queued_at and queued_at != node:
+                self._send_withdraw(queued_at, number)
+                queued_at = ""
+            reply = await self._exchange(number, question, node, bool(queued_at))
+            if reply is None and queued_at:
+                # Asked again in the next round, in case a reply was lost.
+                queued_at = ""
+            elif reply is None:
+                tries += 1
                 if tries >= ASK_TRIES:
                     self._suspect(node)
                     tries = 0
@@ -248,26 +255,14 @@
     async def _exchange(
         self, number: int, question: PlacementQuestion, node: str, queued: bool
     ) -> Reply | None:
-        """One question; None if no answer came in time."""
-        loop = asyncio.get_running_loop()
-        future: asyncio.Future[Reply] = loop.create_future()
+        """Ask, unless the question is queued, and wait; None if no answer came."""
+        future: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
         self.pending[number] = _Pending(future, node)
-        # A queued question is asked again, which confirms that it still waits.
-        timeout_s = QUEUED_RECHECK_S if queued else ASK_TIMEOUT_S
         if not queued:
             self._ask(number, question, node)
-            if future.done():
-                return future.result()
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await future
-        except TimeoutError:
-            if queued:
-                self._ask(number, question, node)
-                if future.done():
-                    reply = future.result()
-                    return None if reply.verdict is Verdict.QUEUED else reply
-            return None
+        timeout_s = QUEUED_RECHECK_S if queued else ASK_TIMEOUT_S
+        await asyncio.wait({future}, timeout=timeout_s)
+        return future.result() if future.done() else None
 
     def _ask(self, number: int, question: PlacementQuestion, node: str) -> None:
         now = self.clock()
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_sync.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_sync.py
@@ -81,7 +81,7 @@
             return
         self._succeeded()
         self.feed.on_all(found.ok_value.items)
-        self.revision = found.ok_value.store_revision
+        self.revision = found.ok_value.revision
 
     async def _watch(self, after: int) -> None:
         found = await self.store.watch(self.feed.prefix, after, WATCH_WAIT_S)
@@ -102,7 +102,7 @@
         for item in batch.items:
             self.feed.on_change(item)
         if self.revision is not None:
-            self.revision = max(self.revision, batch.store_revision)
+            self.revision = max(self.revision, batch.revision)
 
     def _succeeded(self) -> None:
         now = self.clock()
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/store.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/store.py
@@ -95,7 +95,7 @@
     """Items and the revision up to which they are known."""
 
     items: tuple[Item, ...]
-    store_revision: int
+    revision: int
 
 
 _STATUS_KINDS = {
--- /dev/null
+++ b/packages/burdockhaven-entry/tests/platform/test_boundary.py
@@ -0,0 +1,49 @@
+"""The platform's names stay in the adapter, and the adapter decides nothing."""
+
+import ast
+import re
+from pathlib import Path
+
+import burdockhaven_core
+import burdockhaven_entry
+
+ENTRY = Path(burdockhaven_entry.__file__).parent
+CORE = Path(burdockhaven_core.__file__).parent
+ADAPTER = ENTRY / "platform"
+WIRE_NAMES = re.compile(
+    r"x-burdockhaven-|/-/|store_revision|cold_left_ms|allow_stale|expect_rev"
+    r"|kv_capacity|max_conns|target_latency_ms|api_keys|uncached_tokens"
+    r"|BURDOCKHAVEN_SETTINGS|op/config",
+    re.IGNORECASE,
+)
+# Types without decisions: what the adapter decodes into.
+TYPES = {
+    "burdockhaven_core.scheduling.routing",
+    "burdockhaven_core.scheduling.target_registry",
+}
+
+
+def test_no_name_of_the_wire_stands_outside_the_adapter():
+    found = []
+    for folder in (ENTRY, CORE):
+        for path in folder.rglob("*.py"):
+            if ADAPTER in path.parents:
+                continue
+            for number, line in enumerate(path.read_text().splitlines(), 1):
+                if WIRE_NAMES.search(line):
+                    found.append(f"{path.name}:{number}: {line.strip()}")
+    assert found == []
+
+
+def test_the_adapter_imports_nothing_that_decides():
+    found = []
+    for path in ADAPTER.rglob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if not isinstance(node, ast.ImportFrom) or node.module is None:
+                continue
+            name = node.module
+            ours = name.startswith(("burdockhaven_core", "burdockhaven_entry"))
+            own = name.startswith("burdockhaven_entry.platform")
+            if ours and not own and name not in TYPES:
+                found.append(f"{path.name}: {name}")
+    assert found == []
--- /dev/null
+++ b/packages/burdockhaven-entry/tests/platform/test_configuration.py
@@ -0,0 +1,101 @@
+import json
+
+import pytest
+
+from burdockhaven_core.scheduling.routing import RouteKind, ServiceShare
+from burdockhaven_entry.platform import ConfigurationError, read_configuration
+
+ROUTE = {
+    "name": "r1",
+    "host": "one.example",
+    "prefix": "/a/",
+    "kind": "streaming",
+    "timeout_ms": 15000,
+    "target_latency_ms": 600,
+    "priority": 2,
+    "service": "engines",
+    "max_attempts": 2,
+    "sticky": True,
+    "resumable": True,
+    "target_gap_ms": 300,
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [
+        {
+            "name": "engines",
+            "max_conns": 370,
+            "engine": {"slots": 12, "kv_capacity": 791555, "stride": 6},
+        },
+        {"name": "plain", "max_conns": 110},
+    ],
+    "limits": {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 4194304,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15000,
+    },
+    "tenants": [
+        {
+            "name": "acme",
+            "api_keys": ["k1", "k2"],
+            "priority": 1,
+            "unit": "tokens",
+            "uncached_tokens": 200,
+            "rate_per_s": 1000,
+            "burst": 500,
+        }
+    ],
+}
+
+
+def read(**changes):
+    return read_configuration(json.dumps(CONFIGURATION | changes).encode())
+
+
+def test_names_and_units_are_translated():
+    found = read()
+    (route,) = found.routes
+    assert found.version == 7
+    assert route.kind is RouteKind.STREAMING
+    assert (route.timeout_s, route.objective_s, route.gap_objective_s) == (15, 0.6, 0.3)
+    assert found.services["engines"].engine.tokens_per_event == 6
+    assert found.services["plain"].engine is None
+    assert found.account_of_key["k2"].counts_tokens
+    assert found.limits.idle_timeout_s == 15
+
+
+def test_a_split_takes_the_place_of_a_service():
+    split = [{"service": "x", "weight": 90}, {"service": "y", "weight": 10}]
+    route = {k: v for k, v in ROUTE.items() if k != "service"} | {"split": split}
+    (found,) = read(routes=[route]).routes
+    assert found.shares == (ServiceShare("x", 90), ServiceShare("y", 10))
+
+
+def test_without_tenants_no_key_is_needed():
+    raw = {k: v for k, v in CONFIGURATION.items() if k != "tenants"}
+    assert read_configuration(json.dumps(raw).encode()).account_of_key is None
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"{",
+        b"[]",
+        b'{"routes":[]}',
+        b'{"version":"x"}',
+        b"\xff\xfe",
+        json.dumps({"version": 1, "routes": [ROUTE | {"kind": "odd"}]}).encode(),
+        json.dumps(
+            {
+                "version": 1,
+                "routes": [{k: v for k, v in ROUTE.items() if k != "service"}],
+            }
+        ).encode(),
+    ],
+)
+def test_what_is_no_configuration_is_an_error(data):
+    with pytest.raises(ConfigurationError):
+        read_configuration(data)
--- /dev/null
+++ b/packages/burdockhaven-entry/tests/platform/test_platform_settings.py
@@ -0,0 +1,66 @@
+import pytest
+
+from burdockhaven_entry.platform import SettingsError, read_settings
+
+GOOD = """
+node: "front-a-1"
+role: "entry"
+ip: "10.1.0.25"
+zone: "a"
+listen:
+  front: "10.1.0.25:8221"
+  readiness: "10.1.0.25:8224"
+  control: "10.1.0.25:8229"
+  directory: "10.1.0.25:8220"
+port_range: [7600, 7615]
+seeds: ["10.1.0.25:8229", "10.2.0.17:8229"]
+some_new_field: {x: 1}
+bounds:
+  grace_s: 8
+  retry_budget_ratio: 0.2
+  retry_window_s: 10
+  retry_slack: 58
+  quota_window_s: 8
+  quota_slack: 140000
+  ttl_max_s: 5
+platform: {address: "10.200.1.7:8225", form: "kv"}
+"""
+
+
+def test_the_fields_are_read_and_unknown_ones_ignored():
+    settings = read_settings(GOOD)
+    assert settings.node == "front-a-1"
+    assert settings.peer_port == 7600
+    assert settings.seeds == ("10.1.0.25:8229", "10.2.0.17:8229")
+    assert settings.grace_s == 8.0
+    assert settings.store_address == "10.200.1.7:8225"
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "fault"),
+    [
+        ('node: "front-a-1"', "", "node: missing"),
+        ("grace_s: 8", "grace_s: soon", "bounds.grace_s:"),
+        ("grace_s: 8", "grace_s: -1", "bounds.grace_s:"),
+        ("[7600, 7615]", "[7600]", "port_range:"),
+        ('control: "10.1.0.25:8229"', 'control: "here"', "listen.control:"),
+        ('platform: {address: "10.200.1.7:8225", form: "kv"}', "", "platform: missing"),
+    ],
+)
+def test_each_fault_is_named(old, new, fault):
+    with pytest.raises(SettingsError) as error:
+        read_settings(GOOD.replace(old, new))
+    assert any(line.startswith(fault) for line in error.value.faults)
+
+
+def test_all_faults_are_told_at_once():
+    text = GOOD.replace("grace_s: 8", "grace_s: x").replace('zone: "a"', "")
+    with pytest.raises(SettingsError) as error:
+        read_settings(text)
+    assert len(error.value.faults) == 2
+
+
+@pytest.mark.parametrize("text", ["", "- 1", "a: [", "\x00"])
+def test_a_file_that_is_no_table_is_a_fault(text):
+    with pytest.raises(SettingsError):
+        read_settings(text)
--- /dev/null
+++ b/packages/burdockhaven-entry/tests/platform/test_target_entry.py
@@ -0,0 +1,44 @@
+import json
+
+import pytest
+
+from burdockhaven_entry.platform import TargetEntryError, read_target_entry
+
+ENTRY = {
+    "service": "s",
+    "address": "10.128.0.9:8080",
+    "zone": "a",
+    "version": "v1",
+    "slots": 12,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "seq": 4,
+    "born": 1700000000000,
+}
+
+
+def read(**changes):
+    return read_target_entry("i-1", json.dumps(ENTRY | changes).encode())
+
+
+def test_an_entry_is_read():
+    found = read(state="draining")
+    assert (found.id, found.service, found.slots) == ("i-1", "s", 12)
+    assert found.draining
+    assert (found.born_ms, found.sequence) == (1700000000000, 4)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xff",
+        json.dumps(ENTRY | {"state": "resting"}).encode(),
+        json.dumps(ENTRY | {"slots": "many"}).encode(),
+        json.dumps(ENTRY | {"address": "nowhere"}).encode(),
+        json.dumps({k: v for k, v in ENTRY.items() if k != "service"}).encode(),
+    ],
+)
+def test_what_names_no_target_is_an_error(data):
+    with pytest.raises(TargetEntryError):
+        read_target_entry("i-1", data)
