Free slots of runs that went elsewhere; judge stalls by other news; close idle connections

One lost answer made a whole engine count as stalled, though its other runs went on. 3. The wait in the queue was taken for short when nothing ended for two seconds. 4. Long answers went to stragglers and missed the deadline (10 s on a summary). 5. LOST at a stop: aiohttp's close() of an idle connection leaves the socket open and drops what comes; idle connections are now closed for good at the end of the stop's first part. Ruled out: quota (43 refusals), readiness, look-ups.

--- a/packages/burdockhaven-core/src/burdockhaven_core/log_numbers.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/log_numbers.py
@@ -30,6 +30,8 @@
     RUN_FINISHED = 303
     ASSIGNMENT_FORGED = 304
     REQUEST_MALFORMED = 305
+    REQUEST_ANSWERED = 306
+    REQUEST_TURNED_AWAY = 307
 
     # Configuration and the platform's services.
     CONFIGURATION_IN_FORCE = 401
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -31,6 +31,8 @@
 GRANT_SETTLE_S = 0.4
 # Seconds over which the rate of finished runs is measured.
 RATE_WINDOW_S = 2.0
+# Ends of runs a second that are assumed at least.
+LEAST_RATE_PER_S = 0.25
 # Seconds of a request's time that its run is assumed to need at least.
 LEAST_RUN_S = 0.25
 # Seconds for a client to come back, at least and at most.
@@ -173,7 +175,7 @@
                 self.granted.pop(key, None)
                 continue
             if news.end is None:
-                self._begun(engine, key)
+                self._begun(engine, key, now)
             else:
                 self._ended(engine, key, news, now)
 
@@ -198,21 +200,13 @@
             if key[1] != name.boot or (old and key[2] not in waiting):
                 del self.queue[key]
 
-    def forget_member(self, node: str) -> None:
-        """The member is gone; so are its runs and questions."""
-        for key in [k for k in self.granted if k[0] == node]:
+    def forget_absent(self, present: set[str]) -> None:
+        """Members other than these are gone; so are their runs and questions."""
+        for key in [k for k in self.granted if k[0] not in present]:
             self._release(key)
-        for key in [k for k in self.queue if k[0] == node]:
+        for key in [k for k in self.queue if k[0] not in present]:
             del self.queue[key]
-        self.known_usage = {name for name in self.known_usage if name[0] != node}
-
-    def reset(self) -> None:
-        """Forget all runs and questions; another broker has taken over."""
-        self.queue.clear()
-        for key in list(self.granted):
-            self._release(key)
-        self.known_usage.clear()
-        self.quotas.used.clear()
+        self.known_usage = {name for name in self.known_usage if name[0] in present}
 
     def _engine(self, entry: TargetEntry) -> EngineLoad:
         engine = self.engines.get(entry.id)
@@ -237,6 +231,8 @@
             (waiting.objective_s - now) * 1e3,
             ask.gap_objective_ms,
             ask.excluded,
+            (waiting.deadline_s - now) * 1e3,
+            ask.expected_tokens or ask.output_tokens,
         )
         return place(need, self._fillable(ask.service), now)
 
@@ -275,24 +271,31 @@
             unread_tokens=found.unread_tokens,
             granted_s=now,
             predicted_ms=found.first_event_ms,
-            priority=ask.priority,
         )
         found.engine.start(run, ask.parts)
-        return Reply(ask.number, Verdict.GRANTED, found.engine.target)
+        return Reply(
+            ask.number,
+            Verdict.GRANTED,
+            found.engine.target,
+            predicted_ms=int(found.first_event_ms),
+        )
 
     def _wait_s(self, service: str, rank: int, now: float) -> float:
         """Seconds until the request of that rank in the queue gets a slot."""
+        engines = self.open_by_service.get(service, [])
+        slots = sum(engine.slots for engine in engines)
         window = self.ended.get(service)
-        rate = 0.0 if window is None else window.sum(now) / RATE_WINDOW_S
-        slots = sum(engine.slots for engine in self.open_by_service.get(service, []))
-        # Before anything has ended, a run of two seconds in each slot is assumed.
-        return rank / max(rate, slots / 4.0, 0.5)
+        # Before anything has ended, a run of four seconds in each slot is assumed.
+        rate = slots / 4.0
+        if window is not None:
+            rate = window.sum(now) / RATE_WINDOW_S
+        return rank / max(rate, LEAST_RATE_PER_S)
 
-    def _begun(self, engine: EngineLoad, key: AskKey) -> None:
+    def _begun(self, engine: EngineLoad, key: AskKey, now: float) -> None:
         run = engine.runs.get(key)
         if run is not None:
             run.begun = True
-            engine.unreachable = 0
+            engine.heard(now)
 
     def _ended(
         self, engine: EngineLoad, key: AskKey, news: RunNews, now: float
@@ -305,6 +308,7 @@
         if news.pause_tenth_ms:
             engine.learn_pause(news.pause_tenth_ms / 10)
         if news.end is RunEnd.WHOLE:
+            engine.heard(now)
             engine.succeeded()
         elif news.end is RunEnd.UNREACHABLE:
             engine.eject(now)
@@ -335,6 +339,8 @@
         if known is not None:
             known.begun = known.begun or run.begun
             return
+        # Another broker may have placed it elsewhere before this one was believed.
+        self._release(key)
         self.granted[key] = run.target
         engine.runs[key] = Run(
             sender=name.node,
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
@@ -25,6 +25,8 @@
 STALL_FACTOR = 4.0
 # and at least so many milliseconds late.
 STALL_FLOOR_MS = 900.0
+# A prompt counts as being read for so many times the predicted time.
+OVERDUE_FACTOR = 3.0
 # Seconds for which an engine that could not be reached gets nothing, at first and at
 # most; each failure in a row doubles it.
 EJECT_S = 0.5
@@ -47,9 +49,12 @@
     granted_s: float
     # Milliseconds from the grant in which the first event was predicted.
     predicted_ms: float
-    priority: int = 0
     begun: bool = False
 
+    def age_ms(self, now: float) -> float:
+        """Milliseconds since the grant."""
+        return (now - self.granted_s) * 1e3
+
 
 @dataclass(slots=True)
 class EngineLoad:
@@ -68,6 +73,8 @@
     # Failures to reach it in a row.
     unreachable: int = 0
     ejected_until_s: float = 0.0
+    # When a run last began or ended well.
+    news_s: float = 0.0
     runs: dict[tuple[str, int, int], Run] = field(default_factory=dict)
     # Tokens of each part that the engine is assumed to keep, the oldest use first.
     parts: OrderedDict[str, int] = field(default_factory=OrderedDict)
@@ -88,41 +95,54 @@
             kept += tokens
         return max(0, prompt_tokens - kept)
 
-    def backlog_tokens(self) -> int:
+    def _being_read(self, now: float) -> list["Run"]:
+        """Runs whose prompts are read or wait for it; not those that seem lost."""
+        return [
+            run
+            for run in self.runs.values()
+            if not run.begun and run.age_ms(now) <= OVERDUE_FACTOR * run.predicted_ms
+        ]
+
+    def backlog_tokens(self, now: float) -> int:
         """Tokens of prompts that were sent and are not read yet."""
-        return sum(run.unread_tokens for run in self.runs.values() if not run.begun)
+        return sum(run.unread_tokens for run in self._being_read(now))
 
     def backlog_ms(self, now: float) -> float:
         """Milliseconds until the prompts before a new one are read."""
-        total = 0.0
-        oldest_s = now
-        for run in self.runs.values():
-            if not run.begun:
-                total += self.prefill_ms(run.unread_tokens)
-                oldest_s = min(oldest_s, run.granted_s)
-        return max(0.0, total - (now - oldest_s) * 1e3)
+        reading = self._being_read(now)
+        total = sum(self.prefill_ms(run.unread_tokens) for run in reading)
+        spent = max((run.age_ms(now) for run in reading), default=0.0)
+        return max(0.0, total - spent)
 
     def first_event_ms(self, unread_tokens: int, now: float) -> float:
         """Milliseconds in which a new request would bring its first event."""
         reading = self.backlog_ms(now) + self.prefill_ms(unread_tokens)
         return FIRST_EVENT_BASE_MS * self.slowness + reading
 
-    def pause_ms(self, unread_tokens: int) -> float:
+    def pause_ms(self, unread_tokens: int, now: float) -> float:
         """The longest pause that a new prompt causes in the other streams."""
         steps = self.tokens_per_event
-        read = min(self.backlog_tokens() + unread_tokens, steps * CHUNK_TOKENS)
+        read = min(self.backlog_tokens(now) + unread_tokens, steps * CHUNK_TOKENS)
         return self.slowness * (read * PREFILL_MS_PER_TOKEN + steps * STEP_MS)
 
     def is_stalled(self, now: float) -> bool:
-        """Whether a first event is so late that the engine seems to hang."""
+        """Whether it seems to hang: a first event is overdue, and no other news came.
+
+        A single answer that was lost does not count against an engine that goes on
+        with its other runs.
+        """
         for run in self.runs.values():
-            if run.begun:
+            if run.begun or self.news_s > run.granted_s:
                 continue
             limit_ms = max(STALL_FACTOR * run.predicted_ms, STALL_FLOOR_MS)
-            if (now - run.granted_s) * 1e3 > limit_ms:
+            if run.age_ms(now) > limit_ms:
                 return True
         return False
 
+    def run_ms(self, output_tokens: int) -> float:
+        """Milliseconds from the first event to the end of an answer."""
+        return output_tokens * STEP_MS * self.slowness
+
     def free_slots(self) -> int:
         """Requests that fit into its batch."""
         return self.slots - len(self.runs)
@@ -148,10 +168,14 @@
             self.slowness += SPEED_WEIGHT * (seen - self.slowness)
         self.slowness = min(20.0, max(0.2, self.slowness))
 
+    def heard(self, now: float) -> None:
+        """A run has begun or ended well."""
+        self.news_s = now
+        self.unreachable = 0
+
     def succeeded(self) -> None:
         """A run ended well."""
         self.failures *= 1 - FAILURE_WEIGHT
-        self.unreachable = 0
 
     def failed(self) -> None:
         """A run failed at the engine."""
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
@@ -48,6 +48,7 @@
     # 0 is the most urgent.
     priority: int
     prompt_tokens: int
+    # The most tokens that the answer may have.
     output_tokens: int
     # Parts of the prompt and their tokens, in order.
     parts: tuple[tuple[str, int], ...]
@@ -60,6 +61,8 @@
     excluded: tuple[str, ...] = ()
     # Whether the client was refused before, or the request is sent again.
     returning: bool = False
+    # Tokens that the client expects the answer to have; 0 if it does not say.
+    expected_tokens: int = 0
 
 
 class Verdict(enum.IntEnum):
@@ -82,6 +85,8 @@
     target: str = ""
     # Milliseconds after which the client may come back.
     retry_after_ms: int = 0
+    # Milliseconds in which the first event is predicted; 0 unless granted.
+    predicted_ms: int = 0
     # Node that answers; empty where the answer does not leave the process.
     broker: str = ""
 
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/placement.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/placement.py
@@ -15,6 +15,8 @@
 # What each multiple of the ordinary step time adds; keeps slow engines for the time
 # when the fast ones fill.
 SLOWNESS_WEIGHT = 0.15
+# An answer may be so many times longer than expected.
+LENGTH_FACTOR = 1.5
 # What a failure rate of one adds.
 FAILURE_WEIGHT = 2.0
 
@@ -32,6 +34,10 @@
     gap_objective_ms: float
     # Targets that have failed this request.
     excluded: tuple[str, ...]
+    # Milliseconds until the request is given up.
+    deadline_left_ms: float = float("inf")
+    # Tokens that the answer is expected to have.
+    output_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,17 +59,17 @@
     An engine on which the prompt would hold up the streams of others for too long is
     taken only by a request that finds no other one at all.
     """
-    best: tuple[tuple[bool, float], Placement] | None = None
+    best: tuple[tuple[bool, bool, float], Placement] | None = None
     for engine in engines:
         if not _takes_work(engine, need, now):
             continue
         unread = engine.unread(need.parts, need.prompt_tokens)
         first_ms = engine.first_event_ms(unread, now)
         on_time = first_ms <= OBJECTIVE_PART * need.objective_left_ms
-        if engine.runs and not _spares_others(engine, unread, need):
+        if engine.runs and not _spares_others(engine, unread, need, now):
             continue
         found = Placement(engine, unread, first_ms, on_time)
-        rank = (not on_time, _cost(found, need))
+        rank = (not on_time, not _ends_in_time(found, need), _cost(found, need))
         if best is None or rank < best[0]:
             best = (rank, found)
     return None if best is None else best[1]
@@ -78,8 +84,15 @@
     )
 
 
-def _spares_others(engine: EngineLoad, unread: int, need: PlacementNeed) -> bool:
-    return engine.pause_ms(unread) <= PAUSE_PART * need.gap_objective_ms
+def _ends_in_time(found: Placement, need: PlacementNeed) -> bool:
+    run_ms = LENGTH_FACTOR * found.engine.run_ms(need.output_tokens)
+    return found.first_event_ms + run_ms <= need.deadline_left_ms
+
+
+def _spares_others(
+    engine: EngineLoad, unread: int, need: PlacementNeed, now: float
+) -> bool:
+    return engine.pause_ms(unread, now) <= PAUSE_PART * need.gap_objective_ms
 
 
 def _cost(found: Placement, need: PlacementNeed) -> float:
--- a/packages/burdockhaven-core/tests/scheduling/test_broker.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_broker.py
@@ -41,7 +41,8 @@
 def test_a_question_that_is_sent_again_is_answered_alike():
     made = broker()
     first = made.ask(ask(1), 0.0)
-    assert made.ask(ask(1), 0.1) == first
+    again = made.ask(ask(1), 0.1)
+    assert (again.verdict, again.target) == (first.verdict, first.target)
     assert len(made.granted) == 1
 
 
@@ -78,9 +79,9 @@
 def test_a_waiting_request_is_refused_when_its_time_runs_out():
     made = broker(targets=("i-1",), slots=1)
     made.ask(ask(1), 0.0)
-    made.ask(ask(2, deadline_ms=3_500), 0.0)
+    made.ask(ask(2, deadline_ms=6_500), 0.0)
     assert made.pump(0.5) == []
-    (answered,) = made.pump(3.4)
+    (answered,) = made.pump(6.4)
     assert answered.reply.verdict is Verdict.OVERLOADED
     assert made.queue == {}
 
@@ -157,3 +158,29 @@
     made.set_targets({"i-1": target("i-1", draining=True)}, set())
     assert made.ask(ask(1), 0.0).verdict is Verdict.QUEUED
     assert ENGINES not in made.open_by_service
+
+
+def test_a_run_that_went_elsewhere_frees_the_slot_that_was_granted_for_it():
+    """Such a slot was never freed, and its engine counted as stalled for good."""
+    made = broker(targets=("i-1", "i-2"), slots=1)
+    granted = made.ask(ask(1), 0.0).target
+    (other,) = {"i-1", "i-2"} - {granted}
+    made.report(Report(ME, (RunState(1, other, 1_000, 10, True),), ()), 0.1)
+    assert made.engines[granted].runs == {}
+    assert made.ask(ask(2), 5.0).target == granted
+
+
+def test_a_member_that_is_gone_holds_no_slots():
+    made = broker(targets=("i-1",), slots=1)
+    made.ask(ask(1, sender=MemberName("entry-9", 9)), 0.0)
+    made.forget_absent({ME.node})
+    assert made.ask(ask(2), 0.1).verdict is Verdict.GRANTED
+
+
+def test_without_ends_the_wait_is_not_taken_for_short():
+    made = broker(targets=("i-1",), slots=12)
+    for number in range(12):
+        made.ask(ask(number), 0.0)
+    made.progress(ended(0), 0.1)
+    made.ask(ask(90), 0.1)
+    assert made.ask(ask(91, deadline_ms=3_000), 8.0).verdict is Verdict.OVERLOADED
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/call.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/call.py
@@ -1,7 +1,6 @@
 """One request of a client as it passes through the gateway."""
 
-import dataclasses
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from aiohttp import web
 
@@ -10,6 +9,21 @@
 from burdockhaven_entry.platform import ClientRequest, target_headers
 
 
+@dataclass(slots=True)
+class Trace:
+    """What happened to one request, for its log line."""
+
+    # The target of the last send; empty if there was none.
+    target: str = ""
+    sends: int = 0
+    # Seconds in a broker's queue, over all placements.
+    queued_s: float = 0.0
+    # Seconds from the arrival to the first event; None if none came.
+    first_event_s: float | None = None
+    # Failed sends and refusals, each with its step and peer.
+    failures: list[str] = field(default_factory=list)
+
+
 @dataclass(frozen=True, slots=True)
 class Call:
     """A request that was read, routed and allowed."""
@@ -28,6 +42,9 @@
     digest: int
     # Whether such a request was refused lately.
     returning: bool
+    # Version of the configuration that routed it.
+    version: int
+    trace: Trace
 
     @property
     def priority(self) -> int:
@@ -64,7 +81,3 @@
             attempt_id=self.said.attempt_id,
             may_reuse_connection=may_reuse_connection,
         )
-
-    def with_returning(self, returning: bool) -> "Call":
-        """The call of a client that was refused before, or was not."""
-        return dataclasses.replace(self, returning=returning)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/front.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/front.py
@@ -6,7 +6,7 @@
 from aiohttp import web
 
 from burdockhaven_core.scheduling.routing import Account, Route, RouteKind, RoutingTable
-from burdockhaven_entry.gateway.call import Call
+from burdockhaven_entry.gateway.call import Call, Trace
 from burdockhaven_entry.gateway.gateway_state import GatewayState
 from burdockhaven_entry.gateway.plain_forwarding import PlainForwarding
 from burdockhaven_entry.gateway.replies import (
@@ -19,6 +19,11 @@
     not_run,
     reply,
 )
+from burdockhaven_entry.gateway.request_log import (
+    CLIENT_LEFT,
+    log_answered,
+    log_refused,
+)
 from burdockhaven_entry.gateway.stream_forwarding import StreamForwarding
 from burdockhaven_entry.platform import (
     ClientRequest,
@@ -49,16 +54,25 @@
             call = await self._read(request)
         except RefusedError as refused:
             response: web.StreamResponse = refused.response
+            log_refused(request, response.status)
         else:
-            now = self.state.clock()
-            self.state.retry_budget.count_request(call.service, now)
+            response = await self._forward(call)
+        if self.state.draining and not response.prepared:
+            response.force_close()
+        return response
+
+    async def _forward(self, call: Call) -> web.StreamResponse:
+        self.state.retry_budget.count_request(call.service, self.state.clock())
+        status = CLIENT_LEFT
+        try:
             if call.route.kind is RouteKind.STREAMING:
                 response = await self.streams.forward(call)
             else:
                 response = await self.plain.forward(call)
-        if self.state.draining and not response.prepared:
-            response.force_close()
-        return response
+            status = response.status
+            return response
+        finally:
+            log_answered(call, status, self.state.clock())
 
     async def _read(self, request: web.BaseRequest) -> Call:
         arrived_s = self.state.clock()
@@ -87,6 +101,8 @@
             deadline_s=arrived_s + limit_s,
             digest=digest,
             returning=self.state.refused.take(digest, arrived_s),
+            version=table.version,
+            trace=Trace(),
         )
 
     def _said(self, request: web.BaseRequest) -> ClientRequest:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -55,11 +55,15 @@
 PUMP_S = 0.02
 # Seconds between two looks at entries that may have lapsed.
 EXPIRE_S = 0.1
+# Seconds of silence after which a member's runs count as ended.
+ABSENT_S = 1.5
 # Seconds after SIGTERM in which new connections are still taken; clients keep a look-up
 # for three times its lifetime.
 ACCEPT_AFTER_STOP_S = 3.2
 # Seconds before the platform kills the process at which it ends by itself.
 STOP_MARGIN_S = 0.5
+# Seconds between two looks at what is in progress during a stop.
+STOP_POLL_S = 0.02
 # Connections that wait to be accepted.
 BACKLOG = 1024
 # Seconds for which idle connections of clients are kept; longer than any client's.
@@ -169,6 +173,7 @@
         timer.subscribe(NEWS_S, lambda now: self.placer.flush_news())
         timer.subscribe(PUMP_S, lambda now: self._pump())
         timer.subscribe(EXPIRE_S, self._expire)
+        timer.subscribe(ABSENT_S, self._forget_absent)
 
     def _follow(self) -> None:
         feeds = (
@@ -221,8 +226,8 @@
     async def _stop(self) -> None:
         """Leave the look-ups, finish what is in progress, then end.
 
-        Connections without a request are closed at once; others close after their
-        answer. New connections are taken for as long as clients keep old look-ups.
+        Each answer closes its connection. New connections are taken for as long as
+        clients keep old look-ups; then the idle ones are closed.
         """
         state = self.state
         started_s = state.clock()
@@ -231,13 +236,11 @@
         self.members.beat()
         end_s = started_s + state.settings.grace_s - STOP_MARGIN_S
         accept_until_s = min(end_s, started_s + ACCEPT_AFTER_STOP_S)
-        while state.clock() < accept_until_s:
-            await asyncio.sleep(0.05)
-            self._close_idle()
+        await asyncio.sleep(max(0.0, accept_until_s - state.clock()))
         self.listeners[-1].close()
         while self._busy() and state.clock() < end_s:
             self._close_idle()
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(STOP_POLL_S)
 
     def _busy(self) -> bool:
         return any(
@@ -248,7 +251,8 @@
     def _close_idle(self) -> None:
         for connection in list(self.front_server.connections):
             if not connection._request_in_progress and not connection._messages:
-                connection.close()
+                # `close` would leave the transport open and read no more from it.
+                connection.force_close()
 
     async def _close(self) -> None:
         for task in list(self.tasks):
@@ -267,6 +271,11 @@
         if self.state.broker.queue:
             self.placer.pump()
 
+    def _forget_absent(self, now: float) -> None:
+        alive = self.state.roster.alive(now, ABSENT_S)
+        present = {view.hello.name.node for view in alive}
+        self.state.broker.forget_absent(present | {self.state.me.node})
+
     def _expire(self, now: float) -> None:
         before = len(self.state.registry.entries)
         self.state.registry.expire(now)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placer.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placer.py
@@ -58,6 +58,8 @@
     gap_objective_s: float
     excluded: tuple[str, ...] = ()
     returning: bool = False
+    # Tokens that the answer is expected to have; 0 if the client does not say.
+    expected_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +68,8 @@
 
     number: int
     target: str
+    # Seconds in which the first event is predicted.
+    predicted_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,7 +142,7 @@
             self.runs[number] = OwnRun(
                 number, reply.target, question.prompt_tokens, self.clock()
             )
-            return Placed(number, reply.target)
+            return Placed(number, reply.target, reply.predicted_ms / 1e3)
         return Refused(reply.verdict is Verdict.OVER_QUOTA, reply.retry_after_ms / 1e3)
 
     def begun(self, number: int) -> None:
@@ -280,6 +284,7 @@
             gap_objective_ms=int(question.gap_objective_s * 1e3),
             excluded=question.excluded,
             returning=question.returning,
+            expected_tokens=question.expected_tokens,
         )
         if node == self.me.node:
             self.on_reply(self.broker.ask(ask, now), node)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
@@ -103,6 +103,8 @@
             if tries.sends and not self._may_repeat(call, now):
                 return self._give_up(call, tries)
             tries.sends += 1
+            call.trace.sends += 1
+            call.trace.target = target.id
             answer = await self._try_one(call, target, tries)
             if answer is not None:
                 return answer
@@ -128,8 +130,10 @@
         except TimeoutError:
             tries.ran += 1
             state.balancer.failed(target.id)
+            call.trace.failures.append(f"{target.id}: silent")
         except SendError as error:
             self._note_error(target, error, tries)
+            call.trace.failures.append(str(error))
         finally:
             record.in_flight -= 1
         return None
@@ -148,6 +152,7 @@
             under_way = head.load.running + head.load.waiting
             state.balancer.report_load(target.id, under_way, now)
         if head.not_run:
+            call.trace.failures.append(f"{target.id}: rejected, {head.status}")
             if head.other_target:
                 state.registry.mark_leaving(target.id)
                 state.targets_changed()
@@ -165,6 +170,7 @@
             state.balancer.succeeded(target.id, now - sent_s)
             return response
         tries.ran += 1
+        call.trace.failures.append(f"{target.id}: failed, {head.status}")
         tries.failure = response
         return None
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -36,10 +36,13 @@
 )
 from burdockhaven_entry.platform import client_headers
 
-# Seconds without a first event, and between events, after which a stream that may be
-# resumed is moved to another target. Clients wait for two seconds at least.
-FIRST_EVENT_PATIENCE_S = 1.5
+# Seconds without a first event beyond the predicted time, and between events, after
+# which a stream that may be resumed is moved to another target. Clients wait for two
+# seconds at least.
+FIRST_EVENT_PATIENCE_S = 0.4
 PAUSE_PATIENCE_S = 1.0
+# A first event may take so many times the predicted time.
+PREDICTION_FACTOR = 3.0
 # Placements of one request at most.
 MAX_PLACEMENTS = 5
 # Longest pause that is assumed where the route states none.
@@ -107,11 +110,14 @@
             deadline_s=call.deadline_s,
             gap_objective_s=call.route.gap_objective_s or DEFAULT_GAP_OBJECTIVE_S,
             returning=call.returning,
+            expected_tokens=said.expected_output_tokens or 0,
         )
 
     async def _run_all(self, call: Call, stream: _Stream) -> web.StreamResponse:
         for _ in range(MAX_PLACEMENTS):
+            asked_s = self.state.clock()
             placed = await self.placer.place(stream.question)
+            call.trace.queued_s += self.state.clock() - asked_s
             if isinstance(placed, Refused):
                 return self._refuse(call, stream, placed)
             target = self.state.registry.entries.get(placed.target)
@@ -135,6 +141,8 @@
         now = self.state.clock()
         self._charge(call, now)
         stream.sent = True
+        call.trace.sends += 1
+        call.trace.target = target.id
         stream.last_event_s = 0.0
         reuse = call.route.idempotent
         request = call.outgoing(target.id, now, stream.last_event_id, reuse)
@@ -142,7 +150,7 @@
         stream.pauses_s.clear()
         try:
             async with asyncio.timeout(None) as patience:
-                self._be_patient(call, stream, patience, FIRST_EVENT_PATIENCE_S)
+                self._be_patient(call, stream, patience, _first_patience_s(placed))
                 async with self.targets.send(target, request) as answer:
                     end, result = await self._take(
                         call, stream, target, placed, answer, patience
@@ -153,8 +161,10 @@
                 raise
             stream.ran += 1
             end = RunEnd.FAILED
+            call.trace.failures.append(f"{target.id}: silent")
             return _RunResult.BROKEN
         except SendError as error:
+            call.trace.failures.append(str(error))
             end, result = _after_error(error)
             stream.ran += result is _RunResult.BROKEN
             return result
@@ -172,6 +182,7 @@
     ) -> tuple[RunEnd, _RunResult]:
         head = answer.head
         if head.not_run:
+            call.trace.failures.append(f"{target.id}: rejected, {head.status}")
             await answer.read_body()
             if head.other_target:
                 self.state.registry.mark_leaving(target.id)
@@ -179,6 +190,7 @@
                 return RunEnd.LEAVING, _RunResult.NOT_RUN
             return RunEnd.REJECTED, _RunResult.NOT_RUN
         if not head.succeeded or not head.is_event_stream:
+            call.trace.failures.append(f"{target.id}: failed, {head.status}")
             return await self._take_failure(stream, answer)
         if stream.response is None and head.signed and not head.coded:
             stream.response = web.StreamResponse(
@@ -192,9 +204,10 @@
         async for data in answer.chunks():
             for event in splitter.feed(data):
                 self.placer.begun(placed.number)
-                await self._pass_on(stream, event)
+                await self._pass_on(call, stream, event)
                 self._be_patient(call, stream, patience, PAUSE_PATIENCE_S)
         if splitter.rest.strip():
+            call.trace.failures.append(f"{target.id}: ended within an event")
             stream.ran += 1
             return RunEnd.FAILED, _RunResult.BROKEN
         return RunEnd.WHOLE, _RunResult.DONE
@@ -216,9 +229,11 @@
             stream.failure = response
         return RunEnd.FAILED, _RunResult.BROKEN
 
-    async def _pass_on(self, stream: _Stream, event: StreamEvent) -> None:
+    async def _pass_on(self, call: Call, stream: _Stream, event: StreamEvent) -> None:
         assert stream.response is not None
         now = self.state.clock()
+        if call.trace.first_event_s is None:
+            call.trace.first_event_s = now - call.arrived_s
         if stream.last_event_s:
             stream.pauses_s.append(now - stream.last_event_s)
         stream.last_event_s = now
@@ -282,6 +297,10 @@
         )
 
 
+def _first_patience_s(placed: Placed) -> float:
+    return FIRST_EVENT_PATIENCE_S + PREDICTION_FACTOR * placed.predicted_s
+
+
 def _after_error(error: SendError) -> tuple[RunEnd, _RunResult]:
     if error.outcome is SendOutcome.NOT_SENT:
         return RunEnd.UNREACHABLE, _RunResult.NOT_RUN
--- a/packages/burdockhaven-entry/tests/gateway/test_placer.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_placer.py
@@ -67,6 +67,12 @@
     return PlacementQuestion(**(values | changes))
 
 
+def target_of(placed, number):
+    assert isinstance(placed, Placed)
+    assert placed.number == number
+    return placed.target
+
+
 async def spin(condition):
     for _ in range(20_000):
         if condition():
@@ -77,7 +83,7 @@
 
 async def test_the_own_broker_grants_at_once_when_it_is_alone():
     members = Members()
-    assert await members.placer.place(question()) == Placed(1, "i-1")
+    assert target_of(await members.placer.place(question()), 1) == "i-1"
 
 
 async def test_a_queued_question_outlives_several_rechecks():
@@ -91,13 +97,13 @@
     await spin(lambda: len(asks) >= 3)
     members.placer.ended(first.number, RunEnd.WHOLE)
     members.placer.flush_news()
-    assert await waiting == Placed(2, "i-1")
+    assert target_of(await waiting, 2) == "i-1"
 
 
 async def test_a_member_that_does_not_answer_is_passed_over():
     members = Members()
     members.hear("entry-2", started_ms=1)
-    assert await members.placer.place(question()) == Placed(1, "i-1")
+    assert target_of(await members.placer.place(question()), 1) == "i-1"
     assert len(members.sent_to("entry-2", Ask)) == ASK_TRIES
 
 
@@ -118,7 +124,7 @@
     members.placer.on_reply(Reply(1, Verdict.QUEUED, broker="entry-2"), "entry-2")
     draining = hello("entry-2", 7, started_ms=1, draining=True, sequence=2)
     members.roster.hear(draining, time.monotonic())
-    assert await waiting == Placed(1, "i-1")
+    assert target_of(await waiting, 1) == "i-1"
     assert members.sent_to("entry-2", Withdraw) == [Withdraw(ME, 1)]
 
 
--- /dev/null
+++ b/tools/burdockhaven_standins/step_engine.py
@@ -0,0 +1,157 @@
+"""A model engine step by step: a batch of slots, prompts read in chunks between tokens.
+
+It follows what the platform's pages say of engines: requests are admitted in order of
+arrival; each step gives every decoding request one token; the prompt that is read
+lengthens the step by one chunk; a step takes longer the more requests run. It does no
+I/O and reads no clock.
+"""
+
+from collections import OrderedDict, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+# Milliseconds from admission to the first event beside the reading of the prompt.
+FIRST_EVENT_MS = 62.0
+
+
+@dataclass(frozen=True, slots=True)
+class StepEngineConfig:
+    """Speed and size of one engine."""
+
+    slots: int = 12
+    step_ms: float = 3.27
+    # What each request in the batch adds to a step.
+    step_ms_per_run: float = 0.0823
+    prefill_tokens_per_ms: float = 125.0
+    # What reading adds for each million pairs of tokens of a prompt.
+    prefill_ms_per_m_pairs: float = 0.263
+    # Prompt tokens that one step reads.
+    chunk_tokens: int = 2048
+    # Tokens in one event of a stream.
+    tokens_per_event: int = 6
+    # Tokens of cached parts that are kept.
+    cache_tokens: int = 500_000
+    # Factor on all times.
+    slowness: float = 1.0
+
+
+@dataclass(slots=True)
+class StepRun:
+    """One request at an engine."""
+
+    run_id: int
+    prompt_tokens: int
+    # Tokens that it generates.
+    output_tokens: int
+    parts: tuple[tuple[str, int], ...] = ()
+    # Prompt tokens that are still to be read; set at admission.
+    unread: int = 0
+    read: int = 0
+    generated: int = 0
+    # When it was admitted.
+    admitted_s: float = 0.0
+
+
+# Told the run, the time in seconds and whether the answer is whole.
+OnEvent = Callable[[StepRun, float, bool], None]
+
+
+@dataclass(slots=True)
+class StepEngine:
+    """One engine; `advance` makes its next step."""
+
+    config: StepEngineConfig
+    on_event: OnEvent
+    waiting: deque[StepRun] = field(default_factory=deque)
+    reading: deque[StepRun] = field(default_factory=deque)
+    decoding: dict[int, StepRun] = field(default_factory=dict)
+    cache: OrderedDict[str, int] = field(default_factory=OrderedDict)
+    cached_tokens: int = 0
+    # Tokens of prompts that were read.
+    prefilled: int = 0
+
+    def submit(self, run: StepRun, now: float) -> None:
+        """Take a request, as every engine does."""
+        self.waiting.append(run)
+        self._admit(now)
+
+    def cancel(self, run_id: int) -> None:
+        """The connection of a request was closed."""
+        self.waiting = deque(run for run in self.waiting if run.run_id != run_id)
+        self.reading = deque(run for run in self.reading if run.run_id != run_id)
+        self.decoding.pop(run_id, None)
+
+    @property
+    def busy(self) -> bool:
+        """Whether there is anything to do."""
+        return bool(self.waiting or self.reading or self.decoding)
+
+    def advance(self, now: float) -> float:
+        """Make one step that begins now; gives the time at which it ends."""
+        self._admit(now)
+        running = len(self.reading) + len(self.decoding)
+        step_ms = self.config.step_ms + self.config.step_ms_per_run * running
+        step_ms += self._read_chunk()
+        end_s = now + step_ms * self.config.slowness / 1e3
+        for run in list(self.decoding.values()):
+            self._generate(run, end_s)
+        while self.reading and self.reading[0].unread <= 0:
+            run = self.reading.popleft()
+            self.decoding[run.run_id] = run
+        return end_s
+
+    def _admit(self, now: float) -> None:
+        while self.waiting and (
+            len(self.reading) + len(self.decoding) < self.config.slots
+        ):
+            run = self.waiting.popleft()
+            run.admitted_s = now
+            run.unread = max(1, run.prompt_tokens - self._kept(run.parts))
+            self.reading.append(run)
+
+    def _kept(self, parts: tuple[tuple[str, int], ...]) -> int:
+        kept = 0
+        for part, tokens in parts:
+            if part not in self.cache:
+                break
+            self.cache.move_to_end(part)
+            kept += tokens
+        return kept
+
+    def _read_chunk(self) -> float:
+        """Read up to one chunk; gives the milliseconds that it takes."""
+        left = self.config.chunk_tokens
+        total_ms = 0.0
+        for run in self.reading:
+            if left <= 0:
+                break
+            tokens = min(left, run.unread)
+            pairs_m = tokens * (run.read + tokens / 2) / 1e6
+            total_ms += tokens / self.config.prefill_tokens_per_ms
+            total_ms += pairs_m * self.config.prefill_ms_per_m_pairs
+            run.unread -= tokens
+            run.read += tokens
+            left -= tokens
+            self.prefilled += tokens
+            if run.unread <= 0:
+                self._keep(run.parts)
+        return total_ms
+
+    def _keep(self, parts: tuple[tuple[str, int], ...]) -> None:
+        for part, tokens in parts:
+            if part not in self.cache:
+                self.cache[part] = tokens
+                self.cached_tokens += tokens
+        while self.cached_tokens > self.config.cache_tokens and self.cache:
+            self.cached_tokens -= self.cache.popitem(last=False)[1]
+
+    def _generate(self, run: StepRun, now: float) -> None:
+        first_ms = FIRST_EVENT_MS * self.config.slowness
+        if run.generated == 0 and (now - run.admitted_s) * 1e3 < first_ms:
+            return
+        run.generated += 1
+        done = run.generated >= run.output_tokens
+        if run.generated % self.config.tokens_per_event == 0 or done:
+            self.on_event(run, now, done)
+        if done:
+            del self.decoding[run.run_id]
