Fuzz the brokers against the members' own lists; drop a question that runs elsewhere

Cause: a question queued at one broker and granted by another stayed queued at the first, which later granted it again and held a slot for it until the next report.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -339,8 +339,9 @@
         if known is not None:
             known.begun = known.begun or run.begun
             return
-        # Another broker may have placed it elsewhere before this one was believed.
+        # Another broker may have placed it before this one was believed.
         self._release(key)
+        self.queue.pop(key, None)
         self.granted[key] = run.target
         engine.runs[key] = Run(
             sender=name.node,
--- /dev/null
+++ b/packages/burdockhaven-core/tests/scheduling/test_broker_fuzz.py
@@ -0,0 +1,158 @@
+"""Stateful fuzzing of two brokers and their members over a network that loses messages.
+
+The oracle: a member's own list of runs. Whatever was lost, late or moved between the
+brokers, a broker that hears the members' reports ends with exactly their runs, and it
+never grants more than an engine's slots by its own belief.
+"""
+
+import random
+
+from fuzz_settings import FUZZING
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+from scheduling_samples import ask, table, target
+
+from burdockhaven_core.scheduling.broker import GRANT_SETTLE_S, Broker
+from burdockhaven_core.scheduling.peer_messages import (
+    MemberName,
+    Progress,
+    Report,
+    RunEnd,
+    RunNews,
+    RunState,
+    Verdict,
+)
+from burdockhaven_core.scheduling.quotas import QuotaRule
+
+SLOTS = 1
+TARGETS = ("i-1", "i-2")
+MEMBERS = ("entry-1", "entry-2", "entry-3")
+members = st.sampled_from(MEMBERS)
+brokers = st.sampled_from([0, 1])
+losses = st.booleans()
+
+
+class Member:
+    """What a member itself knows."""
+
+    def __init__(self, node):
+        self.name = MemberName(node, 1)
+        self.number = 0
+        # Questions without an answer, and runs with their targets.
+        self.waiting = {}
+        self.runs = {}
+
+
+class BrokerMachine(RuleBasedStateMachine):
+    """Questions, grants, ends, losses and restarts in any order."""
+
+    @initialize(seed=st.integers(0, 2**16))
+    def begin(self, seed):
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.members = {node: Member(node) for node in MEMBERS}
+        self.brokers = []
+        for _ in range(2):
+            broker = Broker(QuotaRule(8.0, 0.0))
+            broker.set_table(table(slots=SLOTS))
+            entries = {name: target(name, slots=SLOTS) for name in TARGETS}
+            broker.set_targets(entries, set())
+            self.brokers.append(broker)
+
+    @rule(seconds=st.sampled_from([0.01, 0.2, 1.0, 5.0]))
+    def wait(self, seconds):
+        self.now += seconds
+        for broker in self.brokers:
+            for answered in broker.pump(self.now):
+                self.take(answered.to, answered.reply, lost=False)
+
+    @rule(node=members, index=brokers, lost=losses)
+    def ask(self, node, index, lost):
+        member = self.members[node]
+        member.number += 1
+        question = ask(member.number, sender=member.name)
+        member.waiting[member.number] = question
+        self.take(member.name, self.brokers[index].ask(question, self.now), lost)
+
+    @precondition(lambda self: any(m.waiting for m in self.members.values()))
+    @rule(index=brokers, lost=losses)
+    def ask_again(self, index, lost):
+        waiting = [m for m in self.members.values() if m.waiting]
+        member = self.rng.choice(waiting)
+        question = self.rng.choice(list(member.waiting.values()))
+        self.take(member.name, self.brokers[index].ask(question, self.now), lost)
+
+    @precondition(lambda self: any(m.runs for m in self.members.values()))
+    @rule(index=brokers, lost=losses, end=st.sampled_from(list(RunEnd)))
+    def end(self, index, lost, end):
+        member = self.rng.choice([m for m in self.members.values() if m.runs])
+        number = self.rng.choice(list(member.runs))
+        del member.runs[number]
+        if not lost:
+            news = (RunNews(number, end),)
+            self.brokers[index].progress(Progress(member.name, news), self.now)
+
+    @rule(node=members, index=brokers)
+    def report(self, node, index):
+        self.brokers[index].report(self.report_of(node), self.now)
+
+    @rule(node=members)
+    def restart(self, node):
+        member = self.members[node]
+        member.name = MemberName(node, member.name.boot + 1)
+        member.waiting, member.runs = {}, {}
+
+    @rule(index=brokers)
+    def settle(self, index):
+        """After one round of reports the broker's belief is the members' own."""
+        self.now += GRANT_SETTLE_S + 0.1
+        broker = self.brokers[index]
+        for node in MEMBERS:
+            broker.report(self.report_of(node), self.now)
+        believed = {
+            (run.sender, run.boot, run.number): name
+            for name, engine in broker.engines.items()
+            for run in engine.runs.values()
+        }
+        known = {
+            (node, member.name.boot, number): name
+            for node, member in self.members.items()
+            for number, name in member.runs.items()
+        }
+        assert believed == known
+        assert broker.granted == known
+
+    @invariant()
+    def every_run_is_known_by_its_key(self):
+        for broker in getattr(self, "brokers", ()):
+            held = {key for e in broker.engines.values() for key in e.runs}
+            assert held == set(broker.granted)
+            assert not held & set(broker.queue)
+
+    def take(self, to, reply, lost):
+        member = self.members[to.node]
+        if lost or member.name != to or reply.number not in member.waiting:
+            return
+        if reply.verdict is Verdict.GRANTED:
+            del member.waiting[reply.number]
+            member.runs[reply.number] = reply.target
+        elif reply.verdict is not Verdict.QUEUED:
+            del member.waiting[reply.number]
+
+    def report_of(self, node):
+        member = self.members[node]
+        runs = tuple(
+            RunState(number, name, 100, 50, False)
+            for number, name in member.runs.items()
+        )
+        return Report(member.name, runs, tuple(member.waiting))
+
+
+TestBroker = BrokerMachine.TestCase
+TestBroker.settings = FUZZING
