Give engines the limits of their service when its configuration comes later

Ruled out: load of the machine; stalls and ejections (the log line on the queue, new here, shows all engines open). Test seen to fail.

--- a/packages/burdockhaven-core/src/burdockhaven_core/log_numbers.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/log_numbers.py
@@ -55,6 +55,7 @@
     # Floors: the lowest tier that a group admits.
     FLOOR_CLOSED = 601
     FLOOR_OPENED = 602
+    QUEUE_HELD = 603
 
     # Faults of the program itself.
     INTERNAL_ERROR = 901
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -200,6 +200,15 @@
             if key[1] != name.boot or (old and key[2] not in waiting):
                 del self.queue[key]
 
+    def describe(self, now: float) -> list[str]:
+        """One line for each engine that takes work, for the log."""
+        return [
+            engine.describe(now)
+            for engines in self.open_by_service.values()
+            for engine in engines
+            if engine.runs or engine.measured
+        ]
+
     def forget_absent(self, present: set[str]) -> None:
         """Members other than these are gone; so are their runs and questions."""
         for key in [k for k in self.granted if k[0] not in present]:
@@ -209,18 +218,17 @@
         self.known_usage = {name for name in self.known_usage if name[0] in present}
 
     def _engine(self, entry: TargetEntry) -> EngineLoad:
+        service = self.table.services.get(entry.service) if self.table else None
+        limits = service.engine if service else None
+        cache_tokens = limits.cache_tokens if limits else DEFAULT_CACHE_TOKENS
+        per_event = limits.tokens_per_event if limits else DEFAULT_TOKENS_PER_EVENT
         engine = self.engines.get(entry.id)
         if engine is None:
-            service = self.table.services.get(entry.service) if self.table else None
-            limits = service.engine if service else None
-            engine = self.engines[entry.id] = EngineLoad(
-                target=entry.id,
-                slots=entry.slots,
-                tokens_per_event=(
-                    limits.tokens_per_event if limits else DEFAULT_TOKENS_PER_EVENT
-                ),
-                cache_tokens=limits.cache_tokens if limits else DEFAULT_CACHE_TOKENS,
-            )
+            engine = EngineLoad(entry.id, entry.slots, per_event, cache_tokens)
+            self.engines[entry.id] = engine
+        # A target may be known before the configuration that describes its service.
+        engine.tokens_per_event = per_event
+        engine.cache_tokens = cache_tokens
         return engine
 
     def _find(self, waiting: Waiting, now: float) -> Placement | None:
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
@@ -188,3 +188,14 @@
         self.ejected_until_s = now + pause_s
         self.parts.clear()
         self.part_tokens = 0
+
+    def describe(self, now: float) -> str:
+        """Its load and state in a few words, for the log."""
+        pending = sum(not run.begun for run in self.runs.values())
+        state = "ejected" if self.ejected_until_s > now else "open"
+        if self.is_stalled(now):
+            state = "stalled"
+        return (
+            f"{self.target} {len(self.runs)}/{self.slots} pending {pending} "
+            f"x{self.slowness:.2f} failures {self.failures:.2f} {state}"
+        )
--- a/packages/burdockhaven-core/tests/scheduling/test_broker.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_broker.py
@@ -184,3 +184,14 @@
     made.progress(ended(0), 0.1)
     made.ask(ask(90), 0.1)
     assert made.ask(ask(91, deadline_ms=3_000), 8.0).verdict is Verdict.OVERLOADED
+
+
+def test_targets_that_are_known_before_the_configuration_get_its_limits():
+    """A broker that started so took each event for one token: engines six times slow."""
+    made = Broker(QuotaRule(8.0, 0.0))
+    entries = {"i-1": target("i-1", slots=2)}
+    made.set_targets(entries, set())
+    made.set_table(table(slots=2))
+    made.set_targets(entries, set())
+    assert made.engines["i-1"].tokens_per_event == 6
+    assert made.engines["i-1"].cache_tokens == 800_000
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -57,6 +57,8 @@
 EXPIRE_S = 0.1
 # Seconds of silence after which a member's runs count as ended.
 ABSENT_S = 1.5
+# Seconds between two log lines on a queue that is not empty.
+LOG_QUEUE_S = 1.0
 # Seconds after SIGTERM in which new connections are still taken; clients keep a look-up
 # for three times its lifetime.
 ACCEPT_AFTER_STOP_S = 3.2
@@ -174,6 +176,7 @@
         timer.subscribe(PUMP_S, lambda now: self._pump())
         timer.subscribe(EXPIRE_S, self._expire)
         timer.subscribe(ABSENT_S, self._forget_absent)
+        timer.subscribe(LOG_QUEUE_S, self._log_queue)
 
     def _follow(self) -> None:
         feeds = (
@@ -271,6 +274,12 @@
         if self.state.broker.queue:
             self.placer.pump()
 
+    def _log_queue(self, now: float) -> None:
+        broker = self.state.broker
+        if broker.queue:
+            engines = "; ".join(broker.describe(now))
+            log(EventNumber.QUEUE_HELD, queued=len(broker.queue), engines=engines)
+
     def _forget_absent(self, now: float) -> None:
         alive = self.state.roster.alive(now, ABSENT_S)
         present = {view.hello.name.node for view in alive}
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
@@ -323,6 +323,16 @@
         "Nothing.",
         {"group": "name of the group", "tier": "lowest tier that is admitted"},
     ),
+    EventSpec(
+        EventNumber.QUEUE_HELD,
+        "info",
+        "The broker holds {queued} requests; engines: {engines}.",
+        "Engines that are `stalled` or `ejected` for long need a look.",
+        {
+            "queued": "requests that wait for an engine",
+            "engines": "by engine: runs/slots, not begun, slowness, and its state",
+        },
+    ),
     EventSpec(
         EventNumber.INTERNAL_ERROR,
         "error",
