Share quotas by hellos; place only while an engine is free

Quotas were counted by the broker that granted; members that passed over a slow broker used another, and both granted the whole quota (10.5 s: two brokers with queues). Each hello now carries what its member has sent; a broker adds its own grants of the last 0.4 s. After the end of all members the quota comes back at its rate; a minority that is cut off keeps to its part. 2. The broker was slow since each message walked the whole queue over all engines (159 requests). It now looks for places only while an engine takes work, and refuses what is hopeless every 50 ms. Ruled out: plain requests (200 units each, 108 refused); the slack.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -21,8 +21,9 @@
     Verdict,
 )
 from burdockhaven_core.scheduling.placement import Placement, PlacementNeed, place
-from burdockhaven_core.scheduling.quotas import QuotaRule, Quotas, quota_cost
+from burdockhaven_core.scheduling.quotas import QuotaRule, quota_cost
 from burdockhaven_core.scheduling.routing import Account, RoutingTable
+from burdockhaven_core.scheduling.shared_quotas import SharedQuotas
 from burdockhaven_core.scheduling.sliding_window import SlidingWindow
 from burdockhaven_core.scheduling.target_registry import TargetEntry
 
@@ -35,6 +36,9 @@
 LEAST_RATE_PER_S = 0.25
 # Seconds of a request's time that its run is assumed to need at least.
 LEAST_RUN_S = 0.25
+# Part of the predicted wait that a queued request must still have; its prediction is
+# rough, and what waits already is refused later than what comes.
+WAIT_PART = 0.5
 # Seconds for a client to come back, at least and at most.
 RETRY_AFTER_MIN_S = 0.3
 RETRY_AFTER_MAX_S = 4.0
@@ -74,7 +78,7 @@
 
     def __init__(self, rule: QuotaRule) -> None:
         self.table: RoutingTable | None = None
-        self.quotas = Quotas(rule)
+        self.quotas = SharedQuotas(rule)
         self.engines: dict[str, EngineLoad] = {}
         # Engines that take new work, by service.
         self.open_by_service: dict[str, list[EngineLoad]] = {}
@@ -82,10 +86,6 @@
         self.granted: dict[AskKey, str] = {}
         self.ended: dict[str, SlidingWindow] = {}
         self.accounts: dict[str, Account] = {}
-        # Members whose whole usage was taken in.
-        self.known_usage: set[tuple[str, int]] = set()
-        # Part of each engine's slots that this broker may fill.
-        self.slot_share = 1.0
 
     def set_table(self, table: RoutingTable) -> None:
         """Use the quotas and engine limits of this configuration."""
@@ -131,7 +131,9 @@
         )
         ahead = self._ahead_of(waiting, now)
         if not ahead:
-            found = self._find(waiting, now)
+            engines = self.open_by_service.get(ask.service, [])
+            free = [engine for engine in engines if engine.takes_work(now)]
+            found = self._find(waiting, free, now)
             if found is not None:
                 return self._grant(key, waiting, found, now)
         wait_s = self._wait_s(ask.service, len(ahead) + 1, now)
@@ -141,25 +143,47 @@
         return Reply(ask.number, Verdict.QUEUED)
 
     def pump(self, now: float) -> list[Answered]:
-        """Grant what fits now and refuse what can't be served in time any more."""
+        """Grant what fits now."""
+        out: list[Answered] = []
+        free = {
+            service: [engine for engine in engines if engine.takes_work(now)]
+            for service, engines in self.open_by_service.items()
+        }
+        if not self.queue or not any(free.values()):
+            return out
+        for key, waiting in self._ordered(now):
+            engines = free.get(waiting.ask.service)
+            if not engines:
+                continue
+            found = self._find(waiting, engines, now)
+            if found is None:
+                continue
+            del self.queue[key]
+            reply = self._grant(key, waiting, found, now)
+            out.append(Answered(waiting.ask.sender, reply))
+            if found.engine.free_slots() <= 0:
+                engines.remove(found.engine)
+        return out
+
+    def refuse_hopeless(self, now: float) -> list[Answered]:
+        """Refuse what will get no engine in time."""
         out: list[Answered] = []
         ranks: dict[str, int] = {}
-        ordered = sorted(self.queue.items(), key=lambda item: item[1].order(now))
-        for key, waiting in ordered:
+        for key, waiting in self._ordered(now):
             ask = waiting.ask
-            found = self._find(waiting, now)
-            if found is not None:
-                del self.queue[key]
-                out.append(Answered(ask.sender, self._grant(key, waiting, found, now)))
-                continue
-            rank = ranks[ask.service] = ranks.get(ask.service, 0) + 1
+            rank = ranks.get(ask.service, 0) + 1
             wait_s = self._wait_s(ask.service, rank, now)
-            if now + wait_s / 2 + LEAST_RUN_S > waiting.deadline_s:
+            if now + WAIT_PART * wait_s + LEAST_RUN_S > waiting.deadline_s:
                 del self.queue[key]
                 refusal = _refusal(ask, Verdict.OVERLOADED, wait_s)
                 out.append(Answered(ask.sender, refusal))
+            else:
+                ranks[ask.service] = rank
         return out
 
+    def _ordered(self, now: float) -> list[tuple[AskKey, Waiting]]:
+        return sorted(self.queue.items(), key=lambda item: item[1].order(now))
+
     def withdraw(self, sender: MemberName, number: int) -> None:
         """The sender does not want this target any more."""
         key = (sender.node, sender.boot, number)
@@ -182,13 +206,6 @@
     def report(self, message: Report, now: float) -> None:
         """Make the belief about a member's runs agree with its own list."""
         name = message.sender
-        for account, amount in message.spent:
-            self.quotas.charge(account, amount, now)
-        if message.usage is not None and (name.node, name.boot) not in self.known_usage:
-            self.known_usage.add((name.node, name.boot))
-            for usage in message.usage:
-                window = self.quotas.window(usage.account)
-                window.merge(list(usage.buckets), now)
         listed = {run.number: run for run in message.runs}
         for run in listed.values():
             self._adopt(name, run, now)
@@ -215,7 +232,6 @@
             self._release(key)
         for key in [k for k in self.queue if k[0] not in present]:
             del self.queue[key]
-        self.known_usage = {name for name in self.known_usage if name[0] in present}
 
     def _engine(self, entry: TargetEntry) -> EngineLoad:
         service = self.table.services.get(entry.service) if self.table else None
@@ -231,7 +247,9 @@
         engine.cache_tokens = cache_tokens
         return engine
 
-    def _find(self, waiting: Waiting, now: float) -> Placement | None:
+    def _find(
+        self, waiting: Waiting, engines: Iterable[EngineLoad], now: float
+    ) -> Placement | None:
         ask = waiting.ask
         need = PlacementNeed(
             ask.prompt_tokens,
@@ -242,17 +260,7 @@
             (waiting.deadline_s - now) * 1e3,
             ask.expected_tokens or ask.output_tokens,
         )
-        return place(need, self._fillable(ask.service), now)
-
-    def _fillable(self, service: str) -> Iterable[EngineLoad]:
-        engines = self.open_by_service.get(service, [])
-        if self.slot_share >= 1.0:
-            return engines
-        return [
-            engine
-            for engine in engines
-            if len(engine.runs) < max(2.0, self.slot_share * engine.slots)
-        ]
+        return place(need, engines, now)
 
     def _ahead_of(self, waiting: Waiting, now: float) -> list[Waiting]:
         order = waiting.order(now)
@@ -269,7 +277,7 @@
         account = self.accounts.get(ask.account)
         if account is not None:
             cost = quota_cost(account, ask.prompt_tokens, ask.output_tokens)
-            self.quotas.charge(account.name, cost, now)
+            self.quotas.grant(account.name, cost, now)
         self.granted[key] = found.engine.target
         run = Run(
             sender=key[0],
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
@@ -143,6 +143,14 @@
         """Milliseconds from the first event to the end of an answer."""
         return output_tokens * STEP_MS * self.slowness
 
+    def takes_work(self, now: float) -> bool:
+        """Whether it can be given a request now."""
+        return (
+            self.free_slots() > 0
+            and self.ejected_until_s <= now
+            and not self.is_stalled(now)
+        )
+
     def free_slots(self) -> int:
         """Requests that fit into its batch."""
         return self.slots - len(self.runs)
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
@@ -34,6 +34,10 @@
     leaving: tuple[str, ...] = ()
     # Accounts whose quota is used up, as far as the sender's broker knows.
     exhausted: tuple[str, ...] = ()
+    # Quota units that the sender has sent within the window, by account.
+    usage: tuple[tuple[str, int], ...] = ()
+    # Seconds since the sender's start.
+    uptime_s: float = 0.0
 
 
 class Ask(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -139,14 +143,6 @@
     begun: bool
 
 
-class AccountUsage(msgspec.Struct, frozen=True, array_like=True):
-    """Quota units that a member has sent for one account."""
-
-    account: str
-    # Age in seconds and units of each bucket of the window.
-    buckets: tuple[tuple[float, float], ...]
-
-
 class Report(msgspec.Struct, frozen=True, array_like=True, tag=5):
     """All runs of a member, for the broker that it asks."""
 
@@ -154,10 +150,6 @@
     runs: tuple[RunState, ...]
     # Numbers of the questions that wait for a target.
     waiting: tuple[int, ...]
-    # Units used without a question since the last report, by account.
-    spent: tuple[tuple[str, float], ...] = ()
-    # The whole window, for a broker that has not heard it; None otherwise.
-    usage: tuple[AccountUsage, ...] | None = None
 
 
 class Withdraw(msgspec.Struct, frozen=True, array_like=True, tag=6):
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/placement.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/placement.py
@@ -54,14 +54,14 @@
 def place(
     need: PlacementNeed, engines: Iterable[EngineLoad], now: float
 ) -> Placement | None:
-    """The best engine with a free slot; None if the request should wait.
+    """The best of the engines that take work; None if the request should wait.
 
     An engine on which the prompt would hold up the streams of others for too long is
     taken only by a request that finds no other one at all.
     """
     best: tuple[tuple[bool, bool, float], Placement] | None = None
     for engine in engines:
-        if not _takes_work(engine, need, now):
+        if engine.target in need.excluded:
             continue
         unread = engine.unread(need.parts, need.prompt_tokens)
         first_ms = engine.first_event_ms(unread, now)
@@ -75,15 +75,6 @@
     return None if best is None else best[1]
 
 
-def _takes_work(engine: EngineLoad, need: PlacementNeed, now: float) -> bool:
-    return (
-        engine.free_slots() > 0
-        and engine.ejected_until_s <= now
-        and engine.target not in need.excluded
-        and not engine.is_stalled(now)
-    )
-
-
 def _ends_in_time(found: Placement, need: PlacementNeed) -> bool:
     run_ms = LENGTH_FACTOR * found.engine.run_ms(need.output_tokens)
     return found.first_event_ms + run_ms <= need.deadline_left_ms
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/quotas.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/quotas.py
@@ -42,12 +42,6 @@
         """Count a request that is about to be sent."""
         self.window(account).add(cost, now)
 
-    def retry_after_s(self, account: Account, cost: float, now: float) -> float:
-        """Seconds until a request of so many units fits."""
-        window = self.window(account.name)
-        excess = window.sum(now) + cost - self.allowance(account)
-        return window.frees_in_s(excess, now)
-
     def window(self, account: str) -> SlidingWindow:
         """The account's usage, begun on first use."""
         found = self.used.get(account)
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/roster.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/roster.py
@@ -58,6 +58,16 @@
         """Members that serve, this one included."""
         return len(self.serving(now)) + 1
 
+    def quota_share(self, now: float) -> float:
+        """Part of the quotas for the members that hear each other.
+
+        A minority that is cut off keeps to its part. The larger side uses all: most
+        members that fall silent have ended and send nothing.
+        """
+        known = len(self.views) + 1
+        heard = len(self.alive(now)) + 1
+        return 1.0 if 2 * heard >= known else heard / known
+
     def brokers(self, now: float, own: Hello) -> list[str]:
         """Nodes in the order in which they are asked for placements.
 
--- /dev/null
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/shared_quotas.py
@@ -0,0 +1,83 @@
+"""Quotas over all members, from what each member says that it has sent.
+
+Each hello carries its member's usage within the window. What a broker has granted since
+is added until the next hellos contain it, so that two brokers that do not know of each
+other still see each other's grants within one interval.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from burdockhaven_core.scheduling.quotas import QuotaRule
+from burdockhaven_core.scheduling.routing import Account
+
+# Seconds after which a grant is contained in the hellos of its member.
+GRANT_SETTLE_S = 0.4
+
+
+@dataclass(frozen=True, slots=True)
+class _MemberUsage:
+    """What one member has sent within the window."""
+
+    units: dict[str, int]
+    heard_s: float
+
+
+class SharedQuotas:
+    """What all members together have sent."""
+
+    def __init__(self, rule: QuotaRule) -> None:
+        self.rule = rule
+        self.members: dict[str, _MemberUsage] = {}
+        # Time, account and units of the last grants.
+        self.grants: deque[tuple[float, str, float]] = deque()
+        # Monotonic time since when everything sent is known; before it, accounts may
+        # have used all that they may. None if nothing was sent before.
+        self.known_since_s: float | None = None
+
+    def hear(self, node: str, units: Iterable[tuple[str, int]], now: float) -> None:
+        """Take in what a member says of itself."""
+        self.members[node] = _MemberUsage(dict(units), now)
+
+    def grant(self, account: str, units: float, now: float) -> None:
+        """Count a request that is about to be sent."""
+        self.grants.append((now, account, units))
+
+    def used(self, account: Account, now: float) -> float:
+        """Units that the account has used within the window."""
+        self._forget(now)
+        told = sum(m.units.get(account.name, 0) for m in self.members.values())
+        granted = sum(units for _, name, units in self.grants if name == account.name)
+        return told + granted + self._unknown(account, now)
+
+    def limit(self, account: Account) -> float:
+        """Units that the account may use within one window."""
+        return account.rate_per_s * self.rule.window_s + account.burst
+
+    def admits(self, account: Account, units: float, now: float) -> bool:
+        """Whether a request of so many units stays within the quota."""
+        if account.rate_per_s <= 0:
+            return True
+        allowed = self.share * (self.limit(account) + self.rule.slack)
+        return self.used(account, now) + units <= allowed
+
+    def retry_after_s(self, account: Account, units: float, now: float) -> float:
+        """Seconds until so many units should fit, at a steady use of the quota."""
+        excess = self.used(account, now) + units - self.limit(account)
+        return max(0.0, excess) / max(1.0, self.limit(account) / self.rule.window_s)
+
+    def _unknown(self, account: Account, now: float) -> float:
+        """What the account may have used before all that is known."""
+        if self.known_since_s is None:
+            return 0.0
+        part = 1.0 - (now - self.known_since_s) / self.rule.window_s
+        return self.limit(account) * max(0.0, part)
+
+    def _forget(self, now: float) -> None:
+        while self.grants and now - self.grants[0][0] > GRANT_SETTLE_S:
+            self.grants.popleft()
+        for node, usage in list(self.members.items()):
+            # What a member that ended has sent still counts for one window.
+            if now - usage.heard_s > self.rule.window_s:
+                del self.members[node]
--- a/packages/burdockhaven-core/tests/scheduling/test_engine_load.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_engine_load.py
@@ -65,3 +65,14 @@
     first_s = load.ejected_until_s
     load.eject(first_s)
     assert load.ejected_until_s - first_s > first_s
+
+
+def test_a_full_an_ejected_and_a_stalled_engine_take_no_work():
+    full, ejected, stalled = engine(slots=1), engine(), engine()
+    full.start(run(), ())
+    ejected.eject(0.0)
+    stalled.start(run(), ())
+    assert engine().takes_work(0.1)
+    assert not full.takes_work(0.1)
+    assert not ejected.takes_work(0.1)
+    assert not stalled.takes_work(5.0)
--- a/packages/burdockhaven-core/tests/scheduling/test_roster.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_roster.py
@@ -50,3 +50,12 @@
     roster.hear(hello(sequence=5, draining=True), 0.0)
     roster.hear(hello(sequence=4), 0.1)
     assert roster.views["entry-2"].hello.draining
+
+
+def test_a_minority_that_is_cut_off_keeps_to_its_part_of_the_quotas():
+    roster = Roster(ME)
+    for number in range(2, 10):
+        roster.hear(hello(f"entry-{number}"), 0.0)
+    assert roster.quota_share(0.1) == 1.0
+    roster.hear(hello("entry-2", sequence=2), 5.0)
+    assert roster.quota_share(5.0) == 2 / 9
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -53,6 +53,8 @@
 NEWS_S = 0.005
 # Seconds between two looks at the broker's queue.
 PUMP_S = 0.02
+# Seconds between two looks for requests that will not be served in time.
+REFUSE_S = 0.05
 # Seconds between two looks at entries that may have lapsed.
 EXPIRE_S = 0.1
 # Seconds of silence after which a member's runs count as ended.
@@ -93,7 +95,6 @@
             own_hello=state.hello,
             send=lambda node, message: self.members.send(node, message),
             clock=state.clock,
-            usage=state.usage,
         )
         self.members = MembershipLink(
             state,
@@ -174,6 +175,7 @@
         timer.subscribe(REPORT_S, lambda now: self.placer.report(), jitter=0.1)
         timer.subscribe(NEWS_S, lambda now: self.placer.flush_news())
         timer.subscribe(PUMP_S, lambda now: self._pump())
+        timer.subscribe(REFUSE_S, lambda now: self.placer.refuse_hopeless())
         timer.subscribe(EXPIRE_S, self._expire)
         timer.subscribe(ABSENT_S, self._forget_absent)
         timer.subscribe(LOG_QUEUE_S, self._log_queue)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
@@ -15,7 +15,6 @@
     TargetRegistry,
 )
 from burdockhaven_core.scheduling.peer_messages import (
-    AccountUsage,
     Hello,
     MemberName,
 )
@@ -34,8 +33,9 @@
 
     settings: PlatformSettings
     me: MemberName
-    # Unix milliseconds of the start.
+    # Unix milliseconds of the start, and the monotonic time.
     started_ms: int
+    started_s: float
     clock: Callable[[], float]
     rng: random.Random
     roster: Roster
@@ -69,16 +69,22 @@
         retry_rule = RetryRule(
             settings.retry_ratio, settings.retry_window_s, settings.retry_slack
         )
+        now = clock()
+        broker = Broker(rule)
+        if not settings.first_start:
+            # Members that ended before may have used the quotas.
+            broker.quotas.known_since_s = now
         return cls(
             settings=settings,
             me=me,
             started_ms=started_ms,
+            started_s=now,
             clock=clock,
             rng=rng,
             roster=Roster(me),
             registry=TargetRegistry(),
             balancer=PlainBalancer(rng),
-            broker=Broker(rule),
+            broker=broker,
             own_usage=Quotas(rule),
             retry_budget=RetryBudget(retry_rule),
             refused=RefusedClients(),
@@ -114,16 +120,26 @@
             config_version=self.version,
             leaving=tuple(self.registry.leaving),
             exhausted=self.broker.exhausted(self.clock()),
+            usage=self.usage(),
+            uptime_s=self.clock() - self.started_s,
         )
 
-    def usage(self) -> tuple[AccountUsage, ...]:
-        """Everything that this process has sent within the quotas' window."""
+    def usage(self) -> tuple[tuple[str, int], ...]:
+        """What this process has sent within the quotas' window, by account."""
         now = self.clock()
         return tuple(
-            AccountUsage(account, tuple(window.history(now)))
+            (account, int(window.sum(now)))
             for account, window in self.own_usage.used.items()
         )
 
+    def hear_usage(self, hello: Hello, now: float) -> None:
+        """Take in what a member, or this one, says of its use of the quotas."""
+        quotas = self.broker.quotas
+        quotas.hear(hello.name.node, hello.usage, now)
+        if quotas.known_since_s is not None:
+            since_s = now - hello.uptime_s
+            quotas.known_since_s = min(quotas.known_since_s, since_s)
+
     def targets_changed(self) -> None:
         """Let the broker and the balancer know of a change of the registry."""
         self.broker.set_targets(self.registry.entries, self.registry.leaving)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
@@ -13,7 +13,6 @@
     Progress,
     Reply,
     Report,
-    Verdict,
     Withdraw,
 )
 from burdockhaven_entry.gateway.control import CONFIGURATION_PATH
@@ -87,6 +86,8 @@
         now = state.clock()
         state.sequence += 1
         hello = state.hello()
+        state.hear_usage(hello, now)
+        state.broker.quotas.share = state.roster.quota_share(now)
         for view in state.roster.views.values():
             self.endpoint.send(view.hello.peer_address, hello)
         for address, (since_s, greeted_s) in list(self.strangers.items()):
@@ -114,8 +115,6 @@
                     self.state.broker.ask(message, now), broker=self.state.me.node
                 )
                 self.send(message.sender.node, reply)
-                if reply.verdict is Verdict.QUEUED:
-                    self.placer.pump()
             case Reply():
                 self.placer.on_reply(message, message.broker)
             case Progress():
@@ -123,7 +122,6 @@
                 self.placer.pump()
             case Report():
                 self.state.broker.report(message, now)
-                self.placer.pump()
             case Withdraw():
                 self.state.broker.withdraw(message.sender, message.number)
                 self.placer.pump()
@@ -135,6 +133,7 @@
         if self.state.roster.hear(hello, now):
             # A member that starts learns of us at once, and of the others by us.
             self.endpoint.send(hello.peer_address, self.state.hello())
+        self.state.hear_usage(hello, now)
         changed = False
         for target in hello.leaving:
             if target not in self.state.registry.leaving:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placer.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placer.py
@@ -13,7 +13,6 @@
 
 from burdockhaven_core.scheduling.broker import Answered, Broker
 from burdockhaven_core.scheduling.peer_messages import (
-    AccountUsage,
     Ask,
     Hello,
     MemberName,
@@ -38,8 +37,6 @@
 SUSPECT_S = 1.5
 # Seconds after which a queued question is asked again, in case a reply was lost.
 QUEUED_RECHECK_S = 0.2
-# Reports to a new broker that carry the whole usage of the quotas.
-USAGE_REPORTS = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,17 +112,10 @@
     send: Send
     # Gives monotonic seconds.
     clock: Callable[[], float]
-    # Quota units that this process has sent, by account.
-    usage: Callable[[], tuple[AccountUsage, ...]]
     pending: dict[int, _Pending] = field(default_factory=dict)
     runs: dict[int, OwnRun] = field(default_factory=dict)
     news: list[RunNews] = field(default_factory=list)
-    # Units used without a question since the last report, by account.
-    spent: dict[str, float] = field(default_factory=dict)
     last_number: int = 0
-    # The broker of the last report and how many reports it had.
-    reported_to: str = ""
-    reports: int = 0
 
     async def place(self, question: PlacementQuestion) -> Placed | Refused:
         """An engine for the request; waits in the broker's queue for it."""
@@ -159,10 +149,6 @@
             pause = min(65_535, int(pause_s * 1e4))
             self.news.append(RunNews(number, end, 0, pause))
 
-    def spend(self, account: str, units: float) -> None:
-        """A request was sent without a question."""
-        self.spent[account] = self.spent.get(account, 0.0) + units
-
     def flush_news(self) -> None:
         """Tell the broker what has happened to runs."""
         if not self.news:
@@ -179,8 +165,6 @@
     def report(self) -> None:
         """Tell the broker all runs, so that it can correct what messages lost."""
         node = self.broker_node()
-        self.reports = self.reports + 1 if node == self.reported_to else 1
-        self.reported_to = node
         now = self.clock()
         message = Report(
             sender=self.me,
@@ -195,10 +179,7 @@
                 for run in self.runs.values()
             ),
             waiting=tuple(self.pending),
-            spent=tuple(self.spent.items()),
-            usage=self.usage() if self.reports <= USAGE_REPORTS else None,
         )
-        self.spent.clear()
         if node == self.me.node:
             self.broker.report(message, now)
         else:
@@ -209,6 +190,11 @@
         for answered in self.broker.pump(self.clock()):
             self.deliver(answered)
 
+    def refuse_hopeless(self) -> None:
+        """Let the own broker refuse what it will not serve in time."""
+        for answered in self.broker.refuse_hopeless(self.clock()):
+            self.deliver(answered)
+
     def deliver(self, answered: Answered) -> None:
         """Bring a reply of the own broker to the member that asked."""
         if answered.to.node == self.me.node:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
@@ -83,7 +83,6 @@
                 TOO_MANY, "over the quota", call.said.attempt_id, RETRY_SOON_S
             )
         state.own_usage.charge(account.name, cost, now)
-        self.placer.spend(account.name, cost)
         return None
 
     def _exhausted(self, now: float) -> tuple[str, ...]:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/settings.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/settings.py
@@ -49,6 +49,8 @@
     # Seconds of a quota's window and units allowed beyond it.
     quota_window_s: float
     quota_slack: float
+    # Whether the whole system starts for the first time.
+    first_start: bool
     # Longest time in seconds that a client keeps a look-up.
     look_up_ttl_max_s: float
 
@@ -83,6 +85,7 @@
     bounds: _Bounds
     platform: _Platform
     seeds: list[Address] = []
+    bootstrap: bool = False
 
 
 def read_settings(text: str) -> PlatformSettings:
@@ -162,5 +165,6 @@
         retry_slack=file.bounds.retry_slack,
         quota_window_s=file.bounds.quota_window_s,
         quota_slack=file.bounds.quota_slack,
+        first_start=file.bootstrap,
         look_up_ttl_max_s=file.bounds.ttl_max_s,
     )
--- a/packages/burdockhaven-entry/tests/platform/test_platform_settings.py
+++ b/packages/burdockhaven-entry/tests/platform/test_platform_settings.py
@@ -33,6 +33,8 @@
     assert settings.peer_port == 7600
     assert settings.seeds == ("10.1.0.25:8229", "10.2.0.17:8229")
     assert settings.grace_s == 8.0
+    assert not settings.first_start
+    assert read_settings(GOOD + "\nbootstrap: true\n").first_start
     assert settings.store_address == "10.200.1.7:8225"
 
 
--- a/tools/burdockhaven_bench/placement_fleet.py
+++ b/tools/burdockhaven_bench/placement_fleet.py
@@ -91,6 +91,9 @@
     done_s: float | None = None
     refused: bool = False
     target: str = ""
+    # When it was asked for last, and for how long it was held before refusals.
+    asked_s: float = 0.0
+    held_s: float = 0.0
     # The client's estimate of the answer's tokens.
     hint: int = 0
 
@@ -119,6 +122,16 @@
             and self.done_s - self.arrived_s <= self.kind.deadline_s
         )
 
+    @property
+    def price(self) -> float:
+        """Worth that is taken off for holding it and not serving it."""
+        if self.done_s is not None:
+            return 0.0
+        free_s = self.kind.objective_s / 8
+        whole_s = 0.75 * self.kind.deadline_s
+        part = (self.held_s - free_s) / (whole_s - free_s)
+        return self.size * self.kind.worth * min(1.0, max(0.0, part))
+
     @property
     def worth(self) -> float:
         """What its answer is worth."""
@@ -139,6 +152,11 @@
         owed = sum(request.size * request.kind.worth for request in chosen)
         return sum(request.worth for request in chosen) / owed if owed else 1.0
 
+    def price(self) -> float:
+        """Worth taken off for requests held in vain, of the worth asked for."""
+        owed = sum(request.size * request.kind.worth for request in self.requests)
+        return sum(request.price for request in self.requests) / owed
+
     def of_kind(self, name: str) -> float:
         """Worth of one kind."""
         return self.worth(lambda request: request.kind.name == name)
@@ -286,6 +304,7 @@
     def _ask(self, request: Request, now: float) -> None:
         self.asks += 1
         request.tries += 1
+        request.asked_s = now
         self.by_ask[self.asks] = request
         kind = request.kind
         spent_s = now - request.arrived_s
@@ -317,6 +336,7 @@
             self._refused(request, reply.retry_after_ms / 1e3, now)
 
     def _refused(self, request: Request, wait_s: float, now: float) -> None:
+        request.held_s += now - request.asked_s
         left_s = request.arrived_s + request.kind.deadline_s - now
         comes_back = self.rng.random() < self.fleet.returning_share
         if request.tries > 1 or not comes_back:
@@ -370,6 +390,8 @@
 
     def _pump(self, now: float) -> None:
         self._pump_once(now)
+        for answered in self.broker.refuse_hopeless(now):
+            self._on_reply(answered.reply, now)
         if now < self.fleet.length_s + 30:
             self.at(now + PUMP_S, self._pump)
 
