--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/shared_quotas.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/shared_quotas.py
@@ -35,6 +35,8 @@
         # Monotonic time since when everything sent is known; before it, accounts may
         # have used all that they may. None if nothing was sent before.
         self.known_since_s: float | None = None
+        # Part of the quotas that this side of a partition may use.
+        self.share = 1.0
 
     def hear(self, node: str, units: Iterable[tuple[str, int]], now: float) -> None:
         """Take in what a member says of itself."""
