Refuse what its client would not wait for; brokers in step with the store go first

Requests were queued up to their deadline (15 s), but clients leave after 2.4 s without an event: the queue grew to 436 and served those that had left (1,368 tries ended by the client). The queue now knows when the client leaves. 2. DRAIN 2,146 ms: the broker was refused by the store and granted a target whose draining the sender knew. Senders check grants, hellos name what leaves, and brokers that are out of step with the store come last. 3. Members that could not read the store reported granted targets they did not know as leaving; each was ejected for 60 s. Grants now carry the address. Ruled out: quota, engine speeds (log lines of the queue show both right).

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -34,8 +34,10 @@
 RATE_WINDOW_S = 2.0
 # Ends of runs a second that are assumed at least.
 LEAST_RATE_PER_S = 0.25
-# Seconds of a request's time that its run is assumed to need at least.
+# Seconds from the send to the first event that are assumed at least.
 LEAST_RUN_S = 0.25
+# Requests of the queue that are tried at once; those behind wait for the next round.
+MOST_TRIED = 64
 # Part of the predicted wait that a queued request must still have; its prediction is
 # rough, and what waits already is refused later than what comes.
 WAIT_PART = 0.5
@@ -66,6 +68,21 @@
     # Monotonic seconds at which the first event is late, and the request is given up.
     objective_s: float
     deadline_s: float
+    # When it has to be sent at the latest.
+    send_by_s: float
+
+    @classmethod
+    def from_ask(cls, ask: Ask, now: float) -> "Waiting":
+        """A question that arrives now."""
+        deadline_s = now + ask.deadline_ms / 1e3
+        leaves_s = now + ask.patience_ms / 1e3
+        return cls(
+            ask=ask,
+            arrived_s=now,
+            objective_s=now + ask.objective_ms / 1e3,
+            deadline_s=deadline_s,
+            send_by_s=min(deadline_s, leaves_s) - LEAST_RUN_S,
+        )
 
     def order(self, now: float) -> tuple[int, bool, bool, float]:
         """Sorts the queue: urgent tiers, then what can still be on time."""
@@ -82,6 +99,8 @@
         self.engines: dict[str, EngineLoad] = {}
         # Engines that take new work, by service.
         self.open_by_service: dict[str, list[EngineLoad]] = {}
+        # host:port by target.
+        self.addresses: dict[str, str] = {}
         self.queue: dict[AskKey, Waiting] = {}
         self.granted: dict[AskKey, str] = {}
         self.ended: dict[str, SlidingWindow] = {}
@@ -108,6 +127,7 @@
         for target in self.engines.keys() - entries.keys():
             del self.engines[target]
         self.open_by_service = {}
+        self.addresses = {entry.id: entry.address for entry in entries.values()}
         for entry in entries.values():
             engine = self._engine(entry)
             if not entry.draining and entry.id not in leaving:
@@ -126,9 +146,7 @@
         if account is not None and not self.quotas.admits(account, cost, now):
             wait_s = self.quotas.retry_after_s(account, cost, now)
             return _refusal(ask, Verdict.OVER_QUOTA, wait_s)
-        waiting = Waiting(
-            ask, now, now + ask.objective_ms / 1e3, now + ask.deadline_ms / 1e3
-        )
+        waiting = Waiting.from_ask(ask, now)
         ahead = self._ahead_of(waiting, now)
         if not ahead:
             engines = self.open_by_service.get(ask.service, [])
@@ -137,7 +155,7 @@
             if found is not None:
                 return self._grant(key, waiting, found, now)
         wait_s = self._wait_s(ask.service, len(ahead) + 1, now)
-        if now + wait_s + LEAST_RUN_S > waiting.deadline_s:
+        if now + wait_s > waiting.send_by_s:
             return _refusal(ask, Verdict.OVERLOADED, wait_s)
         self.queue[key] = waiting
         return Reply(ask.number, Verdict.QUEUED)
@@ -151,7 +169,7 @@
         }
         if not self.queue or not any(free.values()):
             return out
-        for key, waiting in self._ordered(now):
+        for key, waiting in self._ordered(now)[:MOST_TRIED]:
             engines = free.get(waiting.ask.service)
             if not engines:
                 continue
@@ -173,7 +191,7 @@
             ask = waiting.ask
             rank = ranks.get(ask.service, 0) + 1
             wait_s = self._wait_s(ask.service, rank, now)
-            if now + WAIT_PART * wait_s + LEAST_RUN_S > waiting.deadline_s:
+            if now + WAIT_PART * wait_s > waiting.send_by_s:
                 del self.queue[key]
                 refusal = _refusal(ask, Verdict.OVERLOADED, wait_s)
                 out.append(Answered(ask.sender, refusal))
@@ -293,6 +311,7 @@
             ask.number,
             Verdict.GRANTED,
             found.engine.target,
+            address=self.addresses.get(found.engine.target, ""),
             predicted_ms=int(found.first_event_ms),
         )
 
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
@@ -30,7 +30,7 @@
     draining: bool
     # Version of the configuration in force; 0 while there is none.
     config_version: int
-    # Ids of targets that the sender knows to leave.
+    # Ids of targets that the sender knows to leave or to have left.
     leaving: tuple[str, ...] = ()
     # Accounts whose quota is used up, as far as the sender's broker knows.
     exhausted: tuple[str, ...] = ()
@@ -38,6 +38,8 @@
     usage: tuple[tuple[str, int], ...] = ()
     # Seconds since the sender's start.
     uptime_s: float = 0.0
+    # Whether the sender is in step with the platform's store.
+    in_step: bool = True
 
 
 class Ask(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -56,8 +58,10 @@
     output_tokens: int
     # Parts of the prompt and their tokens, in order.
     parts: tuple[tuple[str, int], ...]
-    # Milliseconds until the first event is late, and until the request is given up.
+    # Milliseconds until the first event is late, until the client leaves without one,
+    # and until the request is given up.
     objective_ms: int
+    patience_ms: int
     deadline_ms: int
     # Longest pause between events that is on time.
     gap_objective_ms: int
@@ -89,6 +93,8 @@
     target: str = ""
     # Milliseconds after which the client may come back.
     retry_after_ms: int = 0
+    # host:port of the target, for members that do not know it; empty unless granted.
+    address: str = ""
     # Milliseconds in which the first event is predicted; 0 unless granted.
     predicted_ms: int = 0
     # Node that answers; empty where the answer does not leave the process.
@@ -108,8 +114,10 @@
     REJECTED = 4
     # No connection could be opened.
     UNREACHABLE = 5
-    # The target said that it leaves.
+    # Another target has the address, or the target said that it leaves.
     LEAVING = 6
+    # The member knows that the target leaves, and sent nothing.
+    NOT_SENT = 7
 
 
 class RunNews(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/roster.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/roster.py
@@ -72,18 +72,19 @@
         """Nodes in the order in which they are asked for placements.
 
         The member that has run longest comes first, so that a start or restart moves
-        nothing.
+        nothing. Members that are out of step with the store come last: they do not know
+        new targets and those that leave.
         """
         candidates = [
-            (view.hello.started_ms, view.hello.name.node)
+            (not view.hello.in_step, view.hello.started_ms, view.hello.name.node)
             for view in self.alive(now, BROKER_SILENT_AFTER_S)
             if view.hello.ready
             and not view.hello.draining
             and view.suspect_until_s <= now
         ]
         if own.ready and not own.draining:
-            candidates.append((own.started_ms, own.name.node))
-        return [node for _, node in sorted(candidates)]
+            candidates.append((not own.in_step, own.started_ms, own.name.node))
+        return [node for _, _, node in sorted(candidates)]
 
     def forget(self, now: float) -> None:
         """Drop members that have been silent for long."""
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/routing.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/routing.py
@@ -46,6 +46,8 @@
     # Longest pause in seconds between events that is on time; None where nothing is
     # streamed.
     gap_objective_s: float | None
+    # Seconds without an event after which clients leave a stream.
+    client_patience_s: float
     # 0 is the most urgent.
     priority: int
     shares: tuple[ServiceShare, ...]
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/target_registry.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/target_registry.py
@@ -11,6 +11,8 @@
 # Seconds after the store's return within which live targets register again; the
 # platform's protocol says about two seconds.
 RETURN_GRACE_S = 2.2
+# Seconds for which other members are told that a target is gone.
+TELL_DROPPED_S = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,8 +44,9 @@
 
     def __init__(self) -> None:
         self.entries: dict[str, TargetEntry] = {}
-        # The last entry of each target that was dropped.
+        # The last entry of each target that was dropped, and when that was.
         self.dropped: dict[str, TargetEntry] = {}
+        self.dropped_s: dict[str, float] = {}
         # Targets that are known to leave although their entry does not say so.
         self.leaving: set[str] = set()
         # When entries that the store does not hold are dropped, by id.
@@ -66,6 +69,7 @@
             self.leaving.discard(entry.id)
         self.entries[entry.id] = entry
         self.dropped.pop(entry.id, None)
+        self.dropped_s.pop(entry.id, None)
         self.lapsing.pop(entry.id, None)
         return True
 
@@ -76,7 +80,7 @@
         if now < self.forgiving_until_s:
             self.lapsing.setdefault(target_id, self.forgiving_until_s)
             return
-        self._drop(target_id)
+        self._drop(target_id, now)
 
     def store_returned(self, now: float) -> None:
         """The store answers again after it did not for a while."""
@@ -95,11 +99,24 @@
         if target_id in self.entries:
             self.leaving.add(target_id)
 
+    def known_to_leave(self, now: float) -> tuple[str, ...]:
+        """Targets that members who cannot read the store should not use."""
+        draining = [entry.id for entry in self.entries.values() if entry.draining]
+        gone = [i for i, s in self.dropped_s.items() if now - s <= TELL_DROPPED_S]
+        return (*self.leaving, *draining, *gone)
+
+    def takes_work(self, target_id: str) -> bool:
+        """Whether a target may be used, as far as is known here."""
+        if target_id in self.leaving or target_id in self.dropped:
+            return False
+        entry = self.entries.get(target_id)
+        return entry is None or not entry.draining
+
     def expire(self, now: float) -> None:
         """Drop the entries that did not come back in time."""
         for target_id, due in list(self.lapsing.items()):
             if due <= now:
-                self._drop(target_id)
+                self._drop(target_id, now)
 
     def open_targets(self, service: str) -> list[TargetEntry]:
         """The service's targets that take new work."""
@@ -115,12 +132,13 @@
         """All entries, whether their targets take work or not."""
         return self.entries
 
-    def discard(self, target_id: str) -> None:
+    def discard(self, target_id: str, now: float) -> None:
         """The entry can't be read any more and names no target to use."""
         if target_id in self.entries:
-            self._drop(target_id)
+            self._drop(target_id, now)
 
-    def _drop(self, target_id: str) -> None:
+    def _drop(self, target_id: str, now: float) -> None:
         self.dropped[target_id] = self.entries.pop(target_id)
+        self.dropped_s[target_id] = now
         self.leaving.discard(target_id)
         self.lapsing.pop(target_id, None)
--- a/packages/burdockhaven-core/tests/scheduling/scheduling_samples.py
+++ b/packages/burdockhaven-core/tests/scheduling/scheduling_samples.py
@@ -26,6 +26,7 @@
         "timeout_s": 15.0,
         "objective_s": 0.6,
         "gap_objective_s": 0.3,
+        "client_patience_s": 2.4,
         "priority": 0,
         "shares": (ServiceShare(ENGINES, 1.0),),
         "max_attempts": 2,
@@ -76,6 +77,7 @@
         "output_tokens": 100,
         "parts": (),
         "objective_ms": 600,
+        "patience_ms": 15_000,
         "deadline_ms": 15_000,
         "gap_objective_ms": 300,
     }
--- a/packages/burdockhaven-core/tests/scheduling/test_broker.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_broker.py
@@ -187,3 +187,15 @@
     made.set_targets(entries, set())
     assert made.engines["i-1"].tokens_per_event == 6
     assert made.engines["i-1"].cache_tokens == 800_000
+
+
+def test_a_request_whose_client_would_leave_before_its_turn_is_refused_at_once():
+    """Such requests were held in the queue until their clients had gone."""
+    made = broker(targets=("i-1",), slots=1)
+    made.ask(ask(1), 0.0)
+    reply = made.ask(ask(2, patience_ms=2_400), 0.0)
+    assert reply.verdict is Verdict.OVERLOADED
+
+
+def test_a_grant_names_the_address_for_members_that_do_not_know_the_target():
+    assert broker().ask(ask(1), 0.0).address == "10.0.0.1:80"
--- a/packages/burdockhaven-core/tests/scheduling/test_roster.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_roster.py
@@ -59,3 +59,11 @@
     assert roster.quota_share(0.1) == 1.0
     roster.hear(hello("entry-2", sequence=2), 5.0)
     assert roster.quota_share(5.0) == 2 / 9
+
+
+def test_a_member_out_of_step_with_the_store_is_asked_last():
+    """It granted a target that had drained two seconds before."""
+    roster = Roster(ME)
+    roster.hear(hello("entry-2", started_ms=1, in_step=False), 0.0)
+    roster.hear(hello("entry-3", started_ms=9), 0.0)
+    assert roster.brokers(0.1, OWN) == ["entry-1", "entry-3", "entry-2"]
--- a/packages/burdockhaven-core/tests/scheduling/test_target_registry.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_target_registry.py
@@ -63,6 +63,19 @@
 def test_an_unreadable_entry_names_no_target():
     registry = TargetRegistry()
     registry.put(target())
-    registry.discard("i-1")
-    registry.discard("i-unknown")
+    registry.discard("i-1", 0.0)
+    registry.discard("i-unknown", 0.0)
     assert names(registry) == set()
+
+
+def test_members_that_cannot_read_the_store_are_told_what_leaves():
+    registry = TargetRegistry()
+    for name in ("i-1", "i-2", "i-3", "i-4"):
+        registry.put(target(name))
+    registry.put(target("i-1", sequence=2, draining=True))
+    registry.remove("i-2", 0.0)
+    registry.mark_leaving("i-3")
+    assert set(registry.known_to_leave(1.0)) == {"i-1", "i-2", "i-3"}
+    assert not any(registry.takes_work(name) for name in ("i-1", "i-2", "i-3"))
+    assert registry.takes_work("i-4")
+    assert registry.takes_work("i-not-known-here")
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -194,7 +194,7 @@
                 self._on_all_targets,
                 self._on_target,
                 self._on_targets_return,
-                self._on_store_failure,
+                self._on_targets_failure,
             ),
         )
         for feed in feeds:
@@ -320,6 +320,7 @@
 
     def _on_all_targets(self, items: tuple[Item, ...]) -> None:
         entries = [entry for item in items if (entry := self._read_target(item))]
+        self.state.in_step = True
         self.state.registry.replace(entries, self.state.clock())
         self.state.targets_changed()
 
@@ -330,7 +331,7 @@
         else:
             entry = self._read_target(item)
             if entry is None:
-                self.state.registry.discard(target_id)
+                self.state.registry.discard(target_id, self.state.clock())
             else:
                 self.state.registry.put(entry)
         self.state.targets_changed()
@@ -352,6 +353,10 @@
         detail = f"{failure.step} at {failure.peer}: {failure.detail}"
         log(EventNumber.KEY_VALUE_OUTAGE_BEGIN, detail=detail)
 
+    def _on_targets_failure(self, failure: StoreFailure) -> None:
+        self.state.in_step = False
+        self._on_store_failure(failure)
+
     def _on_store_return(self, seconds: float) -> None:
         log(EventNumber.KEY_VALUE_OUTAGE_END, seconds=round(seconds, 1))
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
@@ -50,6 +50,8 @@
     table: RoutingTable | None = None
     table_bytes: bytes = b""
     draining: bool = False
+    # Whether the targets' entries are followed in the store.
+    in_step: bool = False
     sequence: int = 0
 
     @classmethod
@@ -118,10 +120,11 @@
             ready=self.table is not None,
             draining=self.draining,
             config_version=self.version,
-            leaving=tuple(self.registry.leaving),
+            leaving=self.registry.known_to_leave(self.clock()),
             exhausted=self.broker.exhausted(self.clock()),
             usage=self.usage(),
             uptime_s=self.clock() - self.started_s,
+            in_step=self.in_step,
         )
 
     def usage(self) -> tuple[tuple[str, int], ...]:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
@@ -136,7 +136,7 @@
         self.state.hear_usage(hello, now)
         changed = False
         for target in hello.leaving:
-            if target not in self.state.registry.leaving:
+            if self.state.registry.takes_work(target):
                 self.state.registry.mark_leaving(target)
                 changed = True
         if changed:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placer.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placer.py
@@ -49,8 +49,10 @@
     prompt_tokens: int
     output_tokens: int
     parts: tuple[tuple[str, int], ...]
-    # Monotonic seconds at which the first event is late, and the request is given up.
+    # Monotonic seconds at which the first event is late, the client leaves without one,
+    # and the request is given up.
     objective_s: float
+    patience_s: float
     deadline_s: float
     gap_objective_s: float
     excluded: tuple[str, ...] = ()
@@ -65,6 +67,8 @@
 
     number: int
     target: str
+    # host:port of the target.
+    address: str = ""
     # Seconds in which the first event is predicted.
     predicted_s: float = 0.0
 
@@ -132,7 +136,7 @@
             self.runs[number] = OwnRun(
                 number, reply.target, question.prompt_tokens, self.clock()
             )
-            return Placed(number, reply.target, reply.predicted_ms / 1e3)
+            return Placed(number, reply.target, reply.address, reply.predicted_ms / 1e3)
         return Refused(reply.verdict is Verdict.OVER_QUOTA, reply.retry_after_ms / 1e3)
 
     def begun(self, number: int) -> None:
@@ -266,6 +270,7 @@
             output_tokens=question.output_tokens,
             parts=question.parts,
             objective_ms=int((question.objective_s - now) * 1e3),
+            patience_ms=int((question.patience_s - now) * 1e3),
             deadline_ms=int((question.deadline_s - now) * 1e3),
             gap_objective_ms=int(question.gap_objective_s * 1e3),
             excluded=question.excluded,
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -107,6 +107,7 @@
             output_tokens=said.max_output_tokens or 0,
             parts=said.parts,
             objective_s=call.objective_s,
+            patience_s=call.arrived_s + call.route.client_patience_s,
             deadline_s=call.deadline_s,
             gap_objective_s=call.route.gap_objective_s or DEFAULT_GAP_OBJECTIVE_S,
             returning=call.returning,
@@ -120,9 +121,9 @@
             call.trace.queued_s += self.state.clock() - asked_s
             if isinstance(placed, Refused):
                 return self._refuse(call, stream, placed)
-            target = self.state.registry.entries.get(placed.target)
+            target = self._target(call, placed)
             if target is None:
-                self.placer.ended(placed.number, RunEnd.LEAVING)
+                self.placer.ended(placed.number, RunEnd.NOT_SENT)
                 stream.question = with_excluded(stream.question, placed.target)
                 continue
             result = await self._run(call, stream, target, placed)
@@ -135,6 +136,19 @@
                 break
         return self._give_up(call, stream)
 
+    def _target(self, call: Call, placed: Placed) -> TargetEntry | None:
+        """The target of a grant; None if this process knows that it leaves."""
+        registry = self.state.registry
+        if not registry.takes_work(placed.target):
+            return None
+        known = registry.entries.get(placed.target)
+        if known is not None or not placed.address:
+            return known
+        # Registered lately, and this process has not read that yet.
+        return TargetEntry(
+            placed.target, call.service, placed.address, "", slots=1, draining=False
+        )
+
     async def _run(
         self, call: Call, stream: _Stream, target: TargetEntry, placed: Placed
     ) -> _RunResult:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/configuration.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/configuration.py
@@ -15,6 +15,11 @@
 
 MS_PER_S = 1_000.0
 TOKENS_UNIT = "tokens"
+# Clients leave a stream after a gap of two seconds, four times the objective or eight
+# times the allowed pause, whichever is longest (the platform's page on its protocol).
+PATIENCE_S = 2.0
+PATIENCE_OBJECTIVES = 4.0
+PATIENCE_PAUSES = 8.0
 
 
 class ConfigurationError(ValueError):
@@ -109,14 +114,20 @@
     else:
         raise ConfigurationError(f"route {raw.name} names no service")
     gap_ms = raw.target_gap_ms
+    objective_s = (raw.target_latency_ms or raw.timeout_ms) / MS_PER_S
     return Route(
         name=raw.name,
         host=raw.host,
         prefix=raw.prefix,
         kind=RouteKind(raw.kind),
         timeout_s=raw.timeout_ms / MS_PER_S,
-        objective_s=(raw.target_latency_ms or raw.timeout_ms) / MS_PER_S,
+        objective_s=objective_s,
         gap_objective_s=None if gap_ms is None else gap_ms / MS_PER_S,
+        client_patience_s=max(
+            PATIENCE_S,
+            PATIENCE_OBJECTIVES * objective_s,
+            PATIENCE_PAUSES * (gap_ms or 0.0) / MS_PER_S,
+        ),
         priority=raw.priority,
         shares=shares,
         max_attempts=max(1, raw.max_attempts),
--- a/packages/burdockhaven-entry/tests/gateway/test_placer.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_placer.py
@@ -60,6 +60,7 @@
         "output_tokens": 100,
         "parts": (),
         "objective_s": now + 0.6,
+        "patience_s": now + 15.0,
         "deadline_s": now + 15.0,
         "gap_objective_s": 0.3,
     }
--- a/tools/burdockhaven_bench/placement_fleet.py
+++ b/tools/burdockhaven_bench/placement_fleet.py
@@ -91,6 +91,9 @@
     done_s: float | None = None
     refused: bool = False
     target: str = ""
+    last_ask: int = 0
+    # Whether the client left without an event.
+    gave_up: bool = False
     # When it was asked for last, and for how long it was held before refusals.
     asked_s: float = 0.0
     held_s: float = 0.0
@@ -127,6 +130,8 @@
         """Worth that is taken off for holding it and not serving it."""
         if self.done_s is not None:
             return 0.0
+        if self.gave_up and not self.target:
+            return self.size * self.kind.worth
         free_s = self.kind.objective_s / 8
         whole_s = 0.75 * self.kind.deadline_s
         part = (self.held_s - free_s) / (whole_s - free_s)
@@ -306,6 +311,7 @@
         request.tries += 1
         request.asked_s = now
         self.by_ask[self.asks] = request
+        request.last_ask = self.asks
         kind = request.kind
         spent_s = now - request.arrived_s
         objective_s = kind.objective_s if request.tries == 1 else -1.0
@@ -320,14 +326,38 @@
             expected_tokens=request.hint,
             parts=request.parts,
             objective_ms=int((objective_s - spent_s) * 1e3),
+            patience_ms=int(1e3 * self._patience_s(kind)),
             deadline_ms=int((kind.deadline_s - spent_s) * 1e3),
             gap_objective_ms=int(kind.gap_objective_s * 1e3),
             returning=request.tries > 1,
         )
+        number = self.asks
+        leaves_s = now + self._patience_s(kind)
+        self.at(leaves_s, lambda at_s: self._leave_ask(request, number, at_s))
         self._on_reply(self.broker.ask(ask, now), now)
 
+    def _leave_ask(self, request: Request, number: int, now: float) -> None:
+        if request.last_ask == number:
+            self._leave(request, number, now)
+
+    def _patience_s(self, kind: Kind) -> float:
+        return max(2.0, 4 * kind.objective_s, 8 * kind.gap_objective_s)
+
+    def _leave(self, request: Request, number: int, now: float) -> None:
+        """The client leaves if no event has come."""
+        if request.first_s is not None or request.refused:
+            return
+        self.broker.withdraw(self.me, number)
+        if request.target:
+            self.engines[request.target].cancel(number)
+        request.refused = True
+        request.gave_up = True
+
     def _on_reply(self, reply: Reply, now: float) -> None:
         request = self.by_ask[reply.number]
+        if request.gave_up:
+            self.broker.withdraw(self.me, reply.number)
+            return
         if reply.verdict is Verdict.GRANTED:
             request.target = reply.target
             number = reply.number
@@ -337,6 +367,7 @@
 
     def _refused(self, request: Request, wait_s: float, now: float) -> None:
         request.held_s += now - request.asked_s
+        request.last_ask = 0
         left_s = request.arrived_s + request.kind.deadline_s - now
         comes_back = self.rng.random() < self.fleet.returning_share
         if request.tries > 1 or not comes_back:
@@ -346,6 +377,8 @@
         self.at(due_s, lambda at_s: self._ask(request, at_s))
 
     def _send(self, request: Request, number: int, now: float) -> None:
+        if request.gave_up:
+            return
         engine = self.engines[request.target]
         run = StepRun(number, request.prompt_tokens, 6 * request.events, request.parts)
         engine.submit(run, now)
