--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -84,10 +84,17 @@
             send_by_s=min(deadline_s, leaves_s) - LEAST_RUN_S,
         )
 
-    def order(self, now: float) -> tuple[int, bool, bool, float]:
+    def order(self, now: float) -> tuple[int, int, bool, bool, float]:
         """Sorts the queue: urgent tiers, then what can still be on time."""
+        ask = self.ask
         late = self.objective_s - now < LEAST_RUN_S / 2
-        return (self.ask.priority, late, not self.ask.returning, self.arrived_s)
+        return (
+            ask.priority,
+            ask.route_priority,
+            late,
+            not ask.returning,
+            self.arrived_s,
+        )
 
 
 class Broker:
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
@@ -51,8 +51,10 @@
     service: str
     # Empty for requests without an account.
     account: str
-    # 0 is the most urgent.
+    # The account's rank, or the route's where the account has none, and the rank of the
+    # route, which orders the requests of one account; 0 is the most urgent.
     priority: int
+    route_priority: int
     prompt_tokens: int
     # The most tokens that the answer may have.
     output_tokens: int
--- a/packages/burdockhaven-core/tests/scheduling/scheduling_samples.py
+++ b/packages/burdockhaven-core/tests/scheduling/scheduling_samples.py
@@ -73,6 +73,7 @@
         "service": ENGINES,
         "account": "",
         "priority": 0,
+        "route_priority": 0,
         "prompt_tokens": 1_000,
         "output_tokens": 100,
         "parts": (),
--- a/packages/burdockhaven-core/tests/scheduling/test_broker.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_broker.py
@@ -199,3 +199,13 @@
 
 def test_a_grant_names_the_address_for_members_that_do_not_know_the_target():
     assert broker().ask(ask(1), 0.0).address == "10.0.0.1:80"
+
+
+def test_among_accounts_of_one_rank_the_routes_rank_decides():
+    """All accounts had one rank, so that the urgent routes waited like the others."""
+    made = broker(targets=("i-1",), slots=1)
+    made.ask(ask(1, priority=1), 0.0)
+    made.ask(ask(2, priority=1, route_priority=2), 0.1)
+    made.ask(ask(3, priority=1, route_priority=0), 0.2)
+    made.progress(ended(1), 0.3)
+    assert [a.reply.number for a in made.pump(0.3)] == [3]
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placer.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placer.py
@@ -46,6 +46,7 @@
     service: str
     account: str
     priority: int
+    route_priority: int
     prompt_tokens: int
     output_tokens: int
     parts: tuple[tuple[str, int], ...]
@@ -266,6 +267,7 @@
             service=question.service,
             account=question.account,
             priority=question.priority,
+            route_priority=question.route_priority,
             prompt_tokens=question.prompt_tokens,
             output_tokens=question.output_tokens,
             parts=question.parts,
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/request_log.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/request_log.py
@@ -21,6 +21,7 @@
         route=call.route.name,
         account="" if call.account is None else call.account.name,
         service=call.service,
+        priority=f"{call.priority}.{call.route.priority}",
         version=call.version,
         status=status,
         target=trace.target,
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -103,6 +103,7 @@
             service=call.service,
             account="" if call.account is None else call.account.name,
             priority=call.priority,
+            route_priority=call.route.priority,
             prompt_tokens=said.prompt_tokens or 0,
             output_tokens=said.max_output_tokens or 0,
             parts=said.parts,
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
@@ -155,6 +155,7 @@
             "route": "route that it took",
             "account": "client account; empty if there is none",
             "service": "service that it went to",
+            "priority": "rank of the account and of the route; 0 is most urgent",
             "version": "version of the configuration that routed it",
             "status": "status of the answer; 0 if the client left",
             "target": "target of the last send; empty if there was none",
--- a/packages/burdockhaven-entry/tests/gateway/test_placer.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_placer.py
@@ -56,6 +56,7 @@
         "service": ENGINES,
         "account": "",
         "priority": 0,
+        "route_priority": 0,
         "prompt_tokens": 1_000,
         "output_tokens": 100,
         "parts": (),
