Put short requests before long ones of like weight within an account's rank

Order is now by the route's average cost, times four a rank, times three once late (the c-mu rule for weighted waiting costs). Also: a broker forgets runs of members that report to another one (a fallback broker took all engines for stalled); slow engines weigh less against empty slots; requests count as late 0.2 s before their objective; queued ones are refused as soon as their wait is.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -22,6 +22,7 @@
 )
 from burdockhaven_core.scheduling.placement import Placement, PlacementNeed, place
 from burdockhaven_core.scheduling.quotas import QuotaRule, quota_cost
+from burdockhaven_core.scheduling.route_costs import RouteCosts
 from burdockhaven_core.scheduling.routing import Account, RoutingTable
 from burdockhaven_core.scheduling.shared_quotas import SharedQuotas
 from burdockhaven_core.scheduling.sliding_window import SlidingWindow
@@ -30,17 +31,23 @@
 # Seconds that a grant may be missing from its member's reports before it counts as
 # lost; a report may have left before the grant arrived.
 GRANT_SETTLE_S = 0.4
+# Seconds for which a member's report counts; it sends several a second.
+REPORT_VALID_S = 1.2
 # Seconds over which the rate of finished runs is measured.
 RATE_WINDOW_S = 2.0
+# What each rank of a route counts against the one before it; the ranks of the users'
+# routes differ in worth by about as much.
+RANK_FACTOR = 4.0
+# What a request counts whose first event is late; late answers are worth a third.
+LATE_FACTOR = 3.0
+# Seconds before the objective at which a request counts as late.
+LATE_MARGIN_S = 0.2
 # Ends of runs a second that are assumed at least.
 LEAST_RATE_PER_S = 0.25
 # Seconds from the send to the first event that are assumed at least.
 LEAST_RUN_S = 0.25
 # Requests of the queue that are tried at once; those behind wait for the next round.
 MOST_TRIED = 64
-# Part of the predicted wait that a queued request must still have; its prediction is
-# rough, and what waits already is refused later than what comes.
-WAIT_PART = 0.5
 # Seconds for a client to come back, at least and at most.
 RETRY_AFTER_MIN_S = 0.3
 RETRY_AFTER_MAX_S = 4.0
@@ -84,17 +91,19 @@
             send_by_s=min(deadline_s, leaves_s) - LEAST_RUN_S,
         )
 
-    def order(self, now: float) -> tuple[int, int, bool, bool, float]:
-        """Sorts the queue: urgent tiers, then what can still be on time."""
+    def order(self, cost_s: float, now: float) -> tuple[int, float, bool, float]:
+        """Sorts the queue; `cost_s` is what the route's requests cost on average.
+
+        The account's rank comes first. Within it the weight falls with the route's rank
+        and once the first event is late, and short requests go before long ones of like
+        weight: they delay the others little (the c-mu rule). Costs are averages of the
+        route, so that large requests do not wait for small ones of their kind.
+        """
         ask = self.ask
-        late = self.objective_s - now < LEAST_RUN_S / 2
-        return (
-            ask.priority,
-            ask.route_priority,
-            late,
-            not ask.returning,
-            self.arrived_s,
-        )
+        weighted = cost_s * RANK_FACTOR**ask.route_priority
+        if self.objective_s - now < LATE_MARGIN_S:
+            weighted *= LATE_FACTOR
+        return (ask.priority, weighted, not ask.returning, self.arrived_s)
 
 
 class Broker:
@@ -111,6 +120,9 @@
         self.queue: dict[AskKey, Waiting] = {}
         self.granted: dict[AskKey, str] = {}
         self.ended: dict[str, SlidingWindow] = {}
+        self.costs = RouteCosts()
+        # When each member last reported its runs here.
+        self.reported_s: dict[str, float] = {}
         self.accounts: dict[str, Account] = {}
 
     def set_table(self, table: RoutingTable) -> None:
@@ -198,7 +210,7 @@
             ask = waiting.ask
             rank = ranks.get(ask.service, 0) + 1
             wait_s = self._wait_s(ask.service, rank, now)
-            if now + WAIT_PART * wait_s > waiting.send_by_s:
+            if now + wait_s > waiting.send_by_s:
                 del self.queue[key]
                 refusal = _refusal(ask, Verdict.OVERLOADED, wait_s)
                 out.append(Answered(ask.sender, refusal))
@@ -207,7 +219,7 @@
         return out
 
     def _ordered(self, now: float) -> list[tuple[AskKey, Waiting]]:
-        return sorted(self.queue.items(), key=lambda item: item[1].order(now))
+        return sorted(self.queue.items(), key=lambda item: self._order(item[1], now))
 
     def withdraw(self, sender: MemberName, number: int) -> None:
         """The sender does not want this target any more."""
@@ -231,6 +243,7 @@
     def report(self, message: Report, now: float) -> None:
         """Make the belief about a member's runs agree with its own list."""
         name = message.sender
+        self.reported_s[name.node] = now
         listed = {run.number: run for run in message.runs}
         for run in listed.values():
             self._adopt(name, run, now)
@@ -251,10 +264,16 @@
             if engine.runs or engine.measured
         ]
 
-    def forget_absent(self, present: set[str]) -> None:
-        """Members other than these are gone; so are their runs and questions."""
-        for key in [k for k in self.granted if k[0] not in present]:
-            self._release(key)
+    def forget_absent(self, present: set[str], now: float) -> None:
+        """Members other than these are gone; so are their runs and questions.
+
+        Those that report to another broker are not heard here either: what is believed
+        of their runs is too old to count.
+        """
+        for key in list(self.granted):
+            reported_s = self.reported_s.get(key[0], now)
+            if key[0] not in present or now - reported_s > REPORT_VALID_S:
+                self._release(key)
         for key in [k for k in self.queue if k[0] not in present]:
             del self.queue[key]
 
@@ -288,13 +307,17 @@
         return place(need, engines, now)
 
     def _ahead_of(self, waiting: Waiting, now: float) -> list[Waiting]:
-        order = waiting.order(now)
+        order = self._order(waiting, now)
         return [
             other
             for other in self.queue.values()
-            if other.ask.service == waiting.ask.service and other.order(now) < order
+            if other.ask.service == waiting.ask.service
+            and self._order(other, now) < order
         ]
 
+    def _order(self, waiting: Waiting, now: float) -> tuple[int, float, bool, float]:
+        return waiting.order(self.costs.of(waiting.ask.route), now)
+
     def _grant(
         self, key: AskKey, waiting: Waiting, found: Placement, now: float
     ) -> Reply:
@@ -312,6 +335,7 @@
             unread_tokens=found.unread_tokens,
             granted_s=now,
             predicted_ms=found.first_event_ms,
+            route=ask.route,
         )
         found.engine.start(run, ask.parts)
         return Reply(
@@ -342,8 +366,11 @@
     def _ended(
         self, engine: EngineLoad, key: AskKey, news: RunNews, now: float
     ) -> None:
+        run = engine.runs.get(key)
         self._release(key)
         service = self.service_of_engine(engine.target)
+        if run is not None and run.route and news.end is RunEnd.WHOLE:
+            self.costs.learn(run.route, now - run.granted_s, engine.slowness)
         if service is not None and news.end is RunEnd.WHOLE:
             window = self.ended.setdefault(service, SlidingWindow(RATE_WINDOW_S))
             window.add(1.0, now)
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
@@ -50,6 +50,8 @@
     # Milliseconds from the grant in which the first event was predicted.
     predicted_ms: float
     begun: bool = False
+    # Empty where it is known by a report only.
+    route: str = ""
 
     def age_ms(self, now: float) -> float:
         """Milliseconds since the grant."""
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
@@ -49,6 +49,7 @@
     # Names the request; the same when the question is sent again.
     number: int
     service: str
+    route: str
     # Empty for requests without an account.
     account: str
     # The account's rank, or the route's where the account has none, and the rank of the
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/placement.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/placement.py
@@ -14,7 +14,7 @@
 FIRST_EVENT_WEIGHT = 0.6
 # What each multiple of the ordinary step time adds; keeps slow engines for the time
 # when the fast ones fill.
-SLOWNESS_WEIGHT = 0.15
+SLOWNESS_WEIGHT = 0.05
 # An answer may be so many times longer than expected.
 LENGTH_FACTOR = 1.5
 # What a failure rate of one adds.
--- /dev/null
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/route_costs.py
@@ -0,0 +1,23 @@
+"""What requests of each route cost on average, learned from their runs."""
+
+# Slot seconds on an ordinary engine that a new route is assumed to take.
+FIRST_COST_S = 0.8
+# Weight of a new run in the average.
+WEIGHT = 0.05
+
+
+class RouteCosts:
+    """Slot seconds of one request by route, on an engine of ordinary speed."""
+
+    def __init__(self) -> None:
+        self.costs: dict[str, float] = {}
+
+    def of(self, route: str) -> float:
+        """The average cost of a request of the route."""
+        return self.costs.get(route, FIRST_COST_S)
+
+    def learn(self, route: str, slot_s: float, slowness: float) -> None:
+        """A run has ended well after so many seconds."""
+        seen = slot_s / max(0.1, slowness)
+        known = self.costs.get(route)
+        self.costs[route] = seen if known is None else known + WEIGHT * (seen - known)
--- a/packages/burdockhaven-core/tests/scheduling/scheduling_samples.py
+++ b/packages/burdockhaven-core/tests/scheduling/scheduling_samples.py
@@ -71,6 +71,7 @@
 def ask(number=1, sender=ME, **changes):
     values = {
         "service": ENGINES,
+        "route": "r",
         "account": "",
         "priority": 0,
         "route_priority": 0,
--- a/packages/burdockhaven-core/tests/scheduling/test_broker.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_broker.py
@@ -165,7 +165,7 @@
 def test_a_member_that_is_gone_holds_no_slots():
     made = broker(targets=("i-1",), slots=1)
     made.ask(ask(1, sender=MemberName("entry-9", 9)), 0.0)
-    made.forget_absent({ME.node})
+    made.forget_absent({ME.node}, 0.1)
     assert made.ask(ask(2), 0.1).verdict is Verdict.GRANTED
 
 
@@ -209,3 +209,44 @@
     made.ask(ask(3, priority=1, route_priority=0), 0.2)
     made.progress(ended(1), 0.3)
     assert [a.reply.number for a in made.pump(0.3)] == [3]
+
+
+def test_runs_of_a_member_that_reports_elsewhere_do_not_stall_an_engine():
+    """A fallback broker kept them for ever and took every engine for stalled."""
+    made = broker(targets=("i-1",), slots=4)
+    made.report(Report(ME, (RunState(1, "i-1", 500, 10, False),), ()), 0.0)
+    made.forget_absent({ME.node}, 5.0)
+    assert made.ask(ask(2), 5.0).verdict is Verdict.GRANTED
+
+
+def test_a_short_request_goes_before_a_long_one_of_like_weight():
+    """Triage runs take a tenth of a summary's time and starved behind summaries."""
+    made = broker(targets=("i-1",), slots=1)
+    made.costs.costs = {"review": 1.2, "summary": 0.9, "triage": 0.13}
+    made.ask(ask(1, route="review"), 0.0)
+    made.ask(ask(2, route="summary", route_priority=1), 0.1)
+    made.ask(ask(3, route="triage", route_priority=2), 0.1)
+    made.ask(ask(4, route="review", route_priority=0), 0.1)
+    order = []
+    for last in (1, 4, 3):
+        made.progress(ended(last), 0.3)
+        order += [a.reply.number for a in made.pump(0.3)]
+    assert order == [4, 3, 2]
+
+
+def test_a_higher_account_rank_goes_first_whatever_the_costs():
+    made = broker(targets=("i-1",), slots=1)
+    made.costs.costs = {"long": 9.0, "short": 0.1}
+    made.ask(ask(1), 0.0)
+    made.ask(ask(2, route="short", priority=1), 0.1)
+    made.ask(ask(3, route="long", priority=0, route_priority=2), 0.1)
+    made.progress(ended(1), 0.3)
+    assert [a.reply.number for a in made.pump(0.3)] == [3]
+
+
+def test_the_cost_of_a_route_is_learned_for_an_ordinary_engine():
+    made = broker(targets=("i-1",), slots=1)
+    made.engines["i-1"].slowness = 2.0
+    made.ask(ask(1, route="review"), 0.0)
+    made.progress(ended(1), 3.0)
+    assert made.costs.of("review") == pytest.approx(1.5)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -59,6 +59,8 @@
 EXPIRE_S = 0.1
 # Seconds of silence after which a member's runs count as ended.
 ABSENT_S = 1.5
+# Seconds between two looks for such members.
+FORGET_S = 0.3
 # Seconds between two log lines on a queue that is not empty.
 LOG_QUEUE_S = 1.0
 # Seconds after SIGTERM in which new connections are still taken; clients keep a look-up
@@ -177,7 +179,7 @@
         timer.subscribe(PUMP_S, lambda now: self._pump())
         timer.subscribe(REFUSE_S, lambda now: self.placer.refuse_hopeless())
         timer.subscribe(EXPIRE_S, self._expire)
-        timer.subscribe(ABSENT_S, self._forget_absent)
+        timer.subscribe(FORGET_S, self._forget_absent)
         timer.subscribe(LOG_QUEUE_S, self._log_queue)
 
     def _follow(self) -> None:
@@ -285,7 +287,7 @@
     def _forget_absent(self, now: float) -> None:
         alive = self.state.roster.alive(now, ABSENT_S)
         present = {view.hello.name.node for view in alive}
-        self.state.broker.forget_absent(present | {self.state.me.node})
+        self.state.broker.forget_absent(present | {self.state.me.node}, now)
 
     def _expire(self, now: float) -> None:
         before = len(self.state.registry.entries)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placer.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placer.py
@@ -44,6 +44,7 @@
     """What a request needs."""
 
     service: str
+    route: str
     account: str
     priority: int
     route_priority: int
@@ -265,6 +266,7 @@
             sender=self.me,
             number=number,
             service=question.service,
+            route=question.route,
             account=question.account,
             priority=question.priority,
             route_priority=question.route_priority,
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -101,6 +101,7 @@
         said = call.said
         return PlacementQuestion(
             service=call.service,
+            route=call.route.name,
             account="" if call.account is None else call.account.name,
             priority=call.priority,
             route_priority=call.route.priority,
--- a/packages/burdockhaven-entry/tests/gateway/test_placer.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_placer.py
@@ -54,6 +54,7 @@
     now = time.monotonic()
     values = {
         "service": ENGINES,
+        "route": "r",
         "account": "",
         "priority": 0,
         "route_priority": 0,
--- a/tools/burdockhaven_bench/placement_fleet.py
+++ b/tools/burdockhaven_bench/placement_fleet.py
@@ -36,6 +36,8 @@
 HOP_S = 0.0015
 # Seconds between two looks at the broker's queue.
 PUMP_S = 0.02
+# Worth taken off for a client that came back and was refused again.
+REFUSED_AGAIN_PART = 0.3
 # Spread of the clients' estimates of the length, as a logarithm.
 HINT_SPREAD = 0.5
 # Most of the time left that a client waits before it comes back.
@@ -134,8 +136,10 @@
             return self.size * self.kind.worth
         free_s = self.kind.objective_s / 8
         whole_s = 0.75 * self.kind.deadline_s
-        part = (self.held_s - free_s) / (whole_s - free_s)
-        return self.size * self.kind.worth * min(1.0, max(0.0, part))
+        part = min(1.0, max(0.0, (self.held_s - free_s) / (whole_s - free_s)))
+        if self.refused and self.tries > 1:
+            part += REFUSED_AGAIN_PART
+        return self.size * self.kind.worth * part
 
     @property
     def worth(self) -> float:
@@ -319,6 +323,7 @@
             sender=self.me,
             number=self.asks,
             service=SERVICE,
+            route=kind.name,
             account="",
             priority=0,
             route_priority=kind.priority,
