Let the broker know which clients come back

Cause: a client comes back to any member, but only the one that refused it knew of it, so eight in nine returners counted as late newcomers. The question now names what is asked for, and the broker remembers what it refused.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -22,6 +22,7 @@
 )
 from burdockhaven_core.scheduling.placement import Placement, PlacementNeed, place
 from burdockhaven_core.scheduling.quotas import QuotaRule, quota_cost
+from burdockhaven_core.scheduling.refused_clients import RefusedClients
 from burdockhaven_core.scheduling.route_costs import RouteCosts
 from burdockhaven_core.scheduling.routing import Account, RoutingTable
 from burdockhaven_core.scheduling.shared_quotas import SharedQuotas
@@ -81,9 +82,11 @@
     deadline_s: float
     # When it has to be sent at the latest.
     send_by_s: float
+    # Whether its client was refused before, or the request is sent again.
+    returning: bool
 
     @classmethod
-    def from_ask(cls, ask: Ask, now: float) -> "Waiting":
+    def from_ask(cls, ask: Ask, was_refused: bool, now: float) -> "Waiting":
         """A question that arrives now."""
         deadline_s = now + ask.deadline_ms / 1e3
         leaves_s = now + ask.patience_ms / 1e3
@@ -93,6 +96,7 @@
             objective_s=now + ask.objective_ms / 1e3,
             deadline_s=deadline_s,
             send_by_s=min(deadline_s, leaves_s) - LEAST_RUN_S,
+            returning=ask.returning or was_refused,
         )
 
     def order(self, cost_s: float, now: float) -> tuple[int, float, bool, float]:
@@ -106,8 +110,8 @@
         ask = self.ask
         weighted = cost_s * RANK_FACTOR**ask.route_priority
         if self.objective_s - now < LATE_MARGIN_S:
-            weighted *= RETURNING_FACTOR if ask.returning else LATE_FACTOR
-        return (ask.priority, weighted, not ask.returning, self.arrived_s)
+            weighted *= RETURNING_FACTOR if self.returning else LATE_FACTOR
+        return (ask.priority, weighted, not self.returning, self.arrived_s)
 
 
 class Broker:
@@ -126,6 +130,7 @@
         # Arrivals lately by service, route and place in the order of the queue.
         self.arrivals: dict[tuple[str, str, tuple[int, float]], SlidingWindow] = {}
         self.costs = RouteCosts()
+        self.refused = RefusedClients()
         # When each member last reported its runs here.
         self.reported_s: dict[str, float] = {}
         self.accounts: dict[str, Account] = {}
@@ -170,7 +175,8 @@
         if account is not None and not self.quotas.admits(account, cost, now):
             wait_s = self.quotas.retry_after_s(account, cost, now)
             return _refusal(ask, Verdict.OVER_QUOTA, wait_s)
-        waiting = Waiting.from_ask(ask, now)
+        was_refused = ask.digest != 0 and self.refused.take(ask.digest, now)
+        waiting = Waiting.from_ask(ask, was_refused, now)
         self._count_arrival(waiting, now)
         ahead = self._ahead_of(waiting, now)
         if not ahead:
@@ -182,7 +188,7 @@
         work_s = sum(self.costs.of(other.ask.route) for other in [waiting, *ahead])
         wait_s = self._wait_s(waiting, work_s, now)
         if now + wait_s > waiting.send_by_s:
-            return _refusal(ask, Verdict.OVERLOADED, wait_s)
+            return self._refuse(ask, wait_s, now)
         self.queue[key] = waiting
         return Reply(ask.number, Verdict.QUEUED)
 
@@ -219,12 +225,17 @@
             wait_s = self._wait_s(waiting, work_s, now)
             if now + wait_s > waiting.send_by_s:
                 del self.queue[key]
-                refusal = _refusal(ask, Verdict.OVERLOADED, wait_s)
+                refusal = self._refuse(ask, wait_s, now)
                 out.append(Answered(ask.sender, refusal))
             else:
                 work_ahead[ask.service] = work_s
         return out
 
+    def _refuse(self, ask: Ask, wait_s: float, now: float) -> Reply:
+        if ask.digest:
+            self.refused.add(ask.digest, now)
+        return _refusal(ask, Verdict.OVERLOADED, wait_s)
+
     def _ordered(self, now: float) -> list[tuple[AskKey, Waiting]]:
         return sorted(self.queue.items(), key=lambda item: self._order(item[1], now))
 
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
@@ -70,8 +70,10 @@
     gap_objective_ms: int
     # Targets that have failed this request.
     excluded: tuple[str, ...] = ()
-    # Whether the client was refused before, or the request is sent again.
+    # Whether the request is sent again.
     returning: bool = False
+    # Names what is asked for, the same at each try of a client; 0 if not known.
+    digest: int = 0
     # Tokens that the client expects the answer to have; 0 if it does not say.
     expected_tokens: int = 0
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/call.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/call.py
@@ -40,8 +40,6 @@
     deadline_s: float
     # Names what is asked, whichever try of the client it is.
     digest: int
-    # Whether such a request was refused lately.
-    returning: bool
     # Version of the configuration that routed it.
     version: int
     trace: Trace
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/front.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/front.py
@@ -100,7 +100,6 @@
             arrived_s=arrived_s,
             deadline_s=arrived_s + limit_s,
             digest=digest,
-            returning=self.state.refused.take(digest, arrived_s),
             version=table.version,
             trace=Trace(),
         )
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
@@ -19,7 +19,6 @@
     MemberName,
 )
 from burdockhaven_core.scheduling.plain_balancer import PlainBalancer
-from burdockhaven_core.scheduling.refused_clients import RefusedClients
 from burdockhaven_entry.platform import PlatformSettings
 
 # Part of the platform's slack that quotas use; the rest covers members that cannot hear
@@ -45,7 +44,6 @@
     # What this process itself has sent, by account.
     own_usage: Quotas
     retry_budget: RetryBudget
-    refused: RefusedClients
     # The configuration in force and the bytes that hold it; None before the first.
     table: RoutingTable | None = None
     table_bytes: bytes = b""
@@ -89,7 +87,6 @@
             broker=broker,
             own_usage=Quotas(rule),
             retry_budget=RetryBudget(retry_rule),
-            refused=RefusedClients(),
         )
 
     @property
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placer.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placer.py
@@ -59,6 +59,8 @@
     gap_objective_s: float
     excluded: tuple[str, ...] = ()
     returning: bool = False
+    # Names what is asked for, the same at each try of a client.
+    digest: int = 0
     # Tokens that the answer is expected to have; 0 if the client does not say.
     expected_tokens: int = 0
 
@@ -279,6 +281,7 @@
             gap_objective_ms=int(question.gap_objective_s * 1e3),
             excluded=question.excluded,
             returning=question.returning,
+            digest=question.digest,
             expected_tokens=question.expected_tokens,
         )
         if node == self.me.node:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -112,7 +112,7 @@
             patience_s=call.arrived_s + call.route.client_patience_s,
             deadline_s=call.deadline_s,
             gap_objective_s=call.route.gap_objective_s or DEFAULT_GAP_OBJECTIVE_S,
-            returning=call.returning,
+            digest=call.digest,
             expected_tokens=said.expected_output_tokens or 0,
         )
 
@@ -287,7 +287,6 @@
     ) -> web.StreamResponse:
         if stream.response is not None or stream.ran:
             return self._give_up(call, stream)
-        self.state.refused.add(call.digest, self.state.clock())
         status = TOO_MANY if refused.over_quota else UNAVAILABLE
         detail = "over the quota" if refused.over_quota else "no engine in time"
         return not_run(status, detail, call.said.attempt_id, refused.retry_after_s)
