Test the gateway against scripted targets; refuse at once what every target failed

Found by the tests (each seen to fail): a request that all targets of its service had rejected was held in the queue to its deadline and then answered 504 although it had not run (15 s): refused at once with 503 now.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -147,7 +147,7 @@
         return tuple(
             account.name
             for account in self.accounts.values()
-            if not self.quotas.admits(account, account.default_tokens, now)
+            if not self.quotas.admits(account, 1, now)
         )
 
     def set_targets(
@@ -179,9 +179,11 @@
         was_refused = ask.digest != 0 and self.refused.take(ask.digest, now)
         waiting = Waiting.from_ask(ask, was_refused, now)
         self._count_arrival(waiting, now)
+        engines = self.open_by_service.get(ask.service, [])
+        if ask.excluded and all(e.target in ask.excluded for e in engines):
+            return self._refuse(ask, RETRY_AFTER_MIN_S, now)
         ahead = self._ahead_of(waiting, now)
         if not ahead:
-            engines = self.open_by_service.get(ask.service, [])
             free = [engine for engine in engines if engine.takes_work(now)]
             found = self._find(waiting, free, now)
             if found is not None:
--- a/packages/burdockhaven-core/tests/scheduling/test_broker.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_broker.py
@@ -275,3 +275,10 @@
     made.progress(ended(1), 0.4)
     (answered,) = made.pump(0.4)
     assert answered.to == other
+
+
+def test_a_request_that_every_target_has_failed_is_refused_at_once():
+    """It was held in the queue until its deadline."""
+    made = broker(targets=("i-1", "i-2"))
+    reply = made.ask(ask(1, excluded=("i-1", "i-2")), 0.0)
+    assert reply.verdict is Verdict.OVERLOADED
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -112,8 +112,8 @@
             StreamForwarding(state, self.targets, self.placer),
         )
         self.control = Control(state)
-        self.front_server = _server(self.front.handle)
-        self.control_server = _server(self.control.handle)
+        self.front_server = make_server(self.front.handle)
+        self.control_server = make_server(self.control.handle)
         self.listeners: list[asyncio.Server] = []
         self.stop_requested = asyncio.Event()
         self.tasks: set[asyncio.Task[None]] = set()
@@ -367,7 +367,8 @@
         self.state.registry.store_returned(self.state.clock())
 
 
-def _server(handler: Any) -> web.Server:
+def make_server(handler: Any) -> web.Server:
+    """A server of one address; a client that leaves cancels its handler."""
     return web.Server(
         handler,
         handler_cancellation=True,
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -76,7 +76,7 @@
     failure: web.Response | None = None
     pauses_s: list[float] = field(default_factory=list)
     last_event_s: float = 0.0
-    # Whether the request was sent to any target.
+    # Whether the request may be running at a target or may have run.
     sent: bool = False
 
 
@@ -131,6 +131,7 @@
             result = await self._run(call, stream, target, placed)
             if result is _RunResult.DONE and stream.response is not None:
                 return stream.response
+            stream.sent = stream.ran > 0
             stream.question = with_excluded(stream.question, target.id)
             if result is _RunResult.BROKEN and not self._may_run_again(call, stream):
                 break
--- /dev/null
+++ b/packages/burdockhaven-entry/tests/gateway/gateway_fixtures.py
@@ -0,0 +1,285 @@
+"""A gateway on loopback before targets that behave as scripted."""
+
+import asyncio
+import random
+import time
+from dataclasses import dataclass, field
+
+import aiohttp
+from aiohttp import web
+from scheduling_samples import account, route, target
+from yarl import URL
+
+from burdockhaven_core.scheduling.routing import (
+    ClientLimits,
+    EngineLimits,
+    RouteKind,
+    RoutingTable,
+    Service,
+    ServiceShare,
+)
+from burdockhaven_entry.gateway.front import Front
+from burdockhaven_entry.gateway.gateway_daemon import make_server
+from burdockhaven_entry.gateway.gateway_state import GatewayState
+from burdockhaven_entry.gateway.placer import Placer
+from burdockhaven_entry.gateway.plain_forwarding import PlainForwarding
+from burdockhaven_entry.gateway.stream_forwarding import StreamForwarding
+from burdockhaven_entry.gateway.target_client import TargetClient
+from burdockhaven_entry.platform import PlatformSettings
+
+HOST = "one.example"
+KEY = "key-acme"
+ATTEMPT = "X-Burdockhaven-Attempt-Id"
+SIGNATURE = "X-Burdockhaven-Response-Signature: sig\r\n"
+ENGINES = "engines"
+PLAIN = "plain"
+
+
+def settings():
+    return PlatformSettings(
+        node="entry-1",
+        ip="127.0.0.1",
+        zone="a",
+        front_address="127.0.0.1:1",
+        readiness_address="127.0.0.1:2",
+        control_address="127.0.0.1:3",
+        directory_address="127.0.0.1:4",
+        peer_port=7600,
+        seeds=(),
+        store_address="127.0.0.1:5",
+        grace_s=8.0,
+        retry_ratio=0.2,
+        retry_window_s=10.0,
+        retry_slack=58.0,
+        quota_window_s=8.0,
+        quota_slack=0.0,
+        first_start=True,
+        look_up_ttl_max_s=5.0,
+    )
+
+
+def routing_table(version=1, rate_per_s=0.0):
+    plain = (ServiceShare(PLAIN, 1.0),)
+    plain_route = {
+        "shares": plain,
+        "sticky": False,
+        "resumable": False,
+        "gap_objective_s": None,
+        "timeout_s": 5.0,
+    }
+    routes = (
+        route("/safe/", kind=RouteKind.SAFE, **plain_route),
+        route("/unsafe/", kind=RouteKind.UNSAFE, **plain_route),
+        route("/quick/", kind=RouteKind.UNSAFE, **(plain_route | {"timeout_s": 0.3})),
+        route("/stream/", max_attempts=2),
+        route("/once/", resumable=False, max_attempts=1),
+    )
+    acme = account(rate_per_s=rate_per_s)
+    return RoutingTable.from_parts(
+        version,
+        routes,
+        {
+            ENGINES: Service(ENGINES, 100, EngineLimits(4, 800_000, 1)),
+            PLAIN: Service(PLAIN, 100, None),
+        },
+        {KEY: acme},
+        ClientLimits(16_384, 1_000, 3.0, 15.0),
+    )
+
+
+@dataclass
+class Received:
+    """One request as a target got it."""
+
+    line: str
+    headers: dict
+    body: bytes
+
+
+class Script:
+    """Behaviours for the requests of one target, or of several; the last one stays."""
+
+    def __init__(self, *behaviours):
+        self.behaviours = list(behaviours)
+
+    def take(self):
+        if len(self.behaviours) > 1:
+            return self.behaviours.pop(0)
+        return self.behaviours[0]
+
+
+@dataclass
+class Target:
+    """A target that answers each request by the next behaviour of its script."""
+
+    script: Script
+    received: list = field(default_factory=list)
+    closed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                line, *rest = head.strip().split("\r\n")
+                headers = dict(part.split(": ", 1) for part in rest)
+                length = int(headers.get("Content-Length", 0))
+                body = await reader.readexactly(length)
+                got = Received(line, headers, body)
+                self.received.append(got)
+                if not await self.script.take()(got, reader, writer):
+                    break
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self.closed.set()
+            writer.close()
+
+
+def answer(body=b"done", status="200 OK", extra="", attempt=None, signature=SIGNATURE):
+    async def behave(got, reader, writer):
+        name = attempt if attempt is not None else got.headers[ATTEMPT]
+        head = f"HTTP/1.1 {status}\r\n{ATTEMPT}: {name}\r\n{signature}{extra}"
+        writer.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        await writer.drain()
+        return True
+
+    return behave
+
+
+def events(first, last, *, end=True, reset=False, rest=b""):
+    async def behave(got, reader, writer):
+        head = (
+            f"HTTP/1.1 200 OK\r\n{ATTEMPT}: {got.headers[ATTEMPT]}\r\n{SIGNATURE}"
+            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        writer.write(head.encode())
+        for number in range(first, last + 1):
+            write_chunk(writer, b"id: %d\ndata: %d\n\n" % (number, number))
+        if rest:
+            write_chunk(writer, rest)
+        await writer.drain()
+        if end:
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+            return True
+        if reset:
+            await asyncio.sleep(0.05)
+            writer.transport.abort()
+        return False
+
+    return behave
+
+
+def write_chunk(writer, data):
+    writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+
+
+async def reset(got, reader, writer):
+    writer.transport.abort()
+    return False
+
+
+async def hang(got, reader, writer):
+    await reader.read()
+    return False
+
+
+REJECTED = answer(
+    b"", "503 Service Unavailable", "X-Burdockhaven-Not-Executed: 1\r\n", signature=""
+)
+
+
+def raw(data):
+    async def behave(got, reader, writer):
+        name = got.headers[ATTEMPT]
+        writer.write(data.replace(b"ID", name.encode()))
+        await writer.drain()
+        return False
+
+    return behave
+
+
+class Gateway:
+    """A front with its targets; `call` sends it a request."""
+
+    def __init__(self, front, state, server, listener, client, targets):
+        self.front = front
+        self.state = state
+        self.server = server
+        self.listener = listener
+        self.client = client
+        self.targets = targets
+
+    @classmethod
+    async def start(cls, plain=(), engines=(), table=None):
+        clock = time.monotonic
+        state = GatewayState.from_settings(settings(), 1, 1, clock, random.Random(1))
+        state.use_table(table or routing_table(), b"")
+        targets = []
+        for service, scripts in ((PLAIN, plain), (ENGINES, engines)):
+            for number, script in enumerate(scripts):
+                made = Target(script)
+                listening = await asyncio.start_server(made.serve, "127.0.0.1", 0)
+                port = listening.sockets[0].getsockname()[1]
+                name = f"{service}-{number}"
+                address = f"127.0.0.1:{port}"
+                state.registry.put(target(name, service, 4, address=address))
+                targets.append(made)
+        state.targets_changed()
+        state.in_step = True
+        placer = Placer(
+            state.me, state.roster, state.broker, state.hello, lambda *_: None, clock
+        )
+        links = TargetClient.create()
+        front = Front(
+            state,
+            PlainForwarding(state, links, placer),
+            StreamForwarding(state, links, placer),
+        )
+        server = make_server(front.handle)
+        loop = asyncio.get_running_loop()
+        listener = await loop.create_server(server, "127.0.0.1", 0)
+        port = listener.sockets[0].getsockname()[1]
+        client = aiohttp.ClientSession()
+        gateway = cls(front, state, server, listener, client, targets)
+        gateway.port = port
+        gateway.links = links
+        return gateway
+
+    async def stop(self):
+        await self.client.close()
+        self.listener.close()
+        await self.server.shutdown(0.1)
+        await self.links.close()
+
+    async def leave(self, path):
+        """Send a request and close its connection after a while."""
+        try:
+            async with asyncio.timeout(0.2):
+                await self.call(path)
+        except TimeoutError:
+            return
+        raise AssertionError("the answer came first")
+
+    async def call(self, path, body=b"", headers=None, method="POST"):
+        sent = {
+            "Host": HOST,
+            ATTEMPT: "a1",
+            "Authorization": f"Bearer {KEY}",
+            "X-Burdockhaven-Token-Counts": "100,20",
+        }
+        sent |= headers or {}
+        sent = {name: value for name, value in sent.items() if value is not None}
+        url = URL(f"http://127.0.0.1:{self.port}{path}", encoded=True)
+        async with self.client.request(
+            method, url, data=body, headers=sent
+        ) as response:
+            return web.Response(
+                status=response.status,
+                body=await response.read(),
+                headers=response.headers,
+            )
+
+    @property
+    def received(self):
+        return [got for made in self.targets for got in made.received]
--- /dev/null
+++ b/packages/burdockhaven-entry/tests/gateway/test_front.py
@@ -0,0 +1,76 @@
+import asyncio
+
+import pytest
+from gateway_fixtures import ATTEMPT, Gateway, Script, answer, routing_table
+
+
+@pytest.fixture
+async def gateway():
+    started = await Gateway.start(plain=[Script(answer())])
+    yield started
+    await started.stop()
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "status"),
+    [
+        ("/nowhere/x", {}, 404),
+        ("/safe/x", {"Host": "two.example"}, 404),
+        ("/safe/x", {"Authorization": "Bearer unknown"}, 401),
+        ("/safe/x", {"Authorization": None}, 401),
+        ("/safe/x", {ATTEMPT: None}, 400),
+        ("/safe/x", {"X-Burdockhaven-Deadline-Ms": "soon"}, 400),
+        ("/safe/x", {"X-Burdockhaven-Token-Counts": "1"}, 400),
+    ],
+)
+async def test_what_is_not_allowed_is_answered_here(gateway, path, headers, status):
+    assert (await gateway.call(path, headers=headers)).status == status
+    assert gateway.received == []
+
+
+async def test_a_body_over_the_limit_is_refused(gateway):
+    assert (await gateway.call("/safe/x", b"x" * 1_001)).status == 413
+    assert gateway.received == []
+
+
+async def test_without_a_configuration_nothing_is_denied(gateway):
+    gateway.state.table = None
+    response = await gateway.call("/nowhere/x")
+    assert response.status == 503
+    assert "Retry-After" in response.headers
+
+
+async def test_a_newer_configuration_is_in_force_at_once_and_never_reverts(gateway):
+    assert gateway.state.use_table(routing_table(version=5), b"")
+    assert not gateway.state.use_table(routing_table(version=4), b"")
+    assert gateway.state.version == 5
+
+
+async def test_while_it_drains_an_answer_closes_its_connection(gateway):
+    gateway.state.draining = True
+    response = await gateway.call("/safe/x")
+    assert response.status == 200
+    assert response.headers["Connection"] == "close"
+
+
+SMUGGLED = [
+    b"POST /safe/x HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 30\r\n",
+    b"POST /safe/x HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+    b"POST /safe/x HTTP/1.1\r\nContent-Length: +3\r\n",
+    b"POST /safe/x HTTP/1.1\r\nContent-Length : 3\r\n",
+    b"POST /safe/x HTTP/1.1\r\nTransfer-Encoding: xchunked\r\n",
+    b"B@D /safe/x HTTP/1.1\r\n",
+]
+
+
+@pytest.mark.parametrize("head", SMUGGLED)
+async def test_a_request_of_unclear_length_reaches_no_target(gateway, head):
+    reader, writer = await asyncio.open_connection("127.0.0.1", gateway.port)
+    rest = (
+        f"Host: one.example\r\n{ATTEMPT}: a\r\nAuthorization: Bearer key-acme\r\n\r\n"
+    )
+    writer.write(head + rest.encode() + b"abc")
+    line = await reader.readline()
+    writer.close()
+    assert line.startswith(b"HTTP/1.") and b" 400 " in line
+    assert gateway.received == []
