--- a/packages/burdockhaven-entry/src/burdockhaven_entry/log_events.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/log_events.py
@@ -3,7 +3,7 @@
 import logging
 import sys
 from collections.abc import Mapping
-from typing import TYPE_CHECKING, TextIO
+from typing import TYPE_CHECKING, Protocol
 
 import msgspec
 from loguru import logger
@@ -64,11 +64,21 @@
         log(EventNumber.LIBRARY_MESSAGE, source=record.name, text=text)
 
 
+class Output(Protocol):
+    """Where lines go; a text stream is one."""
+
+    def write(self, text: str, /) -> int:
+        """Write a line."""
+
+    def flush(self) -> None:
+        """Hold nothing back."""
+
+
 def configure_logging(
-    log_format: str, level: str, stream: TextIO | None = None
+    log_format: str, level: str, stream: Output | None = None
 ) -> None:
     """Sends the events to the stream, standard error by default, and nowhere else."""
-    out = sys.stderr if stream is None else stream
+    out: Output = sys.stderr if stream is None else stream
     render = _json_line if log_format == "json" else _text_line
 
     def write(message: "Message") -> None:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/main.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/main.py
@@ -9,6 +9,7 @@
 from result import Err
 
 from burdockhaven_core.log_numbers import EventNumber
+from burdockhaven_entry.bounded_output import BoundedOutput
 from burdockhaven_entry.log_events import configure_logging, log
 from burdockhaven_entry.platform import (
     SETTINGS_VARIABLE,
@@ -32,7 +33,7 @@
 
 def _run_on_platform(options: argparse.Namespace) -> int:
     """Run behind the users' platform, with the settings file that it writes."""
-    configure_logging("json", "info", sys.stdout)
+    configure_logging("json", "info", BoundedOutput(sys.stdout.fileno()))
     path = options.config or Path(os.environ.get(SETTINGS_VARIABLE, ""))
     try:
         settings = read_settings(path.read_text())
