--- /dev/null
+++ b/tools/burdockhaven_standins/platform_store.py
@@ -0,0 +1,215 @@
+"""A stand-in for the platform's store, over its published HTTP calls.
+
+Keys with revisions, leases, waiting watches and all-or-nothing writes, in memory. The
+test that runs it switches faults on: it may be down, forget its history or lose answers.
+"""
+
+import asyncio
+import base64
+from dataclasses import dataclass, field
+
+import msgspec
+from aiohttp import web
+from aiohttp.typedefs import Handler
+
+# Longest wait of a watch in seconds.
+MAX_WAIT_S = 30.0
+# Keys that the system may not write.
+OPERATOR_PREFIXES = ("op/", "servers/")
+MOST_ITEMS = 500
+
+
+@dataclass(slots=True)
+class StoredItem:
+    """One key."""
+
+    value: bytes
+    revision: int
+    created: int
+    # 0 for none.
+    lease: int
+
+
+@dataclass(slots=True)
+class StoreFaults:
+    """What is wrong with the store at the moment."""
+
+    # Calls are answered 503 and not done.
+    down: bool = False
+    # Writes are done, and the connection ends without an answer.
+    loses_answers: bool = False
+
+
+@dataclass(slots=True)
+class PlatformStoreStandin:
+    """The store's keys, leases and history."""
+
+    items: dict[str, StoredItem] = field(default_factory=dict)
+    # Time at which each lease ends, in seconds of the event loop.
+    leases: dict[int, tuple[float, float]] = field(default_factory=dict)
+    # Changes in order: revision, key, and whether the key was removed.
+    history: list[tuple[int, str, bool]] = field(default_factory=list)
+    # History up to this revision is gone.
+    compacted: int = 0
+    revision: int = 1
+    faults: StoreFaults = field(default_factory=StoreFaults)
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> None:
+        """Write a key, as the operator or a server would."""
+        self.revision += 1
+        known = self.items.get(key)
+        created = self.revision if known is None else known.created
+        self.items[key] = StoredItem(value, self.revision, created, lease)
+        self._tell(key, removed=False)
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self._tell(key, removed=True)
+
+    def compact(self) -> None:
+        """Forget the history; watches from before it are answered 410."""
+        self.history.clear()
+        self.compacted = self.revision
+
+    def application(self) -> web.Application:
+        """The store's calls."""
+        app = web.Application(middlewares=[self._fail])
+        app.add_routes(
+            [
+                web.get("/-/kv-key", self._key),
+                web.get("/-/kv-range", self._range),
+                web.get("/-/kv-watch", self._watch),
+                web.post("/-/kv-txn", self._transaction),
+                web.post("/-/kv-lease", self._lease),
+                web.post("/-/kv-keep/{lease}", self._keep),
+                web.delete("/-/kv-lease-end/{lease}", self._end_lease),
+            ]
+        )
+        return app
+
+    def _tell(self, key: str, removed: bool) -> None:
+        self.history.append((self.revision, key, removed))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    @web.middleware
+    async def _fail(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        if self.faults.down:
+            return web.Response(status=503)
+        self._expire()
+        response = await handler(request)
+        if self.faults.loses_answers and request.method == "POST":
+            assert request.transport is not None
+            request.transport.abort()
+        return response
+
+    def _expire(self) -> None:
+        now = asyncio.get_running_loop().time()
+        for lease, (end_s, _) in list(self.leases.items()):
+            if end_s <= now:
+                self._drop_lease(lease)
+
+    def _drop_lease(self, lease: int) -> None:
+        del self.leases[lease]
+        for key in [k for k, item in self.items.items() if item.lease == lease]:
+            self.remove(key)
+
+    def _shown(self, key: str) -> dict[str, object]:
+        item = self.items[key]
+        return {
+            "key": key,
+            "value": base64.b64encode(item.value).decode(),
+            "revision": item.revision,
+            "created": item.created,
+            "lease": item.lease,
+        }
+
+    async def _key(self, request: web.Request) -> web.Response:
+        key = request.query["key"]
+        if key not in self.items:
+            return web.Response(status=404)
+        return _json(self._shown(key) | {"store_revision": self.revision})
+
+    async def _range(self, request: web.Request) -> web.Response:
+        prefix, after = request.query["prefix"], request.query.get("after", "")
+        keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
+        return _json(
+            {
+                "items": [self._shown(key) for key in keys[:MOST_ITEMS]],
+                "truncated": len(keys) > MOST_ITEMS,
+                "store_revision": self.revision,
+            }
+        )
+
+    async def _watch(self, request: web.Request) -> web.Response:
+        prefix = request.query["prefix"]
+        after = int(request.query["after"])
+        wait_s = min(MAX_WAIT_S, int(request.query["wait_ms"]) / 1e3)
+        if after < self.compacted:
+            return web.Response(status=410)
+        try:
+            async with asyncio.timeout(wait_s):
+                while not (events := self._events(prefix, after)):
+                    await self.changed.wait()
+        except TimeoutError:
+            events = []
+        return _json({"events": events, "store_revision": self.revision})
+
+    def _events(self, prefix: str, after: int) -> list[dict[str, object]]:
+        events: list[dict[str, object]] = []
+        for revision, key, removed in self.history:
+            if revision <= after or not key.startswith(prefix):
+                continue
+            if removed:
+                events.append({"key": key, "revision": revision, "tombstone": True})
+            elif key in self.items and self.items[key].revision == revision:
+                events.append(self._shown(key))
+        return events
+
+    async def _transaction(self, request: web.Request) -> web.Response:
+        body = msgspec.json.decode(await request.read())
+        for row in body.get("expect_rev", []):
+            item = self.items.get(row["key"])
+            if (0 if item is None else item.revision) != row["revision"]:
+                return web.Response(status=412)
+        for write in body.get("writes", []):
+            if write["key"].startswith(OPERATOR_PREFIXES):
+                return web.Response(status=403)
+            if write["lease"] and write["lease"] not in self.leases:
+                return web.Response(status=404)
+        for write in body.get("writes", []):
+            value = base64.b64decode(write["value"])
+            self.put(write["key"], value, write["lease"])
+        for key in body.get("remove", []):
+            self.remove(key)
+        return _json({"revision": self.revision})
+
+    async def _lease(self, request: web.Request) -> web.Response:
+        ttl_ms = msgspec.json.decode(await request.read())["ttl_ms"]
+        self.revision += 1
+        end_s = asyncio.get_running_loop().time() + ttl_ms / 1e3
+        self.leases[self.revision] = (end_s, ttl_ms)
+        return _json({"lease": self.revision, "ttl_ms": ttl_ms})
+
+    async def _keep(self, request: web.Request) -> web.Response:
+        lease = int(request.match_info["lease"])
+        if lease not in self.leases:
+            return web.Response(status=404)
+        ttl_ms = self.leases[lease][1]
+        end_s = asyncio.get_running_loop().time() + ttl_ms / 1e3
+        self.leases[lease] = (end_s, ttl_ms)
+        return _json({"ttl_ms": ttl_ms})
+
+    async def _end_lease(self, request: web.Request) -> web.Response:
+        lease = int(request.match_info["lease"])
+        if lease not in self.leases:
+            return web.Response(status=404)
+        self._drop_lease(lease)
+        return _json({})
+
+
+def _json(body: dict[str, object]) -> web.Response:
+    return web.Response(body=msgspec.json.encode(body), content_type="application/json")
