Split the broker and the daemon; bound the record of arrivals; survive faults of handlers

Found while reading as a newcomer would: - the record of arrivals was keyed by the learned cost, so that each new average made a class of its own: it grew with every request, and each look walked all of it (test); - a grant that was told again named no address, so a member that did not know the target gave it back (test); - an exception in a handler ended the following of the store for good, silently; tasks that fail are logged now, and the keys are read again. Broker split by concept: queue_order, wait_estimate, run_book; the daemon: store_feeds.

--- a/packages/burdockhaven-core/tests/scheduling/test_broker.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_broker.py
@@ -1,7 +1,7 @@
 import pytest
 from scheduling_samples import ENGINES, ME, account, ask, table, target
 
-from burdockhaven_core.scheduling.broker import GRANT_SETTLE_S, Broker
+from burdockhaven_core.scheduling.broker import Broker
 from burdockhaven_core.scheduling.peer_messages import (
     MemberName,
     Progress,
@@ -12,6 +12,7 @@
     Verdict,
 )
 from burdockhaven_core.scheduling.quotas import QuotaRule
+from burdockhaven_core.scheduling.run_book import GRANT_SETTLE_S
 
 
 def broker(targets=("i-1", "i-2"), accounts=(), slots=2):
@@ -42,7 +43,7 @@
     first = made.ask(ask(1), 0.0)
     again = made.ask(ask(1), 0.1)
     assert (again.verdict, again.target) == (first.verdict, first.target)
-    assert len(made.granted) == 1
+    assert len(made.runs.granted) == 1
 
 
 def test_the_urgent_tier_goes_first_and_returners_before_newcomers():
@@ -112,9 +113,9 @@
     made = broker(targets=("i-1",), slots=1)
     made.ask(ask(1), 0.0)
     made.report(Report(ME, (), (1,)), 0.1)
-    assert len(made.granted) == 1
+    assert len(made.runs.granted) == 1
     made.report(Report(ME, (), ()), GRANT_SETTLE_S + 0.1)
-    assert made.granted == {}
+    assert made.runs.granted == {}
 
 
 @pytest.mark.parametrize("boot", [1, 2])
@@ -122,7 +123,7 @@
     made = broker(targets=("i-1",), slots=1)
     made.ask(ask(1), 0.0)
     made.report(Report(MemberName(ME.node, boot), (), ()), 0.1)
-    assert bool(made.granted) is (boot == ME.boot)
+    assert bool(made.runs.granted) is (boot == ME.boot)
 
 
 def test_a_target_that_can_not_be_reached_gets_nothing_for_a_while():
@@ -150,7 +151,7 @@
     made = broker(targets=("i-1",), slots=1)
     made.set_targets({"i-1": target("i-1", draining=True)}, set())
     assert made.ask(ask(1), 0.0).verdict is Verdict.QUEUED
-    assert ENGINES not in made.open_by_service
+    assert ENGINES not in made.runs.open_by_service
 
 
 def test_a_run_that_went_elsewhere_frees_the_slot_that_was_granted_for_it():
@@ -159,7 +160,7 @@
     granted = made.ask(ask(1), 0.0).target
     (other,) = {"i-1", "i-2"} - {granted}
     made.report(Report(ME, (RunState(1, other, 1_000, 10, True),), ()), 0.1)
-    assert made.engines[granted].runs == {}
+    assert made.runs.engines[granted].runs == {}
     assert made.ask(ask(2), 5.0).target == granted
 
 
@@ -176,7 +177,7 @@
     made.costs.costs = {"r": 1.0}
     made.ask(ask(0), 0.0)
     made.set_targets({"i-1": target("i-1", slots=4)}, set())
-    made.engines["i-1"].slots = 4
+    made.runs.engines["i-1"].slots = 4
     for number in range(10, 13):
         made.ask(ask(number), 0.0)
     late = {"objective_ms": -1, "deadline_ms": 4_000}
@@ -194,8 +195,8 @@
     made.set_targets(entries, set())
     made.set_table(table(slots=2))
     made.set_targets(entries, set())
-    assert made.engines["i-1"].tokens_per_event == 6
-    assert made.engines["i-1"].cache_tokens == 800_000
+    assert made.runs.engines["i-1"].tokens_per_event == 6
+    assert made.runs.engines["i-1"].cache_tokens == 800_000
 
 
 def test_a_request_whose_client_would_leave_before_its_turn_is_refused_at_once():
@@ -256,7 +257,7 @@
 
 def test_the_cost_of_a_route_is_learned_for_an_ordinary_engine():
     made = broker(targets=("i-1",), slots=1)
-    made.engines["i-1"].slowness = 2.0
+    made.runs.engines["i-1"].slowness = 2.0
     made.ask(ask(1, route="review"), 0.0)
     made.progress(ended(1), 3.0)
     assert made.costs.of("review") == pytest.approx(1.5)
@@ -282,3 +283,19 @@
     made = broker(targets=("i-1", "i-2"))
     reply = made.ask(ask(1, excluded=("i-1", "i-2")), 0.0)
     assert reply.verdict is Verdict.OVERLOADED
+
+
+def test_a_grant_that_is_told_again_names_the_address_too():
+    made = broker()
+    first = made.ask(ask(1), 0.0)
+    assert made.ask(ask(1), 0.1).address == first.address
+
+
+def test_the_record_of_arrivals_does_not_grow_with_the_learned_costs():
+    """Each new average made a new class, and each look walked all of them."""
+    made = broker(targets=("i-1",), slots=4)
+    for number in range(200):
+        now = number * 0.1
+        made.ask(ask(number), now)
+        made.progress(ended(number), now + 0.01 * (number % 7))
+    assert len(made.waits.arrivals) <= 2
--- a/packages/burdockhaven-core/tests/scheduling/test_broker_fuzz.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_broker_fuzz.py
@@ -18,7 +18,7 @@
 )
 from scheduling_samples import ask, table, target
 
-from burdockhaven_core.scheduling.broker import GRANT_SETTLE_S, Broker
+from burdockhaven_core.scheduling.broker import Broker
 from burdockhaven_core.scheduling.peer_messages import (
     MemberName,
     Progress,
@@ -29,6 +29,7 @@
     Verdict,
 )
 from burdockhaven_core.scheduling.quotas import QuotaRule
+from burdockhaven_core.scheduling.run_book import GRANT_SETTLE_S
 
 SLOTS = 1
 TARGETS = ("i-1", "i-2")
@@ -117,7 +118,7 @@
             broker.report(self.report_of(node), self.now)
         believed = {
             (run.sender, run.boot, run.number): name
-            for name, engine in broker.engines.items()
+            for name, engine in broker.runs.engines.items()
             for run in engine.runs.values()
         }
         known = {
@@ -126,13 +127,13 @@
             for number, name in member.runs.items()
         }
         assert believed == known
-        assert broker.granted == known
+        assert broker.runs.granted == known
 
     @invariant()
     def every_run_is_known_by_its_key(self):
         for broker in getattr(self, "brokers", ()):
-            held = {key for e in broker.engines.values() for key in e.runs}
-            assert held == set(broker.granted)
+            held = {key for e in broker.runs.engines.values() for key in e.runs}
+            assert held == set(broker.runs.granted)
             assert not held & set(broker.queue)
 
     def take(self, to, reply, lost):
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -13,7 +13,6 @@
 from aiohttp import web
 
 from burdockhaven_core.log_numbers import EventNumber
-from burdockhaven_core.scheduling.target_registry import TargetEntry
 from burdockhaven_entry.gateway.control import Control
 from burdockhaven_entry.gateway.front import Front
 from burdockhaven_entry.gateway.gateway_state import GatewayState
@@ -21,6 +20,7 @@
 from burdockhaven_entry.gateway.peer_endpoint import PeerEndpoint
 from burdockhaven_entry.gateway.placer import Placer
 from burdockhaven_entry.gateway.plain_forwarding import PlainForwarding
+from burdockhaven_entry.gateway.store_feeds import StoreFeeds
 from burdockhaven_entry.gateway.store_sync import (
     Follower,
     StoreFeed,
@@ -30,18 +30,9 @@
 from burdockhaven_entry.gateway.target_client import TargetClient
 from burdockhaven_entry.log_events import log
 from burdockhaven_entry.platform import (
-    CONFIGURATION_KEY,
-    CONFIGURATION_PREFIX,
     MEMBERS_PREFIX,
-    TARGETS_PREFIX,
-    ConfigurationError,
-    Item,
     PlatformSettings,
     PlatformStore,
-    StoreFailure,
-    TargetEntryError,
-    read_configuration,
-    read_target_entry,
 )
 from burdockhaven_entry.timer import TimerService
 
@@ -55,6 +46,8 @@
 PUMP_S = 0.02
 # Seconds between two looks for requests that will not be served in time.
 REFUSE_S = 0.05
+# Seconds before a prefix of the store is followed again after a fault of our own.
+FOLLOW_AGAIN_S = 0.5
 # Seconds between two looks at entries that may have lapsed.
 EXPIRE_S = 0.1
 # Seconds of silence after which a member's runs count as ended.
@@ -90,6 +83,7 @@
         self.targets = TargetClient.create()
         self.session = aiohttp.ClientSession()
         self.endpoint = PeerEndpoint(self._on_peer_message, self._on_peer_error)
+        self.feeds = StoreFeeds(state)
         self.placer = Placer(
             me=state.me,
             roster=state.roster,
@@ -103,7 +97,7 @@
             self.endpoint,
             self.placer,
             self.session,
-            self._take_configuration,
+            self.feeds.take_configuration,
             self.spawn,
         )
         self.front = Front(
@@ -162,7 +156,23 @@
         """Run work beside the rest until it ends or the daemon stops."""
         task = asyncio.create_task(work)
         self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(self._on_task_end)
+
+    def _on_task_end(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            log(EventNumber.INTERNAL_ERROR, step=task.get_name(), error=repr(error))
+
+    async def _follow_for_ever(self, feed: StoreFeed) -> None:
+        """Follow a prefix; a fault in a handler is logged and the keys read again."""
+        while True:
+            follower = Follower(self.store, feed, self.state.clock, self.state.rng)
+            try:
+                await follower.run()
+            except Exception as error:
+                step = f"follow {feed.prefix}"
+                log(EventNumber.INTERNAL_ERROR, step=step, error=repr(error))
+                await asyncio.sleep(FOLLOW_AGAIN_S)
 
     def _catch_signals(self) -> None:
         loop = asyncio.get_running_loop()
@@ -183,25 +193,8 @@
         timer.subscribe(LOG_QUEUE_S, self._log_queue)
 
     def _follow(self) -> None:
-        feeds = (
-            StoreFeed(
-                CONFIGURATION_PREFIX,
-                self._on_configuration_items,
-                self._on_configuration_item,
-                self._on_store_return,
-                self._on_store_failure,
-            ),
-            StoreFeed(
-                TARGETS_PREFIX,
-                self._on_all_targets,
-                self._on_target,
-                self._on_targets_return,
-                self._on_targets_failure,
-            ),
-        )
-        for feed in feeds:
-            follower = Follower(self.store, feed, self.state.clock, self.state.rng)
-            self.spawn(follower.run())
+        for feed in self.feeds.all():
+            self.spawn(self._follow_for_ever(feed))
         key = MEMBERS_PREFIX + self.state.me.node
         self.spawn(stay_registered(self.store, key, self.members.entry()))
         self.spawn(self._read_members())
@@ -281,7 +274,7 @@
     def _log_queue(self, now: float) -> None:
         broker = self.state.broker
         if broker.queue:
-            engines = "; ".join(broker.describe(now))
+            engines = "; ".join(broker.runs.describe(now))
             log(EventNumber.QUEUE_HELD, queued=len(broker.queue), engines=engines)
 
     def _forget_absent(self, now: float) -> None:
@@ -301,71 +294,6 @@
     def _on_peer_error(self, peer: str, detail: str) -> None:
         log(EventNumber.BAD_PEER_MESSAGE, peer=peer, detail=detail)
 
-    def _on_configuration_items(self, items: tuple[Item, ...]) -> None:
-        for item in items:
-            self._on_configuration_item(item)
-
-    def _on_configuration_item(self, item: Item) -> None:
-        if item.key == CONFIGURATION_KEY and item.value is not None:
-            self._take_configuration(item.value, f"store revision {item.revision}")
-
-    def _take_configuration(self, data: bytes, source: str) -> None:
-        try:
-            table = read_configuration(data)
-        except ConfigurationError as error:
-            detail = f"{source}: {error}"
-            log(EventNumber.CONFIGURATION_UNREADABLE, detail=detail)
-            return
-        if self.state.use_table(table, data):
-            self.state.targets_changed()
-            log(EventNumber.CONFIGURATION_IN_FORCE, version=table.version)
-
-    def _on_all_targets(self, items: tuple[Item, ...]) -> None:
-        entries = [entry for item in items if (entry := self._read_target(item))]
-        self.state.in_step = True
-        self.state.registry.replace(entries, self.state.clock())
-        self.state.targets_changed()
-
-    def _on_target(self, item: Item) -> None:
-        target_id = item.key.removeprefix(TARGETS_PREFIX)
-        if item.value is None:
-            self.state.registry.remove(target_id, self.state.clock())
-        else:
-            entry = self._read_target(item)
-            if entry is None:
-                self.state.registry.discard(target_id, self.state.clock())
-            else:
-                self.state.registry.put(entry)
-        self.state.targets_changed()
-
-    def _read_target(self, item: Item) -> TargetEntry | None:
-        target_id = item.key.removeprefix(TARGETS_PREFIX)
-        try:
-            return read_target_entry(target_id, item.value or b"")
-        except TargetEntryError as error:
-            log(
-                EventNumber.TARGET_ENTRY_UNREADABLE,
-                key=item.key,
-                revision=item.revision,
-                detail=str(error),
-            )
-            return None
-
-    def _on_store_failure(self, failure: StoreFailure) -> None:
-        detail = f"{failure.step} at {failure.peer}: {failure.detail}"
-        log(EventNumber.KEY_VALUE_OUTAGE_BEGIN, detail=detail)
-
-    def _on_targets_failure(self, failure: StoreFailure) -> None:
-        self.state.in_step = False
-        self._on_store_failure(failure)
-
-    def _on_store_return(self, seconds: float) -> None:
-        log(EventNumber.KEY_VALUE_OUTAGE_END, seconds=round(seconds, 1))
-
-    def _on_targets_return(self, seconds: float) -> None:
-        self._on_store_return(seconds)
-        self.state.registry.store_returned(self.state.clock())
-
 
 def make_server(handler: Any) -> web.Server:
     """A server of one address; a client that leaves cancels its handler."""
--- a/packages/burdockhaven-entry/tests/gateway/test_stream_forwarding.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_stream_forwarding.py
@@ -93,7 +93,7 @@
     for path in ("/once/x", "/stream/x", "/once/x", "/stream/x"):
         await gateway.call(path)
     gateway.front.streams.placer.flush_news()
-    assert all(not e.runs for e in gateway.state.broker.engines.values())
+    assert all(not e.runs for e in gateway.state.broker.runs.engines.values())
     assert gateway.front.streams.placer.runs == {}
 
 
--- a/tools/burdockhaven_standins/platform_store.py
+++ b/tools/burdockhaven_standins/platform_store.py
@@ -1,7 +1,8 @@
 """A stand-in for the platform's store, over its published HTTP calls.
 
 Keys with revisions, leases, waiting watches and all-or-nothing writes, in memory. The
-test that runs it switches faults on: it may be down, forget its history or lose answers.
+test that runs it switches faults on: it may be down, forget its history or lose
+answers.
 """
 
 import asyncio
