Time clients' heads and bodies, and end idle connections in one tested place

Cause: three limits of the configuration were read and not kept: a head that never ends held a connection for two minutes, a body that never ends held its request past the route's time-out, headers had no bound beside that of one line, and TRACE and unknown methods were passed on. Change: `ClientServer` and `ClientConnection` hold what was private use of the library inside the daemon: since when a head is incomplete (408 past the configuration's limit), whether an answer is owed, and the end of the idle ones. `Front` bounds headers (431), methods (405) and the time of a body (408, connection closed). Ruled out: a timer for each connection; one look at all of them twice a second is cheaper and needs no cancelling.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/front.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/front.py
@@ -1,5 +1,6 @@
 """Takes requests of clients: reads, routes and allows them, then forwards them."""
 
+import asyncio
 import zlib
 from dataclasses import dataclass
 
@@ -11,6 +12,9 @@
 from burdockhaven_entry.gateway.plain_forwarding import PlainForwarding
 from burdockhaven_entry.gateway.replies import (
     BAD_REQUEST,
+    CLIENT_TOO_SLOW,
+    HEAD_TOO_LARGE,
+    METHOD_NOT_ALLOWED,
     NOT_FOUND,
     RETRY_SOON_S,
     TOO_LARGE,
@@ -31,6 +35,12 @@
     read_client_request,
 )
 
+# Methods that are passed on; the others change the meaning of the connection itself, or
+# are unknown.
+METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
+# Bytes of a header line beside its name and value.
+LINE_OVERHEAD = 4
+
 
 class RefusedError(Exception):
     """The request is answered here; carries the answer."""
@@ -80,15 +90,15 @@
         if table is None:
             detail = "no configuration is known yet"
             raise RefusedError(not_run(UNAVAILABLE, detail, "", RETRY_SOON_S))
+        _check_head(request, table)
         said = self._said(request)
-        body = await self._body(request, table)
+        limit_s = _time_limit_s(self._route(table, request, said), said)
+        body = await self._body_in_time(request, table, said, limit_s)
         # A newer version may have come while the body was read.
         table = self.state.table or table
         route = self._route(table, request, said)
         account = self._account(table, route, said)
-        limit_s = route.timeout_s
-        if said.deadline_ms is not None:
-            limit_s = min(limit_s, said.deadline_ms / 1e3)
+        limit_s = _time_limit_s(route, said)
         digest = zlib.crc32(repr((route.name, said.parts)).encode() + body)
         return Call(
             request=request,
@@ -110,6 +120,22 @@
         except MalformedRequestError as error:
             raise RefusedError(reply(BAD_REQUEST, str(error))) from error
 
+    async def _body_in_time(
+        self,
+        request: web.BaseRequest,
+        table: RoutingTable,
+        said: ClientRequest,
+        limit_s: float,
+    ) -> bytes:
+        try:
+            async with asyncio.timeout(limit_s):
+                return await self._body(request, table)
+        except TimeoutError:
+            detail = "the body did not arrive in time"
+            response = not_run(CLIENT_TOO_SLOW, detail, said.attempt_id, RETRY_SOON_S)
+            response.force_close()
+            raise RefusedError(response) from None
+
     async def _body(self, request: web.BaseRequest, table: RoutingTable) -> bytes:
         length = request.content_length
         limit = table.limits.max_body_bytes
@@ -147,6 +173,22 @@
         return account
 
 
+def _check_head(request: web.BaseRequest, table: RoutingTable) -> None:
+    if request.method not in METHODS:
+        raise RefusedError(reply(METHOD_NOT_ALLOWED, "no such method"))
+    limit = table.limits.max_header_bytes
+    lines = request.raw_headers
+    if sum(len(name) + len(value) + LINE_OVERHEAD for name, value in lines) > limit:
+        detail = f"the headers are larger than {limit} bytes"
+        raise RefusedError(reply(HEAD_TOO_LARGE, detail))
+
+
+def _time_limit_s(route: Route, said: ClientRequest) -> float:
+    if said.deadline_ms is None:
+        return route.timeout_s
+    return min(route.timeout_s, said.deadline_ms / 1e3)
+
+
 def _too_large(limit: int) -> web.Response:
     response = reply(TOO_LARGE, f"the body is larger than {limit} bytes")
     response.force_close()
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -10,9 +10,9 @@
 from typing import Any
 
 import aiohttp
-from aiohttp import web
 
 from burdockhaven_core.log_numbers import EventNumber
+from burdockhaven_entry.gateway.client_server import ClientServer
 from burdockhaven_entry.gateway.control import Control
 from burdockhaven_entry.gateway.front import Front
 from burdockhaven_entry.gateway.gateway_state import GatewayState
@@ -65,10 +65,8 @@
 STOP_POLL_S = 0.02
 # Connections that wait to be accepted.
 BACKLOG = 1024
-# Seconds for which idle connections of clients are kept; longer than any client's.
-CLIENT_IDLE_S = 120.0
-# Bytes of one header line.
-MAX_FIELD_BYTES = 32_768
+# Seconds between two looks for clients that are slow to send a head.
+END_SLOW_S = 0.5
 BOOT_BITS = 48
 
 
@@ -106,8 +104,8 @@
             StreamForwarding(state, self.targets, self.placer),
         )
         self.control = Control(state)
-        self.front_server = make_server(self.front.handle)
-        self.control_server = make_server(self.control.handle)
+        self.front_server = ClientServer(self.front.handle)
+        self.control_server = ClientServer(self.control.handle)
         self.listeners: list[asyncio.Server] = []
         self.stop_requested = asyncio.Event()
         self.tasks: set[asyncio.Task[None]] = set()
@@ -191,6 +189,7 @@
         timer.subscribe(EXPIRE_S, self._expire)
         timer.subscribe(FORGET_S, self._forget_absent)
         timer.subscribe(LOG_QUEUE_S, self._log_queue)
+        timer.subscribe(END_SLOW_S, lambda now: self._end_slow())
 
     def _follow(self) -> None:
         for feed in self.feeds.all():
@@ -238,22 +237,10 @@
         accept_until_s = min(end_s, started_s + ACCEPT_AFTER_STOP_S)
         await asyncio.sleep(max(0.0, accept_until_s - state.clock()))
         self.listeners[-1].close()
-        while self._busy() and state.clock() < end_s:
-            self._close_idle()
+        while self.front_server.in_use() and state.clock() < end_s:
+            self.front_server.end_idle()
             await asyncio.sleep(STOP_POLL_S)
 
-    def _busy(self) -> bool:
-        return any(
-            connection._request_in_progress or connection._messages
-            for connection in self.front_server.connections
-        )
-
-    def _close_idle(self) -> None:
-        for connection in list(self.front_server.connections):
-            if not connection._request_in_progress and not connection._messages:
-                # `close` would leave the transport open and read no more from it.
-                connection.force_close()
-
     async def _close(self) -> None:
         for task in list(self.tasks):
             task.cancel()
@@ -271,6 +258,11 @@
         if self.state.broker.queue:
             self.placer.pump()
 
+    def _end_slow(self) -> None:
+        table = self.state.table
+        if table is not None:
+            self.front_server.end_slow(table.limits.header_timeout_s)
+
     def _log_queue(self, now: float) -> None:
         broker = self.state.broker
         if broker.queue:
@@ -295,20 +287,6 @@
         log(EventNumber.BAD_PEER_MESSAGE, peer=peer, detail=detail)
 
 
-def make_server(handler: Any) -> web.Server:
-    """A server of one address; a client that leaves cancels its handler."""
-    return web.Server(
-        handler,
-        handler_cancellation=True,
-        access_log=None,
-        keepalive_timeout=CLIENT_IDLE_S,
-        max_line_size=MAX_FIELD_BYTES,
-        max_field_size=MAX_FIELD_BYTES,
-        lingering_time=0.0,
-        auto_decompress=False,
-    )
-
-
 def run_gateway(settings: PlatformSettings) -> None:
     """Run one process until it is told to stop."""
 
--- a/packages/burdockhaven-entry/tests/gateway/gateway_fixtures.py
+++ b/packages/burdockhaven-entry/tests/gateway/gateway_fixtures.py
@@ -18,8 +18,8 @@
     Service,
     ServiceShare,
 )
+from burdockhaven_entry.gateway.client_server import ClientServer
 from burdockhaven_entry.gateway.front import Front
-from burdockhaven_entry.gateway.gateway_daemon import make_server
 from burdockhaven_entry.gateway.gateway_state import GatewayState
 from burdockhaven_entry.gateway.placer import Placer
 from burdockhaven_entry.gateway.plain_forwarding import PlainForwarding
@@ -236,7 +236,7 @@
             PlainForwarding(state, links, placer),
             StreamForwarding(state, links, placer),
         )
-        server = make_server(front.handle)
+        server = ClientServer(front.handle)
         loop = asyncio.get_running_loop()
         listener = await loop.create_server(server, "127.0.0.1", 0)
         port = listener.sockets[0].getsockname()[1]
--- a/packages/burdockhaven-entry/tests/gateway/test_front.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_front.py
@@ -33,6 +33,31 @@
     assert gateway.received == []
 
 
+async def test_headers_over_the_limit_are_refused(gateway):
+    headers = {"X-Long": "x" * 8_000, "X-Longer": "x" * 8_500}
+    assert (await gateway.call("/safe/x", headers=headers)).status == 431
+    assert gateway.received == []
+
+
+@pytest.mark.parametrize("method", ["BREW", "TRACE", "CONNECT"])
+async def test_a_method_that_is_not_passed_on_reaches_no_target(gateway, method):
+    path = "/safe/x"
+    assert (await gateway.call(path, method=method)).status in (400, 405)
+    assert gateway.received == []
+
+
+async def test_a_body_that_comes_too_slowly_is_answered_408_at_the_time_out(gateway):
+    reader, writer = await asyncio.open_connection("127.0.0.1", gateway.port)
+    head = (
+        f"POST /quick/x HTTP/1.1\r\nHost: one.example\r\n{ATTEMPT}: a\r\n"
+        "Authorization: Bearer key-acme\r\nContent-Length: 10\r\n\r\nabc"
+    )
+    writer.write(head.encode())
+    assert b" 408 " in await asyncio.wait_for(reader.readline(), 30.0)
+    assert b"\r\nConnection: close\r\n" in await asyncio.wait_for(reader.read(), 30.0)
+    assert gateway.received == []
+
+
 async def test_without_a_configuration_nothing_is_denied(gateway):
     gateway.state.table = None
     response = await gateway.call("/nowhere/x")
