--- /dev/null
+++ b/tools/burdockhaven_bench/demo_platform.py
@@ -0,0 +1,111 @@
+"""`scripts/demo --platform`: the daemons as they run on the users' platform.
+
+Three daemons run as processes before a stand-in of the platform: its store, two engines
+and a plain service. A client looks addresses up, streams an answer and sends a plain
+request; an engine breaks a stream off; the operator replaces the key; one daemon is
+stopped, another is killed. The exit code is 0 only if all of it went as it should.
+"""
+
+import asyncio
+import sys
+import tempfile
+from pathlib import Path
+
+from burdockhaven_bench.platform_day import Answered, Daemon, PlatformDay
+from burdockhaven_standins.platform_targets import TargetFaults
+
+NODES = ("entry-1", "entry-2", "entry-3")
+# Events of a stream: 20 tokens, six in an event.
+EVENTS = 4
+
+
+class DemoFailedError(Exception):
+    """Something did not go as it should; carries what."""
+
+
+def main() -> int:
+    """Run the demonstration; gives the exit code."""
+    try:
+        asyncio.run(_run())
+    except (DemoFailedError, TimeoutError) as error:
+        print(f"FAILED: {error!r}", file=sys.stderr)
+        return 1
+    except KeyboardInterrupt:
+        print("interrupted; everything is stopped", file=sys.stderr)
+        return 130
+    print("done: every process is stopped")
+    return 0
+
+
+async def _run() -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        day = await PlatformDay.start(Path(folder))
+        try:
+            await _play(day)
+        finally:
+            await day.stop()
+
+
+async def _play(day: PlatformDay) -> None:
+    print(f"1. the platform: store at {day.site.store_address}, targets")
+    for target, address in day.site.addresses.items():
+        print(f"   {target} at {address}")
+    print("2. three daemons; each look-up names all of them")
+    daemons = [await day.start_daemon(node) for node in NODES]
+    await day.until_all_look_ups_name({d.front for d in daemons}, *NODES)
+    for daemon in daemons:
+        print(f"   {daemon.node} takes requests at {daemon.front}")
+    first, second, third = daemons
+    print("3. one stream and one plain request at each")
+    for daemon in daemons:
+        await _both(day, daemon, "k1")
+    print("4. an engine breaks a stream off: it goes on at the other")
+    faults = TargetFaults(next_breaks_after=2)
+    for engine in day.site.engines:
+        engine.record.faults = faults
+    broken = await day.call(first.front, "/stream/x")
+    _check_stream(broken)
+    _check(faults.next_breaks_after is None, "no stream broke off")
+    print(
+        f"   {broken.request}: {EVENTS} events, {day.site.runs_of(broken.request)} runs"
+    )
+    print("5. the operator replaces the key")
+    day.site.publish(2, ["k2"])
+    await day.until(lambda: _key_holds(day, daemons, "k2"))
+    old = await day.call(first.front, "/plain/x", "k1")
+    _check(old.status == 401, f"the old key is answered {old.status}")
+    print("6. one daemon is stopped, one killed; the third serves on")
+    code = await day.stop_daemon(first.node)
+    _check(code == 0, f"{first.node} ended with {code}")
+    second.process.kill()
+    await day.until_all_look_ups_name({third.front}, third.node)
+    await _both(day, third, "k2")
+
+
+async def _both(day: PlatformDay, daemon: Daemon, key: str) -> None:
+    _check_stream(await day.call(daemon.front, "/stream/x", key))
+    plain = await day.call(daemon.front, "/plain/x", key)
+    _check((plain.status, plain.body) == (200, b"done"), f"plain: {plain}")
+    runs = day.site.runs_of(plain.request)
+    _check(runs == 1, f"the plain request ran {runs} times")
+    print(f"   {daemon.node}: {EVENTS} events, and one run of {plain.request}")
+
+
+def _check_stream(answer: Answered) -> None:
+    ids = [line for line in answer.body.split(b"\n") if line.startswith(b"id: ")]
+    expected = [b"id: %d" % number for number in range(1, EVENTS + 1)]
+    _check(answer.status == 200 and ids == expected, f"stream: {answer}")
+
+
+async def _key_holds(day: PlatformDay, daemons: list[Daemon], key: str) -> bool:
+    answers = [await day.call(d.front, "/plain/x", key) for d in daemons]
+    return all(answer.status == 200 for answer in answers)
+
+
+def _check(holds: bool, what: str) -> None:
+    if not holds:
+        raise DemoFailedError(what)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tools/burdockhaven_bench/platform_day.py
@@ -0,0 +1,168 @@
+"""Daemons as processes before a stand-in of the platform, and a client of theirs."""
+
+import asyncio
+import contextlib
+import itertools
+import json
+import os
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import TypeVar
+
+import aiohttp
+
+from burdockhaven_standins.platform_site import HOST, PlatformSite
+from burdockhaven_standins.platform_targets import ATTEMPT, TOKEN_COUNTS
+from burdockhaven_standins.ports import free_address
+
+T = TypeVar("T")
+# Seconds for anything to happen; a failure, not a measure.
+PATIENCE_S = 30.0
+POLL_S = 0.02
+# The bounds of the platform as the daemons' settings state them.
+BOUNDS = {
+    "grace_s": 8,
+    "retry_budget_ratio": 0.2,
+    "retry_window_s": 10,
+    "retry_slack": 58,
+    "quota_window_s": 8,
+    "quota_slack": 140000,
+}
+LISTENERS = ("front", "readiness", "control", "directory")
+# Prompt and output tokens of each request.
+TOKENS = "100,20"
+
+
+@dataclass(frozen=True, slots=True)
+class Daemon:
+    """One daemon and where it listens."""
+
+    node: str
+    process: asyncio.subprocess.Process
+    # Address of each listener by its name.
+    listen: dict[str, str]
+
+    @property
+    def front(self) -> str:
+        """Where it takes requests."""
+        return self.listen["front"]
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """What a client got."""
+
+    request: str
+    status: int
+    body: bytes
+
+
+@dataclass(slots=True)
+class PlatformDay:
+    """The stand-in site, the daemons before it, and a client."""
+
+    folder: Path
+    site: PlatformSite
+    client: aiohttp.ClientSession
+    # All daemons share it; each has a loopback address of its own.
+    peer_port: int
+    daemons: dict[str, Daemon] = field(default_factory=dict)
+    numbers: "itertools.count[int]" = field(default_factory=lambda: itertools.count(1))
+
+    @classmethod
+    async def start(cls, folder: Path) -> "PlatformDay":
+        """The platform runs; no daemon does."""
+        site = PlatformSite()
+        await site.start()
+        return cls(folder, site, aiohttp.ClientSession(), _free_port())
+
+    async def stop(self) -> None:
+        """Kill what is left, and stop the platform."""
+        for daemon in self.daemons.values():
+            if daemon.process.returncode is None:
+                daemon.process.kill()
+                await daemon.process.wait()
+        await self.client.close()
+        await self.site.stop()
+
+    async def start_daemon(self, node: str) -> Daemon:
+        """Start one more; it may not be ready yet."""
+        ip = f"127.0.0.{len(self.daemons) + 1}"
+        listen = {name: f"{ip}:{_free_port()}" for name in LISTENERS}
+        settings = {
+            "node": node,
+            "ip": ip,
+            "zone": "a",
+            "listen": listen,
+            "port_range": [self.peer_port, self.peer_port + 15],
+            "seeds": [],
+            "bootstrap": True,
+            "bounds": BOUNDS,
+            "platform": {"address": self.site.store_address},
+        }
+        path = self.folder / f"{node}.yaml"
+        # Every JSON text is YAML.
+        path.write_text(json.dumps(settings))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "burdockhaven_entry",
+            "--platform",
+            env=os.environ | {"BURDOCKHAVEN_SETTINGS": str(path)},
+            stdout=asyncio.subprocess.DEVNULL,
+        )
+        daemon = self.daemons[node] = Daemon(node, process, listen)
+        return daemon
+
+    async def stop_daemon(self, node: str) -> int:
+        """Ask it to stop; gives its exit code."""
+        process = self.daemons[node].process
+        process.send_signal(signal.SIGTERM)
+        return await process.wait()
+
+    async def look_up(self, node: str) -> set[str]:
+        """The addresses that a daemon names; none while it knows none."""
+        url = f"http://{self.daemons[node].listen['directory']}/-/lookup"
+        async with self.client.get(url) as response:
+            if response.status != 200:
+                return set()
+            return set((await response.json())["addresses"])
+
+    async def until(self, condition: Callable[[], Awaitable[T]]) -> T:
+        """Wait until a condition holds; gives what it found."""
+        async with asyncio.timeout(PATIENCE_S):
+            while True:
+                with contextlib.suppress(aiohttp.ClientError):
+                    found = await condition()
+                    if found:
+                        return found
+                await asyncio.sleep(POLL_S)
+
+    async def until_all_look_ups_name(self, addresses: set[str], *nodes: str) -> None:
+        """Wait until each of these daemons names exactly these addresses."""
+
+        async def agreed() -> bool:
+            found = [await self.look_up(node) for node in nodes]
+            return all(named == addresses for named in found)
+
+        await self.until(agreed)
+
+    async def call(self, address: str, path: str, key: str = "k1") -> Answered:
+        """Send one request and read its whole answer."""
+        request = f"request-{next(self.numbers)}"
+        headers = {
+            "Host": HOST,
+            ATTEMPT: request,
+            "Authorization": f"Bearer {key}",
+            TOKEN_COUNTS: TOKENS,
+        }
+        url = f"http://{address}{path}"
+        async with self.client.post(url, headers=headers, data=b"x") as response:
+            return Answered(request, response.status, await response.read())
+
+
+def _free_port() -> int:
+    return int(free_address().rpartition(":")[2])
--- /dev/null
+++ b/tools/burdockhaven_standins/platform_site.py
@@ -0,0 +1,144 @@
+"""A small site of the platform in one process: store, engines and a plain service.
+
+The targets write their entries into the store again and again, as the platform's do.
+"""
+
+import asyncio
+import json
+from dataclasses import dataclass, field
+
+from aiohttp import web
+
+from burdockhaven_standins.platform_store import PlatformStoreStandin
+from burdockhaven_standins.platform_targets import (
+    PlatformEngine,
+    PlatformService,
+    TargetRecord,
+)
+from burdockhaven_standins.step_engine import StepEngineConfig
+
+HOST = "one.example"
+PLAIN_SERVICE = "app"
+ENGINE_SERVICE = "llm"
+# Seconds between two writes of a target's entry.
+HEARTBEAT_S = 0.5
+# Seconds that a plain call takes.
+WORK_S = 0.02
+ROUTES = (
+    {
+        "name": "plain",
+        "host": HOST,
+        "prefix": "/plain/",
+        "kind": "unsafe",
+        "timeout_ms": 5000,
+        "target_latency_ms": 100,
+        "priority": 1,
+        "service": PLAIN_SERVICE,
+    },
+    {
+        "name": "stream",
+        "host": HOST,
+        "prefix": "/stream/",
+        "kind": "streaming",
+        "timeout_ms": 15000,
+        "target_latency_ms": 600,
+        "priority": 0,
+        "service": ENGINE_SERVICE,
+        "max_attempts": 2,
+        "resumable": True,
+        "sticky": True,
+        "target_gap_ms": 300,
+    },
+)
+
+
+def configuration(version: int, api_keys: list[str]) -> bytes:
+    """What the operator writes: two routes, two services, one client account."""
+    config = StepEngineConfig()
+    engine = {
+        "slots": config.slots,
+        "kv_capacity": config.cache_tokens,
+        "stride": config.tokens_per_event,
+    }
+    body = {
+        "version": version,
+        "routes": ROUTES,
+        "services": [
+            {"name": PLAIN_SERVICE},
+            {"name": ENGINE_SERVICE, "engine": engine},
+        ],
+        "tenants": [{"name": "acme", "api_keys": api_keys}],
+    }
+    return json.dumps(body).encode()
+
+
+@dataclass(slots=True)
+class PlatformSite:
+    """Everything of the platform that a day needs, on loopback."""
+
+    engine_count: int = 2
+    store: PlatformStoreStandin = field(default_factory=PlatformStoreStandin)
+    services: list[PlatformService] = field(default_factory=list)
+    engines: list[PlatformEngine] = field(default_factory=list)
+    store_address: str = ""
+    # Address of each target by its id.
+    addresses: dict[str, str] = field(default_factory=dict)
+    runners: list[web.AppRunner] = field(default_factory=list)
+    beat: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Serve the store and all targets, and publish the first configuration."""
+        self.store_address = await self._serve(self.store.application())
+        plain = PlatformService(TargetRecord("i-app", PLAIN_SERVICE, 4), WORK_S)
+        self.services.append(plain)
+        self.addresses["i-app"] = await self._serve(plain.application())
+        config = StepEngineConfig()
+        for number in range(self.engine_count):
+            record = TargetRecord(f"i-llm-{number}", ENGINE_SERVICE, config.slots)
+            engine = PlatformEngine(record, config)
+            self.engines.append(engine)
+            self.addresses[record.id] = await self._serve(engine.application())
+        self.publish(1, ["k1"])
+        self.register()
+        self.beat = asyncio.create_task(self._beat_for_ever())
+
+    async def stop(self) -> None:
+        """Stop serving."""
+        if self.beat is not None:
+            self.beat.cancel()
+        for runner in self.runners:
+            await runner.cleanup()
+
+    def publish(self, version: int, api_keys: list[str]) -> None:
+        """Write a configuration, as the operator does."""
+        self.store.put("op/config", configuration(version, api_keys))
+
+    def register(self) -> None:
+        """Write the entries of all targets, as they do; the store may be away."""
+        if self.store.faults.down:
+            return
+        for record in self.records():
+            address = self.addresses[record.id]
+            self.store.put(f"servers/{record.id}", record.entry(address))
+
+    def records(self) -> list[TargetRecord]:
+        """The targets and what they have seen."""
+        services = [service.record for service in self.services]
+        return services + [engine.record for engine in self.engines]
+
+    def runs_of(self, attempt: str) -> int:
+        """How often a request ran, at all targets together."""
+        return sum(record.runs[attempt] for record in self.records())
+
+    async def _beat_for_ever(self) -> None:
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            self.register()
+
+    async def _serve(self, app: web.Application) -> str:
+        runner = web.AppRunner(app, handler_cancellation=True, shutdown_timeout=0.1)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        self.runners.append(runner)
+        host, bound = runner.addresses[0][:2]
+        return f"{host}:{bound}"
--- a/tools/burdockhaven_standins/platform_store.py
+++ b/tools/burdockhaven_standins/platform_store.py
@@ -102,6 +102,9 @@
             return web.Response(status=503)
         self._expire()
         response = await handler(request)
+        if self.faults.down:
+            # A watch that waited when the store went away.
+            return web.Response(status=503)
         if self.faults.loses_answers and request.method == "POST":
             assert request.transport is not None
             request.transport.abort()
--- /dev/null
+++ b/tools/burdockhaven_standins/platform_targets.py
@@ -0,0 +1,253 @@
+"""Stand-ins for the platform's targets, over its published wire: engine and service.
+
+Both echo the request's id, sign what they answer, reject what is meant for another
+instance, and say of a rejection that nothing ran. Faults are switched by their owner.
+"""
+
+import asyncio
+import itertools
+from collections import Counter
+from dataclasses import dataclass, field
+
+import msgspec
+from aiohttp import web
+
+from burdockhaven_standins.step_engine import StepEngine, StepEngineConfig, StepRun
+
+ATTEMPT = "X-Burdockhaven-Attempt-Id"
+SIGNATURE = "X-Burdockhaven-Response-Signature"
+NOT_EXECUTED = "X-Burdockhaven-Not-Executed"
+EXPECT_INSTANCE = "X-Burdockhaven-Expect-Instance"
+TOKEN_COUNTS = "X-Burdockhaven-Token-Counts"
+PROMPT_PREFIX = "X-Burdockhaven-Prompt-Prefix"
+LAST_EVENT = "Last-Event-Id"
+# Requests that wait for a slot before further ones are rejected, per slot.
+QUEUE_PER_SLOT = 1
+HEALTH_PATH = "/healthz"
+
+
+@dataclass(slots=True)
+class TargetFaults:
+    """What is wrong with a target at the moment."""
+
+    draining: bool = False
+    # Requests are read and never answered.
+    silent: bool = False
+    # The next stream breaks off within the event after so many; None for none. At a
+    # service, the next answer is not given.
+    next_breaks_after: int | None = None
+
+    def take_break(self, sent: int) -> bool:
+        """Whether to break off now, after so many events; true once."""
+        breaks = self.next_breaks_after == sent
+        if breaks:
+            self.next_breaks_after = None
+        return breaks
+
+
+@dataclass(slots=True)
+class TargetRecord:
+    """The identity of a target and what it has seen."""
+
+    id: str
+    service: str
+    slots: int
+    zone: str = "a"
+    seq: int = 0
+    # Runs by request id.
+    runs: Counter[str] = field(default_factory=Counter)
+    faults: TargetFaults = field(default_factory=TargetFaults)
+
+    def entry(self, address: str) -> bytes:
+        """What it writes of itself into the store."""
+        self.seq += 1
+        entry = {
+            "service": self.service,
+            "address": address,
+            "zone": self.zone,
+            "version": "1",
+            "slots": self.slots,
+            "state": "draining" if self.faults.draining else "ready",
+            "cold_left_ms": 0,
+            "seq": self.seq,
+            "born": 1,
+        }
+        return msgspec.json.encode(entry)
+
+    def rejection(self, request: web.Request, waiting: int) -> web.Response | None:
+        """Why a request is not run; None if it is."""
+        attempt = request.headers.get(ATTEMPT)
+        if attempt is None:
+            return self._rejected(400, "")
+        wanted = request.headers.get(EXPECT_INSTANCE, self.id)
+        if wanted != self.id:
+            return self._rejected(421, attempt)
+        if waiting >= QUEUE_PER_SLOT * self.slots:
+            return self._rejected(503, attempt)
+        return None
+
+    def headers(self, attempt: str) -> dict[str, str]:
+        """What stands on each answer that ran."""
+        headers = {ATTEMPT: attempt, SIGNATURE: f"{self.id}.{self.seq}"}
+        if self.faults.draining:
+            headers["Connection"] = "close"
+        return headers
+
+    def health(self) -> web.Response:
+        """The answer to a health check."""
+        status = 503 if self.faults.draining else 200
+        return web.Response(
+            status=status, headers={"X-Burdockhaven-Instance-Id": self.id}
+        )
+
+    def _rejected(self, status: int, attempt: str) -> web.Response:
+        headers = {ATTEMPT: attempt, NOT_EXECUTED: "1"}
+        return web.Response(status=status, headers=headers)
+
+
+class PlatformService:
+    """A plain service: runs each call it gets for a while, so many at once."""
+
+    def __init__(self, record: TargetRecord, work_s: float) -> None:
+        self.record = record
+        self.work_s = work_s
+        self.places = asyncio.Semaphore(record.slots)
+        self.waiting = 0
+
+    def application(self) -> web.Application:
+        """The service's calls."""
+        app = web.Application()
+        app.router.add_get(HEALTH_PATH, self._health)
+        app.router.add_route("*", "/{path:.*}", self._call)
+        return app
+
+    async def _health(self, request: web.Request) -> web.Response:
+        return self.record.health()
+
+    async def _call(self, request: web.Request) -> web.Response:
+        rejected = self.record.rejection(request, self.waiting)
+        if rejected is not None:
+            return rejected
+        self.waiting += 1
+        async with self.places:
+            self.waiting -= 1
+            self.record.runs[request.headers[ATTEMPT]] += 1
+            await asyncio.sleep(self.work_s)
+        if self.record.faults.silent:
+            await asyncio.Event().wait()
+        if self.record.faults.take_break(0):
+            assert request.transport is not None
+            request.transport.abort()
+        headers = self.record.headers(request.headers[ATTEMPT])
+        return web.Response(body=b"done", headers=headers)
+
+
+class PlatformEngine:
+    """A model engine: streams events at the pace of a `StepEngine`."""
+
+    def __init__(self, record: TargetRecord, config: StepEngineConfig) -> None:
+        self.record = record
+        self.engine = StepEngine(config, self._on_event)
+        self.streams: dict[int, asyncio.Queue[bool]] = {}
+        self.numbers = itertools.count(1)
+        self.work = asyncio.Event()
+
+    def application(self) -> web.Application:
+        """The engine's calls; it steps while the application runs."""
+        app = web.Application()
+        app.router.add_get(HEALTH_PATH, self._health)
+        app.router.add_get("/-/report", self._report)
+        app.router.add_route("*", "/{path:.*}", self._stream)
+        app.cleanup_ctx.append(self._stepping)
+        return app
+
+    async def _stepping(self, app: web.Application):  # type: ignore[no-untyped-def]
+        task = asyncio.create_task(self._step_for_ever())
+        yield
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    async def _step_for_ever(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            if not self.engine.busy:
+                self.work.clear()
+                await self.work.wait()
+            now = loop.time()
+            await asyncio.sleep(max(0.0, self.engine.advance(now) - now))
+
+    def _on_event(self, run: StepRun, at_s: float, whole: bool) -> None:
+        self.streams[run.run_id].put_nowait(whole)
+
+    async def _health(self, request: web.Request) -> web.Response:
+        return self.record.health()
+
+    async def _report(self, request: web.Request) -> web.Response:
+        engine = self.engine
+        report = {
+            "stage": "both",
+            "models": [{"name": "m", "version": 1, "adapters": []}],
+            "busy": False,
+            "seq": 0,
+            "queued": len(engine.waiting),
+            "active": len(engine.reading) + len(engine.decoding),
+            "kv_used": 0,
+            "kv_total": engine.config.cache_tokens,
+            "handles": 0,
+        }
+        return web.json_response(report)
+
+    async def _stream(self, request: web.Request) -> web.StreamResponse:
+        rejected = self.record.rejection(request, len(self.engine.waiting))
+        if rejected is not None:
+            return rejected
+        await request.read()
+        attempt = request.headers[ATTEMPT]
+        self.record.runs[attempt] += 1
+        run = self._run(request)
+        self.streams[run.run_id] = asyncio.Queue()
+        self.engine.submit(run, asyncio.get_running_loop().time())
+        self.work.set()
+        response = web.StreamResponse(headers=self.record.headers(attempt))
+        response.content_type = "text/event-stream"
+        try:
+            return await self._send_events(request, response, run)
+        finally:
+            self.engine.cancel(run.run_id)
+            del self.streams[run.run_id]
+
+    async def _send_events(
+        self, request: web.Request, response: web.StreamResponse, run: StepRun
+    ) -> web.StreamResponse:
+        faults = self.record.faults
+        number = int(request.headers.get(LAST_EVENT, "0"))
+        sent = 0
+        whole = False
+        while not whole:
+            whole = await self.streams[run.run_id].get()
+            if faults.silent:
+                await asyncio.Event().wait()
+            if not response.prepared:
+                await response.prepare(request)
+            if faults.take_break(sent):
+                await response.write(b"id: ")
+                assert request.transport is not None
+                request.transport.abort()
+                return response
+            number, sent = number + 1, sent + 1
+            await response.write(b"id: %d\ndata: e%d\n\n" % (number, number))
+        return response
+
+    def _run(self, request: web.Request) -> StepRun:
+        prompt, output = map(int, request.headers[TOKEN_COUNTS].split(","))
+        done = int(request.headers.get(LAST_EVENT, "0"))
+        left = output - done * self.engine.config.tokens_per_event
+        parts = tuple(
+            (name, int(tokens))
+            for name, _, tokens in (
+                part.partition(":")
+                for part in request.headers.get(PROMPT_PREFIX, "").split(",")
+                if part
+            )
+        )
+        return StepRun(next(self.numbers), prompt, max(1, left), parts)
