Load less at a start on the platform: no certificates, nothing of the own edge

Cause: after the end of all processes nothing is served until one has started, and a start is mostly the loading of modules. Ruled out: leaving out aiohttp.web (its application and router: 20 ms) would mean importing its private parts one by one.

--- a/packages/burdockhaven-core/src/burdockhaven_core/__init__.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/__init__.py
@@ -5,19 +5,23 @@
 `burdockhaven_core.events` and returns the actions of `burdockhaven_core.actions`.
 """
 
-from burdockhaven_core.configuration import (
-    AccountParameters,
-    ClassSpec,
-    Configuration,
-    GroupKind,
-    GroupSpec,
-    TargetSpec,
-    Template,
-)
-from burdockhaven_core.entry import Entry
-from burdockhaven_core.entry_state import EntryParameters
-from burdockhaven_core.identity import MemberId, RequestId
-from burdockhaven_core.outcome import Elsewhere, NotRun, Outcome, Unknown
+import importlib
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from burdockhaven_core.configuration import (
+        AccountParameters,
+        ClassSpec,
+        Configuration,
+        GroupKind,
+        GroupSpec,
+        TargetSpec,
+        Template,
+    )
+    from burdockhaven_core.entry import Entry
+    from burdockhaven_core.entry_state import EntryParameters
+    from burdockhaven_core.identity import MemberId, RequestId
+    from burdockhaven_core.outcome import Elsewhere, NotRun, Outcome, Unknown
 
 __all__ = [
     "AccountParameters",
@@ -36,3 +40,30 @@
     "Template",
     "Unknown",
 ]
+
+# Where each public name is defined. They are loaded when first asked for: a process on
+# the users' platform needs none of them, and memory is dear on its VMs.
+_MODULES = {
+    "AccountParameters": "burdockhaven_core.configuration",
+    "ClassSpec": "burdockhaven_core.configuration",
+    "Configuration": "burdockhaven_core.configuration",
+    "Elsewhere": "burdockhaven_core.outcome",
+    "Entry": "burdockhaven_core.entry",
+    "EntryParameters": "burdockhaven_core.entry_state",
+    "GroupKind": "burdockhaven_core.configuration",
+    "GroupSpec": "burdockhaven_core.configuration",
+    "MemberId": "burdockhaven_core.identity",
+    "NotRun": "burdockhaven_core.outcome",
+    "Outcome": "burdockhaven_core.outcome",
+    "RequestId": "burdockhaven_core.identity",
+    "TargetSpec": "burdockhaven_core.configuration",
+    "Template": "burdockhaven_core.configuration",
+    "Unknown": "burdockhaven_core.outcome",
+}
+
+
+def __getattr__(name: str) -> Any:
+    """Load a public name."""
+    if name not in _MODULES:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(importlib.import_module(_MODULES[name]), name)
--- a/packages/burdockhaven-core/src/burdockhaven_core/key_value.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/key_value.py
@@ -24,6 +24,12 @@
     AMBIGUOUS = "ambiguous"
     # The service answered something that is not of its protocol.
     BAD_ANSWER = "bad_answer"
+    # The history that a watch asked for is not kept any more.
+    HISTORY_LOST = "history_lost"
+    # The lease of the call has ended.
+    LEASE_ENDED = "lease_ended"
+    # The condition of a write does not hold; nothing was written.
+    CONDITION = "condition"
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_feeds.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_feeds.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from burdockhaven_core.key_value import KeyValueFailure
 from burdockhaven_core.log_numbers import EventNumber
 from burdockhaven_core.scheduling.target_registry import TargetEntry
 from burdockhaven_entry.gateway.gateway_state import GatewayState
@@ -13,7 +14,6 @@
     TARGETS_PREFIX,
     ConfigurationError,
     Item,
-    StoreFailure,
     TargetEntryError,
     read_configuration,
     read_target_entry,
@@ -84,7 +84,7 @@
                 registry.put(entry)
         self.state.targets_changed()
 
-    def _on_targets_failure(self, failure: StoreFailure) -> None:
+    def _on_targets_failure(self, failure: KeyValueFailure) -> None:
         self.state.in_step = False
         _log_failure(failure)
 
@@ -108,7 +108,7 @@
         return None
 
 
-def _log_failure(failure: StoreFailure) -> None:
+def _log_failure(failure: KeyValueFailure) -> None:
     detail = f"{failure.step} at {failure.peer}: {failure.detail}"
     log(EventNumber.KEY_VALUE_OUTAGE_BEGIN, detail=detail)
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_sync.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_sync.py
@@ -7,21 +7,22 @@
 
 from result import Err, Ok
 
+from burdockhaven_core.key_value import FailureKind, KeyValueFailure
+from burdockhaven_entry.call_budget import Backoff
 from burdockhaven_entry.platform import (
     ChangeBatch,
     Item,
     PlatformStore,
-    StoreFailure,
-    StoreFailureKind,
 )
 
 # Seconds that a watch waits; each wait is a call that is paid for. A connection that
 # has gone silent is noticed after this and the store's allowance. Until then the hellos
 # of other members tell of new configurations and of targets that leave.
 WATCH_WAIT_S = 3.0
-# Seconds between two tries after a failure, at first and at most.
-RETRY_FIRST_S = 0.1
-RETRY_MAX_S = 0.5
+# Longest delay before a try after a failure in seconds, at first and at most; the delay
+# itself is random. Lapsed targets have to be read within two seconds of a return.
+RETRY_FIRST_S = 0.15
+RETRY_MAX_S = 0.6
 # Seconds of failures in a row after which the store counts as away. A single connection
 # that is reset is no outage: entries that are removed then are gone.
 AWAY_AFTER_S = 0.6
@@ -44,7 +45,7 @@
     # Told the length of an outage in seconds, before the keys are read again.
     on_return: Callable[[float], None]
     # Told the failure that begins an outage.
-    on_failure: Callable[[StoreFailure], None]
+    on_failure: Callable[[KeyValueFailure], None]
 
 
 class Follower:
@@ -60,7 +61,6 @@
         self.store = store
         self.feed = feed
         self.clock = clock
-        self.rng = rng
         # The revision up to which changes are known; None before the first read.
         self.revision: int | None = None
         # Monotonic time of the last success; None before the first.
@@ -68,7 +68,7 @@
         # When the failures began; None while calls succeed.
         self.failed_since_s: float | None = None
         self.failing = False
-        self.delay_s = RETRY_FIRST_S
+        self.backoff = Backoff(rng, RETRY_FIRST_S, RETRY_MAX_S)
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -94,7 +94,7 @@
             self._apply(found.ok_value)
             return
         failure = found.err_value
-        if failure.kind is StoreFailureKind.HISTORY_LOST:
+        if failure.kind is FailureKind.HISTORY_LOST:
             self.revision = None
             return
         await self._failed(failure)
@@ -115,17 +115,16 @@
             self.feed.on_return(0.0 if self.success_s is None else now - self.success_s)
         self.success_s = now
         self.failed_since_s = None
-        self.delay_s = RETRY_FIRST_S
+        self.backoff.succeeded()
 
-    async def _failed(self, failure: StoreFailure) -> None:
+    async def _failed(self, failure: KeyValueFailure) -> None:
         now = self.clock()
         if self.failed_since_s is None:
             self.failed_since_s = now
         if not self.failing and now - self.failed_since_s > AWAY_AFTER_S:
             self.failing = True
             self.feed.on_failure(failure)
-        await asyncio.sleep(self.delay_s * (0.5 + self.rng.random() / 2))
-        self.delay_s = min(RETRY_MAX_S, self.delay_s * 2)
+        await asyncio.sleep(self.backoff.next_delay_s())
 
 
 async def stay_registered(
@@ -155,7 +154,5 @@
     while True:
         await sleep(RENEW_S)
         kept = await store.keep_lease(lease)
-        if isinstance(kept, Err) and (
-            kept.err_value.kind is StoreFailureKind.LEASE_ENDED
-        ):
+        if isinstance(kept, Err) and (kept.err_value.kind is FailureKind.LEASE_ENDED):
             return
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/log_events.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/log_events.py
@@ -8,13 +8,14 @@
 import msgspec
 from loguru import logger
 
-from burdockhaven_core.actions import Note
 from burdockhaven_core.log_numbers import EventNumber
 from burdockhaven_entry.log_catalogue import CATALOGUE
 
 if TYPE_CHECKING:
     from loguru import Message
 
+    from burdockhaven_core.actions import Note
+
 FieldValue = str | int | float
 
 # Longer values are cut, so that bad input cannot flood the log.
@@ -50,7 +51,7 @@
     bound.log(spec.level.upper(), "{}", message)
 
 
-def log_note(note: Note) -> None:
+def log_note(note: "Note") -> None:
     """Logs an event that the core has noted."""
     log(EventNumber(note.number), **note.fields)
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/main.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/main.py
@@ -11,14 +11,12 @@
 from burdockhaven_core.log_numbers import EventNumber
 from burdockhaven_entry.bounded_output import BoundedOutput
 from burdockhaven_entry.log_events import configure_logging, log
-from burdockhaven_entry.platform import (
-    SETTINGS_VARIABLE,
-    SettingsError,
-    read_settings,
-)
 
 EXIT_OK = 0
 EXIT_SETTINGS = 2
+# Nothing on the platform speaks TLS. Without this the HTTP library reads all of the
+# machine's certificates when it is loaded: 55 ms of a start of 350 ms, and memory.
+NO_CERTIFICATES = {"SSL_CERT_FILE": os.devnull, "SSL_CERT_DIR": os.devnull}
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -32,7 +30,17 @@
 
 
 def _run_on_platform(options: argparse.Namespace) -> int:
-    """Run behind the users' platform, with the settings file that it writes."""
+    """Run behind the users' platform, with the settings file that it writes.
+
+    Each edge loads its own libraries: memory and the time of a start are dear here.
+    """
+    os.environ.update(NO_CERTIFICATES)
+    from burdockhaven_entry.platform import (
+        SETTINGS_VARIABLE,
+        SettingsError,
+        read_settings,
+    )
+
     configure_logging("json", "info", BoundedOutput(sys.stdout.fileno()))
     path = options.config or Path(os.environ.get(SETTINGS_VARIABLE, ""))
     try:
@@ -47,7 +55,6 @@
     if options.check:
         print(f"{path}: the settings of VM {settings.node} are right")
         return EXIT_OK
-    # Each edge loads its own libraries: memory is dear on the platform's VMs.
     from burdockhaven_entry.gateway.gateway_daemon import run_gateway
 
     run_gateway(settings)
@@ -92,7 +99,7 @@
     parser.add_argument(
         "--platform",
         action="store_true",
-        help=f"run on the users' platform; reads {SETTINGS_VARIABLE} unless --config",
+        help="run on the users' platform; without --config its variable names the file",
     )
     parser.add_argument(
         "--check", action="store_true", help="check the settings and do nothing else"
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/__init__.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/__init__.py
@@ -34,8 +34,6 @@
     ChangeBatch,
     Item,
     PlatformStore,
-    StoreFailure,
-    StoreFailureKind,
 )
 from burdockhaven_entry.platform.store_keys import (
     CONFIGURATION_KEY,
@@ -64,8 +62,6 @@
     "PlatformSettings",
     "PlatformStore",
     "SettingsError",
-    "StoreFailure",
-    "StoreFailureKind",
     "TargetAnswer",
     "TargetEntryError",
     "client_headers",
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/store.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/store.py
@@ -1,7 +1,10 @@
-"""Calls to the platform's store."""
+"""Calls to the platform's store.
+
+Its failures are those of the product's own link to a key-value service; the wires have
+nothing in common.
+"""
 
 import base64
-import enum
 from dataclasses import dataclass
 from typing import Any
 
@@ -9,6 +12,8 @@
 import msgspec
 from result import Err, Ok, Result
 
+from burdockhaven_core.key_value import FailureKind, KeyValueFailure
+
 # Seconds for a call, and for its connection. The store answers in milliseconds; a call
 # that takes longer has lost its connection or the store.
 CALL_TIMEOUT_S = 1.0
@@ -17,33 +22,6 @@
 WATCH_OVERRUN_S = 0.7
 
 
-class StoreFailureKind(enum.Enum):
-    """What a failed call allows to conclude."""
-
-    # The store did nothing.
-    NOT_DONE = "not done"
-    # The call may have been executed, or may be later.
-    AMBIGUOUS = "ambiguous"
-    # The history that a watch asked for is not kept any more.
-    HISTORY_LOST = "history lost"
-    # The lease has ended.
-    LEASE_ENDED = "lease ended"
-    # The condition of a write does not hold.
-    CONDITION = "condition"
-
-
-@dataclass(frozen=True, slots=True)
-class StoreFailure:
-    """A call that did not succeed."""
-
-    kind: StoreFailureKind
-    # The call.
-    step: str
-    # Address of the store.
-    peer: str
-    detail: str
-
-
 class _RawItem(msgspec.Struct):
     key: str
     value: str = ""
@@ -99,11 +77,11 @@
 
 
 _STATUS_KINDS = {
-    404: StoreFailureKind.LEASE_ENDED,
-    410: StoreFailureKind.HISTORY_LOST,
-    412: StoreFailureKind.CONDITION,
-    429: StoreFailureKind.NOT_DONE,
-    503: StoreFailureKind.NOT_DONE,
+    404: FailureKind.LEASE_ENDED,
+    410: FailureKind.HISTORY_LOST,
+    412: FailureKind.CONDITION,
+    429: FailureKind.NOT_DONE,
+    503: FailureKind.NOT_DONE,
 }
 
 
@@ -127,7 +105,7 @@
         """Close all connections."""
         await self.session.close()
 
-    async def read_prefix(self, prefix: str) -> Result[ChangeBatch, StoreFailure]:
+    async def read_prefix(self, prefix: str) -> Result[ChangeBatch, KeyValueFailure]:
         """All keys that begin so; pages are put together."""
         items: list[Item] = []
         after = ""
@@ -149,7 +127,7 @@
 
     async def watch(
         self, prefix: str, after: int, wait_s: float
-    ) -> Result[ChangeBatch, StoreFailure]:
+    ) -> Result[ChangeBatch, KeyValueFailure]:
         """What has changed since a revision; waits so long for the first change."""
         query = {
             "prefix": prefix,
@@ -173,7 +151,7 @@
             )
         )
 
-    async def grant_lease(self, ttl_s: float) -> Result[int, StoreFailure]:
+    async def grant_lease(self, ttl_s: float) -> Result[int, KeyValueFailure]:
         """A new lease; gives its number."""
         body = {"ttl_ms": int(ttl_s * 1e3)}
         found = await self._call(
@@ -181,14 +159,14 @@
         )
         return found.map(lambda answer: answer.lease)
 
-    async def keep_lease(self, lease: int) -> Result[None, StoreFailure]:
+    async def keep_lease(self, lease: int) -> Result[None, KeyValueFailure]:
         """Renew a lease."""
         found = await self._call(
             "POST", f"/-/kv-keep/{lease}", dict[str, Any], step="keep lease"
         )
         return found.map(lambda answer: None)
 
-    async def end_lease(self, lease: int) -> Result[None, StoreFailure]:
+    async def end_lease(self, lease: int) -> Result[None, KeyValueFailure]:
         """End a lease and remove its keys."""
         found = await self._call(
             "DELETE", f"/-/kv-lease-end/{lease}", Any, step="end lease"
@@ -197,7 +175,7 @@
 
     async def put(
         self, key: str, value: bytes, lease: int
-    ) -> Result[None, StoreFailure]:
+    ) -> Result[None, KeyValueFailure]:
         """Write a key that lasts as long as the lease."""
         encoded = base64.b64encode(value).decode()
         body = _Transaction([_Write(key, encoded, lease)])
@@ -216,7 +194,7 @@
         query: dict[str, str] | None = None,
         body: Any = None,
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> Result[Any, StoreFailure]:
+    ) -> Result[Any, KeyValueFailure]:
         result = await self._send(
             method, path, answer_type, step, query, body, timeout_s
         )
@@ -233,7 +211,7 @@
         query: dict[str, str] | None,
         body: Any,
         timeout_s: float,
-    ) -> Result[Any, StoreFailure]:
+    ) -> Result[Any, KeyValueFailure]:
         timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
         headers = {"Content-Type": "application/json"} if body is not None else {}
         try:
@@ -248,11 +226,11 @@
                 data = await response.read()
                 status = response.status
         except aiohttp.ClientConnectorError as error:
-            return self._fail(StoreFailureKind.NOT_DONE, step, repr(error))
+            return self._fail(FailureKind.NOT_DONE, step, repr(error))
         except (TimeoutError, aiohttp.ClientError) as error:
-            return self._fail(StoreFailureKind.AMBIGUOUS, step, repr(error))
+            return self._fail(FailureKind.AMBIGUOUS, step, repr(error))
         if status != 200:
-            kind = _STATUS_KINDS.get(status, StoreFailureKind.AMBIGUOUS)
+            kind = _STATUS_KINDS.get(status, FailureKind.AMBIGUOUS)
             return self._fail(kind, step, f"status {status}")
         try:
             return Ok(
@@ -261,12 +239,10 @@
                 else msgspec.json.decode(data, type=answer_type)
             )
         except msgspec.MsgspecError as error:
-            return self._fail(StoreFailureKind.AMBIGUOUS, step, str(error))
+            return self._fail(FailureKind.AMBIGUOUS, step, str(error))
 
-    def _fail(
-        self, kind: StoreFailureKind, step: str, detail: str
-    ) -> Err[StoreFailure]:
-        return Err(StoreFailure(kind, step, self.address, detail))
+    def _fail(self, kind: FailureKind, step: str, detail: str) -> Err[KeyValueFailure]:
+        return Err(KeyValueFailure(kind, step, self.address, detail))
 
 
 def _item(raw: _RawItem) -> Item:
--- a/packages/burdockhaven-entry/tests/gateway/test_store_sync.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_store_sync.py
@@ -4,6 +4,7 @@
 import pytest
 from result import Err, Ok
 
+from burdockhaven_core.key_value import FailureKind, KeyValueFailure
 from burdockhaven_entry.gateway.store_sync import (
     AWAY_AFTER_S,
     Follower,
@@ -13,12 +14,10 @@
 from burdockhaven_entry.platform import (
     ChangeBatch,
     Item,
-    StoreFailure,
-    StoreFailureKind,
 )
 
-FAILED = Err(StoreFailure(StoreFailureKind.AMBIGUOUS, "watch", "store", "reset"))
-LOST = Err(StoreFailure(StoreFailureKind.HISTORY_LOST, "watch", "store", "410"))
+FAILED = Err(KeyValueFailure(FailureKind.AMBIGUOUS, "watch", "store", "reset"))
+LOST = Err(KeyValueFailure(FailureKind.HISTORY_LOST, "watch", "store", "410"))
 ONE = Item("a/1", b"1", 5)
 
 
@@ -120,8 +119,8 @@
     async def keep_lease(self, lease):
         self.kept += 1
         if self.kept == 2:
-            kind = StoreFailureKind.LEASE_ENDED
-            return Err(StoreFailure(kind, "keep lease", "store", "404"))
+            kind = FailureKind.LEASE_ENDED
+            return Err(KeyValueFailure(kind, "keep lease", "store", "404"))
         if self.kept > 3:
             raise asyncio.CancelledError
         return Ok(None)
--- /dev/null
+++ b/packages/burdockhaven-entry/tests/platform/test_platform_imports.py
@@ -0,0 +1,56 @@
+"""What a process on the platform loads; memory is dear there."""
+
+import subprocess
+import sys
+
+# Libraries and parts of the product's own edge that a platform process has no use for.
+NEEDLESS = (
+    "burdockhaven_core.actions",
+    "burdockhaven_core.configuration",
+    "burdockhaven_core.entry",
+    "burdockhaven_core.orders",
+    "burdockhaven_core.publishing",
+    "burdockhaven_entry.admin_api",
+    "burdockhaven_entry.kv_link",
+    "burdockhaven_entry.order_link",
+    "burdockhaven_entry.vm_list_link",
+    "httpx",
+    "litestar",
+    "opentelemetry",
+    "uvicorn",
+    "zmq",
+)
+
+
+def test_a_platform_process_loads_nothing_of_the_own_edge():
+    program = (
+        "import sys, burdockhaven_entry.main\n"
+        "import burdockhaven_entry.gateway.gateway_daemon\n"
+        f"print([name for name in {NEEDLESS!r} if name in sys.modules])"
+    )
+    found = subprocess.run(
+        [sys.executable, "-c", program], capture_output=True, text=True, check=True
+    )
+    assert found.stdout.strip() == "[]"
+
+
+def test_a_start_on_the_platform_reads_no_certificates(tmp_path):
+    settings = tmp_path / "settings.yaml"
+    settings.write_text("node: x\n")
+    program = (
+        "import ssl, burdockhaven_entry.main as main\n"
+        f"main.main(['--platform', '--check', '--config', {str(settings)!r}])\n"
+        "import aiohttp.connector as connector\n"
+        "print(connector._SSL_CONTEXT_VERIFIED.cert_store_stats()['x509'])"
+    )
+    found = subprocess.run(
+        [sys.executable, "-c", program], capture_output=True, text=True, check=True
+    )
+    assert found.stdout.splitlines()[-1] == "0"
+
+
+def test_every_public_name_of_the_core_loads():
+    import burdockhaven_core
+
+    for name in burdockhaven_core.__all__:
+        assert getattr(burdockhaven_core, name) is not None
