--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -19,7 +19,7 @@
 )
 from burdockhaven_core.scheduling.placement import Placement, PlacementNeed, place
 from burdockhaven_core.scheduling.queue_order import QueuedRequest
-from burdockhaven_core.scheduling.quotas import quota_cost
+from burdockhaven_core.scheduling.quotas import QuotaRule, quota_cost
 from burdockhaven_core.scheduling.refused_clients import RefusedClients
 from burdockhaven_core.scheduling.route_costs import RouteCosts
 from burdockhaven_core.scheduling.routing import Account, RoutingTable
@@ -46,22 +46,21 @@
 class Broker:
     """The queue, the runs at the engines and the quotas."""
 
-    def __init__(self, quotas: SharedQuotas) -> None:
+    def __init__(self, rule: QuotaRule) -> None:
         self.table: RoutingTable | None = None
         self.accounts: dict[str, Account] = {}
-        self.quotas = quotas
+        self.quotas = SharedQuotas(rule)
         self.costs = RouteCosts()
         self.runs = RunBook(self.costs)
         self.waits = WaitEstimator(self.costs)
         self.refused = RefusedClients()
         self.queue: dict[AskKey, QueuedRequest] = {}
 
-    def set_table(self, table: RoutingTable, now: float = 0.0) -> None:
+    def set_table(self, table: RoutingTable) -> None:
         """Use the quotas and engine limits of this configuration."""
         self.table = table
         keys = table.account_of_key or {}
         self.accounts = {account.name: account for account in keys.values()}
-        self.quotas.use(self.accounts, now)
 
     def set_targets(
         self, entries: Mapping[str, TargetEntry], leaving: set[str]
@@ -85,28 +84,16 @@
             return self._granted(ask, granted)
         if key in self.queue:
             return Reply(ask.number, Verdict.QUEUED)
+        account = self.accounts.get(ask.account)
+        cost = quota_cost(account, ask.prompt_tokens, ask.output_tokens)
+        if account is not None and not self.quotas.admits(account, cost, now):
+            wait_s = self.quotas.retry_after_s(account, cost, now)
+            return _refusal(ask, Verdict.OVER_QUOTA, wait_s)
         was_refused = ask.digest != 0 and self.refused.take(ask.digest, now)
-        refusal = self._over_quota(ask, was_refused or ask.returning, now)
-        if refusal is not None:
-            return refusal
         request = QueuedRequest.from_ask(ask, was_refused, now)
         self.waits.count(request, now)
         return self._place_or_queue(key, request, now)
 
-    def _over_quota(self, ask: Ask, returning: bool, now: float) -> Reply | None:
-        """The refusal of a request that the quota does not allow; None if it does."""
-        account = self.accounts.get(ask.account)
-        if account is None:
-            return None
-        cost = quota_cost(account, ask.prompt_tokens, ask.output_tokens)
-        rank = 0 if returning else ask.route_priority
-        if self.quotas.admits(account, cost, now, rank):
-            return None
-        if ask.digest:
-            self.refused.add(ask.digest, now)
-        wait_s = self.quotas.retry_after_s(account, cost, now, rank)
-        return _refusal(ask, Verdict.OVER_QUOTA, wait_s)
-
     def pump(self, now: float) -> list[Answered]:
         """Grant what fits now."""
         out: list[Answered] = []
@@ -217,7 +204,7 @@
         account = self.accounts.get(ask.account)
         if account is not None:
             cost = quota_cost(account, ask.prompt_tokens, ask.output_tokens)
-            self.quotas.grant(key[0], account.name, cost, now)
+            self.quotas.grant(account.name, cost, now)
         run = Run(
             sender=key[0],
             boot=key[1],
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
@@ -34,8 +34,10 @@
     leaving: tuple[str, ...] = ()
     # Accounts whose quota is used up, as far as the sender's broker knows.
     exhausted: tuple[str, ...] = ()
-    # Quota units that the sender has sent since its start, by account.
-    used: tuple[tuple[str, int], ...] = ()
+    # Quota units that the sender has sent within the window, by account.
+    usage: tuple[tuple[str, int], ...] = ()
+    # Seconds since the sender's start.
+    uptime_s: float = 0.0
     # Whether the sender is in step with the platform's store.
     in_step: bool = True
 
--- a/packages/burdockhaven-core/tests/scheduling/test_quotas.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_quotas.py
@@ -1,7 +1,29 @@
 import pytest
 from scheduling_samples import account
 
-from burdockhaven_core.scheduling.quotas import quota_cost
+from burdockhaven_core.scheduling.quotas import QuotaRule, Quotas, quota_cost
+
+RULE = QuotaRule(window_s=8.0, slack=100.0)
+SMALL = account(rate_per_s=100.0, burst=50.0)
+
+
+def test_a_window_admits_rate_burst_and_slack_and_no_more():
+    quotas = Quotas(RULE)
+    assert quotas.admits(SMALL, 950, 0.0)
+    quotas.charge(SMALL.name, 950, 0.0)
+    assert not quotas.admits(SMALL, 1, 7.9)
+    assert quotas.admits(SMALL, 950, 8.5)
+
+
+def test_a_lowered_quota_binds_at_once():
+    quotas = Quotas(RULE)
+    quotas.charge(SMALL.name, 500, 0.0)
+    lowered = account(rate_per_s=10.0)
+    assert not quotas.admits(lowered, 1, 1.0)
+
+
+def test_an_account_without_a_rate_has_no_limit():
+    assert Quotas(RULE).admits(account(), 1e9, 0.0)
 
 
 @pytest.mark.parametrize(
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
@@ -7,11 +7,11 @@
 from burdockhaven_core.scheduling import (
     Broker,
     QuotaRule,
+    Quotas,
     RetryBudget,
     RetryRule,
     Roster,
     RoutingTable,
-    SharedQuotas,
     TargetRegistry,
 )
 from burdockhaven_core.scheduling.peer_messages import (
@@ -24,9 +24,8 @@
 # Part of the platform's slack that quotas use; the rest covers members that cannot hear
 # each other.
 QUOTA_SLACK_PART = 0.15
-# Part that clients may use at once after the end of all members; they may end twice
-# within one window.
-RECOVERY_SLACK_PART = 0.3
+# Part that clients may use at once after the end of all members.
+RECOVERY_SLACK_PART = 0.5
 
 
 @dataclass(slots=True)
@@ -44,8 +43,8 @@
     registry: TargetRegistry
     balancer: PlainBalancer
     broker: Broker
-    # Quota units that this process itself has sent since its start, by account.
-    own_used: dict[str, int]
+    # What this process itself has sent, by account.
+    own_usage: Quotas
     retry_budget: RetryBudget
     # The configuration in force and the bytes that hold it; None before the first.
     table: RoutingTable | None = None
@@ -75,8 +74,10 @@
             settings.retry_ratio, settings.retry_window_s, settings.retry_slack
         )
         now = clock()
-        # Members that ended before may have used the quotas.
-        unknown_until_s = None if settings.first_start else now
+        broker = Broker(rule)
+        if not settings.first_start:
+            # Members that ended before may have used the quotas.
+            broker.quotas.known_since_s = now
         return cls(
             settings=settings,
             me=me,
@@ -87,8 +88,8 @@
             roster=Roster(me),
             registry=TargetRegistry(),
             balancer=PlainBalancer(rng),
-            broker=Broker(SharedQuotas(rule, unknown_until_s)),
-            own_used={},
+            broker=broker,
+            own_usage=Quotas(rule),
             retry_budget=RetryBudget(retry_rule),
         )
 
@@ -122,18 +123,26 @@
             config_version=self.version,
             leaving=self.registry.known_to_leave(self.clock()),
             exhausted=self.broker.exhausted(self.clock()),
-            used=tuple(self.own_used.items()),
+            usage=self.usage(),
+            uptime_s=self.clock() - self.started_s,
             in_step=self.in_step,
         )
 
-    def charge(self, account: str, units: float) -> None:
-        """Count quota units of a request that is about to be sent."""
-        self.own_used[account] = self.own_used.get(account, 0) + int(units)
+    def usage(self) -> tuple[tuple[str, int], ...]:
+        """What this process has sent within the quotas' window, by account."""
+        now = self.clock()
+        return tuple(
+            (account, int(window.sum(now)))
+            for account, window in self.own_usage.used.items()
+        )
 
-    def hear_used(self, hello: Hello, now: float) -> None:
+    def hear_usage(self, hello: Hello, now: float) -> None:
         """Take in what a member, or this one, says of its use of the quotas."""
-        broker = self.broker
-        broker.quotas.hear(hello.name, hello.used, broker.accounts, now)
+        quotas = self.broker.quotas
+        quotas.hear(hello.name.node, hello.usage, now)
+        if quotas.known_since_s is not None:
+            since_s = now - hello.uptime_s
+            quotas.known_since_s = min(quotas.known_since_s, since_s)
 
     def targets_changed(self) -> None:
         """Let the broker and the balancer know of a change of the registry."""
@@ -145,5 +154,5 @@
         if table.version <= self.version:
             return False
         self.table, self.table_bytes = table, data
-        self.broker.set_table(table, self.clock())
+        self.broker.set_table(table)
         return True
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
@@ -86,7 +86,7 @@
         now = state.clock()
         state.sequence += 1
         hello = state.hello()
-        state.hear_used(hello, now)
+        state.hear_usage(hello, now)
         state.broker.quotas.share = state.roster.quota_share(now)
         for view in state.roster.views.values():
             self.endpoint.send(view.hello.peer_address, hello)
@@ -133,7 +133,7 @@
         if self.state.roster.hear(hello, now):
             # A member that starts learns of us at once, and of the others by us.
             self.endpoint.send(hello.peer_address, self.state.hello())
-        self.state.hear_used(hello, now)
+        self.state.hear_usage(hello, now)
         changed = False
         for target in hello.leaving:
             if self.state.registry.takes_work(target):
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
@@ -73,14 +73,16 @@
             return None
         cost = quota_cost(account, call.said.prompt_tokens, call.said.max_output_tokens)
         now = state.clock()
-        quotas = state.broker.quotas
-        if account.name in self._exhausted(now) or not quotas.admits(
-            account, cost, now
+        members = state.roster.count(now)
+        # Half of the members may be unheard of; each keeps to twice an equal part.
+        share = min(1.0, 2.0 / members)
+        if account.name in self._exhausted(now) or not state.own_usage.admits(
+            account, cost, now, share
         ):
-            wait_s = max(RETRY_SOON_S, quotas.retry_after_s(account, cost, now))
-            return not_run(TOO_MANY, "over the quota", call.said.attempt_id, wait_s)
-        quotas.grant(state.me.node, account.name, cost, now)
-        state.charge(account.name, cost)
+            return not_run(
+                TOO_MANY, "over the quota", call.said.attempt_id, RETRY_SOON_S
+            )
+        state.own_usage.charge(account.name, cost, now)
         return None
 
     def _exhausted(self, now: float) -> tuple[str, ...]:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -156,7 +156,7 @@
         self, call: Call, stream: _Stream, target: TargetEntry, placed: Placed
     ) -> _RunResult:
         now = self.state.clock()
-        self._charge(call)
+        self._charge(call, now)
         stream.sent = True
         call.trace.sends += 1
         call.trace.target = target.id
@@ -268,12 +268,12 @@
             return
         patience.reschedule(asyncio.get_running_loop().time() + wait_s)
 
-    def _charge(self, call: Call) -> None:
+    def _charge(self, call: Call, now: float) -> None:
         account = call.account
         if account is not None:
             said = call.said
             cost = quota_cost(account, said.prompt_tokens, said.max_output_tokens)
-            self.state.charge(account.name, cost)
+            self.state.own_usage.charge(account.name, cost, now)
 
     def _may_run_again(self, call: Call, stream: _Stream) -> bool:
         return call.route.idempotent and stream.ran < call.route.max_attempts
--- a/tools/burdockhaven_bench/placement_fleet.py
+++ b/tools/burdockhaven_bench/placement_fleet.py
@@ -28,7 +28,6 @@
     RoutingTable,
     Service,
 )
-from burdockhaven_core.scheduling.shared_quotas import SharedQuotas
 from burdockhaven_core.scheduling.target_registry import TargetEntry
 from burdockhaven_standins.step_engine import StepEngine, StepEngineConfig, StepRun
 
@@ -238,7 +237,7 @@
         heapq.heappush(self.events, (due_s, self.order, action))
 
     def _broker(self) -> Broker:
-        broker = Broker(SharedQuotas(QuotaRule(8.0, 0.0)))
+        broker = Broker(QuotaRule(8.0, 0.0))
         limits = EngineLimits(
             self.fleet.slots,
             self.fleet.engine_config.cache_tokens,
