--- a/packages/burdockhaven-ctl/src/burdockhaven_ctl/main.py
+++ b/packages/burdockhaven-ctl/src/burdockhaven_ctl/main.py
@@ -33,12 +33,14 @@
     ProblemKind,
 )
 from burdockhaven_ctl.exit_codes import CODE_OF_RESULT, ExitCode
+from burdockhaven_ctl.explain import explain
 from burdockhaven_ctl.options import (
     ENDPOINT_VARIABLE,
     TOKEN_VARIABLE,
     build_parser,
 )
 from burdockhaven_ctl.render import Reply, render_json, render_table
+from burdockhaven_ctl.saved_log import SavedLog
 
 CODE_OF_PROBLEM = {
     ProblemKind.UNREACHABLE: ExitCode.UNREACHABLE,
@@ -57,6 +59,8 @@
 def main(arguments: list[str] | None = None) -> int:
     """Run one command; return its exit code."""
     options = build_parser().parse_args(arguments)
+    if options.command == "explain":
+        return run_explain(options)
     built = build_client(options, os.environ)
     if isinstance(built, Err):
         print(built.err_value, file=sys.stderr)
@@ -66,6 +70,32 @@
         return run_command(options, client)
 
 
+def run_explain(options: argparse.Namespace) -> int:
+    """Explain a request from saved logs; asks no entry."""
+    try:
+        log = SavedLog.from_files(options.log)
+    except OSError as error:
+        print(error, file=sys.stderr)
+        return ExitCode.USAGE
+    found = explain(options.request, log)
+    if found is None:
+        print(
+            f"no line of {len(log.lines)} names request {options.request} "
+            f"({log.unreadable} other lines hold no event)",
+            file=sys.stderr,
+        )
+        return ExitCode.INVALID
+    if options.output == "json":
+        print(msgspec.json.encode(found).decode())
+        return ExitCode.OK
+    print(f"request {found.request}")
+    for told in found.tries:
+        print(f"  {told}")
+    for finding in found.findings:
+        print(f"  - {finding}")
+    return ExitCode.OK
+
+
 def build_client(
     options: argparse.Namespace, environ: Mapping[str, str]
 ) -> Result[AdminClient, str]:
--- a/packages/burdockhaven-ctl/src/burdockhaven_ctl/options.py
+++ b/packages/burdockhaven-ctl/src/burdockhaven_ctl/options.py
@@ -95,6 +95,11 @@
     )
     operation.add_argument("operation_id")
     operation.add_argument("--expected-version", required=True, type=int)
+    explain = commands.add_parser(
+        "explain", help="find out from saved logs why a request ended as it did"
+    )
+    explain.add_argument("request", help="identity of the client's try")
+    explain.add_argument("log", type=Path, nargs="+", help="saved logs of the entries")
     commands.add_parser("members", help="show the entries")
     commands.add_parser("targets", help="show the targets as one entry sees them")
     commands.add_parser("floors", help="show the lowest tier that each group admits")
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/call.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/call.py
@@ -20,6 +20,9 @@
     queued_s: float = 0.0
     # Seconds from the arrival to the first event; None if none came.
     first_event_s: float | None = None
+    # Events passed on, and the longest pause between two of them in seconds.
+    events: int = 0
+    longest_pause_s: float = 0.0
     # Failed sends and refusals, each with its step and peer.
     failures: list[str] = field(default_factory=list)
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/front.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/front.py
@@ -43,11 +43,13 @@
 
 
 class RefusedError(Exception):
-    """The request is answered here; carries the answer."""
+    """The request is answered here; carries the answer and the request's identity."""
 
-    def __init__(self, response: web.Response) -> None:
+    def __init__(self, response: web.Response, attempt_id: str = "") -> None:
         super().__init__(response.status)
         self.response = response
+        # Empty where the request's headers were not read.
+        self.attempt_id = attempt_id
 
 
 @dataclass(slots=True)
@@ -64,7 +66,7 @@
             call = await self._read(request)
         except RefusedError as refused:
             response: web.StreamResponse = refused.response
-            log_refused(request, response.status)
+            log_refused(request, refused.attempt_id, response.status)
         else:
             response = await self._forward(call)
         if self.state.draining and not response.prepared:
@@ -134,7 +136,7 @@
             detail = "the body did not arrive in time"
             response = not_run(CLIENT_TOO_SLOW, detail, said.attempt_id, RETRY_SOON_S)
             response.force_close()
-            raise RefusedError(response) from None
+            raise RefusedError(response, said.attempt_id) from None
 
     async def _body(self, request: web.BaseRequest, table: RoutingTable) -> bytes:
         length = request.content_length
@@ -158,7 +160,9 @@
         path = request.raw_path.partition("?")[0]
         route = table.find_route(request.host, path)
         if route is None:
-            raise RefusedError(reply(NOT_FOUND, "no such route", said.attempt_id))
+            raise RefusedError(
+                reply(NOT_FOUND, "no such route", said.attempt_id), said.attempt_id
+            )
         return route
 
     def _account(
@@ -169,7 +173,9 @@
             return None
         account = keys.get(said.api_key) if said.api_key is not None else None
         if account is None and not route.public:
-            raise RefusedError(reply(UNAUTHORIZED, "unknown key", said.attempt_id))
+            raise RefusedError(
+                reply(UNAUTHORIZED, "unknown key", said.attempt_id), said.attempt_id
+            )
         return account
 
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/request_log.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/request_log.py
@@ -27,17 +27,21 @@
         target=trace.target,
         sends=trace.sends,
         prompt_tokens=call.said.prompt_tokens or 0,
+        output_tokens=call.said.max_output_tokens or 0,
         queued_ms=round(trace.queued_s * MS_PER_S),
         first_event_ms=-1 if first_s is None else round(first_s * MS_PER_S),
+        events=trace.events,
+        longest_pause_ms=round(trace.longest_pause_s * MS_PER_S),
         total_ms=round((now - call.arrived_s) * MS_PER_S),
         failures="; ".join(trace.failures),
     )
 
 
-def log_refused(request: web.BaseRequest, status: int) -> None:
+def log_refused(request: web.BaseRequest, attempt_id: str, status: int) -> None:
     """A request was refused before it was routed to a service."""
     log(
         EventNumber.REQUEST_TURNED_AWAY,
+        request=attempt_id,
         host=request.host,
         path=request.path,
         status=status,
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -251,8 +251,11 @@
         now = self.state.clock()
         if call.trace.first_event_s is None:
             call.trace.first_event_s = now - call.arrived_s
+        call.trace.events += 1
         if stream.last_event_s:
-            stream.pauses_s.append(now - stream.last_event_s)
+            pause_s = now - stream.last_event_s
+            stream.pauses_s.append(pause_s)
+            call.trace.longest_pause_s = max(call.trace.longest_pause_s, pause_s)
         stream.last_event_s = now
         if event.id is not None:
             if _is_repeated(event.id, stream.last_event_id):
