Metrics of the platform's edge, rendered when they are fetched

Cause: the platform fetches metrics while an incident is examined; this edge had none. Change: `GatewayMetrics` counts requests by route, account and status, sends and failed sends, and three histograms (whole answers by account, first events and time in the queue by route) as plain numbers with bounded series; `metrics_text` renders them, the calls to the store and what is believed now (version, members, queue, runs by target, quota used) with prometheus_client, loaded at the first fetch. Port 9464, named in the deploy file; a port that is taken is logged and stops no request. Ruled out: OpenTelemetry here, 67 ms of each start and 2 MB (measured by importtime and /proc/self/status); its exporter's own library is the nearest kin.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/control.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/control.py
@@ -7,9 +7,13 @@
 from burdockhaven_entry.platform import (
     LOOK_UP_PATH,
     READINESS_PATH,
+    PlatformStore,
     encode_look_up,
 )
 
+# Where metrics are fetched; deploy/system.toml names both.
+METRICS_PORT = 9464
+METRICS_PATH = "/metrics"
 # Where members fetch the configuration in force.
 CONFIGURATION_PATH = "/configuration"
 VERSION_HEADER = "Burdockhaven-Version"
@@ -21,10 +25,11 @@
 
 
 class Control:
-    """Answers look-ups, readiness checks and members."""
+    """Answers look-ups, readiness checks, members and whoever fetches metrics."""
 
-    def __init__(self, state: GatewayState) -> None:
+    def __init__(self, state: GatewayState, store: PlatformStore) -> None:
         self.state = state
+        self.store = store
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one call."""
@@ -36,6 +41,19 @@
             return self._configuration()
         return reply(NOT_FOUND, "no such call")
 
+    async def handle_metrics(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one call at the metrics address."""
+        if request.path != METRICS_PATH:
+            return reply(NOT_FOUND, "no such page")
+        # Loaded when metrics are first fetched; a start is not to wait for it.
+        from burdockhaven_entry.gateway.metrics_text import (
+            CONTENT_TYPE,
+            GatewayCollector,
+        )
+
+        page = GatewayCollector.render(self.state, self.store)
+        return web.Response(body=page, headers={"Content-Type": CONTENT_TYPE})
+
     def _readiness(self) -> web.Response:
         if self.state.ready:
             return web.Response(text="ready\n")
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/front.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/front.py
@@ -66,6 +66,7 @@
             call = await self._read(request)
         except RefusedError as refused:
             response: web.StreamResponse = refused.response
+            self.state.metrics.turned_away[response.status] += 1
             log_refused(request, refused.attempt_id, response.status)
         else:
             response = await self._forward(call)
@@ -84,7 +85,9 @@
             status = response.status
             return response
         finally:
-            log_answered(call, status, self.state.clock())
+            now = self.state.clock()
+            self.state.metrics.answered(call, status, now)
+            log_answered(call, status, now)
 
     async def _read(self, request: web.BaseRequest) -> Call:
         arrived_s = self.state.clock()
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -13,7 +13,7 @@
 
 from burdockhaven_core.log_numbers import EventNumber
 from burdockhaven_entry.gateway.client_server import ClientServer
-from burdockhaven_entry.gateway.control import Control
+from burdockhaven_entry.gateway.control import METRICS_PORT, Control
 from burdockhaven_entry.gateway.front import Front
 from burdockhaven_entry.gateway.gateway_state import GatewayState
 from burdockhaven_entry.gateway.membership import MembershipLink
@@ -106,9 +106,10 @@
             PlainForwarding(state, self.targets, self.placer),
             StreamForwarding(state, self.targets, self.placer),
         )
-        self.control = Control(state)
+        self.control = Control(state, self.store)
         self.front_server = ClientServer(self.front.handle)
         self.control_server = ClientServer(self.control.handle)
+        self.metrics_server = ClientServer(self.control.handle_metrics)
         self.listeners: list[asyncio.Server] = []
         self.stop_requested = asyncio.Event()
         self.tasks: set[asyncio.Task[None]] = set()
@@ -224,6 +225,19 @@
                 server, host, int(port), backlog=BACKLOG
             )
             self.listeners.append(listener)
+        await self._listen_for_metrics()
+
+    async def _listen_for_metrics(self) -> None:
+        """Serve metrics if their port is free; requests do not depend on it."""
+        loop = asyncio.get_running_loop()
+        ip = self.state.settings.ip
+        try:
+            listener = await loop.create_server(self.metrics_server, ip, METRICS_PORT)
+        except OSError as error:
+            step = f"listen for metrics at {ip}:{METRICS_PORT}"
+            log(EventNumber.INTERNAL_ERROR, step=step, error=repr(error))
+            return
+        self.listeners.insert(0, listener)
 
     async def _stop(self) -> None:
         """Leave the look-ups, finish what is in progress, then end.
@@ -253,6 +267,7 @@
             listener.close()
         await self.front_server.shutdown(0.1)
         await self.control_server.shutdown(0.1)
+        await self.metrics_server.shutdown(0.1)
         await self.targets.close()
         await self.session.close()
         await self.store.close()
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from burdockhaven_core.scheduling import (
     Broker,
@@ -19,6 +19,7 @@
     MemberName,
 )
 from burdockhaven_core.scheduling.plain_balancer import PlainBalancer
+from burdockhaven_entry.gateway.gateway_metrics import GatewayMetrics
 from burdockhaven_entry.platform import PlatformSettings
 
 # Part of the platform's slack that quotas use; the rest covers members that cannot hear
@@ -50,6 +51,7 @@
     table: RoutingTable | None = None
     table_bytes: bytes = b""
     draining: bool = False
+    metrics: GatewayMetrics = field(default_factory=GatewayMetrics)
     # Whether the targets' entries are followed in the store.
     in_step: bool = False
     sequence: int = 0
--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/metrics_text.py
@@ -0,0 +1,171 @@
+"""Renders what this process counts and believes as Prometheus text."""
+
+from collections.abc import Iterable, Iterator, Mapping
+from itertools import accumulate
+
+from prometheus_client import CollectorRegistry
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    HistogramMetricFamily,
+    Metric,
+)
+from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
+
+from burdockhaven_core.identity import AccountName
+from burdockhaven_entry.gateway.gateway_metrics import DURATION_BUCKETS_S, Durations
+from burdockhaven_entry.gateway.gateway_state import GatewayState
+from burdockhaven_entry.platform import PlatformStore
+
+CONTENT_TYPE = CONTENT_TYPE_LATEST
+
+
+class GatewayCollector:
+    """Reads all numbers at the moment of a fetch."""
+
+    def __init__(self, state: GatewayState, store: PlatformStore) -> None:
+        self.state = state
+        self.store = store
+
+    @classmethod
+    def render(cls, state: GatewayState, store: PlatformStore) -> bytes:
+        """The page of metrics."""
+        registry = CollectorRegistry(auto_describe=False)
+        registry.register(cls(state, store))
+        return generate_latest(registry)
+
+    def collect(self) -> Iterator[Metric]:
+        """All metrics, as the library wants them."""
+        yield from self._requests()
+        yield from self._beliefs()
+        yield from self._by_target()
+        yield from self._by_account()
+
+    def _requests(self) -> Iterator[Metric]:
+        metrics = self.state.metrics
+        yield _counter(
+            "requests",
+            "Requests by route, account and status; 0: the client left",
+            ("route", "account", "status"),
+            (((r, a, str(s)), n) for (r, a, s), n in metrics.requests.items()),
+        )
+        yield _counter(
+            "turned_away",
+            "Requests answered before they were routed to a service",
+            ("status",),
+            (((str(status),), n) for status, n in metrics.turned_away.items()),
+        )
+        yield _counter("sends", "Sends to targets", ("service",), _keyed(metrics.sends))
+        yield _counter(
+            "failed_sends",
+            "Sends that brought no whole answer",
+            ("service",),
+            _keyed(metrics.failed_sends),
+        )
+        yield _counter(
+            "store_calls",
+            "Calls to the platform's store by outcome",
+            ("call", "outcome"),
+            self.store.calls.items(),
+        )
+        yield _histogram(
+            "request_seconds",
+            "Arrival to the end of an answer with success, by account",
+            "account",
+            metrics.request_s,
+        )
+        yield _histogram(
+            "first_event_seconds",
+            "Arrival to the first event, by route",
+            "route",
+            metrics.first_event_s,
+        )
+        yield _histogram(
+            "queued_seconds",
+            "Time in a broker's queue, by route",
+            "route",
+            metrics.queued_s,
+        )
+
+    def _beliefs(self) -> Iterator[Metric]:
+        state = self.state
+        now = state.clock()
+        for name, text, value in (
+            ("configuration_version", "Version in force; 0 before any", state.version),
+            (
+                "members",
+                "Members that serve, this one included",
+                state.roster.count(now),
+            ),
+            ("ready", "Whether it takes requests", int(state.ready)),
+            ("draining", "Whether it has been told to stop", int(state.draining)),
+            ("in_step", "Whether it hears the store", int(state.in_step)),
+            ("queued", "Requests in the queue of its broker", len(state.broker.queue)),
+            ("hubs", "Members that hear all others", len(state.roster.hubs)),
+        ):
+            yield GaugeMetricFamily(f"burdockhaven_{name}", text, value=value)
+
+    def _by_target(self) -> Iterator[Metric]:
+        state = self.state
+        known = GaugeMetricFamily(
+            "burdockhaven_targets", "Targets that take work", labels=("service",)
+        )
+        services: dict[str, int] = {}
+        for entry in state.registry.entries.values():
+            takes_work = state.registry.takes_work(entry.id)
+            services[entry.service] = services.get(entry.service, 0) + takes_work
+        for service, count in services.items():
+            known.add_metric((service,), count)
+        yield known
+        runs = GaugeMetricFamily(
+            "burdockhaven_runs",
+            "Requests under way, as its broker believes",
+            labels=("target",),
+        )
+        for target, engine in state.broker.runs.engines.items():
+            runs.add_metric((target,), len(engine.runs))
+        yield runs
+
+    def _by_account(self) -> Iterator[Metric]:
+        state = self.state
+        now = state.clock()
+        used = GaugeMetricFamily(
+            "burdockhaven_quota_used",
+            "Part of the quota used within the window, by account",
+            labels=("account",),
+        )
+        for account in state.broker.accounts.values():
+            limit = state.broker.quotas.limit(account)
+            label = state.metrics.accounts.labels.get(AccountName(account.name))
+            if limit > 0 and label is not None:
+                part = state.broker.quotas.used(account, now) / limit
+                used.add_metric((label,), part)
+        yield used
+
+
+def _keyed(counts: Mapping[str, int]) -> Iterable[tuple[tuple[str], int]]:
+    return (((key,), count) for key, count in counts.items())
+
+
+def _counter(
+    name: str,
+    text: str,
+    labels: tuple[str, ...],
+    values: Iterable[tuple[tuple[str, ...], int]],
+) -> Metric:
+    family = CounterMetricFamily(f"burdockhaven_{name}", text, labels=labels)
+    for key, count in values:
+        family.add_metric(key, count)
+    return family
+
+
+def _histogram(
+    name: str, text: str, label: str, durations: Mapping[str, Durations]
+) -> Metric:
+    family = HistogramMetricFamily(f"burdockhaven_{name}", text, labels=(label,))
+    bounds = [*(str(bound) for bound in DURATION_BUCKETS_S), "+Inf"]
+    for key, found in durations.items():
+        counts = accumulate(found.buckets)
+        buckets = list(zip(bounds, counts, strict=True))
+        family.add_metric((key,), buckets=buckets, sum_value=found.total_s)
+    return family
--- /dev/null
+++ b/packages/burdockhaven-entry/tests/gateway/test_metrics_text.py
@@ -0,0 +1,95 @@
+import tomllib
+from pathlib import Path
+
+import pytest
+from aiohttp import web
+from gateway_fixtures import KEY, Gateway, Script, answer, events, reset
+
+from burdockhaven_entry.gateway.control import METRICS_PATH, METRICS_PORT, Control
+from burdockhaven_entry.gateway.gateway_metrics import MOST_ROUTES, OTHER_ROUTES
+from burdockhaven_entry.gateway.metrics_text import GatewayCollector
+
+DEPLOY = Path(__file__).parents[4] / "deploy" / "system.toml"
+
+
+class Store:
+    calls = {("watch", "ok"): 7, ("watch", "ambiguous"): 2}
+
+
+@pytest.fixture
+async def gateway():
+    started = await Gateway.start(
+        plain=[Script(answer(), reset)], engines=[Script(events(1, 3))]
+    )
+    yield started
+    await started.stop()
+
+
+def series(gateway):
+    page = GatewayCollector.render(gateway.state, Store()).decode()
+    lines = [line for line in page.splitlines() if not line.startswith("#")]
+    return {
+        name: float(value) for name, value in (line.rsplit(" ", 1) for line in lines)
+    }
+
+
+async def test_requests_and_sends_are_counted_by_their_outcome(gateway):
+    assert (await gateway.call("/unsafe/x")).status == 200
+    assert (await gateway.call("/unsafe/x")).status == 502
+    assert (await gateway.call("/stream/x")).status == 200
+    assert (await gateway.call("/nowhere/x")).status == 404
+    found = series(gateway)
+    row = 'burdockhaven_requests_total{account="acme",route="r/unsafe/",status="%d"}'
+    assert found[row % 200] == found[row % 502] == 1
+    assert found['burdockhaven_turned_away_total{status="404"}'] == 1
+    assert found['burdockhaven_sends_total{service="plain"}'] == 2
+    assert found['burdockhaven_failed_sends_total{service="plain"}'] == 1
+    assert found['burdockhaven_store_calls_total{call="watch",outcome="ok"}'] == 7
+
+
+async def test_durations_are_histograms_whose_buckets_add_up(gateway):
+    for _ in range(3):
+        await gateway.call("/stream/x")
+    found = series(gateway)
+    name = "burdockhaven_first_event_seconds"
+    assert found[name + '_count{route="r/stream/"}'] == 3
+    assert found[name + '_bucket{le="+Inf",route="r/stream/"}'] == 3
+    assert found[name + '_sum{route="r/stream/"}'] > 0
+    assert found['burdockhaven_request_seconds_count{account="acme"}'] == 3
+    assert found['burdockhaven_queued_seconds_count{route="r/stream/"}'] == 3
+
+
+async def test_what_is_believed_now_is_shown(gateway):
+    found = series(gateway)
+    assert found["burdockhaven_configuration_version"] == 1
+    assert found["burdockhaven_members"] == 1
+    assert found['burdockhaven_targets{service="plain"}'] == 1
+    assert found['burdockhaven_runs{target="engines-0"}'] == 0
+
+
+async def test_series_are_bounded_and_hold_no_key(gateway):
+    for number in range(3 * MOST_ROUTES):
+        gateway.state.metrics.route_label(f"route-{number}")
+    assert gateway.state.metrics.route_label("another") == OTHER_ROUTES
+    await gateway.call("/safe/x")
+    assert KEY not in GatewayCollector.render(gateway.state, Store()).decode()
+
+
+async def test_the_metrics_address_serves_one_page():
+    class Request:
+        path = METRICS_PATH
+
+    gateway = await Gateway.start()
+    control = Control(gateway.state, Store())
+    response = await control.handle_metrics(Request())
+    assert response.status == 200
+    assert response.content_type == "text/plain"
+    assert isinstance(response, web.Response)
+    Request.path = "/"
+    assert (await control.handle_metrics(Request())).status == 404
+    await gateway.stop()
+
+
+def test_the_deploy_file_names_the_metrics_address():
+    role = tomllib.loads(DEPLOY.read_text())["roles"]["entry"]
+    assert role["metrics"] == f"{METRICS_PORT}{METRICS_PATH}"
--- a/packages/burdockhaven-entry/tests/platform/test_platform_imports.py
+++ b/packages/burdockhaven-entry/tests/platform/test_platform_imports.py
@@ -17,6 +17,7 @@
     "httpx",
     "litestar",
     "opentelemetry",
+    "prometheus_client",
     "uvicorn",
     "zmq",
 )
