--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
@@ -36,8 +36,6 @@
     exhausted: tuple[str, ...] = ()
     # Quota units that the sender has sent within the window, by account.
     usage: tuple[tuple[str, int], ...] = ()
-    # Seconds since the sender's start.
-    uptime_s: float = 0.0
     # Whether the sender is in step with the platform's store.
     in_step: bool = True
     # Nodes that the sender, a hub, has not heard lately; empty from others.
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/shared_quotas.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/shared_quotas.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from burdockhaven_core.scheduling.peer_messages import MemberName
 from burdockhaven_core.scheduling.quotas import QuotaRule
 from burdockhaven_core.scheduling.routing import Account
 
@@ -29,18 +30,22 @@
 
     def __init__(self, rule: QuotaRule) -> None:
         self.rule = rule
-        self.members: dict[str, _MemberUsage] = {}
+        # By start: what an earlier start of a node has sent still counts beside it.
+        self.members: dict[MemberName, _MemberUsage] = {}
         # Time, account and units of the last grants.
         self.grants: deque[tuple[float, str, float]] = deque()
-        # Monotonic time since when everything sent is known; before it, accounts may
-        # have used all that they may. None if nothing was sent before.
+        # Monotonic time since when everything sent is known: that of the own start.
+        # Before it, accounts may have used all that they may, also where older members
+        # are heard, for others may have ended. None if nothing was sent before.
         self.known_since_s: float | None = None
         # Part of the quotas that this side of a partition may use.
         self.share = 1.0
 
-    def hear(self, node: str, units: Iterable[tuple[str, int]], now: float) -> None:
+    def hear(
+        self, name: MemberName, units: Iterable[tuple[str, int]], now: float
+    ) -> None:
         """Take in what a member says of itself."""
-        self.members[node] = _MemberUsage(dict(units), now)
+        self.members[name] = _MemberUsage(dict(units), now)
 
     def grant(self, account: str, units: float, now: float) -> None:
         """Count a request that is about to be sent."""
@@ -79,7 +84,7 @@
     def _forget(self, now: float) -> None:
         while self.grants and now - self.grants[0][0] > GRANT_SETTLE_S:
             self.grants.popleft()
-        for node, usage in list(self.members.items()):
+        for name, usage in list(self.members.items()):
             # What a member that ended has sent still counts for one window.
             if now - usage.heard_s > self.rule.window_s:
-                del self.members[node]
+                del self.members[name]
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/target_registry.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/target_registry.py
@@ -82,6 +82,13 @@
             return
         self._drop(target_id, now)
 
+    def store_lost(self) -> None:
+        """The store does not answer; what it does not hold can't come back either.
+
+        Entries that were missing are judged anew after its return.
+        """
+        self.lapsing.clear()
+
     def store_returned(self, now: float) -> None:
         """The store answers again after it did not for a while."""
         self.forgiving_until_s = now + RETURN_GRACE_S
--- a/packages/burdockhaven-core/tests/scheduling/test_broker.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_broker.py
@@ -92,11 +92,11 @@
     made = broker(accounts=(acme,))
     question = {"account": "acme", "prompt_tokens": 1_000, "output_tokens": 500}
     assert made.ask(ask(1, **question), 0.0).verdict is Verdict.GRANTED
-    made.quotas.hear(ME.node, [("acme", 1_500)], 0.2)
+    made.quotas.hear(ME, [("acme", 1_500)], 0.2)
     reply = made.ask(ask(2, **question), 1.0)
     assert reply.verdict is Verdict.OVER_QUOTA
     assert reply.retry_after_ms > 0
-    made.quotas.hear(ME.node, [], 8.5)
+    made.quotas.hear(ME, [], 8.5)
     assert made.ask(ask(3, **question), 8.6).verdict is not Verdict.OVER_QUOTA
 
 
--- /dev/null
+++ b/packages/burdockhaven-core/tests/scheduling/test_quotas_fuzz.py
@@ -0,0 +1,146 @@
+"""Stateful fuzzing of quotas that several brokers keep at once, in virtual time.
+
+The oracle is the list of all sends with their times. A broker does not know what others
+have granted since the last round of hellos; beyond that, no window may hold more than
+the quota and the slack, whoever ends, starts again or takes over as broker.
+"""
+
+import pytest
+from fuzz_settings import FUZZING, SEARCH
+from hypothesis import seed
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    rule,
+    run_state_machine_as_test,
+)
+from scheduling_samples import account
+
+from burdockhaven_core.scheduling import shared_quotas
+from burdockhaven_core.scheduling.peer_messages import MemberName
+from burdockhaven_core.scheduling.quotas import QuotaRule, Quotas
+from burdockhaven_core.scheduling.shared_quotas import GRANT_SETTLE_S, SharedQuotas
+
+WINDOW_S = 8.0
+RULE = QuotaRule(WINDOW_S, slack=50.0)
+ACME = account("acme", rate_per_s=100.0, burst=200.0)
+LIMIT = 100 * WINDOW_S + 200 + RULE.slack
+NODES = ("entry-1", "entry-2", "entry-3", "entry-4")
+nodes = st.sampled_from(NODES)
+UNITS = (1, 20, 150, 400)
+BEAT_S = 0.15
+
+
+class Member:
+    def __init__(self, node, boot, now, first):
+        self.name = MemberName(node, boot)
+        self.started_s = now
+        self.own = Quotas(RULE)
+        self.quotas = SharedQuotas(RULE)
+        if not first:
+            self.quotas.known_since_s = now
+
+
+class QuotaMachine(RuleBasedStateMachine):
+    """Requests, hellos, ends and starts of members in any order."""
+
+    @initialize()
+    def begin(self):
+        self.now = 0.0
+        self.boot = 1
+        self.members = {node: Member(node, 1, 0.0, first=True) for node in NODES}
+        # Time, units and broker of each send.
+        self.sent = []
+        # Units that each node has granted since the last round of hellos.
+        self.untold = dict.fromkeys(NODES, 0)
+        self.greet()
+
+    def greet(self):
+        for member in self.members.values():
+            told = [("acme", int(member.own.window("acme").sum(self.now)))]
+            for other in self.members.values():
+                other.quotas.hear(member.name, told, self.now)
+        self.untold = dict.fromkeys(NODES, 0)
+
+    @rule(beats=st.sampled_from([1, 2, 7, 30]))
+    def wait(self, beats):
+        for _ in range(beats):
+            self.now += BEAT_S
+            self.greet()
+
+    def brokers(self):
+        """The oldest, and those that have run for a window and may be asked instead."""
+        ages = sorted((m.started_s, node) for node, m in self.members.items())
+        return [
+            node
+            for place, (started_s, node) in enumerate(ages)
+            if place == 0 or self.now - started_s >= WINDOW_S
+        ]
+
+    @rule(number=st.integers(0, 3), sender=nodes, units=st.sampled_from(UNITS))
+    def ask(self, number, sender, units):
+        brokers = self.brokers()
+        broker = brokers[number % len(brokers)]
+        quotas = self.members[broker].quotas
+        if not quotas.admits(ACME, units, self.now):
+            return
+        quotas.grant("acme", units, self.now)
+        self.members[sender].own.charge("acme", units, self.now)
+        self.sent.append((self.now, units))
+        others = sum(u for node, u in self.untold.items() if node != broker)
+        self.untold[broker] += units
+        within = sum(u for at, u in self.sent if self.now - at < WINDOW_S)
+        assert within <= LIMIT + others
+
+    @rule(node=nodes)
+    def end_and_start(self, node):
+        """A member ends; what it did not tell is lost with it, so all greet first."""
+        self.greet()
+        self.now += GRANT_SETTLE_S
+        self.boot += 1
+        self.members[node] = Member(node, self.boot, self.now, first=False)
+        self.greet()
+
+    @rule()
+    def all_end_and_start(self):
+        self.now += 1.0
+        self.boot += 1
+        for node in NODES:
+            self.members[node] = Member(node, self.boot, self.now, first=False)
+        self.greet()
+
+
+TestQuotas = QuotaMachine.TestCase
+TestQuotas.settings = FUZZING
+
+
+DEFENCES = {
+    "what a member that ended has sent": (
+        SharedQuotas,
+        "_forget",
+        lambda self, now: self.members.clear(),
+    ),
+    "grants that no hello contains": (
+        SharedQuotas,
+        "grant",
+        lambda self, account, units, now: None,
+    ),
+    "what may have been sent before a start": (
+        SharedQuotas,
+        "_unknown",
+        lambda self, account, now: 0.0,
+    ),
+}
+
+
+@pytest.mark.parametrize("defence", DEFENCES)
+def test_the_oracle_finds_a_defence_that_is_taken_out(defence, monkeypatch):
+    owner, name, without = DEFENCES[defence]
+    monkeypatch.setattr(owner, name, without)
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(seed(1)(QuotaMachine), settings=SEARCH)
+
+
+def test_the_bound_is_that_of_the_module():
+    assert shared_quotas.GRANT_SETTLE_S > BEAT_S
--- a/packages/burdockhaven-core/tests/scheduling/test_shared_quotas.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_shared_quotas.py
@@ -1,8 +1,11 @@
 from scheduling_samples import account
 
+from burdockhaven_core.scheduling.peer_messages import MemberName
 from burdockhaven_core.scheduling.quotas import QuotaRule
 from burdockhaven_core.scheduling.shared_quotas import GRANT_SETTLE_S, SharedQuotas
 
+ENTRY_1 = MemberName("entry-1", 1)
+ENTRY_2 = MemberName("entry-2", 1)
 # May use 1,000 units in a window.
 ACME = account("acme", rate_per_s=100.0, burst=200.0)
 
@@ -13,8 +16,8 @@
 
 def test_what_all_members_sent_counts():
     made = quotas()
-    made.hear("entry-1", [("acme", 400), ("other", 900)], 0.0)
-    made.hear("entry-2", [("acme", 500)], 0.0)
+    made.hear(ENTRY_1, [("acme", 400), ("other", 900)], 0.0)
+    made.hear(ENTRY_2, [("acme", 500)], 0.0)
     assert made.admits(ACME, 100, 0.1)
     assert not made.admits(ACME, 101, 0.1)
 
@@ -23,7 +26,7 @@
     made = quotas()
     made.grant("acme", 1_000, 0.0)
     assert not made.admits(ACME, 1, 0.1)
-    made.hear("entry-1", [("acme", 1_000)], GRANT_SETTLE_S + 0.1)
+    made.hear(ENTRY_1, [("acme", 1_000)], GRANT_SETTLE_S + 0.1)
     assert made.used(ACME, GRANT_SETTLE_S + 0.1) == 1_000
 
 
@@ -33,18 +36,27 @@
     first.grant("acme", 600, 0.0)
     second.grant("acme", 500, 0.0)
     for made in (first, second):
-        made.hear("entry-1", [("acme", 600)], 0.5)
-        made.hear("entry-2", [("acme", 500)], 0.5)
+        made.hear(ENTRY_1, [("acme", 600)], 0.5)
+        made.hear(ENTRY_2, [("acme", 500)], 0.5)
         assert not made.admits(ACME, 1, 0.5)
 
 
 def test_what_a_member_sent_before_it_ended_counts_for_one_window():
     made = quotas()
-    made.hear("entry-1", [("acme", 1_000)], 0.0)
+    made.hear(ENTRY_1, [("acme", 1_000)], 0.0)
     assert not made.admits(ACME, 1, 7.9)
     assert made.admits(ACME, 1_000, 8.1)
 
 
+def test_a_member_that_starts_again_does_not_hide_what_it_sent_before():
+    """Half of the members that end and start again freed half of the quota."""
+    made = quotas()
+    made.hear(ENTRY_1, [("acme", 1_000)], 0.0)
+    made.hear(MemberName("entry-1", 2), [], 1.5)
+    assert not made.admits(ACME, 1, 1.5)
+    assert made.admits(ACME, 1_000, 8.1)
+
+
 def test_after_the_end_of_all_members_the_quota_comes_back_at_its_rate():
     made = quotas()
     made.known_since_s = 10.0
@@ -56,7 +68,7 @@
 
 def test_the_time_to_come_back_grows_with_the_excess():
     made = quotas()
-    made.hear("entry-1", [("acme", 1_000)], 0.0)
+    made.hear(ENTRY_1, [("acme", 1_000)], 0.0)
     small = made.retry_after_s(ACME, 125, 0.0)
     assert small == 1.0
     assert made.retry_after_s(ACME, 500, 0.0) > small
--- a/packages/burdockhaven-core/tests/scheduling/test_target_registry.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_target_registry.py
@@ -79,3 +79,18 @@
     assert not any(registry.takes_work(name) for name in ("i-1", "i-2", "i-3"))
     assert registry.takes_work("i-4")
     assert registry.takes_work("i-not-known-here")
+
+
+def test_a_second_outage_gives_a_lapsed_entry_time_again():
+    """It was dropped 2.2 s after the first return, with the store away again."""
+    registry = TargetRegistry()
+    registry.put(target("i-1"))
+    registry.store_returned(0.0)
+    registry.replace([], 0.0)
+    registry.store_lost()
+    registry.expire(RETURN_GRACE_S + 1.0)
+    assert registry.takes_work("i-1") and "i-1" in registry.entries
+    registry.store_returned(10.0)
+    registry.replace([], 10.0)
+    registry.expire(10.0 + RETURN_GRACE_S + 0.1)
+    assert "i-1" not in registry.entries
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
@@ -35,9 +35,8 @@
 
     settings: PlatformSettings
     me: MemberName
-    # Unix milliseconds of the start, and the monotonic time.
+    # Unix milliseconds of the start.
     started_ms: int
-    started_s: float
     clock: Callable[[], float]
     rng: random.Random
     roster: Roster
@@ -84,7 +83,6 @@
             settings=settings,
             me=me,
             started_ms=started_ms,
-            started_s=now,
             clock=clock,
             rng=rng,
             roster=Roster(me),
@@ -126,7 +124,6 @@
             leaving=self.registry.known_to_leave(self.clock()),
             exhausted=self.broker.exhausted(self.clock()),
             usage=self.usage(),
-            uptime_s=self.clock() - self.started_s,
             in_step=self.in_step,
             lost=self.roster.lost(self.clock()),
         )
@@ -141,11 +138,7 @@
 
     def hear_usage(self, hello: Hello, now: float) -> None:
         """Take in what a member, or this one, says of its use of the quotas."""
-        quotas = self.broker.quotas
-        quotas.hear(hello.name.node, hello.usage, now)
-        if quotas.known_since_s is not None:
-            since_s = now - hello.uptime_s
-            quotas.known_since_s = min(quotas.known_since_s, since_s)
+        self.broker.quotas.hear(hello.name, hello.usage, now)
 
     def targets_changed(self) -> None:
         """Let the broker and the balancer know of a change of the registry."""
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_feeds.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_feeds.py
@@ -104,6 +104,7 @@
 
     def _on_targets_failure(self, failure: KeyValueFailure) -> None:
         self.state.in_step = False
+        self.state.registry.store_lost()
         _log_failure(failure)
 
     def _on_targets_return(self, seconds: float) -> None:
