--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
@@ -26,7 +26,7 @@
 # Seconds for another member to send a configuration.
 FETCH_TIMEOUT_S = 1.0
 # Seconds in which the store should have told a configuration that a hub knows.
-FETCH_FROM_HUB_AFTER_S = 0.4
+FETCH_FROM_HUB_AFTER_S = 0.8
 # Seconds between two greetings of an address at which no member was heard.
 GREET_AGAIN_S = 1.0
 # Seconds for which such an address is greeted.
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_feeds.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_feeds.py
@@ -22,8 +22,10 @@
 # Where hubs tell all members of new versions and of targets that leave (`roster.py`), a
 # silent connection to the store costs nothing, and 87 members that each follow every
 # change of every target made 200 calls a second.
-WATCHED_BY_MANY = WatchPace(wait_s=10.0)
-TARGETS_WATCHED_BY_MANY = WatchPace(wait_s=10.0, pause_s=1.5)
+# A change of the configuration has to be in force within two seconds, so it waits less
+# than one of the targets.
+WATCHED_BY_MANY = WatchPace(wait_s=10.0, pause_s=0.5, retry_max_s=2.5)
+TARGETS_WATCHED_BY_MANY = WatchPace(wait_s=10.0, pause_s=1.5, retry_max_s=2.5)
 
 
 @dataclass(slots=True)
@@ -54,14 +56,15 @@
         )
 
     def _configuration_pace(self) -> WatchPace:
-        return WATCHED_BY_MANY if self.state.roster.hubs else WatchPace()
+        return WatchPace() if self._watches_closely() else WATCHED_BY_MANY
 
     def _targets_pace(self) -> WatchPace:
-        """Hubs watch closely; they tell the others at once of targets that leave."""
+        return WatchPace() if self._watches_closely() else TARGETS_WATCHED_BY_MANY
+
+    def _watches_closely(self) -> bool:
+        """Hubs do; they tell the others of new versions and of targets that leave."""
         roster = self.state.roster
-        if not roster.hubs or self.state.me.node in roster.hubs:
-            return WatchPace()
-        return TARGETS_WATCHED_BY_MANY
+        return not roster.hubs or self.state.me.node in roster.hubs
 
     def take_configuration(self, data: bytes, source: str) -> None:
         """Put a configuration in force if it is newer and can be read."""
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_sync.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_sync.py
@@ -15,10 +15,8 @@
     PlatformStore,
 )
 
-# Longest delay before a try after a failure in seconds, at first and at most; the delay
-# itself is random. Lapsed targets have to be read within two seconds of a return.
+# Longest delay before the first try after a failure in seconds; the delay is random.
 RETRY_FIRST_S = 0.15
-RETRY_MAX_S = 0.6
 # Seconds of failures in a row after which the store counts as away. A single connection
 # that is reset is no outage: entries that are removed then are gone.
 AWAY_AFTER_S = 0.6
@@ -39,6 +37,9 @@
     wait_s: float = 3.0
     # Seconds between a change and the next watch, so that one call brings several.
     pause_s: float = 0.0
+    # Longest delay before a try after a failure in seconds; refused calls are paid for
+    # too. Lapsed targets have to be read within two seconds of a return.
+    retry_max_s: float = 0.6
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,7 +79,7 @@
         # When the failures began; None while calls succeed.
         self.failed_since_s: float | None = None
         self.failing = False
-        self.backoff = Backoff(rng, RETRY_FIRST_S, RETRY_MAX_S)
+        self.backoff = Backoff(rng, RETRY_FIRST_S)
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -137,6 +138,7 @@
         if not self.failing and now - self.failed_since_s > AWAY_AFTER_S:
             self.failing = True
             self.feed.on_failure(failure)
+        self.backoff.max_s = self.feed.pace().retry_max_s
         await asyncio.sleep(self.backoff.next_delay_s())
 
 
