--- a/packages/burdockhaven-core/src/burdockhaven_core/configuration_store.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/configuration_store.py
@@ -30,7 +30,6 @@
 )
 from burdockhaven_core.key_value import (
     Delete,
-    KeyValueFailure,
     KeyValueSteps,
     Put,
     Range,
@@ -41,6 +40,7 @@
     TransactionAnswer,
     ValueIs,
 )
+from burdockhaven_core.key_value_failure import KeyValueFailure
 
 # Parts that are read in one call.
 PARTS_PER_READ = 32
--- a/packages/burdockhaven-core/src/burdockhaven_core/key_value.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/key_value.py
@@ -5,44 +5,15 @@
 stand-in in memory, and both run the same code.
 """
 
-import enum
 from collections.abc import Generator
 from dataclasses import dataclass
 from typing import TypeVar
 
 from result import Result
 
-T = TypeVar("T")
-
-
-class FailureKind(enum.Enum):
-    """What is known of a call that got no usable answer."""
-
-    # No byte of the call left, or the service said that it did nothing.
-    NOT_DONE = "not_done"
-    # The call may have taken effect, may do so yet, or may never.
-    AMBIGUOUS = "ambiguous"
-    # The service answered something that is not of its protocol.
-    BAD_ANSWER = "bad_answer"
-    # The history that a watch asked for is not kept any more.
-    HISTORY_LOST = "history_lost"
-    # The lease of the call has ended.
-    LEASE_ENDED = "lease_ended"
-    # The condition of a write does not hold; nothing was written.
-    CONDITION = "condition"
+from burdockhaven_core.key_value_failure import KeyValueFailure
 
-
-@dataclass(frozen=True, slots=True)
-class KeyValueFailure:
-    """A call that got no usable answer."""
-
-    kind: FailureKind
-    # The call that failed, such as "txn".
-    step: str
-    # Address of the service.
-    peer: str
-    # The cause, for logs and operators.
-    detail: str
+T = TypeVar("T")
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/burdockhaven-core/src/burdockhaven_core/publishing.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/publishing.py
@@ -36,14 +36,13 @@
 )
 from burdockhaven_core.key_value import (
     Delete,
-    FailureKind,
-    KeyValueFailure,
     KeyValueSteps,
     Put,
     Transaction,
     TransactionAnswer,
     ValueIs,
 )
+from burdockhaven_core.key_value_failure import FailureKind, KeyValueFailure
 
 # Times that a lost answer is looked for before it is called unknown.
 RESOLVE_ATTEMPTS = 4
--- a/packages/burdockhaven-core/tests/test_publishing.py
+++ b/packages/burdockhaven-core/tests/test_publishing.py
@@ -22,7 +22,8 @@
     read_history,
     synchronise,
 )
-from burdockhaven_core.key_value import FailureKind, Put, Transaction
+from burdockhaven_core.key_value import Put, Transaction
+from burdockhaven_core.key_value_failure import FailureKind
 from burdockhaven_core.publishing import (
     Accepted,
     Conflict,
--- a/packages/burdockhaven-core/tests/test_publishing_fuzz.py
+++ b/packages/burdockhaven-core/tests/test_publishing_fuzz.py
@@ -29,7 +29,8 @@
 from burdockhaven_core.configuration_replica import ASK_DELAY_S, ConfigurationReplica
 from burdockhaven_core.configuration_store import Newer, synchronise
 from burdockhaven_core.identity import MemberId
-from burdockhaven_core.key_value import Command, FailureKind, KeyValueSteps, Transaction
+from burdockhaven_core.key_value import Command, KeyValueSteps, Transaction
+from burdockhaven_core.key_value_failure import FailureKind
 from burdockhaven_core.messages import Heartbeat
 from burdockhaven_core.publishing import (
     Accepted,
--- a/packages/burdockhaven-core/tests/test_publishing_matrix.py
+++ b/packages/burdockhaven-core/tests/test_publishing_matrix.py
@@ -7,7 +7,7 @@
 from burdockhaven_core.configuration import Configuration
 from burdockhaven_core.configuration_change import Operation, PutAccount, PutTemplate
 from burdockhaven_core.configuration_store import synchronise
-from burdockhaven_core.key_value import FailureKind
+from burdockhaven_core.key_value_failure import FailureKind
 from burdockhaven_core.publishing import (
     Accepted,
     Conflict,
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_feeds.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_feeds.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from burdockhaven_core.key_value import KeyValueFailure
+from burdockhaven_core.key_value_failure import KeyValueFailure
 from burdockhaven_core.log_numbers import EventNumber
 from burdockhaven_core.scheduling.target_registry import TargetEntry
 from burdockhaven_entry.gateway.gateway_state import GatewayState
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_sync.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_sync.py
@@ -7,7 +7,7 @@
 
 from result import Err, Ok
 
-from burdockhaven_core.key_value import FailureKind, KeyValueFailure
+from burdockhaven_core.key_value_failure import FailureKind, KeyValueFailure
 from burdockhaven_entry.call_budget import Backoff
 from burdockhaven_entry.platform import (
     ChangeBatch,
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/kv_link.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/kv_link.py
@@ -13,10 +13,8 @@
 from burdockhaven_core.key_value import (
     CallResult,
     Command,
-    FailureKind,
     GrantLease,
     KeepLeaseAlive,
-    KeyValueFailure,
     KeyValueSteps,
     Range,
     ReadMany,
@@ -24,6 +22,7 @@
     Transaction,
     WatchEvent,
 )
+from burdockhaven_core.key_value_failure import FailureKind, KeyValueFailure
 from burdockhaven_core.log_numbers import EventNumber
 from burdockhaven_entry.call_budget import Backoff, CallBudget
 from burdockhaven_entry.kv_wire import (
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/store.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/store.py
@@ -12,7 +12,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from burdockhaven_core.key_value import FailureKind, KeyValueFailure
+from burdockhaven_core.key_value_failure import FailureKind, KeyValueFailure
 
 # Seconds for a call, and for its connection. The store answers in milliseconds; a call
 # that takes longer has lost its connection or the store.
--- a/packages/burdockhaven-entry/tests/gateway/test_store_sync.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_store_sync.py
@@ -4,7 +4,7 @@
 import pytest
 from result import Err, Ok
 
-from burdockhaven_core.key_value import FailureKind, KeyValueFailure
+from burdockhaven_core.key_value_failure import FailureKind, KeyValueFailure
 from burdockhaven_entry.gateway.store_sync import (
     AWAY_AFTER_S,
     Follower,
--- a/packages/burdockhaven-entry/tests/platform/test_boundary.py
+++ b/packages/burdockhaven-entry/tests/platform/test_boundary.py
@@ -18,7 +18,7 @@
 )
 # Types without decisions: what the adapter decodes into.
 TYPES = {
-    "burdockhaven_core.key_value",
+    "burdockhaven_core.key_value_failure",
     "burdockhaven_core.scheduling.routing",
     "burdockhaven_core.scheduling.target_registry",
 }
--- a/packages/burdockhaven-entry/tests/platform/test_platform_imports.py
+++ b/packages/burdockhaven-entry/tests/platform/test_platform_imports.py
@@ -8,6 +8,7 @@
     "burdockhaven_core.actions",
     "burdockhaven_core.configuration",
     "burdockhaven_core.entry",
+    "burdockhaven_core.key_value",
     "burdockhaven_core.orders",
     "burdockhaven_core.publishing",
     "burdockhaven_entry.admin_api",
--- a/packages/burdockhaven-entry/tests/test_kv_link.py
+++ b/packages/burdockhaven-entry/tests/test_kv_link.py
@@ -9,7 +9,6 @@
 from result import Err, Ok
 
 from burdockhaven_core.key_value import (
-    FailureKind,
     KeepLeaseAlive,
     LeaseAnswer,
     Put,
@@ -18,6 +17,7 @@
     ValueIs,
     WatchEvent,
 )
+from burdockhaven_core.key_value_failure import FailureKind
 from burdockhaven_entry.call_budget import Backoff, CallBudget
 from burdockhaven_entry.kv_link import KvLink
 
--- a/tools/burdockhaven_standins/key_value_memory.py
+++ b/tools/burdockhaven_standins/key_value_memory.py
@@ -13,11 +13,9 @@
     Condition,
     CreatedAt,
     Delete,
-    FailureKind,
     GrantLease,
     KeepLeaseAlive,
     KeyValue,
-    KeyValueFailure,
     KeyValueSteps,
     LeaseAnswer,
     Put,
@@ -30,6 +28,7 @@
     TransactionAnswer,
     ValueIs,
 )
+from burdockhaven_core.key_value_failure import FailureKind, KeyValueFailure
 
 T = TypeVar("T")
 
--- a/tools/burdockhaven_standins/memory_link.py
+++ b/tools/burdockhaven_standins/memory_link.py
@@ -10,12 +10,11 @@
 from burdockhaven_core.key_value import (
     CallResult,
     Command,
-    FailureKind,
-    KeyValueFailure,
     KeyValueSteps,
     Range,
     WatchEvent,
 )
+from burdockhaven_core.key_value_failure import FailureKind, KeyValueFailure
 from burdockhaven_entry.call_budget import Backoff
 from burdockhaven_standins.key_value_memory import MemoryKeyValue
 
--- a/tools/tests/test_kv_link_process.py
+++ b/tools/tests/test_kv_link_process.py
@@ -5,7 +5,6 @@
 import pytest
 
 from burdockhaven_core.key_value import (
-    FailureKind,
     GrantLease,
     KeepLeaseAlive,
     Put,
@@ -15,6 +14,7 @@
     Transaction,
     ValueIs,
 )
+from burdockhaven_core.key_value_failure import FailureKind
 from burdockhaven_entry.kv_link import KvLink
 from burdockhaven_standins.processes import ProcessGroup
 
