--- a/tools/burdockhaven_bench/placement_fleet.py
+++ b/tools/burdockhaven_bench/placement_fleet.py
@@ -240,7 +240,7 @@
         broker = Broker(QuotaRule(8.0, 0.0))
         limits = EngineLimits(
             self.fleet.slots,
-            self.fleet.engine_config.cache_tokens,
+            self.fleet.engine_config.memory_tokens,
             self.fleet.engine_config.tokens_per_event,
         )
         broker.set_table(
@@ -266,7 +266,7 @@
         config = StepEngineConfig(
             slots=self.fleet.slots,
             tokens_per_event=base.tokens_per_event,
-            cache_tokens=base.cache_tokens,
+            memory_tokens=base.memory_tokens,
             slowness=slowness,
         )
         name = f"i-{index}"
@@ -283,7 +283,7 @@
         engine.config = StepEngineConfig(
             slots=config.slots,
             tokens_per_event=config.tokens_per_event,
-            cache_tokens=config.cache_tokens,
+            memory_tokens=config.memory_tokens,
             slowness=slowness,
         )
 
--- a/tools/burdockhaven_standins/platform_site.py
+++ b/tools/burdockhaven_standins/platform_site.py
@@ -57,7 +57,7 @@
     config = StepEngineConfig()
     engine = {
         "slots": config.slots,
-        "kv_capacity": config.cache_tokens,
+        "kv_capacity": config.memory_tokens,
         "stride": config.tokens_per_event,
     }
     body = {
--- a/tools/burdockhaven_standins/platform_targets.py
+++ b/tools/burdockhaven_standins/platform_targets.py
@@ -83,7 +83,7 @@
         if wanted != self.id:
             return self._rejected(421, attempt)
         if waiting >= QUEUE_PER_SLOT * self.slots:
-            return self._rejected(503, attempt)
+            return self.full(attempt)
         return None
 
     def headers(self, attempt: str) -> dict[str, str]:
@@ -100,6 +100,10 @@
             status=status, headers={"X-Burdockhaven-Instance-Id": self.id}
         )
 
+    def full(self, attempt: str) -> web.Response:
+        """The rejection of a request for which there is no room."""
+        return self._rejected(503, attempt)
+
     def _rejected(self, status: int, attempt: str) -> web.Response:
         headers = {ATTEMPT: attempt, NOT_EXECUTED: "1"}
         return web.Response(status=status, headers=headers)
@@ -191,8 +195,8 @@
             "seq": 0,
             "queued": len(engine.waiting),
             "active": len(engine.reading) + len(engine.decoding),
-            "kv_used": 0,
-            "kv_total": engine.config.cache_tokens,
+            "kv_used": engine.used_tokens - engine.cached_tokens,
+            "kv_total": engine.config.memory_tokens,
             "handles": 0,
         }
         return web.json_response(report)
@@ -203,8 +207,10 @@
             return rejected
         await request.read()
         attempt = request.headers[ATTEMPT]
-        self.record.runs[attempt] += 1
         run = self._run(request)
+        if not self.engine.fits(run):
+            return self.record.full(attempt)
+        self.record.runs[attempt] += 1
         self.streams[run.run_id] = asyncio.Queue()
         self.engine.submit(run, asyncio.get_running_loop().time())
         self.work.set()
--- a/tools/burdockhaven_standins/step_engine.py
+++ b/tools/burdockhaven_standins/step_engine.py
@@ -2,8 +2,10 @@
 
 It follows what the platform's pages say of engines: requests are admitted in order of
 arrival; each step gives every decoding request one token; the prompt that is read
-lengthens the step by one chunk; a step takes longer the more requests run. It does no
-I/O and reads no clock.
+lengthens the step by one chunk; a step takes longer the more requests run. Running
+requests and kept parts of prompts share the memory: parts yield, the least recently
+used first, then the newest request is preempted and read again from its start. It does
+no I/O and reads no clock.
 """
 
 from collections import OrderedDict, deque
@@ -29,8 +31,8 @@
     chunk_tokens: int = 2048
     # Tokens in one event of a stream.
     tokens_per_event: int = 6
-    # Tokens of cached parts that are kept.
-    cache_tokens: int = 500_000
+    # Tokens of running requests and kept parts together.
+    memory_tokens: int = 500_000
     # Factor on all times.
     slowness: float = 1.0
 
@@ -50,6 +52,8 @@
     generated: int = 0
     # When it was admitted.
     admitted_s: float = 0.0
+    # Tokens that it holds itself, beside the kept parts that it uses.
+    held: int = 0
 
 
 # Told the run, the time in seconds and whether the answer is whole.
@@ -69,6 +73,8 @@
     cached_tokens: int = 0
     # Tokens of prompts that were read.
     prefilled: int = 0
+    # Times that a request was preempted.
+    preempted: int = 0
 
     def submit(self, run: StepRun, now: float) -> None:
         """Take a request, as every engine does."""
@@ -81,6 +87,16 @@
         self.reading = deque(run for run in self.reading if run.run_id != run_id)
         self.decoding.pop(run_id, None)
 
+    def fits(self, run: StepRun) -> bool:
+        """Whether the memory can hold the request at all."""
+        return run.prompt_tokens + run.output_tokens <= self.config.memory_tokens
+
+    @property
+    def used_tokens(self) -> int:
+        """Memory in use."""
+        running = (*self.reading, *self.decoding.values())
+        return self.cached_tokens + sum(run.held for run in running)
+
     @property
     def busy(self) -> bool:
         """Whether there is anything to do."""
@@ -98,6 +114,7 @@
         while self.reading and self.reading[0].unread <= 0:
             run = self.reading.popleft()
             self.decoding[run.run_id] = run
+        self._make_room()
         return end_s
 
     def _admit(self, now: float) -> None:
@@ -106,7 +123,9 @@
         ):
             run = self.waiting.popleft()
             run.admitted_s = now
-            run.unread = max(1, run.prompt_tokens - self._kept(run.parts))
+            to_read = run.prompt_tokens + run.generated
+            run.unread = max(1, to_read - self._kept(run.parts))
+            run.read = run.held = 0
             self.reading.append(run)
 
     def _kept(self, parts: tuple[tuple[str, int], ...]) -> int:
@@ -131,25 +150,40 @@
             total_ms += pairs_m * self.config.prefill_ms_per_m_pairs
             run.unread -= tokens
             run.read += tokens
+            run.held += tokens
             left -= tokens
             self.prefilled += tokens
             if run.unread <= 0:
-                self._keep(run.parts)
+                self._keep(run)
         return total_ms
 
-    def _keep(self, parts: tuple[tuple[str, int], ...]) -> None:
-        for part, tokens in parts:
+    def _keep(self, run: StepRun) -> None:
+        """Keep the parts of a prompt that was read; the request uses them there."""
+        for part, tokens in run.parts:
             if part not in self.cache:
                 self.cache[part] = tokens
                 self.cached_tokens += tokens
-        while self.cached_tokens > self.config.cache_tokens and self.cache:
+                run.held = max(0, run.held - tokens)
+
+    def _make_room(self) -> None:
+        """Let kept parts yield, then preempt the newest requests."""
+        while self.used_tokens > self.config.memory_tokens and self.cache:
             self.cached_tokens -= self.cache.popitem(last=False)[1]
+        while self.used_tokens > self.config.memory_tokens:
+            running = [*self.reading, *self.decoding.values()]
+            if len(running) < 2:
+                return
+            newest = max(running, key=lambda run: (run.admitted_s, run.run_id))
+            self.cancel(newest.run_id)
+            self.preempted += 1
+            self.waiting.appendleft(newest)
 
     def _generate(self, run: StepRun, now: float) -> None:
         first_ms = FIRST_EVENT_MS * self.config.slowness
         if run.generated == 0 and (now - run.admitted_s) * 1e3 < first_ms:
             return
         run.generated += 1
+        run.held += 1
         done = run.generated >= run.output_tokens
         if run.generated % self.config.tokens_per_event == 0 or done:
             self.on_event(run, now, done)
