Quotas: count a grant once, use half of the tolerance while all usage is known

Hypothesis: accounts are refused below their quota, because a grant counts beside the heartbeat that contains it for up to 0.4 s, and only 15 % of the platform's tolerance is used.

Change: grants count until a heartbeat of the requesting member contains them; half of the tolerance is used while every known member is heard and usage is known for a window, 15 % otherwise. A member's own share of the quota applies to plain requests only while members are missing, and no longer counts streams (at 68 members one long prompt used it up).

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -232,7 +232,7 @@
         account = self.accounts.get(request.account)
         if account is not None:
             cost = quota_cost(account, request.prompt_tokens, request.output_tokens)
-            self.quotas.record_grant(account.name, cost, now)
+            self.quotas.record_grant(request.sender, account.name, cost, now)
         run = Run(
             sender=key[0],
             incarnation=key[1],
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/member_list.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/member_list.py
@@ -175,6 +175,10 @@
         """Return the number of serving members, including this one."""
         return len(self.serving(now)) + 1
 
+    def is_complete(self, now: float) -> bool:
+        """Whether no known member has timed out."""
+        return len(self.live_members(now)) == len(self.views)
+
     def quota_share(self, now: float) -> float:
         """Return the fraction of the quotas that this side of a partition may use.
 
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/shared_quotas.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/shared_quotas.py
@@ -1,8 +1,9 @@
 """Account quotas across all members, from the usage that each member publishes.
 
 Each heartbeat contains its sender's usage within the window. A broker adds its recent
-grants until the heartbeats contain them. Two brokers that are unaware of each other
-thus see each other's grants within one heartbeat interval.
+grants until a heartbeat of the requesting member contains them, so that no request is
+counted twice. Two brokers that are unaware of each other thus see each other's grants
+within one heartbeat interval.
 """
 
 from collections import deque
@@ -13,8 +14,12 @@
 from burdockhaven_core.scheduling.quotas import QuotaRule
 from burdockhaven_core.scheduling.routing import Account
 
-# Seconds after which the heartbeats of the requesting member contain a grant.
+# Seconds after which a grant is no longer counted if no heartbeat contains it; the
+# request was not sent, or its member has ended.
 GRANT_SETTLE_S = 0.4
+# Upper bound in seconds of the delay from a grant until its request is part of the
+# usage that the requesting member publishes.
+GRANT_DELIVERY_S = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +30,16 @@
     received_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Grant:
+    """Quota units of a request that was granted a target."""
+
+    granted_s: float
+    sender: MemberId
+    account: str
+    units: float
+
+
 class SharedQuotas:
     """Usage of all members together, and the quotas' limits on it."""
 
@@ -32,8 +47,8 @@
         self.rule = rule
         # By incarnation: the usage of a node's earlier incarnation still counts.
         self.members: dict[MemberId, _MemberUsage] = {}
-        # Time, account and units of the recent grants.
-        self.grants: deque[tuple[float, str, float]] = deque()
+        # The recent grants, the oldest first.
+        self.grants: deque[_Grant] = deque()
         # Monotonic time of this process's start, from which on all usage is known.
         # Accounts may have used their full quota before it: older members publish their
         # usage, but members that have ended do not. None if no request was sent before
@@ -41,6 +56,8 @@
         self.usage_known_since_s: float | None = None
         # Fraction of the quotas that this side of a partition may use.
         self.share = 1.0
+        # Whether all known members publish their usage to this process.
+        self.is_usage_complete = False
 
     def record_usage(
         self, member: MemberId, units: Iterable[tuple[str, int]], now: float
@@ -48,15 +65,21 @@
         """Replace the usage of a member by what it published."""
         self.members[member] = _MemberUsage(dict(units), now)
 
-    def record_grant(self, account: str, units: float, now: float) -> None:
-        """Count a request that was granted a target."""
-        self.grants.append((now, account, units))
+    def record_grant(
+        self, sender: MemberId, account: str, units: float, now: float
+    ) -> None:
+        """Count a request of a member that was granted a target."""
+        self.grants.append(_Grant(now, sender, account, units))
 
     def used(self, account: Account, now: float) -> float:
         """Return the units that the account has used within the window."""
         self._expire(now)
         reported = sum(m.units.get(account.name, 0) for m in self.members.values())
-        granted = sum(units for _, name, units in self.grants if name == account.name)
+        granted = sum(
+            grant.units
+            for grant in self.grants
+            if grant.account == account.name and not self._is_reported(grant)
+        )
         return reported + granted + self._unaccounted_usage(account, now)
 
     def limit(self, account: Account) -> float:
@@ -67,7 +90,7 @@
         """Whether a request of this many units stays within the quota."""
         if account.rate_per_s <= 0:
             return True
-        allowed = self.share * (self.limit(account) + self.rule.slack)
+        allowed = self.share * (self.limit(account) + self._slack(now))
         return self.used(account, now) + units <= allowed
 
     def retry_after_s(self, account: Account, units: float, now: float) -> float:
@@ -82,8 +105,23 @@
         fraction = 1.0 - (now - self.usage_known_since_s) / self.rule.window_s
         return max(0.0, self.limit(account) * fraction - self.rule.recovery_slack)
 
+    def _slack(self, now: float) -> float:
+        """Return the units allowed beyond a quota: fewer while usage may be hidden."""
+        since_s = self.usage_known_since_s
+        has_settled = since_s is None or now - since_s >= self.rule.window_s
+        if self.is_usage_complete and has_settled:
+            return self.rule.slack
+        return self.rule.partial_view_slack
+
+    def _is_reported(self, grant: _Grant) -> bool:
+        """Whether the usage that the requesting member published contains a grant."""
+        usage = self.members.get(grant.sender)
+        return (
+            usage is not None and usage.received_s - grant.granted_s > GRANT_DELIVERY_S
+        )
+
     def _expire(self, now: float) -> None:
-        while self.grants and now - self.grants[0][0] > GRANT_SETTLE_S:
+        while self.grants and now - self.grants[0].granted_s > GRANT_SETTLE_S:
             self.grants.popleft()
         for member, usage in list(self.members.items()):
             # The usage of a member that ended still counts for one window.
--- a/packages/burdockhaven-core/tests/scheduling/test_quotas_fuzz.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_quotas_fuzz.py
@@ -23,7 +23,7 @@
 from burdockhaven_core.scheduling.shared_quotas import GRANT_SETTLE_S, SharedQuotas
 
 WINDOW_S = 8.0
-RULE = QuotaRule(WINDOW_S, slack=50.0)
+RULE = QuotaRule(WINDOW_S, slack=50.0, partial_view_slack=50.0)
 ACME = account("acme", rate_per_s=100.0, burst=200.0)
 LIMIT = 100 * WINDOW_S + 200 + RULE.slack
 NODES = ("entry-1", "entry-2", "entry-3", "entry-4")
@@ -88,7 +88,7 @@
         quotas = self.members[broker].quotas
         if not quotas.admits(ACME, units, self.now):
             return
-        quotas.record_grant("acme", units, self.now)
+        quotas.record_grant(self.members[sender].name, "acme", units, self.now)
         self.members[sender].own.charge("acme", units, self.now)
         self.sent.append((self.now, units))
         others = sum(u for node, u in self.unpublished.items() if node != broker)
@@ -130,7 +130,7 @@
     "grants that no heartbeat contains": (
         SharedQuotas,
         "record_grant",
-        lambda self, account, units, now: None,
+        lambda self, sender, account, units, now: None,
     ),
     "possible usage before a start": (
         SharedQuotas,
--- a/packages/burdockhaven-core/tests/scheduling/test_shared_quotas.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_shared_quotas.py
@@ -1,8 +1,13 @@
+import pytest
 from scheduling_samples import account
 
 from burdockhaven_core.scheduling.peer_messages import MemberId
 from burdockhaven_core.scheduling.quotas import QuotaRule
-from burdockhaven_core.scheduling.shared_quotas import GRANT_SETTLE_S, SharedQuotas
+from burdockhaven_core.scheduling.shared_quotas import (
+    GRANT_DELIVERY_S,
+    GRANT_SETTLE_S,
+    SharedQuotas,
+)
 
 ENTRY_1 = MemberId("entry-1", 1)
 ENTRY_2 = MemberId("entry-2", 1)
@@ -24,7 +29,7 @@
 
 def test_grant_counts_until_a_heartbeat_reports_it():
     quotas = make_quotas()
-    quotas.record_grant("acme", 1_000, 0.0)
+    quotas.record_grant(ENTRY_1, "acme", 1_000, 0.0)
     assert not quotas.admits(ACME, 1, 0.1)
     quotas.record_usage(ENTRY_1, [("acme", 1_000)], GRANT_SETTLE_S + 0.1)
     assert quotas.used(ACME, GRANT_SETTLE_S + 0.1) == 1_000
@@ -33,8 +38,8 @@
 def test_concurrent_brokers_see_each_others_grants_in_heartbeats():
     """If each broker counted only its own grants, both would grant the full quota."""
     first, second = make_quotas(), make_quotas()
-    first.record_grant("acme", 600, 0.0)
-    second.record_grant("acme", 500, 0.0)
+    first.record_grant(ENTRY_1, "acme", 600, 0.0)
+    second.record_grant(ENTRY_2, "acme", 500, 0.0)
     for quotas in (first, second):
         quotas.record_usage(ENTRY_1, [("acme", 600)], 0.5)
         quotas.record_usage(ENTRY_2, [("acme", 500)], 0.5)
@@ -86,3 +91,40 @@
     quotas.usage_known_since_s = 10.0
     assert quotas.admits(ACME, 300, 10.0)
     assert not quotas.admits(ACME, 301, 10.0)
+
+
+def test_grant_is_not_counted_beside_the_usage_that_contains_it():
+    """Otherwise an account is refused below its quota while its load is high."""
+    quotas = make_quotas()
+    quotas.record_grant(ENTRY_1, "acme", 600, 0.0)
+    quotas.record_usage(ENTRY_1, [("acme", 600)], GRANT_DELIVERY_S + 0.01)
+    assert quotas.used(ACME, GRANT_DELIVERY_S + 0.01) == 600
+
+
+def test_grant_counts_beside_the_usage_of_another_member():
+    quotas = make_quotas()
+    quotas.record_grant(ENTRY_1, "acme", 600, 0.0)
+    quotas.record_usage(ENTRY_2, [("acme", 300)], 0.3)
+    assert quotas.used(ACME, 0.3) == 900
+
+
+def test_usage_under_way_does_not_hide_a_grant():
+    quotas = make_quotas()
+    quotas.record_grant(ENTRY_1, "acme", 600, 0.0)
+    quotas.record_usage(ENTRY_1, [("acme", 0)], 0.001)
+    assert quotas.used(ACME, 0.001) == 600
+
+
+@pytest.mark.parametrize(
+    ("is_complete", "known_since_s", "units"),
+    [(True, None, 1_300), (True, 0.0, 1_300), (False, None, 1_100), (True, 3.0, 1_100)],
+)
+def test_slack_is_smaller_while_usage_may_be_unknown(is_complete, known_since_s, units):
+    rule = QuotaRule(
+        window_s=8.0, slack=300.0, partial_view_slack=100.0, recovery_slack=1_000.0
+    )
+    quotas = SharedQuotas(rule)
+    quotas.is_usage_complete = is_complete
+    quotas.usage_known_since_s = known_since_s
+    assert quotas.admits(ACME, units, 10.0)
+    assert not quotas.admits(ACME, units + 1, 10.0)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
@@ -22,9 +22,11 @@
 from burdockhaven_entry.gateway.gateway_metrics import GatewayMetrics
 from burdockhaven_entry.platform import PlatformSettings
 
-# Fraction of the platform's quota slack that is used in normal operation; the rest
-# covers members that can't receive each other's heartbeats.
-QUOTA_SLACK_FRACTION = 0.15
+# Fraction of the platform's quota slack that is used while the usage of all members is
+# known; the rest covers brokers that overlap and heartbeats under way.
+QUOTA_SLACK_FRACTION = 0.5
+# The same while some members can't be heard and may serve another part of a partition.
+PARTIAL_VIEW_SLACK_FRACTION = 0.15
 # Fraction of the slack that clients may use at once after all members have ended.
 RECOVERY_SLACK_FRACTION = 0.5
 
@@ -43,8 +45,10 @@
     registry: TargetRegistry
     balancer: PlainBalancer
     broker: Broker
-    # Quota usage of the requests that this process itself has sent.
+    # Quota usage of the requests that this process itself has sent, and the part of it
+    # that was sent to plain services, without a broker's decision.
     own_usage: Quotas
+    own_plain_usage: Quotas
     retry_budget: RetryBudget
     # The configuration in force and its encoded form; None and empty before the first.
     table: RoutingTable | None = None
@@ -69,8 +73,9 @@
         member_id = MemberId(settings.node, incarnation)
         rule = QuotaRule(
             settings.quota_window_s,
-            settings.quota_slack * QUOTA_SLACK_FRACTION,
-            settings.quota_slack * RECOVERY_SLACK_FRACTION,
+            slack=settings.quota_slack * QUOTA_SLACK_FRACTION,
+            partial_view_slack=settings.quota_slack * PARTIAL_VIEW_SLACK_FRACTION,
+            recovery_slack=settings.quota_slack * RECOVERY_SLACK_FRACTION,
         )
         retry_rule = RetryRule(
             settings.retry_ratio, settings.retry_window_s, settings.retry_slack
@@ -91,6 +96,7 @@
             balancer=PlainBalancer(rng),
             broker=broker,
             own_usage=Quotas(rule),
+            own_plain_usage=Quotas(rule),
             retry_budget=RetryBudget(retry_rule),
         )
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
@@ -99,7 +99,9 @@
         state.sequence += 1
         heartbeat = state.heartbeat()
         state.record_usage(heartbeat, now)
-        state.broker.quotas.share = state.member_list.quota_share(now)
+        quotas = state.broker.quotas
+        quotas.share = state.member_list.quota_share(now)
+        quotas.is_usage_complete = state.member_list.is_complete(now)
         state.member_list.update_hubs(heartbeat, now)
         recipients = self.heartbeat_schedule.recipients(state.member_list)
         self.endpoint.send_all(
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 
 from burdockhaven_core.scheduling.quotas import quota_cost
+from burdockhaven_core.scheduling.routing import Account
 from burdockhaven_core.scheduling.target_registry import TargetEntry
 from burdockhaven_entry.gateway.gateway_state import GatewayState
 from burdockhaven_entry.gateway.placement_client import PlacementClient
@@ -86,13 +87,7 @@
             routed.client_request.max_output_tokens,
         )
         now = state.clock()
-        members = state.member_list.serving_count(now)
-        # Up to half of the members may be out of contact, so each member limits itself
-        # to twice an equal share of the quota.
-        share = min(1.0, 2.0 / members)
-        if account.name in self._exhausted_accounts(now) or not state.own_usage.admits(
-            account, cost, now, share
-        ):
+        if self._is_over_quota(account, cost, now):
             return not_run_response(
                 TOO_MANY_REQUESTS,
                 "account quota exceeded",
@@ -100,8 +95,25 @@
                 DEFAULT_RETRY_AFTER_S,
             )
         state.own_usage.charge(account.name, cost, now)
+        state.own_plain_usage.charge(account.name, cost, now)
         return None
 
+    def _is_over_quota(self, account: Account, cost: float, now: float) -> bool:
+        """Whether the broker, or this member's share of the quota, admits no more.
+
+        The share applies only while some members can't be heard: their requests may be
+        unknown to the broker.
+        """
+        state = self.state
+        if account.name in self._exhausted_accounts(now):
+            return True
+        if state.broker.quotas.is_usage_complete:
+            return False
+        # Up to half of the members may be out of contact, so each member limits itself
+        # to twice an equal share of the quota.
+        share = min(1.0, 2.0 / state.member_list.serving_count(now))
+        return not state.own_plain_usage.admits(account, cost, now, share)
+
     def _exhausted_accounts(self, now: float) -> tuple[str, ...]:
         node = self.placement_client.broker_node()
         view = self.state.member_list.views.get(node)
--- a/packages/burdockhaven-entry/tests/gateway/test_plain_forwarding.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_plain_forwarding.py
@@ -13,6 +13,7 @@
     routing_table,
     send_raw,
 )
+from scheduling_samples import heartbeat
 
 FAILED = respond(b"no", "500 Internal Server Error")
 CLOSE_DELIMITED = send_raw(
@@ -157,6 +158,18 @@
     assert len(gateway.received) == 1
 
 
+async def test_streams_of_an_account_use_up_no_share_of_its_plain_requests(start):
+    # One of 68 members has sent a thirtieth of the quota, in one long prompt.
+    gateway = await start(
+        plain=[Script(respond())], table=routing_table(rate_per_s=1_000.0)
+    )
+    members = gateway.state.member_list
+    for number in range(67):
+        members.record_heartbeat(heartbeat(f"other-{number}"), gateway.state.clock())
+    gateway.state.own_usage.charge("acme", 300, gateway.state.clock())
+    assert (await gateway.call("/unsafe/x")).status == 200
+
+
 def respond_after_abandonment(gateway_of, behaviour=respond(b"late")):
     """Respond only once the attempt would have been abandoned."""
 
