--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
@@ -1,25 +1,15 @@
 """Load model of one model engine: runs in flight, speed and prefix cache.
 
 The load that engines report is stale by the time it arrives, so the model is built only
-from the requests that were sent and from their responses.
+from the requests that were sent and from their responses. `engine_speed.py` learns the
+times that the predictions rest on.
 """
 
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-# Milliseconds to prefill one prompt token on an engine of nominal speed. The platform
-# states 125 tokens per millisecond; the speed of each engine is relative to this.
-PREFILL_MS_PER_TOKEN = 1 / 125
-# Milliseconds that prefill takes in addition per million pairs of tokens of one prompt.
-PREFILL_MS_PER_MILLION_PAIRS = 0.263
-# Milliseconds to the first event on an idle engine, excluding the prefill.
-FIRST_EVENT_BASE_MS = 70.0
-# Milliseconds of one decoding step at a half full batch, as the platform states.
-STEP_MS = 3.9
-# Prompt tokens that an engine prefills between two decoding steps of other requests.
-CHUNK_TOKENS = 2048
-# Weight of a new measurement in the moving average of the speed.
-SPEED_EWMA_WEIGHT = 0.25
+from burdockhaven_core.scheduling.engine_speed import ServiceSpeed
+
 # Weight of a new outcome in the moving average of the failure rate.
 FAILURE_EWMA_WEIGHT = 0.15
 # An engine counts as stalled when a first event takes longer than the predicted time
@@ -52,6 +42,10 @@
     # Predicted milliseconds from the grant to the first event.
     predicted_ms: float
     first_event_seen: bool = False
+    # Whether no other prompt was in prefill at the engine when this run was granted.
+    is_prefilled_alone: bool = False
+    # Tokens of the longest prompt that the engine was sent after this run.
+    prefilled_beside_tokens: int = 0
     # Empty for a run that is known only from a member's report.
     route: str = ""
 
@@ -66,12 +60,9 @@
 
     target: str
     slots: int
-    tokens_per_event: int
     cache_tokens: int
-    # Time of a decoding step relative to an engine of nominal speed.
-    slowness: float = 1.0
-    # Whether `slowness` was measured rather than assumed.
-    is_speed_measured: bool = False
+    # Shared by the engines of the service.
+    speed: ServiceSpeed
     # Moving average of the share of runs that failed.
     failure_rate: float = 0.0
     # Consecutive failures to connect to the engine.
@@ -84,13 +75,19 @@
     cached_parts: OrderedDict[str, int] = field(default_factory=OrderedDict)
     cached_part_tokens: int = 0
 
+    @property
+    def slowness(self) -> float:
+        """Time of a decoding step relative to an engine of nominal speed."""
+        return self.speed.slowness(self.target)
+
+    @property
+    def is_speed_measured(self) -> bool:
+        """Whether the slowness was measured rather than assumed."""
+        return self.speed.is_measured(self.target)
+
     def prefill_ms(self, tokens: int) -> float:
         """Return the milliseconds to prefill one prompt on an otherwise idle engine."""
-        million_pairs = tokens * tokens / 2e6
-        nominal_ms = (
-            tokens * PREFILL_MS_PER_TOKEN + million_pairs * PREFILL_MS_PER_MILLION_PAIRS
-        )
-        return nominal_ms * self.slowness
+        return self.speed.prefill_ms(tokens) * self.slowness
 
     def prefill_tokens(
         self, parts: tuple[tuple[str, int], ...], prompt_tokens: int
@@ -125,14 +122,13 @@
 
     def first_event_ms(self, prefill_tokens: int, now: float) -> float:
         """Predict the milliseconds to the first event of a new request."""
-        prefill_ms = self.backlog_ms(now) + self.prefill_ms(prefill_tokens)
-        return FIRST_EVENT_BASE_MS * self.slowness + prefill_ms
+        alone_ms = self.speed.first_event.predict_ms(prefill_tokens)
+        return self.backlog_ms(now) + alone_ms * self.slowness
 
     def pause_ms(self, prefill_tokens: int, now: float) -> float:
         """Predict the longest pause that a new prompt causes in other streams."""
-        steps = self.tokens_per_event
-        tokens = min(self.backlog_tokens(now) + prefill_tokens, steps * CHUNK_TOKENS)
-        return self.slowness * (tokens * PREFILL_MS_PER_TOKEN + steps * STEP_MS)
+        tokens = self.backlog_tokens(now) + prefill_tokens
+        return self.speed.pause_ms(tokens) * self.slowness
 
     def is_stalled(self, now: float) -> bool:
         """Whether a first event is overdue and no other run has progressed since.
@@ -150,7 +146,7 @@
 
     def decode_ms(self, output_tokens: int) -> float:
         """Predict the milliseconds from the first event to the end of a response."""
-        return output_tokens * STEP_MS * self.slowness
+        return output_tokens * self.speed.nominal_step_ms * self.slowness
 
     def is_available(self, now: float) -> bool:
         """Whether the engine can accept a request now."""
@@ -166,6 +162,13 @@
 
     def add_run(self, run: Run, parts: tuple[tuple[str, int], ...]) -> None:
         """Add a run and cache its prompt parts, evicting the least recently used."""
+        run.is_prefilled_alone = not any(
+            not other.first_event_seen for other in self.runs.values()
+        )
+        for other in self.runs.values():
+            other.prefilled_beside_tokens = max(
+                other.prefilled_beside_tokens, run.prefill_tokens
+            )
         self.runs[run.sender, run.incarnation, run.number] = run
         for part, tokens in parts:
             if part in self.cached_parts:
@@ -179,14 +182,23 @@
         ):
             self.cached_part_tokens -= self.cached_parts.popitem(last=False)[1]
 
-    def record_pause(self, pause_ms: float) -> None:
-        """Update the speed from a pause between events that no prefill lengthened."""
-        observed = pause_ms / (self.tokens_per_event * STEP_MS)
-        if not self.is_speed_measured:
-            self.slowness, self.is_speed_measured = observed, True
-        else:
-            self.slowness += SPEED_EWMA_WEIGHT * (observed - self.slowness)
-        self.slowness = min(20.0, max(0.2, self.slowness))
+    def record_first_event(self, run: Run, first_event_ms: float) -> None:
+        """Learn from the time between sending a run and its first event."""
+        if run.is_prefilled_alone and first_event_ms:
+            self.speed.record_first_event(
+                self.target, run.prefill_tokens, first_event_ms
+            )
+
+    def record_pauses(
+        self, run: Run, typical_pause_ms: float, longest_pause_ms: float
+    ) -> None:
+        """Learn from the pauses between the events of a run; 0 if there were none."""
+        if typical_pause_ms:
+            self.speed.record_pause(self.target, typical_pause_ms)
+        if longest_pause_ms:
+            self.speed.record_prefill_pause(
+                self.target, run.prefilled_beside_tokens, longest_pause_ms
+            )
 
     def record_progress(self, now: float) -> None:
         """Record that a run produced its first event or completed."""
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
@@ -133,8 +133,9 @@
     end: RunEnd | None = None
     # Milliseconds from the send to the first event; 0 if none came.
     first_event_ms: int = 0
-    # Lower quartile of the pauses between events in 0.1 ms; 0 if unknown.
+    # Lower quartile and maximum of the pauses between events in 0.1 ms; 0 if unknown.
     pause_tenth_ms: int = 0
+    longest_pause_tenth_ms: int = 0
 
 
 class RunProgress(msgspec.Struct, frozen=True, array_like=True, tag=4):
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable, Mapping
 
 from burdockhaven_core.scheduling.engine_load import EngineLoad, Run
+from burdockhaven_core.scheduling.engine_speed import ServiceSpeed
 from burdockhaven_core.scheduling.peer_messages import (
     MemberId,
     RunEnd,
@@ -40,6 +41,8 @@
     def __init__(self, costs: RouteCosts) -> None:
         self.costs = costs
         self.engines: dict[str, EngineLoad] = {}
+        # Learned times, by service.
+        self.speeds: dict[str, ServiceSpeed] = {}
         # Engines that accept new requests, by service.
         self.open_by_service: dict[str, list[EngineLoad]] = {}
         # host:port by target.
@@ -64,6 +67,8 @@
             engine = self._engine(entry, table)
             if not entry.draining and entry.id not in leaving:
                 self.open_by_service.setdefault(entry.service, []).append(engine)
+        for speed in self.speeds.values():
+            speed.retain(set(entries))
 
     def open_engines(self, service: str) -> list[EngineLoad]:
         """Return the engines of a service that accept new requests."""
@@ -86,7 +91,7 @@
         if engine is None:
             self.granted.pop(key, None)
         elif update.end is None:
-            self._apply_first_event(engine, key, now)
+            self._apply_first_event(engine, key, update, now)
         else:
             self._apply_end(engine, key, update, now)
 
@@ -138,21 +143,23 @@
         limits = service.engine if service else None
         cache_tokens = limits.cache_tokens if limits else DEFAULT_CACHE_TOKENS
         per_event = limits.tokens_per_event if limits else DEFAULT_TOKENS_PER_EVENT
+        speed = self.speeds.setdefault(entry.service, ServiceSpeed())
         engine = self.engines.get(entry.id)
         if engine is None:
-            engine = EngineLoad(entry.id, entry.slots, per_event, cache_tokens)
+            engine = EngineLoad(entry.id, entry.slots, cache_tokens, speed)
             self.engines[entry.id] = engine
         # A target may be known before the configuration that describes its service.
-        engine.tokens_per_event = per_event
+        speed.tokens_per_event = per_event
         engine.cache_tokens = cache_tokens
         return engine
 
     def _apply_first_event(
-        self, engine: EngineLoad, key: RequestKey, now: float
+        self, engine: EngineLoad, key: RequestKey, update: RunUpdate, now: float
     ) -> None:
         run = engine.runs.get(key)
-        if run is not None:
+        if run is not None and not run.first_event_seen:
             run.first_event_seen = True
+            engine.record_first_event(run, update.first_event_ms)
             engine.record_progress(now)
 
     def _apply_end(
@@ -162,8 +169,10 @@
         self.release(key)
         if run is not None and run.route and update.end is RunEnd.COMPLETED:
             self.costs.record_run(run.route, now - run.granted_s, engine.slowness)
-        if update.pause_tenth_ms:
-            engine.record_pause(update.pause_tenth_ms / 10)
+        if run is not None:
+            engine.record_pauses(
+                run, update.pause_tenth_ms / 10, update.longest_pause_tenth_ms / 10
+            )
         if update.end is RunEnd.COMPLETED:
             engine.record_progress(now)
             engine.record_success()
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
@@ -24,11 +24,11 @@
 
 # Fraction of the platform's quota slack that is used while the usage of all members is
 # known; the rest covers brokers that overlap and heartbeats under way.
-QUOTA_SLACK_FRACTION = 0.5
+QUOTA_SLACK_FRACTION = 0.4
 # The same while some members can't be heard and may serve another part of a partition.
 PARTIAL_VIEW_SLACK_FRACTION = 0.15
 # Fraction of the slack that clients may use at once after all members have ended.
-RECOVERY_SLACK_FRACTION = 0.5
+RECOVERY_SLACK_FRACTION = 0.25
 
 
 @dataclass(slots=True)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
@@ -165,11 +165,17 @@
             first_ms = int((self.clock() - run.sent_s) * 1e3)
             self.pending_updates.append(RunUpdate(number, None, first_ms))
 
-    def record_end(self, number: int, end: RunEnd, pause_s: float = 0.0) -> None:
-        """Record how a run ended."""
+    def record_end(
+        self,
+        number: int,
+        end: RunEnd,
+        typical_pause_s: float = 0.0,
+        longest_pause_s: float = 0.0,
+    ) -> None:
+        """Record how a run ended, and the pauses between its events."""
         if self.runs.pop(number, None) is not None:
-            pause = min(65_535, int(pause_s * 1e4))
-            self.pending_updates.append(RunUpdate(number, end, 0, pause))
+            pauses = (int(pause * 1e4) for pause in (typical_pause_s, longest_pause_s))
+            self.pending_updates.append(RunUpdate(number, end, 0, *pauses))
 
     def flush_progress(self) -> None:
         """Send the pending run updates to the broker in one message."""
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -217,7 +217,10 @@
             return result
         finally:
             self.placement_client.record_end(
-                placement.number, end, _lower_quartile(stream.pauses_s)
+                placement.number,
+                end,
+                _lower_quartile(stream.pauses_s),
+                max(stream.pauses_s, default=0.0),
             )
 
     async def _relay_response(
--- a/tools/burdockhaven_standins/step_engine.py
+++ b/tools/burdockhaven_standins/step_engine.py
@@ -13,15 +13,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-# Minimum milliseconds from admission to the first token, however short the prefill is.
-FIRST_EVENT_MS = 62.0
-
 
 @dataclass(frozen=True, slots=True)
 class StepEngineConfig:
     """Speed and size of an engine."""
 
     slots: int = 12
+    # Minimum milliseconds from admission to the first token, however short the prompt.
+    first_event_ms: float = 62.0
     step_ms: float = 3.27
     # Milliseconds that each running request adds to a step.
     step_ms_per_run: float = 0.0823
@@ -186,7 +185,7 @@
             self.waiting.appendleft(newest)
 
     def _generate(self, run: StepRun, now: float) -> None:
-        first_ms = FIRST_EVENT_MS * self.config.slowness
+        first_ms = self.config.first_event_ms * self.config.slowness
         if run.generated_tokens == 0 and (now - run.admitted_s) * 1e3 < first_ms:
             return
         run.generated_tokens += 1
