Placement counts prefill and zones; sockets listen before the imports

Hypothesis: a prompt that is read again costs the whole batch of its engine; a request in another zone costs bytes. Change: prefill time weighs 3 of the objective, occupancy counts squared (sessions stay together while engines have room), another zone counts 0.1.

Quotas: the tolerance is spent only while nobody waits.

Change: settings are read and sockets listen first (the platform package imports its names lazily); the front accepts once configuration and targets are read, 0.8 s at most.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -98,7 +98,9 @@
             return PlacementReply(request.number, Verdict.QUEUED)
         account = self.accounts.get(request.account)
         cost = quota_cost(account, request.prompt_tokens, request.output_tokens)
-        if account is not None and not self.quotas.admits(account, cost, now):
+        if account is not None and not self.quotas.admits(
+            account, cost, now, others_wait=self._has_queue(request.service)
+        ):
             wait_s = self.quotas.retry_after_s(account, cost, now)
             return _refusal(request, Verdict.OVER_QUOTA, wait_s)
         was_refused = request.digest != 0 and self.recent_refusals.consume(
@@ -207,6 +209,9 @@
         self.queue[key] = queued
         return PlacementReply(request.number, Verdict.QUEUED)
 
+    def _has_queue(self, service: str) -> bool:
+        return any(queued.request.service == service for queued in self.queue.values())
+
     def _ahead_of(self, queued: QueuedRequest, now: float) -> list[QueuedRequest]:
         order = queued.sort_key(self.costs, now)
         return [
@@ -279,6 +284,7 @@
         excluded=request.excluded,
         deadline_left_ms=(queued.deadline_s - now) * 1e3,
         output_tokens=request.expected_tokens or request.output_tokens,
+        zone=request.zone,
     )
     return place(constraints, engines, now)
 
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
@@ -63,6 +63,8 @@
     cache_tokens: int
     # Shared by the engines of the service.
     speed: ServiceSpeed
+    # Availability zone; empty if unknown.
+    zone: str = ""
     # Moving average of the share of runs that failed.
     failure_rate: float = 0.0
     # Consecutive failures to connect to the engine.
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
@@ -76,6 +76,8 @@
     digest: int = 0
     # Number of tokens that the client expects of the response; 0 if not stated.
     expected_tokens: int = 0
+    # Availability zone of the sender.
+    zone: str = ""
 
 
 class Verdict(enum.IntEnum):
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/placement.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/placement.py
@@ -12,6 +12,10 @@
 PAUSE_FRACTION = 0.9
 # Cost of a first event that takes the full latency objective; a full batch costs 1.
 FIRST_EVENT_WEIGHT = 0.6
+# Cost of a prefill that takes the full latency objective; it pauses the whole batch.
+PREFILL_WEIGHT = 3.0
+# Cost of an engine in another availability zone than the member that sends the request.
+ZONE_WEIGHT = 0.1
 # Cost of each multiple of the nominal step time; keeps slow engines in reserve until
 # the fast ones fill up.
 SLOWNESS_WEIGHT = 0.05
@@ -38,6 +42,8 @@
     deadline_left_ms: float = float("inf")
     # Expected tokens of the response.
     output_tokens: int = 0
+    # Availability zone of the member that sends the request; empty if unknown.
+    zone: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,8 +111,11 @@
     objective_ms = max(200.0, constraints.objective_left_ms)
     occupancy = len(engine.runs) / max(1, engine.slots)
     return (
-        occupancy
+        # The square keeps requests of one session together while engines have room.
+        occupancy**2
         + FIRST_EVENT_WEIGHT * found.first_event_ms / objective_ms
+        + PREFILL_WEIGHT * engine.prefill_ms(found.prefill_tokens) / objective_ms
+        + ZONE_WEIGHT * (engine.zone != constraints.zone)
         + SLOWNESS_WEIGHT * (engine.slowness - 1.0)
         + FAILURE_COST_WEIGHT * engine.failure_rate
     )
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/quotas.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/quotas.py
@@ -12,10 +12,10 @@
 
     # Seconds over which usage is counted.
     window_s: float
-    # Units allowed beyond an account's quota, for all members together, while each
-    # member's usage is known, and while some of it may be unknown.
+    # Units allowed beyond an account's quota, for all members together: at most, and
+    # while some members' usage may be unknown or other requests wait.
     slack: float
-    partial_view_slack: float = 0.0
+    min_slack: float = 0.0
     # Units allowed in addition while the usage of ended members is unknown.
     recovery_slack: float = 0.0
 
@@ -30,7 +30,7 @@
     def allowance(self, account: Account, share: float = 1.0) -> float:
         """Return the units per window that a member may admit on its own."""
         limit = account.rate_per_s * self.rule.window_s + account.burst
-        return share * (limit + self.rule.partial_view_slack)
+        return share * (limit + self.rule.min_slack)
 
     def admits(
         self, account: Account, cost: float, now: float, share: float = 1.0
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
@@ -146,7 +146,7 @@
         speed = self.speeds.setdefault(entry.service, ServiceSpeed())
         engine = self.engines.get(entry.id)
         if engine is None:
-            engine = EngineLoad(entry.id, entry.slots, cache_tokens, speed)
+            engine = EngineLoad(entry.id, entry.slots, cache_tokens, speed, entry.zone)
             self.engines[entry.id] = engine
         # A target may be known before the configuration that describes its service.
         speed.tokens_per_event = per_event
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/shared_quotas.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/shared_quotas.py
@@ -86,11 +86,23 @@
         """Return the units that the account may use per window, without slack."""
         return account.rate_per_s * self.rule.window_s + account.burst
 
-    def admits(self, account: Account, units: float, now: float) -> bool:
-        """Whether a request of this many units stays within the quota."""
+    def admits(
+        self,
+        account: Account,
+        units: float,
+        now: float,
+        *,
+        others_wait: bool = False,
+    ) -> bool:
+        """Whether a request of this many units stays within the quota.
+
+        While other requests wait, less is allowed beyond the quota, because it would be
+        served at their expense.
+        """
         if account.rate_per_s <= 0:
             return True
-        allowed = self.share * (self.limit(account) + self._slack(now))
+        slack = self.rule.min_slack if others_wait else self._slack(now)
+        allowed = self.share * (self.limit(account) + slack)
         return self.used(account, now) + units <= allowed
 
     def retry_after_s(self, account: Account, units: float, now: float) -> float:
@@ -111,7 +123,7 @@
         has_settled = since_s is None or now - since_s >= self.rule.window_s
         if self.is_usage_complete and has_settled:
             return self.rule.slack
-        return self.rule.partial_view_slack
+        return self.rule.min_slack
 
     def _is_reported(self, grant: _Grant) -> bool:
         """Whether the usage that the requesting member published contains a grant."""
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -5,8 +5,9 @@
 import gc
 import random
 import signal
+import socket
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from typing import Any
 
 import aiohttp
@@ -68,8 +69,9 @@
 STOP_MARGIN_S = 0.5
 # Seconds between two checks for pending responses during a drain.
 DRAIN_POLL_INTERVAL_S = 0.02
-# Maximum number of connections waiting to be accepted.
-LISTEN_BACKLOG = 1024
+# Longest time in seconds that clients wait after a start until the configuration and
+# the targets are read; then their requests are answered with 503.
+FIRST_SYNC_TIMEOUT_S = 0.8
 # Seconds between two checks for request heads that exceed the header timeout.
 HEADER_TIMEOUT_CHECK_INTERVAL_S = 0.5
 INCARNATION_BITS = 48
@@ -78,8 +80,12 @@
 class GatewayDaemon:
     """All parts of one gateway process."""
 
-    def __init__(self, state: GatewayState) -> None:
+    def __init__(
+        self, state: GatewayState, sockets: Mapping[str, socket.socket]
+    ) -> None:
         self.state = state
+        # Listening sockets by address.
+        self.sockets = sockets
         settings = state.settings
         self.timer = TimerService(state.clock, state.rng)
         self.store = PlatformStore.from_address(settings.store_address)
@@ -94,6 +100,7 @@
             own_heartbeat=state.heartbeat,
             send=lambda node, message: self.membership.send(node, message),
             clock=state.clock,
+            zone=state.settings.zone,
         )
         self.membership = Membership(
             state,
@@ -118,9 +125,15 @@
 
     @classmethod
     def from_settings(
-        cls, settings: PlatformSettings, clock: Callable[[], float]
+        cls,
+        settings: PlatformSettings,
+        sockets: Mapping[str, socket.socket],
+        clock: Callable[[], float],
     ) -> "GatewayDaemon":
-        """Create a daemon without open sockets; requires a running event loop."""
+        """Create a daemon that serves listening sockets, given by address.
+
+        Requires a running event loop.
+        """
         rng = random.SystemRandom()
         started_ms = int(time.time() * 1e3)
         incarnation = rng.getrandbits(INCARNATION_BITS)
@@ -129,7 +142,7 @@
         state = GatewayState.from_settings(
             settings, incarnation, started_ms, clock, random.Random(incarnation)
         )
-        return cls(state)
+        return cls(state, sockets)
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then drain and close."""
@@ -237,21 +250,27 @@
                 self.membership.probe_member_entries(result.unwrap().items)
 
     async def _listen(self) -> None:
-        loop = asyncio.get_running_loop()
         settings = self.state.settings
-        bindings = (
-            (self.control_server, settings.readiness_address),
-            (self.control_server, settings.control_address),
-            (self.control_server, settings.directory_address),
-            (self.frontend_server, settings.front_address),
-        )
-        for server, address in bindings:
-            host, _, port = address.rpartition(":")
-            listener = await loop.create_server(
-                server, host, int(port), backlog=LISTEN_BACKLOG
-            )
-            self.listeners.append(listener)
+        for address in (
+            settings.readiness_address,
+            settings.control_address,
+            settings.directory_address,
+        ):
+            await self._serve(self.control_server, address)
         await self._listen_for_metrics()
+        await self._wait_for_first_sync()
+        await self._serve(self.frontend_server, settings.front_address)
+
+    async def _serve(self, server: ClientServer, address: str) -> None:
+        loop = asyncio.get_running_loop()
+        listener = await loop.create_server(server, sock=self.sockets[address])
+        self.listeners.append(listener)
+
+    async def _wait_for_first_sync(self) -> None:
+        """Wait until requests can be routed; clients wait in the backlog meanwhile."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_SYNC_TIMEOUT_S):
+                await self.store_handlers.first_sync.wait()
 
     async def _listen_for_metrics(self) -> None:
         """Serve metrics if the port is free; requests do not depend on it."""
@@ -333,11 +352,13 @@
         log(EventNumber.BAD_PEER_MESSAGE, peer=peer, detail=detail)
 
 
-def run_gateway(settings: PlatformSettings) -> None:
-    """Run a gateway process until it is stopped."""
+def run_gateway(
+    settings: PlatformSettings, sockets: Mapping[str, socket.socket]
+) -> None:
+    """Run a gateway process on listening sockets until it is stopped."""
 
     async def main() -> None:
-        daemon = GatewayDaemon.from_settings(settings, time.monotonic)
+        daemon = GatewayDaemon.from_settings(settings, sockets, time.monotonic)
         await daemon.run()
 
     with contextlib.suppress(KeyboardInterrupt):
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
@@ -25,8 +25,9 @@
 # Fraction of the platform's quota slack that is used while the usage of all members is
 # known; the rest covers brokers that overlap and heartbeats under way.
 QUOTA_SLACK_FRACTION = 0.4
-# The same while some members can't be heard and may serve another part of a partition.
-PARTIAL_VIEW_SLACK_FRACTION = 0.15
+# The same while other requests wait, or while some members can't be heard and may serve
+# another part of a partition.
+MIN_SLACK_FRACTION = 0.15
 # Fraction of the slack that clients may use at once after all members have ended.
 RECOVERY_SLACK_FRACTION = 0.25
 
@@ -74,7 +75,7 @@
         rule = QuotaRule(
             settings.quota_window_s,
             slack=settings.quota_slack * QUOTA_SLACK_FRACTION,
-            partial_view_slack=settings.quota_slack * PARTIAL_VIEW_SLACK_FRACTION,
+            min_slack=settings.quota_slack * MIN_SLACK_FRACTION,
             recovery_slack=settings.quota_slack * RECOVERY_SLACK_FRACTION,
         )
         retry_rule = RetryRule(
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
@@ -128,6 +128,8 @@
     send: SendMessage
     # Returns monotonic seconds.
     clock: Callable[[], float]
+    # Availability zone of this process; empty if unknown.
+    zone: str = ""
     pending: dict[int, _PendingPlacement] = field(default_factory=dict)
     runs: dict[int, LocalRun] = field(default_factory=dict)
     pending_updates: list[RunUpdate] = field(default_factory=list)
@@ -312,6 +314,7 @@
             is_retry=requirements.is_retry,
             digest=requirements.digest,
             expected_tokens=requirements.expected_tokens,
+            zone=self.zone,
         )
         if node == self.member_id.node:
             self.on_reply(self.broker.submit(request, now), node)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_event_handlers.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_event_handlers.py
@@ -1,6 +1,7 @@
 """Applies the store's configuration and target entries to the state of this process."""
 
-from dataclasses import dataclass
+import asyncio
+from dataclasses import dataclass, field
 
 from burdockhaven_core.key_value_failure import KeyValueFailure
 from burdockhaven_core.log_numbers import EventNumber
@@ -35,6 +36,8 @@
     """Handlers for the prefixes of the configuration and of the target entries."""
 
     state: GatewayState
+    # Set once a configuration is in force and the targets are read.
+    first_sync: asyncio.Event = field(default_factory=asyncio.Event)
 
     def for_all_prefixes(self) -> tuple[PrefixHandlers, ...]:
         """Return the handlers of each watched prefix."""
@@ -83,6 +86,11 @@
         if self.state.apply_table(table, data):
             self.state.publish_targets()
             log(EventNumber.CONFIGURATION_IN_FORCE, version=table.version)
+            self._announce_first_sync()
+
+    def _announce_first_sync(self) -> None:
+        if self.state.table is not None and self.state.in_sync:
+            self.first_sync.set()
 
     def _on_configuration_snapshot(self, items: tuple[StoreItem, ...]) -> None:
         for item in items:
@@ -97,6 +105,7 @@
         self.state.in_sync = True
         self.state.registry.replace(entries, self.state.clock())
         self.state.publish_targets()
+        self._announce_first_sync()
 
     def _on_target_change(self, item: StoreItem) -> None:
         registry = self.state.registry
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/main.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/main.py
@@ -1,17 +1,11 @@
 """Command line of the daemon: parse options, read settings and run."""
 
 import argparse
-import asyncio
 import os
 import sys
+from collections.abc import Iterable
 from pathlib import Path
 
-from result import Err
-
-from burdockhaven_core.log_numbers import EventNumber
-from burdockhaven_entry.log_events import configure_logging, log
-from burdockhaven_entry.non_blocking_output import NonBlockingOutput
-
 EXIT_OK = 0
 EXIT_INVALID_SETTINGS = 2
 # Nothing on the platform uses TLS. Without these variables, the HTTP library loads all
@@ -37,37 +31,59 @@
     scarce on the platform's VMs.
     """
     os.environ.update(NO_CERTIFICATES_ENVIRONMENT)
+    from burdockhaven_entry.listening_sockets import open_listening_sockets
     from burdockhaven_entry.platform import (
         SETTINGS_VARIABLE,
         SettingsError,
         read_settings,
     )
 
-    configure_logging("json", "info", NonBlockingOutput(sys.stdout.fileno()))
     path = options.config or Path(os.environ.get(SETTINGS_VARIABLE, ""))
     try:
         settings = read_settings(path.read_text())
     except SettingsError as error:
-        for fault in error.faults:
-            log(EventNumber.SETTINGS_FAULT, fault=f"{path}: {fault}")
-        return EXIT_INVALID_SETTINGS
+        return _report_faults(path, error.faults)
     except OSError as error:
-        log(EventNumber.SETTINGS_FAULT, fault=f"{path}: {error}")
-        return EXIT_INVALID_SETTINGS
+        return _report_faults(path, [str(error)])
     if options.check:
         print(f"{path}: the settings of VM {settings.node} are valid")
         return EXIT_OK
+    sockets = open_listening_sockets(settings.listen_addresses)
+    _configure_platform_logging()
     from burdockhaven_entry.gateway.gateway_daemon import run_gateway
 
-    run_gateway(settings)
+    run_gateway(settings, sockets)
     return EXIT_OK
 
 
+def _report_faults(path: Path, faults: Iterable[str]) -> int:
+    """Log the faults of a settings file on the platform; return the exit code."""
+    from burdockhaven_core.log_numbers import EventNumber
+    from burdockhaven_entry.log_events import log
+
+    _configure_platform_logging()
+    for fault in faults:
+        log(EventNumber.SETTINGS_FAULT, fault=f"{path}: {fault}")
+    return EXIT_INVALID_SETTINGS
+
+
+def _configure_platform_logging() -> None:
+    from burdockhaven_entry.log_events import configure_logging
+    from burdockhaven_entry.non_blocking_output import NonBlockingOutput
+
+    configure_logging("json", "info", NonBlockingOutput(sys.stdout.fileno()))
+
+
 def _run_standalone(options: argparse.Namespace) -> int:
     """Run standalone, with the product's own interfaces and settings."""
+    import asyncio
+
     import uvloop
+    from result import Err
 
+    from burdockhaven_core.log_numbers import EventNumber
     from burdockhaven_entry.daemon import Daemon
+    from burdockhaven_entry.log_events import configure_logging, log
     from burdockhaven_entry.settings import EntrySettings
 
     async def run() -> None:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/__init__.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/__init__.py
@@ -4,48 +4,52 @@
 types, which a test enforces.
 """
 
-from burdockhaven_entry.platform.client_request import (
-    ClientRequest,
-    MalformedRequestError,
-    read_client_request,
-    target_headers,
-)
-from burdockhaven_entry.platform.configuration import (
-    ConfigurationError,
-    read_configuration,
-)
-from burdockhaven_entry.platform.look_up import (
-    LOOK_UP_PATH,
-    READINESS_PATH,
-    encode_look_up,
-)
-from burdockhaven_entry.platform.response_headers import (
-    TargetResponseHead,
-    client_headers,
-    read_response_head,
-    refusal_headers,
-)
-from burdockhaven_entry.platform.settings import (
-    SETTINGS_VARIABLE,
-    PlatformSettings,
-    SettingsError,
-    read_settings,
-)
-from burdockhaven_entry.platform.store import (
-    ChangeBatch,
-    PlatformStore,
-    StoreItem,
-)
-from burdockhaven_entry.platform.store_keys import (
-    CONFIGURATION_KEY,
-    CONFIGURATION_PREFIX,
-    MEMBERS_PREFIX,
-    TARGETS_PREFIX,
-)
-from burdockhaven_entry.platform.target_entry import (
-    TargetEntryError,
-    read_target_entry,
-)
+import importlib
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from burdockhaven_entry.platform.client_request import (
+        ClientRequest,
+        MalformedRequestError,
+        read_client_request,
+        target_headers,
+    )
+    from burdockhaven_entry.platform.configuration import (
+        ConfigurationError,
+        read_configuration,
+    )
+    from burdockhaven_entry.platform.look_up import (
+        LOOK_UP_PATH,
+        READINESS_PATH,
+        encode_look_up,
+    )
+    from burdockhaven_entry.platform.response_headers import (
+        TargetResponseHead,
+        client_headers,
+        read_response_head,
+        refusal_headers,
+    )
+    from burdockhaven_entry.platform.settings import (
+        SETTINGS_VARIABLE,
+        PlatformSettings,
+        SettingsError,
+        read_settings,
+    )
+    from burdockhaven_entry.platform.store import (
+        ChangeBatch,
+        PlatformStore,
+        StoreItem,
+    )
+    from burdockhaven_entry.platform.store_keys import (
+        CONFIGURATION_KEY,
+        CONFIGURATION_PREFIX,
+        MEMBERS_PREFIX,
+        TARGETS_PREFIX,
+    )
+    from burdockhaven_entry.platform.target_entry import (
+        TargetEntryError,
+        read_target_entry,
+    )
 
 __all__ = [
     "CONFIGURATION_KEY",
@@ -75,3 +79,41 @@
     "refusal_headers",
     "target_headers",
 ]
+
+# Module of each public name. Names are imported lazily, on first access, so that a
+# start reads its settings and opens its sockets before it imports the HTTP library.
+_MODULES = {
+    "CONFIGURATION_KEY": "burdockhaven_entry.platform.store_keys",
+    "CONFIGURATION_PREFIX": "burdockhaven_entry.platform.store_keys",
+    "ChangeBatch": "burdockhaven_entry.platform.store",
+    "ClientRequest": "burdockhaven_entry.platform.client_request",
+    "ConfigurationError": "burdockhaven_entry.platform.configuration",
+    "LOOK_UP_PATH": "burdockhaven_entry.platform.look_up",
+    "MEMBERS_PREFIX": "burdockhaven_entry.platform.store_keys",
+    "MalformedRequestError": "burdockhaven_entry.platform.client_request",
+    "PlatformSettings": "burdockhaven_entry.platform.settings",
+    "PlatformStore": "burdockhaven_entry.platform.store",
+    "READINESS_PATH": "burdockhaven_entry.platform.look_up",
+    "SETTINGS_VARIABLE": "burdockhaven_entry.platform.settings",
+    "SettingsError": "burdockhaven_entry.platform.settings",
+    "StoreItem": "burdockhaven_entry.platform.store",
+    "TARGETS_PREFIX": "burdockhaven_entry.platform.store_keys",
+    "TargetEntryError": "burdockhaven_entry.platform.target_entry",
+    "TargetResponseHead": "burdockhaven_entry.platform.response_headers",
+    "client_headers": "burdockhaven_entry.platform.response_headers",
+    "encode_look_up": "burdockhaven_entry.platform.look_up",
+    "read_client_request": "burdockhaven_entry.platform.client_request",
+    "read_configuration": "burdockhaven_entry.platform.configuration",
+    "read_response_head": "burdockhaven_entry.platform.response_headers",
+    "read_settings": "burdockhaven_entry.platform.settings",
+    "read_target_entry": "burdockhaven_entry.platform.target_entry",
+    "refusal_headers": "burdockhaven_entry.platform.response_headers",
+    "target_headers": "burdockhaven_entry.platform.client_request",
+}
+
+
+def __getattr__(name: str) -> Any:
+    """Import a public name on first access."""
+    if name not in _MODULES:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(importlib.import_module(_MODULES[name]), name)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/settings.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/settings.py
@@ -54,6 +54,16 @@
     # Maximum time in seconds for which a client caches a look-up.
     look_up_ttl_max_s: float
 
+    @property
+    def listen_addresses(self) -> tuple[str, ...]:
+        """TCP addresses at which the process serves clients and members."""
+        return (
+            self.readiness_address,
+            self.control_address,
+            self.directory_address,
+            self.front_address,
+        )
+
 
 class _Listen(msgspec.Struct):
     front: Address
--- a/tools/burdockhaven_bench/deployments.py
+++ b/tools/burdockhaven_bench/deployments.py
@@ -1,5 +1,6 @@
 """Deployments for the simulation of placement decisions: given ones and random ones."""
 
+import math
 import random
 from dataclasses import dataclass
 
@@ -131,7 +132,7 @@
     base = StepEngineConfig()
 
     def factor() -> float:
-        return MAX_ENGINE_FACTOR ** rng.uniform(-1.0, 1.0)
+        return math.exp(rng.uniform(-1.0, 1.0) * math.log(MAX_ENGINE_FACTOR))
 
     return StepEngineConfig(
         slots=rng.randint(*SLOTS),
