First event: the base does not scale with slowness; silent engines stay out

Change: only the prefill is scaled.

Cause: when clients of a silent engine gave up, their runs were released and the engine looked idle; test_unresponsive_engines_get_few_requests found it with the new predictions. Change: a cancelled run that had stalled ejects its engine.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -152,11 +152,11 @@
                 work_ahead[request.service] = work_s
         return replies
 
-    def cancel_placement(self, sender: MemberId, number: int) -> None:
+    def cancel_placement(self, sender: MemberId, number: int, now: float) -> None:
         """Drop a request of the sender from the queue, or release its run."""
         key = (sender.node, sender.incarnation, number)
         self.queue.pop(key, None)
-        self.runs.release(key)
+        self.runs.cancel(key, now)
 
     def apply_progress(self, message: RunProgress, now: float) -> None:
         """Apply the first events and ends of runs that a member announces."""
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
@@ -124,8 +124,8 @@
 
     def first_event_ms(self, prefill_tokens: int, now: float) -> float:
         """Predict the milliseconds to the first event of a new request."""
-        alone_ms = self.speed.first_event.predict_ms(prefill_tokens)
-        return self.backlog_ms(now) + alone_ms * self.slowness
+        alone_ms = self.speed.first_event.predict_ms(prefill_tokens, self.slowness)
+        return self.backlog_ms(now) + alone_ms
 
     def pause_ms(self, prefill_tokens: int, now: float) -> float:
         """Predict the longest pause that a new prompt causes in other streams."""
@@ -138,13 +138,14 @@
         A single lost response does not make an engine stalled while its other runs
         progress.
         """
-        for run in self.runs.values():
-            if run.first_event_seen or self.last_progress_s > run.granted_s:
-                continue
-            limit_ms = max(STALL_FACTOR * run.predicted_ms, STALL_MIN_MS)
-            if run.age_ms(now) > limit_ms:
-                return True
-        return False
+        return any(self.is_run_stalled(run, now) for run in self.runs.values())
+
+    def is_run_stalled(self, run: Run, now: float) -> bool:
+        """Whether the first event of this run is overdue without other progress."""
+        if run.first_event_seen or self.last_progress_s > run.granted_s:
+            return False
+        limit_ms = max(STALL_FACTOR * run.predicted_ms, STALL_MIN_MS)
+        return run.age_ms(now) > limit_ms
 
     def decode_ms(self, output_tokens: int) -> float:
         """Predict the milliseconds from the first event to the end of a response."""
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_speed.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_speed.py
@@ -69,7 +69,7 @@
         self, target: str, prefill_tokens: int, measured_ms: float
     ) -> None:
         """Learn from a first event that no other prompt has delayed."""
-        self.first_event.record(prefill_tokens, measured_ms / self.slowness(target))
+        self.first_event.record(prefill_tokens, self.slowness(target), measured_ms)
 
     def record_pause(self, target: str, pause_ms: float) -> None:
         """Learn an engine's step time from a pause that no prefill has lengthened."""
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/first_event_model.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/first_event_model.py
@@ -25,8 +25,10 @@
 class FirstEventModel:
     """Quadratic function of the prompt tokens: base, per token, and per pair of tokens.
 
-    Attention makes the cost of a prompt grow faster than its length. The coefficients
-    are fitted by weighted least squares, and none is negative.
+    Attention makes the cost of a prompt grow faster than its length. The prefill takes
+    longer on a slow engine; the base, which is mostly the way to the engine and back,
+    does not. The coefficients are fitted by weighted least squares, and none is
+    negative.
     """
 
     def __init__(self) -> None:
@@ -39,33 +41,33 @@
         self.products = [[0.0] * 3 for _ in range(3)]
         self.targets = [0.0] * 3
         for tokens in ASSUMED_PROMPT_TOKENS:
-            self._add(tokens, self.predict_ms(tokens), ASSUMED_WEIGHT)
+            self._add(tokens, 1.0, self.predict_ms(tokens), ASSUMED_WEIGHT)
 
-    def predict_ms(self, prefill_tokens: int) -> float:
+    def predict_ms(self, prefill_tokens: int, slowness: float = 1.0) -> float:
         """Return the milliseconds to the first event of a request."""
         return sum(
             coefficient * regressor
             for coefficient, regressor in zip(
-                self.coefficients, _regressors(prefill_tokens), strict=True
+                self.coefficients, _regressors(prefill_tokens, slowness), strict=True
             )
         )
 
     def prefill_ms(self, tokens: int) -> float:
-        """Return the milliseconds to prefill tokens."""
+        """Return the milliseconds to prefill tokens on a nominal engine."""
         return self.predict_ms(tokens) - self.coefficients[0]
 
-    def record(self, prefill_tokens: int, measured_ms: float) -> None:
+    def record(self, prefill_tokens: int, slowness: float, measured_ms: float) -> None:
         """Add a sample and fit the coefficients again."""
-        limit_ms = MAX_OUTLIER_FACTOR * self.predict_ms(prefill_tokens)
+        limit_ms = MAX_OUTLIER_FACTOR * self.predict_ms(prefill_tokens, slowness)
         for row in (*self.products, self.targets):
             row[:] = [value * SAMPLE_RETENTION for value in row]
-        self._add(prefill_tokens, min(measured_ms, limit_ms), 1.0)
+        self._add(prefill_tokens, slowness, min(measured_ms, limit_ms), 1.0)
         self._fit()
 
-    def _add(self, tokens: int, ms: float, weight: float) -> None:
-        regressors = _regressors(tokens)
+    def _add(self, tokens: int, slowness: float, ms: float, weight: float) -> None:
+        regressors = _regressors(tokens, slowness)
         # The deviations grow with the length; otherwise long prompts would dominate.
-        weight /= (1.0 + tokens / LONG_PROMPT_TOKENS) ** 2
+        weight /= (1.0 + tokens * slowness / LONG_PROMPT_TOKENS) ** 2
         for row, first in enumerate(regressors):
             self.targets[row] += weight * first * ms
             for column, second in enumerate(regressors):
@@ -93,9 +95,9 @@
             del terms[smallest]
 
 
-def _regressors(tokens: int) -> Vector:
+def _regressors(tokens: int, slowness: float) -> Vector:
     units = tokens / TOKENS_PER_UNIT
-    return (1.0, units, units * units)
+    return (1.0, slowness * units, slowness * units * units)
 
 
 def _solve(matrix: list[list[float]], targets: list[float]) -> list[float] | None:
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
@@ -102,6 +102,17 @@
         if engine is not None:
             engine.runs.pop(key, None)
 
+    def cancel(self, key: RequestKey, now: float) -> None:
+        """Remove a run that was cancelled; eject its engine if the run had stalled.
+
+        Otherwise a silent engine would look idle once its clients have given up.
+        """
+        engine = self.engines.get(self.granted.get(key, ""))
+        run = engine.runs.get(key) if engine is not None else None
+        if engine is not None and run is not None and engine.is_run_stalled(run, now):
+            engine.eject(now)
+        self.release(key)
+
     def apply_report(
         self, member: MemberId, runs: Iterable[RunState], now: float
     ) -> list[RequestKey]:
@@ -166,6 +177,8 @@
         self, engine: EngineLoad, key: RequestKey, update: RunUpdate, now: float
     ) -> None:
         run = engine.runs.get(key)
+        if update.end is RunEnd.CANCELLED:
+            self.cancel(key, now)
         self.release(key)
         if run is not None and run.route and update.end is RunEnd.COMPLETED:
             self.costs.record_run(run.route, now - run.granted_s, engine.slowness)
--- a/packages/burdockhaven-core/tests/scheduling/test_broker.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_broker.py
@@ -151,7 +151,7 @@
     broker = make_broker(targets=("i-1",), slots=1)
     broker.submit(placement_request(1), 0.0)
     broker.submit(placement_request(2), 0.0)
-    broker.cancel_placement(ME, 1)
+    broker.cancel_placement(ME, 1, 0.1)
     assert [a.reply.number for a in broker.grant_queued(0.1)] == [2]
 
 
@@ -335,3 +335,33 @@
         broker.submit(placement_request(number), now)
         broker.apply_progress(ended(number), now + 0.01 * (number % 7))
     assert len(broker.wait_estimator.arrivals) <= 2
+
+
+def test_silent_engine_stays_out_when_its_clients_give_up():
+    """Without the ejection, each client that gives up would make room for another."""
+    broker = make_broker(targets=("i-1",), slots=1)
+    assert broker.submit(placement_request(1), 0.0).verdict is Verdict.GRANTED
+    broker.cancel_placement(ME, 1, 2.4)
+    assert broker.submit(placement_request(2), 2.4).verdict is Verdict.QUEUED
+
+
+def test_engine_of_a_client_that_leaves_early_stays_in():
+    broker = make_broker(targets=("i-1",), slots=1)
+    broker.submit(placement_request(1), 0.0)
+    broker.cancel_placement(ME, 1, 0.1)
+    assert broker.submit(placement_request(2), 0.1).verdict is Verdict.GRANTED
+
+
+def test_account_beyond_its_quota_is_refused_while_others_wait():
+    limited = account("acme", rate_per_s=100.0, burst=200.0)
+    rule = QuotaRule(8.0, slack=500.0, min_slack=0.0)
+    broker = Broker(rule)
+    broker.set_table(table(accounts=(limited,), slots=1))
+    broker.set_targets({"i-1": target("i-1", slots=1)}, set())
+    broker.quotas.is_usage_complete = True
+    within = {"account": "acme", "prompt_tokens": 1_000, "output_tokens": 0}
+    beyond = {"account": "acme", "prompt_tokens": 100, "output_tokens": 0}
+    assert broker.submit(placement_request(1, **within), 0.0).verdict is Verdict.GRANTED
+    assert broker.submit(placement_request(2), 0.0).verdict is Verdict.QUEUED
+    refused = broker.submit(placement_request(3, **beyond), 0.0)
+    assert refused.verdict is Verdict.OVER_QUOTA
--- a/packages/burdockhaven-core/tests/scheduling/test_engine_speed.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_engine_speed.py
@@ -38,11 +38,15 @@
     assert 1.0 < speed.slowness("c") < 1.3
 
 
-def test_first_events_of_a_slow_engine_are_scaled_to_a_nominal_one():
+def test_prefill_takes_longer_on_a_slow_engine():
+    """The way to the engine and back does not."""
     speed = measured_speed(a=2.0, b=2.0, slow=8.0)
-    for _ in range(200):
-        speed.record_first_event("slow", 1_000, 400.0)
-    assert speed.first_event.predict_ms(1_000) == pytest.approx(100.0, rel=0.1)
+    for tokens in (100, 4_000) * 200:
+        speed.record_first_event("a", tokens, 50.0 + 0.01 * tokens)
+        speed.record_first_event("slow", tokens, 50.0 + 0.04 * tokens)
+    assert speed.first_event.predict_ms(4_000, 1.0) == pytest.approx(90.0, rel=0.1)
+    assert speed.first_event.predict_ms(4_000, 4.0) == pytest.approx(210.0, rel=0.1)
+    assert speed.first_event.predict_ms(0, 4.0) == pytest.approx(50.0, rel=0.1)
 
 
 def test_pauses_show_how_much_prefill_engines_do_between_two_steps():
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
@@ -144,7 +144,7 @@
                 self.state.member_list.record_message(message.sender, now)
                 self.state.broker.apply_report(message, now)
             case CancelPlacement():
-                self.state.broker.cancel_placement(message.sender, message.number)
+                self.state.broker.cancel_placement(message.sender, message.number, now)
                 self.placement_client.grant_queued()
 
     def _on_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
@@ -333,7 +333,7 @@
 
     def _send_cancellation(self, node: str, number: int) -> None:
         if node == self.member_id.node:
-            self.broker.cancel_placement(self.member_id, number)
+            self.broker.cancel_placement(self.member_id, number, self.clock())
         else:
             self.send(node, CancelPlacement(self.member_id, number))
 
--- a/tools/burdockhaven_bench/decisions.py
+++ b/tools/burdockhaven_bench/decisions.py
@@ -11,8 +11,9 @@
 
 from burdockhaven_bench.deployments import GIVEN, Deployment, draw_deployment
 
-# Load factors before and after a burst, and during it.
-LOADS = ((0.7, 1.5), (1.0, 1.9))
+# Load factors before and after a burst and during it, and the factor on the share of
+# one account during it.
+LOADS = ((0.7, 1.5, 1.0), (1.0, 1.9, 1.0), (0.9, 1.8, 6.0))
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,6 +24,7 @@
     seed: int
     load: float
     burst: float
+    hot_account: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,7 +46,9 @@
 
 def run_play(play: Play) -> Shares:
     """Simulate one run."""
-    result = play.deployment.fleet(play.seed, play.load, play.burst).run()
+    result = play.deployment.fleet(
+        play.seed, play.load, play.burst, play.hot_account
+    ).run()
     return Shares(
         whole=result.value_share(),
         worst_window=result.worst_window_value_share(),
@@ -70,7 +74,7 @@
     combined = sorted(share.combined for share in shares)
     tenth = combined[len(combined) // 10]
     figures = " ".join(f"{mean:7.3f}" for mean in means)
-    return f"{label:28} {figures}  lowest tenth {tenth:.3f}"
+    return f"{label:32} {figures}  lowest tenth {tenth:.3f}"
 
 
 def main() -> None:
@@ -82,18 +86,20 @@
     parser.add_argument("--random", type=int, default=24, help="random deployments")
     parser.add_argument("--jobs", type=int, default=3, help="processes")
     options = parser.parse_args()
-    print(f"{'':28} combined whole  window  kind  penalty")
-    for load, burst in LOADS:
+    print(f"{'':32} combined whole  window  kind  penalty")
+    for load, burst, hot in LOADS:
         label = f"load {load} burst {burst}"
+        if hot > 1.0:
+            label += " hot"
         for deployment in GIVEN:
             plays = [
-                Play(deployment, seed, load, burst)
+                Play(deployment, seed, load, burst, hot)
                 for seed in range(1, options.seeds + 1)
             ]
             shares = measure(plays, options.jobs)
             print(format_shares(f"{deployment.name} {label}", shares), flush=True)
         plays = [
-            Play(draw_deployment(seed), 1, load, burst)
+            Play(draw_deployment(seed), 1, load, burst, hot)
             for seed in range(options.random)
         ]
         if plays:
--- a/tools/burdockhaven_bench/deployments.py
+++ b/tools/burdockhaven_bench/deployments.py
@@ -33,8 +33,13 @@
     engine_slownesses: tuple[float, ...]
     account_priorities: tuple[int, ...] = (0, 1, 1, 1, 0)
 
-    def fleet(self, seed: int, load: float, burst: float) -> PlacementFleet:
-        """Return a simulation with a burst of all kinds between 8 and 13 s."""
+    def fleet(
+        self, seed: int, load: float, burst: float, hot_account: float = 1.0
+    ) -> PlacementFleet:
+        """Return a simulation with a burst between 8 and 13 s.
+
+        During the burst, the first account sends `hot_account` times its usual share.
+        """
         return PlacementFleet(
             kinds=self.kinds,
             engine_slownesses=self.engine_slownesses,
@@ -43,6 +48,7 @@
             load=lambda kind, at_s: burst if 8 < at_s < 13 else load,
             engine_config=self.engine,
             account_priorities=self.account_priorities,
+            first_account_weight=lambda at_s: hot_account if 8 < at_s < 13 else 1.0,
         )
 
 
--- a/tools/burdockhaven_bench/placement_fleet.py
+++ b/tools/burdockhaven_bench/placement_fleet.py
@@ -238,6 +238,8 @@
     engine_config: StepEngineConfig = field(default_factory=StepEngineConfig)
     # Priorities of the clients' accounts, which send equally often; none by default.
     account_priorities: tuple[int, ...] = ()
+    # Weight of the first account among the others, given the time.
+    first_account_weight: Callable[[float], float] = lambda at_s: 1.0
     # Changes of slowness: time, index of the engine, new slowness.
     slowness_changes: tuple[tuple[float, int, float], ...] = ()
 
@@ -352,7 +354,7 @@
         parts = (("shared", 60), (f"{kind.name}-{session}", prompt))
         request = Request(len(self.requests), kind, prompt + 60, events, parts, now)
         if self.fleet.account_priorities:
-            account = self.rng.randrange(len(self.fleet.account_priorities))
+            account = self._draw_account(now)
             request.account = f"account-{account}"
             request.priority = self.fleet.account_priorities[account]
         request.expected_tokens = round(
@@ -362,6 +364,11 @@
         )
         return request
 
+    def _draw_account(self, now: float) -> int:
+        others = len(self.fleet.account_priorities) - 1
+        weights = [self.fleet.first_account_weight(now), *[1.0] * others]
+        return self.rng.choices(range(others + 1), weights)[0]
+
     def _start_attempt(self, request: Request, now: float) -> None:
         self.attempt_count += 1
         request.attempts += 1
@@ -407,7 +414,7 @@
         """Treat the client as timed out, unless an event has arrived."""
         if request.first_event_s is not None or request.is_refused:
             return
-        self.broker.cancel_placement(self.member_id, number)
+        self.broker.cancel_placement(self.member_id, number, now)
         if request.target:
             self.engines[request.target].cancel(number)
         request.is_refused = True
@@ -416,7 +423,7 @@
     def _on_reply(self, reply: PlacementReply, now: float) -> None:
         request = self.request_by_attempt[reply.number]
         if request.has_timed_out:
-            self.broker.cancel_placement(self.member_id, reply.number)
+            self.broker.cancel_placement(self.member_id, reply.number, now)
             return
         if reply.verdict is Verdict.GRANTED:
             request.target = reply.target
