Eject engines that reset requests; let ejected ones return with one request

Change: two runs without a response and without progress between eject it for 0.5 s, doubling to 4 s; after an ejection it gets one request until a run progresses.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
@@ -19,8 +19,11 @@
 # A run without a first event counts towards the prefill backlog for its predicted time
 # multiplied by this factor.
 OVERDUE_FACTOR = 3.0
-# Seconds for which an engine is ejected after a failed connection, and the upper bound;
-# each consecutive failure doubles the time.
+# Runs that end without a response, and without progress of any other run, after which
+# an engine counts as unreachable. A single one may be a lost response.
+MAX_DISCONNECTS = 2
+# Seconds for which an unreachable engine is ejected, and the upper bound; each
+# consecutive ejection doubles the time.
 EJECTION_BASE_S = 0.5
 EJECTION_MAX_S = 4.0
 # Fraction of an engine's cache that cached prompt parts are assumed to fill.
@@ -67,8 +70,9 @@
     zone: str = ""
     # Moving average of the share of runs that failed.
     failure_rate: float = 0.0
-    # Consecutive failures to connect to the engine.
-    connect_failures: int = 0
+    # Ejections, and runs that ended without a response, since a run last progressed.
+    ejections: int = 0
+    disconnects: int = 0
     ejected_until_s: float = 0.0
     # When a run last produced its first event or completed.
     last_progress_s: float = 0.0
@@ -160,8 +164,12 @@
         )
 
     def free_slots(self) -> int:
-        """Return the number of requests that still fit into the batch."""
-        return self.slots - len(self.runs)
+        """Return the number of requests that still fit into the batch.
+
+        An engine that was ejected gets one request until a run progresses.
+        """
+        usable = 1 if self.ejections else self.slots
+        return usable - len(self.runs)
 
     def add_run(self, run: Run, parts: tuple[tuple[str, int], ...]) -> None:
         """Add a run and cache its prompt parts, evicting the least recently used."""
@@ -206,7 +214,7 @@
     def record_progress(self, now: float) -> None:
         """Record that a run produced its first event or completed."""
         self.last_progress_s = now
-        self.connect_failures = 0
+        self.ejections = self.disconnects = 0
 
     def record_success(self) -> None:
         """Record that a run completed."""
@@ -216,13 +224,20 @@
         """Record that a run failed or was rejected."""
         self.failure_rate += FAILURE_EWMA_WEIGHT * (1 - self.failure_rate)
 
+    def record_disconnect(self, now: float) -> None:
+        """Record that a run ended without a response; eject after several."""
+        self.record_failure()
+        self.disconnects += 1
+        if self.disconnects >= MAX_DISCONNECTS and self.ejected_until_s <= now:
+            self.eject(now)
+
     def eject(self, now: float) -> None:
-        """Eject the engine for a time that doubles, after a failed connection.
+        """Eject the engine for a time that doubles while it stays unreachable.
 
         Its cache is assumed to be lost.
         """
-        ejection_s = min(EJECTION_MAX_S, EJECTION_BASE_S * 2**self.connect_failures)
-        self.connect_failures += 1
+        ejection_s = min(EJECTION_MAX_S, EJECTION_BASE_S * 2**self.ejections)
+        self.ejections += 1
         self.ejected_until_s = now + ejection_s
         self.cached_parts.clear()
         self.cached_part_tokens = 0
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
@@ -125,6 +125,8 @@
     LEAVING = 6
     # The member did not send the request because it knew that the target leaves.
     NOT_SENT = 7
+    # The target closed the connection without a response.
+    DISCONNECTED = 8
 
 
 class RunUpdate(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
@@ -191,6 +191,8 @@
             engine.record_success()
         elif update.end is RunEnd.UNREACHABLE:
             engine.eject(now)
+        elif update.end is RunEnd.DISCONNECTED:
+            engine.record_disconnect(now)
         elif update.end in (RunEnd.FAILED, RunEnd.REJECTED):
             engine.record_failure()
         elif update.end is RunEnd.LEAVING:
--- a/packages/burdockhaven-core/tests/scheduling/test_engine_load.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_engine_load.py
@@ -82,3 +82,31 @@
     assert not full.is_available(0.1)
     assert not ejected.is_available(0.1)
     assert not stalled.is_available(5.0)
+
+
+def test_engine_is_ejected_after_several_runs_without_a_response():
+    """An engine that crashed or flaps resets every request, unlike a lost response."""
+    load = engine()
+    load.record_disconnect(0.0)
+    assert load.is_available(0.0)
+    load.record_disconnect(0.1)
+    assert not load.is_available(0.2)
+
+
+def test_progress_between_disconnects_keeps_an_engine_in():
+    load = engine()
+    for now in (0.0, 1.0, 2.0):
+        load.record_disconnect(now)
+        load.record_progress(now + 0.5)
+    assert load.is_available(2.6)
+
+
+def test_ejected_engine_returns_with_a_single_request():
+    load = engine()
+    load.eject(0.0)
+    returned_s = load.ejected_until_s + 0.1
+    assert load.free_slots() == 1
+    load.add_run(run(granted_s=returned_s), ())
+    assert not load.is_available(returned_s)
+    load.record_progress(returned_s + 0.1)
+    assert load.is_available(returned_s + 0.1)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -34,6 +34,7 @@
 )
 from burdockhaven_entry.gateway.routed_request import RoutedRequest
 from burdockhaven_entry.gateway.target_client import (
+    SEND_STEP,
     SendError,
     SendOutcome,
     TargetClient,
@@ -402,6 +403,8 @@
 def _classify_send_error(error: SendError) -> tuple[RunEnd, _RunResult]:
     if error.outcome is SendOutcome.NOT_SENT:
         return RunEnd.UNREACHABLE, _RunResult.NOT_RUN
+    if error.step == SEND_STEP:
+        return RunEnd.DISCONNECTED, _RunResult.BROKEN
     return RunEnd.FAILED, _RunResult.BROKEN
 
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
@@ -38,6 +38,10 @@
     UNKNOWN = "unknown"
 
 
+# Step in which a request is sent and the head of its response awaited.
+SEND_STEP = "send"
+
+
 class SendError(Exception):
     """A send got no valid, complete response; carries the failed step and target."""
 
@@ -177,7 +181,7 @@
             ) from error
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             raise SendError(
-                SendOutcome.UNKNOWN, "send", target.id, repr(error)
+                SendOutcome.UNKNOWN, SEND_STEP, target.id, repr(error)
             ) from error
 
     def _check_head(
