--- a/tools/burdockhaven_bench/placement_fleet.py
+++ b/tools/burdockhaven_bench/placement_fleet.py
@@ -109,6 +109,8 @@
     priority: int = 0
     # Number of the latest attempt; 0 after a refusal.
     open_attempt: int = 0
+    # Whether a target reset the request without a response.
+    was_reset: bool = False
     # Whether the client timed out before the first event.
     has_timed_out: bool = False
     # Start of the latest attempt.
@@ -240,6 +242,8 @@
     account_priorities: tuple[int, ...] = ()
     # Weight of the first account among the others, given the time.
     first_account_weight: Callable[[float], float] = lambda at_s: 1.0
+    # Outages, during which an engine resets requests: its index, begin and end.
+    outages: tuple[tuple[int, float, float], ...] = ()
     # Changes of slowness: time, index of the engine, new slowness.
     slowness_changes: tuple[tuple[float, int, float], ...] = ()
 
@@ -271,6 +275,8 @@
             self._schedule_arrivals(kind)
         for at_s, index, slowness in self.fleet.slowness_changes:
             self.at(at_s, self._slowness_change(index, slowness))
+        for index, begin_s, _ in self.fleet.outages:
+            self.at(begin_s, functools.partial(self._begin_outage, f"i-{index}"))
         self.at(QUEUE_POLL_INTERVAL_S, self._poll_queue)
         while self.event_queue:
             now, _, action = heapq.heappop(self.event_queue)
@@ -449,6 +455,9 @@
     def _send(self, request: Request, number: int, now: float) -> None:
         if request.has_timed_out:
             return
+        if self._is_down(request.target, now):
+            self._on_reset(request, number, now)
+            return
         engine = self.engines[request.target]
         output_tokens = self.tokens_per_event * request.events
         run = StepRun(number, request.prompt_tokens, output_tokens, request.parts)
@@ -456,6 +465,28 @@
         engine.submit(run, now)
         self._step(request.target, now)
 
+    def _is_down(self, target: str, now: float) -> bool:
+        return any(
+            target == f"i-{index}" and begin_s <= now < end_s
+            for index, begin_s, end_s in self.fleet.outages
+        )
+
+    def _begin_outage(self, target: str, now: float) -> None:
+        engine = self.engines[target]
+        running = (*engine.waiting, *engine.prefilling, *engine.decoding.values())
+        for run in running:
+            engine.cancel(run.run_id)
+            request = self.request_by_attempt[run.run_id]
+            request.is_refused = True
+            had_event = request.first_event_s is not None
+            end = RunEnd.FAILED if had_event else RunEnd.DISCONNECTED
+            self._report_update(RunUpdate(run.run_id, end), now)
+
+    def _on_reset(self, request: Request, number: int, now: float) -> None:
+        """End the request: it may have run, so neither side repeats it."""
+        request.was_reset = request.is_refused = True
+        self._report_update(RunUpdate(number, RunEnd.DISCONNECTED), now)
+
     def _step(self, name: str, now: float) -> None:
         if name in self.stepping or not self.engines[name].is_busy:
             return
