--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_speed.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_speed.py
@@ -15,6 +15,8 @@
 # Prompt tokens that an engine is assumed to prefill between two decoding steps, until
 # pauses show it.
 ASSUMED_CHUNK_TOKENS = 1_500
+# Weight of a new prediction error in the moving average.
+ERROR_EWMA_WEIGHT = 0.05
 # Weight of a new pause in the moving average of an engine's step time.
 STEP_EWMA_WEIGHT = 0.25
 # Ratio of a new step time to the average beyond which the new one replaces it: the
@@ -43,6 +45,8 @@
     # Longest pause that prefill causes, however long the prompt; None until one has
     # been seen that the length of the prompt does not explain.
     prefill_pause_limit_ms: float | None = None
+    # Moving average of the relative errors of predicted first events.
+    first_event_error: float = 0.0
 
     def slowness(self, target: str) -> float:
         """Return an engine's time for a step relative to a nominal engine."""
@@ -69,7 +73,11 @@
         self, target: str, prefill_tokens: int, measured_ms: float
     ) -> None:
         """Learn from a first event that no other prompt has delayed."""
-        self.first_event.record(prefill_tokens, self.slowness(target), measured_ms)
+        slowness = self.slowness(target)
+        predicted_ms = self.first_event.predict_ms(prefill_tokens, slowness)
+        error = abs(predicted_ms - measured_ms) / max(1.0, measured_ms)
+        self.first_event_error += ERROR_EWMA_WEIGHT * (error - self.first_event_error)
+        self.first_event.record(prefill_tokens, slowness, measured_ms)
 
     def record_pause(self, target: str, pause_ms: float) -> None:
         """Learn an engine's step time from a pause that no prefill has lengthened."""
--- a/packages/burdockhaven-core/tests/scheduling/test_engine_speed.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_engine_speed.py
@@ -49,6 +49,16 @@
     assert speed.first_event.predict_ms(0, 4.0) == pytest.approx(50.0, rel=0.1)
 
 
+def test_error_of_the_predictions_falls_as_they_are_learned():
+    speed = measured_speed(a=2.0)
+    for _ in range(20):
+        speed.record_first_event("a", 1_000, 400.0)
+    untrained = speed.first_event_error
+    for _ in range(200):
+        speed.record_first_event("a", 1_000, 400.0)
+    assert speed.first_event_error < untrained / 4
+
+
 def test_pauses_show_how_much_prefill_engines_do_between_two_steps():
     speed = measured_speed(a=2.0)
     long_prompt = 40_000
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/metrics_text.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/metrics_text.py
@@ -135,9 +135,25 @@
             "Runs in flight as known to its broker",
             labels=("target",),
         )
+        slowness = GaugeMetricFamily(
+            "burdockhaven_engine_slowness",
+            "Time of a decoding step relative to the median engine of the service",
+            labels=("target",),
+        )
         for target, engine in state.broker.runs.engines.items():
             runs.add_metric((target,), len(engine.runs))
+            if engine.is_speed_measured:
+                slowness.add_metric((target,), engine.slowness)
         yield runs
+        yield slowness
+        error = GaugeMetricFamily(
+            "burdockhaven_first_event_error",
+            "Moving average of the relative errors of predicted first events",
+            labels=("service",),
+        )
+        for service, speed in state.broker.runs.speeds.items():
+            error.add_metric((service,), speed.first_event_error)
+        yield error
 
     def _account_gauges(self) -> Iterator[Metric]:
         state = self.state
--- a/packages/burdockhaven-entry/tests/gateway/test_metrics_text.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_metrics_text.py
@@ -80,6 +80,7 @@
     assert samples["burdockhaven_members"] == 1
     assert samples['burdockhaven_targets{service="plain"}'] == 1
     assert samples['burdockhaven_runs{target="engines-0"}'] == 0
+    assert samples['burdockhaven_first_event_error{service="engines"}'] == 0
 
 
 async def test_label_count_is_bounded_and_no_api_key_is_exported(gateway):
