--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_speed.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_speed.py
@@ -5,7 +5,6 @@
 nominal engine is one of median speed among those that were measured.
 """
 
-import math
 from dataclasses import dataclass, field
 
 from burdockhaven_core.scheduling.first_event_model import FirstEventModel
@@ -20,8 +19,9 @@
 # Weight of a new pause in the moving average of an engine's step time.
 STEP_EWMA_WEIGHT = 0.25
 # Ratio of a new step time to the average beyond which the new one replaces it: the
-# engine's speed has changed.
-STEP_CHANGE_RATIO = 2.0
+# engine has slowed down. Short pauses are averaged, because events that were delayed on
+# the way arrive together.
+SLOWDOWN_RATIO = 2.0
 # Bounds of an engine's slowness.
 MIN_SLOWNESS = 0.2
 MAX_SLOWNESS = 20.0
@@ -83,7 +83,7 @@
         """Learn an engine's step time from a pause that no prefill has lengthened."""
         observed_ms = pause_ms / self.tokens_per_event
         known_ms = self.step_ms_by_engine.get(target)
-        if known_ms is None or not _is_similar(observed_ms, known_ms):
+        if known_ms is None or observed_ms > SLOWDOWN_RATIO * known_ms:
             step_ms = observed_ms
         else:
             step_ms = known_ms + STEP_EWMA_WEIGHT * (observed_ms - known_ms)
@@ -96,7 +96,8 @@
         """Learn how long the prefill of a prompt pauses the streams beside it."""
         measured_ms = longest_pause_ms / self.slowness(target) - self._steps_ms()
         limit_ms = self._prefill_pause_limit_ms()
-        if self.prefill_ms(prefill_tokens) < PAUSE_INFORMATIVE_RATIO * limit_ms:
+        unlimited_ms = self.prefill_ms(prefill_tokens)
+        if not limit_ms or unlimited_ms < PAUSE_INFORMATIVE_RATIO * limit_ms:
             return
         exceeds = measured_ms > limit_ms
         quantile = PAUSE_QUANTILE if exceeds else PAUSE_QUANTILE - 1.0
@@ -120,7 +121,3 @@
         steps_ms = sorted(self.step_ms_by_engine.values())
         if steps_ms:
             self.nominal_step_ms = steps_ms[len(steps_ms) // 2]
-
-
-def _is_similar(observed_ms: float, known_ms: float) -> bool:
-    return abs(math.log(observed_ms / known_ms)) <= math.log(STEP_CHANGE_RATIO)
--- a/packages/burdockhaven-core/tests/scheduling/test_engine_speed.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_engine_speed.py
@@ -26,7 +26,23 @@
     assert not speed.is_measured("new")
 
 
-def test_sudden_change_of_speed_counts_at_once():
+def test_events_that_arrive_together_make_no_engine_fast():
+    speed = measured_speed(a=2.0, b=2.0, c=2.0)
+    speed.record_pause("a", 0.1 * TOKENS_PER_EVENT)
+    assert speed.slowness("a") > 0.7
+    assert speed.nominal_step_ms == pytest.approx(2.0)
+
+
+def test_pause_limit_survives_a_model_without_prefill_time():
+    speed = measured_speed(a=2.0)
+    for _ in range(300):
+        speed.record_first_event("a", 1_000, 50.0)
+    speed.first_event.coefficients = (50.0, 0.0, 0.0)
+    speed.record_prefill_pause("a", 20_000, 80.0)
+    assert speed.prefill_pause_limit_ms is None
+
+
+def test_sudden_slowdown_counts_at_once():
     speed = measured_speed(a=2.0, b=2.0, c=2.0)
     speed.record_pause("c", 10.0 * TOKENS_PER_EVENT)
     assert speed.slowness("c") == pytest.approx(5.0)
