--- a/tools/burdockhaven_bench/deployments.py
+++ b/tools/burdockhaven_bench/deployments.py
@@ -4,11 +4,8 @@
 import random
 from dataclasses import dataclass
 
-from burdockhaven_bench.placement_fleet import (
-    REQUEST_KINDS,
-    PlacementFleet,
-    RequestKind,
-)
+from burdockhaven_bench.placement_fleet import PlacementFleet
+from burdockhaven_bench.simulated_requests import REQUEST_KINDS, RequestKind
 from burdockhaven_standins.step_engine import StepEngineConfig
 
 # Bounds of the random deployments' factor on each engine time, and of their slots,
--- a/tools/tests/load_checks.py
+++ b/tools/tests/load_checks.py
@@ -1,6 +1,6 @@
 """The users' requirements on a simulation run: minimum value and no starvation."""
 
-from burdockhaven_bench.placement_fleet import REQUEST_KINDS, FleetResult
+from burdockhaven_bench.simulated_requests import REQUEST_KINDS, FleetResult
 
 # Value share that the users require on days with faults, at their harder site.
 MIN_VALUE_SHARE = 0.72
@@ -18,12 +18,13 @@
 def check_nothing_starves(result: FleetResult) -> None:
     all_share = share_within_deadline(result, lambda request: True)
     for kind in REQUEST_KINDS:
-        of_kind = [r for r in result.requests if r.kind is kind]
-        share = share_within_deadline(result, lambda r, k=kind: r.kind is k)
+        of_kind = [r for r in result.requests if r.kind.name == kind.name]
+        share = share_within_deadline(result, lambda r, k=kind: r.kind.name == k.name)
         assert share >= STARVED_KIND_SHARE * all_share, kind.name
         sizes = sorted(request.relative_size for request in of_kind)
         large = sizes[int(0.9 * len(sizes))]
         large_share = share_within_deadline(
-            result, lambda r, k=kind, s=large: r.kind is k and r.relative_size >= s
+            result,
+            lambda r, k=kind, s=large: r.kind.name == k.name and r.relative_size >= s,
         )
         assert large_share >= STARVED_SIZE_SHARE * share, kind.name
--- a/tools/tests/test_load_burst_of_one_kind.py
+++ b/tools/tests/test_load_burst_of_one_kind.py
@@ -3,7 +3,8 @@
 import pytest
 from load_checks import MIN_VALUE_SHARE, check_nothing_starves
 
-from burdockhaven_bench.placement_fleet import REQUEST_KINDS, PlacementFleet
+from burdockhaven_bench.placement_fleet import PlacementFleet
+from burdockhaven_bench.simulated_requests import REQUEST_KINDS
 
 
 @pytest.mark.parametrize("name", [kind.name for kind in REQUEST_KINDS])
