Log when a broker is suspected; QUEUE_HELD tells runs, slots, routes and processor time

Cause: on the large deployment the line was cut after nine of thirty engines, so slots in use, what became of each route and the broker's processor time could not be read, and nothing told when a member gave up on a broker. No decision changes.

--- a/packages/burdockhaven-core/src/burdockhaven_core/log_numbers.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/log_numbers.py
@@ -23,6 +23,7 @@
     BAD_PEER_MESSAGE = 201
     PEER_LOST = 202
     PEER_JOINED = 203
+    BROKER_SUSPECTED = 204
 
     # Requests and runs.
     REQUEST_REFUSED = 301
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -52,6 +52,15 @@
     reply: PlacementReply
 
 
+@dataclass(slots=True)
+class RouteCounts:
+    """Numbers of decisions on the placement requests of one route."""
+
+    submitted: int = 0
+    granted: int = 0
+    refused: int = 0
+
+
 class Broker:
     """Holds the request queue, the runs in flight at the engines and the quotas."""
 
@@ -64,6 +73,8 @@
         self.wait_estimator = WaitEstimator(self.costs)
         self.recent_refusals = RecentRefusals()
         self.queue: dict[RequestKey, QueuedRequest] = {}
+        # Decisions since `take_route_counts` was last called, by route.
+        self.route_counts: dict[str, RouteCounts] = {}
 
     def set_table(self, table: RoutingTable) -> None:
         """Apply the quotas and engine limits of a configuration."""
@@ -107,6 +118,7 @@
             request.digest, now
         )
         queued = QueuedRequest.from_request(request, was_refused, now)
+        self._counts_of(request.route).submitted += 1
         self.wait_estimator.record_arrival(queued, now)
         return self._place_or_queue(key, queued, now)
 
@@ -209,6 +221,17 @@
         self.queue[key] = queued
         return PlacementReply(request.number, Verdict.QUEUED)
 
+    def take_route_counts(self) -> dict[str, RouteCounts]:
+        """Return the decisions since the last call, by route, and start anew."""
+        counts, self.route_counts = self.route_counts, {}
+        return counts
+
+    def _counts_of(self, route: str) -> RouteCounts:
+        found = self.route_counts.get(route)
+        if found is None:
+            found = self.route_counts[route] = RouteCounts()
+        return found
+
     def _has_queue(self, service: str) -> bool:
         return any(queued.request.service == service for queued in self.queue.values())
 
@@ -249,6 +272,7 @@
             route=request.route,
         )
         self.runs.add_run(key, found.engine, run, request.parts)
+        self._counts_of(request.route).granted += 1
         return self._grant_reply(
             request, found.engine.target, int(found.first_event_ms)
         )
@@ -267,6 +291,7 @@
     def _refuse(
         self, request: PlacementRequest, wait_s: float, now: float
     ) -> PlacementReply:
+        self._counts_of(request.route).refused += 1
         if request.digest:
             self.recent_refusals.add(request.digest, now)
         return _refusal(request, Verdict.OVERLOADED, wait_s)
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
@@ -140,6 +140,19 @@
             if key[0] not in present or now - reported_s > REPORT_TTL_S:
                 self.release(key)
 
+    def occupancy(self, services: set[str], now: float) -> tuple[int, int]:
+        """Return the runs and the slots of the engines that accept requests now."""
+        engines = [
+            engine
+            for service in services
+            for engine in self.open_engines(service)
+            if engine.ejected_until_s <= now and not engine.is_stalled(now)
+        ]
+        return (
+            sum(len(engine.runs) for engine in engines),
+            sum(engine.slots for engine in engines),
+        )
+
     def describe(self, now: float) -> list[str]:
         """Return a log line for each open engine with runs or a measured speed."""
         return [
--- a/packages/burdockhaven-core/tests/scheduling/test_broker.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_broker.py
@@ -1,7 +1,7 @@
 import pytest
 from scheduling_samples import ENGINES, ME, account, placement_request, table, target
 
-from burdockhaven_core.scheduling.broker import Broker
+from burdockhaven_core.scheduling.broker import Broker, RouteCounts
 from burdockhaven_core.scheduling.peer_messages import (
     MemberId,
     RunEnd,
@@ -365,3 +365,23 @@
     assert broker.submit(placement_request(2), 0.0).verdict is Verdict.QUEUED
     refused = broker.submit(placement_request(3, **beyond), 0.0)
     assert refused.verdict is Verdict.OVER_QUOTA
+
+
+def test_decisions_are_counted_by_route_until_they_are_taken():
+    broker = make_broker(targets=("i-1",), slots=1)
+    broker.submit(placement_request(1, route="a"), 0.0)
+    broker.submit(placement_request(2, route="a"), 0.0)
+    broker.submit(placement_request(3, route="b", deadline_ms=300), 0.0)
+    counts = broker.take_route_counts()
+    assert counts == {"a": RouteCounts(2, 1, 0), "b": RouteCounts(1, 0, 1)}
+    assert broker.take_route_counts() == {}
+
+
+def test_occupancy_leaves_out_engines_that_accept_nothing():
+    broker = make_broker(targets=("i-1", "i-2"), slots=2)
+    broker.submit(placement_request(1), 0.0)
+    assert broker.runs.occupancy({ENGINES}, 0.0) == (1, 4)
+    idle = next(e for e in broker.runs.open_engines(ENGINES) if not e.runs)
+    idle.eject(0.0)
+    assert broker.runs.occupancy({ENGINES}, 0.1) == (1, 2)
+    assert broker.runs.occupancy({"other"}, 0.1) == (0, 0)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -122,6 +122,8 @@
         self.listeners: list[asyncio.Server] = []
         self.stop_requested = asyncio.Event()
         self.tasks: set[asyncio.Task[None]] = set()
+        # Processor time of this process at the last log event of the queue.
+        self.logged_cpu_s = 0.0
 
     @classmethod
     def from_settings(
@@ -330,9 +332,26 @@
 
     def _log_queue(self, now: float) -> None:
         broker = self.state.broker
-        if broker.queue:
-            engines = "; ".join(broker.runs.describe(now))
-            log(EventNumber.QUEUE_HELD, queued=len(broker.queue), engines=engines)
+        counts = broker.take_route_counts()
+        cpu_s = time.process_time()
+        used_s, self.logged_cpu_s = cpu_s - self.logged_cpu_s, cpu_s
+        if not broker.queue:
+            return
+        services = {queued.request.service for queued in broker.queue.values()}
+        runs, slots = broker.runs.occupancy(services, now)
+        log(
+            EventNumber.QUEUE_HELD,
+            queued=len(broker.queue),
+            runs=runs,
+            slots=slots,
+            routes="; ".join(
+                f"{route} {count.submitted}/{count.granted}/{count.refused} "
+                f"{broker.costs.average_s(route):.2f}"
+                for route, count in sorted(counts.items())
+            ),
+            cpu_ms=round(used_s * 1e3),
+            engines="; ".join(broker.runs.describe(now)),
+        )
 
     def _discard_runs_of_absent_members(self, now: float) -> None:
         live_views = self.state.member_list.live_members(now, MEMBER_ABSENT_AFTER_S)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from burdockhaven_core.log_numbers import EventNumber
 from burdockhaven_core.scheduling.broker import AddressedReply, Broker
 from burdockhaven_core.scheduling.member_list import MemberList
 from burdockhaven_core.scheduling.peer_messages import (
@@ -29,6 +30,7 @@
     RunUpdate,
     Verdict,
 )
+from burdockhaven_entry.log_events import log
 
 # Seconds to wait for a reply of another member. The one-way latency between zones is
 # about a millisecond; a busy process takes some tens of milliseconds to reply.
@@ -323,8 +325,18 @@
 
     def _mark_suspect(self, node: str) -> None:
         view = self.member_list.views.get(node)
-        if view is not None:
-            view.suspect_until_s = self.clock() + SUSPICION_S
+        if view is None:
+            return
+        now = self.clock()
+        if view.suspect_until_s <= now:
+            log(
+                EventNumber.BROKER_SUSPECTED,
+                peer=node,
+                attempts=MAX_UNANSWERED_ATTEMPTS,
+                timeout_ms=round(REPLY_TIMEOUT_S * 1e3),
+                skipped_s=SUSPICION_S,
+            )
+        view.suspect_until_s = now + SUSPICION_S
 
     def _cancel_pending(self, number: int) -> None:
         pending = self.pending.get(number)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
@@ -97,6 +97,20 @@
             "address": "its peer address",
         },
     ),
+    EventSpec(
+        EventNumber.BROKER_SUSPECTED,
+        "warning",
+        "The broker of {peer} did not reply to {attempts} messages within "
+        "{timeout_ms} ms each; it is skipped for {skipped_s} s.",
+        "If many members log it for the same peer, check the processor time of that "
+        "member.",
+        {
+            "peer": "name of the member",
+            "attempts": "placement requests in a row without a reply",
+            "timeout_ms": "time that each reply was awaited",
+            "skipped_s": "time for which other brokers are used",
+        },
+    ),
     EventSpec(
         EventNumber.REQUEST_REFUSED,
         "info",
@@ -342,10 +356,16 @@
     EventSpec(
         EventNumber.QUEUE_HELD,
         "info",
-        "The broker has {queued} requests queued; engines: {engines}.",
+        "The broker has {queued} requests queued and {runs} runs in {slots} slots; "
+        "engines: {engines}.",
         "Check engines that stay `stalled` or `ejected`.",
         {
             "queued": "requests that wait for an engine",
+            "runs": "runs at the engines that accept requests",
+            "slots": "slots of these engines, without ejected and stalled ones",
+            "routes": "by route since the last line: submitted/granted/refused, and "
+            "the average cost of a run in slot seconds",
+            "cpu_ms": "processor time of this process since the last line",
             "engines": "by engine: runs/slots, pending, slowdown, failure rate, state",
         },
     ),
--- a/packages/burdockhaven-entry/tests/gateway/test_placement_client.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_placement_client.py
@@ -4,6 +4,7 @@
 import pytest
 from scheduling_samples import ENGINES, ME, heartbeat, table, target
 
+from burdockhaven_core.log_numbers import EventNumber
 from burdockhaven_core.scheduling.broker import Broker
 from burdockhaven_core.scheduling.member_list import MemberList
 from burdockhaven_core.scheduling.peer_messages import (
@@ -16,6 +17,7 @@
     Verdict,
 )
 from burdockhaven_core.scheduling.quotas import QuotaRule
+from burdockhaven_entry.gateway import placement_client as placement_client_module
 from burdockhaven_entry.gateway.placement_client import (
     MAX_UNANSWERED_ATTEMPTS,
     Placement,
@@ -177,3 +179,17 @@
     (progress,) = harness.sent_to("entry-2", RunProgress)
     assert progress.updates[1] == RunUpdate(1, RunEnd.COMPLETED, 0, 241)
     assert progress.updates[0].end is None
+
+
+async def test_suspected_broker_is_logged_once_while_it_is_skipped(monkeypatch):
+    logged = []
+    monkeypatch.setattr(
+        placement_client_module,
+        "log",
+        lambda number, **fields: logged.append((number, fields["peer"])),
+    )
+    harness = PlacementHarness(slots=2)
+    harness.add_member("entry-2", started_ms=1)
+    await harness.placement_client.place(requirements())
+    await harness.placement_client.place(requirements())
+    assert logged == [(EventNumber.BROKER_SUSPECTED, "entry-2")]
