An engine that broke a run off gets one request until a run progresses

Cause: an engine that crashes ends all its runs at once, looks empty, and is filled from the queue before the first reset of a new request is known. Change: a run that ends early limits its engine to one request until a run progresses. The two new cases failed before.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
@@ -73,6 +73,8 @@
     # Ejections, and runs that ended without a response, since a run last progressed.
     ejections: int = 0
     disconnects: int = 0
+    # Whether a run ended early and no other has progressed since.
+    has_broken_off: bool = False
     ejected_until_s: float = 0.0
     # When a run last produced its first event or completed.
     last_progress_s: float = 0.0
@@ -166,9 +168,10 @@
     def free_slots(self) -> int:
         """Return the number of requests that still fit into the batch.
 
-        An engine that was ejected gets one request until a run progresses.
+        An engine that was ejected or broke a run off gets one request until a run
+        progresses; otherwise all slots that a crash frees would be filled at once.
         """
-        usable = 1 if self.ejections else self.slots
+        usable = 1 if self.ejections or self.has_broken_off else self.slots
         return usable - len(self.runs)
 
     def add_run(self, run: Run, parts: tuple[tuple[str, int], ...]) -> None:
@@ -215,6 +218,7 @@
         """Record that a run produced its first event or completed."""
         self.last_progress_s = now
         self.ejections = self.disconnects = 0
+        self.has_broken_off = False
 
     def record_success(self) -> None:
         """Record that a run completed."""
@@ -224,9 +228,14 @@
         """Record that a run failed or was rejected."""
         self.failure_rate += FAILURE_EWMA_WEIGHT * (1 - self.failure_rate)
 
+    def record_broken_run(self) -> None:
+        """Record that a run ended before its response was complete."""
+        self.record_failure()
+        self.has_broken_off = True
+
     def record_disconnect(self, now: float) -> None:
         """Record that a run ended without a response; eject after several."""
-        self.record_failure()
+        self.record_broken_run()
         self.disconnects += 1
         if self.disconnects >= MAX_DISCONNECTS and self.ejected_until_s <= now:
             self.eject(now)
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
@@ -206,7 +206,9 @@
             engine.eject(now)
         elif update.end is RunEnd.DISCONNECTED:
             engine.record_disconnect(now)
-        elif update.end in (RunEnd.FAILED, RunEnd.REJECTED):
+        elif update.end is RunEnd.FAILED:
+            engine.record_broken_run()
+        elif update.end is RunEnd.REJECTED:
             engine.record_failure()
         elif update.end is RunEnd.LEAVING:
             engine.ejected_until_s = now + LEAVING_EJECTION_S
--- a/packages/burdockhaven-core/tests/scheduling/test_broker.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_broker.py
@@ -385,3 +385,15 @@
     idle.eject(0.0)
     assert broker.runs.occupancy({ENGINES}, 0.1) == (1, 2)
     assert broker.runs.occupancy({"other"}, 0.1) == (0, 0)
+
+
+# Guards against a burst of requests to an engine that has just crashed.
+@pytest.mark.parametrize("end", [RunEnd.FAILED, RunEnd.DISCONNECTED])
+def test_engine_that_broke_a_run_off_gets_one_request_until_a_run_progresses(end):
+    broker = make_broker(targets=("i-1",), slots=4)
+    broker.submit(placement_request(1), 0.0)
+    broker.apply_progress(ended(1, end), 0.1)
+    verdicts = [broker.submit(placement_request(n), 0.2).verdict for n in (2, 3)]
+    assert verdicts == [Verdict.GRANTED, Verdict.QUEUED]
+    broker.apply_progress(RunProgress(ME, (RunUpdate(2, None, 50),)), 0.3)
+    assert [a.reply.number for a in broker.grant_queued(0.3)] == [3]
