--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -5,6 +5,7 @@
 broker that takes over rebuilds the runs in flight from the members' reports.
 """
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
@@ -22,7 +23,7 @@
     PlacementConstraints,
     place,
 )
-from burdockhaven_core.scheduling.queue_order import QueuedRequest
+from burdockhaven_core.scheduling.queue_order import LATE_MARGIN_S, QueuedRequest
 from burdockhaven_core.scheduling.quotas import QuotaRule, quota_cost
 from burdockhaven_core.scheduling.recent_refusals import RecentRefusals
 from burdockhaven_core.scheduling.route_costs import RouteCosts
@@ -32,6 +33,7 @@
     RequestKey,
     RunTracker,
 )
+from burdockhaven_core.scheduling.served_shares import ServedShares, Tier
 from burdockhaven_core.scheduling.shared_quotas import SharedQuotas
 from burdockhaven_core.scheduling.target_registry import TargetEntry
 from burdockhaven_core.scheduling.wait_estimate import WaitEstimator
@@ -71,6 +73,7 @@
         self.costs = RouteCosts()
         self.runs = RunTracker(self.costs)
         self.wait_estimator = WaitEstimator(self.costs)
+        self.served_shares = ServedShares()
         self.recent_refusals = RecentRefusals()
         self.queue: dict[RequestKey, QueuedRequest] = {}
         # Decisions since `take_route_counts` was last called, by route.
@@ -120,6 +123,8 @@
         queued = QueuedRequest.from_request(request, was_refused, now)
         self._counts_of(request.route).submitted += 1
         self.wait_estimator.record_arrival(queued, now)
+        if not queued.is_retry:
+            self.served_shares.record_arrival(request, now)
         return self._place_or_queue(key, queued, now)
 
     def grant_queued(self, now: float) -> list[AddressedReply]:
@@ -149,19 +154,22 @@
         """Refuse queued requests that would wait past their latest time to be sent."""
         replies: list[AddressedReply] = []
         work_ahead: dict[str, float] = {}
+        route_ahead: Counter[tuple[Tier, str]] = Counter()
         for key, queued in self._ordered(now):
             request = queued.request
+            route = (Tier.from_request(request), request.route)
             work_s = work_ahead.get(request.service, 0.0) + self.costs.average_s(
                 request.route
             )
             wait_s = self._wait_s(queued, work_s, now)
-            if now + wait_s > queued.send_by_s:
+            if self._is_feasible(queued, wait_s, route_ahead[route], now):
+                work_ahead[request.service] = work_s
+                route_ahead[route] += 1
+            else:
                 del self.queue[key]
                 replies.append(
                     AddressedReply(request.sender, self._refuse(request, wait_s, now))
                 )
-            else:
-                work_ahead[request.service] = work_s
         return replies
 
     def cancel_placement(self, sender: MemberId, number: int, now: float) -> None:
@@ -216,7 +224,12 @@
             self.costs.average_s(other.request.route) for other in [queued, *ahead]
         )
         wait_s = self._wait_s(queued, work_s, now)
-        if now + wait_s > queued.send_by_s:
+        route_ahead = sum(
+            other.request.route == request.route
+            and other.request.priority == request.priority
+            for other in ahead
+        )
+        if not self._is_feasible(queued, wait_s, route_ahead, now):
             return self._refuse(request, wait_s, now)
         self.queue[key] = queued
         return PlacementReply(request.number, Verdict.QUEUED)
@@ -236,19 +249,39 @@
         return any(queued.request.service == service for queued in self.queue.values())
 
     def _ahead_of(self, queued: QueuedRequest, now: float) -> list[QueuedRequest]:
-        order = queued.sort_key(self.costs, now)
+        if not self.queue:
+            return []
+        underserved = self.served_shares.underserved_routes(now)
+        order = queued.sort_key(underserved, now)
         return [
             other
             for other in self.queue.values()
             if other.request.service == queued.request.service
-            and other.sort_key(self.costs, now) < order
+            and other.sort_key(underserved, now) < order
         ]
 
     def _ordered(self, now: float) -> list[tuple[RequestKey, QueuedRequest]]:
+        if not self.queue:
+            return []
+        underserved = self.served_shares.underserved_routes(now)
         return sorted(
-            self.queue.items(), key=lambda item: item[1].sort_key(self.costs, now)
+            self.queue.items(), key=lambda item: item[1].sort_key(underserved, now)
         )
 
+    def _is_feasible(
+        self, queued: QueuedRequest, wait_s: float, route_ahead: int, now: float
+    ) -> bool:
+        """Whether a request can be sent in time in its turn or by its guarantee.
+
+        The guarantee of its route counts only while the request can be on time; the
+        second figure is the number of requests of the route that go ahead.
+        """
+        if now + wait_s <= queued.send_by_s:
+            return True
+        guaranteed_per_s = self.served_shares.guaranteed_per_s(queued.request, now)
+        time_left_s = queued.objective_s - LATE_MARGIN_S - now
+        return route_ahead + 1 <= guaranteed_per_s * time_left_s
+
     def _wait_s(self, queued: QueuedRequest, work_s: float, now: float) -> float:
         engines = self.runs.open_engines(queued.request.service)
         return self.wait_estimator.wait_s(queued, work_s, engines, now)
@@ -272,6 +305,7 @@
             route=request.route,
         )
         self.runs.add_run(key, found.engine, run, request.parts)
+        self.served_shares.record_grant(request, now)
         self._counts_of(request.route).granted += 1
         return self._grant_reply(
             request, found.engine.target, int(found.first_event_ms)
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/queue_order.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/queue_order.py
@@ -1,9 +1,10 @@
 """Orders the queue of requests that wait for an engine."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from burdockhaven_core.scheduling.peer_messages import PlacementRequest
-from burdockhaven_core.scheduling.route_costs import RouteCosts
+from burdockhaven_core.scheduling.served_shares import STARVING_RATIO, Tier
 
 # Ratio of the weights of two adjacent route priorities; users value their requests in
 # about this ratio. A greater weight sorts a request further back.
@@ -14,6 +15,11 @@
 # Weight factor of a late retry: it goes ahead of late new requests, whose clients may
 # still retry, and behind requests that can be on time.
 RETRY_FACTOR = 1.7
+# Greatest weight of a request that can be on time while its route gets less than it is
+# guaranteed: behind on-time requests of the first rank, ahead of late ones.
+UNDERSERVED_WEIGHT = 1.5
+# The same if its route is starving: ahead of all others.
+STARVING_WEIGHT = 0.0
 # Seconds before its latency objective at which a request counts as late.
 LATE_MARGIN_S = 0.2
 # Shortest time in seconds that a run is assumed to need for its first event.
@@ -32,17 +38,16 @@
     # 1 for requests that can be on time.
     late_factor: float
 
-    def sort_key(self, costs: RouteCosts) -> tuple[int, float]:
-        """Return the sort key among the classes of a service; the lowest goes first.
+    @property
+    def sort_key(self) -> tuple[int, float]:
+        """The sort key among the classes of a service; the lowest goes first.
 
-        The account's priority decides first. Among equal priorities, classes are sorted
-        by cost divided by value (the c-mu rule): the value falls with the route's
-        priority and once the first event is late, and cheap requests go first at equal
-        value because they delay the others little. The cost is the average of the
-        route, so that large requests don't wait for small ones of the same route.
+        The account's priority decides first, then the value of a request, which falls
+        with the route's priority and once the first event is late. The measured cost
+        of the routes has no part in it: it changes with the load, so that routes of
+        nearly equal value would change places.
         """
-        weight = PRIORITY_FACTOR**self.route_priority * self.late_factor
-        return (self.priority, costs.average_s(self.route) * weight)
+        return (self.priority, PRIORITY_FACTOR**self.route_priority * self.late_factor)
 
 
 @dataclass(slots=True)
@@ -90,8 +95,23 @@
         )
 
     def sort_key(
-        self, costs: RouteCosts, now: float
+        self, underserved: Mapping[tuple[Tier, str], float], now: float
     ) -> tuple[tuple[int, float], bool, float]:
         """Return the sort key in the queue: class, retries first, then arrival."""
-        class_key = self.queue_class(now).sort_key(costs)
-        return (class_key, not self.is_retry, self.arrived_s)
+        return (self.class_key(underserved, now), not self.is_retry, self.arrived_s)
+
+    def class_key(
+        self, underserved: Mapping[tuple[Tier, str], float], now: float
+    ) -> tuple[int, float]:
+        """Return the sort key of the class, given the underserved routes.
+
+        Requests of these routes go ahead, within the priority of their accounts, if
+        they can be on time or come back after a refusal.
+        """
+        queue_class = self.queue_class(now)
+        priority, weight = queue_class.sort_key
+        share = underserved.get((Tier.from_request(self.request), self.request.route))
+        if share is not None and (self.is_retry or queue_class.late_factor == 1.0):
+            is_starving = share < STARVING_RATIO
+            weight = min(weight, STARVING_WEIGHT if is_starving else UNDERSERVED_WEIGHT)
+        return (priority, weight)
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/wait_estimate.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/wait_estimate.py
@@ -74,13 +74,12 @@
 
     def _higher_priority_load(self, own: QueueClass, now: float) -> float:
         """Return the slot seconds per second of arrivals that go ahead of a class."""
-        class_key = own.sort_key(self.costs)
         total = 0.0
         for queue_class, rate in list(self.arrivals.items()):
             if rate.is_idle(now):
                 del self.arrivals[queue_class]
             elif queue_class.service == own.service and (
-                queue_class.sort_key(self.costs) < class_key
+                queue_class.sort_key < own.sort_key
             ):
                 total += rate.per_second(now) * self.costs.average_s(queue_class.route)
         return total
