Drain until every client connection is closed, not only until none is busy

Cause: the drain ended as soon as no connection was busy. A request that had arrived in the socket, or on a connection still in the backlog, was read in the 0.1 s that the server's shutdown waits, forwarded, and cancelled. Class: check of a state that the kernel still holds part of. Change: the drain closes idle connections and ends when none is open. Test: test_no_request_is_forwarded_after_the_drain, fails with the old loop. The readiness and control servers end the same way, but forward nothing.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/client_server.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/client_server.py
@@ -15,6 +15,8 @@
 CLIENT_KEEPALIVE_S = 120.0
 # Maximum size of one header line in bytes; the limit in the configuration is lower.
 MAX_HEADER_LINE_BYTES = 32_768
+# Seconds between two checks for idle connections during a drain.
+DRAIN_POLL_INTERVAL_S = 0.02
 REQUEST_TIMEOUT_RESPONSE = (
     b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 )
@@ -77,6 +79,18 @@
         loop = asyncio.get_running_loop()
         return ClientConnection(self, loop=loop, **self.options)
 
+    async def drain(self) -> None:
+        """Close each connection once it has no pending response; wait for the last.
+
+        An idle connection may hold a request that has not been read yet. If it stayed
+        open after the drain, that request would be forwarded and then cut off.
+        """
+        self.close_idle()
+        await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+        while self.connections:
+            self.close_idle()
+            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+
     def is_busy(self) -> bool:
         """Whether any connection has a pending response."""
         return any(connection.is_busy() for connection in self._client_connections())
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -67,8 +67,6 @@
 # Seconds between the end of the drain and the time at which the platform kills the
 # process.
 STOP_MARGIN_S = 0.5
-# Seconds between two checks for pending responses during a drain.
-DRAIN_POLL_INTERVAL_S = 0.02
 # Longest time in seconds that clients wait after a start until the configuration and
 # the targets are read; then their requests are answered with 503.
 FIRST_SYNC_TIMEOUT_S = 0.8
@@ -290,8 +288,8 @@
         """Stop being listed in look-ups and finish the pending requests.
 
         From now on, each response closes its connection. New connections are accepted
-        while clients may still use cached look-ups; after that, idle connections are
-        closed until no response is pending or the grace period ends.
+        while clients may still use cached look-ups; after that, connections are closed
+        as they become idle, until none is open or the grace period ends.
         """
         state = self.state
         started_s = state.clock()
@@ -303,9 +301,9 @@
         await asyncio.sleep(max(0.0, accept_until_s - state.clock()))
         # The listener for requests of clients, which `_listen` adds last.
         self.listeners[-1].close()
-        while self.frontend_server.is_busy() and state.clock() < end_s:
-            self.frontend_server.close_idle()
-            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(0.0, end_s - state.clock())):
+                await self.frontend_server.drain()
 
     async def _close(self) -> None:
         for task in list(self.tasks):
--- a/packages/burdockhaven-entry/tests/gateway/test_client_server.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_client_server.py
@@ -73,6 +73,34 @@
     assert not client.reader.at_eof()
 
 
+# Guards against a request that is read at the end of a drain, forwarded and cut off.
+async def test_no_request_is_forwarded_after_the_drain(gateway):
+    client = await Client.connect(gateway)
+    client.writer.write(REQUEST)
+    assert await client.status() == 200
+    await client.reader.readexactly(len(b"done"))
+    async with asyncio.timeout(TIMEOUT_S):
+        await gateway.server.drain()
+    assert gateway.server.connections == []
+    client.writer.write(REQUEST)
+    assert await client.read_to_end() == b""
+    assert len(gateway.received) == 1
+
+
+async def test_drain_waits_for_a_pending_response(gateway):
+    client = await Client.connect(gateway)
+    client.writer.write(REQUEST)
+    assert await client.status() == 200
+    client.writer.write(REQUEST)
+    await wait_until(lambda: len(gateway.received) == 2)
+    drain = asyncio.create_task(gateway.server.drain())
+    await asyncio.sleep(0)
+    assert not drain.done()
+    client.writer.close()
+    async with asyncio.timeout(TIMEOUT_S):
+        await drain
+
+
 @pytest.mark.parametrize("part", [b"P", REQUEST[:30], REQUEST[:-1]])
 async def test_slow_request_head_is_answered_408(gateway, part):
     client = await Client.connect(gateway)
