Wake a member only for run updates and queues that it has

Cause: each of 84 members polled for run updates 200 times, for grants 50 and for refusals 20 times a second, though most have nothing to send and only the broker in use queues. Change: the first pending update schedules one flush after 5 ms; the queue is polled while it holds requests (queue_poller.py).

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -21,6 +21,7 @@
 from burdockhaven_entry.gateway.peer_endpoint import PeerEndpoint
 from burdockhaven_entry.gateway.placement_client import PlacementClient
 from burdockhaven_entry.gateway.plain_forwarding import PlainForwarder
+from burdockhaven_entry.gateway.queue_poller import QueuePoller
 from burdockhaven_entry.gateway.store_event_handlers import StoreEventHandlers
 from burdockhaven_entry.gateway.store_sync import (
     PrefixHandlers,
@@ -41,12 +42,8 @@
 HEARTBEAT_INTERVAL_S = 0.15
 # Seconds between two full run reports to the broker.
 RUN_REPORT_INTERVAL_S = 0.25
-# Seconds between two messages with run updates; the updates between them are batched.
-PROGRESS_INTERVAL_S = 0.005
-# Seconds between two attempts to grant queued requests.
-GRANT_INTERVAL_S = 0.02
-# Seconds between two checks for queued requests that can't be served in time.
-LOAD_SHEDDING_INTERVAL_S = 0.05
+# Seconds from a run update to the message that carries it and all that follow it.
+PROGRESS_DELAY_S = 0.005
 # Delay in seconds before each read of the members registered in the store. These reads
 # are cheap, as they may return data that is seconds old; members that register later
 # probe this one.
@@ -98,8 +95,11 @@
             own_heartbeat=state.heartbeat,
             send=lambda node, message: self.membership.send(node, message),
             clock=state.clock,
+            on_pending_updates=self._schedule_flush,
+            on_queued=lambda: self.queue_poller.start(),
             zone=state.settings.zone,
         )
+        self.queue_poller = QueuePoller(self.timer, state.broker, self.placement_client)
         self.membership = Membership(
             state,
             self.endpoint,
@@ -217,14 +217,6 @@
             lambda now: self.placement_client.send_report(),
             jitter=0.1,
         )
-        timer.subscribe(
-            PROGRESS_INTERVAL_S, lambda now: self.placement_client.flush_progress()
-        )
-        timer.subscribe(GRANT_INTERVAL_S, lambda now: self._grant_queued())
-        timer.subscribe(
-            LOAD_SHEDDING_INTERVAL_S,
-            lambda now: self.placement_client.refuse_infeasible(),
-        )
         timer.subscribe(EXPIRY_INTERVAL_S, self._expire_targets)
         timer.subscribe(ABSENCE_CHECK_INTERVAL_S, self._discard_runs_of_absent_members)
         timer.subscribe(QUEUE_LOG_INTERVAL_S, self._log_queue)
@@ -232,6 +224,12 @@
             HEADER_TIMEOUT_CHECK_INTERVAL_S, lambda now: self._enforce_header_timeout()
         )
 
+    def _schedule_flush(self) -> None:
+        self.timer.call_at(
+            self.state.clock() + PROGRESS_DELAY_S,
+            lambda now: self.placement_client.flush_progress(),
+        )
+
     def _start_store_tasks(self) -> None:
         for handlers in self.store_handlers.for_all_prefixes():
             self.spawn(self._watch_prefix(handlers))
@@ -319,10 +317,6 @@
         await self.session.close()
         await self.store.close()
 
-    def _grant_queued(self) -> None:
-        if self.state.broker.queue:
-            self.placement_client.grant_queued()
-
     def _enforce_header_timeout(self) -> None:
         table = self.state.table
         if table is not None:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
@@ -130,7 +130,7 @@
             case PlacementRequest():
                 self.state.member_list.record_message(message.sender, now)
                 reply = msgspec.structs.replace(
-                    self.state.broker.submit(message, now),
+                    self.placement_client.submit(message, now),
                     broker=self.state.member_id.node,
                 )
                 self.send(message.sender.node, reply)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
@@ -130,6 +130,10 @@
     send: SendMessage
     # Returns monotonic seconds.
     clock: Callable[[], float]
+    # Called when there are run updates to flush, and when the local broker queues a
+    # request.
+    on_pending_updates: Callable[[], None] = lambda: None
+    on_queued: Callable[[], None] = lambda: None
     # Availability zone of this process; empty if unknown.
     zone: str = ""
     pending: dict[int, _PendingPlacement] = field(default_factory=dict)
@@ -167,7 +171,7 @@
         if run is not None and not run.first_event_seen:
             run.first_event_seen = True
             first_ms = int((self.clock() - run.sent_s) * 1e3)
-            self.pending_updates.append(RunUpdate(number, None, first_ms))
+            self._add_update(RunUpdate(number, None, first_ms))
 
     def record_end(
         self,
@@ -179,7 +183,14 @@
         """Record how a run ended, and the pauses between its events."""
         if self.runs.pop(number, None) is not None:
             pauses = (int(pause * 1e4) for pause in (typical_pause_s, longest_pause_s))
-            self.pending_updates.append(RunUpdate(number, end, 0, *pauses))
+            self._add_update(RunUpdate(number, end, 0, *pauses))
+
+    def submit(self, request: PlacementRequest, now: float) -> PlacementReply:
+        """Submit a request, of this or another member, to the local broker."""
+        reply = self.broker.submit(request, now)
+        if reply.verdict is Verdict.QUEUED:
+            self.on_queued()
+        return reply
 
     def flush_progress(self) -> None:
         """Send the pending run updates to the broker in one message."""
@@ -319,10 +330,15 @@
             zone=self.zone,
         )
         if node == self.member_id.node:
-            self.on_reply(self.broker.submit(request, now), node)
+            self.on_reply(self.submit(request, now), node)
         else:
             self.send(node, request)
 
+    def _add_update(self, update: RunUpdate) -> None:
+        self.pending_updates.append(update)
+        if len(self.pending_updates) == 1:
+            self.on_pending_updates()
+
     def _mark_suspect(self, node: str) -> None:
         view = self.member_list.views.get(node)
         if view is None:
--- a/packages/burdockhaven-entry/tests/gateway/test_placement_client.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_placement_client.py
@@ -193,3 +193,17 @@
     await harness.placement_client.place(requirements())
     await harness.placement_client.place(requirements())
     assert logged == [(EventNumber.BROKER_SUSPECTED, "entry-2")]
+
+
+async def test_first_of_several_updates_requests_one_flush():
+    harness = PlacementHarness(slots=2)
+    flushes = []
+    harness.placement_client.on_pending_updates = lambda: flushes.append(1)
+    await harness.placement_client.place(requirements())
+    harness.placement_client.record_first_event(1)
+    harness.placement_client.record_end(1, RunEnd.COMPLETED)
+    assert flushes == [1]
+    harness.placement_client.flush_progress()
+    await harness.placement_client.place(requirements())
+    harness.placement_client.record_first_event(2)
+    assert flushes == [1, 1]
