Queue by classes: the work of a placement request no longer grows with the queue

Change: request_queue.py keeps requests by class, in order of arrival; ranks are compared by class, waits computed once a class.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -5,6 +5,7 @@
 broker that takes over rebuilds the runs in flight from the members' reports.
 """
 
+import itertools
 from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
@@ -23,17 +24,17 @@
     PlacementConstraints,
     place,
 )
-from burdockhaven_core.scheduling.queue_order import LATE_MARGIN_S, QueuedRequest
+from burdockhaven_core.scheduling.queue_order import QueueClass, QueuedRequest
 from burdockhaven_core.scheduling.quotas import QuotaRule, quota_cost
 from burdockhaven_core.scheduling.recent_refusals import RecentRefusals
+from burdockhaven_core.scheduling.request_queue import RequestKey, RequestQueue
 from burdockhaven_core.scheduling.route_costs import RouteCosts
 from burdockhaven_core.scheduling.routing import Account, RoutingTable
 from burdockhaven_core.scheduling.run_tracker import (
     GRANT_SETTLE_S,
-    RequestKey,
     RunTracker,
 )
-from burdockhaven_core.scheduling.served_shares import ServedShares, Tier
+from burdockhaven_core.scheduling.served_shares import RouteKey, ServedShares
 from burdockhaven_core.scheduling.shared_quotas import SharedQuotas
 from burdockhaven_core.scheduling.target_registry import TargetEntry
 from burdockhaven_core.scheduling.wait_estimate import WaitEstimator
@@ -54,6 +55,30 @@
     reply: PlacementReply
 
 
+@dataclass(frozen=True, slots=True)
+class _AdmissionLimits:
+    """What a class of requests can expect; times are seconds."""
+
+    # Slot seconds of one request.
+    cost_s: float
+    # Slot seconds per second that requests of higher rank leave.
+    free_capacity: float
+    # Grants per second that the route is guaranteed.
+    guaranteed_per_s: float
+
+    def admit(
+        self, queued: QueuedRequest, wait_s: float, route_ahead: int, now: float
+    ) -> bool:
+        """Whether a request can be sent in time, in its turn or by its guarantee.
+
+        The guarantee counts only while the request can be on time; `route_ahead` is the
+        number of requests of its route that go ahead.
+        """
+        if now + wait_s <= queued.send_by_s:
+            return True
+        return route_ahead + 1 <= self.guaranteed_per_s * (queued.late_at_s - now)
+
+
 @dataclass(slots=True)
 class RouteCounts:
     """Numbers of decisions on the placement requests of one route."""
@@ -75,7 +100,7 @@
         self.wait_estimator = WaitEstimator(self.costs)
         self.served_shares = ServedShares()
         self.recent_refusals = RecentRefusals()
-        self.queue: dict[RequestKey, QueuedRequest] = {}
+        self.queue = RequestQueue()
         # Decisions since `take_route_counts` was last called, by route.
         self.route_counts: dict[str, RouteCounts] = {}
 
@@ -113,7 +138,7 @@
         account = self.accounts.get(request.account)
         cost = quota_cost(account, request.prompt_tokens, request.output_tokens)
         if account is not None and not self.quotas.admits(
-            account, cost, now, others_wait=self._has_queue(request.service)
+            account, cost, now, others_wait=self.queue.holds_service(request.service)
         ):
             wait_s = self.quotas.retry_after_s(account, cost, now)
             return _refusal(request, Verdict.OVER_QUOTA, wait_s)
@@ -136,7 +161,8 @@
         }
         if not self.queue or not any(free.values()):
             return replies
-        for key, queued in self._ordered(now)[:MAX_GRANT_ATTEMPTS]:
+        requests = itertools.chain.from_iterable(g for _, g in self._in_order(now))
+        for key, queued in itertools.islice(requests, MAX_GRANT_ATTEMPTS):
             engines = free.get(queued.request.service)
             if not engines:
                 continue
@@ -153,23 +179,21 @@
     def refuse_infeasible(self, now: float) -> list[AddressedReply]:
         """Refuse queued requests that would wait past their latest time to be sent."""
         replies: list[AddressedReply] = []
-        work_ahead: dict[str, float] = {}
-        route_ahead: Counter[tuple[Tier, str]] = Counter()
-        for key, queued in self._ordered(now):
-            request = queued.request
-            route = (Tier.from_request(request), request.route)
-            work_s = work_ahead.get(request.service, 0.0) + self.costs.average_s(
-                request.route
-            )
-            wait_s = self._wait_s(queued, work_s, now)
-            if self._is_feasible(queued, wait_s, route_ahead[route], now):
-                work_ahead[request.service] = work_s
-                route_ahead[route] += 1
-            else:
-                del self.queue[key]
-                replies.append(
-                    AddressedReply(request.sender, self._refuse(request, wait_s, now))
-                )
+        work_ahead_s: dict[str, float] = {}
+        route_ahead: Counter[RouteKey] = Counter()
+        for queue_class, group in self._in_order(now):
+            limits = self._limits_of(queue_class, now)
+            service, route_key = queue_class.service, queue_class.route_key
+            for key, queued in group:
+                work_s = work_ahead_s.get(service, 0.0) + limits.cost_s
+                wait_s = work_s / limits.free_capacity
+                if limits.admit(queued, wait_s, route_ahead[route_key], now):
+                    work_ahead_s[service] = work_s
+                    route_ahead[route_key] += 1
+                else:
+                    del self.queue[key]
+                    reply = self._refuse(queued.request, wait_s, now)
+                    replies.append(AddressedReply(queued.request.sender, reply))
         return replies
 
     def cancel_placement(self, sender: MemberId, number: int, now: float) -> None:
@@ -214,22 +238,22 @@
         engines = self.runs.open_engines(request.service)
         if request.excluded and all(e.target in request.excluded for e in engines):
             return self._refuse(request, RETRY_AFTER_MIN_S, now)
-        ahead = self._ahead_of(queued, now)
+        queue_class = queued.queue_class(now)
+        ahead = self._counts_ahead(queue_class, now)
         if not ahead:
             free = [engine for engine in engines if engine.is_available(now)]
             found = _find_placement(queued, free, now)
             if found is not None:
                 return self._grant(key, queued, found, now)
-        work_s = sum(
-            self.costs.average_s(other.request.route) for other in [queued, *ahead]
+        limits = self._limits_of(queue_class, now)
+        work_s = limits.cost_s + sum(
+            count * self.costs.average_s(other.route) for other, count in ahead
         )
-        wait_s = self._wait_s(queued, work_s, now)
         route_ahead = sum(
-            other.request.route == request.route
-            and other.request.priority == request.priority
-            for other in ahead
+            count for other, count in ahead if other.route_key == queue_class.route_key
         )
-        if not self._is_feasible(queued, wait_s, route_ahead, now):
+        wait_s = work_s / limits.free_capacity
+        if not limits.admit(queued, wait_s, route_ahead, now):
             return self._refuse(request, wait_s, now)
         self.queue[key] = queued
         return PlacementReply(request.number, Verdict.QUEUED)
@@ -245,47 +269,30 @@
             found = self.route_counts[route] = RouteCounts()
         return found
 
-    def _has_queue(self, service: str) -> bool:
-        return any(queued.request.service == service for queued in self.queue.values())
-
-    def _ahead_of(self, queued: QueuedRequest, now: float) -> list[QueuedRequest]:
+    def _counts_ahead(
+        self, queue_class: QueueClass, now: float
+    ) -> list[tuple[QueueClass, int]]:
         if not self.queue:
             return []
         underserved = self.served_shares.underserved_routes(now)
-        order = queued.sort_key(underserved, now)
-        return [
-            other
-            for other in self.queue.values()
-            if other.request.service == queued.request.service
-            and other.sort_key(underserved, now) < order
-        ]
-
-    def _ordered(self, now: float) -> list[tuple[RequestKey, QueuedRequest]]:
+        return self.queue.counts_ahead(queue_class, underserved, now)
+
+    def _in_order(
+        self, now: float
+    ) -> list[tuple[QueueClass, list[tuple[RequestKey, QueuedRequest]]]]:
         if not self.queue:
             return []
         underserved = self.served_shares.underserved_routes(now)
-        return sorted(
-            self.queue.items(), key=lambda item: item[1].sort_key(underserved, now)
+        return self.queue.in_order(underserved, now)
+
+    def _limits_of(self, queue_class: QueueClass, now: float) -> "_AdmissionLimits":
+        engines = self.runs.open_engines(queue_class.service)
+        return _AdmissionLimits(
+            self.costs.average_s(queue_class.route),
+            self.wait_estimator.free_capacity(queue_class, engines, now),
+            self.served_shares.guaranteed_per_s(queue_class.route_key, now),
         )
 
-    def _is_feasible(
-        self, queued: QueuedRequest, wait_s: float, route_ahead: int, now: float
-    ) -> bool:
-        """Whether a request can be sent in time in its turn or by its guarantee.
-
-        The guarantee of its route counts only while the request can be on time; the
-        second figure is the number of requests of the route that go ahead.
-        """
-        if now + wait_s <= queued.send_by_s:
-            return True
-        guaranteed_per_s = self.served_shares.guaranteed_per_s(queued.request, now)
-        time_left_s = queued.objective_s - LATE_MARGIN_S - now
-        return route_ahead + 1 <= guaranteed_per_s * time_left_s
-
-    def _wait_s(self, queued: QueuedRequest, work_s: float, now: float) -> float:
-        engines = self.runs.open_engines(queued.request.service)
-        return self.wait_estimator.wait_s(queued, work_s, engines, now)
-
     def _grant(
         self, key: RequestKey, queued: QueuedRequest, found: Placement, now: float
     ) -> PlacementReply:
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/queue_order.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/queue_order.py
@@ -1,10 +1,10 @@
 """Orders the queue of requests that wait for an engine."""
 
-from collections.abc import Mapping
+from collections.abc import Set as AbstractSet
 from dataclasses import dataclass
 
 from burdockhaven_core.scheduling.peer_messages import PlacementRequest
-from burdockhaven_core.scheduling.served_shares import STARVING_RATIO, Tier
+from burdockhaven_core.scheduling.served_shares import RouteKey, Tier
 
 # Ratio of the weights of two adjacent route priorities; users value their requests in
 # about this ratio. A greater weight sorts a request further back.
@@ -15,11 +15,6 @@
 # Weight factor of a late retry: it goes ahead of late new requests, whose clients may
 # still retry, and behind requests that can be on time.
 RETRY_FACTOR = 1.7
-# Greatest weight of a request that can be on time while its route gets less than it is
-# guaranteed: behind on-time requests of the first rank, ahead of late ones.
-UNDERSERVED_WEIGHT = 1.5
-# The same if its route is starving: ahead of all others.
-STARVING_WEIGHT = 0.0
 # Seconds before its latency objective at which a request counts as late.
 LATE_MARGIN_S = 0.2
 # Shortest time in seconds that a run is assumed to need for its first event.
@@ -38,17 +33,37 @@
     # 1 for requests that can be on time.
     late_factor: float
 
+    # Whether the client was refused before, or a target has failed the request.
+    is_retry: bool
+
+    @property
+    def route_key(self) -> RouteKey:
+        """The route and the tier of the requests."""
+        return (Tier(self.service, self.priority), self.route)
+
     @property
     def sort_key(self) -> tuple[int, float]:
-        """The sort key among the classes of a service; the lowest goes first.
+        """The sort key by account priority and value; the lowest goes first.
 
-        The account's priority decides first, then the value of a request, which falls
-        with the route's priority and once the first event is late. The measured cost
-        of the routes has no part in it: it changes with the load, so that routes of
-        nearly equal value would change places.
+        The value of a request falls with the priority of its route and once its first
+        event is late. The measured cost of the routes has no part in it: it changes
+        with the load, so that routes of nearly equal value would change places.
         """
         return (self.priority, PRIORITY_FACTOR**self.route_priority * self.late_factor)
 
+    def rank(self, underserved: AbstractSet[RouteKey]) -> tuple[int, bool, float, bool]:
+        """Return the rank in the queue, given the underserved routes.
+
+        Requests of these routes go ahead, within the priority of their accounts, if
+        they can be on time or come back after a refusal. At equal value, those that
+        come back go first.
+        """
+        goes_ahead = (
+            self.is_retry or self.late_factor == 1.0
+        ) and self.route_key in underserved
+        priority, weight = self.sort_key
+        return (priority, not goes_ahead, weight, not self.is_retry)
+
 
 @dataclass(slots=True)
 class QueuedRequest:
@@ -80,10 +95,15 @@
             is_retry=request.is_retry or was_refused,
         )
 
+    @property
+    def late_at_s(self) -> float:
+        """When the first event can no longer be expected on time."""
+        return self.objective_s - LATE_MARGIN_S
+
     def queue_class(self, now: float) -> QueueClass:
         """Return the current class, which changes when the request becomes late."""
         factor = 1.0
-        if self.objective_s - now < LATE_MARGIN_S:
+        if self.late_at_s < now:
             factor = RETRY_FACTOR if self.is_retry else LATE_FACTOR
         request = self.request
         return QueueClass(
@@ -92,26 +112,5 @@
             request.priority,
             request.route_priority,
             factor,
+            self.is_retry,
         )
-
-    def sort_key(
-        self, underserved: Mapping[tuple[Tier, str], float], now: float
-    ) -> tuple[tuple[int, float], bool, float]:
-        """Return the sort key in the queue: class, retries first, then arrival."""
-        return (self.class_key(underserved, now), not self.is_retry, self.arrived_s)
-
-    def class_key(
-        self, underserved: Mapping[tuple[Tier, str], float], now: float
-    ) -> tuple[int, float]:
-        """Return the sort key of the class, given the underserved routes.
-
-        Requests of these routes go ahead, within the priority of their accounts, if
-        they can be on time or come back after a refusal.
-        """
-        queue_class = self.queue_class(now)
-        priority, weight = queue_class.sort_key
-        share = underserved.get((Tier.from_request(self.request), self.request.route))
-        if share is not None and (self.is_retry or queue_class.late_factor == 1.0):
-            is_starving = share < STARVING_RATIO
-            weight = min(weight, STARVING_WEIGHT if is_starving else UNDERSERVED_WEIGHT)
-        return (priority, weight)
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
@@ -14,6 +14,7 @@
     RunState,
     RunUpdate,
 )
+from burdockhaven_core.scheduling.request_queue import RequestKey
 from burdockhaven_core.scheduling.route_costs import RouteCosts
 from burdockhaven_core.scheduling.routing import RoutingTable
 from burdockhaven_core.scheduling.target_registry import TargetEntry
@@ -30,10 +31,6 @@
 DEFAULT_CACHE_TOKENS = 500_000
 DEFAULT_TOKENS_PER_EVENT = 1
 
-# Node and incarnation of the member that sent the placement request, and the member's
-# number for the request.
-RequestKey = tuple[str, int, int]
-
 
 class RunTracker:
     """The engines, and their runs in flight."""
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/served_shares.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/served_shares.py
@@ -12,10 +12,9 @@
 
 # Seconds over which arrivals and grants are counted.
 WINDOW_S = 2.0
-# Served share that a route is guaranteed, relative to its tier.
+# Served share that a route is guaranteed, relative to its tier; users count a kind of
+# request as starved at half of it.
 GUARANTEED_RATIO = 0.5
-# Relative share below which a route is about to starve; users draw the line at 0.25.
-STARVING_RATIO = 0.4
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +30,10 @@
         return cls(request.service, request.priority)
 
 
+# A route and the tier in which its requests compete.
+RouteKey = tuple[Tier, str]
+
+
 class _Counts:
     """Arrivals and grants within the window."""
 
@@ -53,31 +56,29 @@
         """Count a request that was granted an engine."""
         self._counts(request).grants.add(1.0, now)
 
-    def guaranteed_per_s(self, request: PlacementRequest, now: float) -> float:
-        """Return the grants per second that the request's route is guaranteed."""
-        tier = Tier.from_request(request)
-        counts = self.tiers.get(tier, {}).get(request.route)
+    def guaranteed_per_s(self, route_key: RouteKey, now: float) -> float:
+        """Return the grants per second that a route is guaranteed."""
+        tier, route = route_key
+        counts = self.tiers.get(tier, {}).get(route)
         if counts is None:
             return 0.0
         share = GUARANTEED_RATIO * self._share(tier, now)
         return share * counts.arrivals.sum(now) / WINDOW_S
 
-    def underserved_routes(self, now: float) -> dict[tuple[Tier, str], float]:
-        """Return the routes that get less than guaranteed, with their relative share.
+    def underserved_routes(self, now: float) -> set[RouteKey]:
+        """Return the routes that were granted less than they are guaranteed.
 
         They lack at least one whole request, so that a route with few requests is not
         underserved by the first one that waits.
-        The relative share is the served share of the route divided by that of its tier.
         """
-        found = {}
-        for tier, routes in self.tiers.items():
-            tier_share = self._share(tier, now)
-            for route, counts in routes.items():
-                even = tier_share * counts.arrivals.sum(now)
-                grants = counts.grants.sum(now)
-                if grants + 1 <= GUARANTEED_RATIO * even:
-                    found[tier, route] = grants / even
-        return found
+        return {
+            (tier, route)
+            for tier, routes in self.tiers.items()
+            for tier_share in (self._share(tier, now),)
+            for route, counts in routes.items()
+            if counts.grants.sum(now) + 1
+            <= GUARANTEED_RATIO * tier_share * counts.arrivals.sum(now)
+        }
 
     def _share(self, tier: Tier, now: float) -> float:
         """Return the share of a tier's requests that were granted an engine."""
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/wait_estimate.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/wait_estimate.py
@@ -1,5 +1,6 @@
 """Estimates how long a request will wait for an engine."""
 
+import math
 from collections.abc import Collection
 
 from burdockhaven_core.scheduling.engine_load import EngineLoad
@@ -52,34 +53,30 @@
             rate = self.arrivals[queue_class] = ArrivalRate()
         rate.record(now)
 
-    def wait_s(
-        self,
-        queued: QueuedRequest,
-        work_s: float,
-        engines: Collection[EngineLoad],
-        now: float,
+    def free_capacity(
+        self, queue_class: QueueClass, engines: Collection[EngineLoad], now: float
     ) -> float:
-        """Estimate the seconds until the work ahead of a request is done.
+        """Return the slot seconds per second that later arrivals leave to a class.
 
-        The work is in slot seconds. Later arrivals that go ahead of the request take
-        part of the capacity. If they take all of it, the wait is bounded only by the
-        minimum free capacity. No wait is predicted while no engine is known, as right
-        after a start: the engines are read within a fraction of a second.
+        If arrivals that go ahead of the class take all of the capacity, a minimum
+        remains. The capacity is unlimited while no engine is known, as right after a
+        start: the engines are read within a fraction of a second.
         """
         if not engines:
-            return 0.0
+            return math.inf
         capacity = sum(engine.slots / engine.slowness for engine in engines)
-        free = capacity - self._higher_priority_load(queued.queue_class(now), now)
-        return work_s / max(free, MIN_FREE_FRACTION * capacity, MIN_FREE_SLOTS)
+        free = capacity - self._higher_priority_load(queue_class, now)
+        return max(free, MIN_FREE_FRACTION * capacity, MIN_FREE_SLOTS)
 
     def _higher_priority_load(self, own: QueueClass, now: float) -> float:
         """Return the slot seconds per second of arrivals that go ahead of a class."""
+        own_key = own.sort_key
         total = 0.0
         for queue_class, rate in list(self.arrivals.items()):
             if rate.is_idle(now):
                 del self.arrivals[queue_class]
             elif queue_class.service == own.service and (
-                queue_class.sort_key < own.sort_key
+                queue_class.sort_key < own_key
             ):
                 total += rate.per_second(now) * self.costs.average_s(queue_class.route)
         return total
--- a/packages/burdockhaven-core/tests/scheduling/test_broker.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_broker.py
@@ -1,3 +1,5 @@
+import sys
+
 import pytest
 from scheduling_samples import ENGINES, ME, account, placement_request, table, target
 
@@ -419,3 +421,29 @@
     assert verdicts == [Verdict.GRANTED, Verdict.QUEUED]
     broker.apply_progress(RunProgress(ME, (RunUpdate(2, None, 50),)), 0.3)
     assert [a.reply.number for a in broker.grant_queued(0.3)] == [3]
+
+
+def calls_of_submission(queue_length):
+    """Return the function calls that one submission takes at this queue length."""
+    broker = make_broker(targets=("i-1",), slots=1)
+    broker.costs.costs = {"r": 0.001}
+    for number in range(queue_length + 1):
+        broker.submit(placement_request(number), 0.0)
+    assert len(broker.queue) == queue_length
+    calls = 0
+
+    def count(frame, event, argument):
+        nonlocal calls
+        calls += event in ("call", "c_call")
+
+    sys.setprofile(count)
+    try:
+        broker.submit(placement_request(queue_length + 1), 0.1)
+    finally:
+        sys.setprofile(None)
+    return calls
+
+
+# Guards against a broker that is too busy to reply once its queue is long.
+def test_work_of_a_submission_does_not_grow_with_the_queue():
+    assert calls_of_submission(1_000) <= 1.5 * calls_of_submission(50)
