--- a/packages/burdockhaven-core/src/burdockhaven_core/log_numbers.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/log_numbers.py
@@ -52,6 +52,8 @@
     ORDER_DONE = 504
     ORDER_FAILED = 505
     TARGET_ENTRY_UNREADABLE = 506
+    TARGET_LIMIT_CHANGED = 507
+    TARGET_LIMIT_UNREADABLE = 508
 
     # Tier admission.
     FLOOR_CLOSED = 601
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
@@ -20,6 +20,7 @@
 )
 from burdockhaven_core.scheduling.plain_balancer import PlainBalancer
 from burdockhaven_entry.gateway.gateway_metrics import GatewayMetrics
+from burdockhaven_entry.gateway.target_limit_log import TargetLimitLog
 from burdockhaven_entry.platform import PlatformSettings
 
 # Fraction of the platform's quota slack that is used while the usage of all members is
@@ -51,6 +52,7 @@
     own_usage: Quotas
     own_plain_usage: Quotas
     retry_budget: RetryBudget
+    target_limits: TargetLimitLog
     # The configuration in force and its encoded form; None and empty before the first.
     table: RoutingTable | None = None
     table_bytes: bytes = b""
@@ -99,6 +101,7 @@
             own_usage=Quotas(rule),
             own_plain_usage=Quotas(rule),
             retry_budget=RetryBudget(retry_rule),
+            target_limits=TargetLimitLog(settings.node),
         )
 
     @property
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/metrics_text.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/metrics_text.py
@@ -146,6 +146,14 @@
                 slowness.add_metric((target,), engine.slowness)
         yield runs
         yield slowness
+        limits = GaugeMetricFamily(
+            "burdockhaven_target_limit",
+            "Requests per second that a target accepts from all members together",
+            labels=("target",),
+        )
+        for target, limit_per_s in state.target_limits.limits.in_force().items():
+            limits.add_metric((target,), limit_per_s)
+        yield limits
         error = GaugeMetricFamily(
             "burdockhaven_first_event_error",
             "Moving average of the relative errors of predicted first events",
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
@@ -183,6 +183,7 @@
     ) -> web.Response | None:
         state, head = self.state, target_response.head
         now = state.clock()
+        state.target_limits.record_response(target.id, head, now)
         if head.load is not None:
             in_flight = head.load.running + head.load.waiting
             state.balancer.record_load(target.id, in_flight, now)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
@@ -309,6 +309,24 @@
             "detail": "what is wrong with the record",
         },
     ),
+    EventSpec(
+        EventNumber.TARGET_LIMIT_CHANGED,
+        "info",
+        "Target {target} limits its requests to {limit} a second.",
+        "A target that names a limit is in need; check it if the limit stays.",
+        {
+            "target": "name of the target",
+            "limit": "requests a second from all members together; `none` once lifted",
+            "source": "member that received the response with the limit",
+        },
+    ),
+    EventSpec(
+        EventNumber.TARGET_LIMIT_UNREADABLE,
+        "warning",
+        "Target {target} names a limit that cannot be read: {value}.",
+        "The limit in force stays. Tell the owners of the target.",
+        {"target": "name of the target", "value": "the limit as received"},
+    ),
     EventSpec(
         EventNumber.ORDERS_TAKEN,
         "info",
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/response_headers.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/response_headers.py
@@ -1,5 +1,6 @@
 """Headers of target responses: parses them and filters them for the client."""
 
+import math
 from dataclasses import dataclass
 
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -9,6 +10,7 @@
 SIGNATURE = "X-Burdockhaven-Response-Signature"
 NOT_EXECUTED = "X-Burdockhaven-Not-Executed"
 INSTANCE_LOAD = "X-Burdockhaven-Instance-Load"
+SERVER_LIMIT = "Server-Limit"
 RETRY_AFTER = "Retry-After"
 EVENT_STREAM = "text/event-stream"
 MISDIRECTED = 421
@@ -43,6 +45,11 @@
     is_event_stream: bool
     # None if the target does not report it.
     load: TargetLoad | None
+    # Requests per second that the target accepts from all members together; None if it
+    # names no limit.
+    limit_per_s: float | None
+    # A limit that is not a number, as received; empty if there is none.
+    unreadable_limit: str
 
     @property
     def is_success(self) -> bool:
@@ -54,6 +61,8 @@
     status: int, headers: CIMultiDictProxy[str]
 ) -> TargetResponseHead:
     """Parse the head of a target's response."""
+    limit_text = headers.get(SERVER_LIMIT, "")
+    limit_per_s = _parse_limit(limit_text)
     return TargetResponseHead(
         status=status,
         attempt_id=headers.get(ATTEMPT_ID, ""),
@@ -63,6 +72,8 @@
         is_encoded=headers.get("Content-Encoding", "identity") != "identity",
         is_event_stream=headers.get("Content-Type", "").startswith(EVENT_STREAM),
         load=_parse_load(headers.get(INSTANCE_LOAD, "")),
+        limit_per_s=limit_per_s,
+        unreadable_limit=limit_text if limit_per_s is None else "",
     )
 
 
@@ -92,6 +103,14 @@
     return headers
 
 
+def _parse_limit(value: str) -> float | None:
+    try:
+        limit_per_s = float(value)
+    except ValueError:
+        return None
+    return limit_per_s if 0 <= limit_per_s < math.inf else None
+
+
 def _parse_load(value: str) -> TargetLoad | None:
     parts = value.split(",")
     if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
--- a/packages/burdockhaven-entry/tests/platform/test_headers.py
+++ b/packages/burdockhaven-entry/tests/platform/test_headers.py
@@ -122,3 +122,22 @@
 
 def test_refusal_carries_retry_after_header():
     assert refusal_headers("a1", 0.5)["Retry-After"] == "0.50"
+
+
+@pytest.mark.parametrize(
+    ("value", "limit_per_s", "unreadable"),
+    [
+        ("3.1", 3.1, ""),
+        ("0", 0.0, ""),
+        ("", None, ""),
+        ("-1", None, "-1"),
+        ("inf", None, "inf"),
+        ("nan", None, "nan"),
+        ("few", None, "few"),
+    ],
+)
+def test_limit_of_a_target_is_parsed(value, limit_per_s, unreadable):
+    values = {"Server_Limit": value} if value else {}
+    head = read_response_head(200, headers(**values))
+    assert head.limit_per_s == limit_per_s
+    assert head.unreadable_limit == unreadable
