--- a/packages/burdockhaven-entry/tests/gateway/gateway_fixtures.py
+++ b/packages/burdockhaven-entry/tests/gateway/gateway_fixtures.py
@@ -149,11 +149,12 @@
     return behave
 
 
-def stream_events(first, last, *, end=True, reset=False, rest=b""):
+def stream_events(first, last, *, end=True, reset=False, rest=b"", extra=""):
     async def behave(request, reader, writer):
         head = (
             f"HTTP/1.1 200 OK\r\n{ATTEMPT}: {request.headers[ATTEMPT]}\r\n{SIGNATURE}"
-            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+            f"Content-Type: text/event-stream\r\n{extra}"
+            "Transfer-Encoding: chunked\r\n\r\n"
         )
         writer.write(head.encode())
         for number in range(first, last + 1):
