--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -36,6 +36,7 @@
 )
 from burdockhaven_core.scheduling.served_shares import RouteKey, ServedShares
 from burdockhaven_core.scheduling.shared_quotas import SharedQuotas
+from burdockhaven_core.scheduling.target_limits import RateLimiters
 from burdockhaven_core.scheduling.target_registry import TargetEntry
 from burdockhaven_core.scheduling.wait_estimate import WaitEstimator
 
@@ -97,7 +98,9 @@
         self.quotas = SharedQuotas(rule)
         self.costs = RouteCosts()
         self.runs = RunTracker(self.costs)
-        self.wait_estimator = WaitEstimator(self.costs)
+        # Keeps the grants within the limits that engines name.
+        self.limiters = RateLimiters()
+        self.wait_estimator = WaitEstimator(self.costs, self.limiters)
         self.served_shares = ServedShares()
         self.recent_refusals = RecentRefusals()
         self.queue = RequestQueue()
@@ -156,8 +159,8 @@
         """Grant targets to queued requests while engines have free slots."""
         replies: list[AddressedReply] = []
         free = {
-            service: [engine for engine in engines if engine.is_available(now)]
-            for service, engines in self.runs.open_by_service.items()
+            service: self._available_engines(service, now)
+            for service in self.runs.open_by_service
         }
         if not self.queue or not any(free.values()):
             return replies
@@ -172,7 +175,7 @@
             del self.queue[key]
             reply = self._grant(key, queued, found, now)
             replies.append(AddressedReply(queued.request.sender, reply))
-            if found.engine.free_slots() <= 0:
+            if not self._is_available(found.engine, now):
                 engines.remove(found.engine)
         return replies
 
@@ -241,7 +244,7 @@
         queue_class = queued.queue_class(now)
         ahead = self._counts_ahead(queue_class, now)
         if not ahead:
-            free = [engine for engine in engines if engine.is_available(now)]
+            free = self._available_engines(request.service, now)
             found = _find_placement(queued, free, now)
             if found is not None:
                 return self._grant(key, queued, found, now)
@@ -258,6 +261,13 @@
         self.queue[key] = queued
         return PlacementReply(request.number, Verdict.QUEUED)
 
+    def _available_engines(self, service: str, now: float) -> list[EngineLoad]:
+        engines = self.runs.open_engines(service)
+        return [engine for engine in engines if self._is_available(engine, now)]
+
+    def _is_available(self, engine: EngineLoad, now: float) -> bool:
+        return engine.is_available(now) and self.limiters.admits(engine.target, now)
+
     def take_route_counts(self) -> dict[str, RouteCounts]:
         """Return the decisions since the last call, by route, and start anew."""
         counts, self.route_counts = self.route_counts, {}
@@ -313,6 +323,7 @@
         )
         self.runs.add_run(key, found.engine, run, request.parts)
         self.served_shares.record_grant(request, now)
+        self.limiters.record_send(found.engine.target, now)
         self._counts_of(request.route).granted += 1
         return self._grant_reply(
             request, found.engine.target, int(found.first_event_ms)
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
@@ -13,6 +13,16 @@
     incarnation: int
 
 
+class AnnouncedLimit(msgspec.Struct, frozen=True, array_like=True):
+    """What a member knows of the request rate that one target accepts."""
+
+    target: str
+    # Requests per second from all members together; None if a limit was lifted.
+    limit_per_s: float | None
+    # Milliseconds since the response from which it is known.
+    age_ms: int
+
+
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """Announces the state of its sender at a fixed interval."""
 
@@ -40,6 +50,8 @@
     in_sync: bool = True
     # Nodes that have timed out at the sender; empty unless the sender is a hub.
     timed_out_nodes: tuple[str, ...] = ()
+    # The latest known limits of targets, from the responses of any member.
+    limits: tuple[AnnouncedLimit, ...] = ()
 
 
 class PlacementRequest(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/plain_balancer.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/plain_balancer.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from burdockhaven_core.scheduling.target_limits import RateLimiters
 from burdockhaven_core.scheduling.target_registry import TargetEntry
 
 # Weight of a new measurement in the moving average of the latency.
@@ -45,15 +46,22 @@
     def __init__(self, rng: random.Random) -> None:
         self.rng = rng
         self.targets: dict[str, BalancedTarget] = {}
+        # Keeps the requests of this member within its part of the targets' limits.
+        self.limiters = RateLimiters()
 
     def choose(
         self, entries: Iterable[TargetEntry], excluded: set[str], now: float
     ) -> TargetEntry | None:
-        """Return the target that should respond soonest; None if all are excluded.
+        """Return the target that should respond soonest; None if there is none.
 
-        Ejected targets are used only if all targets are ejected.
+        Excluded targets and those at their limit are not used, ejected ones only if
+        nothing else is left.
         """
-        usable = [entry for entry in entries if entry.id not in excluded]
+        usable = [
+            entry
+            for entry in entries
+            if entry.id not in excluded and self.limiters.admits(entry.id, now)
+        ]
         not_ejected = [e for e in usable if self.state_of(e.id).ejected_until_s <= now]
         best: tuple[float, float] | None = None
         chosen = None
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/wait_estimate.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/wait_estimate.py
@@ -7,6 +7,7 @@
 from burdockhaven_core.scheduling.queue_order import QueueClass, QueuedRequest
 from burdockhaven_core.scheduling.route_costs import RouteCosts
 from burdockhaven_core.scheduling.sliding_window import SlidingWindow
+from burdockhaven_core.scheduling.target_limits import RateLimiters
 
 # Seconds over which the arrival rate is measured. The lower rate of the two windows
 # counts, so that neither a short burst nor one that has ended leads to refusals.
@@ -41,8 +42,9 @@
 class WaitEstimator:
     """Estimates waits from the arrival rate of each queue class."""
 
-    def __init__(self, costs: RouteCosts) -> None:
+    def __init__(self, costs: RouteCosts, limiters: RateLimiters) -> None:
         self.costs = costs
+        self.limiters = limiters
         self.arrivals: dict[QueueClass, ArrivalRate] = {}
 
     def record_arrival(self, queued: QueuedRequest, now: float) -> None:
@@ -64,7 +66,14 @@
         """
         if not engines:
             return math.inf
-        capacity = sum(engine.slots / engine.slowness for engine in engines)
+        cost_s = self.costs.average_s(queue_class.route)
+        capacity = sum(
+            min(
+                engine.slots / engine.slowness,
+                self.limiters.rate_per_s(engine.target) * cost_s,
+            )
+            for engine in engines
+        )
         free = capacity - self._higher_priority_load(queue_class, now)
         return max(free, MIN_FREE_FRACTION * capacity, MIN_FREE_SLOTS)
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
@@ -19,9 +19,10 @@
     MemberId,
 )
 from burdockhaven_core.scheduling.plain_balancer import PlainBalancer
+from burdockhaven_core.scheduling.target_limits import broker_rates, member_rates
 from burdockhaven_entry.gateway.gateway_metrics import GatewayMetrics
 from burdockhaven_entry.gateway.target_limit_log import TargetLimitLog
-from burdockhaven_entry.platform import PlatformSettings
+from burdockhaven_entry.platform import PlatformSettings, TargetResponseHead
 
 # Fraction of the platform's quota slack that is used while the usage of all members is
 # known; the rest covers brokers that overlap and heartbeats under way.
@@ -137,6 +138,7 @@
             usage=self.usage(),
             in_sync=self.in_sync,
             timed_out_nodes=self.member_list.timed_out_nodes(self.clock()),
+            limits=self.target_limits.limits.announced(self.clock()),
         )
 
     def usage(self) -> tuple[tuple[str, int], ...]:
@@ -151,10 +153,43 @@
         """Record the quota usage that a member, or this one, reports."""
         self.broker.quotas.record_usage(heartbeat.sender, heartbeat.usage, now)
 
+    def record_limit(self, target: str, head: TargetResponseHead, now: float) -> None:
+        """Record and apply what a response says of its target's limit."""
+        if self.target_limits.record_response(target, head, now):
+            self.apply_limits(now)
+
+    def record_announced_limits(self, heartbeat: Heartbeat, now: float) -> None:
+        """Record and apply the limits that another member announces."""
+        changes = [
+            self.target_limits.record(
+                limit.target,
+                limit.limit_per_s,
+                now - limit.age_ms / 1e3,
+                heartbeat.sender.node,
+            )
+            for limit in heartbeat.limits
+        ]
+        if any(changes):
+            self.apply_limits(now)
+
+    def apply_limits(self, now: float) -> None:
+        """Apply the limits in force to the broker and the balancer.
+
+        Called again at each heartbeat, because the parts depend on the members.
+        """
+        limits = self.target_limits.limits.in_force()
+        nodes = [view.node for view in self.member_list.serving(now)] if limits else []
+        share = self.broker.quotas.share
+        self.broker.limiters.set_rates(broker_rates(limits, share), now)
+        self.balancer.limiters.set_rates(
+            member_rates(limits, self.member_id.node, nodes), now
+        )
+
     def publish_targets(self) -> None:
         """Publish a change of the target registry to the broker and the balancer."""
         self.broker.set_targets(self.registry.entries, self.registry.leaving)
         self.balancer.retain(self.registry.entries)
+        self.target_limits.retain(self.registry.entries)
 
     def apply_table(self, table: RoutingTable, data: bytes) -> bool:
         """Put a configuration in force if it is newer; returns whether it was."""
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
@@ -103,6 +103,7 @@
         quotas.share = state.member_list.quota_share(now)
         quotas.is_usage_complete = state.member_list.is_complete(now)
         state.member_list.update_hubs(heartbeat, now)
+        state.apply_limits(now)
         recipients = self.heartbeat_schedule.recipients(state.member_list)
         self.endpoint.send_all(
             [v.heartbeat.peer_address for v in recipients], heartbeat
@@ -155,6 +156,7 @@
             # Announce this member to the newly started one without delay.
             self.endpoint.send(heartbeat.peer_address, self.state.heartbeat())
         self.state.record_usage(heartbeat, now)
+        self.state.record_announced_limits(heartbeat, now)
         changed = False
         for target in heartbeat.leaving:
             if self.state.registry.is_usable(target):
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
@@ -154,6 +154,7 @@
             target.id, sent_s, None, routed.route.idempotent
         )
         target_state.in_flight += 1
+        state.balancer.limiters.record_send(target.id, sent_s)
         try:
             async with (
                 self._abandoned_if_slow(routed, target, attempts),
@@ -183,7 +184,7 @@
     ) -> web.Response | None:
         state, head = self.state, target_response.head
         now = state.clock()
-        state.target_limits.record_response(target.id, head, now)
+        state.record_limit(target.id, head, now)
         if head.load is not None:
             in_flight = head.load.running + head.load.waiting
             state.balancer.record_load(target.id, in_flight, now)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -234,7 +234,7 @@
         event_timeout: asyncio.Timeout,
     ) -> tuple[RunEnd, _RunResult]:
         head = target_response.head
-        self.state.target_limits.record_response(target.id, head, self.state.clock())
+        self.state.record_limit(target.id, head, self.state.clock())
         if head.not_run:
             routed.trace.failures.append(f"{target.id}: rejected, {head.status}")
             await target_response.read_body()
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_limit_log.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_limit_log.py
@@ -1,5 +1,6 @@
 """Records the limits that targets name in their responses, and logs their changes."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from burdockhaven_core.log_numbers import EventNumber
@@ -21,26 +22,35 @@
 
     def record_response(
         self, target: str, head: TargetResponseHead, now: float
-    ) -> None:
-        """Record what a response says of its target's limit."""
+    ) -> bool:
+        """Record what a response says of its target's limit; True if it has changed."""
         if not head.unreadable_limit:
-            self.record(target, head.limit_per_s, now, self.node)
-        elif target not in self.unreadable:
+            return self.record(target, head.limit_per_s, now, self.node)
+        if target not in self.unreadable:
             self.unreadable.add(target)
             log(
                 EventNumber.TARGET_LIMIT_UNREADABLE,
                 target=target,
                 value=head.unreadable_limit,
             )
+        return False
 
     def record(
         self, target: str, limit_per_s: float | None, observed_s: float, source: str
-    ) -> None:
-        """Record an observation of this member or of another one."""
-        if self.limits.record(target, limit_per_s, observed_s):
-            log(
-                EventNumber.TARGET_LIMIT_CHANGED,
-                target=target,
-                limit=NO_LIMIT_TEXT if limit_per_s is None else f"{limit_per_s:g}",
-                source=source,
-            )
+    ) -> bool:
+        """Record an observation of a member; return True if the limit has changed."""
+        if not self.limits.record(target, limit_per_s, observed_s):
+            return False
+        log(
+            EventNumber.TARGET_LIMIT_CHANGED,
+            target=target,
+            limit=NO_LIMIT_TEXT if limit_per_s is None else f"{limit_per_s:g}",
+            source=source,
+        )
+        return True
+
+    def retain(self, targets: Iterable[str]) -> None:
+        """Discard what is known of all other targets."""
+        present = set(targets)
+        self.limits.retain(present)
+        self.unreadable &= present
--- a/packages/burdockhaven-entry/tests/gateway/test_target_limit_log.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_target_limit_log.py
@@ -1,8 +1,25 @@
 import asyncio
+import dataclasses
+import random
 import time
 
 import pytest
-from gateway_fixtures import Gateway, Script, respond, stream_events
+from gateway_fixtures import (
+    ENGINE_SERVICE,
+    PLAIN_SERVICE,
+    Gateway,
+    Script,
+    respond,
+    routing_table,
+    settings,
+    stream_events,
+)
+from multidict import CIMultiDict, CIMultiDictProxy
+from scheduling_samples import target
+
+from burdockhaven_core.scheduling.peer_messages import decode_message, encode_message
+from burdockhaven_entry.gateway.gateway_state import GatewayState
+from burdockhaven_entry.platform import read_response_head
 
 LIMIT_PER_S = 2.0
 LIMIT_HEADER = f"Server-Limit: {LIMIT_PER_S}\r\n"
@@ -14,7 +31,7 @@
 TOLERANCE_REQUESTS = 5
 
 
-# Guards against incident LIMIT: a target got many more requests than the limit it named.
+# Guards against incident LIMIT: a target got many times the requests that it accepts.
 @pytest.mark.parametrize(
     ("path", "targets"),
     [
@@ -63,3 +80,32 @@
         assert (await gateway.call("/safe/")).status == 200
     assert gateway.state.target_limits.unreadable == {"plain-0"}
     await gateway.stop()
+
+
+def gateway_state(node, incarnation):
+    member_settings = dataclasses.replace(settings(), node=node)
+    state = GatewayState.from_settings(
+        member_settings, incarnation, incarnation, lambda: 5.0, random.Random(1)
+    )
+    state.apply_table(routing_table(), b"")
+    state.registry.put(target("plain-0", PLAIN_SERVICE, 4))
+    state.registry.put(target("engine-0", ENGINE_SERVICE, 4))
+    state.publish_targets()
+    return state
+
+
+# Guards against incident LIMIT where only members that saw the response keep to it.
+@pytest.mark.parametrize("name", ["plain-0", "engine-0"])
+def test_member_keeps_to_a_limit_that_reaches_it_through_another_member(name):
+    first, hub, last = (gateway_state(f"entry-{n}", n) for n in (1, 2, 3))
+    head = read_response_head(
+        200, CIMultiDictProxy(CIMultiDict({"Server-Limit": "2.5"}))
+    )
+    first.record_limit(name, head, 4.9)
+    for sender, receiver in ((first, hub), (hub, last)):
+        heartbeat = decode_message(encode_message(sender.heartbeat()))
+        receiver.record_announced_limits(heartbeat, 5.0)
+    assert last.target_limits.limits.in_force() == {name: 2.5}
+    assert not last.balancer.limiters.admits(name, 5.0)
+    assert not last.broker.limiters.admits(name, 5.0)
+    assert last.broker.limiters.admits(name, 5.5)
