Notice a store that comes back from an older copy, and read and write again

Cause: a restored store hands its revisions out again. A watch went on from a revision that the store has in another history and missed what was written in between; a target that had left came back with the copy; the own entry was missing until its lease was renewed. Change: the adapter decodes the era of each answer, errors too; revisions carry it, so that two eras can't be compared; members pass it on in heartbeats. A new era ends the watches, all keys are read again (spread over 0.3 s), the own entry is written again (over 1 s), targets that the copy lacks get the grace period of an outage, dropped ones in it stay dropped. The stand-in store takes copies and restores them. Result: test_store_that_returns_from_an_older_copy_reverts_nothing plays two real daemons under load; it fails before (the change in the new era is never seen) and passes now.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
@@ -52,6 +52,8 @@
     timed_out_nodes: tuple[str, ...] = ()
     # The latest known limits of targets, from the responses of any member.
     limits: tuple[AnnouncedLimit, ...] = ()
+    # Era of the platform's store as far as the sender knows; 0 if unknown.
+    store_era: int = 0
 
 
 class PlacementRequest(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/target_registry.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/target_registry.py
@@ -105,6 +105,28 @@
         for entry in found.values():
             self.put(entry)
 
+    def replace_restored(self, entries: Iterable[TargetEntry], now: float) -> None:
+        """Apply the entries in a store that was restored from an older copy.
+
+        Entries that are missing are kept for the grace period, in which their targets
+        write them again. A target that was dropped stays so unless its entry is newer,
+        and is announced again, because members that start now know only the copy.
+        """
+        self.begin_store_outage()
+        self.end_store_outage(now)
+        current = []
+        for entry in entries:
+            dropped = self.dropped.get(entry.id)
+            if (
+                dropped is not None
+                and dropped.is_same_start(entry)
+                and entry.sequence <= dropped.sequence
+            ):
+                self.dropped_s[entry.id] = now
+            else:
+                current.append(entry)
+        self.replace(current, now)
+
     def mark_leaving(self, target_id: str) -> None:
         """Record that a target leaves, as announced by itself or by a member."""
         if target_id in self.entries:
--- a/packages/burdockhaven-core/tests/scheduling/test_target_registry.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_target_registry.py
@@ -94,3 +94,43 @@
     registry.replace([], 10.0)
     registry.expire(10.0 + OUTAGE_GRACE_S + 0.1)
     assert "i-1" not in registry.entries
+
+
+def test_dropped_target_in_an_older_copy_stays_dropped_until_it_writes_again():
+    registry = TargetRegistry()
+    registry.put(target("i-1", sequence=5))
+    registry.remove("i-1", 1.0)
+    registry.replace_restored([target("i-1", sequence=4)], 20.0)
+    assert registry.entries == {}
+    assert not registry.is_usable("i-1")
+    assert registry.unusable_targets(20.1) == ("i-1",)
+    registry.put(target("i-1", sequence=6))
+    assert registry.is_usable("i-1")
+
+
+def test_target_that_an_older_copy_lacks_is_kept_for_the_grace_period():
+    registry = TargetRegistry()
+    registry.put(target("i-1"))
+    registry.put(target("i-2"))
+    registry.replace_restored([target("i-1")], 10.0)
+    assert set(registry.entries) == {"i-1", "i-2"}
+    registry.put(target("i-2", sequence=2))
+    registry.expire(10.0 + OUTAGE_GRACE_S)
+    assert set(registry.entries) == {"i-1", "i-2"}
+
+
+def test_target_that_does_not_write_again_after_a_restore_is_dropped():
+    registry = TargetRegistry()
+    registry.put(target("i-1"))
+    registry.replace_restored([], 10.0)
+    registry.expire(10.0 + OUTAGE_GRACE_S)
+    assert registry.entries == {}
+
+
+def test_drained_target_in_an_older_copy_stays_drained():
+    registry = TargetRegistry()
+    registry.put(target("i-1", sequence=2, draining=True))
+    registry.replace_restored([target("i-1", sequence=1)], 10.0)
+    assert not registry.is_usable("i-1")
+    registry.put(target("i-1", sequence=3))
+    assert not registry.is_usable("i-1")
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -83,7 +83,9 @@
         self.sockets = sockets
         settings = state.settings
         self.timer = TimerService(state.clock, state.rng)
-        self.store = PlatformStore.from_address(settings.store_address)
+        self.store = PlatformStore.from_address(
+            settings.store_address, state.store_eras.record_response
+        )
         self.target_client = TargetClient.create()
         self.session = aiohttp.ClientSession()
         self.endpoint = PeerEndpoint(self._on_peer_message, self._on_peer_error)
@@ -189,7 +191,11 @@
         """Watch a prefix; after an error in a handler, log it and read all keys."""
         while True:
             watcher = PrefixWatcher(
-                self.store, handlers, self.state.clock, self.state.rng
+                self.store,
+                handlers,
+                self.state.store_eras,
+                self.state.clock,
+                self.state.rng,
             )
             try:
                 await watcher.run()
@@ -235,7 +241,13 @@
             self.spawn(self._watch_prefix(handlers))
         key = MEMBERS_PREFIX + self.state.member_id.node
         self.spawn(
-            maintain_registration(self.store, key, self.membership.encode_entry())
+            maintain_registration(
+                self.store,
+                key,
+                self.membership.encode_entry(),
+                self.state.store_eras,
+                self.state.rng,
+            )
         )
         self.spawn(self._discover_members())
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
@@ -21,6 +21,7 @@
 from burdockhaven_core.scheduling.plain_balancer import PlainBalancer
 from burdockhaven_core.scheduling.target_limits import broker_rates, member_rates
 from burdockhaven_entry.gateway.gateway_metrics import GatewayMetrics
+from burdockhaven_entry.gateway.store_era import StoreEras
 from burdockhaven_entry.gateway.target_limit_log import TargetLimitLog
 from burdockhaven_entry.platform import PlatformSettings, TargetResponseHead
 
@@ -54,6 +55,7 @@
     own_plain_usage: Quotas
     retry_budget: RetryBudget
     target_limits: TargetLimitLog
+    store_eras: StoreEras
     # The configuration in force and its encoded form; None and empty before the first.
     table: RoutingTable | None = None
     table_bytes: bytes = b""
@@ -103,6 +105,7 @@
             own_plain_usage=Quotas(rule),
             retry_budget=RetryBudget(retry_rule),
             target_limits=TargetLimitLog(settings.node),
+            store_eras=StoreEras(clock),
         )
 
     @property
@@ -138,6 +141,7 @@
             usage=self.usage(),
             in_sync=self.in_sync,
             timed_out_nodes=self.member_list.timed_out_nodes(self.clock()),
+            store_era=self.store_eras.current,
             limits=self.target_limits.limits.announced(self.clock()),
         )
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
@@ -25,6 +25,7 @@
 from burdockhaven_entry.gateway.gateway_state import GatewayState
 from burdockhaven_entry.gateway.peer_endpoint import PeerEndpoint
 from burdockhaven_entry.gateway.placement_client import PlacementClient
+from burdockhaven_entry.gateway.store_era import UNKNOWN_ERA
 from burdockhaven_entry.platform import StoreItem
 
 # Timeout in seconds for fetching a configuration from another member.
@@ -157,6 +158,8 @@
             self.endpoint.send(heartbeat.peer_address, self.state.heartbeat())
         self.state.record_usage(heartbeat, now)
         self.state.record_announced_limits(heartbeat, now)
+        if heartbeat.store_era != UNKNOWN_ERA:
+            self.state.store_eras.observe(heartbeat.store_era, heartbeat.sender.node)
         changed = False
         for target in heartbeat.leaving:
             if self.state.registry.is_usable(target):
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/metrics_text.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/metrics_text.py
@@ -110,6 +110,11 @@
             ("draining", "Whether it is draining before a stop", int(state.draining)),
             ("in_step", "Whether it is in sync with the store", int(state.in_sync)),
             ("queued", "Requests queued at its broker", len(state.broker.queue)),
+            (
+                "store_restores",
+                "Restores of the store from a copy, seen since the start",
+                state.store_eras.restores,
+            ),
             (
                 "hubs",
                 "Members that exchange heartbeats with all others",
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_event_handlers.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_event_handlers.py
@@ -7,6 +7,7 @@
 from burdockhaven_core.log_numbers import EventNumber
 from burdockhaven_core.scheduling.target_registry import TargetEntry
 from burdockhaven_entry.gateway.gateway_state import GatewayState
+from burdockhaven_entry.gateway.store_era import RestorePart
 from burdockhaven_entry.gateway.store_sync import PrefixHandlers, WatchTiming
 from burdockhaven_entry.log_events import log
 from burdockhaven_entry.platform import (
@@ -48,6 +49,8 @@
                 self._on_configuration_change,
                 _log_outage_end,
                 _log_outage_begin,
+                self._on_configuration_snapshot,
+                RestorePart.CONFIGURATION,
                 self._configuration_timing,
             ),
             PrefixHandlers(
@@ -56,6 +59,8 @@
                 self._on_target_change,
                 self._on_targets_recovered,
                 self._on_targets_outage,
+                self._on_targets_restored,
+                RestorePart.TARGETS,
                 self._targets_timing,
             ),
         )
@@ -107,6 +112,11 @@
         self.state.publish_targets()
         self._announce_first_sync()
 
+    def _on_targets_restored(self, items: tuple[StoreItem, ...]) -> None:
+        entries = [entry for item in items if (entry := _decode_target(item))]
+        self.state.registry.replace_restored(entries, self.state.clock())
+        self.state.publish_targets()
+
     def _on_target_change(self, item: StoreItem) -> None:
         registry = self.state.registry
         target_id = item.key.removeprefix(TARGETS_PREFIX)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_sync.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_sync.py
@@ -1,8 +1,9 @@
 """List-watch synchronization of key prefixes with the platform's store.
 
 A watcher reads all keys of its prefix and then watches for changes from the revision of
-that read. After an outage, or if the store no longer has the history, it reads all keys
-again. The module also maintains this member's own leased entry.
+that read. After an outage, if the store no longer has the history or was restored from
+a copy, it reads all keys again. The module also maintains this member's own leased
+entry.
 """
 
 import asyncio
@@ -10,14 +11,16 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from burdockhaven_core.key_value_failure import FailureKind, KeyValueFailure
 from burdockhaven_entry.call_limits import Backoff
+from burdockhaven_entry.gateway.store_era import RestorePart, StoreEras
 from burdockhaven_entry.platform import (
     ChangeBatch,
     PlatformStore,
     StoreItem,
+    StoreRevision,
 )
 
 # Upper bound in seconds of the random delay before the first retry after a failure.
@@ -30,6 +33,10 @@
 LEASE_RENEWAL_INTERVAL_S = 4.0
 # Seconds between two attempts to register.
 REGISTRATION_RETRY_S = 0.5
+# Seconds over which the members spread their reads and their registrations after the
+# store was restored.
+RESTORE_READ_SPREAD_S = 0.3
+RESTORE_REGISTRATION_SPREAD_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +68,10 @@
     on_recovered: Callable[[float], None]
     # Receives the failure with which an outage begins.
     on_outage: Callable[[KeyValueFailure], None]
+    # Receives all keys of the prefix as of a restored copy of the store.
+    on_restored: Callable[[tuple[StoreItem, ...]], None]
+    # What this prefix is to the eras of the store.
+    part: RestorePart
     # Returns the timing that applies now.
     timing: Callable[[], WatchTiming] = WatchTiming
 
@@ -72,14 +83,20 @@
         self,
         store: PlatformStore,
         handlers: PrefixHandlers,
+        eras: StoreEras,
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
         self.store = store
         self.handlers = handlers
+        self.eras = eras
         self.clock = clock
-        # Store revision up to which changes were received; None before the first read.
-        self.revision: int | None = None
+        self.rng = rng
+        # Store revision up to which changes were received; None before the first read
+        # and while all keys have to be read again.
+        self.revision: StoreRevision | None = None
+        # Era of the last read; None before the first.
+        self.read_era: int | None = None
         # Monotonic time of the last success; None before the first.
         self.last_success_s: float | None = None
         # Monotonic time of the first consecutive failure; None while calls succeed.
@@ -90,26 +107,40 @@
     async def run(self) -> None:
         """Read and watch until cancelled."""
         while True:
-            if self.revision is None:
+            if self.revision is None or self.revision.era != self.eras.current:
                 await self._read()
             else:
                 await self._watch(self.revision)
 
     async def _read(self) -> None:
+        if self.read_era is not None and self.read_era != self.eras.current:
+            await asyncio.sleep(self.rng.random() * RESTORE_READ_SPREAD_S)
         result = await self.store.read_prefix(self.handlers.prefix)
         if isinstance(result, Err):
             await self._record_failure(result.err_value)
             return
+        revision = result.ok_value.revision
+        if revision.era < self.eras.current:
+            # Sent before the store was restored.
+            await asyncio.sleep(self.backoff.next_delay_s())
+            return
         self._record_success()
-        self.handlers.on_snapshot(result.ok_value.items)
-        self.revision = result.ok_value.revision
-
-    async def _watch(self, after_revision: int) -> None:
+        if self.read_era is None or self.read_era == revision.era:
+            self.handlers.on_snapshot(result.ok_value.items)
+        else:
+            self.handlers.on_restored(result.ok_value.items)
+        self.revision = revision
+        self.read_era = revision.era
+        self.eras.mark_done(self.handlers.part, revision.era)
+
+    async def _watch(self, after: StoreRevision) -> None:
         timing = self.handlers.timing()
-        result = await self.store.watch(
-            self.handlers.prefix, after_revision, timing.wait_s
-        )
+        result = await self._watch_within_era(after, timing.wait_s)
+        if result is None:
+            return
         if isinstance(result, Ok):
+            if result.ok_value.revision.era != after.era:
+                return
             self._record_success()
             self._apply(result.ok_value)
             if result.ok_value.items and timing.batch_delay_s:
@@ -124,11 +155,26 @@
             # Read all keys again; removals during an outage show only in a full read.
             self.revision = None
 
+    async def _watch_within_era(
+        self, after: StoreRevision, wait_s: float
+    ) -> Result[ChangeBatch, KeyValueFailure] | None:
+        """Return the result of a watch; None if the store was restored meanwhile."""
+        watch = asyncio.ensure_future(
+            self.store.watch(self.handlers.prefix, after, wait_s)
+        )
+        restored = asyncio.ensure_future(self.eras.wait_beyond(after.era))
+        try:
+            await asyncio.wait({watch, restored}, return_when=asyncio.FIRST_COMPLETED)
+            return None if restored.done() else watch.result()
+        finally:
+            watch.cancel()
+            restored.cancel()
+
     def _apply(self, batch: ChangeBatch) -> None:
         for item in batch.items:
             self.handlers.on_change(item)
         if self.revision is not None:
-            self.revision = max(self.revision, batch.revision)
+            self.revision = self.revision.latest(batch.revision)
 
     def _record_success(self) -> None:
         now = self.clock()
@@ -156,10 +202,13 @@
     store: PlatformStore,
     key: str,
     value: bytes,
+    eras: StoreEras,
+    rng: random.Random,
     sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
 ) -> None:
     """Maintain an entry in the store under a lease until cancelled."""
     while True:
+        era = eras.current
         granted = await store.grant_lease(LEASE_TTL_S)
         if isinstance(granted, Err):
             await sleep(REGISTRATION_RETRY_S)
@@ -169,17 +218,32 @@
         if isinstance(written, Err):
             await sleep(REGISTRATION_RETRY_S)
             continue
-        await _renew_until_ended(store, lease, sleep)
+        eras.mark_done(RestorePart.REGISTRATION, era)
+        await _renew_until_ended(store, lease, eras, era, sleep)
+        if eras.current != era:
+            await sleep(rng.random() * RESTORE_REGISTRATION_SPREAD_S)
 
 
 async def _renew_until_ended(
-    store: PlatformStore, lease: int, sleep: Callable[[float], Awaitable[None]]
+    store: PlatformStore,
+    lease: int,
+    eras: StoreEras,
+    era: int,
+    sleep: Callable[[float], Awaitable[None]],
 ) -> None:
-    """Renew a lease until the store reports that it has ended."""
-    while True:
-        await sleep(LEASE_RENEWAL_INTERVAL_S)
-        renewed = await store.renew_lease(lease)
-        if isinstance(renewed, Err) and (
-            renewed.err_value.kind is FailureKind.LEASE_ENDED
-        ):
-            return
+    """Renew a lease until the store reports that it has ended, or is restored."""
+    restored = asyncio.ensure_future(eras.wait_beyond(era))
+    try:
+        while True:
+            due = asyncio.ensure_future(sleep(LEASE_RENEWAL_INTERVAL_S))
+            await asyncio.wait({due, restored}, return_when=asyncio.FIRST_COMPLETED)
+            due.cancel()
+            if restored.done():
+                return
+            renewed = await store.renew_lease(lease)
+            if isinstance(renewed, Err) and (
+                renewed.err_value.kind is FailureKind.LEASE_ENDED
+            ):
+                return
+    finally:
+        restored.cancel()
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
@@ -281,6 +281,34 @@
         "The member lease of this process has expired; a new lease is requested.",
         "Expected after an outage of the key-value service or a pause of the VM.",
     ),
+    EventSpec(
+        EventNumber.STORE_ERA_RAISED,
+        "warning",
+        "The key-value service was restored from a copy: era {new} follows {old}.",
+        "Expected in a drill. Otherwise find out what else the service has lost.",
+        {
+            "old": "era known before",
+            "new": "era that the service or a member states",
+            "source": "`store`, or the member that announced the era",
+        },
+    ),
+    EventSpec(
+        EventNumber.STORE_RESTORED,
+        "info",
+        "All is read and written again in era {era}, {seconds} s after it was noticed.",
+        "If it is missing after event 410, check the connection to the service.",
+        {
+            "era": "era of the key-value service",
+            "seconds": "time from event 410 until this process is up to date",
+        },
+    ),
+    EventSpec(
+        EventNumber.STORE_ERA_UNREADABLE,
+        "info",
+        "A response of the key-value service states no era that can be read: {value}.",
+        "A restore of the service from a copy may go unnoticed.",
+        {"value": "era as received"},
+    ),
     EventSpec(
         EventNumber.TARGET_LEAVING,
         "info",
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/__init__.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/__init__.py
@@ -39,6 +39,7 @@
         ChangeBatch,
         PlatformStore,
         StoreItem,
+        StoreRevision,
     )
     from burdockhaven_entry.platform.store_keys import (
         CONFIGURATION_KEY,
@@ -63,6 +64,7 @@
     "ClientRequest",
     "ConfigurationError",
     "StoreItem",
+    "StoreRevision",
     "MalformedRequestError",
     "PlatformSettings",
     "PlatformStore",
@@ -97,6 +99,7 @@
     "SETTINGS_VARIABLE": "burdockhaven_entry.platform.settings",
     "SettingsError": "burdockhaven_entry.platform.settings",
     "StoreItem": "burdockhaven_entry.platform.store",
+    "StoreRevision": "burdockhaven_entry.platform.store",
     "TARGETS_PREFIX": "burdockhaven_entry.platform.store_keys",
     "TargetEntryError": "burdockhaven_entry.platform.target_entry",
     "TargetResponseHead": "burdockhaven_entry.platform.response_headers",
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/store.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/store.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -14,6 +15,8 @@
 
 from burdockhaven_core.key_value_failure import FailureKind, KeyValueFailure
 
+# Names the era of the store; it rises with each restore from a copy.
+ERA_HEADER = "Store-Era"
 # Timeouts in seconds for a call and for its connection. The store responds within
 # milliseconds; if a call takes longer, the connection or the store has failed.
 CALL_TIMEOUT_S = 1.0
@@ -68,12 +71,39 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class StoreRevision:
+    """A revision of the store; numbers are given out again in a later era."""
+
+    era: int
+    number: int
+
+    def latest(self, other: "StoreRevision") -> "StoreRevision":
+        """Return the later of two revisions; raises `ValueError` for unlike eras."""
+        if self.era != other.era:
+            raise ValueError(f"revisions of the eras {self.era} and {other.era}")
+        return self if self.number >= other.number else other
+
+
 @dataclass(frozen=True, slots=True)
 class ChangeBatch:
     """Items and the store revision up to which they are current."""
 
     items: tuple[StoreItem, ...]
-    revision: int
+    revision: StoreRevision
+
+
+@dataclass(frozen=True, slots=True)
+class _Response:
+    """A decoded body and the era in which the store sent it."""
+
+    body: Any
+    era: int
+
+
+# Receives the era of a response, None if it can't be read, and the text received;
+# returns the era that counts.
+OnEra = Callable[[int | None, str], int]
 
 
 _STATUS_KINDS = {
@@ -88,18 +118,21 @@
 class PlatformStore:
     """Client of the store; counts its calls by step and outcome."""
 
-    def __init__(self, address: str, session: aiohttp.ClientSession) -> None:
+    def __init__(
+        self, address: str, session: aiohttp.ClientSession, on_era: OnEra
+    ) -> None:
         self.address = address
         self.session = session
+        self.on_era = on_era
         # Number of calls since the start, by step and outcome.
         self.calls: dict[tuple[str, str], int] = {}
 
     @classmethod
-    def from_address(cls, address: str) -> "PlatformStore":
+    def from_address(cls, address: str, on_era: OnEra) -> "PlatformStore":
         """Create a client without connections; requires a running event loop."""
         connector = aiohttp.TCPConnector(limit=8, keepalive_timeout=10.0)
         session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
-        return cls(address, session)
+        return cls(address, session, on_era)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -114,7 +147,7 @@
         """
         items: list[StoreItem] = []
         after_key = ""
-        revision: int | None = None
+        revision: StoreRevision | None = None
         while True:
             query = {"prefix": prefix} | ({"after": after_key} if after_key else {})
             if may_be_stale:
@@ -124,22 +157,26 @@
             )
             if isinstance(result, Err):
                 return result
-            page = result.ok_value
+            page, era = result.ok_value.body, result.ok_value.era
+            if revision is not None and era != revision.era:
+                detail = "the store was restored between two pages"
+                return self._failure(FailureKind.HISTORY_LOST, "read", detail)
             items += [_decode_item(raw) for raw in page.items]
             # Return the revision of the first page: a watch from there repeats the
             # changes made while the later pages were read.
-            revision = page.store_revision if revision is None else revision
+            if revision is None:
+                revision = StoreRevision(era, page.store_revision)
             if not page.truncated or not page.items:
                 return Ok(ChangeBatch(tuple(items), revision))
             after_key = page.items[-1].key
 
     async def watch(
-        self, prefix: str, after_revision: int, wait_s: float
+        self, prefix: str, after: StoreRevision, wait_s: float
     ) -> Result[ChangeBatch, KeyValueFailure]:
         """Return the changes after a revision; waits up to `wait_s` for the first."""
         query = {
             "prefix": prefix,
-            "after": str(after_revision),
+            "after": str(after.number),
             "wait_ms": str(int(wait_s * 1e3)),
         }
         result = await self._counted_call(
@@ -152,11 +189,11 @@
         )
         if isinstance(result, Err):
             return result
-        response = result.ok_value
+        body = result.ok_value.body
         return Ok(
             ChangeBatch(
-                tuple(_decode_item(raw) for raw in response.events),
-                response.store_revision,
+                tuple(_decode_item(raw) for raw in body.events),
+                StoreRevision(result.ok_value.era, body.store_revision),
             )
         )
 
@@ -166,7 +203,7 @@
         result = await self._counted_call(
             "POST", "/-/kv-lease", _LeaseResponse, body=body, step="grant lease"
         )
-        return result.map(lambda response: response.lease)
+        return result.map(lambda response: response.body.lease)
 
     async def renew_lease(self, lease: int) -> Result[None, KeyValueFailure]:
         """Renew a lease."""
@@ -203,7 +240,7 @@
         query: dict[str, str] | None = None,
         body: Any = None,
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> Result[Any, KeyValueFailure]:
+    ) -> Result[_Response, KeyValueFailure]:
         result = await self._send(
             method, path, response_type, step, query, body, timeout_s
         )
@@ -220,7 +257,7 @@
         query: dict[str, str] | None,
         body: Any,
         timeout_s: float,
-    ) -> Result[Any, KeyValueFailure]:
+    ) -> Result[_Response, KeyValueFailure]:
         timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
         headers = {"Content-Type": "application/json"} if body is not None else {}
         try:
@@ -234,6 +271,7 @@
             ) as response:
                 data = await response.read()
                 status = response.status
+                era = self._record_era(response.headers.get(ERA_HEADER, ""))
         except aiohttp.ClientConnectorError as error:
             return self._failure(FailureKind.NOT_DONE, step, repr(error))
         except (TimeoutError, aiohttp.ClientError) as error:
@@ -242,14 +280,16 @@
             kind = _STATUS_KINDS.get(status, FailureKind.AMBIGUOUS)
             return self._failure(kind, step, f"status {status}")
         try:
-            return Ok(
-                None
-                if response_type is Any
-                else msgspec.json.decode(data, type=response_type)
-            )
+            if response_type is Any:
+                return Ok(_Response(None, era))
+            return Ok(_Response(msgspec.json.decode(data, type=response_type), era))
         except msgspec.MsgspecError as error:
             return self._failure(FailureKind.AMBIGUOUS, step, str(error))
 
+    def _record_era(self, text: str) -> int:
+        is_number = text.isascii() and text.isdigit()
+        return self.on_era(int(text) if is_number else None, text)
+
     def _failure(
         self, kind: FailureKind, step: str, detail: str
     ) -> Err[KeyValueFailure]:
--- a/packages/burdockhaven-entry/tests/gateway/test_store_sync.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_store_sync.py
@@ -5,6 +5,11 @@
 from result import Err, Ok
 
 from burdockhaven_core.key_value_failure import FailureKind, KeyValueFailure
+from burdockhaven_entry.gateway.store_era import (
+    UNKNOWN_ERA,
+    RestorePart,
+    StoreEras,
+)
 from burdockhaven_entry.gateway.store_sync import (
     OUTAGE_AFTER_S,
     PrefixHandlers,
@@ -14,6 +19,7 @@
 from burdockhaven_entry.platform import (
     ChangeBatch,
     StoreItem,
+    StoreRevision,
 )
 
 FAILED = Err(KeyValueFailure(FailureKind.AMBIGUOUS, "watch", "store", "reset"))
@@ -36,7 +42,7 @@
         return await self.next_result(self.reads)
 
     async def watch(self, prefix, after, wait_s):
-        self.watched_after.append(after)
+        self.watched_after.append(after.number)
         return await self.next_result(self.watches)
 
     async def next_result(self, results):
@@ -47,24 +53,40 @@
         return results.pop(0)
 
 
-async def run_watcher(store):
-    seen = {"all": [], "changes": [], "returns": [], "failures": []}
+async def run_watcher(store, eras=None):
+    task, seen = start_watcher(store, eras)
+    await store.done.wait()
+    task.cancel()
+    return seen
+
+
+async def wait_until(condition):
+    async with asyncio.timeout(30):
+        while True:
+            if condition():
+                return
+            await asyncio.sleep(0.01)
+
+
+def start_watcher(store, eras=None):
+    """Return the task of a watcher, and what its handlers receive."""
+    seen = {"all": [], "changes": [], "returns": [], "failures": [], "restored": []}
+    eras = eras or StoreEras(lambda: store.now)
     handlers = PrefixHandlers(
         "a/",
         seen["all"].append,
         seen["changes"].append,
         seen["returns"].append,
         seen["failures"].append,
+        seen["restored"].append,
+        RestorePart.TARGETS,
     )
-    watcher = PrefixWatcher(store, handlers, lambda: store.now, random.Random(1))
-    task = asyncio.create_task(watcher.run())
-    await store.done.wait()
-    task.cancel()
-    return seen
+    watcher = PrefixWatcher(store, handlers, eras, lambda: store.now, random.Random(1))
+    return asyncio.create_task(watcher.run()), seen
 
 
-def batch(revision, *items):
-    return Ok(ChangeBatch(items, revision))
+def batch(revision, *items, era=UNKNOWN_ERA):
+    return Ok(ChangeBatch(items, StoreRevision(era, revision)))
 
 
 async def test_keys_are_read_once_and_then_watched_from_their_revision():
@@ -136,5 +158,87 @@
         return None
 
     with pytest.raises(asyncio.CancelledError):
-        await maintain_registration(store, "a/me", b"x", sleep)
+        await maintain_registration(
+            store, "a/me", b"x", StoreEras(lambda: 0.0), random.Random(1), sleep
+        )
     assert store.written == [("a/me", 1), ("a/me", 2)]
+
+
+class EraStore(ScriptedStore):
+    """A scripted store whose responses report their era, as the client does."""
+
+    def __init__(self, eras, *arguments, **options):
+        super().__init__(*arguments, **options)
+        self.eras = eras
+
+    async def next_result(self, results):
+        result = await super().next_result(results)
+        if isinstance(result, Ok):
+            self.eras.observe(result.ok_value.revision.era, "store")
+        return result
+
+
+async def test_restored_store_is_read_again_although_it_has_the_revision():
+    """Revisions are given out again, so a watch from an old one would miss changes."""
+    eras = StoreEras(lambda: 0.0)
+    other = StoreItem("a/1", b"0", 4)
+    store = EraStore(
+        eras,
+        [batch(5, ITEM, era=1), batch(4, other, era=2)],
+        [batch(6, StoreItem("a/2", b"2", 6), era=2)],
+    )
+    seen = await run_watcher(store, eras)
+    assert seen["all"] == [(ITEM,)]
+    assert seen["restored"] == [(other,)]
+    assert seen["changes"] == []
+    assert store.watched_after == [5, 4]
+    assert eras.pending == {RestorePart.CONFIGURATION, RestorePart.REGISTRATION}
+
+
+async def test_waiting_watch_ends_when_another_member_reports_a_new_era():
+    eras = StoreEras(lambda: 0.0)
+    store = EraStore(eras, [batch(5, era=1), batch(3, era=2)])
+    task, _ = start_watcher(store, eras)
+    await wait_until(lambda: store.watched_after == [5])
+    eras.observe(2, "entry-2")
+    await wait_until(lambda: store.watched_after == [5, 3])
+    task.cancel()
+
+
+async def test_late_responses_of_an_earlier_era_change_nothing():
+    eras = StoreEras(lambda: 0.0)
+    eras.observe(2, "entry-2")
+    store = EraStore(
+        eras,
+        [batch(9, ITEM, era=1), batch(3, era=2)],
+        [batch(10, ITEM, era=1), batch(4, StoreItem("a/3", b"3", 4), era=2)],
+    )
+    seen = await run_watcher(store, eras)
+    assert seen["all"] == [()]
+    assert seen["restored"] == []
+    assert seen["changes"] == [StoreItem("a/3", b"3", 4)]
+    assert store.watched_after == [3, 3, 4]
+
+
+async def test_entry_is_written_again_in_a_new_era_while_its_lease_is_renewed():
+    eras = StoreEras(lambda: 0.0)
+    eras.observe(1, "store")
+    store = LeaseStore()
+    waiting = asyncio.Event()
+    released = asyncio.Event()
+
+    async def sleep(seconds):
+        waiting.set()
+        await (released.wait() if store.granted < 2 else asyncio.Event().wait())
+
+    task = asyncio.create_task(
+        maintain_registration(store, "a/me", b"x", eras, random.Random(1), sleep)
+    )
+    async with asyncio.timeout(30):
+        await waiting.wait()
+    eras.observe(2, "entry-2")
+    released.set()
+    await wait_until(lambda: len(store.written) == 2)
+    assert store.written == [("a/me", 1), ("a/me", 2)]
+    assert RestorePart.REGISTRATION not in eras.pending
+    task.cancel()
--- a/tools/burdockhaven_standins/platform_store.py
+++ b/tools/burdockhaven_standins/platform_store.py
@@ -1,11 +1,13 @@
 """In-memory stand-in for the platform's store, with its published HTTP interface.
 
 It has keys with revisions, leases, long-polling watches and atomic transactions. Tests
-can take it down, compact its history and make it drop responses.
+can take it down, compact its history, make it drop responses and restore it from an
+earlier copy.
 """
 
 import asyncio
 import base64
+import dataclasses
 from dataclasses import dataclass, field
 
 import msgspec
@@ -40,6 +42,17 @@
     drops_responses: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """The content of a store at one time."""
+
+    items: dict[str, StoredItem]
+    leases: dict[int, tuple[float, float]]
+    history: tuple[tuple[int, str, bool], ...]
+    compacted_revision: int
+    revision: int
+
+
 @dataclass(slots=True)
 class PlatformStoreStandin:
     """The keys, leases and history of the store."""
@@ -52,6 +65,8 @@
     # The history up to this revision has been compacted.
     compacted_revision: int = 0
     revision: int = 1
+    # Rises with each restore from a copy.
+    era: int = 1
     faults: StoreFaults = field(default_factory=StoreFaults)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -74,6 +89,26 @@
         self.history.clear()
         self.compacted_revision = self.revision
 
+    def take_copy(self) -> StoreCopy:
+        """Copy the content, to restore the store from it later."""
+        items = {key: dataclasses.replace(item) for key, item in self.items.items()}
+        return StoreCopy(
+            items,
+            dict(self.leases),
+            tuple(self.history),
+            self.compacted_revision,
+            self.revision,
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Return to a copy: later changes are lost and their revisions given again."""
+        self.items = {key: dataclasses.replace(i) for key, i in copy.items.items()}
+        self.leases = dict(copy.leases)
+        self.history = list(copy.history)
+        self.compacted_revision = copy.compacted_revision
+        self.revision = copy.revision
+        self.era += 1
+
     def application(self) -> web.Application:
         """Create the HTTP application of the store."""
         app = web.Application(middlewares=[self._apply_faults])
@@ -99,13 +134,15 @@
     async def _apply_faults(
         self, request: web.Request, handler: Handler
     ) -> web.StreamResponse:
-        if self.faults.down:
-            return web.Response(status=503)
         self._expire_leases()
-        response = await handler(request)
         if self.faults.down:
-            # A watch was waiting when the store went down.
-            return web.Response(status=503)
+            response: web.StreamResponse = web.Response(status=503)
+        else:
+            response = await handler(request)
+        if self.faults.down:
+            # A watch may have been waiting when the store went down.
+            response = web.Response(status=503)
+        response.headers["Store-Era"] = str(self.era)
         if self.faults.drops_responses and request.method == "POST":
             assert request.transport is not None
             request.transport.abort()
@@ -153,7 +190,7 @@
         prefix = request.query["prefix"]
         after = int(request.query["after"])
         wait_s = min(MAX_WATCH_WAIT_S, int(request.query["wait_ms"]) / 1e3)
-        if after < self.compacted_revision:
+        if after < self.compacted_revision or after > self.revision:
             return web.Response(status=410)
         try:
             async with asyncio.timeout(wait_s):
--- a/tools/tests/test_platform_process.py
+++ b/tools/tests/test_platform_process.py
@@ -7,6 +7,7 @@
 import pytest
 
 from burdockhaven_bench.platform_harness import PlatformHarness
+from burdockhaven_entry.platform import MEMBERS_PREFIX
 from burdockhaven_standins.platform_targets import TargetFaults
 
 pytestmark = pytest.mark.process
@@ -112,6 +113,57 @@
     assert (await harness.send_request(first.front, "/stream/x")).status == 200
 
 
+async def test_store_that_returns_from_an_older_copy_reverts_nothing(harness):
+    first, second = await start_two_daemons(harness)
+    both = (first.front, second.front)
+    store = harness.site.store
+    copy = store.take_copy()
+    harness.site.publish(2, ["k2"])
+    # Later revisions, which the restored store gives out again.
+    for _ in range(20):
+        harness.site.register()
+
+    async def is_in_force(key):
+        statuses = [
+            (await harness.send_request(address, "/plain/x", key)).status
+            for address in both
+        ]
+        return statuses == [200, 200]
+
+    await harness.wait_until(lambda: is_in_force("k2"))
+    statuses = []
+
+    async def send_requests():
+        while True:
+            for path in ("/plain/x", "/stream/x"):
+                for address in both:
+                    response = await harness.send_request(address, path, "k2")
+                    statuses.append(response.status)
+
+    load = asyncio.create_task(send_requests())
+    store.faults.down = True
+    store.restore(copy)
+    store.faults.down = False
+    harness.site.register()
+
+    async def are_members_registered_again():
+        return [
+            item.revision > copy.revision
+            for key, item in store.items.items()
+            if key.startswith(MEMBERS_PREFIX)
+        ] == [True, True]
+
+    await harness.wait_until(are_members_registered_again)
+    # The revoked key of the copy stays revoked, and a change in the new era is seen
+    # although its revision is one that the watches had passed.
+    for address in both:
+        assert (await harness.send_request(address, "/plain/x", "k1")).status == 401
+    load.cancel()
+    assert set(statuses) == {200}
+    harness.site.publish(3, ["k3"])
+    await harness.wait_until(lambda: is_in_force("k3"))
+
+
 async def test_invalid_settings_abort_start_and_report_each_fault(tmp_path):
     path = tmp_path / "settings.yaml"
     path.write_text("node: x\nip: y\n")
