A copy of the store brings back no earlier start of a target, nor a dropped one later on

Change: entries of a copy that are older than what is known count as missing until they are written anew.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/target_registry.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/target_registry.py
@@ -39,6 +39,12 @@
         """Whether the same start of a target wrote both entries."""
         return self.id == other.id and self.started_ms == other.started_ms
 
+    def is_newer_than(self, other: "TargetEntry") -> bool:
+        """Whether this entry was written later, by the same or a later start."""
+        if self.is_same_start(other):
+            return self.sequence > other.sequence
+        return self.started_ms >= other.started_ms
+
 
 class TargetRegistry:
     """The registered targets by id."""
@@ -52,6 +58,8 @@
         self.leaving: set[str] = set()
         # When to drop each entry that is missing from the store, by id.
         self.expiry_due_s: dict[str, float] = {}
+        # Entries in the store that it has only because it was restored from a copy.
+        self.stale: dict[str, TargetEntry] = {}
         # End of the grace period after the last outage; 0 if there was none.
         self.grace_until_s = 0.0
 
@@ -98,8 +106,13 @@
         self.grace_until_s = now + OUTAGE_GRACE_S
 
     def replace(self, entries: Iterable[TargetEntry], now: float) -> None:
-        """Apply a complete list of the entries in the store."""
-        found = {entry.id: entry for entry in entries}
+        """Apply a complete list of the entries in the store.
+
+        Stale entries of a restored copy count as missing until they are written anew.
+        """
+        found = {
+            entry.id: entry for entry in entries if entry != self.stale.get(entry.id)
+        }
         for target_id in self.entries.keys() - found.keys():
             self.remove(target_id, now)
         for entry in found.values():
@@ -108,24 +121,25 @@
     def replace_restored(self, entries: Iterable[TargetEntry], now: float) -> None:
         """Apply the entries in a store that was restored from an older copy.
 
-        Entries that are missing are kept for the grace period, in which their targets
-        write them again. A target that was dropped stays so unless its entry is newer,
-        and is announced again, because members that start now know only the copy.
+        Entries that are missing, or of an earlier start, are kept as they were for the
+        grace period, in which their targets write them again. A target that was dropped
+        stays so unless its entry is newer, and is announced again, because members that
+        start now know only the copy.
         """
         self.begin_store_outage()
         self.end_store_outage(now)
-        current = []
-        for entry in entries:
-            dropped = self.dropped.get(entry.id)
-            if (
-                dropped is not None
-                and dropped.is_same_start(entry)
-                and entry.sequence <= dropped.sequence
-            ):
-                self.dropped_s[entry.id] = now
-            else:
-                current.append(entry)
-        self.replace(current, now)
+        found = list(entries)
+        self.stale = {entry.id: entry for entry in found if self._is_stale(entry)}
+        for target_id in self.stale.keys() & self.dropped_s.keys():
+            self.dropped_s[target_id] = now
+        self.replace(found, now)
+
+    def _is_stale(self, entry: TargetEntry) -> bool:
+        dropped = self.dropped.get(entry.id)
+        if dropped is not None:
+            return not entry.is_newer_than(dropped)
+        known = self.entries.get(entry.id)
+        return known is not None and known.started_ms > entry.started_ms
 
     def mark_leaving(self, target_id: str) -> None:
         """Record that a target leaves, as announced by itself or by a member."""
--- a/packages/burdockhaven-core/tests/scheduling/test_target_registry.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_target_registry.py
@@ -134,3 +134,14 @@
     assert not registry.is_usable("i-1")
     registry.put(target("i-1", sequence=3))
     assert not registry.is_usable("i-1")
+
+
+@pytest.mark.parametrize("is_dropped", [False, True])
+def test_copy_does_not_bring_an_earlier_start_of_a_target_back(is_dropped):
+    registry = TargetRegistry()
+    registry.put(target("i-1", started_ms=2, address="10.0.0.2:80"))
+    if is_dropped:
+        registry.remove("i-1", 1.0)
+    registry.replace_restored([target("i-1", started_ms=1, sequence=9)], 10.0)
+    starts = [entry.started_ms for entry in registry.entries.values()]
+    assert starts == ([] if is_dropped else [2])
--- a/packages/burdockhaven-core/tests/scheduling/test_target_registry_fuzz.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_target_registry_fuzz.py
@@ -48,6 +48,10 @@
         # Time at which each target ended.
         self.ended_s = {}
         self.start_count = 0
+        # An earlier content of the store; None before the first copy.
+        self.copy = None
+        # Targets that have ended and that the registry has dropped.
+        self.dropped = set()
         for name in IDS:
             self.start(name)
 
@@ -74,7 +78,7 @@
             self.now += STEP_S
             if not self.in_outage and self.now - self.returned_s >= REGISTERS_WITHIN_S:
                 for name in self.alive:
-                    if name not in self.store:
+                    if self.store.get(name) != self.alive[name]:
                         self.write(name)
             self.registry.expire(self.now)
 
@@ -143,6 +147,35 @@
         self.registry.end_store_outage(self.now)
         self.registry.replace(list(self.store.values()), self.now)
 
+    @precondition(lambda self: not self.in_outage)
+    @rule()
+    def take_copy(self):
+        self.copy = dict(self.store)
+
+    @precondition(lambda self: self.copy is not None and not self.in_outage)
+    @rule()
+    def restore_copy(self):
+        """The store returns from its copy; targets write their entries again later."""
+        self.store = dict(self.copy)
+        self.returned_s = self.now
+        self.registry.replace_restored(list(self.store.values()), self.now)
+
+    @invariant()
+    def ended_targets_that_were_dropped_stay_so(self):
+        for name in IDS:
+            if name in self.alive:
+                self.dropped.discard(name)
+            elif name not in self.registry.entries:
+                self.dropped.add(name)
+            else:
+                assert name not in self.dropped, name
+
+    @invariant()
+    def no_earlier_start_replaces_a_later_one(self):
+        for name, entry in self.alive.items():
+            known = self.registry.entries.get(name)
+            assert known is None or known.started_ms >= entry.started_ms, name
+
     @invariant()
     def live_targets_are_known(self):
         for name in self.alive:
@@ -189,6 +222,10 @@
         lambda registry: None,
     ),
     "entries missing after the grace period are dropped": ("expire", never_expire),
+    "a copy brings no dropped target back": (
+        "replace_restored",
+        TargetRegistry.replace,
+    ),
 }
 
 
