Discard the served shares of routes that are no longer requested

The counts of each route ever requested were kept; versions of the configuration bring new routes all the time. Found on reading the diff; test_idle_routes_are_discarded.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -30,10 +30,7 @@
 from burdockhaven_core.scheduling.request_queue import RequestKey, RequestQueue
 from burdockhaven_core.scheduling.route_costs import RouteCosts
 from burdockhaven_core.scheduling.routing import Account, RoutingTable
-from burdockhaven_core.scheduling.run_tracker import (
-    GRANT_SETTLE_S,
-    RunTracker,
-)
+from burdockhaven_core.scheduling.run_tracker import GRANT_SETTLE_S, RunTracker
 from burdockhaven_core.scheduling.served_shares import RouteKey, ServedShares
 from burdockhaven_core.scheduling.shared_quotas import SharedQuotas
 from burdockhaven_core.scheduling.target_limits import RateLimiters
@@ -229,11 +226,20 @@
                 del self.queue[key]
 
     def discard_absent(self, present: set[str], now: float) -> None:
-        """Discard the runs and queued requests of members that are not present."""
+        """Discard the runs and queued requests of members that are not present.
+
+        Counts of routes that are no longer requested are discarded, too.
+        """
         self.runs.discard_absent(present, now)
+        self.served_shares.discard_idle(now)
         for key in [k for k in self.queue if k[0] not in present]:
             del self.queue[key]
 
+    def take_route_counts(self) -> dict[str, RouteCounts]:
+        """Return the decisions since the last call, by route, and start anew."""
+        counts, self.route_counts = self.route_counts, {}
+        return counts
+
     def _place_or_queue(
         self, key: RequestKey, queued: QueuedRequest, now: float
     ) -> PlacementReply:
@@ -268,11 +274,6 @@
     def _is_available(self, engine: EngineLoad, now: float) -> bool:
         return engine.is_available(now) and self.limiters.admits(engine.target, now)
 
-    def take_route_counts(self) -> dict[str, RouteCounts]:
-        """Return the decisions since the last call, by route, and start anew."""
-        counts, self.route_counts = self.route_counts, {}
-        return counts
-
     def _counts_of(self, route: str) -> RouteCounts:
         found = self.route_counts.get(route)
         if found is None:
@@ -295,7 +296,7 @@
         underserved = self.served_shares.underserved_routes(now)
         return self.queue.in_order(underserved, now)
 
-    def _limits_of(self, queue_class: QueueClass, now: float) -> "_AdmissionLimits":
+    def _limits_of(self, queue_class: QueueClass, now: float) -> _AdmissionLimits:
         engines = self.runs.open_engines(queue_class.service)
         return _AdmissionLimits(
             self.costs.average_s(queue_class.route),
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/served_shares.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/served_shares.py
@@ -80,6 +80,15 @@
             <= GUARANTEED_RATIO * tier_share * counts.arrivals.sum(now)
         }
 
+    def discard_idle(self, now: float) -> None:
+        """Discard the counts of routes without a request within the window."""
+        for tier, routes in list(self.tiers.items()):
+            for route, counts in list(routes.items()):
+                if not counts.arrivals.sum(now) and not counts.grants.sum(now):
+                    del routes[route]
+            if not routes:
+                del self.tiers[tier]
+
     def _share(self, tier: Tier, now: float) -> float:
         """Return the share of a tier's requests that were granted an engine."""
         routes = self.tiers[tier].values()
--- a/packages/burdockhaven-core/tests/scheduling/test_served_shares.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_served_shares.py
@@ -55,6 +55,14 @@
     assert shares.underserved_routes(1.5 * WINDOW_S + 1.0) == set()
 
 
+def test_idle_routes_are_discarded():
+    shares = make_shares(high=(10, 10), low=(10, 0))
+    shares.discard_idle(1.1)
+    assert set(shares.tiers[TIER]) == {"high", "low"}
+    shares.discard_idle(1.5 * WINDOW_S + 1.0)
+    assert shares.tiers == {}
+
+
 def test_guaranteed_rate_follows_the_arrivals_and_the_share_of_the_tier():
     shares = make_shares(high=(10, 10), low=(10, 0))
     expected = GUARANTEED_RATIO * 0.5 * 10 / WINDOW_S
