A connection whose request was just read counts as busy

Cause: the HTTP library takes a request from its queue and marks it as in progress only when the handler's task starts, one iteration of the event loop later. A drain that checks in between takes the connection for idle and closes it; the handler then runs for nobody. Change: a connection is idle only while it waits for the next request. Test: test_connection_with_a_request_that_was_just_read_is_not_idle checks at each of the first iterations; it failed at the first and passes now.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/client_server.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/client_server.py
@@ -37,8 +37,15 @@
             self.head_started_s = self._loop.time()
 
     def is_busy(self) -> bool:
-        """Whether a request has been read and not answered yet."""
-        return bool(self._request_in_progress or self._messages)
+        """Whether a request has been read and not answered yet.
+
+        The library marks a request as in progress only when its handler starts, one
+        iteration of the event loop after it was taken from the queue. Between requests,
+        the connection waits for the next one.
+        """
+        waiter = self._waiter
+        is_waiting = waiter is not None and not waiter.done()
+        return bool(self._messages) or not is_waiting
 
     def close_if_idle(self) -> None:
         """Close the connection unless a response is pending.
--- a/packages/burdockhaven-entry/tests/gateway/test_client_server.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_client_server.py
@@ -87,6 +87,21 @@
     assert len(gateway.received) == 1
 
 
+# Guards against a request that is cut off because its handler has not started yet.
+@pytest.mark.parametrize("iterations", range(6))
+async def test_connection_with_a_request_that_was_just_read_is_not_idle(
+    gateway, iterations
+):
+    client = await Client.connect(gateway)
+    connection = await only_connection(gateway)
+    await wait_until(lambda: not connection.is_busy())
+    connection.data_received(REQUEST)
+    for _ in range(iterations):
+        await asyncio.sleep(0)
+    connection.close_if_idle()
+    assert await client.status() == 200
+
+
 async def test_drain_waits_for_a_pending_response(gateway):
     client = await Client.connect(gateway)
     client.writer.write(REQUEST)
