Help an underserved route before it starves, behind requests of the first rank

Change: a route below 0.8 of its tier's share goes ahead of all but on-time requests of the first rank; below half of it ahead of all, as before.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/queue_order.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/queue_order.py
@@ -1,10 +1,14 @@
 """Orders the queue of requests that wait for an engine."""
 
-from collections.abc import Set as AbstractSet
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from burdockhaven_core.scheduling.peer_messages import PlacementRequest
-from burdockhaven_core.scheduling.served_shares import RouteKey, Tier
+from burdockhaven_core.scheduling.served_shares import (
+    GUARANTEED_RATIO,
+    RouteKey,
+    Tier,
+)
 
 # Ratio of the weights of two adjacent route priorities; users value their requests in
 # about this ratio. A greater weight sorts a request further back.
@@ -15,6 +19,9 @@
 # Weight factor of a late retry: it goes ahead of late new requests, whose clients may
 # still retry, and behind requests that can be on time.
 RETRY_FACTOR = 1.7
+# Greatest weight of a request whose route is underserved: behind on-time requests of
+# the first rank, ahead of late ones.
+UNDERSERVED_WEIGHT = 1.5
 # Seconds before its latency objective at which a request counts as late.
 LATE_MARGIN_S = 0.2
 # Shortest time in seconds that a run is assumed to need for its first event.
@@ -51,18 +58,23 @@
         """
         return (self.priority, PRIORITY_FACTOR**self.route_priority * self.late_factor)
 
-    def rank(self, underserved: AbstractSet[RouteKey]) -> tuple[int, bool, float, bool]:
-        """Return the rank in the queue, given the underserved routes.
+    def rank(
+        self, underserved: Mapping[RouteKey, float]
+    ) -> tuple[int, bool, float, bool]:
+        """Return the rank in the queue, given the relative shares of some routes.
 
-        Requests of these routes go ahead, within the priority of their accounts, if
-        they can be on time or come back after a refusal. At equal value, those that
-        come back go first.
+        Within the priority of their accounts, requests of underserved routes go ahead
+        if they can be on time or come back after a refusal: of all others below the
+        guaranteed share, else of those behind the first rank. At equal value, those
+        that come back go first.
         """
-        goes_ahead = (
-            self.is_retry or self.late_factor == 1.0
-        ) and self.route_key in underserved
         priority, weight = self.sort_key
-        return (priority, not goes_ahead, weight, not self.is_retry)
+        share = underserved.get(self.route_key)
+        is_guaranteed = False
+        if share is not None and (self.is_retry or self.late_factor == 1.0):
+            is_guaranteed = share < GUARANTEED_RATIO
+            weight = min(weight, UNDERSERVED_WEIGHT)
+        return (priority, not is_guaranteed, weight, not self.is_retry)
 
 
 @dataclass(slots=True)
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/request_queue.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/request_queue.py
@@ -6,8 +6,7 @@
 """
 
 import heapq
-from collections.abc import Iterator, MutableMapping
-from collections.abc import Set as AbstractSet
+from collections.abc import Iterator, Mapping, MutableMapping
 
 from burdockhaven_core.scheduling.queue_order import QueueClass, QueuedRequest
 from burdockhaven_core.scheduling.served_shares import RouteKey
@@ -55,7 +54,7 @@
         return any(queue_class.service == service for queue_class in self.groups)
 
     def counts_ahead(
-        self, added: QueueClass, underserved: AbstractSet[RouteKey], now: float
+        self, added: QueueClass, underserved: Mapping[RouteKey, float], now: float
     ) -> list[tuple[QueueClass, int]]:
         """Return the number of requests that go ahead of a new one, by class."""
         self._move_late_requests(now)
@@ -68,7 +67,7 @@
         ]
 
     def in_order(
-        self, underserved: AbstractSet[RouteKey], now: float
+        self, underserved: Mapping[RouteKey, float], now: float
     ) -> list[tuple[QueueClass, list[tuple[RequestKey, QueuedRequest]]]]:
         """Return the requests by class, in the order in which they are served."""
         self._move_late_requests(now)
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/served_shares.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/served_shares.py
@@ -15,6 +15,8 @@
 # Served share that a route is guaranteed, relative to its tier; users count a kind of
 # request as starved at half of it.
 GUARANTEED_RATIO = 0.5
+# Relative share up to which a route is helped, but not ahead of the first rank.
+FAIR_RATIO = 0.8
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,20 +67,22 @@
         share = GUARANTEED_RATIO * self._share(tier, now)
         return share * counts.arrivals.sum(now) / WINDOW_S
 
-    def underserved_routes(self, now: float) -> set[RouteKey]:
-        """Return the routes that were granted less than they are guaranteed.
+    def underserved_routes(self, now: float) -> dict[RouteKey, float]:
+        """Return the relative shares of the routes that get less than is fair.
 
-        They lack at least one whole request, so that a route with few requests is not
+        A relative share is the served share of a route divided by that of its tier. The
+        routes lack at least one whole request, so that a route with few requests is not
         underserved by the first one that waits.
         """
-        return {
-            (tier, route)
-            for tier, routes in self.tiers.items()
-            for tier_share in (self._share(tier, now),)
-            for route, counts in routes.items()
-            if counts.grants.sum(now) + 1
-            <= GUARANTEED_RATIO * tier_share * counts.arrivals.sum(now)
-        }
+        found = {}
+        for tier, routes in self.tiers.items():
+            tier_share = self._share(tier, now)
+            for route, counts in routes.items():
+                even = tier_share * counts.arrivals.sum(now)
+                grants = counts.grants.sum(now)
+                if grants + 1 <= FAIR_RATIO * even:
+                    found[tier, route] = grants / even
+        return found
 
     def discard_idle(self, now: float) -> None:
         """Discard the counts of routes without a request within the window."""
