A start waits for the configuration version that members know

Cause: a member that starts while the store holds an older copy put its configuration in force and accepted clients, keys included that a newer version had revoked, although its peers knew better. Test: test_start_waits_for_the_version_that_members_know, failed before.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/member_list.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/member_list.py
@@ -171,6 +171,10 @@
             if v.heartbeat.ready and not v.heartbeat.draining
         ]
 
+    def newest_version(self) -> int:
+        """Return the newest configuration version that members announce, or 0."""
+        return max((v.heartbeat.config_version for v in self.views.values()), default=0)
+
     def serving_count(self, now: float) -> int:
         """Return the number of serving members, including this one."""
         return len(self.serving(now)) + 1
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -159,9 +159,11 @@
         self._schedule_periodic_work()
         self._start_store_tasks()
         timer = asyncio.create_task(self.timer.run())
-        await self._listen()
+        # Replies tell whether members know a newer configuration than the store.
         self.membership.probe_seeds()
         self.membership.send_heartbeats()
+        await self._listen()
+        self.membership.send_heartbeats()
         log(
             EventNumber.READY,
             entry=state.member_id.node,
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
@@ -63,6 +63,8 @@
     metrics: GatewayMetrics = field(default_factory=GatewayMetrics)
     # Whether the view of the targets' entries is in sync with the store.
     in_sync: bool = False
+    # Whether the newest known configuration and the targets have been read once.
+    has_synced: bool = False
     # Sequence number of the last heartbeat.
     sequence: int = 0
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
@@ -172,7 +172,7 @@
             self.spawn(self._fetch_configuration(heartbeat))
 
     async def _fetch_configuration(self, heartbeat: Heartbeat) -> None:
-        if self.state.member_list.hubs:
+        if self.state.member_list.hubs and self.state.has_synced:
             # The store delivers the version to every member; the few hubs could not
             # serve all members at once.
             await asyncio.sleep(HUB_FETCH_DELAY_S)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_event_handlers.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_event_handlers.py
@@ -37,7 +37,7 @@
     """Handlers for the prefixes of the configuration and of the target entries."""
 
     state: GatewayState
-    # Set once a configuration is in force and the targets are read.
+    # Set once the newest known configuration is in force and the targets are read.
     first_sync: asyncio.Event = field(default_factory=asyncio.Event)
 
     def for_all_prefixes(self) -> tuple[PrefixHandlers, ...]:
@@ -94,7 +94,10 @@
             self._announce_first_sync()
 
     def _announce_first_sync(self) -> None:
-        if self.state.table is not None and self.state.in_sync:
+        state = self.state
+        is_newest = state.version >= state.member_list.newest_version()
+        if state.table is not None and is_newest and state.in_sync:
+            state.has_synced = True
             self.first_sync.set()
 
     def _on_configuration_snapshot(self, items: tuple[StoreItem, ...]) -> None:
--- a/packages/burdockhaven-entry/tests/gateway/test_store_event_handlers.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_store_event_handlers.py
@@ -1,8 +1,9 @@
 import pytest
-from gateway_fixtures import Gateway
+from gateway_fixtures import Gateway, routing_table
 from scheduling_samples import heartbeat
 
 from burdockhaven_core.scheduling.member_list import FULL_MESH_MAX_MEMBERS
+from burdockhaven_entry.gateway import store_event_handlers
 from burdockhaven_entry.gateway.store_event_handlers import (
     RELAXED_CONFIGURATION_TIMING,
     RELAXED_TARGETS_TIMING,
@@ -46,3 +47,23 @@
 async def test_hub_watches_with_default_timing(gateway):
     timings = watch_timings(gateway, FULL_MESH_MAX_MEMBERS + 1, oldest=True)
     assert timings == [WatchTiming(), WatchTiming()]
+
+
+async def test_start_waits_for_the_version_that_members_know(gateway, monkeypatch):
+    """A store that was restored from a copy may hold an older version."""
+    state = gateway.state
+    state.table = None
+    state.member_list.record_heartbeat(heartbeat(config_version=2), state.clock())
+    handlers = StoreEventHandlers(state)
+    monkeypatch.setattr(
+        store_event_handlers,
+        "read_configuration",
+        lambda data: routing_table(int(data)),
+    )
+    _, targets = handlers.for_all_prefixes()
+    targets.on_snapshot(())
+    handlers.apply_configuration(b"1", "store")
+    assert not handlers.first_sync.is_set()
+    handlers.apply_configuration(b"2", "entry-2")
+    assert handlers.first_sync.is_set()
+    assert state.has_synced
