A watch that answers in another era is not repeated without a pause

Found on reading the diff: a store of which some answers are of a lower era would be asked again and again. The limit's comment gives the tolerance as the platform counts it.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/target_limits.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/target_limits.py
@@ -18,9 +18,9 @@
 # Lowest rate at which a target with a limit is used: without a response, it could not
 # lift the limit.
 MIN_RATE_PER_S = 0.25
-# Members that send to one target on their own, beyond two for each request per second
-# of its limit. Each of them may send one request at once; the platform tolerates five
-# and half of the limit.
+# Number of members that send to one target on their own: a minimum, and more with its
+# limit. Each of them may send one request at once, and within four seconds the platform
+# tolerates five requests and twice the limit beyond it.
 MIN_SENDERS = 2
 SENDERS_PER_REQUEST_PER_S = 2.0
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_sync.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_sync.py
@@ -140,6 +140,9 @@
             return
         if isinstance(result, Ok):
             if result.ok_value.revision.era != after.era:
+                # Sent before the store was restored, or after it; not to be repeated
+                # without a pause.
+                await asyncio.sleep(self.backoff.next_delay_s())
                 return
             self._record_success()
             self._apply(result.ok_value)
