--- a/tools/burdockhaven_bench/ablation.py
+++ b/tools/burdockhaven_bench/ablation.py
@@ -45,7 +45,12 @@
 MECHANISMS: dict[str, Switch] = {
     "complete": lambda: None,
     "order of the queue": replace(queue_order.QueueClass, "rank", _rank_by_account),
-    "guaranteed shares": replace(served_shares, "GUARANTEED_RATIO", 0.0),
+    "guaranteed shares": replace(
+        served_shares.ServedShares, "underserved_routes", lambda *arguments: {}
+    ),
+    "admission by guarantee": replace(
+        served_shares.ServedShares, "guaranteed_per_s", lambda *arguments: 0.0
+    ),
     "route priority": replace(queue_order, "PRIORITY_FACTOR", 1.0),
     "late requests last": replace(queue_order, "LATE_FACTOR", 1.0),
     "late retries before late": replace(
