A slow stream is given up only if another engine can be tried

Traced: the first event came later than the predicted time allows, the run was abandoned, and the only other engine was draining, so the request ended with 502 although the answer was under way; reproduced by test_slow_first_event_is_awaited_if_no_other_engine_can_be_tried. The same with an empty retry budget. Change: when the timeout expires, the run continues unless another engine is open and the retry can be charged. Both tests failed before.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -84,6 +84,16 @@
     last_event_s: float = 0.0
     # Whether a target may be running the request or may have run it.
     may_have_run: bool = False
+    # Whether the next run is charged to the retry budget already.
+    is_retry_acquired: bool = False
+    # Abandons the run if its next event is late; None if it is not to be abandoned.
+    event_timer: asyncio.TimerHandle | None = None
+
+    def cancel_event_timer(self) -> None:
+        """Let the run continue however long its next event takes."""
+        if self.event_timer is not None:
+            self.event_timer.cancel()
+            self.event_timer = None
 
 
 @dataclass(slots=True)
@@ -148,8 +158,9 @@
             stream.requirements = retry_excluding(stream.requirements, target.id)
             if result is _RunResult.BROKEN and not self._can_run_again(routed, stream):
                 break
-            if not self._acquire_retry(routed):
+            if not self._acquire_retry(routed, stream):
                 break
+            stream.is_retry_acquired = False
         return self._failure_response(routed, stream)
 
     def _resolve_target(
@@ -192,18 +203,20 @@
         try:
             async with asyncio.timeout(None) as event_timeout:
                 self._set_event_timeout(
-                    routed, stream, event_timeout, _first_event_timeout_s(placement)
+                    routed,
+                    stream,
+                    target,
+                    event_timeout,
+                    _first_event_timeout_s(placement),
                 )
-                async with self.target_client.send(target, request) as target_response:
-                    end, result = await self._relay_response(
-                        routed,
-                        stream,
-                        target,
-                        placement,
-                        target_response,
-                        event_timeout,
-                    )
-                    return result
+                try:
+                    async with self.target_client.send(target, request) as response:
+                        end, result = await self._relay_response(
+                            routed, stream, target, placement, response, event_timeout
+                        )
+                        return result
+                finally:
+                    stream.cancel_event_timer()
         except TimeoutError:
             if self.state.clock() >= routed.deadline_s:
                 raise
@@ -260,7 +273,7 @@
                 self.placement_client.record_first_event(placement.number)
                 await self._relay_event(routed, stream, event)
                 self._set_event_timeout(
-                    routed, stream, event_timeout, EVENT_PAUSE_TIMEOUT_S
+                    routed, stream, target, event_timeout, EVENT_PAUSE_TIMEOUT_S
                 )
         if splitter.buffer.strip():
             routed.trace.failures.append(f"{target.id}: ended within an event")
@@ -310,16 +323,37 @@
         self,
         routed: RoutedRequest,
         stream: _StreamState,
+        target: TargetEntry,
         event_timeout: asyncio.Timeout,
         timeout_s: float,
     ) -> None:
-        """Set the timeout for the next event, if another run may replace this one."""
+        """Set the timeout for the next event, if another run may replace this one.
+
+        When it expires, the run continues if no other engine can be tried: its next
+        event may still arrive.
+        """
+        stream.cancel_event_timer()
         if (
             not routed.route.resumable
             or stream.possible_runs + 1 >= routed.route.max_attempts
         ):
             return
-        event_timeout.reschedule(asyncio.get_running_loop().time() + timeout_s)
+        loop = asyncio.get_running_loop()
+
+        def abandon() -> None:
+            if self._has_other_engine(routed, stream, target) and (
+                self._acquire_retry(routed, stream)
+            ):
+                event_timeout.reschedule(loop.time())
+
+        stream.event_timer = loop.call_later(timeout_s, abandon)
+
+    def _has_other_engine(
+        self, routed: RoutedRequest, stream: _StreamState, target: TargetEntry
+    ) -> bool:
+        excluded = {*stream.requirements.excluded, target.id}
+        entries = self.state.registry.open_targets(routed.service)
+        return any(entry.id not in excluded for entry in entries)
 
     def _charge_quota(self, routed: RoutedRequest, now: float) -> None:
         account = routed.account
@@ -335,10 +369,15 @@
             routed.route.idempotent and stream.possible_runs < routed.route.max_attempts
         )
 
-    def _acquire_retry(self, routed: RoutedRequest) -> bool:
-        now = self.state.clock()
-        members = self.state.member_list.serving_count(now)
-        return self.state.retry_budget.try_acquire(routed.service, members, now)
+    def _acquire_retry(self, routed: RoutedRequest, stream: _StreamState) -> bool:
+        """Charge the next run to the retry budget, once."""
+        if not stream.is_retry_acquired:
+            now = self.state.clock()
+            members = self.state.member_list.serving_count(now)
+            stream.is_retry_acquired = self.state.retry_budget.try_acquire(
+                routed.service, members, now
+            )
+        return stream.is_retry_acquired
 
     def _refusal_response(
         self, routed: RoutedRequest, stream: _StreamState, refused: PlacementRefused
--- a/packages/burdockhaven-entry/tests/gateway/test_stream_forwarding.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_stream_forwarding.py
@@ -1,3 +1,5 @@
+import asyncio
+
 import aiohttp
 import pytest
 from gateway_fixtures import (
@@ -127,3 +129,34 @@
     statuses = [(await gateway.call("/stream/x")).status for _ in range(3)]
     assert statuses == [200, 429, 429]
     assert len(gateway.received) == 1
+
+
+def stream_after(delay_s, first, last):
+    async def behave(request, reader, writer):
+        await asyncio.sleep(delay_s)
+        return await stream_events(first, last)(request, reader, writer)
+
+    return behave
+
+
+# Guards against a slow stream that is given up although no other engine can be tried.
+async def test_slow_first_event_is_awaited_if_no_other_engine_can_be_tried():
+    gateway = await Gateway.start(engines=[Script(stream_after(1.5, 1, 2))])
+    answered = await gateway.call("/stream/")
+    assert answered.status == 200
+    assert answered.body.count(b"data:") == 2
+    assert len(gateway.received) == 1
+    await gateway.stop()
+
+
+async def test_slow_first_event_is_awaited_if_the_retry_budget_is_used_up(monkeypatch):
+    gateway = await Gateway.start(
+        engines=[Script(stream_after(1.5, 1, 2)), Script(stream_events(1, 2))]
+    )
+    monkeypatch.setattr(
+        gateway.state.retry_budget, "try_acquire", lambda *arguments: False
+    )
+    for _ in range(2):
+        assert (await gateway.call("/stream/")).status == 200
+    assert len(gateway.received) == 2
+    await gateway.stop()
