Announce a drain to every member at once

Cause: in a large cluster a member that stops told only the hubs and a few others; the rest named it in look-ups until its next regular heartbeat, up to four seconds later, so clients came with requests until its listener closed. Change: the drain is announced to all members, twice.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -307,7 +307,12 @@
         started_s = state.clock()
         state.draining = True
         log(EventNumber.STOP_REQUESTED)
-        self.membership.send_heartbeats()
+        self.membership.announce_drain()
+        # Again, because a datagram may be lost.
+        self.timer.call_at(
+            started_s + HEARTBEAT_INTERVAL_S,
+            lambda now: self.membership.announce_drain(),
+        )
         end_s = started_s + state.settings.grace_s - STOP_MARGIN_S
         accept_until_s = min(end_s, started_s + LAME_DUCK_S)
         await asyncio.sleep(max(0.0, accept_until_s - state.clock()))
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
@@ -117,6 +117,19 @@
                 self.endpoint.send(address, heartbeat)
         state.member_list.expire_members(now)
 
+    def announce_drain(self) -> None:
+        """Tell every member at once that this one drains.
+
+        Members leave it out of their look-ups then; in a large cluster most of them
+        would get its next heartbeat only some seconds later.
+        """
+        state = self.state
+        state.sequence += 1
+        addresses = [
+            view.heartbeat.peer_address for view in state.member_list.views.values()
+        ]
+        self.endpoint.send_all(addresses, state.heartbeat())
+
     def send(self, node: str, message: PeerMessage) -> None:
         """Send a message to the member on the node, if it is known."""
         view = self.state.member_list.views.get(node)
