Accept no connection later than 2.9 s after a stop was requested

Change: look-ups live 0.9 s, connections are accepted for 2.9 s: still longer than three look-ups, and early enough for what the platform expects of requests within the first three seconds. Test: the relation of the three times; fails with the earlier values.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/control_handler.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/control_handler.py
@@ -19,7 +19,7 @@
 VERSION_HEADER = "Burdockhaven-Version"
 # Seconds for which clients cache a look-up. A shorter time causes more calls, a longer
 # one more connections to members that have stopped.
-LOOK_UP_TTL_S = 1.0
+LOOK_UP_TTL_S = 0.9
 # Maximum number of addresses in a response; the platform's clients use that many.
 MAX_LOOK_UP_ADDRESSES = 64
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -59,8 +59,9 @@
 # Seconds between two log events while the queue is not empty.
 QUEUE_LOG_INTERVAL_S = 1.0
 # Seconds after SIGTERM during which new connections are still accepted; clients use a
-# cached look-up for up to three times its lifetime.
-LAME_DUCK_S = 3.2
+# cached look-up for up to three times its lifetime. A stream that is accepted later may
+# not end within the grace period.
+LAME_DUCK_S = 2.9
 # Seconds between the end of the drain and the time at which the platform kills the
 # process.
 STOP_MARGIN_S = 0.5
--- /dev/null
+++ b/packages/burdockhaven-entry/tests/gateway/test_gateway_daemon.py
@@ -0,0 +1,12 @@
+from burdockhaven_entry.gateway.control_handler import LOOK_UP_TTL_S
+from burdockhaven_entry.gateway.gateway_daemon import LAME_DUCK_S
+
+# Clients use a look-up for up to three times its lifetime.
+CACHED_LIFETIMES = 3
+# Requests that come later after SIGTERM than this have to be finished whatever they take.
+LATEST_REQUEST_S = 3.0
+
+
+# Guards against a stream that is taken so late that the end of the grace period cuts it.
+def test_connections_are_accepted_while_look_ups_are_cached_and_not_longer():
+    assert CACHED_LIFETIMES * LOOK_UP_TTL_S < LAME_DUCK_S < LATEST_REQUEST_S
