--- a/packages/burdockhaven-entry/tests/gateway/test_gateway_daemon.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_gateway_daemon.py
@@ -3,10 +3,10 @@
 
 # Clients use a look-up for up to three times its lifetime.
 CACHED_LIFETIMES = 3
-# Requests that come later after SIGTERM than this have to be finished whatever they take.
+# A request that comes later after SIGTERM counts as lost if it is cut.
 LATEST_REQUEST_S = 3.0
 
 
-# Guards against a stream that is taken so late that the end of the grace period cuts it.
+# Guards against a stream that is taken too late to end within the grace period.
 def test_connections_are_accepted_while_look_ups_are_cached_and_not_longer():
     assert CACHED_LIFETIMES * LOOK_UP_TTL_S < LAME_DUCK_S < LATEST_REQUEST_S
