Where no account has a priority, all routes share one tier

A request without an account priority competed by the priority of its route as if it were that of an account, so each rank was strictly behind the one before and the guaranteed shares did not act between them. No deployment at hand is configured so. Change: the routing table says the priority; without any account priority it is the same for all. Test: test_routes_compete_in_one_tier_if_no_account_has_a_priority, two of its five cases gave the route's priority before (2 in place of 0).

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
@@ -66,8 +66,8 @@
     route: str
     # Empty for requests without an account.
     account: str
-    # Priority of the account, or of the route if the account has none, and priority of
-    # the route, which orders the requests of one account; 0 is the most urgent.
+    # Priority between accounts (`RoutingTable.priority_of`), and priority of the route,
+    # which orders the requests of equal accounts; 0 is the most urgent.
     priority: int
     route_priority: int
     prompt_tokens: int
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/queue_order.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/queue_order.py
@@ -34,12 +34,11 @@
 
     service: str
     route: str
-    # Priority of the account, or of the route if the account has none.
+    # Priority between accounts.
     priority: int
     route_priority: int
     # 1 for requests that can be on time.
     late_factor: float
-
     # Whether the client was refused before, or a target has failed the request.
     is_retry: bool
 
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/routing.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/routing.py
@@ -137,6 +137,8 @@
     limits: ClientLimits
     # Routes by host, the longest prefix first.
     by_host: Mapping[str, tuple[Route, ...]] = field(repr=False)
+    # Whether any account has a priority.
+    has_account_priorities: bool
 
     @classmethod
     def from_parts(
@@ -155,7 +157,22 @@
             host: tuple(sorted(found, key=lambda route: -len(route.prefix)))
             for host, found in by_host.items()
         }
-        return cls(version, routes, services, account_of_key, limits, index)
+        accounts = (account_of_key or {}).values()
+        has_priorities = any(account.priority is not None for account in accounts)
+        return cls(
+            version, routes, services, account_of_key, limits, index, has_priorities
+        )
+
+    def priority_of(self, route: Route, account: Account | None) -> int:
+        """Return the priority between accounts of a request; 0 is the most urgent.
+
+        An account without a priority competes by that of the route. If no account has
+        one, all requests have the same: their routes then share the engines by rank and
+        by what each is guaranteed, and none is strictly behind another.
+        """
+        if account is not None and account.priority is not None:
+            return account.priority
+        return route.priority if self.has_account_priorities else 0
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix; None if none matches."""
--- a/packages/burdockhaven-core/tests/scheduling/test_routing.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_routing.py
@@ -1,7 +1,7 @@
 import random
 
 import pytest
-from scheduling_samples import route, table
+from scheduling_samples import account, route, table
 
 from burdockhaven_core.scheduling.routing import RouteKind, ServiceShare
 
@@ -43,3 +43,29 @@
     rng = random.Random(1)
     drawn = [split.pick_service(rng) for _ in range(2_000)]
     assert 0.87 < drawn.count("x") / len(drawn) < 0.93
+
+
+# Guards against incident SHORT where accounts have no priority: each rank of the routes
+# was then strictly behind the one before it.
+@pytest.mark.parametrize(
+    ("account_priorities", "chosen", "expected"),
+    [
+        ((None, None), 0, 0),
+        ((None, None), None, 0),
+        ((1, None), 0, 1),
+        ((1, None), 1, 2),
+        ((1, None), None, 2),
+    ],
+)
+def test_routes_compete_in_one_tier_if_no_account_has_a_priority(
+    account_priorities, chosen, expected
+):
+    accounts = [
+        account(f"a-{number}", priority=priority)
+        for number, priority in enumerate(account_priorities)
+    ]
+    found = table(accounts=accounts)
+    low = route("/low/", priority=2)
+    assert (
+        found.priority_of(low, None if chosen is None else accounts[chosen]) == expected
+    )
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/frontend.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/frontend.py
@@ -124,6 +124,7 @@
             route=route,
             account=account,
             service=route.pick_service(self.state.rng),
+            priority=table.priority_of(route, account),
             arrived_s=arrived_s,
             deadline_s=arrived_s + limit_s,
             digest=digest,
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/routed_request.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/routed_request.py
@@ -39,6 +39,8 @@
     # None if requests need no API key.
     account: Account | None
     service: str
+    # Priority between accounts; 0 is the most urgent.
+    priority: int
     # Monotonic times in seconds of the arrival and of the deadline for the response.
     arrived_s: float
     deadline_s: float
@@ -48,13 +50,6 @@
     version: int
     trace: RequestTrace
 
-    @property
-    def priority(self) -> int:
-        """Priority of the account, else of the route; 0 is the most urgent."""
-        if self.account is not None and self.account.priority is not None:
-            return self.account.priority
-        return self.route.priority
-
     @property
     def objective_s(self) -> float:
         """Monotonic time by which the response or its first event should arrive."""
