Log and count responses that end after their head

Change: field truncated_by, refused placements in failures, counter burdockhaven_truncated_total by route. No change of logic.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_metrics.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_metrics.py
@@ -54,6 +54,8 @@
     requests: Counter[tuple[str, str, int]] = field(default_factory=Counter)
     # Requests refused before they were routed to a service, by status.
     turned_away: Counter[int] = field(default_factory=Counter)
+    # Responses that ended after their head and before their end, by route.
+    truncated: Counter[str] = field(default_factory=Counter)
     # Sends to targets by service, and those without a complete response.
     sends: Counter[str] = field(default_factory=Counter)
     failed_sends: Counter[str] = field(default_factory=Counter)
@@ -86,6 +88,7 @@
             "" if routed.account is None else routed.account.name
         )
         self.requests[route, account, status] += 1
+        self.truncated[route] += bool(trace.truncated_by)
         self.sends[routed.service] += trace.sends
         self.failed_sends[routed.service] += len(trace.failures)
         observe_labelled(self.queue_durations, route, trace.queued_s)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/metrics_text.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/metrics_text.py
@@ -58,6 +58,12 @@
             ("status",),
             (((str(status),), n) for status, n in metrics.turned_away.items()),
         )
+        yield _counter(
+            "truncated",
+            "Responses that ended after their head and before their end",
+            ("route",),
+            _with_single_label(metrics.truncated),
+        )
         yield _counter(
             "sends", "Sends to targets", ("service",), _with_single_label(metrics.sends)
         )
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/request_log.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/request_log.py
@@ -33,6 +33,7 @@
         events=trace.events,
         longest_pause_ms=round(trace.longest_pause_s * MS_PER_S),
         total_ms=round((now - routed.arrived_s) * MS_PER_S),
+        truncated_by=trace.truncated_by,
         failures="; ".join(trace.failures),
     )
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/routed_request.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/routed_request.py
@@ -24,8 +24,10 @@
     # Number of events received, and the longest pause between two of them in seconds.
     events: int = 0
     longest_pause_s: float = 0.0
-    # Failed and rejected sends, each with its step and target.
+    # Failed and rejected sends, each with its step and target, and refused placements.
     failures: list[str] = field(default_factory=list)
+    # Why the response ended after its head and before its end; empty if it did not.
+    truncated_by: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -382,6 +382,8 @@
     def _refusal_response(
         self, routed: RoutedRequest, stream: _StreamState, refused: PlacementRefused
     ) -> web.StreamResponse:
+        reason = "quota exceeded" if refused.over_quota else "overloaded"
+        routed.trace.failures.append(f"placement refused: {reason}")
         if stream.response is not None or stream.possible_runs:
             return self._failure_response(routed, stream)
         status = TOO_MANY_REQUESTS if refused.over_quota else UNAVAILABLE
@@ -398,7 +400,7 @@
         self, routed: RoutedRequest, stream: _StreamState
     ) -> web.StreamResponse:
         if stream.response is not None:
-            return _abort_response(routed, stream.response)
+            return _abort_response(routed, stream.response, "no engine continues it")
         if stream.last_failure is not None:
             return stream.last_failure
         if stream.possible_runs:
@@ -418,7 +420,7 @@
         self, routed: RoutedRequest, stream: _StreamState
     ) -> web.StreamResponse:
         if stream.response is not None:
-            return _abort_response(routed, stream.response)
+            return _abort_response(routed, stream.response, "deadline")
         if stream.may_have_run:
             return error_response(
                 GATEWAY_TIMEOUT,
@@ -466,9 +468,10 @@
 
 
 def _abort_response(
-    routed: RoutedRequest, response: web.StreamResponse
+    routed: RoutedRequest, response: web.StreamResponse, reason: str
 ) -> web.StreamResponse:
     """Close the connection so that the client sees the response as truncated."""
+    routed.trace.truncated_by = reason
     transport = routed.request.transport
     if transport is not None:
         transport.close()
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
@@ -188,6 +188,8 @@
             "events": "number of events forwarded",
             "longest_pause_ms": "longest pause between two events",
             "total_ms": "time from arrival to the end",
+            "truncated_by": "why the response ended after its head and before its end; "
+            "empty if it did not",
             "failures": "failed sends and refusals, each with its step and target",
         },
     ),
