--- a/packages/burdockhaven-entry/tests/gateway/test_stream_forwarding.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_stream_forwarding.py
@@ -1,4 +1,5 @@
 import asyncio
+import math
 
 import aiohttp
 import pytest
@@ -11,6 +12,7 @@
     respond,
     routing_table,
     stream_events,
+    write_chunk,
 )
 
 
@@ -160,3 +162,81 @@
         assert (await gateway.call("/stream/")).status == 200
     assert len(gateway.received) == 2
     await gateway.stop()
+
+
+def silent_before(event, last, silence_s=1.5):
+    """Send the head and the events up to `last`, with a silence before one of them."""
+
+    async def behave(request, reader, writer):
+        await stream_events(1, event - 1, end=False)(request, reader, writer)
+        await asyncio.sleep(silence_s)
+        for number in range(event, last + 1):
+            write_chunk(writer, b"id: %d\ndata: %d\n\n" % (number, number))
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
+
+    return behave
+
+
+def set_idle_engines_ejected(gateway, until_s):
+    for engine in gateway.state.broker.runs.engines.values():
+        if not engine.runs:
+            engine.ejected_until_s = until_s
+
+
+SILENCES = {
+    "before the head": stream_after(1.5, 1, 4),
+    "before the first event": silent_before(1, 4),
+    "between events": silent_before(3, 4),
+}
+
+
+# Guards against LOST: a request without a complete response, because its engine was
+# silent for a moment and no other engine had room.
+@pytest.mark.parametrize("silent", SILENCES.values(), ids=SILENCES.keys())
+async def test_silent_engine_is_not_given_up_while_no_other_has_room(start, silent):
+    async def behave(request, reader, writer):
+        set_idle_engines_ejected(gateway, math.inf)
+        return await silent(request, reader, writer)
+
+    gateway = await start(engines=[Script(behave), Script(behave)])
+    response = await gateway.call("/stream/x")
+    assert (response.status, response.body) == (200, numbered_events(1, 4))
+    assert len(gateway.received) == 1
+
+
+# Guards against LOST: a stream is cut after a silence, because the engine that should
+# continue it rejects it.
+async def test_silent_stream_continues_after_another_engine_rejects_it(start):
+    script = Script(silent_before(3, 4), REJECTED, stream_events(3, 4))
+    gateway = await start(engines=[script, script])
+    response = await gateway.call("/stream/x")
+    assert (response.status, response.body) == (200, numbered_events(1, 4))
+
+
+# Guards against LOST: a stream that is older than the time that clients wait for a
+# first event is cut, because its next placement counts as too late.
+async def test_old_stream_waits_for_an_engine_after_its_own_breaks_off(start):
+    def readmit_engines():
+        set_idle_engines_ejected(gateway, 0.0)
+        placement_client.flush_progress()
+        placement_client.grant_queued()
+
+    async def break_off(request, reader, writer):
+        set_idle_engines_ejected(gateway, math.inf)
+        await stream_events(1, 2, end=False)(request, reader, writer)
+        for number in (3, 4, 5):
+            await asyncio.sleep(0.9)
+            write_chunk(writer, b"id: %d\ndata: %d\n\n" % (number, number))
+        await writer.drain()
+        asyncio.get_running_loop().call_later(0.3, readmit_engines)
+        await asyncio.sleep(0.05)
+        writer.transport.abort()
+        return False
+
+    script = Script(break_off, stream_events(6, 7))
+    gateway = await start(engines=[script, script])
+    placement_client = gateway.frontend.streams.placement_client
+    response = await gateway.call("/stream/x")
+    assert (response.status, response.body) == (200, numbered_events(1, 7))
