End a silent run only once another engine is granted

Cause: after 1 s without an event a run was ended first and another engine was asked for afterwards; if the broker refused, nothing was left. Why it works: the search for another engine goes on beside the run. An event ends the search, a grant ends the run, a refusal ends nothing. The state of a stream has a module of its own. The fixture's gateway passes run updates on to its broker, as the daemon does.

--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/replacement_search.py
@@ -0,0 +1,72 @@
+"""Looks for another engine while the engine of a stream is silent.
+
+A silent engine may be sound and go on. Therefore its run is not ended before another
+engine has been granted to the request: if none is, the stream waits for the silent one.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from burdockhaven_entry.gateway.placement_client import Placement
+
+# Seconds between a refused placement and the next request for one.
+SEARCH_INTERVAL_S = 0.5
+
+
+@dataclass(slots=True)
+class ReplacementSearch:
+    """Observes one run; holds the placement that is found while it is silent.
+
+    Each event of the run restarts it, because the engine is not silent.
+    """
+
+    # Ends the run when it expires; set once a placement was found.
+    run_timeout: asyncio.Timeout
+    # Requests another engine; None if there is none now.
+    find: Callable[[], Awaitable[Placement | None]]
+    # Returns a placement that is not used.
+    give_back: Callable[[Placement], None]
+    # The placement that was found; None while there is none.
+    found: Placement | None = None
+    # Starts the search; None if no search is due.
+    timer: asyncio.TimerHandle | None = None
+    # The running search; None if there is none.
+    task: asyncio.Task[None] | None = None
+
+    def restart(self, timeout_s: float) -> None:
+        """Search after `timeout_s` seconds; an earlier search ends without effect."""
+        self.stop()
+        self.timer = asyncio.get_running_loop().call_later(timeout_s, self._start)
+
+    def stop(self) -> None:
+        """End the search, give back what it has found and let the run continue."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if self.task is not None:
+            self.task.cancel()
+            self.task = None
+        found = self.take()
+        if found is not None:
+            self.give_back(found)
+            if not self.run_timeout.expired():
+                self.run_timeout.reschedule(None)
+
+    def take(self) -> Placement | None:
+        """Return the placement that was found, if any, to the caller, who uses it."""
+        found, self.found = self.found, None
+        return found
+
+    def _start(self) -> None:
+        self.timer = None
+        self.task = asyncio.get_running_loop().create_task(self._search())
+
+    async def _search(self) -> None:
+        found: Placement | None = None
+        while found is None:
+            found = await self.find()
+            if found is None:
+                await asyncio.sleep(SEARCH_INTERVAL_S)
+        self.found, self.task = found, None
+        self.run_timeout.reschedule(asyncio.get_running_loop().time())
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -6,8 +6,8 @@
 """
 
 import asyncio
-import enum
-from dataclasses import dataclass, field
+import dataclasses
+from dataclasses import dataclass
 
 from aiohttp import web
 
@@ -23,6 +23,7 @@
     PlacementRequirements,
     retry_excluding,
 )
+from burdockhaven_entry.gateway.replacement_search import ReplacementSearch
 from burdockhaven_entry.gateway.responses import (
     BAD_GATEWAY,
     DEFAULT_RETRY_AFTER_S,
@@ -33,6 +34,7 @@
     not_run_response,
 )
 from burdockhaven_entry.gateway.routed_request import RoutedRequest
+from burdockhaven_entry.gateway.stream_state import RunResult, StreamState
 from burdockhaven_entry.gateway.target_client import (
     SEND_STEP,
     SendError,
@@ -42,58 +44,17 @@
 )
 from burdockhaven_entry.platform import client_headers
 
-# A resumable stream is moved to another target if its first event takes longer than
+# Another target is looked for if the first event takes longer than
 # `FIRST_EVENT_TIMEOUT_FACTOR` times the predicted time plus this margin in seconds.
 FIRST_EVENT_TIMEOUT_MARGIN_S = 0.4
-# It is also moved if the next event does not arrive within this many seconds. Clients
-# wait for at least two seconds.
-EVENT_PAUSE_TIMEOUT_S = 1.0
 FIRST_EVENT_TIMEOUT_FACTOR = 3.0
+# The same if the next event does not arrive within this many seconds. Clients wait for
+# at least two seconds.
+EVENT_PAUSE_TIMEOUT_S = 1.0
 # Maximum number of placements of one request.
 MAX_PLACEMENTS = 5
 # Objective for the pause between events if the route states none.
 DEFAULT_PAUSE_OBJECTIVE_S = 1.0
-# Minimum number of pauses from which the speed of an engine is estimated.
-MIN_PAUSE_SAMPLES = 3
-
-
-class _RunResult(enum.Enum):
-    """Result of one run of a stream."""
-
-    # The run gave the complete response, or a final error response of the target.
-    DONE = 1
-    # The target did not run the request; another target may be tried.
-    NOT_RUN = 2
-    # The run may have started and did not complete.
-    BROKEN = 3
-
-
-@dataclass(slots=True)
-class _StreamState:
-    """State of one streamed response across its runs."""
-
-    requirements: PlacementRequirements
-    last_event_id: str | None
-    # Number of attempts that a target may have run.
-    possible_runs: int = 0
-    # The response to the client; None until its head is sent.
-    response: web.StreamResponse | None = None
-    # The last error response of a target; forwarded if no other run succeeds.
-    last_failure: web.Response | None = None
-    pauses_s: list[float] = field(default_factory=list)
-    last_event_s: float = 0.0
-    # Whether a target may be running the request or may have run it.
-    may_have_run: bool = False
-    # Whether the next run is charged to the retry budget already.
-    is_retry_acquired: bool = False
-    # Abandons the run if its next event is late; None if it is not to be abandoned.
-    event_timer: asyncio.TimerHandle | None = None
-
-    def cancel_event_timer(self) -> None:
-        """Let the run continue however long its next event takes."""
-        if self.event_timer is not None:
-            self.event_timer.cancel()
-            self.event_timer = None
 
 
 @dataclass(slots=True)
@@ -106,8 +67,10 @@
 
     async def forward(self, routed: RoutedRequest) -> web.StreamResponse:
         """Return the response for the client, no later than at the deadline."""
-        stream = _StreamState(
-            self._placement_requirements(routed), routed.client_request.last_event_id
+        stream = StreamState(
+            routed,
+            self._placement_requirements(routed),
+            routed.client_request.last_event_id,
         )
         try:
             async with asyncio.timeout(routed.deadline_s - self.state.clock()):
@@ -136,33 +99,50 @@
         )
 
     async def _forward_with_retries(
-        self, routed: RoutedRequest, stream: _StreamState
+        self, routed: RoutedRequest, stream: StreamState
     ) -> web.StreamResponse:
         for _ in range(MAX_PLACEMENTS):
-            requested_s = self.state.clock()
-            placement = await self.placement_client.place(stream.requirements)
-            routed.trace.queued_s += self.state.clock() - requested_s
+            placement = await self._next_placement(routed, stream)
             if isinstance(placement, PlacementRefused):
                 return self._refusal_response(routed, stream, placement)
-            target = self._resolve_target(routed, placement)
-            if target is None:
-                self.placement_client.record_end(placement.number, RunEnd.NOT_SENT)
-                stream.requirements = retry_excluding(
-                    stream.requirements, placement.target
-                )
-                continue
-            result = await self._run_on_target(routed, stream, target, placement)
-            if result is _RunResult.DONE and stream.response is not None:
+            result = await self._use_placement(routed, stream, placement)
+            if result is RunResult.DONE and stream.response is not None:
                 return stream.response
-            stream.may_have_run = stream.possible_runs > 0
-            stream.requirements = retry_excluding(stream.requirements, target.id)
-            if result is _RunResult.BROKEN and not self._can_run_again(routed, stream):
+            if result is RunResult.BROKEN and not stream.can_run_again:
                 break
+            if result is RunResult.NOT_SENT:
+                continue
             if not self._acquire_retry(routed, stream):
                 break
-            stream.is_retry_acquired = False
         return self._failure_response(routed, stream)
 
+    async def _next_placement(
+        self, routed: RoutedRequest, stream: StreamState
+    ) -> Placement | PlacementRefused:
+        if stream.replacement is not None:
+            replacement, stream.replacement = stream.replacement, None
+            return replacement
+        requested_s = self.state.clock()
+        placement = await self.placement_client.place(stream.requirements)
+        routed.trace.queued_s += self.state.clock() - requested_s
+        if isinstance(placement, PlacementRefused):
+            routed.trace.record_refusal(over_quota=placement.over_quota)
+        return placement
+
+    async def _use_placement(
+        self, routed: RoutedRequest, stream: StreamState, placement: Placement
+    ) -> RunResult:
+        """Run the request at the granted target, which the next placement avoids."""
+        target = self._resolve_target(routed, placement)
+        if target is None:
+            self.placement_client.record_end(placement.number, RunEnd.NOT_SENT)
+            result = RunResult.NOT_SENT
+        else:
+            result = await self._run_on_target(routed, stream, target, placement)
+            stream.may_have_run = stream.possible_runs > 0
+        stream.requirements = retry_excluding(stream.requirements, placement.target)
+        return result
+
     def _resolve_target(
         self, routed: RoutedRequest, placement: Placement
     ) -> TargetEntry | None:
@@ -186,66 +166,60 @@
     async def _run_on_target(
         self,
         routed: RoutedRequest,
-        stream: _StreamState,
+        stream: StreamState,
         target: TargetEntry,
         placement: Placement,
-    ) -> _RunResult:
+    ) -> RunResult:
         now = self.state.clock()
         self._charge_quota(routed, now)
-        stream.may_have_run = True
         routed.trace.sends += 1
         routed.trace.target = target.id
-        stream.last_event_s = 0.0
+        stream.begin_run()
         reuse = routed.route.idempotent
         request = routed.outgoing_request(target.id, now, stream.last_event_id, reuse)
         end = RunEnd.CANCELLED
-        stream.pauses_s.clear()
+        search: ReplacementSearch | None = None
         try:
-            async with asyncio.timeout(None) as event_timeout:
-                self._set_event_timeout(
-                    routed,
-                    stream,
-                    target,
-                    event_timeout,
-                    _first_event_timeout_s(placement),
-                )
-                try:
-                    async with self.target_client.send(target, request) as response:
-                        end, result = await self._relay_response(
-                            routed, stream, target, placement, response, event_timeout
-                        )
-                        return result
-                finally:
-                    stream.cancel_event_timer()
+            async with asyncio.timeout(None) as run_timeout:
+                search = self._create_search(routed, stream, target, run_timeout)
+                search.restart(_first_event_timeout_s(placement))
+                async with self.target_client.send(target, request) as response:
+                    end, result = await self._relay_response(
+                        routed, stream, target, placement, response, search
+                    )
+                    return result
         except TimeoutError:
-            if self.state.clock() >= routed.deadline_s:
+            if search is None or self.state.clock() >= routed.deadline_s:
                 raise
             stream.possible_runs += 1
+            stream.replacement = search.take()
             end = RunEnd.FAILED
             routed.trace.failures.append(f"{target.id}: silent")
-            return _RunResult.BROKEN
+            return RunResult.BROKEN
         except SendError as error:
             routed.trace.failures.append(str(error))
             end, result = _classify_send_error(error)
-            stream.possible_runs += result is _RunResult.BROKEN
+            stream.possible_runs += result is RunResult.BROKEN
             return result
         finally:
+            if search is not None:
+                search.stop()
             self.placement_client.record_end(
                 placement.number,
                 end,
-                _lower_quartile(stream.pauses_s),
-                max(stream.pauses_s, default=0.0),
+                stream.typical_pause_s(),
+                stream.longest_pause_s(),
             )
 
     async def _relay_response(
         self,
         routed: RoutedRequest,
-        stream: _StreamState,
+        stream: StreamState,
         target: TargetEntry,
         placement: Placement,
         target_response: TargetResponse,
-        event_timeout: asyncio.Timeout,
-    ) -> tuple[RunEnd, _RunResult]:
+        search: ReplacementSearch,
+    ) -> tuple[RunEnd, RunResult]:
         head = target_response.head
         self.state.record_limit(target.id, head, self.state.clock())
         if head.not_run:
@@ -254,8 +228,8 @@
             if head.is_misdirected:
                 self.state.registry.mark_leaving(target.id)
                 self.state.publish_targets()
-                return RunEnd.LEAVING, _RunResult.NOT_RUN
-            return RunEnd.REJECTED, _RunResult.NOT_RUN
+                return RunEnd.LEAVING, RunResult.NOT_RUN
+            return RunEnd.REJECTED, RunResult.NOT_RUN
         if not head.is_success or not head.is_event_stream:
             routed.trace.failures.append(f"{target.id}: failed, {head.status}")
             return await self._handle_failure(stream, target_response)
@@ -266,24 +240,22 @@
             await stream.response.prepare(routed.request)
         if stream.response is None:
             stream.possible_runs += 1
-            return RunEnd.FAILED, _RunResult.BROKEN
+            return RunEnd.FAILED, RunResult.BROKEN
         splitter = EventSplitter()
         async for data in target_response.chunks():
             for event in splitter.feed(data):
                 self.placement_client.record_first_event(placement.number)
-                await self._relay_event(routed, stream, event)
-                self._set_event_timeout(
-                    routed, stream, target, event_timeout, EVENT_PAUSE_TIMEOUT_S
-                )
+                await self._relay_event(stream, event)
+                search.restart(EVENT_PAUSE_TIMEOUT_S)
         if splitter.buffer.strip():
             routed.trace.failures.append(f"{target.id}: ended within an event")
             stream.possible_runs += 1
-            return RunEnd.FAILED, _RunResult.BROKEN
-        return RunEnd.COMPLETED, _RunResult.DONE
+            return RunEnd.FAILED, RunResult.BROKEN
+        return RunEnd.COMPLETED, RunResult.DONE
 
     async def _handle_failure(
-        self, stream: _StreamState, target_response: TargetResponse
-    ) -> tuple[RunEnd, _RunResult]:
+        self, stream: StreamState, target_response: TargetResponse
+    ) -> tuple[RunEnd, RunResult]:
         """Handle an error response, or a response that is not an event stream."""
         body = await target_response.read_body()
         stream.possible_runs += 1
@@ -296,60 +268,49 @@
             )
             if head.status < 500:
                 stream.response = response
-                return RunEnd.COMPLETED, _RunResult.DONE
+                return RunEnd.COMPLETED, RunResult.DONE
             stream.last_failure = response
-        return RunEnd.FAILED, _RunResult.BROKEN
+        return RunEnd.FAILED, RunResult.BROKEN
 
-    async def _relay_event(
-        self, routed: RoutedRequest, stream: _StreamState, event: StreamEvent
-    ) -> None:
+    async def _relay_event(self, stream: StreamState, event: StreamEvent) -> None:
         assert stream.response is not None
-        now = self.state.clock()
-        if routed.trace.first_event_s is None:
-            routed.trace.first_event_s = now - routed.arrived_s
-        routed.trace.events += 1
-        if stream.last_event_s:
-            pause_s = now - stream.last_event_s
-            stream.pauses_s.append(pause_s)
-            routed.trace.longest_pause_s = max(routed.trace.longest_pause_s, pause_s)
-        stream.last_event_s = now
-        if event.id is not None:
-            if _is_duplicate(event.id, stream.last_event_id):
-                return
-            stream.last_event_id = event.id
-        await stream.response.write(event.data)
-
-    def _set_event_timeout(
+        if stream.record_event(event, self.state.clock()):
+            await stream.response.write(event.data)
+
+    def _create_search(
         self,
         routed: RoutedRequest,
-        stream: _StreamState,
+        stream: StreamState,
         target: TargetEntry,
-        event_timeout: asyncio.Timeout,
-        timeout_s: float,
-    ) -> None:
-        """Set the timeout for the next event, if another run may replace this one.
-
-        When it expires, the run continues if no other engine can be tried: its next
-        event may still arrive.
-        """
-        stream.cancel_event_timer()
-        if (
-            not routed.route.resumable
-            or stream.possible_runs + 1 >= routed.route.max_attempts
-        ):
-            return
-        loop = asyncio.get_running_loop()
-
-        def abandon() -> None:
-            if self._has_other_engine(routed, stream, target) and (
-                self._acquire_retry(routed, stream)
-            ):
-                event_timeout.reschedule(loop.time())
-
-        stream.event_timer = loop.call_later(timeout_s, abandon)
+        run_timeout: asyncio.Timeout,
+    ) -> ReplacementSearch:
+        async def find() -> Placement | None:
+            return await self._find_replacement(routed, stream, target)
+
+        def give_back(placement: Placement) -> None:
+            self.placement_client.record_end(placement.number, RunEnd.NOT_SENT)
+
+        return ReplacementSearch(run_timeout, find, give_back)
+
+    async def _find_replacement(
+        self, routed: RoutedRequest, stream: StreamState, target: TargetEntry
+    ) -> Placement | None:
+        """Request an engine other than a silent one, if another run is allowed."""
+        route = routed.route
+        if not route.resumable or stream.possible_runs + 1 >= route.max_attempts:
+            return None
+        if not self._has_other_engine(routed, stream, target):
+            return None
+        if not self._acquire_retry(routed, stream):
+            return None
+        requirements = retry_excluding(stream.requirements, target.id)
+        # Without the digest, a refusal here does not count as one of the client.
+        requirements = dataclasses.replace(requirements, digest=0)
+        placement = await self.placement_client.place(requirements)
+        return None if isinstance(placement, PlacementRefused) else placement
 
     def _has_other_engine(
-        self, routed: RoutedRequest, stream: _StreamState, target: TargetEntry
+        self, routed: RoutedRequest, stream: StreamState, target: TargetEntry
     ) -> bool:
         excluded = {*stream.requirements.excluded, target.id}
         entries = self.state.registry.open_targets(routed.service)
@@ -364,12 +325,7 @@
             )
             self.state.own_usage.charge(account.name, cost, now)
 
-    def _can_run_again(self, routed: RoutedRequest, stream: _StreamState) -> bool:
-        return (
-            routed.route.idempotent and stream.possible_runs < routed.route.max_attempts
-        )
-
-    def _acquire_retry(self, routed: RoutedRequest, stream: _StreamState) -> bool:
+    def _acquire_retry(self, routed: RoutedRequest, stream: StreamState) -> bool:
         """Charge the next run to the retry budget, once."""
         if not stream.is_retry_acquired:
             now = self.state.clock()
@@ -380,10 +336,8 @@
         return stream.is_retry_acquired
 
     def _refusal_response(
-        self, routed: RoutedRequest, stream: _StreamState, refused: PlacementRefused
+        self, routed: RoutedRequest, stream: StreamState, refused: PlacementRefused
     ) -> web.StreamResponse:
-        reason = "quota exceeded" if refused.over_quota else "overloaded"
-        routed.trace.failures.append(f"placement refused: {reason}")
         if stream.response is not None or stream.possible_runs:
             return self._failure_response(routed, stream)
         status = TOO_MANY_REQUESTS if refused.over_quota else UNAVAILABLE
@@ -397,7 +351,7 @@
         )
 
     def _failure_response(
-        self, routed: RoutedRequest, stream: _StreamState
+        self, routed: RoutedRequest, stream: StreamState
     ) -> web.StreamResponse:
         if stream.response is not None:
             return _abort_response(routed, stream.response, "no engine continues it")
@@ -417,7 +371,7 @@
         )
 
     def _timeout_response(
-        self, routed: RoutedRequest, stream: _StreamState
+        self, routed: RoutedRequest, stream: StreamState
     ) -> web.StreamResponse:
         if stream.response is not None:
             return _abort_response(routed, stream.response, "deadline")
@@ -442,29 +396,12 @@
     )
 
 
-def _classify_send_error(error: SendError) -> tuple[RunEnd, _RunResult]:
+def _classify_send_error(error: SendError) -> tuple[RunEnd, RunResult]:
     if error.outcome is SendOutcome.NOT_SENT:
-        return RunEnd.UNREACHABLE, _RunResult.NOT_RUN
+        return RunEnd.UNREACHABLE, RunResult.NOT_RUN
     if error.step == SEND_STEP:
-        return RunEnd.DISCONNECTED, _RunResult.BROKEN
-    return RunEnd.FAILED, _RunResult.BROKEN
-
-
-def _is_duplicate(event_id: str, last_event_id: str | None) -> bool:
-    """Whether an earlier run already sent the event to the client."""
-    if last_event_id is None or not (event_id.isdigit() and last_event_id.isdigit()):
-        return False
-    return int(event_id) <= int(last_event_id)
-
-
-def _lower_quartile(pauses_s: list[float]) -> float:
-    """Return the lower quartile of the pauses; 0 if there are too few.
-
-    Longer pauses include time in which the engine processes the prompt of another run.
-    """
-    if len(pauses_s) < MIN_PAUSE_SAMPLES:
-        return 0.0
-    return sorted(pauses_s)[len(pauses_s) // 4]
+        return RunEnd.DISCONNECTED, RunResult.BROKEN
+    return RunEnd.FAILED, RunResult.BROKEN
 
 
 def _abort_response(
--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_state.py
@@ -0,0 +1,106 @@
+"""State of one streamed response across the runs that produce it."""
+
+import enum
+from dataclasses import dataclass, field
+
+from aiohttp import web
+
+from burdockhaven_entry.gateway.event_splitter import StreamEvent
+from burdockhaven_entry.gateway.placement_client import (
+    Placement,
+    PlacementRequirements,
+)
+from burdockhaven_entry.gateway.routed_request import RoutedRequest
+
+# Minimum number of pauses from which the speed of an engine is estimated.
+MIN_PAUSE_SAMPLES = 3
+
+
+class RunResult(enum.Enum):
+    """Result of one placement of a stream."""
+
+    # The run gave the complete response, or a final error response of the target.
+    DONE = 1
+    # The target did not run the request; another target may be tried.
+    NOT_RUN = 2
+    # The run may have started and did not complete.
+    BROKEN = 3
+    # Nothing was sent, because this process knows that the target leaves.
+    NOT_SENT = 4
+
+
+@dataclass(slots=True)
+class StreamState:
+    """State of one streamed response."""
+
+    routed: RoutedRequest
+    requirements: PlacementRequirements
+    # Id of the last event that the client has; None before the first.
+    last_event_id: str | None
+    # Number of attempts that a target may have run.
+    possible_runs: int = 0
+    # The response to the client; None until its head is sent.
+    response: web.StreamResponse | None = None
+    # The last error response of a target; forwarded if no other run succeeds.
+    last_failure: web.Response | None = None
+    # When the present run last produced an event, 0 before its first, and the pauses
+    # between its events, in seconds.
+    last_event_s: float = 0.0
+    pauses_s: list[float] = field(default_factory=list)
+    # Whether a target may be running the request or may have run it.
+    may_have_run: bool = False
+    # Whether the next run is charged to the retry budget already.
+    is_retry_acquired: bool = False
+    # Engine granted to replace a silent run; None if the next run needs a placement.
+    replacement: Placement | None = None
+
+    @property
+    def can_run_again(self) -> bool:
+        """Whether the route allows another run."""
+        route = self.routed.route
+        return route.idempotent and self.possible_runs < route.max_attempts
+
+    def begin_run(self) -> None:
+        """Record that the request is sent to an engine."""
+        self.may_have_run = True
+        self.is_retry_acquired = False
+        self.last_event_s = 0.0
+        self.pauses_s.clear()
+
+    def record_event(self, event: StreamEvent, now: float) -> bool:
+        """Record an event of the present run; returns whether the client lacks it."""
+        trace = self.routed.trace
+        if trace.first_event_s is None:
+            trace.first_event_s = now - self.routed.arrived_s
+        trace.events += 1
+        if self.last_event_s:
+            pause_s = now - self.last_event_s
+            self.pauses_s.append(pause_s)
+            trace.longest_pause_s = max(trace.longest_pause_s, pause_s)
+        self.last_event_s = now
+        if event.id is not None:
+            if _is_duplicate(event.id, self.last_event_id):
+                return False
+            self.last_event_id = event.id
+        return True
+
+    def typical_pause_s(self) -> float:
+        """Return the lower quartile of the run's pauses; 0 if there are too few.
+
+        Longer pauses include time in which the engine processes the prompt of another
+        run.
+        """
+        if len(self.pauses_s) < MIN_PAUSE_SAMPLES:
+            return 0.0
+        return sorted(self.pauses_s)[len(self.pauses_s) // 4]
+
+    def longest_pause_s(self) -> float:
+        """Return the longest pause of the run; 0 if there is none."""
+        return max(self.pauses_s, default=0.0)
+
+
+def _is_duplicate(event_id: str, last_event_id: str | None) -> bool:
+    """Whether an earlier run already sent the event to the client."""
+    if last_event_id is None or not (event_id.isdigit() and last_event_id.isdigit()):
+        return False
+    return int(event_id) <= int(last_event_id)
--- a/packages/burdockhaven-entry/tests/gateway/gateway_fixtures.py
+++ b/packages/burdockhaven-entry/tests/gateway/gateway_fixtures.py
@@ -217,6 +217,7 @@
     @classmethod
     async def start(cls, plain=(), engines=(), table=None):
         clock = time.monotonic
+        loop = asyncio.get_running_loop()
         state = GatewayState.from_settings(settings(), 1, 1, clock, random.Random(1))
         state.apply_table(table or routing_table(), b"")
         targets = []
@@ -238,6 +239,7 @@
             state.heartbeat,
             lambda *_: None,
             clock,
+            on_pending_updates=lambda: loop.call_soon(placement_client.flush_progress),
         )
         target_client = TargetClient.create()
         frontend = Frontend(
@@ -246,7 +248,6 @@
             StreamForwarder(state, target_client, placement_client),
         )
         server = ClientServer(frontend.handle)
-        loop = asyncio.get_running_loop()
         listener = await loop.create_server(server, "127.0.0.1", 0)
         port = listener.sockets[0].getsockname()[1]
         client = aiohttp.ClientSession()
