Continue a begun stream for as long as its client waits

Cause: a begun stream was treated like a new request: the first refused placement, a fifth placement, or a used up retry budget ended it at once, and engines that had been tried once were never tried again, not even the one that had only been silent. Why it works: a request that can't be refused truthfully any more (its head was sent, or a run was ended for another) is placed again every 0.2 s until its client gives up; when all engines have been tried, only the last is avoided. Retries stay within the retry budget and max_attempts.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 from dataclasses import dataclass
 
 from aiohttp import web
@@ -51,8 +52,11 @@
 # The same if the next event does not arrive within this many seconds. Clients wait for
 # at least two seconds.
 EVENT_PAUSE_TIMEOUT_S = 1.0
-# Maximum number of placements of one request.
+# Maximum number of placements of a request that can still be refused.
 MAX_PLACEMENTS = 5
+# Seconds between two placements of a request that can't be refused any more, unless the
+# first of them led to a run.
+COMMITTED_RETRY_INTERVAL_S = 0.2
 # Objective for the pause between events if the route states none.
 DEFAULT_PAUSE_OBJECTIVE_S = 1.0
 
@@ -101,18 +105,25 @@
     async def _forward_with_retries(
         self, routed: RoutedRequest, stream: StreamState
     ) -> web.StreamResponse:
-        for _ in range(MAX_PLACEMENTS):
+        for count in itertools.count(1):
             placement = await self._next_placement(routed, stream)
             if isinstance(placement, PlacementRefused):
-                return self._refusal_response(routed, stream, placement)
+                if not self._is_client_waiting(stream):
+                    return self._refusal_response(routed, stream, placement)
+                await asyncio.sleep(COMMITTED_RETRY_INTERVAL_S)
+                continue
             result = await self._use_placement(routed, stream, placement)
             if result is RunResult.DONE and stream.response is not None:
                 return stream.response
             if result is RunResult.BROKEN and not stream.can_run_again:
                 break
-            if result is RunResult.NOT_SENT:
-                continue
-            if not self._acquire_retry(routed, stream):
+            if count >= MAX_PLACEMENTS and not self._is_client_waiting(stream):
+                break
+            if result is not RunResult.BROKEN and stream.is_committed:
+                await asyncio.sleep(COMMITTED_RETRY_INTERVAL_S)
+            if result is not RunResult.NOT_SENT and not (
+                await self._acquire_next_run(routed, stream)
+            ):
                 break
         return self._failure_response(routed, stream)
 
@@ -140,9 +151,24 @@
         else:
             result = await self._run_on_target(routed, stream, target, placement)
             stream.may_have_run = stream.possible_runs > 0
-        stream.requirements = retry_excluding(stream.requirements, placement.target)
+        open_targets = self.state.registry.open_targets(routed.service)
+        stream.exclude(placement.target, {entry.id for entry in open_targets})
         return result
 
+    def _is_client_waiting(self, stream: StreamState) -> bool:
+        """Whether a committed request has a client that still waits for an event."""
+        return stream.is_committed and self.state.clock() < stream.give_up_s
+
+    async def _acquire_next_run(
+        self, routed: RoutedRequest, stream: StreamState
+    ) -> bool:
+        """Charge the next run to the retry budget; a committed request waits for it."""
+        while not self._acquire_retry(routed, stream):
+            if not self._is_client_waiting(stream):
+                return False
+            await asyncio.sleep(COMMITTED_RETRY_INTERVAL_S)
+        return True
+
     def _resolve_target(
         self, routed: RoutedRequest, placement: Placement
     ) -> TargetEntry | None:
@@ -192,6 +218,7 @@
             if search is None or self.state.clock() >= routed.deadline_s:
                 raise
             stream.possible_runs += 1
+            stream.was_replaced = True
             stream.replacement = search.take()
             end = RunEnd.FAILED
             routed.trace.failures.append(f"{target.id}: silent")
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_state.py
@@ -1,5 +1,6 @@
 """State of one streamed response across the runs that produce it."""
 
+import dataclasses
 import enum
 from dataclasses import dataclass, field
 
@@ -9,6 +10,7 @@
 from burdockhaven_entry.gateway.placement_client import (
     Placement,
     PlacementRequirements,
+    retry_excluding,
 )
 from burdockhaven_entry.gateway.routed_request import RoutedRequest
 
@@ -43,6 +45,9 @@
     response: web.StreamResponse | None = None
     # The last error response of a target; forwarded if no other run succeeds.
     last_failure: web.Response | None = None
+    # Monotonic time in seconds at which an event was last passed to the client; None
+    # before the first.
+    delivered_s: float | None = None
     # When the present run last produced an event, 0 before its first, and the pauses
     # between its events, in seconds.
     last_event_s: float = 0.0
@@ -51,15 +56,46 @@
     may_have_run: bool = False
     # Whether the next run is charged to the retry budget already.
     is_retry_acquired: bool = False
+    # Whether a run was ended because another engine was granted to the request.
+    was_replaced: bool = False
     # Engine granted to replace a silent run; None if the next run needs a placement.
     replacement: Placement | None = None
 
+    @property
+    def give_up_s(self) -> float:
+        """Monotonic time at which the client disconnects unless an event arrives."""
+        waiting_since_s = self.delivered_s or self.routed.arrived_s
+        return min(
+            self.routed.deadline_s,
+            waiting_since_s + self.routed.route.client_timeout_s,
+        )
+
+    @property
+    def is_committed(self) -> bool:
+        """Whether the client can no longer be told that the request has not run.
+
+        Its head was sent, or a run that might have completed was ended for another.
+        """
+        return self.response is not None or self.was_replaced
+
     @property
     def can_run_again(self) -> bool:
         """Whether the route allows another run."""
         route = self.routed.route
         return route.idempotent and self.possible_runs < route.max_attempts
 
+    def exclude(self, target_id: str, open_ids: set[str]) -> None:
+        """Avoid a target in the next placement, given the targets that are open.
+
+        Once a committed request has been to all of them, only the last one is avoided:
+        a silent engine may go on, and a full one may have room again.
+        """
+        requirements = retry_excluding(self.requirements, target_id)
+        if self.is_committed and open_ids <= set(requirements.excluded):
+            excluded = (target_id,) if open_ids - {target_id} else ()
+            requirements = dataclasses.replace(requirements, excluded=excluded)
+        self.requirements = requirements
+
     def begin_run(self) -> None:
         """Record that the request is sent to an engine."""
         self.may_have_run = True
@@ -82,6 +118,7 @@
             if _is_duplicate(event.id, self.last_event_id):
                 return False
             self.last_event_id = event.id
+        self.delivered_s = now
         return True
 
     def typical_pause_s(self) -> float:
