Judge the placement of a begun stream by its next event

Cause: the times in a placement request counted from the arrival: the broker refused at once, because the client's time-out for a first event was over, and queued the request behind all that could still be on time. Why it works: once an event was delivered, objective and client time-out are those of the next event, counted from the last one.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -134,7 +134,7 @@
             replacement, stream.replacement = stream.replacement, None
             return replacement
         requested_s = self.state.clock()
-        placement = await self.placement_client.place(stream.requirements)
+        placement = await self.placement_client.place(stream.current_requirements())
         routed.trace.queued_s += self.state.clock() - requested_s
         if isinstance(placement, PlacementRefused):
             routed.trace.record_refusal(over_quota=placement.over_quota)
@@ -330,7 +330,7 @@
             return None
         if not self._acquire_retry(routed, stream):
             return None
-        requirements = retry_excluding(stream.requirements, target.id)
+        requirements = retry_excluding(stream.current_requirements(), target.id)
         # Without the digest, a refusal here does not count as one of the client.
         requirements = dataclasses.replace(requirements, digest=0)
         placement = await self.placement_client.place(requirements)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_state.py
@@ -84,6 +84,19 @@
         route = self.routed.route
         return route.idempotent and self.possible_runs < route.max_attempts
 
+    def current_requirements(self) -> PlacementRequirements:
+        """Return what the next run needs of an engine.
+
+        The client of a begun stream waits for its next event, not for its first one.
+        """
+        if self.delivered_s is None:
+            return self.requirements
+        return dataclasses.replace(
+            self.requirements,
+            objective_s=self.give_up_s,
+            client_timeout_s=self.give_up_s,
+        )
+
     def exclude(self, target_id: str, open_ids: set[str]) -> None:
         """Avoid a target in the next placement, given the targets that are open.
 
