Try a slow plain target again once all others have rejected a request

Callers saw: 502 for a safe request whose first target was silent for a moment and whose other targets were full. Cause: an attempt that is abandoned as slow excludes its target; when the others reject the request, none is left and the request ends. Why it works: targets that were only slow are tried again, within max_attempts, the retry budget and the deadline.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
@@ -48,6 +48,8 @@
     """The attempts made so far for one request."""
 
     excluded: set[str] = field(default_factory=set)
+    # The excluded targets that were only slow to respond.
+    slow: set[str] = field(default_factory=set)
     # Number of attempts that the target may have run.
     possible_runs: int = 0
     sends: int = 0
@@ -126,8 +128,7 @@
     ) -> web.Response:
         while True:
             now = self.state.clock()
-            entries = self.state.registry.open_targets(routed.service)
-            target = self.state.balancer.choose(entries, attempts.excluded, now)
+            target = self._choose_target(routed, attempts, now)
             if target is None or attempts.sends >= MAX_ATTEMPTS:
                 return self._failure_response(routed, attempts)
             if attempts.sends and not self._acquire_retry(routed, attempts, now):
@@ -143,6 +144,18 @@
             if attempts.possible_runs and not self._can_run_again(routed, attempts):
                 return self._failure_response(routed, attempts)
 
+    def _choose_target(
+        self, routed: RoutedRequest, attempts: _Attempts, now: float
+    ) -> TargetEntry | None:
+        """Return the next target: one not tried yet, or else one that was only slow."""
+        entries = self.state.registry.open_targets(routed.service)
+        target = self.state.balancer.choose(entries, attempts.excluded, now)
+        if target is None and attempts.slow:
+            attempts.excluded -= attempts.slow
+            attempts.slow.clear()
+            target = self.state.balancer.choose(entries, attempts.excluded, now)
+        return target
+
     async def _attempt(
         self, routed: RoutedRequest, target: TargetEntry, attempts: _Attempts
     ) -> web.Response | None:
@@ -165,6 +178,7 @@
                 )
         except TimeoutError:
             attempts.possible_runs += 1
+            attempts.slow.add(target.id)
             state.balancer.record_failure(target.id)
             routed.trace.failures.append(f"{target.id}: silent")
         except SendError as error:
--- a/packages/burdockhaven-entry/tests/gateway/test_plain_forwarding.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_plain_forwarding.py
@@ -197,3 +197,14 @@
     response = await gateway.call("/safe/x")
     assert (response.status, response.body) == (200, b"late")
     assert len(gateway.received) == 1
+
+
+# Guards against a 502 or 503 after a silence of one target, because the other one
+# rejects the request.
+async def test_silent_target_is_tried_again_after_all_others_reject(start):
+    slow = respond_after_abandonment(lambda: gateway.state)
+    script = Script(slow, REJECTED, respond(b"again"))
+    gateway = await start(plain=[script, script])
+    response = await gateway.call("/safe/x")
+    assert (response.status, response.body) == (200, b"again")
+    assert len(gateway.received) == 3
