End the search for an engine before its run's time-out is left

Callers saw: a complete stream was cut, and its engine's slot stayed reserved for good, if another engine was granted in the iteration of the event loop in which the silent run ended. Cause: the search set the time-out of a run that was over already, which raises, and the end of the run was recorded only after that. Why it works: the search ends within the context of the time-out; the end of the run is recorded first, and what the search found is given back after it. Result: test_search_can_be_stopped_after_its_run_has_ended and test_stream_that_ends_while_another_engine_is_granted_is_complete failed before and pass.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/replacement_search.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/replacement_search.py
@@ -40,7 +40,18 @@
         self.timer = asyncio.get_running_loop().call_later(timeout_s, self._start)
 
     def stop(self) -> None:
-        """End the search, give back what it has found and let the run continue."""
+        """End the search and let the run continue, unless the run is ending already.
+
+        To be called within the context of `run_timeout`.
+        """
+        if self.run_timeout.expired():
+            return
+        if self.found is not None:
+            self.run_timeout.reschedule(None)
+        self.discard()
+
+    def discard(self) -> None:
+        """End the search and give back what it has found."""
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
@@ -50,8 +61,6 @@
         found = self.take()
         if found is not None:
             self.give_back(found)
-            if not self.run_timeout.expired():
-                self.run_timeout.reschedule(None)
 
     def take(self) -> Placement | None:
         """Return the placement that was found, if any, to the caller, who uses it."""
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -208,12 +208,15 @@
         try:
             async with asyncio.timeout(None) as run_timeout:
                 search = self._create_search(routed, stream, target, run_timeout)
-                search.restart(_first_event_timeout_s(placement))
-                async with self.target_client.send(target, request) as response:
-                    end, result = await self._relay_response(
-                        routed, stream, target, placement, response, search
-                    )
-                    return result
+                try:
+                    search.restart(_first_event_timeout_s(placement))
+                    async with self.target_client.send(target, request) as response:
+                        end, result = await self._relay_response(
+                            routed, stream, target, placement, response, search
+                        )
+                        return result
+                finally:
+                    search.stop()
         except TimeoutError:
             if search is None or self.state.clock() >= routed.deadline_s:
                 raise
@@ -229,14 +232,14 @@
             stream.possible_runs += result is RunResult.BROKEN
             return result
         finally:
-            if search is not None:
-                search.stop()
             self.placement_client.record_end(
                 placement.number,
                 end,
                 stream.typical_pause_s(),
                 stream.longest_pause_s(),
             )
+            if search is not None:
+                search.discard()
 
     async def _relay_response(
         self,
--- /dev/null
+++ b/packages/burdockhaven-entry/tests/gateway/test_replacement_search.py
@@ -0,0 +1,176 @@
+import asyncio
+import dataclasses
+import math
+
+import aiohttp.streams
+import pytest
+from gateway_fixtures import (
+    Gateway,
+    Script,
+    hang,
+    routing_table,
+    stream_events,
+)
+from test_stream_forwarding import (
+    numbered_events,
+    set_idle_engines_ejected,
+    silent_before,
+)
+
+from burdockhaven_core.scheduling.routing import RoutingTable
+from burdockhaven_entry.gateway.placement_client import Placement, PlacementClient
+from burdockhaven_entry.gateway.replacement_search import ReplacementSearch
+
+
+@pytest.fixture
+async def start():
+    started = []
+
+    async def make(**options):
+        started.append(await Gateway.start(**options))
+        return started[-1]
+
+    yield make
+    for gateway in started:
+        await gateway.stop()
+
+
+def with_stream_route(table=None, **changes):
+    table = table or routing_table()
+    routes = tuple(
+        dataclasses.replace(r, **changes) if r.prefix == "/stream/" else r
+        for r in table.routes
+    )
+    return RoutingTable.from_parts(
+        table.version, routes, table.services, table.account_of_key, table.limits
+    )
+
+
+async def poll_queue(gateway):
+    """Grant and refuse queued requests, as the daemon's queue poller does."""
+    placement_client = gateway.frontend.streams.placement_client
+    while True:
+        await asyncio.sleep(0.02)
+        placement_client.grant_queued()
+        placement_client.refuse_infeasible()
+
+
+# Guards against an engine that stays reserved, because its grant crosses the end of
+# the silent run.
+async def test_search_can_be_stopped_after_its_run_has_ended():
+    given_back = []
+    is_found = asyncio.Event()
+
+    async def find():
+        is_found.set()
+        return Placement(1, "i-1")
+
+    async with asyncio.timeout(None) as run_timeout:
+        search = ReplacementSearch(run_timeout, find, given_back.append)
+        search.restart(0.0)
+        await is_found.wait()
+    search.discard()
+    assert len(given_back) == 1
+
+
+# Guards against LOST: a complete stream is cut, because another engine is granted in
+# the iteration of the event loop in which it ends.
+async def test_stream_that_ends_while_another_engine_is_granted_is_complete(
+    start, monkeypatch
+):
+    eof_seen = False
+    real_feed_eof = aiohttp.streams.StreamReader.feed_eof
+    real_place = PlacementClient.place
+    ends = False
+
+    def feed_eof(self):
+        nonlocal eof_seen
+        eof_seen = eof_seen or ends
+        real_feed_eof(self)
+
+    async def place(self, requirements):
+        placement = await real_place(self, requirements)
+        if requirements.is_retry:
+            while True:
+                if eof_seen:
+                    break
+                await asyncio.sleep(0)
+        return placement
+
+    monkeypatch.setattr(aiohttp.streams.StreamReader, "feed_eof", feed_eof)
+    monkeypatch.setattr(PlacementClient, "place", place)
+
+    async def behave(request, reader, writer):
+        nonlocal ends
+        await stream_events(1, 2, end=False)(request, reader, writer)
+        await asyncio.sleep(1.3)
+        ends = True
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
+
+    gateway = await start(engines=[Script(behave), Script(behave)])
+    response = await gateway.call("/stream/x")
+    assert (response.status, response.body) == (200, numbered_events(1, 2))
+    assert gateway.frontend.streams.placement_client.runs == {}
+
+
+# Guards against LOST: a configuration lowers the quota of an account, so that no
+# engine may replace the silent one of its stream.
+async def test_silent_stream_goes_on_after_its_quota_was_lowered(start):
+    async def behave(request, reader, writer):
+        gateway.state.apply_table(routing_table(version=2, rate_per_s=1.0), b"")
+        gateway.state.publish_targets()
+        return await silent_before(3, 4)(request, reader, writer)
+
+    gateway = await start(engines=[Script(behave), Script(behave)])
+    response = await gateway.call("/stream/x")
+    assert (response.status, response.body) == (200, numbered_events(1, 4))
+    assert len(gateway.received) == 1
+
+
+async def test_disconnect_during_a_search_leaves_nothing_behind(start):
+    async def behave(request, reader, writer):
+        set_idle_engines_ejected(gateway, math.inf)
+        return await hang(request, reader, writer)
+
+    gateway = await start(engines=[Script(behave), Script(behave)])
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(1.4):
+            await gateway.call("/stream/x")
+    await asyncio.sleep(0.1)
+    broker = gateway.state.broker
+    assert not broker.queue
+    assert not broker.runs.granted
+    assert gateway.frontend.streams.placement_client.runs == {}
+    assert gateway.frontend.streams.placement_client.pending == {}
+
+
+async def test_deadline_during_a_search_leaves_nothing_behind(start):
+    async def behave(request, reader, writer):
+        set_idle_engines_ejected(gateway, math.inf)
+        return await hang(request, reader, writer)
+
+    gateway = await start(engines=[Script(behave), Script(behave)])
+    headers = {"X-Burdockhaven-Deadline-Ms": "1200"}
+    assert (await gateway.call("/stream/x", headers=headers)).status == 504
+    await asyncio.sleep(0.1)
+    assert not gateway.state.broker.queue
+    assert not gateway.state.broker.runs.granted
+    assert gateway.frontend.streams.placement_client.runs == {}
+
+
+# Guards against two engines that work on one stream.
+async def test_silent_run_has_ended_when_its_replacement_begins(start):
+    async def second(request, reader, writer):
+        others = [t for t in gateway.targets if len(t.received) and t.closed.is_set()]
+        closed_at_start.append(len(others))
+        await asyncio.sleep(0.1)
+        closed_later.append(sum(t.closed.is_set() for t in gateway.targets))
+        return await stream_events(1, 2)(request, reader, writer)
+
+    closed_at_start, closed_later = [], []
+    script = Script(hang, second)
+    gateway = await start(engines=[script, script])
+    assert (await gateway.call("/stream/x")).body == numbered_events(1, 2)
+    assert closed_later == [1]
