Use the engine that was granted to replace a silent run

Callers saw: 502 although another engine had been granted, whose slot then stayed reserved for good. Cause: a request gave up after five placements even if it held a sixth. Why it works: a granted replacement is used; if the request ends first, for instance at its deadline, it is given back.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -81,6 +81,9 @@
                 return await self._forward_with_retries(routed, stream)
         except TimeoutError:
             return self._timeout_response(routed, stream)
+        finally:
+            if stream.replacement is not None:
+                self._give_back(stream.replacement)
 
     def _placement_requirements(self, routed: RoutedRequest) -> PlacementRequirements:
         client_request = routed.client_request
@@ -117,7 +120,10 @@
                 return stream.response
             if result is RunResult.BROKEN and not stream.can_run_again:
                 break
-            if count >= MAX_PLACEMENTS and not self._is_client_waiting(stream):
+            has_placement = stream.replacement is not None
+            if count >= MAX_PLACEMENTS and not (
+                has_placement or self._is_client_waiting(stream)
+            ):
                 break
             if result is not RunResult.BROKEN and stream.is_committed:
                 await asyncio.sleep(COMMITTED_RETRY_INTERVAL_S)
@@ -146,7 +152,7 @@
         """Run the request at the granted target, which the next placement avoids."""
         target = self._resolve_target(routed, placement)
         if target is None:
-            self.placement_client.record_end(placement.number, RunEnd.NOT_SENT)
+            self._give_back(placement)
             result = RunResult.NOT_SENT
         else:
             result = await self._run_on_target(routed, stream, target, placement)
@@ -317,10 +323,10 @@
         async def find() -> Placement | None:
             return await self._find_replacement(routed, stream, target)
 
-        def give_back(placement: Placement) -> None:
-            self.placement_client.record_end(placement.number, RunEnd.NOT_SENT)
+        return ReplacementSearch(run_timeout, find, self._give_back)
 
-        return ReplacementSearch(run_timeout, find, give_back)
+    def _give_back(self, placement: Placement) -> None:
+        self.placement_client.record_end(placement.number, RunEnd.NOT_SENT)
 
     async def _find_replacement(
         self, routed: RoutedRequest, stream: StreamState, target: TargetEntry
--- a/packages/burdockhaven-entry/tests/gateway/test_replacement_search.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_replacement_search.py
@@ -5,6 +5,7 @@
 import aiohttp.streams
 import pytest
 from gateway_fixtures import (
+    REJECTED,
     Gateway,
     Script,
     hang,
@@ -174,3 +175,14 @@
     gateway = await start(engines=[script, script])
     assert (await gateway.call("/stream/x")).body == numbered_events(1, 2)
     assert closed_later == [1]
+
+
+# Guards against an engine that stays reserved, and a 502 although one was granted,
+# when the replacement of a silent run comes late.
+async def test_unused_replacement_is_given_back(start):
+    script = Script(*[REJECTED] * 4, hang, stream_events(1, 2))
+    gateway = await start(
+        engines=[script] * 6, table=with_stream_route(client_timeout_s=0.3)
+    )
+    assert (await gateway.call("/stream/x")).body == numbered_events(1, 2)
+    assert gateway.frontend.streams.placement_client.runs == {}
