Charge the retry budget for a replacement only once it is granted

Callers saw: streams that broke off were cut for want of retry budget, after many engines had been silent. Cause: each search for another engine charged a retry, also if it found none. Result: test_search_without_a_result_does_not_use_up_the_retry_budget and test_broken_stream_resumes_after_silences_of_others failed before and pass.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/retry_budget.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/retry_budget.py
@@ -38,15 +38,18 @@
         """Count a client's request."""
         self._window(self.requests, service).add(1.0, now)
 
-    def try_acquire(self, service: str, members: int, now: float) -> bool:
-        """Count a retry and return True, or return False if it exceeds the budget."""
+    def admits(self, service: str, members: int, now: float) -> bool:
+        """Whether one more retry is within the budget."""
         requests = self._window(self.requests, service).sum(now)
-        retries = self._window(self.retries, service)
         fixed_share = self.rule.slack / max(1, members)
         budget = USABLE_FRACTION * (self.rule.ratio * requests + fixed_share)
-        if retries.sum(now) + 1 > budget:
+        return self._window(self.retries, service).sum(now) + 1 <= budget
+
+    def try_acquire(self, service: str, members: int, now: float) -> bool:
+        """Count a retry and return True, or return False if it exceeds the budget."""
+        if not self.admits(service, members, now):
             return False
-        retries.add(1.0, now)
+        self._window(self.retries, service).add(1.0, now)
         return True
 
     def _window(self, windows: dict[str, SlidingWindow], service: str) -> SlidingWindow:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -337,13 +337,18 @@
             return None
         if not self._has_other_engine(routed, stream, target):
             return None
-        if not self._acquire_retry(routed, stream):
+        if not self._admits_retry(routed, stream):
             return None
         requirements = retry_excluding(stream.current_requirements(), target.id)
         # Without the digest, a refusal here does not count as one of the client.
         requirements = dataclasses.replace(requirements, digest=0)
         placement = await self.placement_client.place(requirements)
-        return None if isinstance(placement, PlacementRefused) else placement
+        if isinstance(placement, PlacementRefused):
+            return None
+        if not self._acquire_retry(routed, stream):
+            self._give_back(placement)
+            return None
+        return placement
 
     def _has_other_engine(
         self, routed: RoutedRequest, stream: StreamState, target: TargetEntry
@@ -361,6 +366,14 @@
             )
             self.state.own_usage.charge(account.name, cost, now)
 
+    def _admits_retry(self, routed: RoutedRequest, stream: StreamState) -> bool:
+        """Whether the retry budget has room for the next run."""
+        now = self.state.clock()
+        members = self.state.member_list.serving_count(now)
+        return stream.is_retry_acquired or (
+            self.state.retry_budget.admits(routed.service, members, now)
+        )
+
     def _acquire_retry(self, routed: RoutedRequest, stream: StreamState) -> bool:
         """Charge the next run to the retry budget, once."""
         if not stream.is_retry_acquired:
--- a/packages/burdockhaven-entry/tests/gateway/test_replacement_search.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_replacement_search.py
@@ -197,3 +197,38 @@
     gateway = await start(engines=[script, script])
     async with asyncio.timeout(2.4):
         assert (await gateway.call("/stream/x")).status == 502
+
+
+# Guards against retries that are refused because silent engines have used up their
+# budget.
+async def test_search_without_a_result_does_not_use_up_the_retry_budget(start):
+    async def behave(request, reader, writer):
+        set_idle_engines_ejected(gateway, math.inf)
+        return await silent_before(3, 4)(request, reader, writer)
+
+    gateway = await start(engines=[Script(behave), Script(behave)])
+    assert (await gateway.call("/stream/x")).body == numbered_events(1, 4)
+    assert len(gateway.received) == 1
+    now = gateway.state.clock()
+    used = {s: w.sum(now) for s, w in gateway.state.retry_budget.retries.items()}
+    assert sum(used.values()) == 0
+
+
+# Guards against the same, seen by a client: its stream is cut after silences of
+# others.
+async def test_broken_stream_resumes_after_silences_of_others(start, monkeypatch):
+    async def silent(request, reader, writer):
+        set_idle_engines_ejected(gateway, math.inf)
+        return await silent_before(3, 4)(request, reader, writer)
+
+    script = Script(*[silent] * 4, stream_events(1, 3, end=False, reset=True))
+    script.behaviours.append(stream_events(4, 6))
+    gateway = await start(engines=[script, script])
+    rule = dataclasses.replace(gateway.state.retry_budget.rule, ratio=0.0, slack=5.0)
+    gateway.state.retry_budget.rule = rule
+    for _ in range(4):
+        set_idle_engines_ejected(gateway, 0.0)
+        assert (await gateway.call("/stream/x")).status == 200
+    assert len(gateway.received) == 4
+    set_idle_engines_ejected(gateway, 0.0)
+    assert (await gateway.call("/stream/x")).body == numbered_events(1, 6)
