Don't count repeated placements of one request as arrivals

Callers saw: 503 for requests that would have been queued, while streams waited for another engine. Cause: each refused placement of a waiting stream counted as a new arrival of its class, so the capacity left to others seemed to vanish; and it counted as a refusal of the client, who then came back with a false rank. Result: test_refused_repeats_do_not_count_as_load failed with repeats and passes.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -147,7 +147,9 @@
         )
         queued = QueuedRequest.from_request(request, was_refused, now)
         self._counts_of(request.route).submitted += 1
-        self.wait_estimator.record_arrival(queued, now)
+        if not request.is_retry:
+            # A member may place the same request again and again.
+            self.wait_estimator.record_arrival(queued, now)
         if not queued.is_retry:
             self.served_shares.record_arrival(request, now)
         return self._place_or_queue(key, queued, now)
--- a/packages/burdockhaven-core/tests/scheduling/test_broker.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_broker.py
@@ -447,3 +447,24 @@
 # Guards against a broker that is too busy to reply once its queue is long.
 def test_work_of_a_submission_does_not_grow_with_the_queue():
     assert calls_of_submission(1_000) <= 1.5 * calls_of_submission(50)
+
+
+# Guards against refusals of other requests, because streams that wait for another
+# engine are placed again and again and each refused placement counts as an arrival.
+@pytest.mark.parametrize("repeats", [0, 25], ids=["without", "with repeats"])
+def test_refused_repeats_do_not_count_as_load(repeats):
+    broker = make_broker(targets=("i-1",), slots=4)
+    for number in range(4):
+        assert broker.submit(placement_request(number), 0.0).verdict is Verdict.GRANTED
+    number = 100
+    for step in range(repeats):
+        for _ in range(8):
+            number += 1
+            reply = broker.submit(
+                placement_request(number, is_retry=True, excluded=("i-1",)), step * 0.2
+            )
+            assert reply.verdict is Verdict.OVERLOADED
+    other = placement_request(
+        99, route="other", route_priority=1, client_timeout_ms=4_000
+    )
+    assert broker.submit(other, 5.0).verdict is Verdict.QUEUED
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_state.py
@@ -93,14 +93,18 @@
         """Return what the next run needs of an engine.
 
         The client of a begun stream waits for its next event, not for its first one.
+        Without the digest, a refusal does not count as one of the client.
         """
-        if self.delivered_s is None:
-            return self.requirements
-        return dataclasses.replace(
-            self.requirements,
-            objective_s=self.give_up_s,
-            client_timeout_s=self.give_up_s,
-        )
+        requirements = self.requirements
+        if self.is_committed:
+            requirements = dataclasses.replace(requirements, digest=0)
+        if self.delivered_s is not None:
+            requirements = dataclasses.replace(
+                requirements,
+                objective_s=self.give_up_s,
+                client_timeout_s=self.give_up_s,
+            )
+        return requirements
 
     def exclude(self, target_id: str, open_ids: set[str]) -> None:
         """Avoid a target in the next placement, given the targets that are open.
