Back off after rejections of a begun stream

Callers saw: less retry budget for others while engines rejected a stream: nine sends in 2.4 s. Result: test_one_stream_does_not_use_up_the_retry_budget_with_rejections failed before and passes.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -55,7 +55,7 @@
 # Maximum number of placements of a request that can still be refused.
 MAX_PLACEMENTS = 5
 # Seconds between two placements of a request that can't be refused any more, unless the
-# first of them led to a run.
+# first of them led to a run; doubled after each send that the target rejected.
 COMMITTED_RETRY_INTERVAL_S = 0.2
 # Objective for the pause between events if the route states none.
 DEFAULT_PAUSE_OBJECTIVE_S = 1.0
@@ -113,7 +113,7 @@
             if isinstance(placement, PlacementRefused):
                 if not self._is_client_waiting(stream):
                     return self._refusal_response(routed, stream, placement)
-                await asyncio.sleep(COMMITTED_RETRY_INTERVAL_S)
+                await self._pause(stream)
                 continue
             result = await self._use_placement(routed, stream, placement)
             if result is RunResult.DONE and stream.response is not None:
@@ -126,7 +126,8 @@
             ):
                 break
             if result is not RunResult.BROKEN and stream.is_committed:
-                await asyncio.sleep(COMMITTED_RETRY_INTERVAL_S)
+                await self._pause(stream)
+                stream.rejections += result is RunResult.NOT_RUN
             if result is not RunResult.NOT_SENT and not (
                 await self._acquire_next_run(routed, stream)
             ):
@@ -172,9 +173,15 @@
         while not self._acquire_retry(routed, stream):
             if not self._is_client_waiting(stream):
                 return False
-            await asyncio.sleep(COMMITTED_RETRY_INTERVAL_S)
+            await self._pause(stream)
         return True
 
+    async def _pause(self, stream: StreamState) -> None:
+        """Wait before the next placement, but not beyond the time to give up."""
+        pause_s = COMMITTED_RETRY_INTERVAL_S * 2**stream.rejections
+        left_s = stream.give_up_s - self.state.clock()
+        await asyncio.sleep(max(0.0, min(pause_s, left_s)))
+
     def _resolve_target(
         self, routed: RoutedRequest, placement: Placement
     ) -> TargetEntry | None:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_state.py
@@ -58,6 +58,8 @@
     may_have_run: bool = False
     # Whether the next run is charged to the retry budget already.
     is_retry_acquired: bool = False
+    # Sends that targets rejected since the request was committed.
+    rejections: int = 0
     # Whether a run was ended because another engine was granted to the request.
     was_replaced: bool = False
     # Engine granted to replace a silent run; None if the next run needs a placement.
--- a/packages/burdockhaven-entry/tests/gateway/test_replacement_search.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_replacement_search.py
@@ -2,6 +2,7 @@
 import dataclasses
 import math
 
+import aiohttp
 import aiohttp.streams
 import pytest
 from gateway_fixtures import (
@@ -232,3 +233,12 @@
     assert len(gateway.received) == 4
     set_idle_engines_ejected(gateway, 0.0)
     assert (await gateway.call("/stream/x")).body == numbered_events(1, 6)
+
+
+# Guards against a stream that uses up the retry budget at engines that reject it.
+async def test_one_stream_does_not_use_up_the_retry_budget_with_rejections(start):
+    script = Script(silent_before(3, 4, 9.0), REJECTED)
+    gateway = await start(engines=[script, script])
+    with pytest.raises(aiohttp.ClientPayloadError):
+        await gateway.call("/stream/x")
+    assert len(gateway.received) <= 1 + 5
