Readmit excluded engines when the others have left

Callers saw: a begun stream was cut although an engine could have continued it. Cause: whether all engines had been tried was decided after a placement only, so engines that left later kept the stream from the one that remained. Result: test_stream_returns_to_its_engine_once_it_is_the_only_one failed before and passes.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -140,6 +140,8 @@
         if stream.replacement is not None:
             replacement, stream.replacement = stream.replacement, None
             return replacement
+        open_targets = self.state.registry.open_targets(routed.service)
+        stream.readmit({entry.id for entry in open_targets})
         requested_s = self.state.clock()
         placement = await self.placement_client.place(stream.current_requirements())
         routed.trace.queued_s += self.state.clock() - requested_s
@@ -158,8 +160,7 @@
         else:
             result = await self._run_on_target(routed, stream, target, placement)
             stream.may_have_run = stream.possible_runs > 0
-        open_targets = self.state.registry.open_targets(routed.service)
-        stream.exclude(placement.target, {entry.id for entry in open_targets})
+        stream.exclude(placement.target)
         return result
 
     def _is_client_waiting(self, stream: StreamState) -> bool:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_state.py
@@ -108,17 +108,21 @@
             )
         return requirements
 
-    def exclude(self, target_id: str, open_ids: set[str]) -> None:
-        """Avoid a target in the next placement, given the targets that are open.
+    def exclude(self, target_id: str) -> None:
+        """Avoid a target in the next placements."""
+        self.requirements = retry_excluding(self.requirements, target_id)
 
-        Once a committed request has been to all of them, only the last one is avoided:
-        a silent engine may go on, and a full one may have room again.
+    def readmit(self, open_ids: set[str]) -> None:
+        """Once a committed request has been to all open targets, avoid only the last.
+
+        A silent engine may go on, and a full one may have room again.
         """
-        requirements = retry_excluding(self.requirements, target_id)
-        if self.is_committed and open_ids <= set(requirements.excluded):
-            excluded = (target_id,) if open_ids - {target_id} else ()
-            requirements = dataclasses.replace(requirements, excluded=excluded)
-        self.requirements = requirements
+        excluded = self.requirements.excluded
+        if self.is_committed and excluded and open_ids <= set(excluded):
+            last = excluded[-1]
+            self.requirements = dataclasses.replace(
+                self.requirements, excluded=(last,) if open_ids - {last} else ()
+            )
 
     def begin_run(self) -> None:
         """Record that the request is sent to an engine."""
--- a/packages/burdockhaven-entry/tests/gateway/test_replacement_search.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_replacement_search.py
@@ -242,3 +242,31 @@
     with pytest.raises(aiohttp.ClientPayloadError):
         await gateway.call("/stream/x")
     assert len(gateway.received) <= 1 + 5
+
+
+# Guards against LOST: a begun stream is refused by the only engine that is left,
+# because it was excluded while there were others.
+async def test_stream_returns_to_its_engine_once_it_is_the_only_one(start):
+    def remove_other_engines():
+        registry = gateway.state.registry
+        for name in list(registry.entries):
+            if name.startswith("engines") and name != first:
+                registry.remove(name, gateway.state.clock())
+        gateway.state.publish_targets()
+
+    async def break_off(request, reader, writer):
+        nonlocal first
+        first = request.headers["X-Burdockhaven-Expect-Instance"]
+        set_idle_engines_ejected(gateway, math.inf)
+        asyncio.get_running_loop().call_later(0.4, remove_other_engines)
+        return await stream_events(1, 2, end=False, reset=True)(request, reader, writer)
+
+    first = ""
+    script = Script(break_off, stream_events(3, 4))
+    gateway = await start(engines=[script, script])
+    poller = asyncio.create_task(poll_queue(gateway))
+    try:
+        response = await gateway.call("/stream/x")
+    finally:
+        poller.cancel()
+    assert (response.status, response.body) == (200, numbered_events(1, 4))
