A silent engine keeps its slots

Callers saw: refusals after a moment in which engines were silent. Cause: a run that was ended because of a silence told the broker that the engine had broken it off, which leaves the engine one request until it progresses. Why it works: such a run has an end of its own, which raises the failure rate only. Result: test_silence_does_not_reduce_the_capacity_of_an_engine failed before and passes.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
@@ -141,6 +141,8 @@
     NOT_SENT = 7
     # The target closed the connection without a response.
     DISCONNECTED = 8
+    # The member ended the run because the target was silent and another was granted.
+    REPLACED = 9
 
 
 class RunUpdate(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
@@ -205,7 +205,7 @@
             engine.record_disconnect(now)
         elif update.end is RunEnd.FAILED:
             engine.record_broken_run()
-        elif update.end is RunEnd.REJECTED:
+        elif update.end in (RunEnd.REJECTED, RunEnd.REPLACED):
             engine.record_failure()
         elif update.end is RunEnd.LEAVING:
             engine.ejected_until_s = now + LEAVING_EJECTION_S
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -237,7 +237,7 @@
             stream.possible_runs += 1
             stream.was_replaced = True
             stream.replacement = search.take()
-            end = RunEnd.FAILED
+            end = RunEnd.REPLACED
             routed.trace.failures.append(f"{target.id}: silent")
             return RunResult.BROKEN
         except SendError as error:
--- a/packages/burdockhaven-entry/tests/gateway/test_replacement_search.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_replacement_search.py
@@ -270,3 +270,15 @@
     finally:
         poller.cancel()
     assert (response.status, response.body) == (200, numbered_events(1, 4))
+
+
+# Guards against capacity that vanishes: an engine that was silent for a moment got one
+# request at a time.
+async def test_silence_does_not_reduce_the_capacity_of_an_engine(start):
+    script = Script(silent_before(3, 4), stream_events(3, 4))
+    gateway = await start(engines=[script, script])
+    assert (await gateway.call("/stream/x")).body == numbered_events(1, 4)
+    await asyncio.sleep(0.05)
+    engines = gateway.state.broker.runs.engines
+    free = [e.free_slots() for n, e in engines.items() if n.startswith("engines")]
+    assert free == [4, 4]
