Don't take a client that is slow to read for a silent engine

Callers saw: their stream was sent to a second engine because they had not read the first one's events for a second. Result: test_run_is_not_replaced_while_its_client_does_not_read failed before and passes.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -289,6 +289,8 @@
         async for data in target_response.chunks():
             for event in splitter.feed(data):
                 self.placement_client.record_first_event(placement.number)
+                # A client that is slow to read does not make the engine silent.
+                search.stop()
                 await self._relay_event(stream, event)
                 search.restart(EVENT_PAUSE_TIMEOUT_S)
         if splitter.buffer.strip():
--- a/packages/burdockhaven-entry/tests/gateway/test_replacement_search.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_replacement_search.py
@@ -282,3 +282,30 @@
     engines = gateway.state.broker.runs.engines
     free = [e.free_slots() for n, e in engines.items() if n.startswith("engines")]
     assert free == [4, 4]
+
+
+# Guards against a run that is ended for a silence of its client.
+async def test_run_is_not_replaced_while_its_client_does_not_read(start):
+    data = b"x" * 1_000_000
+
+    async def large(request, reader, writer):
+        await stream_events(1, 1, end=False)(request, reader, writer)
+        for number in range(2, 42):
+            event = b"id: %d\ndata: %s\n\n" % (number, data)
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
+
+    gateway = await start(engines=[Script(large), Script(large)])
+    reader, writer = await asyncio.open_connection("127.0.0.1", gateway.port)
+    writer.write(
+        b"POST /stream/x HTTP/1.1\r\nHost: one.example\r\n"
+        b"X-Burdockhaven-Attempt-Id: a1\r\nAuthorization: Bearer key-acme\r\n"
+        b"X-Burdockhaven-Token-Counts: 100,20\r\nContent-Length: 0\r\n\r\n"
+    )
+    await asyncio.sleep(2.0)
+    sends = len(gateway.received)
+    writer.transport.abort()
+    assert sends == 1
