Let a stream return to the engine whose silence ended its run

Callers saw: a stream was cut because the engine that replaced its silent one reset the connection. Why it works: the targets that may have run the request are kept; once there are as many as allowed, the stream may only return to one of them, twice per target at most. Only a stream whose run was ended for another engine does so. Result: test_stream_returns_to_silent_engine_after_its_replacement_resets failed before and passes.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -154,7 +154,11 @@
     ) -> RunResult:
         """Run the request at the granted target, which the next placement avoids."""
         target = self._resolve_target(routed, placement)
-        if target is None:
+        # Granted before the broker knew which targets the request has used up.
+        is_beyond_limit = (
+            stream.has_used_up_targets and placement.target not in stream.ran_at
+        )
+        if target is None or is_beyond_limit:
             self._give_back(placement)
             result = RunResult.NOT_SENT
         else:
@@ -234,7 +238,7 @@
         except TimeoutError:
             if search is None or self.state.clock() >= routed.deadline_s:
                 raise
-            stream.possible_runs += 1
+            stream.record_possible_run(target.id)
             stream.was_replaced = True
             stream.replacement = search.take()
             end = RunEnd.REPLACED
@@ -243,7 +247,8 @@
         except SendError as error:
             routed.trace.failures.append(str(error))
             end, result = _classify_send_error(error)
-            stream.possible_runs += result is RunResult.BROKEN
+            if result is RunResult.BROKEN:
+                stream.record_possible_run(target.id)
             return result
         finally:
             self.placement_client.record_end(
@@ -283,7 +288,7 @@
             )
             await stream.response.prepare(routed.request)
         if stream.response is None:
-            stream.possible_runs += 1
+            stream.record_possible_run(target.id)
             return RunEnd.FAILED, RunResult.BROKEN
         splitter = EventSplitter()
         async for data in target_response.chunks():
@@ -295,7 +300,7 @@
                 search.restart(EVENT_PAUSE_TIMEOUT_S)
         if splitter.buffer.strip():
             routed.trace.failures.append(f"{target.id}: ended within an event")
-            stream.possible_runs += 1
+            stream.record_possible_run(target.id)
             return RunEnd.FAILED, RunResult.BROKEN
         return RunEnd.COMPLETED, RunResult.DONE
 
@@ -304,7 +309,7 @@
     ) -> tuple[RunEnd, RunResult]:
         """Handle an error response, or a response that is not an event stream."""
         body = await target_response.read_body()
-        stream.possible_runs += 1
+        stream.record_possible_run(target_response.target)
         head = target_response.head
         if head.is_signed and not head.is_encoded and stream.response is None:
             response = web.Response(
@@ -343,7 +348,9 @@
     ) -> Placement | None:
         """Request an engine other than a silent one, if another run is allowed."""
         route = routed.route
-        if not route.resumable or stream.possible_runs + 1 >= route.max_attempts:
+        if not route.resumable or (
+            len(stream.ran_at | {target.id}) >= route.max_attempts
+        ):
             return None
         if not self._has_other_engine(routed, stream, target):
             return None
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_state.py
@@ -16,6 +16,8 @@
 
 # Minimum number of pauses from which the speed of an engine is estimated.
 MIN_PAUSE_SAMPLES = 3
+# Maximum number of runs of a stream for each target that its route allows.
+MAX_RUNS_PER_TARGET = 2
 # Seconds before its client disconnects at which a request without a head is answered.
 ANSWER_MARGIN_S = 0.3
 
@@ -41,8 +43,9 @@
     requirements: PlacementRequirements
     # Id of the last event that the client has; None before the first.
     last_event_id: str | None
-    # Number of attempts that a target may have run.
+    # Number of attempts that a target may have run, and the targets that may have.
     possible_runs: int = 0
+    ran_at: set[str] = field(default_factory=set)
     # The response to the client; None until its head is sent.
     response: web.StreamResponse | None = None
     # The last error response of a target; forwarded if no other run succeeds.
@@ -87,9 +90,22 @@
 
     @property
     def can_run_again(self) -> bool:
-        """Whether the route allows another run."""
+        """Whether the route allows another run.
+
+        It limits the number of targets. A stream may return to a sound one whose run
+        was ended.
+        """
         route = self.routed.route
-        return route.idempotent and self.possible_runs < route.max_attempts
+        if self.was_replaced:
+            max_runs = MAX_RUNS_PER_TARGET * route.max_attempts
+        else:
+            max_runs = route.max_attempts
+        return route.idempotent and self.possible_runs < max_runs
+
+    @property
+    def has_used_up_targets(self) -> bool:
+        """Whether the request may only return to targets that may have run it."""
+        return len(self.ran_at) >= self.routed.route.max_attempts
 
     def current_requirements(self) -> PlacementRequirements:
         """Return what the next run needs of an engine.
@@ -113,16 +129,30 @@
         self.requirements = retry_excluding(self.requirements, target_id)
 
     def readmit(self, open_ids: set[str]) -> None:
-        """Once a committed request has been to all open targets, avoid only the last.
+        """Choose the targets that the next placement avoids, given the open ones.
 
-        A silent engine may go on, and a full one may have room again.
+        A request that has used up its targets returns to one of them. Once a committed
+        request has been to all open targets, it avoids only the last: a silent engine
+        may go on, and a full one may have room again.
         """
-        excluded = self.requirements.excluded
-        if self.is_committed and excluded and open_ids <= set(excluded):
-            last = excluded[-1]
-            self.requirements = dataclasses.replace(
-                self.requirements, excluded=(last,) if open_ids - {last} else ()
-            )
+        excluded = set(self.requirements.excluded)
+        if self.has_used_up_targets:
+            excluded = open_ids - self.ran_at
+        elif not (self.is_committed and open_ids <= excluded):
+            return
+        else:
+            excluded = set()
+        last = self.requirements.excluded[-1:]
+        if not open_ids - excluded - set(last):
+            last = ()
+        self.requirements = dataclasses.replace(
+            self.requirements, excluded=(*sorted(excluded - set(last)), *last)
+        )
+
+    def record_possible_run(self, target_id: str) -> None:
+        """Record that a target may have run the request, and did not complete it."""
+        self.possible_runs += 1
+        self.ran_at.add(target_id)
 
     def begin_run(self) -> None:
         """Record that the request is sent to an engine."""
--- a/packages/burdockhaven-entry/tests/gateway/test_replacement_search.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_replacement_search.py
@@ -10,6 +10,7 @@
     Gateway,
     Script,
     hang,
+    reset_connection,
     routing_table,
     stream_events,
 )
@@ -309,3 +310,12 @@
     sends = len(gateway.received)
     writer.transport.abort()
     assert sends == 1
+
+
+# Guards against LOST: a stream is cut because the engine that replaced its silent one
+# breaks off, although the first is sound.
+async def test_stream_returns_to_silent_engine_after_its_replacement_resets(start):
+    script = Script(silent_before(3, 4), reset_connection, stream_events(3, 4))
+    gateway = await start(engines=[script, script])
+    response = await gateway.call("/stream/x")
+    assert (response.status, response.body) == (200, numbered_events(1, 4))
