Send a safe request to another target beside a slow one, not instead of it

Callers saw: 502 after a third of a second, because a target was silent for a moment and the next one rejected the request; also when no further send was left. Why it works: the slow attempt goes on beside the next one, the first response counts and ends the other. Attempts, retry budget and the number of sends are bounded as before. Result: test_silent_plain_target_is_not_given_up_for_one_that_rejects and test_last_possible_send_of_a_plain_request_is_awaited failed before and pass. They replace test_silent_target_is_tried_again_after_all_others_reject, which asked for a second send to the slow target; now its first one is awaited.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
@@ -1,13 +1,12 @@
 """Forwards requests with a single response, with retries across targets.
 
 Safe (idempotent) requests are retried after any failure, within the attempts that the
-route allows. Unsafe requests are retried only if the target certainly did not run them.
-Each retry is also charged to the retry budget of the service.
+route allows, and sent to another target beside one that is slow to respond. Unsafe
+requests are retried only if the target certainly did not run them. Each retry is also
+charged to the retry budget of the service.
 """
 
 import asyncio
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
 from aiohttp import web
@@ -35,10 +34,10 @@
 )
 from burdockhaven_entry.platform import client_headers
 
-# An attempt times out after this multiple of the target's average latency,
-ATTEMPT_TIMEOUT_LATENCY_FACTOR = 6.0
+# An attempt is slow after this multiple of the target's average latency,
+HEDGE_DELAY_LATENCY_FACTOR = 6.0
 # but not before this fraction of the route's latency objective.
-ATTEMPT_TIMEOUT_OBJECTIVE_FRACTION = 0.5
+HEDGE_DELAY_OBJECTIVE_FRACTION = 0.5
 # Maximum number of sends of one request, whatever their outcome.
 MAX_ATTEMPTS = 5
 
@@ -48,8 +47,6 @@
     """The attempts made so far for one request."""
 
     excluded: set[str] = field(default_factory=set)
-    # The excluded targets that were only slow to respond.
-    slow: set[str] = field(default_factory=set)
     # Number of attempts that the target may have run.
     possible_runs: int = 0
     sends: int = 0
@@ -58,6 +55,12 @@
     # Whether the next attempt is charged to the retry budget already.
     is_retry_acquired: bool = False
 
+    def begin(self, target_id: str) -> None:
+        """Record that the request is sent to a target, which is not tried again."""
+        self.sends += 1
+        self.excluded.add(target_id)
+        self.is_retry_acquired = False
+
 
 @dataclass(slots=True)
 class PlainForwarder:
@@ -128,33 +131,67 @@
     ) -> web.Response:
         while True:
             now = self.state.clock()
-            target = self._choose_target(routed, attempts, now)
+            entries = self.state.registry.open_targets(routed.service)
+            target = self.state.balancer.choose(entries, attempts.excluded, now)
             if target is None or attempts.sends >= MAX_ATTEMPTS:
                 return self._failure_response(routed, attempts)
             if attempts.sends and not self._acquire_retry(routed, attempts, now):
                 return self._failure_response(routed, attempts)
-            attempts.is_retry_acquired = False
-            attempts.sends += 1
-            routed.trace.sends += 1
-            routed.trace.target = target.id
-            response = await self._attempt(routed, target, attempts)
+            response = await self._attempt_with_hedges(routed, target, attempts)
             if response is not None:
                 return response
-            attempts.excluded.add(target.id)
             if attempts.possible_runs and not self._can_run_again(routed, attempts):
                 return self._failure_response(routed, attempts)
 
-    def _choose_target(
-        self, routed: RoutedRequest, attempts: _Attempts, now: float
+    async def _attempt_with_hedges(
+        self, routed: RoutedRequest, target: TargetEntry, attempts: _Attempts
+    ) -> web.Response | None:
+        """Send to a target and, while it is slow, to others; None if all fail.
+
+        A slow attempt goes on beside the next one, which may be rejected.
+        """
+        delay_s = self._hedge_delay_s(routed, target)
+        if delay_s is None:
+            return await self._attempt(routed, target, attempts)
+        running = {asyncio.create_task(self._attempt(routed, target, attempts))}
+        try:
+            while running:
+                done, running = await asyncio.wait(
+                    running, timeout=delay_s, return_when=asyncio.FIRST_COMPLETED
+                )
+                for task in done:
+                    response = task.result()
+                    if response is not None:
+                        return response
+                if done:
+                    continue
+                hedge = self._choose_hedge(routed, attempts, len(running))
+                if hedge is None:
+                    delay_s = None
+                    continue
+                self.state.balancer.record_failure(routed.trace.target)
+                routed.trace.failures.append(f"{routed.trace.target}: slow")
+                running.add(asyncio.create_task(self._attempt(routed, hedge, attempts)))
+            return None
+        finally:
+            for task in running:
+                task.cancel()
+            await asyncio.gather(*running, return_exceptions=True)
+
+    def _choose_hedge(
+        self, routed: RoutedRequest, attempts: _Attempts, running: int
     ) -> TargetEntry | None:
-        """Return the next target: one not tried yet, or else one that was only slow."""
+        """Return another target beside those that run; None if there is to be none."""
+        if attempts.sends >= MAX_ATTEMPTS or (
+            attempts.possible_runs + running >= routed.route.max_attempts
+        ):
+            return None
+        now = self.state.clock()
         entries = self.state.registry.open_targets(routed.service)
-        target = self.state.balancer.choose(entries, attempts.excluded, now)
-        if target is None and attempts.slow:
-            attempts.excluded -= attempts.slow
-            attempts.slow.clear()
-            target = self.state.balancer.choose(entries, attempts.excluded, now)
-        return target
+        hedge = self.state.balancer.choose(entries, attempts.excluded, now)
+        if hedge is None or not self._acquire_retry(routed, attempts, now):
+            return None
+        return hedge
 
     async def _attempt(
         self, routed: RoutedRequest, target: TargetEntry, attempts: _Attempts
@@ -163,24 +200,19 @@
         state = self.state
         target_state = state.balancer.state_of(target.id)
         sent_s = state.clock()
+        attempts.begin(target.id)
+        routed.trace.sends += 1
+        routed.trace.target = target.id
         request = routed.outgoing_request(
             target.id, sent_s, None, routed.route.idempotent
         )
         target_state.in_flight += 1
         state.balancer.limiters.record_send(target.id, sent_s)
         try:
-            async with (
-                self._abandoned_if_slow(routed, target, attempts),
-                self.target_client.send(target, request) as target_response,
-            ):
+            async with self.target_client.send(target, request) as target_response:
                 return await self._handle_response(
                     routed, target, target_response, attempts, sent_s
                 )
-        except TimeoutError:
-            attempts.possible_runs += 1
-            attempts.slow.add(target.id)
-            state.balancer.record_failure(target.id)
-            routed.trace.failures.append(f"{target.id}: silent")
         except SendError as error:
             self._record_send_error(target, error, attempts)
             routed.trace.failures.append(str(error))
@@ -227,58 +259,16 @@
         attempts.last_failure = response
         return None
 
-    @asynccontextmanager
-    async def _abandoned_if_slow(
-        self, routed: RoutedRequest, target: TargetEntry, attempts: _Attempts
-    ) -> AsyncIterator[None]:
-        """Raise `TimeoutError` in a slow attempt if another target can be tried.
-
-        Otherwise the attempt continues, because its response may still arrive.
-        """
-        loop = asyncio.get_running_loop()
-        timeout_s = self._attempt_timeout_s(routed, target, attempts)
-
-        def abandon() -> None:
-            now = self.state.clock()
-            if self._has_other_target(routed, target, attempts, now) and (
-                self._acquire_retry(routed, attempts, now)
-            ):
-                attempt_timeout.reschedule(loop.time())
-
-        async with asyncio.timeout(None) as attempt_timeout:
-            if timeout_s is None:
-                yield
-                return
-            timer = loop.call_later(timeout_s, abandon)
-            try:
-                yield
-            finally:
-                timer.cancel()
-
-    def _has_other_target(
-        self,
-        routed: RoutedRequest,
-        target: TargetEntry,
-        attempts: _Attempts,
-        now: float,
-    ) -> bool:
-        entries = self.state.registry.open_targets(routed.service)
-        excluded = attempts.excluded | {target.id}
-        return self.state.balancer.choose(entries, excluded, now) is not None
-
-    def _attempt_timeout_s(
-        self, routed: RoutedRequest, target: TargetEntry, attempts: _Attempts
+    def _hedge_delay_s(
+        self, routed: RoutedRequest, target: TargetEntry
     ) -> float | None:
-        """Return the timeout of this attempt; None to wait until the deadline."""
-        if (
-            not routed.route.idempotent
-            or attempts.possible_runs + 1 >= routed.route.max_attempts
-        ):
+        """Return the time after which an attempt is slow; None for no hedges."""
+        if not routed.route.idempotent or routed.route.max_attempts <= 1:
             return None
         latency_s = self.state.balancer.state_of(target.id).latency_s
         return max(
-            ATTEMPT_TIMEOUT_LATENCY_FACTOR * latency_s,
-            ATTEMPT_TIMEOUT_OBJECTIVE_FRACTION * routed.route.objective_s,
+            HEDGE_DELAY_LATENCY_FACTOR * latency_s,
+            HEDGE_DELAY_OBJECTIVE_FRACTION * routed.route.objective_s,
         )
 
     def _record_send_error(
