Log and count the software versions that a stream's events come from

Change: event 306 has software_versions and resumes; counter burdockhaven_mixed_version_streams by service. The adapter decodes the version of a target's software and the resumed attempt. An entry that states no version, or one that isn't text, is refused like every other entry with a missing or ill-typed field. No change of logic otherwise.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/target_registry.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/target_registry.py
@@ -34,6 +34,9 @@
     started_ms: int = 0
     # Increases with each write by the same start of the target.
     sequence: int = 0
+    # Version of the target's own software, not of its weights or of the configuration;
+    # empty if unknown.
+    software_version: str = ""
 
     def is_same_start(self, other: "TargetEntry") -> bool:
         """Whether the same start of a target wrote both entries."""
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_metrics.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_metrics.py
@@ -56,6 +56,8 @@
     turned_away: Counter[int] = field(default_factory=Counter)
     # Responses that ended after their head and before their end, by route.
     truncated: Counter[str] = field(default_factory=Counter)
+    # Streams with events of engines of more than one software version, by service.
+    mixed_versions: Counter[str] = field(default_factory=Counter)
     # Sends to targets by service, and those without a complete response.
     sends: Counter[str] = field(default_factory=Counter)
     failed_sends: Counter[str] = field(default_factory=Counter)
@@ -89,6 +91,7 @@
         )
         self.requests[route, account, status] += 1
         self.truncated[route] += bool(trace.truncated_by)
+        self.mixed_versions[routed.service] += len(trace.software_versions) > 1
         self.sends[routed.service] += trace.sends
         self.failed_sends[routed.service] += len(trace.failures)
         observe_labelled(self.queue_durations, route, trace.queued_s)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/metrics_text.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/metrics_text.py
@@ -64,6 +64,12 @@
             ("route",),
             _with_single_label(metrics.truncated),
         )
+        yield _counter(
+            "mixed_version_streams",
+            "Streams with events of engines of more than one software version",
+            ("service",),
+            _with_single_label(metrics.mixed_versions),
+        )
         yield _counter(
             "sends", "Sends to targets", ("service",), _with_single_label(metrics.sends)
         )
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/request_log.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/request_log.py
@@ -25,6 +25,8 @@
         version=routed.version,
         status=status,
         target=trace.target,
+        software_versions=", ".join(trace.software_versions),
+        resumes=routed.client_request.resumed_attempt_id or "",
         sends=trace.sends,
         prompt_tokens=routed.client_request.prompt_tokens or 0,
         output_tokens=routed.client_request.max_output_tokens or 0,
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/routed_request.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/routed_request.py
@@ -15,6 +15,8 @@
 
     # Target of the last send; empty if nothing was sent.
     target: str = ""
+    # Software versions of the targets whose events were received, in order.
+    software_versions: list[str] = field(default_factory=list)
     sends: int = 0
     # Seconds from placement requests to their decisions, including time in a broker's
     # queue, summed over all placements.
@@ -36,6 +38,11 @@
         if self.failures[-1:] != [failure]:
             self.failures.append(failure)
 
+    def add_software_version(self, software_version: str) -> None:
+        """Record the software version of the target that sent an event."""
+        if software_version not in self.software_versions:
+            self.software_versions.append(software_version)
+
 
 @dataclass(frozen=True, slots=True)
 class RoutedRequest:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -296,6 +296,7 @@
                 self.placement_client.record_first_event(placement.number)
                 # A client that is slow to read does not make the engine silent.
                 search.stop()
+                routed.trace.add_software_version(target.software_version)
                 await self._relay_event(stream, event)
                 search.restart(EVENT_PAUSE_TIMEOUT_S)
         if splitter.buffer.strip():
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
@@ -180,6 +180,9 @@
             "version": "version of the configuration that routed the request",
             "status": "status of the response; 0 if the client disconnected",
             "target": "target of the last send; empty if nothing was sent",
+            "software_versions": "software versions of the engines that sent events",
+            "resumes": "identity of the attempt whose stream the client resumes; empty "
+            "if it resumes none",
             "sends": "number of sends to targets",
             "prompt_tokens": "number of tokens in the prompt",
             "output_tokens": "maximum number of tokens in the answer",
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/client_request.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/client_request.py
@@ -11,6 +11,7 @@
 PROMPT_PREFIX = "X-Burdockhaven-Prompt-Prefix"
 LENGTH_HINT = "X-Burdockhaven-Length-Hint"
 LAST_EVENT_ID = "Last-Event-Id"
+RESUMES = "Resumes"
 EXPECT_INSTANCE = "X-Burdockhaven-Expect-Instance"
 TENANT = "X-Burdockhaven-Tenant"
 AUTHORIZATION = "Authorization"
@@ -71,6 +72,9 @@
     parts: tuple[tuple[str, int], ...]
     # Id of the event after which the stream resumes; None to start from the beginning.
     last_event_id: str | None
+    # Id of the client's attempt that brought the first event of the stream that this
+    # one resumes; None if not given.
+    resumed_attempt_id: str | None
     # The client's estimate of the output in tokens; None if not given.
     expected_output_tokens: int | None
 
@@ -91,6 +95,7 @@
         max_output_tokens=None if counts is None else counts[1],
         parts=_parse_parts(headers.get(PROMPT_PREFIX, "")),
         last_event_id=headers.get(LAST_EVENT_ID),
+        resumed_attempt_id=headers.get(RESUMES) or None,
         expected_output_tokens=_parse_number(headers, LENGTH_HINT),
     )
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/target_entry.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/target_entry.py
@@ -18,6 +18,8 @@
     zone: str
     state: str
     seq: int
+    # Of the target's software.
+    version: str
     slots: int = 1
     born: int = 0
 
@@ -45,4 +47,5 @@
         draining=raw.state == DRAINING,
         started_ms=raw.born,
         sequence=raw.seq,
+        software_version=raw.version,
     )
--- a/packages/burdockhaven-entry/tests/platform/test_headers.py
+++ b/packages/burdockhaven-entry/tests/platform/test_headers.py
@@ -25,6 +25,7 @@
     X_Burdockhaven_Length_Hint="33",
     Authorization="Bearer k1",
     Last_Event_Id="12",
+    Resumes="a0",
 )
 
 
@@ -44,6 +45,7 @@
         "12",
         33,
     )
+    assert client_request.resumed_attempt_id == "a0"
 
 
 @pytest.mark.parametrize(
--- a/packages/burdockhaven-entry/tests/platform/test_target_entry.py
+++ b/packages/burdockhaven-entry/tests/platform/test_target_entry.py
@@ -26,6 +26,7 @@
     assert (entry.id, entry.service, entry.slots) == ("i-1", "s", 12)
     assert entry.draining
     assert (entry.started_ms, entry.sequence) == (1700000000000, 4)
+    assert entry.software_version == "v1"
 
 
 @pytest.mark.parametrize(
@@ -36,7 +37,9 @@
         json.dumps(ENTRY | {"state": "resting"}).encode(),
         json.dumps(ENTRY | {"slots": "many"}).encode(),
         json.dumps(ENTRY | {"address": "nowhere"}).encode(),
+        json.dumps(ENTRY | {"version": 1}).encode(),
         json.dumps({k: v for k, v in ENTRY.items() if k != "service"}).encode(),
+        json.dumps({k: v for k, v in ENTRY.items() if k != "version"}).encode(),
     ],
 )
 def test_invalid_entry_is_an_error(data):
