--- a/packages/burdockhaven-entry/tests/gateway/gateway_fixtures.py
+++ b/packages/burdockhaven-entry/tests/gateway/gateway_fixtures.py
@@ -215,7 +215,7 @@
         self.targets = targets
 
     @classmethod
-    async def start(cls, plain=(), engines=(), table=None):
+    async def start(cls, plain=(), engines=(), table=None, software_versions=None):
         clock = time.monotonic
         loop = asyncio.get_running_loop()
         state = GatewayState.from_settings(settings(), 1, 1, clock, random.Random(1))
@@ -228,7 +228,10 @@
                 port = listening.sockets[0].getsockname()[1]
                 name = f"{service}-{number}"
                 address = f"127.0.0.1:{port}"
-                state.registry.put(target(name, service, 4, address=address))
+                version = software_versions[number] if software_versions else "v1"
+                state.registry.put(
+                    target(name, service, 4, address=address, software_version=version)
+                )
                 targets.append(scripted)
         state.publish_targets()
         state.in_sync = True
--- /dev/null
+++ b/packages/burdockhaven-entry/tests/gateway/test_stream_versions.py
@@ -0,0 +1,107 @@
+import contextlib
+
+import aiohttp
+import pytest
+from gateway_fixtures import ATTEMPT, Gateway, Script, stream_events
+
+BREAK = stream_events(1, 3, end=False, reset=True)
+REST = stream_events(4, 6)
+
+
+@pytest.fixture
+async def start():
+    started = []
+
+    async def make(*software_versions, behaviours=(BREAK, REST)):
+        script = Script(*behaviours)
+        gateway = await Gateway.start(
+            engines=[script] * len(software_versions),
+            software_versions=software_versions,
+        )
+        started.append(gateway)
+        return gateway
+
+    yield make
+    for gateway in started:
+        await gateway.stop()
+
+
+def versions_used(gateway, software_versions):
+    """Software versions of the engines that received a request."""
+    return {
+        version
+        for version, engine in zip(software_versions, gateway.targets, strict=True)
+        for _ in engine.received
+    }
+
+
+async def call(gateway, **headers):
+    """Send a request; None if the response is truncated."""
+    with contextlib.suppress(aiohttp.ClientPayloadError):
+        return await gateway.call("/stream/x", headers=headers)
+
+
+# Guards against ORDER: a broken stream that continues, within one response, on an
+# engine of another software version than the one that began it.
+@pytest.mark.parametrize(
+    "versions", [("v1", "v2", "v1"), ("v1", "v2", "v2", "v1"), ("v1", "v2", "v3", "v1")]
+)
+async def test_broken_stream_continues_at_the_software_version_that_began_it(
+    start, versions
+):
+    gateway = await start(*versions)
+    # The first engine is the best for the first run, the second for the next one.
+    response = await call(gateway)
+    assert response is not None and response.body.count(b"data:") == 6
+    assert versions_used(gateway, versions) == {"v1"}
+
+
+# Guards against ORDER: the last engine of a version breaks off, and its stream goes on
+# at another version.
+async def test_broken_stream_is_not_continued_if_its_software_version_is_gone(start):
+    versions = ("v1", "v2")
+    gateway = await start(*versions)
+    assert await call(gateway) is None
+    assert len(versions_used(gateway, versions)) == 1
+
+
+# Guards against ORDER: a client that resumes its stream at the same member is placed on
+# an engine of another software version.
+@pytest.mark.parametrize("versions", [("v1", "v2", "v2", "v1"), ("v2", "v1", "v2")])
+async def test_resumed_stream_continues_at_the_software_version_that_began_it(
+    start, versions
+):
+    gateway = await start(*versions, behaviours=(BREAK, BREAK, REST))
+    assert await call(gateway) is None
+    resumed = {ATTEMPT: "a2", "Last-Event-Id": "3", "Resumes": "a1"}
+    response = await call(gateway, **resumed)
+    assert response is not None
+    assert (response.status, response.body.count(b"data:")) == (200, 3)
+    assert len(versions_used(gateway, versions)) == 1
+
+
+# Guards against ORDER: the same over three attempts; the client names the first.
+async def test_stream_over_three_attempts_keeps_its_software_version(start):
+    versions = ("v1", "v2", "v1", "v2", "v1")
+    behaviours = (BREAK, BREAK, REST, REST)
+    gateway = await start(*versions, behaviours=behaviours)
+    assert await call(gateway) is None
+    for attempt in ("a2", "a3"):
+        resumed = {ATTEMPT: attempt, "Last-Event-Id": "3", "Resumes": "a1"}
+        response = await call(gateway, **resumed)
+        assert response is not None and response.status == 200
+    assert len(versions_used(gateway, versions)) == 1
+
+
+# Guards against ORDER: a stream whose software version nobody knows continues at any.
+@pytest.mark.parametrize(
+    "headers", [{"Resumes": "a1"}, {"Resumes": "a1", "Last-Event-Id": "3"}]
+)
+async def test_resumed_stream_of_an_unknown_software_version_does_not_run(
+    start, headers
+):
+    gateway = await start("v1", "v2", behaviours=(REST,))
+    response = await call(gateway, **{ATTEMPT: "a2"}, **headers)
+    assert response is not None and response.status == 503
+    assert "Retry-After" in response.headers
+    assert gateway.received == []
--- a/tools/burdockhaven_bench/platform_harness.py
+++ b/tools/burdockhaven_bench/platform_harness.py
@@ -34,6 +34,8 @@
 LISTENERS = ("front", "readiness", "control", "directory")
 # Header value: prompt and output tokens of each request.
 REQUEST_TOKENS = "100,20"
+# The same for streams that are interrupted.
+STREAM_TOKENS = "100,600"
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,9 +77,11 @@
     )
 
     @classmethod
-    async def start(cls, folder: Path) -> "PlatformHarness":
-        """Start the platform without any daemon."""
-        site = PlatformSite()
+    async def start(
+        cls, folder: Path, engine_versions: tuple[str, ...] = ("v1", "v1")
+    ) -> "PlatformHarness":
+        """Start the platform with engines of these versions, without any daemon."""
+        site = PlatformSite(engine_versions)
         await site.start()
         return cls(folder, site, aiohttp.ClientSession(), _free_port())
 
@@ -167,6 +171,21 @@
         async with self.client.post(url, headers=headers, data=b"x") as response:
             return ReceivedResponse(request, response.status, await response.read())
 
+    async def open_stream(
+        self, address: str, headers: dict[str, str] | None = None
+    ) -> tuple[str, aiohttp.ClientResponse]:
+        """Request a long stream; return the request's ID and the open response."""
+        request = f"request-{next(self.request_numbers)}"
+        sent = {
+            "Host": HOST,
+            ATTEMPT: request,
+            "Authorization": "Bearer k1",
+            TOKEN_COUNTS: STREAM_TOKENS,
+        }
+        url = f"http://{address}/stream/x"
+        response = await self.client.post(url, headers=sent | (headers or {}))
+        return request, response
+
 
 def _free_port() -> int:
     return int(free_address().rpartition(":")[2])
--- a/tools/burdockhaven_standins/platform_site.py
+++ b/tools/burdockhaven_standins/platform_site.py
@@ -76,7 +76,8 @@
 class PlatformSite:
     """The store and the targets, on loopback."""
 
-    engine_count: int = 2
+    # Software version of each engine.
+    engine_versions: tuple[str, ...] = ("v1", "v1")
     store: PlatformStoreStandin = field(default_factory=PlatformStoreStandin)
     services: list[PlatformService] = field(default_factory=list)
     engines: list[PlatformEngine] = field(default_factory=list)
@@ -93,8 +94,13 @@
         self.services.append(plain)
         self.addresses["i-app"] = await self._serve(plain.application())
         config = StepEngineConfig()
-        for number in range(self.engine_count):
-            record = TargetRecord(f"i-llm-{number}", ENGINE_SERVICE, config.slots)
+        for number, version in enumerate(self.engine_versions):
+            record = TargetRecord(
+                f"i-llm-{number}",
+                ENGINE_SERVICE,
+                config.slots,
+                software_version=version,
+            )
             engine = PlatformEngine(record, config)
             self.engines.append(engine)
             self.addresses[record.id] = await self._serve(engine.application())
--- a/tools/burdockhaven_standins/platform_targets.py
+++ b/tools/burdockhaven_standins/platform_targets.py
@@ -54,6 +54,7 @@
     service: str
     slots: int
     zone: str = "a"
+    software_version: str = "v1"
     seq: int = 0
     # Executions by request id.
     runs: Counter[str] = field(default_factory=Counter)
@@ -66,7 +67,7 @@
             "service": self.service,
             "address": address,
             "zone": self.zone,
-            "version": "1",
+            "version": self.software_version,
             "slots": self.slots,
             "state": "draining" if self.faults.draining else "ready",
             "cold_left_ms": 0,
