A stream continues only at the software version that began it

Cause: nothing read the version of an engine or the attempt that a client resumes, so a broker placed continuations like new requests.

The version is part of a placement request; the broker grants, queues and estimates waits by it, names it in its reply, and refuses at once if no engine of it is left. A member records the version at the first event, for its own later runs and for clients that come back. A member that doesn't know the resumed attempt asks all members, twice 60 ms; if none knows, a service that has had a single version all the while is certain too, else the answer is 503 and nothing runs.

A pinned request no longer holds up others in the queue: a queue class has its version, and waits are estimated by version.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -6,8 +6,9 @@
 """
 
 import itertools
+import math
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from burdockhaven_core.scheduling.engine_load import EngineLoad, Run
@@ -35,7 +36,7 @@
 from burdockhaven_core.scheduling.shared_quotas import SharedQuotas
 from burdockhaven_core.scheduling.target_limits import RateLimiters
 from burdockhaven_core.scheduling.target_registry import TargetEntry
-from burdockhaven_core.scheduling.wait_estimate import WaitEstimator
+from burdockhaven_core.scheduling.wait_estimate import VersionedWork, WaitEstimator
 
 # Queued requests that one call of `grant_queued` tries to place; the rest wait for the
 # next call.
@@ -59,8 +60,9 @@
 
     # Slot seconds of one request.
     cost_s: float
-    # Slot seconds per second that requests of higher rank leave.
-    free_capacity: float
+    # Slot seconds per second that requests of higher rank leave, by software version;
+    # empty while no engine is known.
+    capacities: Mapping[str, float]
     # Grants per second that the route is guaranteed.
     guaranteed_per_s: float
 
@@ -74,6 +76,8 @@
         """
         if now + wait_s <= queued.send_by_s:
             return True
+        if wait_s == math.inf:
+            return False
         return route_ahead + 1 <= self.guaranteed_per_s * (queued.late_at_s - now)
 
 
@@ -164,10 +168,14 @@
         if not self.queue or not any(free.values()):
             return replies
         requests = itertools.chain.from_iterable(g for _, g in self._in_order(now))
-        for key, queued in itertools.islice(requests, MAX_GRANT_ATTEMPTS):
+        attempts = 0
+        for key, queued in requests:
             engines = free.get(queued.request.service)
-            if not engines:
+            if not engines or not _of_version(engines, queued.request):
                 continue
+            attempts += 1
+            if attempts > MAX_GRANT_ATTEMPTS:
+                break
             found = _find_placement(queued, engines, now)
             if found is None:
                 continue
@@ -181,18 +189,20 @@
     def refuse_infeasible(self, now: float) -> list[AddressedReply]:
         """Refuse queued requests that would wait past their latest time to be sent."""
         replies: list[AddressedReply] = []
-        work_ahead_s: dict[str, float] = {}
+        work_ahead: dict[str, VersionedWork] = {}
         route_ahead: Counter[RouteKey] = Counter()
         for queue_class, group in self._in_order(now):
             limits = self._limits_of(queue_class, now)
             service, route_key = queue_class.service, queue_class.route_key
+            ahead = work_ahead.setdefault(service, VersionedWork())
+            version = queue_class.software_version
             for key, queued in group:
-                work_s = work_ahead_s.get(service, 0.0) + limits.cost_s
-                wait_s = work_s / limits.free_capacity
+                ahead.add(version, limits.cost_s)
+                wait_s = ahead.wait_s(version, limits.capacities)
                 if limits.admit(queued, wait_s, route_ahead[route_key], now):
-                    work_ahead_s[service] = work_s
                     route_ahead[route_key] += 1
                 else:
+                    ahead.add(version, -limits.cost_s)
                     del self.queue[key]
                     reply = self._refuse(queued.request, wait_s, now)
                     replies.append(AddressedReply(queued.request.sender, reply))
@@ -246,7 +256,9 @@
         self, key: RequestKey, queued: QueuedRequest, now: float
     ) -> PlacementReply:
         request = queued.request
-        engines = self.runs.open_engines(request.service)
+        engines = _of_version(self.runs.open_engines(request.service), request)
+        if self._is_version_gone(request):
+            return self._refuse(request, RETRY_AFTER_MAX_S, now)
         if request.excluded and all(e.target in request.excluded for e in engines):
             return self._refuse(request, RETRY_AFTER_MIN_S, now)
         queue_class = queued.queue_class(now)
@@ -257,18 +269,25 @@
             if found is not None:
                 return self._grant(key, queued, found, now)
         limits = self._limits_of(queue_class, now)
-        work_s = limits.cost_s + sum(
-            count * self.costs.average_s(other.route) for other, count in ahead
-        )
+        work = VersionedWork()
+        work.add(request.software_version, limits.cost_s)
+        for other, count in ahead:
+            cost_s = self.costs.average_s(other.route)
+            work.add(other.software_version, count * cost_s)
         route_ahead = sum(
             count for other, count in ahead if other.route_key == queue_class.route_key
         )
-        wait_s = work_s / limits.free_capacity
+        wait_s = work.wait_s(request.software_version, limits.capacities)
         if not limits.admit(queued, wait_s, route_ahead, now):
             return self._refuse(request, wait_s, now)
         self.queue[key] = queued
         return PlacementReply(request.number, Verdict.QUEUED)
 
+    def _is_version_gone(self, request: PlacementRequest) -> bool:
+        """Whether the service has engines, and none has the version that is needed."""
+        engines = self.runs.open_engines(request.service)
+        return bool(engines) and not _of_version(engines, request)
+
     def _available_engines(self, service: str, now: float) -> list[EngineLoad]:
         engines = self.runs.open_engines(service)
         return [engine for engine in engines if self._is_available(engine, now)]
@@ -302,7 +321,7 @@
         engines = self.runs.open_engines(queue_class.service)
         return _AdmissionLimits(
             self.costs.average_s(queue_class.route),
-            self.wait_estimator.free_capacity(queue_class, engines, now),
+            self.wait_estimator.capacities(queue_class, engines, now),
             self.served_shares.guaranteed_per_s(queue_class.route_key, now),
         )
 
@@ -335,12 +354,14 @@
     def _grant_reply(
         self, request: PlacementRequest, target: str, predicted_ms: int = 0
     ) -> PlacementReply:
+        engine = self.runs.engines.get(target)
         return PlacementReply(
             request.number,
             Verdict.GRANTED,
             target,
             address=self.runs.addresses.get(target, ""),
             predicted_ms=predicted_ms,
+            software_version="" if engine is None else engine.software_version,
         )
 
     def _refuse(
@@ -349,11 +370,23 @@
         self._counts_of(request.route).refused += 1
         if request.digest:
             self.recent_refusals.add(request.digest, now)
-        return _refusal(request, Verdict.OVERLOADED, wait_s)
+        is_gone = self._is_version_gone(request)
+        verdict = Verdict.VERSION_GONE if is_gone else Verdict.OVERLOADED
+        return _refusal(request, verdict, wait_s)
+
+
+def _of_version(
+    engines: list[EngineLoad], request: PlacementRequest
+) -> list[EngineLoad]:
+    """Return the engines of the software version that the request needs."""
+    version = request.software_version
+    if not version:
+        return engines
+    return [engine for engine in engines if engine.software_version == version]
 
 
 def _find_placement(
-    queued: QueuedRequest, engines: Iterable[EngineLoad], now: float
+    queued: QueuedRequest, engines: list[EngineLoad], now: float
 ) -> Placement | None:
     request = queued.request
     constraints = PlacementConstraints(
@@ -366,7 +399,7 @@
         output_tokens=request.expected_tokens or request.output_tokens,
         zone=request.zone,
     )
-    return place(constraints, engines, now)
+    return place(constraints, _of_version(engines, request), now)
 
 
 def _refusal(
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
@@ -68,6 +68,8 @@
     speed: ServiceSpeed
     # Availability zone; empty if unknown.
     zone: str = ""
+    # Version of the engine's software, not of its weights.
+    software_version: str = ""
     # Moving average of the share of runs that failed.
     failure_rate: float = 0.0
     # Ejections, and runs that ended without a response, since a run last progressed.
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
@@ -92,6 +92,8 @@
     expected_tokens: int = 0
     # Availability zone of the sender.
     zone: str = ""
+    # Software version of the targets that may be used; empty for any.
+    software_version: str = ""
 
 
 class Verdict(enum.IntEnum):
@@ -103,6 +105,8 @@
     OVERLOADED = 3
     # The account's quota is used up.
     OVER_QUOTA = 4
+    # No target has the software version that the request needs.
+    VERSION_GONE = 5
 
 
 class PlacementReply(msgspec.Struct, frozen=True, array_like=True, tag=3):
@@ -120,6 +124,8 @@
     predicted_ms: int = 0
     # Node of the broker; empty if the reply does not leave the process.
     broker: str = ""
+    # Software version of the target; empty unless granted.
+    software_version: str = ""
 
 
 class RunEnd(enum.IntEnum):
@@ -193,6 +199,50 @@
     number: int
 
 
+class StreamOrigin(msgspec.Struct, frozen=True, array_like=True):
+    """Which targets began a stream and may continue it."""
+
+    service: str
+    # Of the targets' software.
+    software_version: str
+
+
+class RecordOrigins(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Origins of streams that the sender carries, for the recipient to keep."""
+
+    origins: tuple[StreamOrigin, ...]
+    # The key of each stream and the index of its origin in `origins`.
+    streams: tuple[tuple[int, int], ...]
+
+
+class FindOrigin(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """Asks for the origin of a stream that a client resumes."""
+
+    sender: MemberId
+    # Identifies the question at its sender.
+    number: int
+    # Key of the stream; 0 if the client names none.
+    key: int
+    # The service whose versions are asked for.
+    service: str
+    # Whether to reply also if the origin is not known.
+    always_reply: bool
+
+
+class OriginReply(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """Reply to a `FindOrigin`."""
+
+    node: str
+    number: int
+    # None if the sender does not know it.
+    origin: StreamOrigin | None
+    # Software versions that have served the service while the stream may have begun, as
+    # far as the sender knows, and whether it would know all of them.
+    versions: tuple[str, ...]
+    is_complete: bool
+
+
+OriginMessage = RecordOrigins | FindOrigin | OriginReply
 PeerMessage = (
     Heartbeat
     | PlacementRequest
@@ -200,6 +250,9 @@
     | RunProgress
     | RunReport
     | CancelPlacement
+    | RecordOrigins
+    | FindOrigin
+    | OriginReply
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/queue_order.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/queue_order.py
@@ -1,5 +1,6 @@
 """Orders the queue of requests that wait for an engine."""
 
+import dataclasses
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -41,6 +42,14 @@
     late_factor: float
     # Whether the client was refused before, or a target has failed the request.
     is_retry: bool
+    # Software version of the targets that may be used; empty for any.
+    software_version: str = ""
+
+    def is_same_line(self, other: "QueueClass") -> bool:
+        """Whether the classes differ at most in the software version."""
+        return self == dataclasses.replace(
+            other, software_version=self.software_version
+        )
 
     @property
     def route_key(self) -> RouteKey:
@@ -124,4 +133,5 @@
             request.route_priority,
             factor,
             self.is_retry,
+            request.software_version,
         )
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/request_queue.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/request_queue.py
@@ -63,7 +63,9 @@
             (queue_class, len(group))
             for queue_class, group in self.groups.items()
             if queue_class.service == added.service
-            and (queue_class == added or queue_class.rank(underserved) < rank)
+            and (
+                queue_class.is_same_line(added) or queue_class.rank(underserved) < rank
+            )
         ]
 
     def in_order(
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
@@ -169,6 +169,8 @@
         if engine is None:
             engine = EngineLoad(entry.id, entry.slots, cache_tokens, speed, entry.zone)
             self.engines[entry.id] = engine
+        # A start of an engine with the same id may have another version.
+        engine.software_version = entry.software_version
         # A target may be known before the configuration that describes its service.
         speed.tokens_per_event = per_event
         engine.cache_tokens = cache_tokens
--- a/packages/burdockhaven-core/tests/scheduling/test_broker.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_broker.py
@@ -3,7 +3,11 @@
 import pytest
 from scheduling_samples import ENGINES, ME, account, placement_request, table, target
 
-from burdockhaven_core.scheduling.broker import Broker, RouteCounts
+from burdockhaven_core.scheduling.broker import (
+    MAX_GRANT_ATTEMPTS,
+    Broker,
+    RouteCounts,
+)
 from burdockhaven_core.scheduling.peer_messages import (
     MemberId,
     RunEnd,
@@ -468,3 +472,99 @@
         99, route="other", route_priority=1, client_timeout_ms=4_000
     )
     assert broker.submit(other, 5.0).verdict is Verdict.QUEUED
+
+
+def make_mixed_broker(versions=("v1", "v2"), slots=1):
+    broker = Broker(QuotaRule(8.0, 0.0))
+    broker.set_table(table(slots=slots))
+    entries = {
+        f"i-{number}": target(f"i-{number}", slots=slots, software_version=version)
+        for number, version in enumerate(versions)
+    }
+    broker.set_targets(entries, set())
+    return broker
+
+
+# Guards against ORDER: a request that needs a software version is granted another.
+def test_needed_software_version_is_granted_and_named():
+    broker = make_mixed_broker(("v1", "v2", "v1", "v2"))
+    for number in range(2):
+        reply = broker.submit(placement_request(number, software_version="v2"), 0.0)
+        assert (reply.verdict, reply.software_version) == (Verdict.GRANTED, "v2")
+        assert reply.target in ("i-1", "i-3")
+
+
+# Guards against ORDER: a queued request is granted an engine of another version.
+def test_queued_request_waits_for_its_software_version():
+    broker = make_mixed_broker()
+    broker.submit(placement_request(1), 0.0)
+    broker.submit(placement_request(2), 0.0)
+    needing = placement_request(3, software_version="v2")
+    assert broker.submit(needing, 0.0).verdict is Verdict.QUEUED
+    broker.apply_progress(ended(1), 0.1)
+    assert broker.grant_queued(0.1) == []
+    broker.apply_progress(ended(2), 0.2)
+    (answered,) = broker.grant_queued(0.2)
+    assert (answered.reply.number, answered.reply.target) == (3, "i-1")
+
+
+# Guards against new streams that wait although engines are free, because many resumed
+# ones ahead of them need another version.
+def test_requests_for_a_busy_version_do_not_hold_up_the_others():
+    broker = make_mixed_broker(("v1", "v2"))
+    broker.submit(placement_request(0, software_version="v1"), 0.0)
+    broker.submit(placement_request(1, software_version="v2"), 0.0)
+    for number in range(2, 2 + 2 * MAX_GRANT_ATTEMPTS):
+        request = placement_request(number, software_version="v1", is_retry=True)
+        broker.submit(request, 0.0)
+    broker.submit(placement_request(1_000), 0.1)
+    broker.apply_progress(ended(1), 0.2)
+    assert [a.reply.number for a in broker.grant_queued(0.2)] == [1_000]
+
+
+# Guards against a resumed stream that waits for its deadline although no engine of its
+# version is left.
+@pytest.mark.parametrize("is_queued", [False, True])
+def test_request_for_a_version_that_is_gone_is_refused_at_once(is_queued):
+    broker = make_mixed_broker()
+    if is_queued:
+        for number in range(2):
+            broker.submit(placement_request(number), 0.0)
+        request = placement_request(9, software_version="v2")
+        assert broker.submit(request, 0.0).verdict is Verdict.QUEUED
+    broker.set_targets({"i-0": target("i-0", slots=1, software_version="v1")}, set())
+    if is_queued:
+        (answered,) = broker.refuse_infeasible(0.1)
+        assert answered.reply.verdict is Verdict.VERSION_GONE
+    else:
+        request = placement_request(9, software_version="v2")
+        assert broker.submit(request, 0.0).verdict is Verdict.VERSION_GONE
+
+
+def test_needed_version_is_awaited_while_no_engine_is_known():
+    broker = make_mixed_broker(())
+    request = placement_request(1, software_version="v1")
+    assert broker.submit(request, 0.0).verdict is Verdict.QUEUED
+
+
+# Guards against ORDER: an engine restarts under its id with another version.
+def test_engine_that_restarts_with_another_version_counts_as_that():
+    broker = make_mixed_broker(("v1",))
+    later = target("i-0", slots=1, started_ms=2, software_version="v2")
+    broker.set_targets({"i-0": later}, set())
+    request = placement_request(1, software_version="v1")
+    assert broker.submit(request, 0.0).verdict is Verdict.VERSION_GONE
+    assert broker.submit(placement_request(2), 0.0).software_version == "v2"
+
+
+# Guards against a resumed stream that is queued although its version's few engines will
+# not be free in time, while many of another version are.
+def test_wait_for_a_version_counts_only_its_engines():
+    broker = make_mixed_broker(("v1", *["v2"] * 20))
+    for number in range(21):
+        broker.submit(placement_request(number), 0.0)
+    reply = broker.submit(
+        placement_request(99, software_version="v1", objective_ms=100, deadline_ms=900),
+        0.0,
+    )
+    assert reply.verdict is Verdict.OVERLOADED
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -29,6 +29,7 @@
     maintain_registration,
 )
 from burdockhaven_entry.gateway.stream_forwarding import StreamForwarder
+from burdockhaven_entry.gateway.stream_origin_directory import StreamOriginDirectory
 from burdockhaven_entry.gateway.target_client import TargetClient
 from burdockhaven_entry.log_events import log
 from burdockhaven_entry.platform import (
@@ -44,6 +45,9 @@
 RUN_REPORT_INTERVAL_S = 0.25
 # Seconds from a run update to the message that carries it and all that follow it.
 PROGRESS_DELAY_S = 0.005
+# Seconds from a stream's first event to the message that tells its origin to the
+# backups, and the origins of all streams that begin meanwhile.
+ORIGIN_DELAY_S = 0.1
 # Delay in seconds before each read of the members registered in the store. These reads
 # are cheap, as they may return data that is seconds old; members that register later
 # probe this one.
@@ -102,6 +106,11 @@
             on_queued=lambda: self.queue_poller.start(),
             zone=state.settings.zone,
         )
+        self.stream_origins = StreamOriginDirectory(
+            state,
+            lambda node, message: self.membership.send(node, message),
+            self._schedule_origins,
+        )
         self.queue_poller = QueuePoller(self.timer, state.broker, self.placement_client)
         self.membership = Membership(
             state,
@@ -110,11 +119,14 @@
             self.session,
             self.store_handlers.apply_configuration,
             self.spawn,
+            self.stream_origins.on_message,
         )
         self.frontend = Frontend(
             state,
             PlainForwarder(state, self.target_client, self.placement_client),
-            StreamForwarder(state, self.target_client, self.placement_client),
+            StreamForwarder(
+                state, self.target_client, self.placement_client, self.stream_origins
+            ),
         )
         self.control = ControlHandler(state, self.store)
         self.frontend_server = ClientServer(self.frontend.handle)
@@ -239,6 +251,12 @@
             lambda now: self.placement_client.flush_progress(),
         )
 
+    def _schedule_origins(self) -> None:
+        self.timer.call_at(
+            self.state.clock() + ORIGIN_DELAY_S,
+            lambda now: self.stream_origins.flush(),
+        )
+
     def _start_store_tasks(self) -> None:
         for handlers in self.store_handlers.for_all_prefixes():
             self.spawn(self._watch_prefix(handlers))
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_metrics.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_metrics.py
@@ -58,6 +58,8 @@
     truncated: Counter[str] = field(default_factory=Counter)
     # Streams with events of engines of more than one software version, by service.
     mixed_versions: Counter[str] = field(default_factory=Counter)
+    # Requests that resume a stream, by how its origin became known.
+    resumed: Counter[str] = field(default_factory=Counter)
     # Sends to targets by service, and those without a complete response.
     sends: Counter[str] = field(default_factory=Counter)
     failed_sends: Counter[str] = field(default_factory=Counter)
@@ -92,6 +94,8 @@
         self.requests[route, account, status] += 1
         self.truncated[route] += bool(trace.truncated_by)
         self.mixed_versions[routed.service] += len(trace.software_versions) > 1
+        if trace.origin is not None:
+            self.resumed[trace.origin.value] += 1
         self.sends[routed.service] += trace.sends
         self.failed_sends[routed.service] += len(trace.failures)
         observe_labelled(self.queue_durations, route, trace.queued_s)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
@@ -19,6 +19,11 @@
     MemberId,
 )
 from burdockhaven_core.scheduling.plain_balancer import PlainBalancer
+from burdockhaven_core.scheduling.stream_origins import (
+    StreamOrigins,
+    VersionHistory,
+    resume_window_s,
+)
 from burdockhaven_core.scheduling.target_limits import broker_rates, member_rates
 from burdockhaven_entry.gateway.gateway_metrics import GatewayMetrics
 from burdockhaven_entry.gateway.store_era import StoreEras
@@ -56,6 +61,9 @@
     retry_budget: RetryBudget
     target_limits: TargetLimitLog
     store_eras: StoreEras
+    # Software versions that began streams, and that have served.
+    stream_origins: StreamOrigins
+    version_history: VersionHistory
     # The configuration in force and its encoded form; None and empty before the first.
     table: RoutingTable | None = None
     table_bytes: bytes = b""
@@ -108,6 +116,8 @@
             retry_budget=RetryBudget(retry_rule),
             target_limits=TargetLimitLog(settings.node),
             store_eras=StoreEras(clock),
+            stream_origins=StreamOrigins(),
+            version_history=VersionHistory(),
         )
 
     @property
@@ -196,6 +206,9 @@
         self.broker.set_targets(self.registry.entries, self.registry.leaving)
         self.balancer.retain(self.registry.entries)
         self.target_limits.retain(self.registry.entries)
+        now = self.clock()
+        self.version_history.update(self.registry.entries.values(), self.in_sync, now)
+        self.version_history.discard_older(self.stream_origins.ttl_s, now)
 
     def apply_table(self, table: RoutingTable, data: bytes) -> bool:
         """Put a configuration in force if it is newer; returns whether it was."""
@@ -203,4 +216,5 @@
             return False
         self.table, self.table_bytes = table, data
         self.broker.set_table(table)
+        self.stream_origins.ttl_s = resume_window_s(table)
         return True
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
@@ -14,10 +14,14 @@
 from burdockhaven_core.scheduling.heartbeat_schedule import HeartbeatSchedule
 from burdockhaven_core.scheduling.peer_messages import (
     CancelPlacement,
+    FindOrigin,
     Heartbeat,
+    OriginMessage,
+    OriginReply,
     PeerMessage,
     PlacementReply,
     PlacementRequest,
+    RecordOrigins,
     RunProgress,
     RunReport,
 )
@@ -57,6 +61,7 @@
     # Receives the bytes of a configuration and their source.
     on_configuration: Callable[[bytes, str], None]
     spawn: Callable[..., None]
+    on_origin_message: Callable[[OriginMessage], None]
     is_fetching: bool = False
     heartbeat_schedule: HeartbeatSchedule = field(default_factory=HeartbeatSchedule)
     # Addresses to probe, each with the times of its discovery and of its last probe.
@@ -161,6 +166,8 @@
             case CancelPlacement():
                 self.state.broker.cancel_placement(message.sender, message.number, now)
                 self.placement_client.grant_queued()
+            case RecordOrigins() | FindOrigin() | OriginReply():
+                self.on_origin_message(message)
 
     def _on_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
         if heartbeat.sender.node == self.state.member_id.node:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/metrics_text.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/metrics_text.py
@@ -70,6 +70,12 @@
             ("service",),
             _with_single_label(metrics.mixed_versions),
         )
+        yield _counter(
+            "resumed_streams",
+            "Requests that resume a stream, by how its origin became known",
+            ("origin",),
+            _with_single_label(metrics.resumed),
+        )
         yield _counter(
             "sends", "Sends to targets", ("service",), _with_single_label(metrics.sends)
         )
@@ -121,6 +127,16 @@
             ("ready", "Whether it accepts requests", int(state.ready)),
             ("draining", "Whether it is draining before a stop", int(state.draining)),
             ("in_step", "Whether it is in sync with the store", int(state.in_sync)),
+            (
+                "stream_origins",
+                "Streams whose software version it knows",
+                len(state.stream_origins),
+            ),
+            (
+                "stream_origins_discarded",
+                "Streams whose software version it had to forget early",
+                state.stream_origins.discarded_early,
+            ),
             ("queued", "Requests queued at its broker", len(state.broker.queue)),
             (
                 "store_restores",
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
@@ -73,6 +73,8 @@
     digest: int = 0
     # Expected length of the response in tokens; 0 if the client gives no estimate.
     expected_tokens: int = 0
+    # Software version of the targets that may be used; empty for any.
+    software_version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,6 +87,8 @@
     address: str = ""
     # Predicted seconds until the first event.
     predicted_s: float = 0.0
+    # Software version of the target as far as the broker knows; empty if it does not.
+    software_version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +98,8 @@
     over_quota: bool
     # Seconds after which the client may retry.
     retry_after_s: float
+    # Whether no target has the software version that the request needs.
+    is_version_gone: bool = False
 
 
 @dataclass(slots=True)
@@ -159,10 +165,16 @@
                 number, reply.target, requirements.prompt_tokens, self.clock()
             )
             return Placement(
-                number, reply.target, reply.address, reply.predicted_ms / 1e3
+                number,
+                reply.target,
+                reply.address,
+                reply.predicted_ms / 1e3,
+                reply.software_version,
             )
         return PlacementRefused(
-            reply.verdict is Verdict.OVER_QUOTA, reply.retry_after_ms / 1e3
+            reply.verdict is Verdict.OVER_QUOTA,
+            reply.retry_after_ms / 1e3,
+            reply.verdict is Verdict.VERSION_GONE,
         )
 
     def record_first_event(self, number: int) -> None:
@@ -328,6 +340,7 @@
             digest=requirements.digest,
             expected_tokens=requirements.expected_tokens,
             zone=self.zone,
+            software_version=requirements.software_version,
         )
         if node == self.member_id.node:
             self.on_reply(self.submit(request, now), node)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/routed_request.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/routed_request.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 
 from burdockhaven_core.scheduling.routing import Account, Route
+from burdockhaven_entry.gateway.origin_source import OriginSource
 from burdockhaven_entry.gateway.target_client import OutgoingRequest
 from burdockhaven_entry.platform import ClientRequest, target_headers
 
@@ -17,6 +18,8 @@
     target: str = ""
     # Software versions of the targets whose events were received, in order.
     software_versions: list[str] = field(default_factory=list)
+    # How the origin of the resumed stream became known; None if none is resumed.
+    origin: OriginSource | None = None
     sends: int = 0
     # Seconds from placement requests to their decisions, including time in a broker's
     # queue, summed over all placements.
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_event_handlers.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_event_handlers.py
@@ -136,6 +136,7 @@
     def _on_targets_outage(self, failure: KeyValueFailure) -> None:
         self.state.in_sync = False
         self.state.registry.begin_store_outage()
+        self.state.publish_targets()
         _log_outage_begin(failure)
 
     def _on_targets_recovered(self, seconds: float) -> None:
--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_continuation.py
@@ -0,0 +1,74 @@
+"""Keeps a stream at the software version that began it, within and across attempts."""
+
+import dataclasses
+
+from aiohttp import web
+
+from burdockhaven_core.scheduling.peer_messages import StreamOrigin
+from burdockhaven_core.scheduling.target_registry import TargetEntry
+from burdockhaven_entry.gateway.placement_client import (
+    Placement,
+    PlacementRefused,
+    PlacementRequirements,
+)
+from burdockhaven_entry.gateway.responses import UNAVAILABLE, not_run_response
+from burdockhaven_entry.gateway.routed_request import RoutedRequest
+
+# Retry-After in seconds if the origin of a stream is unknown: a member that was
+# unreachable for a moment may know it.
+UNKNOWN_ORIGIN_RETRY_S = 1.0
+
+
+def is_resumed(routed: RoutedRequest) -> bool:
+    """Whether the client has events of the stream from an earlier attempt."""
+    client_request = routed.client_request
+    return routed.route.resumable and (
+        client_request.last_event_id is not None
+        or client_request.resumed_attempt_id is not None
+    )
+
+
+def continue_at(
+    requirements: PlacementRequirements, origin: StreamOrigin
+) -> PlacementRequirements:
+    """Return the requirements for the next run of a stream that has this origin."""
+    return dataclasses.replace(
+        requirements,
+        service=origin.service,
+        software_version=origin.software_version,
+    )
+
+
+def has_granted_version(
+    entry: TargetEntry | None, placement: Placement, requirements: PlacementRequirements
+) -> bool:
+    """Whether a granted target has the software version that the request needs.
+
+    The broker and this member may know different starts of the target; then neither
+    version is certain.
+    """
+    known = {placement.software_version}
+    if entry is not None:
+        known.add(entry.software_version)
+    known.discard("")
+    needed = requirements.software_version
+    return len(known) <= 1 if not needed else known == {needed}
+
+
+def refusal_detail(refused: PlacementRefused) -> str:
+    """Return the explanation of a refused placement for the client."""
+    if refused.over_quota:
+        return "account quota exceeded"
+    if refused.is_version_gone:
+        return "no engine of the software version that began the stream"
+    return "no engine available within the deadline"
+
+
+def unknown_origin_response(routed: RoutedRequest) -> web.Response:
+    """Return the refusal to resume a stream whose software version is unknown."""
+    return not_run_response(
+        UNAVAILABLE,
+        "the software version that began the stream is unknown",
+        routed.client_request.attempt_id,
+        UNKNOWN_ORIGIN_RETRY_S,
+    )
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -12,7 +12,7 @@
 
 from aiohttp import web
 
-from burdockhaven_core.scheduling.peer_messages import RunEnd
+from burdockhaven_core.scheduling.peer_messages import RunEnd, StreamOrigin
 from burdockhaven_core.scheduling.quotas import quota_cost
 from burdockhaven_core.scheduling.target_registry import TargetEntry
 from burdockhaven_entry.gateway.event_splitter import EventSplitter, StreamEvent
@@ -35,6 +35,14 @@
     not_run_response,
 )
 from burdockhaven_entry.gateway.routed_request import RoutedRequest
+from burdockhaven_entry.gateway.stream_continuation import (
+    continue_at,
+    has_granted_version,
+    is_resumed,
+    refusal_detail,
+    unknown_origin_response,
+)
+from burdockhaven_entry.gateway.stream_origin_directory import StreamOriginDirectory
 from burdockhaven_entry.gateway.stream_state import RunResult, StreamState
 from burdockhaven_entry.gateway.target_client import (
     SEND_STEP,
@@ -68,6 +76,7 @@
     state: GatewayState
     target_client: TargetClient
     placement_client: PlacementClient
+    origins: StreamOriginDirectory
 
     async def forward(self, routed: RoutedRequest) -> web.StreamResponse:
         """Return the response for the client, no later than at the deadline."""
@@ -78,6 +87,15 @@
         )
         try:
             async with asyncio.timeout(routed.deadline_s - self.state.clock()):
+                if is_resumed(routed):
+                    found = await self.origins.find(
+                        routed.client_request, routed.route, routed.service
+                    )
+                    routed.trace.origin = found.source
+                    if found.origin is None:
+                        return unknown_origin_response(routed)
+                    routed = dataclasses.replace(routed, service=found.origin.service)
+                    stream.requirements = continue_at(stream.requirements, found.origin)
                 return await self._forward_with_retries(routed, stream)
         except TimeoutError:
             return self._timeout_response(routed, stream)
@@ -111,7 +129,7 @@
         for count in itertools.count(1):
             placement = await self._next_placement(routed, stream)
             if isinstance(placement, PlacementRefused):
-                if not self._is_client_waiting(stream):
+                if placement.is_version_gone or not self._is_client_waiting(stream):
                     return self._refusal_response(routed, stream, placement)
                 await self._pause(stream)
                 continue
@@ -140,8 +158,7 @@
         if stream.replacement is not None:
             replacement, stream.replacement = stream.replacement, None
             return replacement
-        open_targets = self.state.registry.open_targets(routed.service)
-        stream.readmit({entry.id for entry in open_targets})
+        stream.readmit(self._usable_targets(routed, stream))
         requested_s = self.state.clock()
         placement = await self.placement_client.place(stream.current_requirements())
         routed.trace.queued_s += self.state.clock() - requested_s
@@ -153,7 +170,7 @@
         self, routed: RoutedRequest, stream: StreamState, placement: Placement
     ) -> RunResult:
         """Run the request at the granted target, which the next placement avoids."""
-        target = self._resolve_target(routed, placement)
+        target = self._resolve_target(routed, stream, placement)
         # Granted before the broker knew which targets the request has used up.
         is_beyond_limit = (
             stream.has_used_up_targets and placement.target not in stream.ran_at
@@ -188,13 +205,15 @@
         await asyncio.sleep(max(0.0, min(pause_s, left_s)))
 
     def _resolve_target(
-        self, routed: RoutedRequest, placement: Placement
+        self, routed: RoutedRequest, stream: StreamState, placement: Placement
     ) -> TargetEntry | None:
-        """Return the granted target; None if it is leaving or has no known address."""
+        """Return the granted target; None if it must not be used or has no address."""
         registry = self.state.registry
         if not registry.is_usable(placement.target):
             return None
         entry = registry.entries.get(placement.target)
+        if not has_granted_version(entry, placement, stream.requirements):
+            return None
         if entry is not None or not placement.address:
             return entry
         # Registered recently; this process has not read its entry yet.
@@ -205,6 +224,7 @@
             "",
             slots=1,
             draining=False,
+            software_version=placement.software_version,
         )
 
     async def _run_on_target(
@@ -297,6 +317,11 @@
                 # A client that is slow to read does not make the engine silent.
                 search.stop()
                 routed.trace.add_software_version(target.software_version)
+                if routed.route.resumable and not stream.is_origin_recorded:
+                    stream.is_origin_recorded = True
+                    origin = StreamOrigin(routed.service, target.software_version)
+                    stream.requirements = continue_at(stream.requirements, origin)
+                    self.origins.record(routed.client_request, origin)
                 await self._relay_event(stream, event)
                 search.restart(EVENT_PAUSE_TIMEOUT_S)
         if splitter.buffer.strip():
@@ -372,8 +397,16 @@
         self, routed: RoutedRequest, stream: StreamState, target: TargetEntry
     ) -> bool:
         excluded = {*stream.requirements.excluded, target.id}
-        entries = self.state.registry.open_targets(routed.service)
-        return any(entry.id not in excluded for entry in entries)
+        return not self._usable_targets(routed, stream) <= excluded
+
+    def _usable_targets(self, routed: RoutedRequest, stream: StreamState) -> set[str]:
+        """Return the ids of the open targets that may run the rest of the stream."""
+        version = stream.requirements.software_version
+        return {
+            entry.id
+            for entry in self.state.registry.open_targets(routed.service)
+            if version in ("", entry.software_version)
+        }
 
     def _charge_quota(self, routed: RoutedRequest, now: float) -> None:
         account = routed.account
@@ -408,13 +441,11 @@
         if stream.response is not None or stream.possible_runs:
             return self._failure_response(routed, stream)
         status = TOO_MANY_REQUESTS if refused.over_quota else UNAVAILABLE
-        detail = (
-            "account quota exceeded"
-            if refused.over_quota
-            else "no engine available within the deadline"
-        )
         return not_run_response(
-            status, detail, routed.client_request.attempt_id, refused.retry_after_s
+            status,
+            refusal_detail(refused),
+            routed.client_request.attempt_id,
+            refused.retry_after_s,
         )
 
     def _failure_response(
--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_origin_directory.py
@@ -0,0 +1,235 @@
+"""Finds the origin of a stream that a client resumes, and spreads those of own streams.
+
+A member that carries a stream sends its origin to a few backups, so that it survives
+the member. Streams are resumed seldom, so the questions go to all members: that needs
+no agreement on who keeps which origin.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from burdockhaven_core.scheduling.member_list import MemberView
+from burdockhaven_core.scheduling.peer_messages import (
+    FindOrigin,
+    OriginMessage,
+    OriginReply,
+    PeerMessage,
+    RecordOrigins,
+    StreamOrigin,
+)
+from burdockhaven_core.scheduling.routing import Route
+from burdockhaven_core.scheduling.stream_origins import (
+    BACKUP_COUNT,
+    pick_backups,
+    sole_version,
+    stream_key,
+)
+from burdockhaven_entry.gateway.gateway_state import GatewayState
+from burdockhaven_entry.gateway.origin_source import OriginSource
+from burdockhaven_entry.platform import ClientRequest
+
+# Seconds to wait for replies of other members before the question is sent once more.
+REPLY_TIMEOUT_S = 0.06
+# Times that a question is sent.
+MAX_ATTEMPTS = 2
+# Streams in one message, which stays below the size that fits into one packet.
+MAX_STREAMS_PER_MESSAGE = 100
+
+
+@dataclass(frozen=True, slots=True)
+class FoundOrigin:
+    """Where a stream may continue, and how that is known."""
+
+    # None if it is not known.
+    origin: StreamOrigin | None
+    source: OriginSource
+
+
+@dataclass(slots=True)
+class _Question:
+    """A question to other members."""
+
+    # Nodes that reply in any case and have not yet.
+    missing: set[str]
+    # Whether no other nodes were asked.
+    is_exhaustive: bool
+    # The versions that each reply names, and whether its sender knows all.
+    observations: list[tuple[tuple[str, ...], bool]]
+    origin: StreamOrigin | None = None
+    # Set when the origin is known or cannot become known.
+    done: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def add(self, reply: OriginReply) -> None:
+        """Apply a reply."""
+        self.missing.discard(reply.node)
+        if reply.origin is not None:
+            self.origin = reply.origin
+        self.observations.append((reply.versions, reply.is_complete))
+        if self.origin is not None or (self.is_exhaustive and not self.missing):
+            self.done.set()
+
+
+@dataclass(slots=True)
+class StreamOriginDirectory:
+    """Records and finds the origins of streams, here and at other members."""
+
+    state: GatewayState
+    # Sends a message to the member on the given node.
+    send: Callable[[str, PeerMessage], None]
+    # Called when there are origins to send to the backups by `flush`.
+    on_pending: Callable[[], None] = lambda: None
+    pending: dict[int, StreamOrigin] = field(default_factory=dict)
+    backups: list[str] = field(default_factory=list)
+    questions: dict[int, _Question] = field(default_factory=dict)
+    last_number: int = 0
+
+    def record(self, client_request: ClientRequest, origin: StreamOrigin) -> None:
+        """Record the origin of a stream whose first event is sent to the client.
+
+        Clients name the attempt that brought the first event, also after several
+        attempts, so its record is renewed by each.
+        """
+        now = self.state.clock()
+        was_empty = not self.pending
+        for attempt_id in (
+            client_request.attempt_id,
+            client_request.resumed_attempt_id,
+        ):
+            if attempt_id is not None:
+                key = stream_key(attempt_id)
+                self.state.stream_origins.record(key, origin, now)
+                self.pending[key] = origin
+        if was_empty:
+            self.on_pending()
+
+    def flush(self) -> None:
+        """Send the origins recorded since the last call to the backups."""
+        streams, self.pending = list(self.pending.items()), {}
+        self._select_backups()
+        for start in range(0, len(streams), MAX_STREAMS_PER_MESSAGE):
+            message = _record_message(streams[start : start + MAX_STREAMS_PER_MESSAGE])
+            for node in self.backups:
+                self.send(node, message)
+
+    async def find(
+        self, client_request: ClientRequest, route: Route, service: str
+    ) -> FoundOrigin:
+        """Return the origin of the stream that a client resumes at the service.
+
+        If the route has moved to another service since, the software version counts.
+        """
+        key = 0
+        if client_request.resumed_attempt_id is not None:
+            key = stream_key(client_request.resumed_attempt_id)
+        now = self.state.clock()
+        origin = self.state.stream_origins.find(key, now) if key else None
+        source = OriginSource.OWN
+        question = None
+        if origin is None:
+            question = await self._ask_members(key, service)
+            origin, source = question.origin, OriginSource.MEMBER
+        if origin is None and question is not None:
+            version = sole_version([self._observe(service), *question.observations])
+            origin = StreamOrigin(service, version) if version else None
+            source = OriginSource.SOLE_VERSION
+        if origin is None:
+            return FoundOrigin(None, OriginSource.UNKNOWN)
+        if all(share.service != origin.service for share in route.shares):
+            origin = StreamOrigin(service, origin.software_version)
+        return FoundOrigin(origin, source)
+
+    def on_message(self, message: OriginMessage) -> None:
+        """Handle a message of another member."""
+        now = self.state.clock()
+        match message:
+            case RecordOrigins():
+                for key, index in message.streams:
+                    if 0 <= index < len(message.origins):
+                        origin = message.origins[index]
+                        self.state.stream_origins.record(key, origin, now)
+            case FindOrigin():
+                self._reply(message, now)
+            case OriginReply():
+                question = self.questions.get(message.number)
+                if question is not None:
+                    question.add(message)
+
+    def _reply(self, message: FindOrigin, now: float) -> None:
+        origin = self.state.stream_origins.find(message.key, now)
+        if origin is None and not message.always_reply:
+            return
+        versions, is_complete = self._observe(message.service)
+        reply = OriginReply(
+            self.state.member_id.node, message.number, origin, versions, is_complete
+        )
+        self.send(message.sender.node, reply)
+
+    def _observe(self, service: str) -> tuple[tuple[str, ...], bool]:
+        """Return the versions that have served, and whether all of them are known."""
+        now = self.state.clock()
+        window_s = self.state.stream_origins.ttl_s
+        history = self.state.version_history
+        versions = history.versions_within(service, window_s, now)
+        is_complete = self.state.in_sync and history.is_complete(window_s, now)
+        return tuple(versions), is_complete
+
+    async def _ask_members(self, key: int, service: str) -> _Question:
+        """Ask all members; returns when one knows, or none can be expected to."""
+        now = self.state.clock()
+        member_list = self.state.member_list
+        live_nodes = {view.node for view in member_list.live_members(now)}
+        # In a large cluster the hubs know of every target; the others reply only if
+        # they know the stream.
+        informed = live_nodes & set(member_list.hubs) or live_nodes
+        nodes = live_nodes if key else informed
+        question = _Question(set(informed), nodes == informed, [])
+        self.last_number += 1
+        number = self.last_number
+        self.questions[number] = question
+        try:
+            for _ in range(MAX_ATTEMPTS):
+                for node in nodes:
+                    if node in question.missing or node not in informed:
+                        self._ask(node, number, key, service, node in informed)
+                if nodes:
+                    await _wait(question.done, REPLY_TIMEOUT_S)
+                if question.done.is_set():
+                    break
+        finally:
+            del self.questions[number]
+        return question
+
+    def _ask(
+        self, node: str, number: int, key: int, service: str, always_reply: bool
+    ) -> None:
+        sender = self.state.member_id
+        self.send(node, FindOrigin(sender, number, key, service, always_reply))
+
+    def _select_backups(self) -> None:
+        """Replace the backups if one of them has timed out or more are available."""
+        views: list[MemberView] = self.state.member_list.live_members(
+            self.state.clock()
+        )
+        live = {view.node for view in views if not view.heartbeat.draining}
+        if len(self.backups) < min(BACKUP_COUNT, len(live)) or not (
+            live.issuperset(self.backups)
+        ):
+            zone = self.state.settings.zone
+            self.backups = pick_backups(self.state.member_id.node, zone, views)
+
+
+async def _wait(event: asyncio.Event, timeout_s: float) -> None:
+    task = asyncio.ensure_future(event.wait())
+    try:
+        await asyncio.wait({task}, timeout=timeout_s)
+    finally:
+        task.cancel()
+
+
+def _record_message(streams: list[tuple[int, StreamOrigin]]) -> RecordOrigins:
+    origins = tuple({origin for _, origin in streams})
+    indexes = {origin: index for index, origin in enumerate(origins)}
+    return RecordOrigins(
+        origins, tuple((key, indexes[origin]) for key, origin in streams)
+    )
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_state.py
@@ -67,6 +67,8 @@
     was_replaced: bool = False
     # Engine granted to replace a silent run; None if the next run needs a placement.
     replacement: Placement | None = None
+    # Whether the software version of the stream is fixed, by its first event.
+    is_origin_recorded: bool = False
 
     @property
     def give_up_s(self) -> float:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
@@ -183,6 +183,8 @@
             "software_versions": "software versions of the engines that sent events",
             "resumes": "identity of the attempt whose stream the client resumes; empty "
             "if it resumes none",
+            "origin": "how the version that began a resumed stream became known: own, "
+            "member, sole_version or unknown; empty if none is resumed",
             "sends": "number of sends to targets",
             "prompt_tokens": "number of tokens in the prompt",
             "output_tokens": "maximum number of tokens in the answer",
--- a/packages/burdockhaven-entry/tests/gateway/gateway_fixtures.py
+++ b/packages/burdockhaven-entry/tests/gateway/gateway_fixtures.py
@@ -24,6 +24,7 @@
 from burdockhaven_entry.gateway.placement_client import PlacementClient
 from burdockhaven_entry.gateway.plain_forwarding import PlainForwarder
 from burdockhaven_entry.gateway.stream_forwarding import StreamForwarder
+from burdockhaven_entry.gateway.stream_origin_directory import StreamOriginDirectory
 from burdockhaven_entry.gateway.target_client import TargetClient
 from burdockhaven_entry.platform import PlatformSettings
 
@@ -248,7 +249,12 @@
         frontend = Frontend(
             state,
             PlainForwarder(state, target_client, placement_client),
-            StreamForwarder(state, target_client, placement_client),
+            StreamForwarder(
+                state,
+                target_client,
+                placement_client,
+                StreamOriginDirectory(state, lambda *_: None),
+            ),
         )
         server = ClientServer(frontend.handle)
         listener = await loop.create_server(server, "127.0.0.1", 0)
--- a/packages/burdockhaven-entry/tests/gateway/test_membership.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_membership.py
@@ -29,7 +29,9 @@
         state.member_list.record_heartbeat(member, 1.0)
     state.member_list.update_hubs(state.heartbeat(), 1.0)
     endpoint = RecordingEndpoint()
-    return Membership(state, endpoint, None, None, lambda *_: None, lambda *_: None)
+    return Membership(
+        state, endpoint, None, None, lambda *_: None, lambda *_: None, lambda *_: None
+    )
 
 
 # Guards against look-ups that name a member for seconds after its stop was requested.
--- a/packages/burdockhaven-entry/tests/gateway/test_stream_versions.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_stream_versions.py
@@ -56,15 +56,50 @@
     assert versions_used(gateway, versions) == {"v1"}
 
 
-# Guards against ORDER: the last engine of a version breaks off, and its stream goes on
-# at another version.
-async def test_broken_stream_is_not_continued_if_its_software_version_is_gone(start):
+# Guards against ORDER: the only engine of a version breaks off, and its stream goes on
+# at another version instead of the same engine.
+async def test_broken_stream_returns_to_the_only_engine_of_its_software_version(start):
     versions = ("v1", "v2")
     gateway = await start(*versions)
-    assert await call(gateway) is None
+    response = await call(gateway)
+    assert response is not None and response.body.count(b"data:") == 6
     assert len(versions_used(gateway, versions)) == 1
 
 
+def leave_and(behave, gateways):
+    """Remove all targets of the engine's version before it behaves."""
+
+    async def behave_last(request, reader, writer):
+        state = gateways[0].state
+        left = request.headers["X-Burdockhaven-Expect-Instance"]
+        version = state.registry.entries[left].software_version
+        for entry in list(state.registry.entries.values()):
+            if entry.software_version == version:
+                state.registry.remove(entry.id, state.clock())
+        state.publish_targets()
+        return await behave(request, reader, writer)
+
+    return behave_last
+
+
+# Guards against ORDER: the last engine of a version leaves, and its stream goes on at
+# another version; and against a client that waits although nobody can continue.
+async def test_broken_stream_is_not_continued_if_its_software_version_is_gone(start):
+    versions = ("v1", "v2")
+    gateways = []
+    gateway = await start(*versions, behaviours=(leave_and(BREAK, gateways), REST))
+    gateways.append(gateway)
+    assert await call(gateway) is None
+    assert len(gateway.received) == 1
+    # The same holds when the client comes back; it is told so at once.
+    resumed = {ATTEMPT: "a2", "Last-Event-Id": "3", "Resumes": "a1"}
+    response = await call(gateway, **resumed)
+    assert response is not None and response.status == 503
+    assert "Retry-After" in response.headers
+    assert b"software version" in response.body
+    assert len(gateway.received) == 1
+
+
 # Guards against ORDER: a client that resumes its stream at the same member is placed on
 # an engine of another software version.
 @pytest.mark.parametrize("versions", [("v1", "v2", "v2", "v1"), ("v2", "v1", "v2")])
