--- /dev/null
+++ b/packages/burdockhaven-entry/tests/gateway/test_stream_origin_directory.py
@@ -0,0 +1,480 @@
+"""Origins of streams among several members, in virtual time over a lossy network."""
+
+import asyncio
+import dataclasses
+import random
+from collections import Counter
+
+import pytest
+from gateway_fixtures import settings
+from scheduling_samples import ENGINES, heartbeat, route, table, target
+
+from burdockhaven_bench.restore import VirtualTimeLoop
+from burdockhaven_core.scheduling.member_list import FULL_MESH_MAX_MEMBERS
+from burdockhaven_core.scheduling.peer_messages import StreamOrigin
+from burdockhaven_core.scheduling.routing import ServiceShare
+from burdockhaven_entry.gateway.gateway_daemon import (
+    HEARTBEAT_INTERVAL_S,
+    ORIGIN_DELAY_S,
+)
+from burdockhaven_entry.gateway.gateway_state import GatewayState
+from burdockhaven_entry.gateway.origin_source import OriginSource
+from burdockhaven_entry.gateway.stream_origin_directory import (
+    MAX_ATTEMPTS,
+    REPLY_TIMEOUT_S,
+    StreamOriginDirectory,
+)
+from burdockhaven_entry.platform import ClientRequest
+
+V1 = StreamOrigin(ENGINES, "v1")
+V2 = StreamOrigin(ENGINES, "v2")
+# One-way delay of a datagram.
+DELAY_S = 0.001
+# Twice the timeout of the sample route.
+WINDOW_S = 30.0
+PAST_WINDOW_S = WINDOW_S + 1
+START_S = 100.0
+MEMBERS = 9
+
+
+def client_request(attempt, resumes=None):
+    return ClientRequest(
+        attempt_id=attempt,
+        deadline_ms=15_000,
+        api_key=None,
+        prompt_tokens=100,
+        max_output_tokens=20,
+        parts=(),
+        last_event_id=None if resumes is None else "3",
+        resumed_attempt_id=resumes,
+        expected_output_tokens=None,
+    )
+
+
+class Member:
+    """The directory of one member, on a `Network`."""
+
+    def __init__(self, network, node, zone, incarnation):
+        self.network = network
+        self.node = node
+        self.is_up = True
+        own = dataclasses.replace(settings(), node=node, zone=zone)
+        self.state = GatewayState.from_settings(
+            own, incarnation, incarnation, network.clock, random.Random(1)
+        )
+        self.state.apply_table(table(), b"")
+        self.directory = StreamOriginDirectory(
+            self.state,
+            lambda to, message: network.send(self, to, message),
+            lambda: network.call_later(ORIGIN_DELAY_S, self.flush),
+        )
+
+    def flush(self):
+        if self.is_up:
+            self.directory.flush()
+
+    def sync(self, *versions):
+        """Read these targets from the store."""
+        for number, version in enumerate(versions):
+            name = f"i-{number}"
+            self.state.registry.put(target(name, software_version=version))
+        self.state.in_sync = True
+        self.state.publish_targets()
+
+    def begin(self, attempt, origin=V1, resumes=None):
+        self.directory.record(client_request(attempt, resumes), origin)
+
+    async def find(self, resumes, served_route=None):
+        found = await self.directory.find(
+            client_request("later", resumes), served_route or route(), ENGINES
+        )
+        return found.origin, found.source
+
+
+class Network:
+    """Members that exchange datagrams; some are lost, held back or cut off."""
+
+    def __init__(self, count=MEMBERS, loss=0.0, seed=1):
+        self.loop = asyncio.get_running_loop()
+        self.rng = random.Random(seed)
+        self.loss = loss
+        self.frozen = set()
+        self.cut = set()
+        self.sent = Counter()
+        self.members = {}
+        for number in range(count):
+            self.start(f"entry-{number}", "abc"[number % 3], number + 1)
+        self.connect()
+        self.heartbeats = self.loop.create_task(self.exchange_heartbeats())
+
+    async def exchange_heartbeats(self):
+        while True:
+            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+            self.connect()
+
+    def clock(self):
+        return START_S + self.loop.time()
+
+    def call_later(self, delay_s, callback):
+        self.loop.call_later(delay_s, callback)
+
+    def start(self, node, zone, incarnation):
+        self.members[node] = Member(self, node, zone, incarnation)
+        return self.members[node]
+
+    def __getitem__(self, number):
+        return self.members[f"entry-{number}"]
+
+    def connect(self):
+        """Exchange a heartbeat between all members that can reach each other."""
+        now = self.clock()
+        for member in self.members.values():
+            for other in self.members.values():
+                are_up = member.is_up and other.is_up
+                is_cut = (member.node in self.cut) != (other.node in self.cut)
+                if other is not member and are_up and not is_cut:
+                    beat = heartbeat(
+                        other.node,
+                        other.state.member_id.incarnation,
+                        started_ms=other.state.started_ms,
+                        zone=other.state.settings.zone,
+                    )
+                    member.state.member_list.record_heartbeat(beat, now)
+            member.state.member_list.update_hubs(member.state.heartbeat(), now)
+
+    def kill(self, *numbers):
+        for number in numbers:
+            self[number].is_up = False
+
+    def restart(self, number):
+        zone = self[number].state.settings.zone
+        member = self.start(f"entry-{number}", zone, 1_000 + number)
+        self.connect()
+        return member
+
+    def send(self, sender, to, message):
+        self.sent[type(message).__name__] += 1
+        if not sender.is_up or self.rng.random() < self.loss:
+            return
+        if (sender.node in self.cut) != (to in self.cut):
+            return
+        self.call_later(DELAY_S, lambda: self.deliver(to, message))
+
+    def deliver(self, to, message):
+        member = self.members[to]
+        if to in self.frozen:
+            self.call_later(REPLY_TIMEOUT_S, lambda: self.deliver(to, message))
+        elif member.is_up:
+            member.directory.on_message(message)
+
+
+def play(scenario, **options):
+    """Run a scenario in virtual time; a coroutine function of a network."""
+
+    async def main():
+        return await scenario(Network(**options))
+
+    with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+        return runner.run(main())
+
+
+async def settle():
+    await asyncio.sleep(ORIGIN_DELAY_S + 2 * DELAY_S)
+
+
+# Guards against ORDER: nobody knows the version of a stream whose member has failed.
+@pytest.mark.parametrize("count", [2, 4, MEMBERS, FULL_MESH_MAX_MEMBERS + 5])
+@pytest.mark.parametrize("is_killed", [False, True])
+def test_origin_is_known_at_every_other_member(count, is_killed):
+    async def scenario(network):
+        network[1].begin("a1", V2)
+        await settle()
+        if is_killed:
+            network.kill(1)
+        for number in (n for n in range(count) if n != 1):
+            origin, source = await network[number].find("a1")
+            assert origin == V2
+            assert source in (OriginSource.OWN, OriginSource.MEMBER)
+
+    play(scenario, count=count)
+
+
+# Guards against ORDER: all members of a zone fail together and with them all copies.
+@pytest.mark.parametrize("zone", [0, 1, 2])
+def test_origins_survive_the_end_of_a_zone(zone):
+    async def scenario(network):
+        for number in range(MEMBERS):
+            network[number].begin(f"a{number}")
+        await settle()
+        network.kill(*range(zone, MEMBERS, 3))
+        for number in range(MEMBERS):
+            origin, _ = await network[(zone + 1) % 3].find(f"a{number}")
+            assert origin == V1
+
+    play(scenario)
+
+
+# Guards against LOST: too few streams go on after 60 % of the members were killed.
+@pytest.mark.parametrize("seed", range(8))
+def test_most_streams_go_on_after_the_end_of_most_members(seed):
+    async def scenario(network):
+        streams = [f"a{number}" for number in range(200)]
+        for attempt in streams:
+            network[network.rng.randrange(MEMBERS)].begin(attempt)
+        await settle()
+        killed = network.rng.sample(range(MEMBERS), 5)
+        network.kill(*killed)
+        alive = next(n for n in range(MEMBERS) if n not in killed)
+        found = [(await network[alive].find(attempt))[0] for attempt in streams]
+        assert set(found) <= {V1, None}
+        assert found.count(V1) > len(streams) / 2
+
+    play(scenario, seed=seed)
+
+
+# Guards against ORDER and LOST: records or questions are lost on the way.
+@pytest.mark.parametrize("seed", range(4))
+def test_origins_survive_lost_datagrams(seed):
+    async def scenario(network):
+        streams = [f"a{number}" for number in range(100)]
+        for attempt in streams:
+            network[1].begin(attempt)
+            await settle()
+        network.kill(1)
+        found = [(await network[2].find(attempt))[0] for attempt in streams]
+        assert set(found) <= {V1, None}
+        assert found.count(V1) >= 95
+
+    play(scenario, loss=0.1, seed=seed)
+
+
+def test_frozen_backups_do_not_hide_an_origin():
+    async def scenario(network):
+        network[1].begin("a1")
+        await settle()
+        network.kill(1)
+        asker = next(
+            member
+            for member in network.members.values()
+            if member.is_up and member.node not in network[1].directory.backups
+        )
+        network.frozen |= set(network[1].directory.backups[:2])
+        assert await asker.find("a1") == (V1, OriginSource.MEMBER)
+
+    play(scenario)
+
+
+def test_member_that_is_cut_off_does_not_guess():
+    async def scenario(network):
+        network[1].begin("a1")
+        await settle()
+        for member in network.members.values():
+            member.sync("v1", "v2")
+        asker = next(
+            member
+            for member in network.members.values()
+            if member is not network[1]
+            and member.node not in network[1].directory.backups
+        )
+        network.cut.add(asker.node)
+        began_s = network.clock()
+        assert await asker.find("a1") == (None, OriginSource.UNKNOWN)
+        waited_s = network.clock() - began_s
+        assert waited_s == pytest.approx(MAX_ATTEMPTS * REPLY_TIMEOUT_S)
+        network.cut.clear()
+        assert await asker.find("a1") == (V1, OriginSource.MEMBER)
+
+    play(scenario)
+
+
+# Guards against ORDER: members that have just started take the versions that they see
+# for all there were.
+def test_after_the_end_of_all_members_nobody_guesses():
+    async def scenario(network):
+        network[1].begin("a1")
+        await settle()
+        network.kill(*range(MEMBERS))
+        members = [network.restart(number) for number in range(MEMBERS)]
+        for member in members:
+            member.sync("v2")
+        assert await members[0].find("a1") == (None, OriginSource.UNKNOWN)
+        await asyncio.sleep(PAST_WINDOW_S)
+        assert await members[0].find("a1") == (V2, OriginSource.SOLE_VERSION)
+
+    play(scenario)
+
+
+def test_restarted_member_learns_the_origin_of_its_own_streams():
+    async def scenario(network):
+        network[1].begin("a1")
+        await settle()
+        network.kill(1)
+        assert await network.restart(1).find("a1") == (V1, OriginSource.MEMBER)
+
+    play(scenario)
+
+
+# Guards against ORDER: the first member and the backups are gone when a client comes
+# back for the third time; it still names its first attempt.
+def test_origin_follows_a_chain_of_attempts():
+    async def scenario(network):
+        network[1].begin("a1", V2)
+        await settle()
+        for number, attempt in ((2, "a2"), (5, "a3"), (8, "a4")):
+            origin, _ = await network[number].find("a1")
+            network[number].begin(attempt, origin, resumes="a1")
+            await settle()
+        network.kill(
+            1,
+            2,
+            5,
+            *(
+                int(node.removeprefix("entry-"))
+                for node in network[1].directory.backups
+            ),
+        )
+        assert (await network[8].find("a1"))[0] == V2
+        network.kill(8)
+        alive = next(m for m in network.members.values() if m.is_up)
+        assert (await alive.find("a1"))[0] == V2
+        assert (await alive.find("a4"))[0] == V2
+
+    play(scenario)
+
+
+# Guards against memory without a bound, and against a wrong answer of a full directory.
+def test_full_directory_forgets_and_does_not_guess():
+    async def scenario(network):
+        member = network[0]
+        member.sync("v1", "v2")
+        member.state.stream_origins.max_entries = 100
+        for number in range(1_000):
+            member.begin(f"a{number}", V2)
+        origins = member.state.stream_origins
+        assert len(origins) <= 100
+        assert origins.discarded_early > 0
+        assert await member.find("a999") == (V2, OriginSource.OWN)
+        assert await member.find("a1") == (None, OriginSource.UNKNOWN)
+
+    play(scenario, count=1)
+
+
+def test_origin_is_kept_for_the_window_and_not_for_good():
+    async def scenario(network):
+        network[0].sync("v1", "v2")
+        network[0].begin("a1")
+        await asyncio.sleep(WINDOW_S - 1)
+        assert await network[0].find("a1") == (V1, OriginSource.OWN)
+        await asyncio.sleep(2 * WINDOW_S)
+        assert await network[0].find("a1") == (None, OriginSource.UNKNOWN)
+
+    play(scenario, count=1)
+
+
+@pytest.mark.parametrize(
+    ("earlier", "later", "wait_s", "expected"),
+    [
+        # One version, seen for the whole window.
+        (("v1",), ("v1",), PAST_WINDOW_S, "v1"),
+        (("v1",), ("v1",), WINDOW_S - 1, None),
+        # Two versions, now or within the window.
+        (("v1", "v2"), ("v1", "v2"), PAST_WINDOW_S, None),
+        (("v1", "v2"), ("v1", "v1"), WINDOW_S - 1, None),
+        (("v1", "v2"), ("v1", "v1"), PAST_WINDOW_S, "v1"),
+    ],
+)
+@pytest.mark.parametrize("resumes", [None, "unknown"])
+def test_unknown_stream_continues_only_at_a_sole_version(
+    earlier, later, wait_s, expected, resumes
+):
+    async def scenario(network):
+        member = network[0]
+        member.sync(*earlier)
+        for entry, version in zip(("i-0", "i-1"), later, strict=False):
+            if version not in earlier:
+                continue
+            later_start = target(entry, started_ms=2, software_version=version)
+            member.state.registry.put(later_start)
+        member.state.publish_targets()
+        await asyncio.sleep(wait_s)
+        origin, _ = await member.find(resumes)
+        assert origin == (StreamOrigin(ENGINES, expected) if expected else None)
+
+    play(scenario, count=1)
+
+
+# Guards against ORDER: a member knows of one version only, because its view is stale.
+def test_versions_that_other_members_know_are_counted():
+    async def scenario(network):
+        for member in network.members.values():
+            member.sync("v1")
+        await asyncio.sleep(PAST_WINDOW_S)
+        assert (await network[0].find("unknown"))[0] == V1
+        network[5].sync("v1", "v2")
+        assert (await network[0].find("unknown"))[0] is None
+
+    play(scenario)
+
+
+def test_sole_version_is_not_certain_after_an_outage_of_the_store():
+    async def scenario(network):
+        member = network[0]
+        member.sync("v1")
+        await asyncio.sleep(PAST_WINDOW_S)
+        assert (await member.find("unknown"))[0] == V1
+        member.state.in_sync = False
+        member.state.publish_targets()
+        assert (await member.find("unknown"))[0] is None
+        member.sync("v1")
+        await asyncio.sleep(WINDOW_S - 1)
+        assert (await member.find("unknown"))[0] is None
+
+    play(scenario, count=1)
+
+
+def test_member_that_has_just_started_trusts_members_that_have_seen_all():
+    async def scenario(network):
+        for member in network.members.values():
+            member.sync("v1")
+        await asyncio.sleep(PAST_WINDOW_S)
+        started = network.restart(3)
+        assert await started.find("unknown") == (V1, OriginSource.SOLE_VERSION)
+
+    play(scenario)
+
+
+@pytest.mark.parametrize(
+    ("services", "expected"), [((ENGINES, "other"), "other"), ((ENGINES,), ENGINES)]
+)
+def test_stream_continues_at_the_service_that_began_it_if_the_route_has_it(
+    services, expected
+):
+    async def scenario(network):
+        network[0].begin("a1", StreamOrigin("other", "v1"))
+        shares = tuple(ServiceShare(service, 1.0) for service in services)
+        origin, _ = await network[0].find("a1", route(shares=shares))
+        assert origin == StreamOrigin(expected, "v1")
+
+    play(scenario, count=1)
+
+
+# Guards against questions that wait for replies although nobody is left to reply.
+def test_a_member_alone_decides_at_once():
+    async def scenario(network):
+        began_s = network.clock()
+        assert await network[0].find("a1") == (None, OriginSource.UNKNOWN)
+        assert network.clock() == began_s
+
+    play(scenario, count=1)
+
+
+# Guards against a load of messages that grows with the members for each new stream.
+@pytest.mark.parametrize("count", [MEMBERS, 60])
+def test_messages_for_new_streams_do_not_grow_with_the_members(count):
+    async def scenario(network):
+        for number in range(50):
+            network[1].begin(f"a{number}")
+        await settle()
+        assert network.sent == {"RecordOrigins": 3}
+
+    play(scenario, count=count)
