--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
@@ -229,6 +229,15 @@
     always_reply: bool
 
 
+class VersionObservation(msgspec.Struct, frozen=True, array_like=True):
+    """What a member knows of the software versions of a service."""
+
+    # Those that have served while a stream that is resumed now may have begun.
+    versions: tuple[str, ...]
+    # Seconds for which the member has missed no change; 0 if it is out of sync.
+    complete_for_s: float
+
+
 class OriginReply(msgspec.Struct, frozen=True, array_like=True, tag=9):
     """Reply to a `FindOrigin`."""
 
@@ -236,10 +245,7 @@
     number: int
     # None if the sender does not know it.
     origin: StreamOrigin | None
-    # Software versions that have served the service while the stream may have begun, as
-    # far as the sender knows, and whether it would know all of them.
-    versions: tuple[str, ...]
-    is_complete: bool
+    observation: VersionObservation
 
 
 OriginMessage = RecordOrigins | FindOrigin | OriginReply
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/stream_origins.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/stream_origins.py
@@ -2,19 +2,19 @@
 
 Events of two software versions of a service must not end up in one stream, and targets
 don't check this. So a member remembers the origin of each stream that it carries, and
-of those that other members have sent it, for as long as a client may resume them. The
-origin of any other stream is certain only if a service has had a single version all the
-while.
+of those that other members have sent it, for as long as a client may resume them. Any
+other stream can continue only if its service has had a single version meanwhile.
 """
 
 import hashlib
 import heapq
-from collections.abc import Iterable, Sequence
+import math
+from collections.abc import Iterable
 
 from burdockhaven_core.scheduling.member_list import MemberView
-from burdockhaven_core.scheduling.peer_messages import StreamOrigin
+from burdockhaven_core.scheduling.peer_messages import StreamOrigin, VersionObservation
 from burdockhaven_core.scheduling.routing import RoutingTable
-from burdockhaven_core.scheduling.target_registry import TargetEntry
+from burdockhaven_core.scheduling.target_registry import OUTAGE_GRACE_S, TargetEntry
 
 # Members, besides the one that carries a stream, that keep its origin.
 BACKUP_COUNT = 3
@@ -90,7 +90,9 @@
 class VersionHistory:
     """The software versions that have served each service, as seen by this member."""
 
-    def __init__(self) -> None:
+    def __init__(self, is_first_start: bool = False) -> None:
+        # Whether no stream can have begun before this member's first view.
+        self.is_first_start = is_first_start
         # Versions of the registered targets, by service.
         self.present: dict[str, set[str]] = {}
         # When each version was last present or granted, by service and version.
@@ -109,7 +111,8 @@
         if not in_sync:
             self.complete_since_s = None
         elif self.complete_since_s is None:
-            self.complete_since_s = now
+            self.complete_since_s = -math.inf if self.is_first_start else now
+        self.is_first_start = self.is_first_start and not in_sync
 
     def observe(self, service: str, software_version: str, now: float) -> None:
         """Record a version that a broker granted, whose target may be unknown here."""
@@ -123,10 +126,9 @@
             if seen_service == service and now - seen_s <= window_s
         }
 
-    def is_complete(self, window_s: float, now: float) -> bool:
-        """Whether no version can have served unseen within the window."""
-        since_s = self.complete_since_s
-        return since_s is not None and now - since_s >= window_s
+    def complete_for_s(self, now: float) -> float:
+        """Return the seconds for which no change was missed; 0 if out of sync."""
+        return 0.0 if self.complete_since_s is None else now - self.complete_since_s
 
     def discard_older(self, window_s: float, now: float) -> None:
         """Forget the versions that were last seen before the window."""
@@ -141,19 +143,21 @@
 
 
 def sole_version(
-    observations: Iterable[tuple[Sequence[str], bool]],
+    observations: Iterable[VersionObservation], window_s: float, are_all_heard: bool
 ) -> str:
     """Return the only version that members have seen; empty if that is not certain.
 
-    Each observation is the versions that a member knows to have served, and whether it
-    would have seen all. One complete observation is needed, and none may differ.
+    Certain is one that a member has seen alone for the whole window. After a start of
+    all members nobody has; then it suffices that all members have replied and one has
+    been in sync for as long as live targets need to register again.
     """
     known: set[str] = set()
-    is_complete = False
-    for versions, sees_all in observations:
-        known.update(versions)
-        is_complete = is_complete or sees_all
-    if not is_complete or len(known) != 1:
+    complete_for_s = 0.0
+    for observation in observations:
+        known.update(observation.versions)
+        complete_for_s = max(complete_for_s, observation.complete_for_s)
+    needed_s = OUTAGE_GRACE_S if are_all_heard else window_s
+    if complete_for_s < min(needed_s, window_s) or len(known) != 1:
         return ""
     return known.pop()
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
@@ -117,7 +117,7 @@
             target_limits=TargetLimitLog(settings.node),
             store_eras=StoreEras(clock),
             stream_origins=StreamOrigins(),
-            version_history=VersionHistory(),
+            version_history=VersionHistory(settings.first_start),
         )
 
     @property
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_origin_directory.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_origin_directory.py
@@ -17,6 +17,7 @@
     PeerMessage,
     RecordOrigins,
     StreamOrigin,
+    VersionObservation,
 )
 from burdockhaven_core.scheduling.routing import Route
 from burdockhaven_core.scheduling.stream_origins import (
@@ -54,8 +55,8 @@
     missing: set[str]
     # Whether no other nodes were asked.
     is_exhaustive: bool
-    # The versions that each reply names, and whether its sender knows all.
-    observations: list[tuple[tuple[str, ...], bool]]
+    # What the members that have replied know of the versions.
+    observations: list[VersionObservation]
     origin: StreamOrigin | None = None
     # Set when the origin is known or cannot become known.
     done: asyncio.Event = field(default_factory=asyncio.Event)
@@ -65,7 +66,7 @@
         self.missing.discard(reply.node)
         if reply.origin is not None:
             self.origin = reply.origin
-        self.observations.append((reply.versions, reply.is_complete))
+        self.observations.append(reply.observation)
         if self.origin is not None or (self.is_exhaustive and not self.missing):
             self.done.set()
 
@@ -130,7 +131,11 @@
             question = await self._ask_members(key, service)
             origin, source = question.origin, OriginSource.MEMBER
         if origin is None and question is not None:
-            version = sole_version([self._observe(service), *question.observations])
+            version = sole_version(
+                [self._observe(service), *question.observations],
+                self.state.stream_origins.ttl_s,
+                are_all_heard=not question.missing,
+            )
             origin = StreamOrigin(service, version) if version else None
             source = OriginSource.SOLE_VERSION
         if origin is None:
@@ -159,20 +164,18 @@
         origin = self.state.stream_origins.find(message.key, now)
         if origin is None and not message.always_reply:
             return
-        versions, is_complete = self._observe(message.service)
-        reply = OriginReply(
-            self.state.member_id.node, message.number, origin, versions, is_complete
-        )
+        observation = self._observe(message.service)
+        node = self.state.member_id.node
+        reply = OriginReply(node, message.number, origin, observation)
         self.send(message.sender.node, reply)
 
-    def _observe(self, service: str) -> tuple[tuple[str, ...], bool]:
-        """Return the versions that have served, and whether all of them are known."""
+    def _observe(self, service: str) -> VersionObservation:
         now = self.state.clock()
-        window_s = self.state.stream_origins.ttl_s
         history = self.state.version_history
+        window_s = self.state.stream_origins.ttl_s
         versions = history.versions_within(service, window_s, now)
-        is_complete = self.state.in_sync and history.is_complete(window_s, now)
-        return tuple(versions), is_complete
+        complete_for_s = history.complete_for_s(now) if self.state.in_sync else 0.0
+        return VersionObservation(tuple(versions), complete_for_s)
 
     async def _ask_members(self, key: int, service: str) -> _Question:
         """Ask all members; returns when one knows, or none can be expected to."""
