New backups get the origins of streams that have begun; explain a refused resume

Cause: an origin was sent once, so it was lost if its three backups started again, one after another, before the member itself was killed. A backup that is new, by its incarnation, gets all origins of the resume window at the next message. The log says 'software version gone' where it said 'overloaded', and burdockhaven-ctl explain names the attempt whose version nobody knew.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/stream_origins.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/stream_origins.py
@@ -12,7 +12,11 @@
 from collections.abc import Iterable
 
 from burdockhaven_core.scheduling.member_list import MemberView
-from burdockhaven_core.scheduling.peer_messages import StreamOrigin, VersionObservation
+from burdockhaven_core.scheduling.peer_messages import (
+    MemberId,
+    StreamOrigin,
+    VersionObservation,
+)
 from burdockhaven_core.scheduling.routing import RoutingTable
 from burdockhaven_core.scheduling.target_registry import OUTAGE_GRACE_S, TargetEntry
 
@@ -74,6 +78,11 @@
         self._rotate_if_due(now)
         return self.recent.get(key) or self.older.get(key)
 
+    def items(self, now: float) -> dict[int, StreamOrigin]:
+        """Return all streams with their origins."""
+        self._rotate_if_due(now)
+        return self.older | self.recent
+
     def _rotate_if_due(self, now: float) -> None:
         is_full = len(self.recent) >= self.max_entries // 2
         if not is_full and now - self.rotated_s < self.ttl_s:
@@ -164,26 +173,27 @@
 
 def pick_backups(
     own_node: str, own_zone: str, members: Iterable[MemberView]
-) -> list[str]:
-    """Return the nodes that keep the origins of the streams that this member carries.
+) -> list[MemberId]:
+    """Return the members that keep the origins of the streams that this member carries.
 
     Other zones go first, one member each, because the members of a zone may fail
     together. Among equals a hash decides, so that all members back up equally many.
     """
-    by_zone: dict[str, list[tuple[bytes, str]]] = {}
+    by_zone: dict[str, list[tuple[bytes, MemberId]]] = {}
     for view in members:
         if not view.heartbeat.draining:
-            ranked = (_pair_digest(own_node, view.node), view.node)
+            ranked = (_pair_digest(own_node, view.node), view.heartbeat.sender)
             by_zone.setdefault(view.heartbeat.zone, []).append(ranked)
     candidates = [
-        (zone == own_zone, position, digest, node)
-        for zone, ranked_nodes in by_zone.items()
-        for position, (digest, node) in enumerate(
-            heapq.nsmallest(BACKUP_COUNT, ranked_nodes)
+        (zone == own_zone, position, digest, member)
+        for zone, ranked_members in by_zone.items()
+        for position, (digest, member) in enumerate(
+            heapq.nsmallest(BACKUP_COUNT, ranked_members, key=lambda ranked: ranked[0])
         )
     ]
     # The second member of another zone comes after the first ones of all other zones.
-    return [node for *_, node in sorted(candidates)[:BACKUP_COUNT]]
+    ranked_candidates = sorted(candidates, key=lambda candidate: candidate[:3])
+    return [member for *_, member in ranked_candidates[:BACKUP_COUNT]]
 
 
 def _pair_digest(first: str, second: str) -> bytes:
--- a/packages/burdockhaven-ctl/src/burdockhaven_ctl/explain.py
+++ b/packages/burdockhaven-ctl/src/burdockhaven_ctl/explain.py
@@ -28,6 +28,8 @@
 # Logged as the status if the client disconnected.
 STATUS_CLIENT_DISCONNECTED = 0
 STATUS_OK = 200
+# Logged as the origin of a resumed stream if it could not be found.
+UNKNOWN_ORIGIN = "unknown"
 
 
 class Explanation(msgspec.Struct, frozen=True):
@@ -82,6 +84,11 @@
     status = line.integer("status")
     if status == 429:
         return _quota_findings(line, log)
+    if status == 503 and line.text("origin") == UNKNOWN_ORIGIN:
+        return [
+            "no live member knew which software version began the stream of attempt "
+            f"{line.text('resumes') or 'unnamed'}"
+        ]
     if status == 503 and line.integer("sends") == 0:
         return _queue_findings(line, log) + _store_outage_findings(line, log)
     if status == STATUS_CLIENT_DISCONNECTED:
--- a/packages/burdockhaven-ctl/tests/test_explain.py
+++ b/packages/burdockhaven-ctl/tests/test_explain.py
@@ -74,6 +74,16 @@
     assert "entry-1 had a store outage: watch: TimeoutError()" in output.out
 
 
+@pytest.mark.parametrize(("resumes", "shown"), [("a0", "a0"), ("", "unnamed")])
+def test_refusal_of_a_stream_of_unknown_version_names_its_attempt(
+    run_explain, resumes, shown
+):
+    line = answered_line(1.5, status=503, origin="unknown", resumes=resumes)
+    code, output = run_explain(line)
+    assert code == ExitCode.OK
+    assert f"which software version began the stream of attempt {shown}" in output.out
+
+
 def test_ended_store_outage_is_not_a_cause(run_explain):
     outage_begin = format_log_line(1.0, 403, "KEY_VALUE_OUTAGE_BEGIN", detail="x")
     outage_end = format_log_line(1.2, 404, "KEY_VALUE_OUTAGE_END", seconds=0.2)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/routed_request.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/routed_request.py
@@ -34,9 +34,8 @@
     # Why the response ended after its head and before its end; empty if it did not.
     truncated_by: str = ""
 
-    def record_refusal(self, *, over_quota: bool) -> None:
+    def record_refusal(self, reason: str) -> None:
         """Record a refused placement, once if it is refused again and again."""
-        reason = "quota exceeded" if over_quota else "overloaded"
         failure = f"placement refused: {reason}"
         if self.failures[-1:] != [failure]:
             self.failures.append(failure)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_continuation.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_continuation.py
@@ -55,6 +55,13 @@
     return len(known) <= 1 if not needed else known == {needed}
 
 
+def refusal_reason(refused: PlacementRefused) -> str:
+    """Return why a placement was refused, for the log."""
+    if refused.over_quota:
+        return "quota exceeded"
+    return "software version gone" if refused.is_version_gone else "overloaded"
+
+
 def refusal_detail(refused: PlacementRefused) -> str:
     """Return the explanation of a refused placement for the client."""
     if refused.over_quota:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -40,6 +40,7 @@
     has_granted_version,
     is_resumed,
     refusal_detail,
+    refusal_reason,
     unknown_origin_response,
 )
 from burdockhaven_entry.gateway.stream_origin_directory import StreamOriginDirectory
@@ -163,7 +164,7 @@
         placement = await self.placement_client.place(stream.current_requirements())
         routed.trace.queued_s += self.state.clock() - requested_s
         if isinstance(placement, PlacementRefused):
-            routed.trace.record_refusal(over_quota=placement.over_quota)
+            routed.trace.record_refusal(refusal_reason(placement))
         return placement
 
     async def _use_placement(
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_origin_directory.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_origin_directory.py
@@ -12,6 +12,7 @@
 from burdockhaven_core.scheduling.member_list import MemberView
 from burdockhaven_core.scheduling.peer_messages import (
     FindOrigin,
+    MemberId,
     OriginMessage,
     OriginReply,
     PeerMessage,
@@ -22,6 +23,7 @@
 from burdockhaven_core.scheduling.routing import Route
 from burdockhaven_core.scheduling.stream_origins import (
     BACKUP_COUNT,
+    StreamOrigins,
     pick_backups,
     sole_version,
     stream_key,
@@ -81,7 +83,9 @@
     # Called when there are origins to send to the backups by `flush`.
     on_pending: Callable[[], None] = lambda: None
     pending: dict[int, StreamOrigin] = field(default_factory=dict)
-    backups: list[str] = field(default_factory=list)
+    # Streams that this member carries or has carried, for backups that are new.
+    carried: StreamOrigins = field(default_factory=StreamOrigins)
+    backups: list[MemberId] = field(default_factory=list)
     questions: dict[int, _Question] = field(default_factory=dict)
     last_number: int = 0
 
@@ -100,18 +104,30 @@
             if attempt_id is not None:
                 key = stream_key(attempt_id)
                 self.state.stream_origins.record(key, origin, now)
+                self.carried.record(key, origin, now)
                 self.pending[key] = origin
         if was_empty:
             self.on_pending()
 
     def flush(self) -> None:
-        """Send the origins recorded since the last call to the backups."""
-        streams, self.pending = list(self.pending.items()), {}
+        """Send the origins recorded since the last call to the backups.
+
+        A new backup, or one that has started again, gets all that may still be needed.
+        """
+        pending, self.pending = self.pending, {}
+        self.carried.ttl_s = self.state.stream_origins.ttl_s
+        before = set(self.backups)
         self._select_backups()
+        for backup in self.backups:
+            streams = pending
+            if backup not in before:
+                streams = self.carried.items(self.state.clock())
+            self._send_origins(backup.node, list(streams.items()))
+
+    def _send_origins(self, node: str, streams: list[tuple[int, StreamOrigin]]) -> None:
         for start in range(0, len(streams), MAX_STREAMS_PER_MESSAGE):
-            message = _record_message(streams[start : start + MAX_STREAMS_PER_MESSAGE])
-            for node in self.backups:
-                self.send(node, message)
+            part = streams[start : start + MAX_STREAMS_PER_MESSAGE]
+            self.send(node, _record_message(part))
 
     async def find(
         self, client_request: ClientRequest, route: Route, service: str
@@ -214,7 +230,7 @@
         views: list[MemberView] = self.state.member_list.live_members(
             self.state.clock()
         )
-        live = {view.node for view in views if not view.heartbeat.draining}
+        live = {view.heartbeat.sender for view in views if not view.heartbeat.draining}
         if len(self.backups) < min(BACKUP_COUNT, len(live)) or not (
             live.issuperset(self.backups)
         ):
--- a/packages/burdockhaven-entry/tests/gateway/test_stream_origin_directory.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_stream_origin_directory.py
@@ -185,6 +185,10 @@
         return runner.run(main())
 
 
+def backup_nodes(member):
+    return [backup.node for backup in member.directory.backups]
+
+
 async def settle():
     await asyncio.sleep(ORIGIN_DELAY_S + 2 * DELAY_S)
 
@@ -263,9 +267,9 @@
         asker = next(
             member
             for member in network.members.values()
-            if member.is_up and member.node not in network[1].directory.backups
+            if member.is_up and member.node not in backup_nodes(network[1])
         )
-        network.frozen |= set(network[1].directory.backups[:2])
+        network.frozen |= set(backup_nodes(network[1])[:2])
         assert await asker.find("a1") == (V1, OriginSource.MEMBER)
 
     play(scenario)
@@ -280,8 +284,7 @@
         asker = next(
             member
             for member in network.members.values()
-            if member is not network[1]
-            and member.node not in network[1].directory.backups
+            if member is not network[1] and member.node not in backup_nodes(network[1])
         )
         network.cut.add(asker.node)
         began_s = network.clock()
@@ -368,10 +371,7 @@
             1,
             2,
             5,
-            *(
-                int(node.removeprefix("entry-"))
-                for node in network[1].directory.backups
-            ),
+            *(int(node.removeprefix("entry-")) for node in backup_nodes(network[1])),
         )
         assert (await network[8].find("a1"))[0] == V2
         network.kill(8)
@@ -382,6 +382,33 @@
     play(scenario)
 
 
+# Guards against ORDER and LOST: the backups have started again, or others have taken
+# their place, before the member itself is killed.
+@pytest.mark.parametrize("is_restarted", [True, False])
+def test_new_backups_get_the_origins_of_streams_that_have_begun(is_restarted):
+    async def scenario(network):
+        owner = network[1]
+        streams = [f"a{number}" for number in range(250)]
+        for attempt in streams:
+            owner.begin(attempt)
+        await settle()
+        before = backup_nodes(owner)
+        for number in [int(node.removeprefix("entry-")) for node in before]:
+            network.kill(number)
+            if is_restarted:
+                network.restart(number)
+        await asyncio.sleep(MEMBER_TIMEOUT_S + 2 * HEARTBEAT_INTERVAL_S)
+        owner.begin("one more")
+        await settle()
+        assert (backup_nodes(owner) == before) == is_restarted
+        network.kill(1)
+        asker = next(member for member in network.members.values() if member.is_up)
+        for attempt in streams:
+            assert (await asker.find(attempt))[0] == V1
+
+    play(scenario)
+
+
 # Guards against memory without a bound, and against a wrong answer of a full directory.
 def test_full_directory_forgets_and_does_not_guess():
     async def scenario(network):
