Resumed streams go ahead of equal new ones

Cause: a resumed stream can use the engines of one version only, new streams those of every version, and in overload both waited in one line for the same slots. A stream that its client resumes now counts as one that comes back, as after a refusal.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_continuation.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_continuation.py
@@ -39,6 +39,16 @@
     )
 
 
+def resume_at(
+    requirements: PlacementRequirements, origin: StreamOrigin
+) -> PlacementRequirements:
+    """Return the requirements of a stream that its client resumes.
+
+    It goes ahead of equal new streams, which can use the engines of every version.
+    """
+    return dataclasses.replace(continue_at(requirements, origin), is_retry=True)
+
+
 def has_granted_version(
     entry: TargetEntry | None, placement: Placement, requirements: PlacementRequirements
 ) -> bool:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -41,6 +41,7 @@
     is_resumed,
     refusal_detail,
     refusal_reason,
+    resume_at,
     unknown_origin_response,
 )
 from burdockhaven_entry.gateway.stream_origin_directory import StreamOriginDirectory
@@ -96,7 +97,7 @@
                     if found.origin is None:
                         return unknown_origin_response(routed)
                     routed = dataclasses.replace(routed, service=found.origin.service)
-                    stream.requirements = continue_at(stream.requirements, found.origin)
+                    stream.requirements = resume_at(stream.requirements, found.origin)
                 return await self._forward_with_retries(routed, stream)
         except TimeoutError:
             return self._timeout_response(routed, stream)
--- a/packages/burdockhaven-entry/tests/gateway/test_stream_continuation.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_stream_continuation.py
@@ -9,6 +9,7 @@
     has_granted_version,
     refusal_detail,
     refusal_reason,
+    resume_at,
 )
 
 
@@ -49,6 +50,14 @@
     assert (needs.service, needs.software_version) == ("other", "v2")
 
 
+# Guards against LOST: new streams take the engines of a version of which there are few,
+# and the streams that need them wait behind.
+def test_resumed_stream_goes_ahead_of_new_ones():
+    needs = resume_at(requirements(), StreamOrigin("other", "v2"))
+    assert (needs.service, needs.software_version) == ("other", "v2")
+    assert needs.is_retry
+
+
 @pytest.mark.parametrize(
     ("refused", "reason", "detail"),
     [
