--- a/packages/burdockhaven-core/tests/scheduling/test_broker.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_broker.py
@@ -1,4 +1,5 @@
 import sys
+from collections import Counter
 
 import pytest
 from scheduling_samples import ENGINES, ME, account, placement_request, table, target
@@ -568,3 +569,55 @@
         0.0,
     )
     assert reply.verdict is Verdict.OVERLOADED
+
+
+def served_shares_in_overload(new_per_s, resumed_per_s, versions):
+    """Simulate ten seconds; return the granted shares of new and resumed requests.
+
+    Each run takes one second; the resumed requests need the software version v1.
+    """
+    broker = make_mixed_broker(versions, slots=4)
+    ends, granted, sent = [], Counter(), Counter()
+    number = 0
+
+    def count(reply, now):
+        if reply.verdict is Verdict.GRANTED:
+            granted[kind_of[reply.number]] += 1
+            ends.append((now + 1.0, reply.number))
+
+    kind_of = {}
+    for step in range(1_000):
+        now = step / 100
+        due = [number for end_s, number in ends if end_s <= now]
+        ends = [entry for entry in ends if entry[0] > now]
+        for ended_number in due:
+            broker.apply_progress(ended(ended_number), now)
+        for kind, per_s in (("new", new_per_s), ("resumed", resumed_per_s)):
+            if int(now * per_s) > int((now - 0.01) * per_s):
+                number += 1
+                kind_of[number] = kind
+                sent[kind] += 1
+                needs = {"software_version": "v1", "is_retry": True}
+                request = placement_request(
+                    number,
+                    client_timeout_ms=2_400,
+                    **(needs if kind == "resumed" else {}),
+                )
+                count(broker.submit(request, now), now)
+        for addressed in broker.grant_queued(now):
+            count(addressed.reply, now)
+        broker.refuse_infeasible(now)
+    return {kind: granted[kind] / sent[kind] for kind in sent}
+
+
+# Guards against LOST: fewer than half as many resumed streams go on as new ones begin,
+# while two engines of their version serve.
+@pytest.mark.parametrize("new_per_s", [20, 30, 48])
+@pytest.mark.parametrize("resumed_per_s", [2, 6])
+def test_resumed_streams_are_served_as_often_as_new_ones_begin(
+    new_per_s, resumed_per_s
+):
+    versions = ("v1", "v1", "v2", "v2", "v2", "v2")
+    shares = served_shares_in_overload(new_per_s, resumed_per_s, versions)
+    assert shares["resumed"] > shares["new"] / 2
+    assert shares["new"] > 0.3
