Ignore replies on origins that an earlier start of the member asked for

Cause: questions were numbered from 1 at each start, so a late reply to the start before could name the origin of another stream. The numbers begin at the incarnation now.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_origin_directory.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_origin_directory.py
@@ -204,7 +204,8 @@
         nodes = live_nodes if key else informed
         question = _Question(set(informed), nodes == informed, [])
         self.last_number += 1
-        number = self.last_number
+        # Unlike those of an earlier start, whose replies may still arrive.
+        number = self.state.member_id.incarnation + self.last_number
         self.questions[number] = question
         try:
             for _ in range(MAX_ATTEMPTS):
--- a/packages/burdockhaven-entry/tests/gateway/test_stream_origin_directory.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_stream_origin_directory.py
@@ -14,7 +14,11 @@
     FULL_MESH_MAX_MEMBERS,
     MEMBER_TIMEOUT_S,
 )
-from burdockhaven_core.scheduling.peer_messages import StreamOrigin
+from burdockhaven_core.scheduling.peer_messages import (
+    OriginReply,
+    StreamOrigin,
+    VersionObservation,
+)
 from burdockhaven_core.scheduling.routing import ServiceShare
 from burdockhaven_core.scheduling.target_registry import OUTAGE_GRACE_S
 from burdockhaven_entry.gateway.gateway_daemon import (
@@ -108,6 +112,8 @@
         self.frozen = set()
         self.cut = set()
         self.sent = Counter()
+        # The last message of each type.
+        self.last_sent = {}
         self.members = {}
         for number in range(count):
             self.start(f"entry-{number}", "abc"[number % 3], number + 1)
@@ -161,6 +167,7 @@
 
     def send(self, sender, to, message):
         self.sent[type(message).__name__] += 1
+        self.last_sent[type(message).__name__] = message
         if not sender.is_up or self.rng.random() < self.loss:
             return
         if (sender.node in self.cut) != (to in self.cut):
@@ -512,6 +519,24 @@
     play(scenario)
 
 
+# Guards against ORDER: a reply to an earlier start of a member is taken for one to the
+# question that it asks now.
+def test_late_reply_to_an_earlier_start_is_ignored():
+    async def scenario(network):
+        network.frozen |= {f"entry-{number}" for number in range(1, MEMBERS)}
+        assert (await network[0].find("a1"))[0] is None
+        question = network.last_sent["FindOrigin"]
+        late = OriginReply("entry-1", question.number, V2, VersionObservation((), 0.0))
+        network.kill(0)
+        started = network.restart(0)
+        asking = asyncio.create_task(started.find("a2"))
+        await asyncio.sleep(DELAY_S)
+        started.directory.on_message(late)
+        assert await asking == (None, OriginSource.UNKNOWN)
+
+    play(scenario)
+
+
 @pytest.mark.parametrize(
     ("services", "expected"), [((ENGINES, "other"), "other"), ((ENGINES,), ENGINES)]
 )
