Failing tests of requests that are lost around SIGTERM

A request whose body ends 3 s after SIGTERM is forwarded and cut. In process: a connection stays open after a stream that ends or begins during a drain; requests read behind another one get no answer.

--- a/packages/burdockhaven-entry/tests/gateway/gateway_fixtures.py
+++ b/packages/burdockhaven-entry/tests/gateway/gateway_fixtures.py
@@ -34,6 +34,8 @@
 SIGNATURE = "X-Burdockhaven-Response-Signature: sig\r\n"
 ENGINE_SERVICE = "engines"
 PLAIN_SERVICE = "plain"
+# Timeout in seconds of a wait; no test depends on it.
+WAIT_TIMEOUT_S = 30.0
 
 
 def settings():
@@ -179,6 +181,38 @@
     writer.write(b"%x\r\n%s\r\n" % (len(data), data))
 
 
+def stream_when_released(released, last=2):
+    """Send the first event at once and the others when an event is set."""
+
+    async def behave(request, reader, writer):
+        await stream_events(1, 1, end=False)(request, reader, writer)
+        await released.wait()
+        for number in range(2, last + 1):
+            write_chunk(writer, b"id: %d\ndata: %d\n\n" % (number, number))
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
+
+    return behave
+
+
+def respond_when_released(released):
+    async def behave(request, reader, writer):
+        await released.wait()
+        return await respond()(request, reader, writer)
+
+    return behave
+
+
+def encode_request(path, attempt, *, length=0):
+    """Encode the head of a request for a raw connection."""
+    return (
+        f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\n{ATTEMPT}: {attempt}\r\n"
+        f"Authorization: Bearer {API_KEY}\r\nX-Burdockhaven-Token-Counts: 100,20\r\n"
+        f"Content-Length: {length}\r\n\r\n"
+    ).encode()
+
+
 async def reset_connection(request, reader, writer):
     writer.transport.abort()
     return False
@@ -204,6 +238,14 @@
     return behave
 
 
+async def wait_until(condition):
+    async with asyncio.timeout(WAIT_TIMEOUT_S):
+        while True:
+            if condition():
+                return
+            await asyncio.sleep(0.01)
+
+
 class Gateway:
     """A frontend with its targets; `call` sends it a request."""
 
--- a/packages/burdockhaven-entry/tests/gateway/test_client_server.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_client_server.py
@@ -1,7 +1,15 @@
 import asyncio
 
 import pytest
-from gateway_fixtures import API_KEY, ATTEMPT, Gateway, Script, hang, respond
+from gateway_fixtures import (
+    API_KEY,
+    ATTEMPT,
+    Gateway,
+    Script,
+    hang,
+    respond,
+    wait_until,
+)
 
 TIMEOUT_S = 30.0
 REQUEST = (
@@ -38,14 +46,6 @@
             return b""
 
 
-async def wait_until(condition):
-    async with asyncio.timeout(TIMEOUT_S):
-        while True:
-            if condition():
-                return
-            await asyncio.sleep(0.01)
-
-
 async def only_connection(gateway):
     await wait_until(lambda: len(gateway.server.connections) == 1)
     return gateway.server.connections[0]
--- /dev/null
+++ b/packages/burdockhaven-entry/tests/gateway/test_frontend_drain.py
@@ -0,0 +1,98 @@
+"""Requests around the start and the end of a drain, on raw client connections."""
+
+import asyncio
+
+import pytest
+from gateway_fixtures import (
+    Gateway,
+    Script,
+    encode_request,
+    respond,
+    respond_when_released,
+    stream_when_released,
+    wait_until,
+)
+
+TIMEOUT_S = 10.0
+LAST_CHUNK = b"\r\n0\r\n\r\n"
+
+
+@pytest.fixture
+def released():
+    return asyncio.Event()
+
+
+@pytest.fixture
+async def gateway(released):
+    started = await Gateway.start(
+        plain=[Script(respond_when_released(released), respond())],
+        engines=[Script(stream_when_released(released))],
+    )
+    yield started
+    await started.stop()
+
+
+async def connect(gateway):
+    return await asyncio.open_connection("127.0.0.1", gateway.port)
+
+
+async def read_until(reader, end):
+    return await asyncio.wait_for(reader.readuntil(end), TIMEOUT_S)
+
+
+async def read_to_end(reader):
+    """Return the remaining bytes until the connection is closed."""
+    return await asyncio.wait_for(reader.read(), TIMEOUT_S)
+
+
+def close_announcements(data):
+    """Return, for each response head, whether it announces the close."""
+    heads = [part.partition(b"\r\n\r\n")[0] for part in data.split(b"HTTP/1.1 ")[1:]]
+    return [b"\r\nconnection: close" in head.lower() for head in heads]
+
+
+# Guards against LOST: the next request on a connection whose stream began before the
+# drain was forwarded, at any time of the drain, and cut at its end.
+async def test_stream_that_ends_during_a_drain_closes_its_connection(gateway, released):
+    reader, writer = await connect(gateway)
+    writer.write(encode_request("/stream/x", "a"))
+    await read_until(reader, b"id: 1\n")
+    gateway.state.draining = True
+    released.set()
+    await read_until(reader, LAST_CHUNK)
+    writer.write(encode_request("/safe/x", "b"))
+    assert await read_to_end(reader) == b""
+    assert len(gateway.received) == 1
+
+
+# Guards against LOST: as above, for a stream that begins during the drain.
+async def test_stream_that_begins_during_a_drain_announces_the_close(gateway, released):
+    gateway.state.draining = True
+    released.set()
+    reader, writer = await connect(gateway)
+    writer.write(encode_request("/stream/x", "a"))
+    data = await read_to_end(reader)
+    assert data.endswith(LAST_CHUNK)
+    assert close_announcements(data) == [True]
+
+
+# Guards against LOST: requests that were read behind another one were dropped without
+# an answer when its response closed the connection.
+@pytest.mark.parametrize("path", ["/safe/x", "/stream/x"])
+@pytest.mark.parametrize("further", [1, 3])
+async def test_pipelined_requests_are_answered_during_a_drain(
+    gateway, released, path, further
+):
+    reader, writer = await connect(gateway)
+    writer.write(encode_request(path, "a"))
+    await wait_until(lambda: len(gateway.received) == 1)
+    for number in range(further):
+        writer.write(encode_request("/safe/x", f"b{number}"))
+    await writer.drain()
+    connection = gateway.server.connections[0]
+    await wait_until(lambda: len(connection._messages) == further)
+    gateway.state.draining = True
+    released.set()
+    data = await read_to_end(reader)
+    assert data.count(b"HTTP/1.1 200 ") == 1 + further
+    assert close_announcements(data) == [False] * further + [True]
--- a/tools/tests/test_platform_process.py
+++ b/tools/tests/test_platform_process.py
@@ -1,17 +1,24 @@
 """Two real daemons against stand-ins of the platform's store and targets."""
 
 import asyncio
+import contextlib
 import subprocess
 import sys
+from itertools import cycle
 
 import pytest
 
 from burdockhaven_bench.platform_harness import PlatformHarness
 from burdockhaven_entry.platform import MEMBERS_PREFIX
-from burdockhaven_standins.platform_targets import TargetFaults
+from burdockhaven_standins.platform_site import HOST
+from burdockhaven_standins.platform_targets import ATTEMPT, TOKEN_COUNTS, TargetFaults
 
 pytestmark = pytest.mark.process
 EVENTS = 4
+# Header values of streams that last from a few events to about a second.
+STREAM_TOKENS = ("200,40", "500,60", "500,90", "800,150")
+# Seconds after SIGTERM; a request that is sent later and forwarded may not be cut.
+LATEST_REQUEST_S = 3.0
 
 
 @pytest.fixture
@@ -187,3 +194,96 @@
     run = subprocess.run(command, capture_output=True, text=True, timeout=120)
     assert run.returncode == 0, run.stdout + run.stderr
     assert "4 events, 2 runs" in run.stdout
+
+
+class KeptConnection:
+    """A client connection that is used until the daemon closes it."""
+
+    def __init__(self, harness, reader, writer):
+        self.harness = harness
+        self.reader = reader
+        self.writer = writer
+
+    @classmethod
+    async def open(cls, harness, daemon):
+        host, port = daemon.front.split(":")
+        return cls(harness, *await asyncio.open_connection(host, int(port)))
+
+    def send(self, path, tokens, body=b"x", length=1):
+        request = f"kept-{next(self.harness.request_numbers)}"
+        head = (
+            f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\n{ATTEMPT}: {request}\r\n"
+            f"Authorization: Bearer k1\r\n{TOKEN_COUNTS}: {tokens}\r\n"
+            f"Content-Length: {length}\r\n\r\n"
+        )
+        self.writer.write(head.encode() + body)
+        return request
+
+    async def read_head(self):
+        return (await self.reader.readuntil(b"\r\n\r\n")).lower()
+
+    async def read_response(self):
+        """Read a whole response; return its head."""
+        head = await self.read_head()
+        if b"chunked" in head:
+            while size := int(await self.reader.readuntil(b"\r\n"), 16):
+                await self.reader.readexactly(size + 2)
+            await self.reader.readexactly(2)
+        else:
+            length = head.split(b"content-length: ")[1].split(b"\r\n")[0]
+            await self.reader.readexactly(int(length))
+        return head
+
+
+def forwarded(harness, requests):
+    return [request for request in requests if harness.site.runs_of(request)]
+
+
+# Guards against LOST: streams were forwarded for as long as clients used connections
+# that had carried a stream, and cut when the process ended.
+async def test_no_forwarded_request_is_cut_on_connections_in_use_around_sigterm(
+    harness,
+):
+    first, _ = await start_two_daemons(harness)
+    unanswered = []
+
+    async def use_until_closed(connection, tokens):
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                request = connection.send("/stream/x", tokens)
+                unanswered.append(request)
+                await connection.read_response()
+                unanswered.remove(request)
+
+    connections = [await KeptConnection.open(harness, first) for _ in range(8)]
+    clients = [
+        asyncio.create_task(use_until_closed(connection, tokens))
+        for connection, tokens in zip(connections, cycle(STREAM_TOKENS), strict=False)
+    ]
+
+    async def are_all_running():
+        return len(forwarded(harness, unanswered)) == len(connections)
+
+    await harness.wait_until(are_all_running)
+    assert await harness.stop_daemon("one") == 0
+    await asyncio.gather(*clients)
+    assert forwarded(harness, unanswered) == []
+
+
+# Guards against LOST: a request whose body ended late in the drain was forwarded and
+# cut.
+async def test_request_that_is_complete_late_after_sigterm_is_refused_as_not_run(
+    harness,
+):
+    first, _ = await start_two_daemons(harness)
+    connection = await KeptConnection.open(harness, first)
+    request = connection.send("/stream/x", "4000,1500", b"x", length=2)
+    stopping = asyncio.create_task(harness.stop_daemon("one"))
+    await asyncio.sleep(LATEST_REQUEST_S)
+    connection.writer.write(b"x")
+    head = await connection.read_head()
+    assert b" 503 " in head
+    assert b"\r\nretry-after: " in head
+    assert b"\r\nconnection: close\r\n" in head
+    assert harness.site.runs_of(request) == 0
+    assert await stopping == 0
