Answer pipelined requests before a drain closes their connection

Callers saw: requests that were sent behind another one on the same connection ended without an answer once the daemon had got SIGTERM.

Cause: during a drain each response closes its connection, and the HTTP library drops what it has read behind such a response. Evidence: test_pipelined_requests_are_answered_during_ a_drain failed for one and three requests behind a plain one; one request was answered.

Only the last of the requests that were read now closes the connection, so each of them is answered or refused like any other. The three cases pass; the two behind a stream did not fail for one request and hold too.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/client_server.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/client_server.py
@@ -47,6 +47,10 @@
         is_waiting = waiter is not None and not waiter.done()
         return bool(self._messages) or not is_waiting
 
+    def has_next_request(self) -> bool:
+        """Whether a further request was read behind the one in progress."""
+        return bool(self._messages)
+
     def close_if_idle(self) -> None:
         """Close the connection unless a response is pending.
 
@@ -114,3 +118,15 @@
 
     def _client_connections(self) -> list[ClientConnection]:
         return [c for c in self.connections if isinstance(c, ClientConnection)]
+
+
+def close_after_response(
+    request: web.BaseRequest, response: web.StreamResponse
+) -> None:
+    """Let a response close its connection unless a further request was read there.
+
+    The library drops requests that were read behind a response that closes.
+    """
+    connection = request.protocol
+    if not (isinstance(connection, ClientConnection) and connection.has_next_request()):
+        response.force_close()
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/frontend.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/frontend.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 
 from burdockhaven_core.scheduling.routing import Account, Route, RouteKind, RoutingTable
+from burdockhaven_entry.gateway.client_server import close_after_response
 from burdockhaven_entry.gateway.gateway_state import GatewayState
 from burdockhaven_entry.gateway.plain_forwarding import PlainForwarder
 from burdockhaven_entry.gateway.request_log import (
@@ -85,7 +86,7 @@
         else:
             response = await self._forward(routed)
         if self.state.draining and not response.prepared:
-            response.force_close()
+            close_after_response(request, response)
         return response
 
     async def _forward(self, routed: RoutedRequest) -> web.StreamResponse:
