Close the connection of a stream that ends during a drain

Callers saw: streams cut without their end when a process stopped, among them streams that were requested as late as 6.3 s after its SIGTERM.

Cause: a response closes its connection during a drain only if its head could still say so. The head of a stream is sent long before its end, also that of a stream that begins during the drain. The connection stayed open, the client sent its next request on it, and only a poll that met it idle closed it; the last of these streams was cut when the process exited.

A stream that begins during a drain now announces the close, and every response closes its connection, announced or not; what the client sends next is never read.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/client_server.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/client_server.py
@@ -125,6 +125,7 @@
 ) -> None:
     """Let a response close its connection unless a further request was read there.
 
+    A response whose head is already sent closes the connection without announcing it.
     The library drops requests that were read behind a response that closes.
     """
     connection = request.protocol
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/frontend.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/frontend.py
@@ -85,7 +85,7 @@
             log_refused(request, refused.attempt_id, response.status)
         else:
             response = await self._forward(routed)
-        if self.state.draining and not response.prepared:
+        if self.state.draining:
             close_after_response(request, response)
         return response
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -15,6 +15,7 @@
 from burdockhaven_core.scheduling.peer_messages import RunEnd, StreamOrigin
 from burdockhaven_core.scheduling.quotas import quota_cost
 from burdockhaven_core.scheduling.target_registry import TargetEntry
+from burdockhaven_entry.gateway.client_server import close_after_response
 from burdockhaven_entry.gateway.event_splitter import EventSplitter, StreamEvent
 from burdockhaven_entry.gateway.gateway_state import GatewayState
 from burdockhaven_entry.gateway.placement_client import (
@@ -308,6 +309,8 @@
             stream.response = web.StreamResponse(
                 status=head.status, headers=client_headers(target_response.headers)
             )
+            if self.state.draining:
+                close_after_response(routed.request, stream.response)
             await stream.response.prepare(routed.request)
         if stream.response is None:
             stream.record_possible_run(target.id)
