Refuse requests that come too late in a drain to end

Callers saw: a request whose body ended 3 s after SIGTERM was forwarded and cut when the process exited.

Cause: nothing looked at the time of the drain when a request was complete; only new connections were refused after 2.9 s. Requests whose body is slow, and those that were read behind a stream on the same connection, are handled later than that.

DrainSchedule.accepts decides: up to 2.9 s any request, later only one whose deadline lies before the end of the drain, since it is answered by then in any case. All others get 503 with a time to come back and have not run, so their clients can turn to another process at once.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/frontend.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/frontend.py
@@ -10,6 +10,7 @@
 
 from aiohttp import web
 
+from burdockhaven_core.scheduling.drain_schedule import DrainSchedule
 from burdockhaven_core.scheduling.routing import Account, Route, RouteKind, RoutingTable
 from burdockhaven_entry.gateway.client_server import close_after_response
 from burdockhaven_entry.gateway.gateway_state import GatewayState
@@ -47,6 +48,9 @@
 )
 # Bytes of a header line in addition to its name and value.
 HEADER_LINE_OVERHEAD_BYTES = 4
+# Retry-After header in seconds while this process stops; other processes accept the
+# request at once.
+STOPPING_RETRY_AFTER_S = 0.1
 
 
 class RequestRefusedError(Exception):
@@ -73,6 +77,8 @@
     state: GatewayState
     plain: PlainForwarder
     streams: StreamForwarder
+    # None until the process is asked to stop.
+    drain: DrainSchedule | None = None
     pending: set[PendingRequest] = field(default_factory=set)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -128,6 +134,7 @@
         route = self._find_route(table, request, client_request)
         account = self._authenticate(table, route, client_request)
         limit_s = _time_limit_s(route, client_request)
+        self._refuse_late_in_drain(client_request, arrived_s + limit_s)
         digest = zlib.crc32(repr((route.name, client_request.parts)).encode() + body)
         return RoutedRequest(
             request=request,
@@ -144,6 +151,18 @@
             trace=RequestTrace(),
         )
 
+    def _refuse_late_in_drain(
+        self, client_request: ClientRequest, deadline_s: float
+    ) -> None:
+        drain = self.drain
+        if drain is None or drain.accepts(deadline_s, self.state.clock()):
+            return
+        attempt_id = client_request.attempt_id
+        response = not_run_response(
+            UNAVAILABLE, "the process is stopping", attempt_id, STOPPING_RETRY_AFTER_S
+        )
+        raise RequestRefusedError(response, attempt_id)
+
     def _parse_headers(self, request: web.BaseRequest) -> ClientRequest:
         try:
             return read_client_request(request.headers)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -13,6 +13,7 @@
 import aiohttp
 
 from burdockhaven_core.log_numbers import EventNumber
+from burdockhaven_core.scheduling.drain_schedule import DrainSchedule
 from burdockhaven_entry.gateway.client_server import ClientServer
 from burdockhaven_entry.gateway.control_handler import METRICS_PORT, ControlHandler
 from burdockhaven_entry.gateway.frontend import Frontend
@@ -63,13 +64,6 @@
 ABSENCE_CHECK_INTERVAL_S = 0.3
 # Seconds between two log events while the queue is not empty.
 QUEUE_LOG_INTERVAL_S = 1.0
-# Seconds after SIGTERM during which new connections are still accepted; clients use a
-# cached look-up for up to three times its lifetime. A stream that is accepted later may
-# not end within the grace period.
-LAME_DUCK_S = 2.9
-# Seconds between the end of the drain and the time at which the platform kills the
-# process.
-STOP_MARGIN_S = 0.5
 # Longest time in seconds that clients wait after a start until the configuration and
 # the targets are read; then their requests are answered with 503.
 FIRST_SYNC_TIMEOUT_S = 0.8
@@ -319,29 +313,29 @@
     async def _drain(self) -> None:
         """Stop being listed in look-ups and finish the pending requests.
 
-        From now on, each response closes its connection. New connections are accepted
-        while clients may still use cached look-ups; after that, connections are closed
-        as they become idle, until none is open or the grace period ends.
+        From now on, each response closes its connection. New connections and requests
+        are accepted while clients may still use cached look-ups; after that, requests
+        that may not end in time are refused and connections are closed as they become
+        idle, until none is open or the grace period ends.
         """
         state = self.state
-        started_s = state.clock()
+        schedule = DrainSchedule.from_grace(state.clock(), state.settings.grace_s)
         state.draining = True
+        self.frontend.drain = schedule
         log(EventNumber.STOP_REQUESTED)
         self.membership.announce_drain()
         # Again, because a datagram may be lost.
         self.timer.call_at(
-            started_s + HEARTBEAT_INTERVAL_S,
+            schedule.requested_s + HEARTBEAT_INTERVAL_S,
             lambda now: self.membership.announce_drain(),
         )
-        end_s = started_s + state.settings.grace_s - STOP_MARGIN_S
-        accept_until_s = min(end_s, started_s + LAME_DUCK_S)
-        await asyncio.sleep(max(0.0, accept_until_s - state.clock()))
+        await asyncio.sleep(max(0.0, schedule.accept_until_s - state.clock()))
         # The listener for requests of clients, which `_listen` adds last.
         self.listeners[-1].close()
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(max(0.0, end_s - state.clock())):
+            async with asyncio.timeout(max(0.0, schedule.end_s - state.clock())):
                 await self.frontend_server.drain()
-        log_cut([one.routed for one in self.frontend.pending], started_s)
+        log_cut([one.routed for one in self.frontend.pending], schedule.requested_s)
 
     async def _close(self) -> None:
         for task in list(self.tasks):
--- a/packages/burdockhaven-entry/tests/gateway/test_frontend_drain.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_frontend_drain.py
@@ -13,7 +13,12 @@
     wait_until,
 )
 
+from burdockhaven_core.scheduling.drain_schedule import DrainSchedule
+
 TIMEOUT_S = 10.0
+GRACE_S = 8.0
+# Seconds after SIGTERM; a request that is sent later and forwarded may not be cut.
+LATEST_REQUEST_S = 3.0
 LAST_CHUNK = b"\r\n0\r\n\r\n"
 
 
@@ -45,6 +50,13 @@
     return await asyncio.wait_for(reader.read(), TIMEOUT_S)
 
 
+def start_drain(gateway, *, since_s):
+    """Put the gateway into a drain that was requested some time ago."""
+    requested_s = gateway.state.clock() - since_s
+    gateway.state.draining = True
+    gateway.frontend.drain = DrainSchedule.from_grace(requested_s, GRACE_S)
+
+
 def close_announcements(data):
     """Return, for each response head, whether it announces the close."""
     heads = [part.partition(b"\r\n\r\n")[0] for part in data.split(b"HTTP/1.1 ")[1:]]
@@ -96,3 +108,36 @@
     data = await read_to_end(reader)
     assert data.count(b"HTTP/1.1 200 ") == 1 + further
     assert close_announcements(data) == [False] * further + [True]
+
+
+# Guards against LOST: requests that were complete late in a drain were forwarded and
+# cut. Those behind a stream on the same connection are read before, and answered late.
+@pytest.mark.parametrize("further", [1, 3])
+async def test_requests_handled_late_in_a_drain_are_refused_as_not_run(
+    gateway, released, further
+):
+    reader, writer = await connect(gateway)
+    writer.write(encode_request("/stream/x", "a"))
+    await read_until(reader, b"id: 1\n")
+    for number in range(further):
+        writer.write(encode_request("/safe/x", f"b{number}"))
+    connection = gateway.server.connections[0]
+    await wait_until(lambda: len(connection._messages) == further)
+    start_drain(gateway, since_s=LATEST_REQUEST_S)
+    released.set()
+    await read_until(reader, LAST_CHUNK)
+    data = await read_to_end(reader)
+    assert data.count(b"HTTP/1.1 503 ") == further
+    assert data.count(b"Retry-After: ") == further
+    assert close_announcements(data) == [False] * (further - 1) + [True]
+    assert len(gateway.received) == 1
+
+
+async def test_request_that_is_certain_to_end_in_time_is_served_late_in_a_drain(
+    gateway, released
+):
+    start_drain(gateway, since_s=LATEST_REQUEST_S)
+    released.set()
+    reader, writer = await connect(gateway)
+    writer.write(encode_request("/quick/x", "a"))
+    assert (await read_to_end(reader)).startswith(b"HTTP/1.1 200 ")
--- a/packages/burdockhaven-entry/tests/gateway/test_gateway_daemon.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_gateway_daemon.py
@@ -1,5 +1,5 @@
+from burdockhaven_core.scheduling.drain_schedule import LAME_DUCK_S
 from burdockhaven_entry.gateway.control_handler import LOOK_UP_TTL_S
-from burdockhaven_entry.gateway.gateway_daemon import LAME_DUCK_S
 
 # Clients use a look-up for up to three times its lifetime.
 CACHED_LIFETIMES = 3
