--- a/tools/tests/test_platform_process.py
+++ b/tools/tests/test_platform_process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import subprocess
 import sys
 from itertools import cycle
@@ -10,7 +11,7 @@
 
 from burdockhaven_bench.platform_harness import PlatformHarness
 from burdockhaven_entry.platform import MEMBERS_PREFIX
-from burdockhaven_standins.platform_site import HOST
+from burdockhaven_standins.platform_site import HOST, configuration
 from burdockhaven_standins.platform_targets import ATTEMPT, TOKEN_COUNTS, TargetFaults
 
 pytestmark = pytest.mark.process
@@ -287,3 +288,44 @@
     assert b"\r\nconnection: close\r\n" in head
     assert harness.site.runs_of(request) == 0
     assert await stopping == 0
+
+
+# Guards against LOST: requests that waited for an engine until the end of the drain got
+# no answer.
+async def test_requests_that_wait_for_an_engine_are_refused_during_a_drain(harness):
+    first, _ = await start_two_daemons(harness)
+    patient = json.loads(configuration(2, ["k1", "k2"]))
+    for route in patient["routes"]:
+        route["target_latency_ms"] = 5_000
+    harness.site.store.put("op/config", json.dumps(patient).encode())
+
+    async def is_in_force():
+        return (await harness.send_request(first.front, "/plain/x", "k2")).status == 200
+
+    await harness.wait_until(is_in_force)
+    slots = sum(engine.record.slots for engine in harness.site.engines)
+    connections = [await KeptConnection.open(harness, first) for _ in range(slots + 6)]
+    requests = [c.send("/stream/x", "4000,3000") for c in connections]
+
+    async def are_all_slots_taken():
+        return len(forwarded(harness, requests)) >= slots
+
+    await harness.wait_until(are_all_slots_taken)
+    stopping = asyncio.create_task(harness.stop_daemon("one"))
+
+    async def read_head(connection):
+        try:
+            return await connection.read_head()
+        except asyncio.IncompleteReadError as error:
+            return error.partial
+
+    heads = await asyncio.gather(*map(read_head, connections))
+    assert await stopping == 0
+    refused = [
+        request
+        for head, request in zip(heads, requests, strict=True)
+        if b" 503 " in head
+    ]
+    assert heads.count(b"") == 0
+    assert len(refused) == len(requests) - slots
+    assert forwarded(harness, refused) == []
