Refuse requests that wait for an engine before a process stops

Callers saw: a request that was read before or just after SIGTERM got no answer at all; its connection was closed 7.7 s later.

Cause: nothing ended the wait for an engine when the process stopped.

When no further requests are accepted, those that wait and whose deadline lies beyond the drain are refused with 503: they have not run, and another process can take them at once. Requests that were sent before go on waiting until responses have to be ready.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/drain_schedule.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/drain_schedule.py
@@ -40,4 +40,8 @@
         Late in a drain only if it is certain to be answered before the end: the client
         of a refused request can send it to another process at once.
         """
-        return now <= self.accept_until_s or deadline_s <= self.answer_by_s
+        return now <= self.accept_until_s or self.is_answered_in_time(deadline_s)
+
+    def is_answered_in_time(self, deadline_s: float) -> bool:
+        """Whether a request with a deadline is certain to be answered."""
+        return deadline_s <= self.answer_by_s
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/frontend.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/frontend.py
@@ -28,6 +28,7 @@
     METHOD_NOT_ALLOWED,
     NOT_FOUND,
     REQUEST_TIMEOUT,
+    STOPPING_RETRY_AFTER_S,
     UNAUTHORIZED,
     UNAVAILABLE,
     error_response,
@@ -48,9 +49,6 @@
 )
 # Bytes of a header line in addition to its name and value.
 HEADER_LINE_OVERHEAD_BYTES = 4
-# Retry-After header in seconds while this process stops; other processes accept the
-# request at once.
-STOPPING_RETRY_AFTER_S = 0.1
 
 
 class RequestRefusedError(Exception):
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -24,6 +24,7 @@
 from burdockhaven_entry.gateway.plain_forwarding import PlainForwarder
 from burdockhaven_entry.gateway.queue_poller import QueuePoller
 from burdockhaven_entry.gateway.request_log import log_cut
+from burdockhaven_entry.gateway.responses import STOPPING_RETRY_AFTER_S
 from burdockhaven_entry.gateway.store_event_handlers import StoreEventHandlers
 from burdockhaven_entry.gateway.store_sync import (
     PrefixHandlers,
@@ -332,11 +333,32 @@
         await asyncio.sleep(max(0.0, schedule.accept_until_s - state.clock()))
         # The listener for requests of clients, which `_listen` adds last.
         self.listeners[-1].close()
+        self._refuse_late_placements(schedule)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(max(0.0, schedule.end_s - state.clock())):
                 await self.frontend_server.drain()
         log_cut([one.routed for one in self.frontend.pending], schedule.requested_s)
 
+    def _refuse_late_placements(self, schedule: DrainSchedule) -> None:
+        """Refuse the streams that wait for an engine and may not end in time.
+
+        Those that were sent to an engine before go on waiting until the responses have
+        to be ready: they may have begun, and are cut short then.
+        """
+        self.placement_client.refuse_waiting(
+            lambda requirements: (
+                not requirements.is_retry
+                and not schedule.is_answered_in_time(requirements.deadline_s)
+            ),
+            STOPPING_RETRY_AFTER_S,
+        )
+        self.timer.call_at(
+            schedule.answer_by_s,
+            lambda now: self.placement_client.refuse_waiting(
+                lambda requirements: True, STOPPING_RETRY_AFTER_S
+            ),
+        )
+
     async def _close(self) -> None:
         for task in list(self.tasks):
             task.cancel()
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
@@ -117,9 +117,14 @@
 class _PendingPlacement:
     """A placement request that awaits its reply."""
 
+    requirements: PlacementRequirements
     reply: asyncio.Future[PlacementReply]
     broker: str = ""
 
+    def is_undecided(self) -> bool:
+        """Whether no broker has granted or refused the request yet."""
+        return not self.reply.done() or self.reply.result().verdict is Verdict.QUEUED
+
 
 SendMessage = Callable[[str, PeerMessage], None]
 
@@ -143,6 +148,8 @@
     # Availability zone of this process; empty if unknown.
     zone: str = ""
     pending: dict[int, _PendingPlacement] = field(default_factory=dict)
+    # Replies of this process to its own requests, which end the wait for a broker.
+    own_refusals: dict[int, PlacementReply] = field(default_factory=dict)
     runs: dict[int, LocalRun] = field(default_factory=dict)
     pending_updates: list[RunUpdate] = field(default_factory=list)
     last_number: int = 0
@@ -160,6 +167,7 @@
             raise
         finally:
             self.pending.pop(number, None)
+            self.own_refusals.pop(number, None)
         if reply.verdict is Verdict.GRANTED:
             self.runs[number] = LocalRun(
                 number, reply.target, requirements.prompt_tokens, self.clock()
@@ -177,6 +185,20 @@
             reply.verdict is Verdict.VERSION_GONE,
         )
 
+    def refuse_waiting(
+        self, is_refused: Callable[[PlacementRequirements], bool], retry_after_s: float
+    ) -> None:
+        """Refuse the requests of this process that wait for a broker's decision."""
+        for number, pending in list(self.pending.items()):
+            if not pending.is_undecided() or not is_refused(pending.requirements):
+                continue
+            self._send_cancellation(pending.broker, number)
+            self.own_refusals[number] = PlacementReply(
+                number, Verdict.OVERLOADED, retry_after_ms=int(retry_after_s * 1e3)
+            )
+            if not pending.reply.done():
+                pending.reply.set_result(self.own_refusals[number])
+
     def record_first_event(self, number: int) -> None:
         """Record that the first event of a run has arrived."""
         run = self.runs.get(number)
@@ -306,10 +328,12 @@
         self, number: int, requirements: PlacementRequirements, node: str, queued: bool
     ) -> PlacementReply | None:
         """Send the request unless it is queued; None if no reply arrives in time."""
+        if number in self.own_refusals:
+            return self.own_refusals[number]
         future: asyncio.Future[PlacementReply] = (
             asyncio.get_running_loop().create_future()
         )
-        self.pending[number] = _PendingPlacement(future, node)
+        self.pending[number] = _PendingPlacement(requirements, future, node)
         if not queued:
             self._send_request(number, requirements, node)
         timeout_s = QUEUED_RESEND_S if queued else REPLY_TIMEOUT_S
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/responses.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/responses.py
@@ -18,6 +18,9 @@
 
 # Default for the Retry-After header in seconds, if there is no better estimate.
 DEFAULT_RETRY_AFTER_S = 0.5
+# Retry-After header in seconds while this process stops; other processes accept the
+# request at once.
+STOPPING_RETRY_AFTER_S = 0.1
 
 
 def error_response(
--- a/packages/burdockhaven-entry/tests/gateway/test_placement_client.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_placement_client.py
@@ -207,3 +207,45 @@
     await harness.placement_client.place(requirements())
     harness.placement_client.record_first_event(2)
     assert flushes == [1, 1]
+
+
+# Guards against LOST: a request that waited for an engine got no answer when its
+# process stopped.
+@pytest.mark.parametrize("iterations", range(4))
+async def test_waiting_request_is_refused_however_far_its_wait_is(iterations):
+    harness = PlacementHarness()
+    client = harness.placement_client
+    await client.place(requirements())
+    waiting = asyncio.create_task(client.place(requirements()))
+    await wait_until(lambda: client.pending)
+    for _ in range(iterations):
+        await asyncio.sleep(0)
+    client.refuse_waiting(lambda _: True, retry_after_s=0.1)
+    assert await waiting == PlacementRefused(over_quota=False, retry_after_s=0.1)
+    assert not harness.broker.queue
+    assert not client.pending
+    assert not client.own_refusals
+
+
+async def test_granted_request_is_not_refused():
+    harness = PlacementHarness()
+    client = harness.placement_client
+    harness.add_member("entry-2", started_ms=1)
+    placing = asyncio.create_task(client.place(requirements()))
+    await wait_until(lambda: harness.sent_to("entry-2", PlacementRequest))
+    reply = PlacementReply(1, Verdict.GRANTED, "i-1", broker="entry-2")
+    client.on_reply(reply, "entry-2")
+    client.refuse_waiting(lambda _: True, retry_after_s=0.1)
+    assert granted_target(await placing, 1) == "i-1"
+
+
+async def test_only_the_selected_requests_are_refused():
+    harness = PlacementHarness()
+    client = harness.placement_client
+    first = await client.place(requirements())
+    waiting = asyncio.create_task(client.place(requirements(is_retry=True)))
+    await wait_until(lambda: client.pending)
+    client.refuse_waiting(lambda request: not request.is_retry, retry_after_s=0.1)
+    client.record_end(first.number, RunEnd.COMPLETED)
+    client.flush_progress()
+    assert granted_target(await waiting, 2) == "i-1"
