Answer requests that wait at a target before a process stops

Callers saw: a connection that was closed without a byte when a process exited, though the request had been sent to an engine.

Cause: at the end of the grace period handlers are cancelled, which closes connections without a response. A request may wait at an engine then: the broker that takes over from a stopping one grants requests before the members' run reports tell it that the engines are full.

0.1 s before connections are closed, the time limit of every request whose response has not begun expires, so the forwarder answers as at a deadline: 504 if a target may have run it, 503 if not. Streams that have begun go on.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/client_server.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/client_server.py
@@ -131,3 +131,8 @@
     connection = request.protocol
     if not (isinstance(connection, ClientConnection) and connection.has_next_request()):
         response.force_close()
+
+
+def has_response_begun(request: web.BaseRequest) -> bool:
+    """Whether the head of the response was sent."""
+    return request.writer.output_size > 0
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/frontend.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/frontend.py
@@ -12,7 +12,10 @@
 
 from burdockhaven_core.scheduling.drain_schedule import DrainSchedule
 from burdockhaven_core.scheduling.routing import Account, Route, RouteKind, RoutingTable
-from burdockhaven_entry.gateway.client_server import close_after_response
+from burdockhaven_entry.gateway.client_server import (
+    close_after_response,
+    has_response_begun,
+)
 from burdockhaven_entry.gateway.gateway_state import GatewayState
 from burdockhaven_entry.gateway.plain_forwarding import PlainForwarder
 from burdockhaven_entry.gateway.request_log import (
@@ -61,13 +64,6 @@
         self.attempt_id = attempt_id
 
 
-@dataclass(frozen=True, slots=True, eq=False)
-class PendingRequest:
-    """A request that was handed to a forwarder and whose response is not complete."""
-
-    routed: RoutedRequest
-
-
 @dataclass(slots=True)
 class Frontend:
     """Handles the requests of clients."""
@@ -77,7 +73,8 @@
     streams: StreamForwarder
     # None until the process is asked to stop.
     drain: DrainSchedule | None = None
-    pending: set[PendingRequest] = field(default_factory=set)
+    # Requests that a forwarder handles.
+    pending: set[RoutedRequest] = field(default_factory=set)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle one request of a client."""
@@ -93,11 +90,18 @@
             close_after_response(request, response)
         return response
 
+    def answer_pending(self) -> None:
+        """Answer all requests whose responses have not begun, as at their deadlines."""
+        now = asyncio.get_running_loop().time()
+        for routed in self.pending:
+            limit = routed.time_limit
+            if not has_response_begun(routed.request) and not limit.expired():
+                limit.reschedule(now)
+
     async def _forward(self, routed: RoutedRequest) -> web.StreamResponse:
         self.state.retry_budget.record_request(routed.service, self.state.clock())
         status = CLIENT_DISCONNECTED
-        pending = PendingRequest(routed)
-        self.pending.add(pending)
+        self.pending.add(routed)
         try:
             if routed.route.kind is RouteKind.STREAMING:
                 response = await self.streams.forward(routed)
@@ -106,7 +110,7 @@
             status = response.status
             return response
         finally:
-            self.pending.discard(pending)
+            self.pending.discard(routed)
             now = self.state.clock()
             self.state.metrics.record_request(routed, status, now)
             log_answered(routed, status, now)
@@ -144,6 +148,7 @@
             priority=table.priority_of(route, account),
             arrived_s=arrived_s,
             deadline_s=arrived_s + limit_s,
+            time_limit=asyncio.timeout(arrived_s + limit_s - self.state.clock()),
             digest=digest,
             version=table.version,
             trace=RequestTrace(),
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -334,16 +334,18 @@
         # The listener for requests of clients, which `_listen` adds last.
         self.listeners[-1].close()
         self._refuse_late_placements(schedule)
+        self.timer.call_at(
+            schedule.answer_by_s, lambda now: self.frontend.answer_pending()
+        )
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(max(0.0, schedule.end_s - state.clock())):
                 await self.frontend_server.drain()
-        log_cut([one.routed for one in self.frontend.pending], schedule.requested_s)
+        log_cut(list(self.frontend.pending), schedule.requested_s)
 
     def _refuse_late_placements(self, schedule: DrainSchedule) -> None:
         """Refuse the streams that wait for an engine and may not end in time.
 
-        Those that were sent to an engine before go on waiting until the responses have
-        to be ready: they may have begun, and are cut short then.
+        Those that were sent to an engine before go on waiting: they may have begun.
         """
         self.placement_client.refuse_waiting(
             lambda requirements: (
@@ -352,12 +354,6 @@
             ),
             STOPPING_RETRY_AFTER_S,
         )
-        self.timer.call_at(
-            schedule.answer_by_s,
-            lambda now: self.placement_client.refuse_waiting(
-                lambda requirements: True, STOPPING_RETRY_AFTER_S
-            ),
-        )
 
     async def _close(self) -> None:
         for task in list(self.tasks):
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
@@ -77,7 +77,7 @@
             return refusal
         attempts = _Attempts()
         try:
-            async with asyncio.timeout(routed.deadline_s - self.state.clock()):
+            async with routed.time_limit:
                 return await self._forward_with_retries(routed, attempts)
         except TimeoutError:
             return self._timeout_response(routed, attempts)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/routed_request.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/routed_request.py
@@ -1,5 +1,6 @@
 """A client request on its way through the gateway, after routing."""
 
+import asyncio
 from dataclasses import dataclass, field
 
 from aiohttp import web
@@ -46,7 +47,7 @@
             self.software_versions.append(software_version)
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, eq=False)
 class RoutedRequest:
     """A request that was read, routed and authenticated."""
 
@@ -62,6 +63,8 @@
     # Monotonic times in seconds of the arrival and of the deadline for the response.
     arrived_s: float
     deadline_s: float
+    # Expires at the deadline, or before the process stops; entered by the forwarder.
+    time_limit: asyncio.Timeout
     # Identifies the content of the request; equal for all attempts of a client.
     digest: int
     # Version of the configuration by which it was routed.
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -89,7 +89,7 @@
             routed.client_request.last_event_id,
         )
         try:
-            async with asyncio.timeout(routed.deadline_s - self.state.clock()):
+            async with routed.time_limit:
                 if is_resumed(routed):
                     found = await self.origins.find(
                         routed.client_request, routed.route, routed.service
--- a/packages/burdockhaven-entry/tests/gateway/test_frontend_drain.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_frontend_drain.py
@@ -7,6 +7,7 @@
     Gateway,
     Script,
     encode_request,
+    hang,
     respond,
     respond_when_released,
     stream_when_released,
@@ -141,3 +142,30 @@
     reader, writer = await connect(gateway)
     writer.write(encode_request("/quick/x", "a"))
     assert (await read_to_end(reader)).startswith(b"HTTP/1.1 200 ")
+
+
+# Guards against LOST: requests that waited at a target when the process ended got no
+# answer.
+@pytest.mark.parametrize("path", ["/safe/x", "/unsafe/x", "/stream/x", "/once/x"])
+async def test_requests_without_a_response_are_answered_before_the_end(path):
+    gateway = await Gateway.start(plain=[Script(hang)], engines=[Script(hang)])
+    reader, writer = await connect(gateway)
+    writer.write(encode_request(path, "a"))
+    await wait_until(lambda: len(gateway.received) == 1)
+    start_drain(gateway, since_s=LATEST_REQUEST_S)
+    gateway.frontend.answer_pending()
+    data = await read_to_end(reader)
+    assert data.startswith(b"HTTP/1.1 504 ")
+    assert close_announcements(data) == [True]
+    assert not gateway.frontend.pending
+    await gateway.stop()
+
+
+async def test_stream_that_has_begun_goes_on_to_the_end(gateway, released):
+    reader, writer = await connect(gateway)
+    writer.write(encode_request("/stream/x", "a"))
+    await read_until(reader, b"id: 1\n")
+    start_drain(gateway, since_s=LATEST_REQUEST_S)
+    gateway.frontend.answer_pending()
+    released.set()
+    assert (await read_to_end(reader)).endswith(LAST_CHUNK)
