Begin the grace period with the signal, not with the drain

The drain began when the start was complete, up to 0.8 s after a SIGTERM that came during the first reads, and was planned from then: its end lay beyond the platform's grace period, so pending responses would have been cut by SIGKILL. The first request to stop now fixes the schedule.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -130,6 +130,8 @@
         self.metrics_server = ClientServer(self.control.handle_metrics)
         self.listeners: list[asyncio.Server] = []
         self.stop_requested = asyncio.Event()
+        # Set by the first request to stop.
+        self.drain_schedule: DrainSchedule | None = None
         self.tasks: set[asyncio.Task[None]] = set()
         # Processor time of this process at the last log event of the queue.
         self.logged_cpu_s = 0.0
@@ -181,7 +183,8 @@
         gc.collect()
         gc.freeze()
         await self.stop_requested.wait()
-        await self._drain()
+        assert self.drain_schedule is not None
+        await self._drain(self.drain_schedule)
         self.timer.stop()
         await timer
         await self._close()
@@ -215,10 +218,18 @@
                 log(EventNumber.INTERNAL_ERROR, step=step, error=repr(error))
                 await asyncio.sleep(WATCH_RESTART_DELAY_S)
 
+    def request_stop(self) -> None:
+        """Drain and close; the grace period begins now, also while still starting."""
+        if self.drain_schedule is None:
+            self.drain_schedule = DrainSchedule.from_grace(
+                self.state.clock(), self.state.settings.grace_s
+            )
+            self.stop_requested.set()
+
     def _install_signal_handlers(self) -> None:
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.stop_requested.set)
+            loop.add_signal_handler(number, self.request_stop)
         # Ignore reload requests: no setting changes while a process runs.
         loop.add_signal_handler(signal.SIGHUP, lambda: None)
 
@@ -311,7 +322,7 @@
             return
         self.listeners.insert(0, listener)
 
-    async def _drain(self) -> None:
+    async def _drain(self, schedule: DrainSchedule) -> None:
         """Stop being listed in look-ups and finish the pending requests.
 
         From now on, each response closes its connection. New connections and requests
@@ -320,14 +331,13 @@
         idle, until none is open or the grace period ends.
         """
         state = self.state
-        schedule = DrainSchedule.from_grace(state.clock(), state.settings.grace_s)
         state.draining = True
         self.frontend.drain = schedule
         log(EventNumber.STOP_REQUESTED)
         self.membership.announce_drain()
         # Again, because a datagram may be lost.
         self.timer.call_at(
-            schedule.requested_s + HEARTBEAT_INTERVAL_S,
+            state.clock() + HEARTBEAT_INTERVAL_S,
             lambda now: self.membership.announce_drain(),
         )
         await asyncio.sleep(max(0.0, schedule.accept_until_s - state.clock()))
