One way in for what a response says of its target

Cause: the limit and 421 of a response were read in the forwarders, each in its own way, so the next signal would have needed a third. Change: the adapter decodes a head into a TargetObservation, TargetSignals keeps the latest and says what follows, and the forwarders call GatewayState.record_response only. target_limit_log -> target_signal_log, record_limit -> record_response, head.limit_per_s -> head.observation.limit_per_s; tests follow the names and check the same. The boundary test lets the adapter import the module of the new plain types.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
@@ -12,6 +12,7 @@
     RetryBudget,
     RetryRule,
     RoutingTable,
+    TargetEntry,
     TargetRegistry,
 )
 from burdockhaven_core.scheduling.peer_messages import (
@@ -25,9 +26,10 @@
     resume_window_s,
 )
 from burdockhaven_core.scheduling.target_limits import broker_rates, member_rates
+from burdockhaven_core.scheduling.target_signals import TargetSignals
 from burdockhaven_entry.gateway.gateway_metrics import GatewayMetrics
 from burdockhaven_entry.gateway.store_era import StoreEras
-from burdockhaven_entry.gateway.target_limit_log import TargetLimitLog
+from burdockhaven_entry.gateway.target_signal_log import TargetSignalLog
 from burdockhaven_entry.platform import PlatformSettings, TargetResponseHead
 
 # Fraction of the platform's quota slack that is used while the usage of all members is
@@ -59,7 +61,7 @@
     own_usage: Quotas
     own_plain_usage: Quotas
     retry_budget: RetryBudget
-    target_limits: TargetLimitLog
+    target_signals: TargetSignalLog
     store_eras: StoreEras
     # Software versions that began streams, and that have served.
     stream_origins: StreamOrigins
@@ -98,6 +100,7 @@
         )
         now = clock()
         broker = Broker(rule)
+        registry = TargetRegistry()
         if not settings.first_start:
             # Members that have ended may have used up the quotas.
             broker.quotas.usage_known_since_s = now
@@ -108,13 +111,13 @@
             clock=clock,
             rng=rng,
             member_list=MemberList(member_id),
-            registry=TargetRegistry(),
+            registry=registry,
             balancer=PlainBalancer(rng),
             broker=broker,
             own_usage=Quotas(rule),
             own_plain_usage=Quotas(rule),
             retry_budget=RetryBudget(retry_rule),
-            target_limits=TargetLimitLog(settings.node),
+            target_signals=TargetSignalLog(settings.node, TargetSignals(registry)),
             store_eras=StoreEras(clock),
             stream_origins=StreamOrigins(),
             version_history=VersionHistory(settings.first_start),
@@ -154,7 +157,7 @@
             in_sync=self.in_sync,
             timed_out_nodes=self.member_list.timed_out_nodes(self.clock()),
             store_era=self.store_eras.current,
-            limits=self.target_limits.limits.announced(self.clock()),
+            limits=self.target_signals.signals.limits.announced(self.clock()),
         )
 
     def usage(self) -> tuple[tuple[str, int], ...]:
@@ -169,15 +172,20 @@
         """Record the quota usage that a member, or this one, reports."""
         self.broker.quotas.record_usage(heartbeat.sender, heartbeat.usage, now)
 
-    def record_limit(self, target: str, head: TargetResponseHead, now: float) -> None:
-        """Record and apply what a response says of its target's limit."""
-        if self.target_limits.record_response(target, head, now):
+    def record_response(
+        self, target: TargetEntry, head: TargetResponseHead, now: float
+    ) -> None:
+        """Record and apply what a response says of the target that it comes from."""
+        changes = self.target_signals.record_response(target, head.observation, now)
+        if changes.limit:
             self.apply_limits(now)
+        if changes.has_left:
+            self.publish_targets()
 
     def record_announced_limits(self, heartbeat: Heartbeat, now: float) -> None:
         """Record and apply the limits that another member announces."""
         changes = [
-            self.target_limits.record(
+            self.target_signals.record_limit(
                 limit.target,
                 limit.limit_per_s,
                 now - limit.age_ms / 1e3,
@@ -193,7 +201,7 @@
 
         Called again at each heartbeat, because the parts depend on the members.
         """
-        limits = self.target_limits.limits.in_force()
+        limits = self.target_signals.signals.limits.in_force()
         nodes = [view.node for view in self.member_list.serving(now)] if limits else []
         share = self.broker.quotas.share
         self.broker.limiters.set_rates(broker_rates(limits, share), now)
@@ -205,7 +213,7 @@
         """Publish a change of the target registry to the broker and the balancer."""
         self.broker.set_targets(self.registry.entries, self.registry.leaving)
         self.balancer.retain(self.registry.entries)
-        self.target_limits.retain(self.registry.entries)
+        self.target_signals.retain(self.registry.entries)
         now = self.clock()
         self.version_history.update(self.registry.entries.values(), self.in_sync, now)
         self.version_history.discard_older(self.stream_origins.ttl_s, now)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/metrics_text.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/metrics_text.py
@@ -184,7 +184,10 @@
             "Requests per second that a target accepts from all members together",
             labels=("target",),
         )
-        for target, limit_per_s in state.target_limits.limits.in_force().items():
+        for (
+            target,
+            limit_per_s,
+        ) in state.target_signals.signals.limits.in_force().items():
             limits.add_metric((target,), limit_per_s)
         yield limits
         error = GaugeMetricFamily(
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
@@ -230,15 +230,12 @@
     ) -> web.Response | None:
         state, head = self.state, target_response.head
         now = state.clock()
-        state.record_limit(target.id, head, now)
+        state.record_response(target, head, now)
         if head.load is not None:
             in_flight = head.load.running + head.load.waiting
             state.balancer.record_load(target.id, in_flight, now)
         if head.not_run:
             routed.trace.failures.append(f"{target.id}: rejected, {head.status}")
-            if head.is_misdirected:
-                state.registry.mark_leaving(target.id)
-                state.publish_targets()
             await target_response.read_body()
             return None
         body = await target_response.read_body()
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -293,13 +293,11 @@
         search: ReplacementSearch,
     ) -> tuple[RunEnd, RunResult]:
         head = target_response.head
-        self.state.record_limit(target.id, head, self.state.clock())
+        self.state.record_response(target, head, self.state.clock())
         if head.not_run:
             routed.trace.failures.append(f"{target.id}: rejected, {head.status}")
             await target_response.read_body()
-            if head.is_misdirected:
-                self.state.registry.mark_leaving(target.id)
-                self.state.publish_targets()
+            if head.observation.is_misdirected:
                 return RunEnd.LEAVING, RunResult.NOT_RUN
             return RunEnd.REJECTED, RunResult.NOT_RUN
         if not head.is_success or not head.is_event_stream:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/response_headers.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/response_headers.py
@@ -5,6 +5,11 @@
 
 from multidict import CIMultiDict, CIMultiDictProxy
 
+from burdockhaven_core.scheduling.target_observation import (
+    Signal,
+    TargetObservation,
+    UnreadableSignal,
+)
 from burdockhaven_entry.platform.client_request import ATTEMPT_ID, HOP_BY_HOP_HEADERS
 
 SIGNATURE = "X-Burdockhaven-Response-Signature"
@@ -38,18 +43,13 @@
     is_signed: bool
     # Whether the target guarantees that the request has not run and will not.
     not_run: bool
-    # Whether the address now belongs to another target.
-    is_misdirected: bool
     # Whether the body has a content encoding, which targets do not apply themselves.
     is_encoded: bool
     is_event_stream: bool
     # None if the target does not report it.
     load: TargetLoad | None
-    # Requests per second that the target accepts from all members together; None if it
-    # names no limit.
-    limit_per_s: float | None
-    # A limit that is not a number, as received; empty if there is none.
-    unreadable_limit: str
+    # What the response says of the target itself.
+    observation: TargetObservation
 
     @property
     def is_success(self) -> bool:
@@ -61,19 +61,15 @@
     status: int, headers: CIMultiDictProxy[str]
 ) -> TargetResponseHead:
     """Parse the head of a target's response."""
-    limit_text = headers.get(SERVER_LIMIT, "")
-    limit_per_s = _parse_limit(limit_text)
     return TargetResponseHead(
         status=status,
         attempt_id=headers.get(ATTEMPT_ID, ""),
         is_signed=SIGNATURE in headers,
         not_run=NOT_EXECUTED in headers or status == MISDIRECTED,
-        is_misdirected=status == MISDIRECTED,
         is_encoded=headers.get("Content-Encoding", "identity") != "identity",
         is_event_stream=headers.get("Content-Type", "").startswith(EVENT_STREAM),
         load=_parse_load(headers.get(INSTANCE_LOAD, "")),
-        limit_per_s=limit_per_s,
-        unreadable_limit=limit_text if limit_per_s is None else "",
+        observation=_read_observation(status, headers),
     )
 
 
@@ -103,6 +99,19 @@
     return headers
 
 
+def _read_observation(status: int, headers: CIMultiDictProxy[str]) -> TargetObservation:
+    limit_text = headers.get(SERVER_LIMIT, "")
+    limit_per_s = _parse_limit(limit_text)
+    unreadable = []
+    if limit_text and limit_per_s is None:
+        unreadable.append(UnreadableSignal(Signal.LIMIT, limit_text))
+    return TargetObservation(
+        limit_per_s=limit_per_s,
+        is_misdirected=status == MISDIRECTED,
+        unreadable=tuple(unreadable),
+    )
+
+
 def _parse_limit(value: str) -> float | None:
     try:
         limit_per_s = float(value)
--- a/packages/burdockhaven-entry/tests/gateway/test_target_limit_log.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_target_signal_log.py
@@ -18,6 +18,7 @@
 from scheduling_samples import target
 
 from burdockhaven_core.scheduling.peer_messages import decode_message, encode_message
+from burdockhaven_core.scheduling.target_observation import Signal
 from burdockhaven_entry.gateway.gateway_state import GatewayState
 from burdockhaven_entry.platform import read_response_head
 
@@ -78,7 +79,7 @@
     gateway = await Gateway.start(plain=[script])
     for _ in range(20):
         assert (await gateway.call("/safe/")).status == 200
-    assert gateway.state.target_limits.unreadable == {"plain-0"}
+    assert gateway.state.target_signals.unreadable == {("plain-0", Signal.LIMIT)}
     await gateway.stop()
 
 
@@ -101,11 +102,11 @@
     head = read_response_head(
         200, CIMultiDictProxy(CIMultiDict({"Server-Limit": "2.5"}))
     )
-    first.record_limit(name, head, 4.9)
+    first.record_response(first.registry.entries[name], head, 4.9)
     for sender, receiver in ((first, hub), (hub, last)):
         heartbeat = decode_message(encode_message(sender.heartbeat()))
         receiver.record_announced_limits(heartbeat, 5.0)
-    assert last.target_limits.limits.in_force() == {name: 2.5}
+    assert last.target_signals.signals.limits.in_force() == {name: 2.5}
     assert not last.balancer.limiters.admits(name, 5.0)
     assert not last.broker.limiters.admits(name, 5.0)
     assert last.broker.limiters.admits(name, 5.5)
--- a/packages/burdockhaven-entry/tests/platform/test_boundary.py
+++ b/packages/burdockhaven-entry/tests/platform/test_boundary.py
@@ -20,6 +20,7 @@
 TYPES = {
     "burdockhaven_core.key_value_failure",
     "burdockhaven_core.scheduling.routing",
+    "burdockhaven_core.scheduling.target_observation",
     "burdockhaven_core.scheduling.target_registry",
 }
 
--- a/packages/burdockhaven-entry/tests/platform/test_headers.py
+++ b/packages/burdockhaven-entry/tests/platform/test_headers.py
@@ -110,7 +110,7 @@
 )
 def test_only_the_target_declares_a_request_not_run(status, values, not_run, other):
     head = read_response_head(status, headers(**values))
-    assert (head.not_run, head.is_misdirected) == (not_run, other)
+    assert (head.not_run, head.observation.is_misdirected) == (not_run, other)
 
 
 # Guards against a load that is ignored because targets state more figures.
@@ -151,5 +151,7 @@
 def test_limit_of_a_target_is_parsed(value, limit_per_s, unreadable):
     values = {"Server_Limit": value} if value else {}
     head = read_response_head(200, headers(**values))
-    assert head.limit_per_s == limit_per_s
-    assert head.unreadable_limit == unreadable
+    assert head.observation.limit_per_s == limit_per_s
+    assert [found.value for found in head.observation.unreadable] == (
+        [unreadable] if unreadable else []
+    )
