A target that says that it leaves gets nothing more

Cause: no module read the signal, so a target that leaves was used until its entry changed; a leave told by a member was bound to an id, was forgotten when the entry expired, and a member behind the store made others avoid the new start of the same id. Change: the leave of any response is recorded for the start that the request was sent to, also before its entry is known, survives the expiry of the entry, and is announced with the start in heartbeats; the broker forgets failures and ejection at a new start.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
@@ -70,6 +70,8 @@
     zone: str = ""
     # Version of the engine's software, not of its weights.
     software_version: str = ""
+    # Unix milliseconds of the engine's start; 0 if not stated.
+    started_ms: int = 0
     # Moving average of the share of runs that failed.
     failure_rate: float = 0.0
     # Ejections, and runs that ended without a response, since a run last progressed.
@@ -253,6 +255,18 @@
         self.cached_parts.clear()
         self.cached_part_tokens = 0
 
+    def begin_new_start(self, started_ms: int) -> None:
+        """Forget failures, ejection and cache: another start has the same id.
+
+        Runs are kept until their members report their ends.
+        """
+        self.started_ms = started_ms
+        self.failure_rate = self.ejected_until_s = 0.0
+        self.ejections = self.disconnects = 0
+        self.has_broken_off = False
+        self.cached_parts.clear()
+        self.cached_part_tokens = 0
+
     def describe(self, now: float) -> str:
         """Return the load and state as one line for the log."""
         pending = sum(not run.first_event_seen for run in self.runs.values())
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
@@ -54,6 +54,8 @@
     limits: tuple[AnnouncedLimit, ...] = ()
     # Era of the platform's store as far as the sender knows; 0 if unknown.
     store_era: int = 0
+    # Unix milliseconds of the start of each target in `leaving`; 0 if unknown.
+    leaving_started_ms: tuple[int, ...] = ()
 
 
 class PlacementRequest(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
@@ -167,8 +167,17 @@
         speed = self.speeds.setdefault(entry.service, ServiceSpeed())
         engine = self.engines.get(entry.id)
         if engine is None:
-            engine = EngineLoad(entry.id, entry.slots, cache_tokens, speed, entry.zone)
+            engine = EngineLoad(
+                entry.id,
+                entry.slots,
+                cache_tokens,
+                speed,
+                entry.zone,
+                started_ms=entry.started_ms,
+            )
             self.engines[entry.id] = engine
+        elif engine.started_ms != entry.started_ms:
+            engine.begin_new_start(entry.started_ms)
         # A start of an engine with the same id may have another version.
         engine.software_version = entry.software_version
         # A target may be known before the configuration that describes its service.
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/target_observation.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/target_observation.py
@@ -8,6 +8,7 @@
     """A signal whose value may be unreadable."""
 
     LIMIT = "limit"
+    LEAVING = "leaving"
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,9 +29,16 @@
     limit_per_s: float | None = None
     # Whether the address now belongs to another target.
     is_misdirected: bool = False
+    # Whether the target finishes its runs and wants no new requests.
+    is_leaving: bool = False
     # Signals that are present and can't be interpreted.
     unreadable: tuple[UnreadableSignal, ...] = ()
 
+    @property
+    def is_gone(self) -> bool:
+        """Whether the target must get no further request from any member."""
+        return self.is_misdirected or self.is_leaving
+
     def is_unreadable(self, signal: Signal) -> bool:
         """Whether the signal is present and can't be interpreted."""
         return any(found.signal is signal for found in self.unreadable)
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/target_registry.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/target_registry.py
@@ -14,6 +14,11 @@
 OUTAGE_GRACE_S = 2.2
 # Seconds for which a dropped target is announced to other members.
 DROPPED_ANNOUNCE_S = 10.0
+# Seconds for which it is remembered that a target leaves that has no entry; a write of
+# its entry that is later than that comes from a new start.
+LEAVING_RETENTION_S = 600.0
+# Start of a target whose entry states none, or is not known.
+UNKNOWN_START_MS = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +54,16 @@
         return self.started_ms >= other.started_ms
 
 
+@dataclass(frozen=True, slots=True)
+class LeavingMark:
+    """That one start of a target leaves."""
+
+    # Unix milliseconds of the start; 0 for the first start whose entry is read.
+    started_ms: int
+    # When the target last was known to be present, at the latest when it was marked.
+    marked_s: float
+
+
 class TargetRegistry:
     """The registered targets by id."""
 
@@ -58,7 +73,7 @@
         self.dropped: dict[str, TargetEntry] = {}
         self.dropped_s: dict[str, float] = {}
         # Targets that were announced as leaving, by themselves or by a member.
-        self.leaving: set[str] = set()
+        self.leaving: dict[str, LeavingMark] = {}
         # When to drop each entry that is missing from the store, by id.
         self.expiry_due_s: dict[str, float] = {}
         # Entries in the store that it has only because it was restored from a copy.
@@ -78,7 +93,7 @@
             if last.draining and not entry.draining:
                 entry = dataclasses.replace(entry, draining=True)
         else:
-            self.leaving.discard(entry.id)
+            self._update_mark(entry, last)
         self.entries[entry.id] = entry
         self.dropped.pop(entry.id, None)
         self.dropped_s.pop(entry.id, None)
@@ -144,18 +159,58 @@
         known = self.entries.get(entry.id)
         return known is not None and known.started_ms > entry.started_ms
 
-    def mark_leaving(self, target_id: str) -> None:
-        """Record that a target leaves, as announced by itself or by a member."""
-        if target_id in self.entries:
-            self.leaving.add(target_id)
+    def mark_leaving(
+        self, target_id: str, started_ms: int = UNKNOWN_START_MS, now: float = 0.0
+    ) -> bool:
+        """Record that a start of a target leaves; return whether that is news.
+
+        An unknown start stands for the one known here. A start that is earlier than it
+        has ended, so that its leave changes nothing.
+        """
+        known = self.entries.get(target_id) or self.dropped.get(target_id)
+        if known is not None:
+            started_ms = started_ms or known.started_ms
+            if started_ms < known.started_ms:
+                return False
+        mark = self.leaving.get(target_id)
+        if mark is not None and mark.started_ms >= started_ms:
+            return False
+        self.leaving[target_id] = LeavingMark(started_ms, now)
+        return True
+
+    def _update_mark(self, entry: TargetEntry, last: TargetEntry | None) -> None:
+        """Discard the mark of a start that the entry replaces."""
+        mark = self.leaving.get(entry.id)
+        if mark is None:
+            return
+        if last is None and mark.started_ms == UNKNOWN_START_MS:
+            self.leaving[entry.id] = LeavingMark(entry.started_ms, mark.marked_s)
+        elif entry.started_ms > mark.started_ms or (
+            last is not None and last.started_ms == mark.started_ms
+        ):
+            del self.leaving[entry.id]
 
     def unusable_targets(self, now: float) -> tuple[str, ...]:
         """Return the targets that members without access to the store must not use."""
+        leaving = [
+            target_id
+            for target_id, mark in self.leaving.items()
+            if target_id in self.entries or now - mark.marked_s <= DROPPED_ANNOUNCE_S
+        ]
         draining = [entry.id for entry in self.entries.values() if entry.draining]
         dropped = [
             i for i, s in self.dropped_s.items() if now - s <= DROPPED_ANNOUNCE_S
         ]
-        return (*self.leaving, *draining, *dropped)
+        return tuple(dict.fromkeys((*leaving, *draining, *dropped)))
+
+    def start_of(self, target_id: str) -> int:
+        """Return the Unix milliseconds of the last known start; 0 if unknown."""
+        mark = self.leaving.get(target_id)
+        known = self.entries.get(target_id) or self.dropped.get(target_id)
+        return max(
+            UNKNOWN_START_MS if mark is None else mark.started_ms,
+            UNKNOWN_START_MS if known is None else known.started_ms,
+        )
 
     def is_usable(self, target_id: str) -> bool:
         """Whether a target may be used; True for targets that are unknown here."""
@@ -165,10 +220,17 @@
         return entry is None or not entry.draining
 
     def expire(self, now: float) -> None:
-        """Drop the entries that did not reappear within the grace period."""
+        """Drop the entries that did not reappear within the grace period.
+
+        Marks of targets that have been gone for long are discarded.
+        """
         for target_id, due in list(self.expiry_due_s.items()):
             if due <= now:
                 self._drop(target_id, now)
+        for target_id, mark in list(self.leaving.items()):
+            is_old = now - mark.marked_s > LEAVING_RETENTION_S
+            if is_old and target_id not in self.entries:
+                del self.leaving[target_id]
 
     def open_targets(self, service: str) -> list[TargetEntry]:
         """Return the service's targets that accept new requests."""
@@ -192,5 +254,7 @@
     def _drop(self, target_id: str, now: float) -> None:
         self.dropped[target_id] = self.entries.pop(target_id)
         self.dropped_s[target_id] = now
-        self.leaving.discard(target_id)
+        mark = self.leaving.get(target_id)
+        if mark is not None:
+            self.leaving[target_id] = dataclasses.replace(mark, marked_s=now)
         self.expiry_due_s.pop(target_id, None)
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/target_signals.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/target_signals.py
@@ -37,16 +37,17 @@
         limit_changed = False
         if not observation.is_unreadable(Signal.LIMIT):
             limit_changed = self.limits.record(target.id, observation.limit_per_s, now)
-        return SignalChanges(limit_changed, self._record_leaving(target, observation))
+        return SignalChanges(
+            limit_changed, self._record_leaving(target, observation, now)
+        )
 
     def _record_leaving(
-        self, target: TargetEntry, observation: TargetObservation
+        self, target: TargetEntry, observation: TargetObservation, now: float
     ) -> bool:
-        if not observation.is_misdirected:
-            return False
-        was_usable = self.registry.is_usable(target.id)
-        self.registry.mark_leaving(target.id)
-        return was_usable
+        """Mark the start of the target to which the request was sent."""
+        return observation.is_gone and self.registry.mark_leaving(
+            target.id, target.started_ms, now
+        )
 
     def retain(self, targets: Iterable[str]) -> None:
         """Discard the signals of all other targets."""
--- a/packages/burdockhaven-core/tests/scheduling/test_broker.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_broker.py
@@ -621,3 +621,14 @@
     shares = served_shares_in_overload(new_per_s, resumed_per_s, versions)
     assert shares["resumed"] > shares["new"] / 2
     assert shares["new"] > 0.3
+
+
+# Guards against a new start that gets no request because the one before it has left.
+def test_engine_that_left_is_granted_again_once_it_has_started_anew():
+    broker = make_broker(targets=("i-1",))
+    broker.submit(placement_request(1), 0.0)
+    broker.apply_progress(ended(1, RunEnd.LEAVING), 0.1)
+    assert broker.submit(placement_request(2), 0.2).verdict is Verdict.QUEUED
+    broker.set_targets({"i-1": target("i-1", started_ms=9)}, set())
+    (answered,) = broker.grant_queued(0.3)
+    assert answered.reply.target == "i-1"
--- a/packages/burdockhaven-core/tests/scheduling/test_target_registry.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_target_registry.py
@@ -1,7 +1,13 @@
 import pytest
 from scheduling_samples import ENGINES, target
 
-from burdockhaven_core.scheduling.target_registry import OUTAGE_GRACE_S, TargetRegistry
+from burdockhaven_core.scheduling.target_registry import (
+    DROPPED_ANNOUNCE_S,
+    LEAVING_RETENTION_S,
+    OUTAGE_GRACE_S,
+    UNKNOWN_START_MS,
+    TargetRegistry,
+)
 
 
 def names(registry):
@@ -145,3 +151,38 @@
     registry.replace_restored([target("i-1", started_ms=1, sequence=9)], 10.0)
     starts = [entry.started_ms for entry in registry.entries.values()]
     assert starts == ([] if is_dropped else [2])
+
+
+# Guards against rule DRAIN where the entry of a leaving target expires and returns.
+def test_leaving_target_stays_unusable_when_its_entry_returns():
+    registry = TargetRegistry()
+    registry.put(target(sequence=3))
+    assert registry.mark_leaving("i-1", 1, 1.0)
+    registry.remove("i-1", 2.0)
+    registry.put(target(sequence=4))
+    assert names(registry) == set()
+
+
+@pytest.mark.parametrize(
+    ("told_ms", "is_news"),
+    [(UNKNOWN_START_MS, True), (6, False), (7, True), (8, True)],
+)
+def test_leave_counts_for_the_known_start_and_later_ones(told_ms, is_news):
+    registry = TargetRegistry()
+    registry.put(target(started_ms=7))
+    assert registry.mark_leaving("i-1", told_ms, 1.0) is is_news
+    assert registry.mark_leaving("i-1", told_ms, 1.0) is False
+    assert registry.is_usable("i-1") is not is_news
+    registry.put(target(started_ms=9, sequence=0))
+    assert registry.is_usable("i-1")
+
+
+def test_leave_of_a_target_without_an_entry_is_kept_for_a_time():
+    registry = TargetRegistry()
+    registry.mark_leaving("i-1", UNKNOWN_START_MS, 1.0)
+    assert registry.unusable_targets(2.0) == ("i-1",)
+    assert registry.unusable_targets(1.1 + DROPPED_ANNOUNCE_S) == ()
+    registry.expire(1.0 + LEAVING_RETENTION_S)
+    assert not registry.is_usable("i-1")
+    registry.expire(1.1 + LEAVING_RETENTION_S)
+    assert registry.leaving == {}
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
@@ -140,6 +140,7 @@
 
     def heartbeat(self) -> Heartbeat:
         """Build the heartbeat that announces the state of this process."""
+        leaving = self.registry.unusable_targets(self.clock())
         return Heartbeat(
             sender=self.member_id,
             sequence=self.sequence,
@@ -151,13 +152,14 @@
             ready=self.table is not None,
             draining=self.draining,
             config_version=self.version,
-            leaving=self.registry.unusable_targets(self.clock()),
+            leaving=leaving,
             exhausted_accounts=self.broker.exhausted_accounts(self.clock()),
             usage=self.usage(),
             in_sync=self.in_sync,
             timed_out_nodes=self.member_list.timed_out_nodes(self.clock()),
             store_era=self.store_eras.current,
             limits=self.target_signals.signals.limits.announced(self.clock()),
+            leaving_started_ms=tuple(map(self.registry.start_of, leaving)),
         )
 
     def usage(self) -> tuple[tuple[str, int], ...]:
@@ -176,7 +178,7 @@
         self, target: TargetEntry, head: TargetResponseHead, now: float
     ) -> None:
         """Record and apply what a response says of the target that it comes from."""
-        changes = self.target_signals.record_response(target, head.observation, now)
+        changes = self.target_signals.record_response(target, head, now)
         if changes.limit:
             self.apply_limits(now)
         if changes.has_left:
@@ -196,6 +198,11 @@
         if any(changes):
             self.apply_limits(now)
 
+    def record_announced_leaving(self, heartbeat: Heartbeat, now: float) -> None:
+        """Record and apply which targets leave as another member announces."""
+        if self.target_signals.record_announced_leaving(heartbeat, now):
+            self.publish_targets()
+
     def apply_limits(self, now: float) -> None:
         """Apply the limits in force to the broker and the balancer.
 
@@ -211,7 +218,7 @@
 
     def publish_targets(self) -> None:
         """Publish a change of the target registry to the broker and the balancer."""
-        self.broker.set_targets(self.registry.entries, self.registry.leaving)
+        self.broker.set_targets(self.registry.entries, set(self.registry.leaving))
         self.balancer.retain(self.registry.entries)
         self.target_signals.retain(self.registry.entries)
         now = self.clock()
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
@@ -180,13 +180,7 @@
         self.state.record_announced_limits(heartbeat, now)
         if heartbeat.store_era != UNKNOWN_ERA:
             self.state.store_eras.observe(heartbeat.store_era, heartbeat.sender.node)
-        changed = False
-        for target in heartbeat.leaving:
-            if self.state.registry.is_usable(target):
-                self.state.registry.mark_leaving(target)
-                changed = True
-        if changed:
-            self.state.publish_targets()
+        self.state.record_announced_leaving(heartbeat, now)
         if heartbeat.config_version > self.state.version and not self.is_fetching:
             self.is_fetching = True
             self.spawn(self._fetch_configuration(heartbeat))
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -297,7 +297,7 @@
         if head.not_run:
             routed.trace.failures.append(f"{target.id}: rejected, {head.status}")
             await target_response.read_body()
-            if head.observation.is_misdirected:
+            if head.observation.is_gone:
                 return RunEnd.LEAVING, RunResult.NOT_RUN
             return RunEnd.REJECTED, RunResult.NOT_RUN
         if not head.is_success or not head.is_event_stream:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_signal_log.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_signal_log.py
@@ -1,19 +1,19 @@
 """Records the signals of targets, and logs each change."""
 
+import itertools
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from burdockhaven_core.log_numbers import EventNumber
-from burdockhaven_core.scheduling.target_observation import (
-    Signal,
-    TargetObservation,
-    UnreadableSignal,
-)
+from burdockhaven_core.scheduling.peer_messages import Heartbeat
+from burdockhaven_core.scheduling.target_observation import Signal, UnreadableSignal
 from burdockhaven_core.scheduling.target_registry import TargetEntry
 from burdockhaven_core.scheduling.target_signals import SignalChanges, TargetSignals
 from burdockhaven_entry.log_events import log
+from burdockhaven_entry.platform import TargetResponseHead
 
 NO_LIMIT_TEXT = "none"
+HEARTBEAT_TEXT = "heartbeat"
 
 
 @dataclass(slots=True)
@@ -24,18 +24,40 @@
     signals: TargetSignals
     # Signals that could not be read and have been logged, each with its target.
     unreadable: set[tuple[str, Signal]] = field(default_factory=set)
+    # Targets whose leave has been logged, until their next start.
+    leaving: set[str] = field(default_factory=set)
 
     def record_response(
-        self, target: TargetEntry, observation: TargetObservation, now: float
+        self, target: TargetEntry, head: TargetResponseHead, now: float
     ) -> SignalChanges:
         """Record what a response to this member says of its target."""
+        observation = head.observation
         for unreadable in observation.unreadable:
             self._log_unreadable(target.id, unreadable)
         changes = self.signals.record(target, observation, now)
         if changes.limit:
             self._log_limit(target.id, observation.limit_per_s, self.node)
+        if changes.has_left:
+            self._log_leaving(target.id, self.node, _answer_text(head))
         return changes
 
+    def record_announced_leaving(self, heartbeat: Heartbeat, now: float) -> bool:
+        """Record which targets leave as a member announces; True if any is news.
+
+        Targets without an entry are announced again once they have one.
+        """
+        registry = self.signals.registry
+        has_changed = False
+        for target, started_ms in itertools.zip_longest(
+            heartbeat.leaving, heartbeat.leaving_started_ms, fillvalue=0
+        ):
+            if target in registry.entries and registry.mark_leaving(
+                target, started_ms, now
+            ):
+                self._log_leaving(target, heartbeat.sender.node, HEARTBEAT_TEXT)
+                has_changed = True
+        return has_changed
+
     def record_limit(
         self, target: str, limit_per_s: float | None, observed_s: float, source: str
     ) -> bool:
@@ -50,6 +72,28 @@
         present = set(targets)
         self.signals.retain(present)
         self.unreadable = {key for key in self.unreadable if key[0] in present}
+        self._log_new_starts()
+
+    def _log_leaving(self, target: str, source: str, answer: str) -> None:
+        self.leaving.add(target)
+        log(
+            EventNumber.TARGET_TOLD_LEAVING,
+            target=target,
+            started_ms=self.signals.registry.start_of(target),
+            source=source,
+            answer=answer,
+        )
+
+    def _log_new_starts(self) -> None:
+        registry = self.signals.registry
+        for target in self.leaving - registry.leaving.keys():
+            self.leaving.discard(target)
+            if registry.is_usable(target) and target in registry.entries:
+                log(
+                    EventNumber.TARGET_STARTED_ANEW,
+                    target=target,
+                    started_ms=registry.start_of(target),
+                )
 
     def _log_limit(self, target: str, limit_per_s: float | None, source: str) -> None:
         log(
@@ -64,8 +108,20 @@
         if key in self.unreadable:
             return
         self.unreadable.add(key)
+        if unreadable.signal is Signal.LIMIT:
+            log(
+                EventNumber.TARGET_LIMIT_UNREADABLE,
+                target=target,
+                value=unreadable.value,
+            )
+            return
         log(
-            EventNumber.TARGET_LIMIT_UNREADABLE,
+            EventNumber.TARGET_SIGNAL_UNREADABLE,
             target=target,
+            signal=unreadable.signal.value,
             value=unreadable.value,
         )
+
+
+def _answer_text(head: TargetResponseHead) -> str:
+    return f"{head.status} {head.attempt_id}"
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
@@ -375,6 +375,39 @@
         "The limit in force stays. Tell the owners of the target.",
         {"target": "name of the target", "value": "the limit as received"},
     ),
+    EventSpec(
+        EventNumber.TARGET_TOLD_LEAVING,
+        "info",
+        "Target {target} leaves and gets no new requests.",
+        "Nothing, if it was stopped on purpose.",
+        {
+            "target": "name of the target",
+            "started_ms": "Unix milliseconds of the start that leaves; 0 if unknown",
+            "source": "member that received the response, or that announced the leave",
+            "answer": "status and request of the response; `heartbeat` if announced",
+        },
+    ),
+    EventSpec(
+        EventNumber.TARGET_STARTED_ANEW,
+        "info",
+        "Target {target}, which left, has started again and gets requests.",
+        "Nothing.",
+        {
+            "target": "name of the target",
+            "started_ms": "Unix milliseconds of the new start",
+        },
+    ),
+    EventSpec(
+        EventNumber.TARGET_SIGNAL_UNREADABLE,
+        "warning",
+        "The signal {signal} of target {target} cannot be read: {value}.",
+        "The signal is ignored. Tell the owners of the target.",
+        {
+            "target": "name of the target",
+            "signal": "`leaving` or `pause`",
+            "value": "the value as received",
+        },
+    ),
     EventSpec(
         EventNumber.ORDERS_TAKEN,
         "info",
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/response_headers.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/response_headers.py
@@ -16,6 +16,7 @@
 NOT_EXECUTED = "X-Burdockhaven-Not-Executed"
 INSTANCE_LOAD = "X-Burdockhaven-Instance-Load"
 SERVER_LIMIT = "Server-Limit"
+SERVER_LEAVING = "Server-Leaving"
 RETRY_AFTER = "Retry-After"
 EVENT_STREAM = "text/event-stream"
 MISDIRECTED = 421
@@ -105,8 +106,12 @@
     unreadable = []
     if limit_text and limit_per_s is None:
         unreadable.append(UnreadableSignal(Signal.LIMIT, limit_text))
+    leaving_text = headers.get(SERVER_LEAVING, "")
+    if leaving_text not in ("", "0", "1"):
+        unreadable.append(UnreadableSignal(Signal.LEAVING, leaving_text))
     return TargetObservation(
         limit_per_s=limit_per_s,
+        is_leaving=leaving_text == "1",
         is_misdirected=status == MISDIRECTED,
         unreadable=tuple(unreadable),
     )
