A target that asks for a pause gets nothing until its end

Cause: Retry-After was written in refusals and never read from a target's; a target that turned a request away with 503 got the next one at once. Change: a 503 with a number of seconds pauses the target for the member that got it, to the latest end asked for, with a part of it at random on top. The plain balancer, retries and the search for another engine leave paused targets out; placement requests name them with the time left, so that a broker neither grants nor counts them, queues what can wait for the end and refuses the rest for as long as the pause lasts (4 s at most: others may use the target). A grant that crosses the pause is given back and not held against the engine or the request. Log events 512 and 513.

--- a/packages/burdockhaven-core/src/burdockhaven_core/log_numbers.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/log_numbers.py
@@ -61,6 +61,8 @@
     TARGET_TOLD_LEAVING = 509
     TARGET_STARTED_ANEW = 510
     TARGET_SIGNAL_UNREADABLE = 511
+    TARGET_PAUSED = 512
+    TARGET_PAUSE_ENDED = 513
 
     # Tier admission.
     FLOOR_CLOSED = 601
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -25,7 +25,11 @@
     PlacementConstraints,
     place,
 )
-from burdockhaven_core.scheduling.queue_order import QueueClass, QueuedRequest
+from burdockhaven_core.scheduling.queue_order import (
+    QueueClass,
+    QueuedRequest,
+    paused_until_s,
+)
 from burdockhaven_core.scheduling.quotas import QuotaRule, quota_cost
 from burdockhaven_core.scheduling.recent_refusals import RecentRefusals
 from burdockhaven_core.scheduling.request_queue import RequestKey, RequestQueue
@@ -44,6 +48,10 @@
 # Bounds in seconds of the retry-after that a refusal gives.
 RETRY_AFTER_MIN_S = 0.3
 RETRY_AFTER_MAX_S = 4.0
+# Seconds over which the clients that wait for the end of a pause are spread.
+PAUSE_END_SPREAD_S = 0.5
+# Step of a sequence that fills an interval evenly, whatever its length.
+GOLDEN_RATIO = 0.618
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,6 +146,7 @@
         if granted is not None:
             return self._grant_reply(request, granted)
         if key in self.queue:
+            self.queue[key].paused_until_s = paused_until_s(request, now)
             return PlacementReply(request.number, Verdict.QUEUED)
         account = self.accounts.get(request.account)
         cost = quota_cost(account, request.prompt_tokens, request.output_tokens)
@@ -259,8 +268,13 @@
         engines = _of_version(self.runs.open_engines(request.service), request)
         if self._is_version_gone(request):
             return self._refuse(request, RETRY_AFTER_MAX_S, now)
-        if request.excluded and all(e.target in request.excluded for e in engines):
-            return self._refuse(request, RETRY_AFTER_MIN_S, now)
+        targets = [engine.target for engine in engines]
+        remaining = [target for target in targets if target not in request.excluded]
+        pause_left_s = queued.pause_left_s(remaining or targets, now)
+        if request.excluded and not remaining:
+            return self._refuse_until(request, pause_left_s, now)
+        if pause_left_s and now + pause_left_s > queued.send_by_s:
+            return self._refuse_until(request, pause_left_s, now)
         queue_class = queued.queue_class(now)
         ahead = self._counts_ahead(queue_class, now)
         if not ahead:
@@ -268,7 +282,7 @@
             found = _find_placement(queued, free, now)
             if found is not None:
                 return self._grant(key, queued, found, now)
-        limits = self._limits_of(queue_class, now)
+        limits = self._limits_of(queue_class, now, queued)
         work = VersionedWork()
         work.add(request.software_version, limits.cost_s)
         for other, count in ahead:
@@ -278,6 +292,7 @@
             count for other, count in ahead if other.route_key == queue_class.route_key
         )
         wait_s = work.wait_s(request.software_version, limits.capacities)
+        wait_s = max(wait_s, pause_left_s)
         if not limits.admit(queued, wait_s, route_ahead, now):
             return self._refuse(request, wait_s, now)
         self.queue[key] = queued
@@ -317,8 +332,14 @@
         underserved = self.served_shares.underserved_routes(now)
         return self.queue.in_order(underserved, now)
 
-    def _limits_of(self, queue_class: QueueClass, now: float) -> _AdmissionLimits:
+    def _limits_of(
+        self, queue_class: QueueClass, now: float, queued: QueuedRequest | None = None
+    ) -> _AdmissionLimits:
+        """Return the limits of a class; for one request, without its paused engines."""
         engines = self.runs.open_engines(queue_class.service)
+        if queued is not None and queued.paused_until_s:
+            unavailable = queued.unavailable(now)
+            engines = [e for e in engines if e.target not in unavailable] or engines
         return _AdmissionLimits(
             self.costs.average_s(queue_class.route),
             self.wait_estimator.capacities(queue_class, engines, now),
@@ -364,6 +385,18 @@
             software_version="" if engine is None else engine.software_version,
         )
 
+    def _refuse_until(
+        self, request: PlacementRequest, pause_left_s: float, now: float
+    ) -> PlacementReply:
+        """Refuse a request for the rest of a pause; 0 without one.
+
+        The clients of one member are spread over the time after the pause.
+        """
+        if not pause_left_s:
+            return self._refuse(request, RETRY_AFTER_MIN_S, now)
+        spread_s = PAUSE_END_SPREAD_S * (request.number * GOLDEN_RATIO % 1.0)
+        return self._refuse(request, pause_left_s + spread_s, now)
+
     def _refuse(
         self, request: PlacementRequest, wait_s: float, now: float
     ) -> PlacementReply:
@@ -394,7 +427,7 @@
         parts=request.parts,
         objective_left_ms=(queued.objective_s - now) * 1e3,
         pause_objective_ms=request.pause_objective_ms,
-        excluded=request.excluded,
+        excluded=queued.unavailable(now),
         deadline_left_ms=(queued.deadline_s - now) * 1e3,
         output_tokens=request.expected_tokens or request.output_tokens,
         zone=request.zone,
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
@@ -77,7 +77,8 @@
     # Ejections, and runs that ended without a response, since a run last progressed.
     ejections: int = 0
     disconnects: int = 0
-    # Whether a run ended early and no other has progressed since.
+    # Whether a run ended early, or was refused for a time, and no other has progressed
+    # since.
     has_broken_off: bool = False
     ejected_until_s: float = 0.0
     # When a run last produced its first event or completed.
@@ -237,6 +238,10 @@
         self.record_failure()
         self.has_broken_off = True
 
+    def record_pause(self) -> None:
+        """Record that the engine, not at fault, wants no more requests for a time."""
+        self.has_broken_off = True
+
     def record_disconnect(self, now: float) -> None:
         """Record that a run ended without a response; eject after several."""
         self.record_broken_run()
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
@@ -58,6 +58,14 @@
     leaving_started_ms: tuple[int, ...] = ()
 
 
+class PausedTarget(msgspec.Struct, frozen=True, array_like=True):
+    """A target to which a member must not send for some time."""
+
+    target: str
+    # Milliseconds until the member may send to it again.
+    left_ms: int
+
+
 class PlacementRequest(msgspec.Struct, frozen=True, array_like=True, tag=2):
     """Requests a target for one request of a client."""
 
@@ -96,6 +104,8 @@
     zone: str = ""
     # Software version of the targets that may be used; empty for any.
     software_version: str = ""
+    # Targets of the service that are paused for the sender.
+    paused: tuple[PausedTarget, ...] = ()
 
 
 class Verdict(enum.IntEnum):
@@ -145,12 +155,15 @@
     UNREACHABLE = 5
     # Another target has the address, or the target stated that it leaves.
     LEAVING = 6
-    # The member did not send the request because it knew that the target leaves.
+    # The member did not send the request because it knew that the target leaves or is
+    # paused for it.
     NOT_SENT = 7
     # The target closed the connection without a response.
     DISCONNECTED = 8
     # The member ended the run because the target was silent and another was granted.
     REPLACED = 9
+    # The target did not run the request and asked this member for a pause.
+    PAUSED = 10
 
 
 class RunUpdate(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/queue_order.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/queue_order.py
@@ -1,8 +1,8 @@
 """Orders the queue of requests that wait for an engine."""
 
 import dataclasses
-from collections.abc import Mapping
-from dataclasses import dataclass
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
 
 from burdockhaven_core.scheduling.peer_messages import PlacementRequest
 from burdockhaven_core.scheduling.served_shares import (
@@ -98,6 +98,8 @@
     send_by_s: float
     # Whether the client was refused before, or a target has failed the request.
     is_retry: bool
+    # Until when each target is paused for the sender.
+    paused_until_s: dict[str, float] = field(default_factory=dict)
 
     @classmethod
     def from_request(
@@ -113,8 +115,19 @@
             deadline_s=deadline_s,
             send_by_s=min(deadline_s, client_timeout_at_s) - MIN_RUN_S,
             is_retry=request.is_retry or was_refused,
+            paused_until_s=paused_until_s(request, now),
         )
 
+    def unavailable(self, now: float) -> tuple[str, ...]:
+        """Return the targets on which the request must not be placed now."""
+        paused = (t for t, until_s in self.paused_until_s.items() if until_s > now)
+        return (*self.request.excluded, *paused)
+
+    def pause_left_s(self, targets: Iterable[str], now: float) -> float:
+        """Return the seconds until one of the targets is usable; 0 without a pause."""
+        left_s = (self.paused_until_s.get(target, now) - now for target in targets)
+        return max(0.0, min(left_s, default=0.0))
+
     @property
     def late_at_s(self) -> float:
         """When the first event can no longer be expected on time."""
@@ -135,3 +148,8 @@
             self.is_retry,
             request.software_version,
         )
+
+
+def paused_until_s(request: PlacementRequest, now: float) -> dict[str, float]:
+    """Return until when each target is paused for the sender of a request."""
+    return {paused.target: now + paused.left_ms / 1e3 for paused in request.paused}
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
@@ -218,6 +218,8 @@
             engine.record_broken_run()
         elif update.end in (RunEnd.REJECTED, RunEnd.REPLACED):
             engine.record_failure()
+        elif update.end is RunEnd.PAUSED:
+            engine.record_pause()
         elif update.end is RunEnd.LEAVING:
             engine.ejected_until_s = now + LEAVING_EJECTION_S
 
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/target_observation.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/target_observation.py
@@ -9,6 +9,7 @@
 
     LIMIT = "limit"
     LEAVING = "leaving"
+    PAUSE = "pause"
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +32,9 @@
     is_misdirected: bool = False
     # Whether the target finishes its runs and wants no new requests.
     is_leaving: bool = False
+    # Seconds for which the target wants nothing from this member; None if it refused
+    # nothing or named no time.
+    pause_s: float | None = None
     # Signals that are present and can't be interpreted.
     unreadable: tuple[UnreadableSignal, ...] = ()
 
--- a/packages/burdockhaven-core/tests/scheduling/test_broker.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_broker.py
@@ -11,6 +11,7 @@
 )
 from burdockhaven_core.scheduling.peer_messages import (
     MemberId,
+    PausedTarget,
     RunEnd,
     RunProgress,
     RunReport,
@@ -632,3 +633,72 @@
     broker.set_targets({"i-1": target("i-1", started_ms=9)}, set())
     (answered,) = broker.grant_queued(0.3)
     assert answered.reply.target == "i-1"
+
+
+def paused(**left_ms):
+    return tuple(
+        PausedTarget(name.replace("_", "-"), ms) for name, ms in left_ms.items()
+    )
+
+
+# Guards against rule BUDGET: the broker granted a target that is paused for a member.
+def test_target_that_is_paused_for_a_member_is_not_granted_to_it():
+    broker = make_broker(slots=12)
+    replies = [
+        broker.submit(placement_request(n, paused=paused(i_1=5_000)), 0.0)
+        for n in range(8)
+    ]
+    assert {reply.target for reply in replies} == {"i-2"}
+    other = [
+        broker.submit(placement_request(n, MemberId("entry-2", 2)), 0.0).target
+        for n in range(8)
+    ]
+    assert "i-1" in other
+
+
+def test_request_waits_for_the_end_of_a_pause_that_comes_in_time():
+    broker = make_broker(targets=("i-1",))
+    request = placement_request(1, paused=paused(i_1=1_000))
+    assert broker.submit(request, 0.0).verdict is Verdict.QUEUED
+    assert broker.grant_queued(0.99) == []
+    assert broker.refuse_infeasible(0.99) == []
+    (answered,) = broker.grant_queued(1.01)
+    assert answered.reply.target == "i-1"
+
+
+def test_queued_request_that_is_sent_again_names_the_pauses_anew():
+    broker = make_broker(targets=("i-1",), slots=1)
+    broker.submit(placement_request(1), 0.0)
+    broker.submit(placement_request(2), 0.0)
+    again = broker.submit(placement_request(2, paused=paused(i_1=3_000)), 0.1)
+    assert again.verdict is Verdict.QUEUED
+    broker.apply_progress(ended(1), 0.2)
+    assert broker.grant_queued(0.2) == []
+    assert len(broker.grant_queued(3.2)) == 1
+
+
+# Guards against a refusal whose time to return is earlier than any target's.
+def test_request_is_refused_until_the_first_pause_ends_if_all_last_too_long():
+    broker = make_broker()
+    waits_ms = [
+        broker.submit(
+            placement_request(
+                n, deadline_ms=1_000, paused=paused(i_1=2_000, i_2=3_000)
+            ),
+            0.0,
+        ).retry_after_ms
+        for n in range(1, 9)
+    ]
+    assert 2_000 <= min(waits_ms) < max(waits_ms) <= 2_500
+    assert len(set(waits_ms)) == 8
+
+
+def test_request_turned_away_for_a_time_is_no_failure_of_its_engine():
+    broker = make_broker(targets=("i-1",), slots=4)
+    broker.submit(placement_request(1), 0.0)
+    broker.apply_progress(ended(1, RunEnd.PAUSED), 0.1)
+    engine = broker.runs.engines["i-1"]
+    assert engine.failure_rate == 0.0
+    assert engine.runs == {}
+    # The next request shows whether the engine takes requests again.
+    assert engine.free_slots() == 1
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -101,6 +101,7 @@
             on_pending_updates=self._schedule_flush,
             on_queued=lambda: self.queue_poller.start(),
             zone=state.settings.zone,
+            paused_targets=state.paused_targets,
         )
         self.stream_origins = StreamOriginDirectory(
             state,
@@ -413,6 +414,7 @@
         self.state.broker.discard_absent(live_nodes | {self.state.member_id.node}, now)
 
     def _expire_targets(self, now: float) -> None:
+        self.state.target_signals.expire(now)
         before = len(self.state.registry.entries)
         self.state.registry.expire(now)
         if len(self.state.registry.entries) != before:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
@@ -18,6 +18,7 @@
 from burdockhaven_core.scheduling.peer_messages import (
     Heartbeat,
     MemberId,
+    PausedTarget,
 )
 from burdockhaven_core.scheduling.plain_balancer import PlainBalancer
 from burdockhaven_core.scheduling.stream_origins import (
@@ -117,7 +118,7 @@
             own_usage=Quotas(rule),
             own_plain_usage=Quotas(rule),
             retry_budget=RetryBudget(retry_rule),
-            target_signals=TargetSignalLog(settings.node, TargetSignals(registry)),
+            target_signals=TargetSignalLog(settings.node, TargetSignals(registry, rng)),
             store_eras=StoreEras(clock),
             stream_origins=StreamOrigins(),
             version_history=VersionHistory(settings.first_start),
@@ -184,6 +185,22 @@
         if changes.has_left:
             self.publish_targets()
 
+    def usable_targets(self, service: str) -> list[TargetEntry]:
+        """Return the service's targets to which this process may send now."""
+        return self.target_signals.signals.usable_targets(service, self.clock())
+
+    def paused_targets(self, service: str) -> tuple[PausedTarget, ...]:
+        """Return the service's targets that are paused for this process."""
+        return self.target_signals.signals.paused_targets(service, self.clock())
+
+    def is_paused(self, target_id: str) -> bool:
+        """Whether this process must send nothing to the target for now."""
+        return self.target_signals.signals.is_paused(target_id, self.clock())
+
+    def pause_left_s(self, service: str) -> float:
+        """Return the seconds until a pause leaves a target usable; 0 without one."""
+        return self.target_signals.signals.pause_left_s(service, self.clock())
+
     def record_announced_limits(self, heartbeat: Heartbeat, now: float) -> None:
         """Record and apply the limits that another member announces."""
         changes = [
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
@@ -20,6 +20,7 @@
     CancelPlacement,
     Heartbeat,
     MemberId,
+    PausedTarget,
     PeerMessage,
     PlacementReply,
     PlacementRequest,
@@ -147,6 +148,8 @@
     on_queued: Callable[[], None] = lambda: None
     # Availability zone of this process; empty if unknown.
     zone: str = ""
+    # Returns the targets of a service that are paused for this process.
+    paused_targets: Callable[[str], tuple[PausedTarget, ...]] = lambda service: ()
     pending: dict[int, _PendingPlacement] = field(default_factory=dict)
     # Replies of this process to its own requests, which end the wait for a broker.
     own_refusals: dict[int, PlacementReply] = field(default_factory=dict)
@@ -365,6 +368,7 @@
             expected_tokens=requirements.expected_tokens,
             zone=self.zone,
             software_version=requirements.software_version,
+            paused=self.paused_targets(requirements.service),
         )
         if node == self.member_id.node:
             self.on_reply(self.submit(request, now), node)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
@@ -24,6 +24,7 @@
     UNAVAILABLE,
     error_response,
     not_run_response,
+    pause_retry_after_s,
 )
 from burdockhaven_entry.gateway.routed_request import RoutedRequest
 from burdockhaven_entry.gateway.target_client import (
@@ -131,7 +132,7 @@
     ) -> web.Response:
         while True:
             now = self.state.clock()
-            entries = self.state.registry.open_targets(routed.service)
+            entries = self.state.usable_targets(routed.service)
             target = self.state.balancer.choose(entries, attempts.excluded, now)
             if target is None or attempts.sends >= MAX_ATTEMPTS:
                 return self._failure_response(routed, attempts)
@@ -187,7 +188,7 @@
         ):
             return None
         now = self.state.clock()
-        entries = self.state.registry.open_targets(routed.service)
+        entries = self.state.usable_targets(routed.service)
         hedge = self.state.balancer.choose(entries, attempts.excluded, now)
         if hedge is None or not self._acquire_retry(routed, attempts, now):
             return None
@@ -309,7 +310,8 @@
             UNAVAILABLE,
             "no target accepted the request",
             routed.client_request.attempt_id,
-            DEFAULT_RETRY_AFTER_S,
+            pause_retry_after_s(self.state.pause_left_s(routed.service), self.state.rng)
+            or DEFAULT_RETRY_AFTER_S,
         )
 
     def _timeout_response(
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/responses.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/responses.py
@@ -1,7 +1,10 @@
 """Responses that this process produces itself, instead of forwarding a target's."""
 
+import random
+
 from aiohttp import web
 
+from burdockhaven_core.scheduling.broker import PAUSE_END_SPREAD_S, RETRY_AFTER_MAX_S
 from burdockhaven_entry.platform import refusal_headers
 
 BAD_REQUEST = 400
@@ -23,6 +26,18 @@
 STOPPING_RETRY_AFTER_S = 0.1
 
 
+def pause_retry_after_s(pause_left_s: float, rng: random.Random) -> float:
+    """Return when clients may return after a pause of all targets; 0 without one.
+
+    Spread, so that they don't return at once, and bounded, because other members may
+    still use the targets.
+    """
+    if not pause_left_s:
+        return 0.0
+    spread_s = rng.uniform(0.0, PAUSE_END_SPREAD_S)
+    return min(RETRY_AFTER_MAX_S, pause_left_s + spread_s)
+
+
 def error_response(
     status: int, detail: str, attempt_id: str = "", retry_after_s: float | None = None
 ) -> web.Response:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -180,6 +180,9 @@
         )
         if target is None or is_beyond_limit:
             self._give_back(placement)
+            if self.state.is_paused(placement.target):
+                # The next placement request names the pause, which ends by itself.
+                return RunResult.NOT_SENT
             result = RunResult.NOT_SENT
         else:
             result = await self._run_on_target(routed, stream, target, placement)
@@ -212,7 +215,9 @@
     ) -> TargetEntry | None:
         """Return the granted target; None if it must not be used or has no address."""
         registry = self.state.registry
-        if not registry.is_usable(placement.target):
+        if not registry.is_usable(placement.target) or self.state.is_paused(
+            placement.target
+        ):
             return None
         entry = registry.entries.get(placement.target)
         if not has_granted_version(entry, placement, stream.requirements):
@@ -299,7 +304,9 @@
             await target_response.read_body()
             if head.observation.is_gone:
                 return RunEnd.LEAVING, RunResult.NOT_RUN
-            return RunEnd.REJECTED, RunResult.NOT_RUN
+            is_pause = bool(head.observation.pause_s)
+            end = RunEnd.PAUSED if is_pause else RunEnd.REJECTED
+            return end, RunResult.NOT_RUN
         if not head.is_success or not head.is_event_stream:
             routed.trace.failures.append(f"{target.id}: failed, {head.status}")
             return await self._handle_failure(stream, target_response)
@@ -407,7 +414,7 @@
         version = stream.requirements.software_version
         return {
             entry.id
-            for entry in self.state.registry.open_targets(routed.service)
+            for entry in self.state.usable_targets(routed.service)
             if version in ("", entry.software_version)
         }
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_signal_log.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_signal_log.py
@@ -39,8 +39,25 @@
             self._log_limit(target.id, observation.limit_per_s, self.node)
         if changes.has_left:
             self._log_leaving(target.id, self.node, _answer_text(head))
+        if changes.pause is not None:
+            log(
+                EventNumber.TARGET_PAUSED,
+                target=target.id,
+                seconds=round(changes.pause.until_s - now, 1),
+                asked_s=observation.pause_s or 0.0,
+                answer=_answer_text(head),
+            )
         return changes
 
+    def expire(self, now: float) -> None:
+        """Discard the pauses that have ended."""
+        for target, pause in self.signals.pauses.expire(now):
+            log(
+                EventNumber.TARGET_PAUSE_ENDED,
+                target=target,
+                seconds=round(now - pause.began_s, 1),
+            )
+
     def record_announced_leaving(self, heartbeat: Heartbeat, now: float) -> bool:
         """Record which targets leave as a member announces; True if any is news.
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
@@ -408,6 +408,28 @@
             "value": "the value as received",
         },
     ),
+    EventSpec(
+        EventNumber.TARGET_PAUSED,
+        "info",
+        "Target {target} gets no request of this member for {seconds} s.",
+        "A target that asks for pauses is overloaded; check it if they go on.",
+        {
+            "target": "name of the target",
+            "seconds": "time until this member uses the target again",
+            "asked_s": "seconds that the target asked for",
+            "answer": "status and request of the response",
+        },
+    ),
+    EventSpec(
+        EventNumber.TARGET_PAUSE_ENDED,
+        "info",
+        "The pause of target {target} has ended after {seconds} s.",
+        "Nothing.",
+        {
+            "target": "name of the target",
+            "seconds": "time since the target first asked for the pause",
+        },
+    ),
     EventSpec(
         EventNumber.ORDERS_TAKEN,
         "info",
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/response_headers.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/response_headers.py
@@ -20,6 +20,7 @@
 RETRY_AFTER = "Retry-After"
 EVENT_STREAM = "text/event-stream"
 MISDIRECTED = 421
+UNAVAILABLE = 503
 # Headers meant for this process only, not for the client.
 INTERNAL_HEADERS = frozenset({"x-burdockhaven-instance-load"})
 
@@ -102,27 +103,33 @@
 
 def _read_observation(status: int, headers: CIMultiDictProxy[str]) -> TargetObservation:
     limit_text = headers.get(SERVER_LIMIT, "")
-    limit_per_s = _parse_limit(limit_text)
+    limit_per_s = _parse_number(limit_text)
     unreadable = []
     if limit_text and limit_per_s is None:
         unreadable.append(UnreadableSignal(Signal.LIMIT, limit_text))
     leaving_text = headers.get(SERVER_LEAVING, "")
     if leaving_text not in ("", "0", "1"):
         unreadable.append(UnreadableSignal(Signal.LEAVING, leaving_text))
+    pause_text = headers.get(RETRY_AFTER, "") if status == UNAVAILABLE else ""
+    pause_s = _parse_number(pause_text)
+    if pause_text and pause_s is None:
+        unreadable.append(UnreadableSignal(Signal.PAUSE, pause_text))
     return TargetObservation(
         limit_per_s=limit_per_s,
         is_leaving=leaving_text == "1",
+        pause_s=pause_s,
         is_misdirected=status == MISDIRECTED,
         unreadable=tuple(unreadable),
     )
 
 
-def _parse_limit(value: str) -> float | None:
+def _parse_number(value: str) -> float | None:
+    """Parse a number that is neither negative nor infinite; None for anything else."""
     try:
-        limit_per_s = float(value)
+        number = float(value)
     except ValueError:
         return None
-    return limit_per_s if 0 <= limit_per_s < math.inf else None
+    return number if 0 <= number < math.inf else None
 
 
 def _parse_load(value: str) -> TargetLoad | None:
--- a/packages/burdockhaven-entry/tests/gateway/gateway_fixtures.py
+++ b/packages/burdockhaven-entry/tests/gateway/gateway_fixtures.py
@@ -286,6 +286,8 @@
             lambda *_: None,
             clock,
             on_pending_updates=lambda: loop.call_soon(placement_client.flush_progress),
+            on_queued=lambda: None,
+            paused_targets=state.paused_targets,
         )
         target_client = TargetClient.create()
         frontend = Frontend(
--- a/packages/burdockhaven-entry/tests/gateway/test_gateway_state.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_gateway_state.py
@@ -20,6 +20,7 @@
 from scheduling_samples import target
 
 from burdockhaven_core.scheduling.peer_messages import decode_message, encode_message
+from burdockhaven_core.scheduling.target_observation import Signal
 from burdockhaven_entry.gateway.gateway_state import GatewayState
 from burdockhaven_entry.platform import read_response_head
 
@@ -36,8 +37,6 @@
 
     async def make(**options):
         started.append(await Gateway.start(**options))
-        placement_client = started[-1].frontend.streams.placement_client
-        placement_client.on_pending_updates = placement_client.flush_progress
         return started[-1]
 
     yield make
@@ -189,3 +188,110 @@
     assert [u.value for u in head.observation.unreadable] == (
         ["soon"] if value == "soon" else []
     )
+
+
+def turn_away(pause):
+    return respond(
+        b"",
+        "503 Service Unavailable",
+        f"Retry-After: {pause}\r\n{NOT_EXECUTED}",
+        signature="",
+    )
+
+
+# Guards against rule BUDGET: a target that asked for a pause was used as before.
+@pytest.mark.parametrize("path", PLAIN_PATHS + STREAM_PATHS)
+async def test_target_that_asks_for_a_pause_gets_nothing_until_its_end(start, path):
+    gateway = await start(**only_target(path, turn_away(30)))
+    headers = {"X-Burdockhaven-Deadline-Ms": "300"}
+    for _ in range(4):
+        response = await gateway.call(path, headers=headers)
+        assert response.status == 503
+    assert len(gateway.received) == 1
+    assert float(response.headers["Retry-After"]) == 4.0
+
+
+@pytest.mark.parametrize("path", PLAIN_PATHS + STREAM_PATHS)
+async def test_request_turned_away_for_a_time_runs_elsewhere(start, path):
+    sound = success(path, "")
+    kind = "plain" if path in PLAIN_PATHS else "engines"
+    gateway = await start(**{kind: [Script(turn_away(30)), Script(sound)]})
+    statuses = [(await gateway.call(path)).status for _ in range(REQUESTS)]
+    assert statuses == [200] * REQUESTS
+    assert len(gateway.targets[0].received) <= 1
+    for engine in gateway.state.broker.runs.engines.values():
+        assert engine.failure_rate == 0.0
+    assert gateway.state.balancer.state_of("plain-0").failure_rate == 0.0
+
+
+@pytest.mark.parametrize("path", PLAIN_PATHS + STREAM_PATHS)
+async def test_target_is_used_again_after_its_pause(start, path):
+    kind = "plain" if path in PLAIN_PATHS else "engines"
+    script = Script(turn_away(0.5), success(path, ""))
+    gateway = await start(**{kind: [script]})
+    statuses = []
+    for _ in range(200):
+        statuses.append((await gateway.call(path)).status)
+        if statuses[-1] == 200:
+            break
+        await asyncio.sleep(0.02)
+    assert statuses[-1] == 200
+    assert len(gateway.received) == 2
+
+
+# Guards against rule BUDGET where a grant crosses the beginning of a pause.
+async def test_grant_of_a_paused_target_is_given_back_and_placed_elsewhere(start):
+    engines = [Script(stream_events(1, 2)), Script(stream_events(1, 2))]
+    gateway = await start(engines=engines)
+    placement_client = gateway.frontend.streams.placement_client
+    entry = gateway.state.registry.entries["engines-0"]
+    now = gateway.state.clock()
+    gateway.state.record_response(entry, head_of(503, Retry_After="30"), now)
+    known = placement_client.paused_targets
+    pauses = iter([()])
+    placement_client.paused_targets = lambda service: next(pauses, known(service))
+    for name, engine in gateway.state.broker.runs.engines.items():
+        # The broker prefers the paused engine as long as it may.
+        engine.failure_rate = 0.0 if name == "engines-0" else 0.5
+    assert (await gateway.call("/once/")).status == 200
+    assert [len(scripted.received) for scripted in gateway.targets] == [0, 1]
+    assert gateway.state.broker.runs.engines["engines-0"].failure_rate == 0.0
+    assert placement_client.runs == {}
+
+
+@pytest.mark.parametrize(
+    ("status", "value", "pause_s", "unreadable"),
+    [
+        (503, "2", 2.0, []),
+        (503, "1.5", 1.5, []),
+        (503, "0", 0.0, []),
+        (503, "86400000", 86_400_000.0, []),
+        (503, "-1", None, ["-1"]),
+        (503, "inf", None, ["inf"]),
+        (503, "nan", None, ["nan"]),
+        (503, "later", None, ["later"]),
+        (
+            503,
+            "Wed, 21 Oct 2015 07:28:00 GMT",
+            None,
+            ["Wed, 21 Oct 2015 07:28:00 GMT"],
+        ),
+        (429, "2", None, []),
+        (200, "2", None, []),
+    ],
+)
+def test_pause_is_read_from_the_refusals_of_a_target(
+    status, value, pause_s, unreadable
+):
+    observation = head_of(status, Retry_After=value).observation
+    assert observation.pause_s == pause_s
+    assert [found.value for found in observation.unreadable] == unreadable
+
+
+async def test_unreadable_pause_is_ignored_and_noted_once(start):
+    gateway = await start(plain=[Script(turn_away("later"))])
+    for _ in range(3):
+        assert (await gateway.call("/safe/")).status == 503
+    assert len(gateway.received) == 3
+    signals = gateway.state.target_signals
+    assert signals.unreadable == {("plain-0", Signal.PAUSE)}
