--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/metrics_text.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/metrics_text.py
@@ -1,5 +1,6 @@
 """Renders the metrics and state of this process in the Prometheus text format."""
 
+from collections import Counter
 from collections.abc import Iterable, Iterator, Mapping
 from itertools import accumulate
 
@@ -42,6 +43,7 @@
         yield from self._request_metrics()
         yield from self._state_gauges()
         yield from self._target_gauges()
+        yield from self._signal_gauges()
         yield from self._account_gauges()
 
     def _request_metrics(self) -> Iterator[Metric]:
@@ -179,25 +181,47 @@
                 slowness.add_metric((target,), engine.slowness)
         yield runs
         yield slowness
+        error = GaugeMetricFamily(
+            "burdockhaven_first_event_error",
+            "Moving average of the relative errors of predicted first events",
+            labels=("service",),
+        )
+        for service, speed in state.broker.runs.speeds.items():
+            error.add_metric((service,), speed.first_event_error)
+        yield error
+
+    def _signal_gauges(self) -> Iterator[Metric]:
+        """Yield what targets say of themselves."""
+        state = self.state
+        now = state.clock()
+        signals = state.target_signals.signals
         limits = GaugeMetricFamily(
             "burdockhaven_target_limit",
             "Requests per second that a target accepts from all members together",
             labels=("target",),
         )
-        for (
-            target,
-            limit_per_s,
-        ) in state.target_signals.signals.limits.in_force().items():
+        for target, limit_per_s in signals.limits.in_force().items():
             limits.add_metric((target,), limit_per_s)
         yield limits
-        error = GaugeMetricFamily(
-            "burdockhaven_first_event_error",
-            "Moving average of the relative errors of predicted first events",
+        leaving = GaugeMetricFamily(
+            "burdockhaven_targets_leaving",
+            "Registered targets that leave as they or members say",
             labels=("service",),
         )
-        for service, speed in state.broker.runs.speeds.items():
-            error.add_metric((service,), speed.first_event_error)
-        yield error
+        entries = state.registry.entries
+        present = state.registry.leaving.keys() & entries.keys()
+        counts = Counter(entries[target].service for target in present)
+        for service, count in counts.items():
+            leaving.add_metric((service,), count)
+        yield leaving
+        pauses = GaugeMetricFamily(
+            "burdockhaven_target_pause_seconds",
+            "Seconds until this process uses a target again that asked for a pause",
+            labels=("target",),
+        )
+        for target, pause in signals.pauses.pauses.items():
+            pauses.add_metric((target,), max(0.0, pause.until_s - now))
+        yield pauses
 
     def _account_gauges(self) -> Iterator[Metric]:
         state = self.state
--- a/packages/burdockhaven-entry/tests/gateway/test_metrics_text.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_metrics_text.py
@@ -11,6 +11,7 @@
     respond,
     stream_events,
 )
+from multidict import CIMultiDict, CIMultiDictProxy
 
 from burdockhaven_entry.gateway.control_handler import (
     METRICS_PATH,
@@ -22,6 +23,7 @@
     OTHER_ROUTES_LABEL,
 )
 from burdockhaven_entry.gateway.metrics_text import GatewayCollector
+from burdockhaven_entry.platform import read_response_head
 
 DEPLOY = Path(__file__).parents[4] / "deploy" / "system.toml"
 
@@ -109,3 +111,21 @@
 def test_deploy_file_names_the_metrics_address():
     role = tomllib.loads(DEPLOY.read_text())["roles"]["entry"]
     assert role["metrics"] == f"{METRICS_PORT}{METRICS_PATH}"
+
+
+async def test_leaving_and_paused_targets_are_shown(gateway):
+    entries = gateway.state.registry.entries
+    leaves, pauses = (
+        read_response_head(status, CIMultiDictProxy(CIMultiDict(values)))
+        for status, values in (
+            (200, {"Server-Leaving": "1"}),
+            (503, {"Retry-After": "30"}),
+        )
+    )
+    now = gateway.state.clock()
+    gateway.state.record_response(entries["plain-0"], leaves, now)
+    gateway.state.record_response(entries["engines-0"], pauses, now)
+    samples = scrape(gateway)
+    assert samples['burdockhaven_targets_leaving{service="plain"}'] == 1
+    pause_s = samples['burdockhaven_target_pause_seconds{target="engines-0"}']
+    assert 29 < pause_s < 32
