Stand-in targets leave and ask for pauses; a played test of each

Cause: the stand-ins answered with the headers known when they were written, so neither signal was ever met by a test of whole processes. Change: TargetFaults.leaving and pause_s, a count of arrivals, two process tests.

--- a/tools/burdockhaven_standins/platform_targets.py
+++ b/tools/burdockhaven_standins/platform_targets.py
@@ -22,6 +22,8 @@
 TOKEN_COUNTS = "X-Burdockhaven-Token-Counts"
 PROMPT_PREFIX = "X-Burdockhaven-Prompt-Prefix"
 LAST_EVENT_ID = "Last-Event-Id"
+LEAVING = "Server-Leaving"
+RETRY_AFTER = "Retry-After"
 # Maximum number of waiting requests per slot; further requests are rejected.
 MAX_QUEUED_PER_SLOT = 1
 HEALTH_PATH = "/healthz"
@@ -32,6 +34,10 @@
     """Faults that are active."""
 
     draining: bool = False
+    # The target says in all its responses that it leaves; its entry stays as it is.
+    leaving: bool = False
+    # Seconds that each refusal asks for; all requests are refused. None for no fault.
+    pause_s: float | None = None
     # Requests are accepted and never answered.
     silent: bool = False
     # Number of events after which the next stream is aborted, in the middle of the
@@ -56,6 +62,8 @@
     zone: str = "a"
     software_version: str = "v1"
     seq: int = 0
+    # Requests that have reached the target, executed or not.
+    arrivals: int = 0
     # Executions by request id.
     runs: Counter[str] = field(default_factory=Counter)
     faults: TargetFaults = field(default_factory=TargetFaults)
@@ -78,13 +86,17 @@
 
     def rejection(self, request: web.Request, waiting: int) -> web.Response | None:
         """Return the rejection of a request; None if the target executes it."""
+        self.arrivals += 1
         attempt = request.headers.get(ATTEMPT)
         if attempt is None:
             return self._reject(400, "")
         expected_id = request.headers.get(EXPECT_INSTANCE, self.id)
         if expected_id != self.id:
             return self._reject(421, attempt)
-        if waiting >= MAX_QUEUED_PER_SLOT * self.slots:
+        if (
+            self.faults.pause_s is not None
+            or waiting >= MAX_QUEUED_PER_SLOT * self.slots
+        ):
             return self.overload_rejection(attempt)
         return None
 
@@ -93,21 +105,25 @@
         headers = {ATTEMPT: attempt, SIGNATURE: f"{self.id}.{self.seq}"}
         if self.faults.draining:
             headers["Connection"] = "close"
-        return headers
+        return headers | self._signals()
 
     def health_response(self) -> web.Response:
         """Return the response to a health check."""
         status = 503 if self.faults.draining else 200
-        return web.Response(
-            status=status, headers={"X-Burdockhaven-Instance-Id": self.id}
-        )
+        headers = {"X-Burdockhaven-Instance-Id": self.id} | self._signals()
+        return web.Response(status=status, headers=headers)
 
     def overload_rejection(self, attempt: str) -> web.Response:
         """Return the rejection of a request that exceeds the capacity."""
         return self._reject(503, attempt)
 
+    def _signals(self) -> dict[str, str]:
+        return {LEAVING: "1"} if self.faults.leaving else {}
+
     def _reject(self, status: int, attempt: str) -> web.Response:
-        headers = {ATTEMPT: attempt, NOT_EXECUTED: "1"}
+        headers = {ATTEMPT: attempt, NOT_EXECUTED: "1"} | self._signals()
+        if status == 503 and self.faults.pause_s is not None:
+            headers[RETRY_AFTER] = f"{self.faults.pause_s:g}"
         return web.Response(status=status, headers=headers)
 
 
--- a/tools/tests/test_platform_process.py
+++ b/tools/tests/test_platform_process.py
@@ -112,6 +112,56 @@
     assert staying.runs.total()
 
 
+# Guards against rule DRAIN: the entry of the leaving engine says nothing of it.
+async def test_engine_that_says_that_it_leaves_is_left_alone_by_all_daemons(harness):
+    first, second = await start_two_daemons(harness)
+    leaving, staying = (engine.record for engine in harness.site.engines)
+    leaving.faults.leaving = True
+
+    async def send_streams(address):
+        before = leaving.arrivals
+        for _ in range(8):
+            assert (await harness.send_request(address, "/stream/x")).status == 200
+        return leaving.arrivals - before
+
+    async def is_told():
+        await send_streams(first.front)
+        return leaving.arrivals > 0
+
+    await harness.wait_until(is_told)
+    assert await send_streams(first.front) == 0
+
+    async def is_avoided_by_the_other():
+        return await send_streams(second.front) == 0
+
+    await harness.wait_until(is_avoided_by_the_other)
+    assert await send_streams(first.front) == 0
+    assert staying.runs.total()
+
+
+# Guards against rule BUDGET: an engine that asks for a pause gets the next requests.
+async def test_engine_that_asks_for_a_pause_is_left_alone(harness):
+    first, second = await start_two_daemons(harness)
+    paused, staying = (engine.record for engine in harness.site.engines)
+    paused.faults.pause_s = 30.0
+
+    # More than the other engine takes at once.
+    streams = 2 * staying.slots
+
+    async def send_streams_at_once(address):
+        before = paused.arrivals
+        sends = [harness.send_request(address, "/stream/x") for _ in range(streams)]
+        statuses = [response.status for response in await asyncio.gather(*sends)]
+        assert statuses == [200] * streams
+        return paused.arrivals - before
+
+    for daemon in (first, second):
+        assert await send_streams_at_once(daemon.front) > 0
+        for _ in range(4):
+            assert await send_streams_at_once(daemon.front) == 0
+    assert staying.runs.total()
+
+
 async def test_expired_target_entries_are_registered_again(harness):
     first, _ = await start_two_daemons(harness)
     harness.site.store.faults.down = True
