Count and log response headers of targets that nothing reads

Cause: three signals in turn passed through to clients unread, and nothing told that they were there.

--- a/packages/burdockhaven-core/src/burdockhaven_core/log_numbers.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/log_numbers.py
@@ -63,6 +63,7 @@
     TARGET_SIGNAL_UNREADABLE = 511
     TARGET_PAUSED = 512
     TARGET_PAUSE_ENDED = 513
+    RESPONSE_HEADER_UNKNOWN = 514
 
     # Tier admission.
     FLOOR_CLOSED = 601
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
@@ -31,6 +31,7 @@
 from burdockhaven_entry.gateway.gateway_metrics import GatewayMetrics
 from burdockhaven_entry.gateway.store_era import StoreEras
 from burdockhaven_entry.gateway.target_signal_log import TargetSignalLog
+from burdockhaven_entry.gateway.unknown_headers import UnknownHeaders
 from burdockhaven_entry.platform import PlatformSettings, TargetResponseHead
 
 # Fraction of the platform's quota slack that is used while the usage of all members is
@@ -72,6 +73,7 @@
     table_bytes: bytes = b""
     draining: bool = False
     metrics: GatewayMetrics = field(default_factory=GatewayMetrics)
+    unknown_headers: UnknownHeaders = field(default_factory=UnknownHeaders)
     # Whether the view of the targets' entries is in sync with the store.
     in_sync: bool = False
     # Whether the newest known configuration and the targets have been read once.
@@ -179,6 +181,7 @@
         self, target: TargetEntry, head: TargetResponseHead, now: float
     ) -> None:
         """Record and apply what a response says of the target that it comes from."""
+        self.unknown_headers.record(target.id, head.unknown_headers)
         changes = self.target_signals.record_response(target, head, now)
         if changes.limit:
             self.apply_limits(now)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/metrics_text.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/metrics_text.py
@@ -87,6 +87,12 @@
             ("service",),
             _with_single_label(metrics.failed_sends),
         )
+        yield _counter(
+            "unknown_headers",
+            "Responses of targets with a header that is not known",
+            ("header",),
+            _with_single_label(self.state.unknown_headers.counts),
+        )
         yield _counter(
             "store_calls",
             "Calls to the platform's store by outcome",
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
@@ -430,6 +430,13 @@
             "seconds": "time since the target first asked for the pause",
         },
     ),
+    EventSpec(
+        EventNumber.RESPONSE_HEADER_UNKNOWN,
+        "warning",
+        "Target {target} sends the header {header}, which is not known.",
+        "Look up what it asks for; it is passed on to clients and has no effect here.",
+        {"target": "name of the target", "header": "name in lower case"},
+    ),
     EventSpec(
         EventNumber.ORDERS_TAKEN,
         "info",
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/response_headers.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/response_headers.py
@@ -21,6 +21,47 @@
 EVENT_STREAM = "text/event-stream"
 MISDIRECTED = 421
 UNAVAILABLE = 503
+# Headers that this module decodes.
+DECODED_HEADERS = frozenset(
+    name.lower()
+    for name in (
+        ATTEMPT_ID,
+        SIGNATURE,
+        NOT_EXECUTED,
+        INSTANCE_LOAD,
+        SERVER_LIMIT,
+        SERVER_LEAVING,
+        RETRY_AFTER,
+        "Content-Type",
+        "Content-Encoding",
+    )
+)
+# Headers that concern the client only; they say nothing of the target.
+PASSED_ON_HEADERS = frozenset(
+    {
+        "accept-ranges",
+        "age",
+        "allow",
+        "cache-control",
+        "content-disposition",
+        "content-language",
+        "content-location",
+        "content-range",
+        "date",
+        "etag",
+        "expires",
+        "last-modified",
+        "link",
+        "location",
+        "server",
+        "set-cookie",
+        "vary",
+        "www-authenticate",
+        "x-burdockhaven-instance-id",
+        "x-burdockhaven-weight-versions",
+    }
+)
+KNOWN_HEADERS = DECODED_HEADERS | PASSED_ON_HEADERS | HOP_BY_HOP_HEADERS
 # Headers meant for this process only, not for the client.
 INTERNAL_HEADERS = frozenset({"x-burdockhaven-instance-load"})
 
@@ -52,6 +93,9 @@
     load: TargetLoad | None
     # What the response says of the target itself.
     observation: TargetObservation
+    # Names in lower case of the headers that are neither decoded nor known to concern
+    # the client only.
+    unknown_headers: tuple[str, ...]
 
     @property
     def is_success(self) -> bool:
@@ -72,6 +116,13 @@
         is_event_stream=headers.get("Content-Type", "").startswith(EVENT_STREAM),
         load=_parse_load(headers.get(INSTANCE_LOAD, "")),
         observation=_read_observation(status, headers),
+        unknown_headers=tuple(
+            {
+                name.lower(): None
+                for name in headers
+                if name.lower() not in KNOWN_HEADERS
+            }
+        ),
     )
 
 
--- a/packages/burdockhaven-entry/tests/platform/test_headers.py
+++ b/packages/burdockhaven-entry/tests/platform/test_headers.py
@@ -132,6 +132,12 @@
     assert found == expected
 
 
+# Guards against a new signal of a target that passes through unread.
+def test_headers_that_are_neither_decoded_nor_listed_are_named():
+    received = headers(Server_Mood="1", Date="x", Server_Limit="1", Connection="close")
+    assert read_response_head(200, received).unknown_headers == ("server-mood",)
+
+
 def test_refusal_carries_retry_after_header():
     assert refusal_headers("a1", 0.5)["Retry-After"] == "0.50"
 
