Stand-ins of targets record what reaches them, pause and leave

Cause: the stand-ins counted executions only, so nothing could be said about when a request reached a target, how its run ended or which software version wrote an event. Change: each target keeps a list of the requests that it received with their times and ends; events name the software version, the target and the request; targets can be silent for a while, say in their responses that they leave, and be added and removed while the site runs; the store can be slow. The harness keeps the daemons' output in a file, can restart a daemon at its addresses, and its daemons end with their parent.

--- a/tools/burdockhaven_bench/platform_harness.py
+++ b/tools/burdockhaven_bench/platform_harness.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import itertools
 import json
 import os
@@ -34,8 +35,9 @@
 LISTENERS = ("front", "readiness", "control", "directory")
 # Header value: prompt and output tokens of each request.
 REQUEST_TOKENS = "100,20"
-# The same for streams that are interrupted.
-STREAM_TOKENS = "100,600"
+# Option of prctl(2): the signal that a process receives when its parent ends.
+PR_SET_PDEATHSIG = 1
+_libc = ctypes.CDLL(None)
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +48,18 @@
     process: asyncio.subprocess.Process
     # Address of each listener, by listener name.
     listen: dict[str, str]
+    # File that receives its standard output.
+    log_path: Path
+
+    @property
+    def ip(self) -> str:
+        """The loopback address of all listeners."""
+        return self.front.partition(":")[0]
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not ended yet."""
+        return self.process.returncode is None
 
     @property
     def front(self) -> str:
@@ -71,33 +85,45 @@
     client: aiohttp.ClientSession
     # Shared by all daemons, since each has its own loopback address.
     peer_port: int
+    # The last process started for each node.
     daemons: dict[str, Daemon] = field(default_factory=dict)
+    ip_numbers: "itertools.count[int]" = field(
+        default_factory=lambda: itertools.count(1)
+    )
     request_numbers: "itertools.count[int]" = field(
         default_factory=lambda: itertools.count(1)
     )
 
     @classmethod
     async def start(
-        cls, folder: Path, engine_versions: tuple[str, ...] = ("v1", "v1")
+        cls, folder: Path, site: PlatformSite | None = None
     ) -> "PlatformHarness":
-        """Start the platform with engines of these versions, without any daemon."""
-        site = PlatformSite(engine_versions)
+        """Start the platform without any daemon; `site` replaces the default site."""
+        site = site or PlatformSite()
         await site.start()
         return cls(folder, site, aiohttp.ClientSession(), _free_port())
 
     async def stop(self) -> None:
         """Kill the daemons that still run and stop the platform."""
         for daemon in self.daemons.values():
-            if daemon.process.returncode is None:
+            if daemon.is_running:
                 daemon.process.kill()
                 await daemon.process.wait()
         await self.client.close()
         await self.site.stop()
 
-    async def start_daemon(self, node: str) -> Daemon:
-        """Start another daemon, without waiting until it is ready."""
-        ip = f"127.0.0.{len(self.daemons) + 1}"
-        listen = {name: f"{ip}:{_free_port()}" for name in LISTENERS}
+    async def start_daemon(
+        self, node: str, predecessor: Daemon | None = None
+    ) -> Daemon:
+        """Start another daemon, without waiting until it is ready.
+
+        It takes over the addresses of its predecessor, which must have ended.
+        """
+        if predecessor is None:
+            ip = f"127.0.0.{next(self.ip_numbers)}"
+            listen = {name: f"{ip}:{_free_port()}" for name in LISTENERS}
+        else:
+            ip, listen = predecessor.ip, predecessor.listen
         settings = {
             "node": node,
             "ip": ip,
@@ -112,15 +138,18 @@
         path = self.folder / f"{node}.yaml"
         # The daemon reads YAML, of which JSON is a subset.
         path.write_text(json.dumps(settings))
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "burdockhaven_entry",
-            "--platform",
-            env=os.environ | {"BURDOCKHAVEN_SETTINGS": str(path)},
-            stdout=asyncio.subprocess.DEVNULL,
-        )
-        daemon = self.daemons[node] = Daemon(node, process, listen)
+        log_path = self.folder / f"{node}.log"
+        with log_path.open("ab") as log_file:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "burdockhaven_entry",
+                "--platform",
+                env=os.environ | {"BURDOCKHAVEN_SETTINGS": str(path)},
+                stdout=log_file,
+                preexec_fn=_end_with_parent,
+            )
+        daemon = self.daemons[node] = Daemon(node, process, listen, log_path)
         return daemon
 
     async def stop_daemon(self, node: str) -> int:
@@ -189,3 +218,8 @@
 
 def _free_port() -> int:
     return int(free_address().rpartition(":")[2])
+
+
+def _end_with_parent() -> None:
+    """Have the kernel kill this process when the process that started it ends."""
+    _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
--- /dev/null
+++ b/tools/burdockhaven_bench/soak/faults.py
@@ -0,0 +1,335 @@
+"""Applies the planned faults to the daemons, the store and the targets."""
+
+import asyncio
+import math
+import signal
+import time
+from collections import Counter
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+from burdockhaven_bench.platform_harness import Daemon, PlatformHarness
+from burdockhaven_bench.soak.history import (
+    Configuration,
+    Fault,
+    FaultKind,
+    Process,
+    Target,
+)
+from burdockhaven_bench.soak.plan import PlannedFault
+from burdockhaven_bench.soak.site import SoakSite, configuration_record, rotating_key
+from burdockhaven_standins.platform_targets import (
+    PlatformEngine,
+    RequestEnd,
+    TargetRecord,
+)
+
+# Seconds after which the platform kills a process that did not end after SIGTERM.
+GRACE_S = 8.0
+# Seconds between the starts of two processes that replace others in turn.
+TURN_PAUSE_S = 0.5
+# Seconds for which a target that left goes on with its requests.
+MAX_DRAIN_S = 12.0
+# Seconds for which a target goes on after its entry was removed.
+SERVE_AFTER_REMOVAL_S = 2.5
+# Processes of one run, daemons that are being replaced included.
+MAX_PROCESSES = 16
+POLL_INTERVAL_S = 0.05
+# Events after which a stream is broken off, at most.
+MAX_EVENTS_BEFORE_ABORT = 20
+
+
+@dataclass(slots=True)
+class RunningDaemon:
+    """A daemon process and what is known of it."""
+
+    name: str
+    daemon: Daemon
+    started_s: float
+    ended_s: float = math.inf
+    # Whether a fault acts on the process.
+    is_taken: bool = False
+
+    def record(self) -> Process:
+        """Describe the process for the oracle."""
+        code = self.daemon.process.returncode
+        return Process(self.name, self.started_s, self.ended_s, code)
+
+
+@dataclass(slots=True)
+class FaultDriver:
+    """Applies faults and records them."""
+
+    harness: PlatformHarness
+    site: SoakSite
+    report: Callable[[str], None]
+    faults: list[Fault] = field(default_factory=list)
+    configurations: list[Configuration] = field(default_factory=list)
+    processes: list[RunningDaemon] = field(default_factory=list)
+    # All targets ever, with the times at which they left and ended.
+    records: list[TargetRecord] = field(default_factory=list)
+    targets: dict[str, Target] = field(default_factory=dict)
+    # Faults of the store that are active, by kind.
+    store_faults: Counter[FaultKind] = field(default_factory=Counter)
+    # Record the ends of the processes.
+    watchers: set[asyncio.Task[None]] = field(default_factory=set)
+    # Processes that are stopping.
+    stops: set[asyncio.Task[None]] = field(default_factory=set)
+    version: int = 1
+
+    async def run(self, planned: tuple[PlannedFault, ...], start_s: float) -> None:
+        """Apply all faults at their times; returns when the last one has ended."""
+        async with asyncio.TaskGroup() as tasks:
+            for fault in planned:
+                await asyncio.sleep(max(0.0, start_s + fault.at_s - time.monotonic()))
+                tasks.create_task(self._apply(fault))
+        await asyncio.gather(*self.stops)
+
+    async def start_daemon(
+        self, predecessor: RunningDaemon | None = None
+    ) -> RunningDaemon:
+        """Start a daemon; a successor takes over the node name and the addresses."""
+        number = len(self.processes) + 1
+        node = f"d{number}" if predecessor is None else predecessor.daemon.node
+        started_s = time.monotonic()
+        daemon = await self.harness.start_daemon(
+            node, None if predecessor is None else predecessor.daemon
+        )
+        running = RunningDaemon(f"p{number}-{node}", daemon, started_s)
+        self.processes.append(running)
+        _keep(self.watchers, self._record_end(running))
+        return running
+
+    def add_target(self, record: TargetRecord) -> None:
+        """Record a target that exists from now on."""
+        self.records.append(record)
+        self.targets[record.id] = Target(
+            record.id, record.service, record.version, time.monotonic()
+        )
+
+    def publish(self, version: int) -> None:
+        """Write a configuration to the store."""
+        self.version = version
+        self.harness.site.store.put("op/config", self.site.configuration(version))
+        self.configurations.append(configuration_record(version, time.monotonic()))
+
+    def rotating_keys(self) -> tuple[str, str]:
+        """Return the newest key and the one before it."""
+        versions = [c.version for c in self.configurations]
+        return rotating_key(versions[-1]), rotating_key(
+            versions[max(-2, -len(versions))]
+        )
+
+    def process_at(self, address: str) -> str:
+        """Return the name of the newest process at an address; empty if none."""
+        names = [p.name for p in self.processes if p.daemon.front == address]
+        return names[-1] if names else ""
+
+    def serving(self) -> list[RunningDaemon]:
+        """Return the daemons that run and that no fault acts on."""
+        return [p for p in self.processes if p.daemon.is_running and not p.is_taken]
+
+    async def _record_end(self, running: RunningDaemon) -> None:
+        await running.daemon.process.wait()
+        running.ended_s = time.monotonic()
+
+    def _record(self, kind: FaultKind, subject: str, started_s: float) -> None:
+        self.faults.append(Fault(kind, subject, started_s, time.monotonic()))
+
+    async def _apply(self, fault: PlannedFault) -> None:
+        actions = {
+            FaultKind.STOP: self._replace,
+            FaultKind.HANGUP: self._hang_up,
+            FaultKind.FREEZE: self._freeze,
+            FaultKind.KILL: self._kill,
+            FaultKind.CONFIGURE: self._configure,
+            FaultKind.TARGET_SILENT: self._silence_target,
+            FaultKind.TARGET_ABORT: self._abort_stream,
+            FaultKind.TARGET_DRAIN: self._drain_target,
+            FaultKind.TARGET_LEAVE: self._drain_target,
+        }
+        self.report(f"{fault.kind.value} x{fault.count} for {fault.duration_s:.1f} s")
+        await actions.get(fault.kind, self._disrupt_store)(fault)
+
+    def _take_process(self, choice: float) -> RunningDaemon | None:
+        """Pick a process, unless it is the last one."""
+        serving = self.serving()
+        if len(serving) < 2:
+            return None
+        running = serving[int(choice * len(serving))]
+        running.is_taken = True
+        return running
+
+    async def _replace(self, fault: PlannedFault) -> None:
+        """Start the replacements, then stop the processes together or in turn."""
+        batches = [1] * fault.count if fault.in_turn else [fault.count]
+        for size in batches:
+            alive = sum(p.daemon.is_running for p in self.processes)
+            size = min(size, MAX_PROCESSES - alive)
+            leaving = [self._take_process(fault.choice) for _ in range(size)]
+            stopped = [running for running in leaving if running is not None]
+            new = [await self.start_daemon() for _ in stopped]
+            for running in new:
+                await self.wait_until_ready(running)
+            for running in stopped:
+                _keep(self.stops, self._stop(running))
+            await asyncio.sleep(TURN_PAUSE_S)
+
+    async def wait_until_ready(self, running: RunningDaemon) -> None:
+        """Wait until the look-ups of a daemon name the daemon itself."""
+
+        async def is_named() -> bool:
+            daemon = running.daemon
+            return daemon.front in await self.harness.look_up(daemon.node)
+
+        await self.harness.wait_until(is_named)
+
+    async def _stop(self, running: RunningDaemon) -> None:
+        """Send SIGTERM, and SIGKILL at the end of the grace period."""
+        process, started_s = running.daemon.process, time.monotonic()
+        process.send_signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(GRACE_S):
+                await process.wait()
+        except TimeoutError:
+            process.kill()
+            await process.wait()
+        self._record(FaultKind.STOP, running.name, started_s)
+
+    async def _hang_up(self, fault: PlannedFault) -> None:
+        serving = self.serving()
+        running = serving[int(fault.choice * len(serving))]
+        running.daemon.process.send_signal(signal.SIGHUP)
+        self._record(FaultKind.HANGUP, running.name, time.monotonic())
+
+    async def _freeze(self, fault: PlannedFault) -> None:
+        running = self._take_process(fault.choice)
+        if running is None:
+            return
+        started_s = time.monotonic()
+        running.daemon.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(fault.duration_s)
+        running.daemon.process.send_signal(signal.SIGCONT)
+        self._record(FaultKind.FREEZE, running.name, started_s)
+        running.is_taken = False
+
+    async def _kill(self, fault: PlannedFault) -> None:
+        running = self._take_process(fault.choice)
+        if running is None:
+            return
+        started_s = time.monotonic()
+        running.daemon.process.kill()
+        await running.daemon.process.wait()
+        await asyncio.sleep(fault.duration_s)
+        successor = await self.start_daemon(running)
+        await self.wait_until_ready(successor)
+        self._record(FaultKind.KILL, running.name, started_s)
+
+    async def _configure(self, fault: PlannedFault) -> None:
+        if not self.store_faults.total():
+            # Versions increase in uneven steps.
+            self.publish(self.version + 1 + int(fault.choice * 3))
+            self._record(FaultKind.CONFIGURE, str(self.version), time.monotonic())
+
+    async def _disrupt_store(self, fault: PlannedFault) -> None:
+        started_s = time.monotonic()
+        self.store_faults[fault.kind] += 1
+        self._set_store_faults()
+        await asyncio.sleep(fault.duration_s)
+        self.store_faults[fault.kind] -= 1
+        self._set_store_faults()
+        self._record(fault.kind, "store", started_s)
+
+    def _set_store_faults(self) -> None:
+        active = self.store_faults
+        faults = self.harness.site.store.faults
+        faults.down = active[FaultKind.STORE_DOWN] > 0
+        faults.delay_s = 0.5 * active[FaultKind.STORE_SLOW]
+        faults.drops_responses = active[FaultKind.STORE_DROPS_RESPONSES] > 0
+
+    async def _silence_target(self, fault: PlannedFault) -> None:
+        records = self.harness.site.records()
+        record = records[int(fault.choice * len(records))]
+        started_s = time.monotonic()
+        loop = asyncio.get_running_loop()
+        record.faults.silent_until_s = loop.time() + fault.duration_s
+        await asyncio.sleep(fault.duration_s)
+        self._record(FaultKind.TARGET_SILENT, record.id, started_s)
+
+    async def _abort_stream(self, fault: PlannedFault) -> None:
+        engines = self.harness.site.engines
+        record = engines[int(fault.choice * len(engines))].record
+        events = int(fault.choice * MAX_EVENTS_BEFORE_ABORT)
+        record.faults.abort_next_after_events = events
+        self._record(FaultKind.TARGET_ABORT, record.id, time.monotonic())
+
+    async def _drain_target(self, fault: PlannedFault) -> None:
+        """Start another engine, then have one leave, with or without an entry."""
+        site, started_s = self.harness.site, time.monotonic()
+        staying = [e for e in site.engines if not _is_leaving(e.record)]
+        engine = staying[int(fault.choice * len(staying))]
+        record = engine.record
+        # Marked at once, so that no other fault picks the same engine.
+        record.faults.says_leaving = fault.kind is FaultKind.TARGET_LEAVE
+        record.faults.draining = not record.faults.says_leaving
+        number = len(self.records)
+        successor = self.site.engine(f"i-llm-{number}", record.version, 1.2)
+        self.add_target(successor.record)
+        await site.add_engine(successor)
+        if record.faults.draining:
+            await self._wait_for_store()
+            site.register()
+            self._record_leaving(record)
+            await asyncio.sleep(fault.duration_s)
+            site.deregister_engine(engine)
+        else:
+            await asyncio.sleep(fault.duration_s)
+            await self._wait_for_store()
+            site.deregister_engine(engine)
+            self._record_leaving(record)
+            await asyncio.sleep(SERVE_AFTER_REMOVAL_S)
+        await self._end_target(engine)
+        self._record(fault.kind, record.id, started_s)
+
+    async def _wait_for_store(self) -> None:
+        while self.store_faults.total():  # noqa: ASYNC110
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+    def _record_leaving(self, record: TargetRecord) -> None:
+        target = self.targets[record.id]
+        self.targets[record.id] = Target(
+            target.id,
+            target.service,
+            target.version,
+            target.started_s,
+            draining_s=time.monotonic(),
+        )
+
+    async def _end_target(self, engine: PlatformEngine) -> None:
+        """Let the requests of a target end, then stop it."""
+        record = engine.record
+        end_s = time.monotonic() + MAX_DRAIN_S
+        while engine.engine.is_busy and time.monotonic() < end_s:
+            await asyncio.sleep(POLL_INTERVAL_S)
+        unfinished = [r for r in record.received if r.ended_s is None]
+        await self.harness.site.stop_engine(engine)
+        for received in unfinished:
+            received.end = RequestEnd.ABORTED
+        target = self.targets[record.id]
+        self.targets[record.id] = Target(
+            target.id,
+            target.service,
+            target.version,
+            target.started_s,
+            target.draining_s,
+            time.monotonic(),
+        )
+
+
+def _keep(tasks: set[asyncio.Task[None]], coroutine: Coroutine[Any, Any, None]) -> None:
+    tasks.add(asyncio.create_task(coroutine))
+
+
+def _is_leaving(record: TargetRecord) -> bool:
+    return record.faults.draining or record.faults.says_leaving
--- a/tools/burdockhaven_standins/platform_site.py
+++ b/tools/burdockhaven_standins/platform_site.py
@@ -74,36 +74,29 @@
 
 @dataclass(slots=True)
 class PlatformSite:
-    """The store and the targets, on loopback."""
+    """The store and the targets, on loopback.
+
+    Without any target given, it has one plain service and two engines.
+    """
 
-    # Software version of each engine.
-    engine_versions: tuple[str, ...] = ("v1", "v1")
     store: PlatformStoreStandin = field(default_factory=PlatformStoreStandin)
     services: list[PlatformService] = field(default_factory=list)
     engines: list[PlatformEngine] = field(default_factory=list)
     store_address: str = ""
     # Addresses of the targets, by target id.
     addresses: dict[str, str] = field(default_factory=dict)
-    runners: list[web.AppRunner] = field(default_factory=list)
+    runners: dict[str, web.AppRunner] = field(default_factory=dict)
     registration_task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Serve the store and all targets; publish version 1 and register targets."""
-        self.store_address = await self._serve(self.store.application())
-        plain = PlatformService(TargetRecord("i-app", PLAIN_SERVICE, 4), CALL_S)
-        self.services.append(plain)
-        self.addresses["i-app"] = await self._serve(plain.application())
-        config = StepEngineConfig()
-        for number, version in enumerate(self.engine_versions):
-            record = TargetRecord(
-                f"i-llm-{number}",
-                ENGINE_SERVICE,
-                config.slots,
-                software_version=version,
-            )
-            engine = PlatformEngine(record, config)
-            self.engines.append(engine)
-            self.addresses[record.id] = await self._serve(engine.application())
+        self.store_address = await self._serve("store", self.store.application())
+        if not self.services and not self.engines:
+            self._add_default_targets()
+        for service in self.services:
+            await self._serve_target(service)
+        for engine in self.engines:
+            await self._serve_target(engine)
         self.publish(1, ["k1"])
         self.register()
         self.registration_task = asyncio.create_task(self._register_periodically())
@@ -112,9 +105,24 @@
         """Stop all servers."""
         if self.registration_task is not None:
             self.registration_task.cancel()
-        for runner in self.runners:
+        for runner in self.runners.values():
             await runner.cleanup()
 
+    async def add_engine(self, engine: PlatformEngine) -> None:
+        """Start another engine and register it."""
+        await self._serve_target(engine)
+        self.engines.append(engine)
+        self.register()
+
+    def deregister_engine(self, engine: PlatformEngine) -> None:
+        """Remove the entry of an engine, which goes on serving."""
+        self.engines.remove(engine)
+        self.store.remove(f"servers/{engine.record.id}")
+
+    async def stop_engine(self, engine: PlatformEngine) -> None:
+        """Stop an engine that is no longer registered."""
+        await self.runners.pop(engine.record.id).cleanup()
+
     def publish(self, version: int, api_keys: list[str]) -> None:
         """Write a configuration to the store, as the operator does."""
         self.store.put("op/config", configuration(version, api_keys))
@@ -141,10 +149,22 @@
             await asyncio.sleep(REGISTRATION_INTERVAL_S)
             self.register()
 
-    async def _serve(self, app: web.Application) -> str:
+    def _add_default_targets(self) -> None:
+        plain = TargetRecord("i-app", PLAIN_SERVICE, 4)
+        self.services.append(PlatformService(plain, CALL_S))
+        config = StepEngineConfig()
+        for number in range(2):
+            record = TargetRecord(f"i-llm-{number}", ENGINE_SERVICE, config.slots)
+            self.engines.append(PlatformEngine(record, config))
+
+    async def _serve_target(self, target: PlatformService | PlatformEngine) -> None:
+        record = target.record
+        self.addresses[record.id] = await self._serve(record.id, target.application())
+
+    async def _serve(self, name: str, app: web.Application) -> str:
         runner = web.AppRunner(app, handler_cancellation=True, shutdown_timeout=0.1)
         await runner.setup()
         await web.TCPSite(runner, "127.0.0.1", 0).start()
-        self.runners.append(runner)
+        self.runners[name] = runner
         host, port = runner.addresses[0][:2]
         return f"{host}:{port}"
--- a/tools/burdockhaven_standins/platform_store.py
+++ b/tools/burdockhaven_standins/platform_store.py
@@ -40,6 +40,8 @@
     down: bool = False
     # Writes take effect, but the connection is aborted without a response.
     drops_responses: bool = False
+    # Seconds by which each response is delayed.
+    delay_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,6 +144,7 @@
         if self.faults.down:
             # A watch may have been waiting when the store went down.
             response = web.Response(status=503)
+        await asyncio.sleep(self.faults.delay_s)
         response.headers["Store-Era"] = str(self.era)
         if self.faults.drops_responses and request.method == "POST":
             assert request.transport is not None
--- a/tools/burdockhaven_standins/platform_targets.py
+++ b/tools/burdockhaven_standins/platform_targets.py
@@ -6,8 +6,12 @@
 """
 
 import asyncio
+import contextlib
+import enum
 import itertools
+import time
 from collections import Counter
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 import msgspec
@@ -22,8 +26,9 @@
 TOKEN_COUNTS = "X-Burdockhaven-Token-Counts"
 PROMPT_PREFIX = "X-Burdockhaven-Prompt-Prefix"
 LAST_EVENT_ID = "Last-Event-Id"
-LEAVING = "Server-Leaving"
-RETRY_AFTER = "Retry-After"
+TENANT = "X-Burdockhaven-Tenant"
+DEADLINE = "X-Burdockhaven-Deadline-Ms"
+SERVER_LEAVING = "Server-Leaving"
 # Maximum number of waiting requests per slot; further requests are rejected.
 MAX_QUEUED_PER_SLOT = 1
 HEALTH_PATH = "/healthz"
@@ -34,12 +39,12 @@
     """Faults that are active."""
 
     draining: bool = False
-    # The target says in all its responses that it leaves; its entry stays as it is.
-    leaving: bool = False
-    # Seconds that each refusal asks for; all requests are refused. None for no fault.
-    pause_s: float | None = None
+    # Responses say that the target leaves; its entry in the store does not change.
+    says_leaving: bool = False
     # Requests are accepted and never answered.
     silent: bool = False
+    # Event loop time in seconds until which nothing is sent; then the target continues.
+    silent_until_s: float = 0.0
     # Number of events after which the next stream is aborted, in the middle of the
     # following event; None for no fault. At a service, 0 aborts the next response.
     abort_next_after_events: int | None = None
@@ -51,22 +56,60 @@
             self.abort_next_after_events = None
         return is_due
 
+    async def wait_while_silent(self) -> None:
+        """Wait until the target may send again."""
+        if self.silent:
+            await asyncio.Event().wait()
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(max(0.0, self.silent_until_s - loop.time()))
+
+
+class RequestEnd(enum.Enum):
+    """How a target's work on a request ended."""
+
+    # Not executed.
+    REJECTED = "rejected"
+    COMPLETE = "complete"
+    # The target aborted the connection.
+    ABORTED = "aborted"
+    # The sender closed the connection.
+    DISCONNECTED = "disconnected"
+
+
+@dataclass(slots=True)
+class ReceivedRequest:
+    """A request that reached a target."""
+
+    attempt: str
+    # Milliseconds that the sender allows; None if it names no deadline.
+    deadline_ms: float | None
+    # The client account that the sender names; empty if none.
+    account: str
+    # Arrival and end of the work, in seconds of the monotonic clock.
+    arrived_s: float
+    ended_s: float | None = None
+    # None while the target works on the request.
+    end: RequestEnd | None = None
+
 
 @dataclass(slots=True)
 class TargetRecord:
-    """The identity of a target and the runs that it has executed."""
+    """The identity of a target and the requests that it has received."""
 
     id: str
     service: str
     slots: int
     zone: str = "a"
-    software_version: str = "v1"
+    # Version of the target's software.
+    version: str = "1"
     seq: int = 0
     # Requests that have reached the target, executed or not.
     arrivals: int = 0
     # Executions by request id.
     runs: Counter[str] = field(default_factory=Counter)
     faults: TargetFaults = field(default_factory=TargetFaults)
+    # All requests in order of arrival, rejected ones included.
+    received: list[ReceivedRequest] = field(default_factory=list)
 
     def store_entry(self, address: str) -> bytes:
         """Encode the entry that the target writes to the store."""
@@ -75,7 +118,7 @@
             "service": self.service,
             "address": address,
             "zone": self.zone,
-            "version": self.software_version,
+            "version": self.version,
             "slots": self.slots,
             "state": "draining" if self.faults.draining else "ready",
             "cold_left_ms": 0,
@@ -89,23 +132,32 @@
         self.arrivals += 1
         attempt = request.headers.get(ATTEMPT)
         if attempt is None:
-            return self._reject(400, "")
+            return web.Response(status=400, headers={NOT_EXECUTED: "1"})
         expected_id = request.headers.get(EXPECT_INSTANCE, self.id)
         if expected_id != self.id:
-            return self._reject(421, attempt)
-        if (
-            self.faults.pause_s is not None
-            or waiting >= MAX_QUEUED_PER_SLOT * self.slots
-        ):
-            return self.overload_rejection(attempt)
+            return self._reject(421, request)
+        if waiting >= MAX_QUEUED_PER_SLOT * self.slots:
+            return self.overload_rejection(request)
         return None
 
+    @contextlib.contextmanager
+    def execution(self, request: web.Request) -> Iterator[ReceivedRequest]:
+        """Record an execution for as long as the context lasts."""
+        received = self._receive(request)
+        self.runs[received.attempt] += 1
+        try:
+            yield received
+        except (asyncio.CancelledError, ConnectionError):
+            received.end = RequestEnd.DISCONNECTED
+            raise
+        finally:
+            received.ended_s = time.monotonic()
+            received.end = received.end or RequestEnd.COMPLETE
+
     def headers(self, attempt: str) -> dict[str, str]:
         """Return the headers of the response to an executed request."""
         headers = {ATTEMPT: attempt, SIGNATURE: f"{self.id}.{self.seq}"}
-        if self.faults.draining:
-            headers["Connection"] = "close"
-        return headers | self._signals()
+        return headers | self._leaving_headers()
 
     def health_response(self) -> web.Response:
         """Return the response to a health check."""
@@ -113,18 +165,32 @@
         headers = {"X-Burdockhaven-Instance-Id": self.id} | self._signals()
         return web.Response(status=status, headers=headers)
 
-    def overload_rejection(self, attempt: str) -> web.Response:
+    def overload_rejection(self, request: web.Request) -> web.Response:
         """Return the rejection of a request that exceeds the capacity."""
-        return self._reject(503, attempt)
+        return self._reject(503, request)
+
+    def _receive(self, request: web.Request) -> ReceivedRequest:
+        headers = request.headers
+        deadline_ms = headers.get(DEADLINE)
+        received = ReceivedRequest(
+            headers[ATTEMPT],
+            None if deadline_ms is None else float(deadline_ms),
+            headers.get(TENANT, ""),
+            time.monotonic(),
+        )
+        self.received.append(received)
+        return received
 
-    def _signals(self) -> dict[str, str]:
-        return {LEAVING: "1"} if self.faults.leaving else {}
+    def _reject(self, status: int, request: web.Request) -> web.Response:
+        received = self._receive(request)
+        received.ended_s, received.end = received.arrived_s, RequestEnd.REJECTED
+        headers = {ATTEMPT: received.attempt, NOT_EXECUTED: "1"}
+        return web.Response(status=status, headers=headers | self._leaving_headers())
 
-    def _reject(self, status: int, attempt: str) -> web.Response:
-        headers = {ATTEMPT: attempt, NOT_EXECUTED: "1"} | self._signals()
-        if status == 503 and self.faults.pause_s is not None:
-            headers[RETRY_AFTER] = f"{self.faults.pause_s:g}"
-        return web.Response(status=status, headers=headers)
+    def _leaving_headers(self) -> dict[str, str]:
+        if self.faults.draining or self.faults.says_leaving:
+            return {"Connection": "close", SERVER_LEAVING: "1"}
+        return {}
 
 
 class PlatformService:
@@ -150,17 +216,30 @@
         rejection = self.record.rejection(request, self.waiting)
         if rejection is not None:
             return rejection
+        await self._wait_for_slot()
+        try:
+            with self.record.execution(request) as received:
+                return await self._execute(request, received)
+        finally:
+            self.free_slots.release()
+
+    async def _wait_for_slot(self) -> None:
         self.waiting += 1
-        async with self.free_slots:
+        try:
+            await self.free_slots.acquire()
+        finally:
             self.waiting -= 1
-            self.record.runs[request.headers[ATTEMPT]] += 1
-            await asyncio.sleep(self.call_s)
-        if self.record.faults.silent:
-            await asyncio.Event().wait()
+
+    async def _execute(
+        self, request: web.Request, received: ReceivedRequest
+    ) -> web.Response:
+        await asyncio.sleep(self.call_s)
+        await self.record.faults.wait_while_silent()
         if self.record.faults.consume_abort(0):
             assert request.transport is not None
             request.transport.abort()
-        headers = self.record.headers(request.headers[ATTEMPT])
+            received.end = RequestEnd.ABORTED
+        headers = self.record.headers(received.attempt)
         return web.Response(body=b"done", headers=headers)
 
 
@@ -224,42 +303,42 @@
         if rejection is not None:
             return rejection
         await request.read()
-        attempt = request.headers[ATTEMPT]
         run = self._parse_run(request)
         if not self.engine.fits(run):
-            return self.record.overload_rejection(attempt)
-        self.record.runs[attempt] += 1
-        self.streams[run.run_id] = asyncio.Queue()
-        self.engine.submit(run, asyncio.get_running_loop().time())
-        self.work_available.set()
-        response = web.StreamResponse(headers=self.record.headers(attempt))
-        response.content_type = "text/event-stream"
-        try:
-            return await self._send_events(request, response, run)
-        finally:
-            self.engine.cancel(run.run_id)
-            del self.streams[run.run_id]
+            return self.record.overload_rejection(request)
+        with self.record.execution(request) as received:
+            self.streams[run.run_id] = asyncio.Queue()
+            self.engine.submit(run, asyncio.get_running_loop().time())
+            self.work_available.set()
+            try:
+                return await self._send_events(request, received, run)
+            finally:
+                self.engine.cancel(run.run_id)
+                del self.streams[run.run_id]
 
     async def _send_events(
-        self, request: web.Request, response: web.StreamResponse, run: StepRun
+        self, request: web.Request, received: ReceivedRequest, run: StepRun
     ) -> web.StreamResponse:
-        faults = self.record.faults
+        record, faults = self.record, self.record.faults
+        response = web.StreamResponse(headers=record.headers(received.attempt))
+        response.content_type = "text/event-stream"
         event_id = int(request.headers.get(LAST_EVENT_ID, "0"))
         sent_events = 0
         is_complete = False
         while not is_complete:
             is_complete = await self.streams[run.run_id].get()
-            if faults.silent:
-                await asyncio.Event().wait()
+            await faults.wait_while_silent()
             if not response.prepared:
                 await response.prepare(request)
             if faults.consume_abort(sent_events):
                 await response.write(b"id: ")
                 assert request.transport is not None
                 request.transport.abort()
+                received.end = RequestEnd.ABORTED
                 return response
             event_id, sent_events = event_id + 1, sent_events + 1
-            await response.write(b"id: %d\ndata: e%d\n\n" % (event_id, event_id))
+            data = f"e{event_id} {record.version} {record.id} {received.attempt}"
+            await response.write(f"id: {event_id}\ndata: {data}\n\n".encode())
         return response
 
     def _parse_run(self, request: web.Request) -> StepRun:
