--- a/tools/burdockhaven_bench/soak/__main__.py
+++ b/tools/burdockhaven_bench/soak/__main__.py
@@ -73,7 +73,7 @@
     parser.add_argument(
         "--daemons", type=int, default=3, choices=range(2, MAX_DAEMONS + 1)
     )
-    parser.add_argument("--clients", type=int, default=16)
+    parser.add_argument("--clients", type=int, default=32)
     parser.add_argument(
         "--without",
         action="append",
--- a/tools/burdockhaven_bench/soak/client.py
+++ b/tools/burdockhaven_bench/soak/client.py
@@ -3,7 +3,9 @@
 import asyncio
 import itertools
 import time
+from collections.abc import Coroutine
 from dataclasses import dataclass, field
+from typing import Any
 
 from burdockhaven_bench.soak.history import Attempt, Ending, Event
 from burdockhaven_entry.gateway.event_splitter import EventSplitter, StreamEvent
@@ -227,9 +229,7 @@
     async def _read_until(self, separator: bytes) -> bytes:
         return await self._with_gap_timeout(self.reader.readuntil(separator))
 
-    async def _with_gap_timeout(
-        self, reading: "asyncio._CoroutineLike[bytes]"
-    ) -> bytes:
+    async def _with_gap_timeout(self, reading: Coroutine[Any, Any, bytes]) -> bytes:
         try:
             async with asyncio.timeout(GAP_TIMEOUT_S) as gap:
                 return await reading
--- a/tools/burdockhaven_bench/soak/faults.py
+++ b/tools/burdockhaven_bench/soak/faults.py
@@ -310,7 +310,7 @@
         """Let the requests of a target end, then stop it."""
         record = engine.record
         end_s = time.monotonic() + MAX_DRAIN_S
-        while engine.engine.is_busy and time.monotonic() < end_s:
+        while engine.engine.is_busy and time.monotonic() < end_s:  # noqa: ASYNC110
             await asyncio.sleep(POLL_INTERVAL_S)
         unfinished = [r for r in record.received if r.ended_s is None]
         await self.harness.site.stop_engine(engine)
--- a/tools/burdockhaven_bench/soak/oracle.py
+++ b/tools/burdockhaven_bench/soak/oracle.py
@@ -185,7 +185,7 @@
 
 
 def lost_on_kept_connection(history: History) -> Verdict:
-    """Kept connections closed by an undisturbed process after it passed a request on."""
+    """Kept connections closed after a request was passed on, without any fault."""
     executions = history.executions_by_attempt()
     cases = []
     for attempt in _cut_attempts(history):
@@ -399,25 +399,28 @@
         if attempt is None or target is None or attempt.sent_s is None:
             continue
         is_late = attempt.sent_s > target.draining_s + DRAIN_S
-        if is_late and _was_store_stable(history, target.draining_s):
-            if _is_in_touch(history, attempt.process, attempt.sent_s, run.arrived_s):
-                late_s = attempt.sent_s - target.draining_s
-                detail = f"sent {late_s:.2f} s after {target.id} was draining"
-                cases.append(_case(attempt, [run], detail))
+        if (
+            is_late
+            and _was_store_stable(history, target.draining_s)
+            and _is_in_touch(history, attempt.process, attempt.sent_s, run.arrived_s)
+        ):
+            late_s = attempt.sent_s - target.draining_s
+            detail = f"sent {late_s:.2f} s after {target.id} was draining"
+            cases.append(_case(attempt, [run], detail))
     return Verdict(Rule.DRAIN, "store", tuple(cases))
 
 
 def target_that_said_it_leaves(history: History) -> Verdict:
     """Requests to a target whose leaving the same process had passed on long before."""
     told: dict[tuple[str, str], float] = {}
-    for attempt in history.attempts:
-        if attempt.header(SERVER_LEAVING) == "1":
-            key = (attempt.process, _signer(attempt))
-            told[key] = min(told.get(key, math.inf), attempt.ended_s)
-    attempts = {attempt.id: attempt for attempt in history.attempts}
+    for response in history.attempts:
+        if response.header(SERVER_LEAVING) == "1":
+            key = (response.process, _signer(response))
+            told[key] = min(told.get(key, math.inf), response.ended_s)
+    by_id = {attempt.id: attempt for attempt in history.attempts}
     cases = []
     for run in history.executions:
-        attempt = attempts.get(run.attempt)
+        attempt = by_id.get(run.attempt)
         if attempt is None or attempt.sent_s is None:
             continue
         told_s = told.get((attempt.process, run.target), math.inf)
--- a/tools/burdockhaven_bench/soak/plan.py
+++ b/tools/burdockhaven_bench/soak/plan.py
@@ -1,4 +1,4 @@
-"""Seeded plan of a run: faults in overlapping series, and the traffic of each client."""
+"""Seeded plan of a run: faults in overlapping series."""
 
 import random
 from dataclasses import dataclass
