Tests of the soak's oracle: each rule finds its fault and keeps its excuses

Cause: an oracle that reports nothing shows nothing unless it is known to find faults. Change: a hand-made history for each fault and each excuse, as tables.

--- a/tools/burdockhaven_bench/soak/faults.py
+++ b/tools/burdockhaven_bench/soak/faults.py
@@ -98,6 +98,7 @@
         )
         running = RunningDaemon(f"p{number}-{node}", daemon, started_s)
         self.processes.append(running)
+        self.report(f"started {running.name} as process {daemon.process.pid}")
         _keep(self.watchers, self._record_end(running))
         return running
 
--- a/tools/burdockhaven_bench/soak/traffic.py
+++ b/tools/burdockhaven_bench/soak/traffic.py
@@ -23,6 +23,7 @@
 WITH_DEADLINE = 0.5
 ROTATING_KEY = 0.12
 REMOVED_KEY = 0.03
+WITHOUT_PAUSE = 0.5
 # Longest pause in seconds between two exchanges of a client.
 MAX_PAUSE_S = 0.2
 MAX_HALF_PAUSE_S = 0.6
@@ -77,7 +78,8 @@
     async def send_next(self) -> None:
         """Pause, then send one or two requests and retry what may be retried."""
         rng = self.rng
-        unrequested = await self._pause(rng.random() * MAX_PAUSE_S, rng.random() < 0.5)
+        pause_s = rng.random() * MAX_PAUSE_S if rng.random() >= WITHOUT_PAUSE else 0.0
+        unrequested = await self._pause(pause_s, rng.random() < 0.5)
         requests = [self._draw_request()]
         if rng.random() < PIPELINED:
             requests = [replace(requests[0], leave_after_s=None), self._draw_request()]
@@ -92,10 +94,11 @@
 
     async def _pause(self, duration_s: float, is_watching: bool) -> bytes:
         """Pause; half of the clients notice that their connection closes."""
-        if self.connection is None or not self.connection.is_usable or not is_watching:
+        connection = self.connection
+        if connection is None or not connection.is_usable or not is_watching:
             await asyncio.sleep(duration_s)
             return b""
-        return await self.connection.idle(duration_s)
+        return await connection.idle(duration_s)
 
     async def _connect(
         self, is_fresh: bool, avoid: str = ""
--- /dev/null
+++ b/tools/tests/test_soak_oracle.py
@@ -0,0 +1,486 @@
+"""Each check of the soak's oracle finds its fault and keeps each excuse."""
+
+import math
+from dataclasses import replace
+
+import pytest
+
+from burdockhaven_bench.soak import oracle
+from burdockhaven_bench.soak.history import (
+    Attempt,
+    Configuration,
+    Ending,
+    Event,
+    Execution,
+    Fault,
+    FaultKind,
+    History,
+    Process,
+    RouteFacts,
+    Target,
+)
+from burdockhaven_standins.platform_targets import RequestEnd
+
+ROUTES = {
+    "plain": RouteFacts(False, False, timeout_s=5.0, max_attempts=1),
+    "safe": RouteFacts(True, False, timeout_s=5.0, max_attempts=2),
+    "stream": RouteFacts(True, True, timeout_s=15.0, max_attempts=2),
+}
+KEY = "stable"
+# Time of the fault that a history is about, in seconds.
+AT_S = 100.0
+STOP = Fault(FaultKind.STOP, "p1", AT_S, AT_S + 8)
+HANGUP = Fault(FaultKind.HANGUP, "p1", AT_S, AT_S)
+ANSWER = (
+    ("x-burdockhaven-attempt-id", "a1"),
+    ("x-burdockhaven-response-signature", "t1.1"),
+)
+FIRST = Configuration(1, 0.0, frozenset({KEY, "old"}), dict.fromkeys(ROUTES, "app"))
+SECOND = Configuration(
+    2, AT_S, frozenset({KEY, "new"}), dict.fromkeys(ROUTES, "app") | {"safe": "other"}
+)
+
+
+def attempt(**changes):
+    """A plain request that was answered whole."""
+    default = Attempt(
+        id="a1",
+        request=1,
+        route="plain",
+        api_key=KEY,
+        process="p1",
+        connection=1,
+        position=1,
+        sent_s=AT_S + 1,
+        ended_s=AT_S + 1.1,
+        ending=Ending.COMPLETE,
+        status=200,
+        headers=ANSWER,
+        body=b"done",
+    )
+    return replace(default, **changes)
+
+
+def cut(**changes):
+    """A stream that was cut four seconds after it was sent."""
+    default = {
+        "route": "stream",
+        "ended_s": AT_S + 5,
+        "ending": Ending.CLOSED,
+        "body": b"",
+    }
+    return attempt(**(default | changes))
+
+
+def run(**changes):
+    """A run that lasted for as long as the cut stream."""
+    default = Execution(
+        "a1", "t1", "app", "", None, AT_S + 1, AT_S + 5, RequestEnd.DISCONNECTED
+    )
+    return replace(default, **changes)
+
+
+def stream(versions, numbers=None, **changes):
+    """A stream with events of these versions."""
+    numbers = numbers or range(1, len(versions) + 1)
+    events = tuple(
+        Event(number, version, "t1", changes.get("id", "a1"))
+        for number, version in zip(numbers, versions, strict=True)
+    )
+    default = {"route": "stream", "body": b"", "events": events}
+    return attempt(**(default | changes))
+
+
+def history(attempts, executions=(), faults=(), **changes):
+    default = {
+        "configurations": (FIRST,),
+        "processes": (Process("p1", 0.0, math.inf, None),),
+        "targets": (Target("t1", "app", "1", 0.0),),
+    }
+    return History(
+        ROUTES, tuple(attempts), tuple(executions), tuple(faults), **default | changes
+    )
+
+
+def unplanned(kind, subject="p2", at_s=AT_S + 2):
+    return Fault(kind, subject, at_s, at_s + 0.5)
+
+
+# Cuts around a SIGTERM: the attempt, its runs, other faults, and the number of cases.
+STOP_HISTORIES = {
+    "passed on": (cut(), [run()], [], 1),
+    "late, never passed on": (cut(), [], [], 1),
+    "within the slack, passed on": (cut(ended_s=AT_S + 1.1), [run()], [], 1),
+    "within the slack, not passed on": (cut(ended_s=AT_S + 1.1), [], [], 0),
+    "answered": (attempt(), [run()], [], 0),
+    "client left": (cut(ending=Ending.LEFT), [run()], [], 0),
+    "not sent whole": (cut(ending=Ending.UNSENT, sent_s=None), [], [], 0),
+    "target broke off": (cut(), [run(end=RequestEnd.ABORTED)], [], 0),
+    "timeout of the route": (
+        cut(sent_s=AT_S - 10, ended_s=AT_S + 5.01),
+        [run()],
+        [],
+        0,
+    ),
+    "deadline of the client": (cut(deadline_s=3.9), [run()], [], 0),
+    "deadline in the future": (cut(deadline_s=4.1), [run()], [], 1),
+    "at work at the end of the grace": (
+        cut(ended_s=AT_S + 7.7),
+        [run(ended_s=AT_S + 7.7)],
+        [],
+        0,
+    ),
+    "not at work at the end of the grace": (
+        cut(ended_s=AT_S + 7.7),
+        [run(ended_s=AT_S + 6.5)],
+        [],
+        1,
+    ),
+    "at work at the end, sent late": (
+        cut(sent_s=AT_S + 3.1, ended_s=AT_S + 7.7),
+        [run(ended_s=AT_S + 7.7)],
+        [],
+        1,
+    ),
+    "pipelined behind a close": (cut(is_behind_close=True), [], [], 0),
+    "pipelined behind a close, passed on": (cut(is_behind_close=True), [run()], [], 1),
+    "process killed": (cut(), [run()], [unplanned(FaultKind.KILL)], 0),
+    "process frozen long before": (
+        cut(),
+        [run()],
+        [unplanned(FaultKind.FREEZE, at_s=AT_S - 3)],
+        1,
+    ),
+    "store down, stream": (cut(), [run()], [unplanned(FaultKind.STORE_DOWN)], 0),
+    "store down, plain": (
+        cut(route="plain"),
+        [run()],
+        [unplanned(FaultKind.STORE_DOWN)],
+        1,
+    ),
+    "target silent": (cut(), [run()], [unplanned(FaultKind.TARGET_SILENT, "t1")], 1),
+    "after the grace": (cut(ended_s=AT_S + 9.1), [run()], [], 0),
+    "at another process": (cut(process="p2"), [run()], [], 0),
+}
+
+
+@pytest.mark.parametrize("name", STOP_HISTORIES)
+def test_lost_around_stop(name):
+    found, runs, faults, cases = STOP_HISTORIES[name]
+    verdict = oracle.lost_around_stop(history([found], runs, [STOP, *faults]))
+    assert len(verdict.cases) == cases
+    assert verdict.is_broken == (cases > 0)
+
+
+@pytest.mark.parametrize(
+    ("sent_s", "faults", "cases"),
+    [(1.9, [], 1), (2.1, [], 0), (-5.0, [], 1), (1.9, [STOP], 0)],
+    ids=["sent before", "sent later", "sent long before", "stopped too"],
+)
+def test_lost_around_hangup(sent_s, faults, cases):
+    found = cut(sent_s=AT_S + sent_s)
+    verdict = oracle.lost_around_hangup(history([found], [run()], [HANGUP, *faults]))
+    assert len(verdict.cases) == cases
+
+
+@pytest.mark.parametrize(
+    ("beside", "elsewhere", "changes", "cases"),
+    [
+        (4, 0, {}, 4),
+        (4, 1, {}, 4),
+        (4, 2, {}, 0),
+        (4, 0, {"deadline_s": 5.0}, 0),
+    ],
+    ids=["only beside", "over three times", "as often", "most of its time is used"],
+)
+def test_lost_beside_configuration(beside, elsewhere, changes, cases):
+    times = [AT_S + 2.5] * beside + [AT_S + 50] * elsewhere
+    others = [attempt(ended_s=AT_S + 2), attempt(ended_s=AT_S + 50)] * 10
+    cuts = [cut(sent_s=at_s - 4, ended_s=at_s, **changes) for at_s in times]
+    seen = history([*cuts, *others], [run()], configurations=(FIRST, SECOND))
+    assert len(oracle.lost_beside_configuration(seen).cases) == cases
+
+
+@pytest.mark.parametrize(
+    ("changes", "end", "faults", "is_broken"),
+    [
+        ({}, RequestEnd.DISCONNECTED, [], True),
+        ({"position": 0}, RequestEnd.DISCONNECTED, [], False),
+        ({"status": 200}, RequestEnd.DISCONNECTED, [], False),
+        ({}, RequestEnd.ABORTED, [], False),
+        ({}, RequestEnd.REJECTED, [], False),
+        ({}, RequestEnd.DISCONNECTED, [unplanned(FaultKind.KILL, "p1")], False),
+        ({}, RequestEnd.DISCONNECTED, [unplanned(FaultKind.KILL, "p2")], True),
+    ],
+)
+def test_lost_on_kept_connection(changes, end, faults, is_broken):
+    found = [cut(**({"status": None} | changes))] * 4
+    seen = history(found, [run(end=end)], faults)
+    assert oracle.lost_on_kept_connection(seen).is_broken == is_broken
+    # Up to three such cuts are allowed.
+    assert not oracle.lost_on_kept_connection(
+        history(found[:3], [run(end=end)], faults)
+    ).is_broken
+
+
+@pytest.mark.parametrize(
+    ("resumed", "going_on", "targets", "is_broken"),
+    [(12, 5, 2, True), (12, 6, 2, False), (11, 0, 2, False), (12, 0, 1, False)],
+    ids=["too few go on", "half go on", "few resumed", "one target of the version"],
+)
+def test_lost_resumptions(resumed, going_on, targets, is_broken):
+    first = stream("11", id="first", ending=Ending.CLOSED)
+    again = [
+        stream("1", [3], id=f"a{number}", resumes="first", last_event=2)
+        for number in range(resumed)
+    ]
+    again[going_on:] = [replace(a, status=503, events=()) for a in again[going_on:]]
+    serving = tuple(Target(f"t{n}", "llm", "1", 0.0) for n in range(targets))
+    seen = history([first, *again], targets=serving)
+    assert oracle.lost_resumptions(seen).is_broken == is_broken
+
+
+SECOND_RUN = run(target="t2")
+REJECTED = run(target="t2", end=RequestEnd.REJECTED)
+ABORTED = run(target="t3", end=RequestEnd.ABORTED)
+MANY = [attempt(id=f"m{number}", status=404) for number in range(11)]
+ARRIVALS = [run(arrived_s=AT_S + 5.6)] * 4
+LEFT = cut(ending=Ending.LEFT)
+SAID = (*ANSWER, ("server-leaving", "1"))
+TOLD = attempt(id="told", headers=SAID, ended_s=AT_S - 3)
+DRAINING = (Target("t1", "app", "1", 0.0, draining_s=AT_S - 2),)
+ENDED = (Process("p1", 0.0, AT_S + 8, 0),)
+FAILED = (Process("p1", 0.0, AT_S + 8, 1),)
+MIXED_STREAMS = [stream("12", id=f"m{n}", request=n) for n in range(3)]
+# Name of the check, the history, and whether the check reports it.
+CASES = {
+    "twice": ("run_twice", history([attempt()], [run(), SECOND_RUN]), True),
+    "twice, rejected once": (
+        "run_twice",
+        history([attempt()], [run(), REJECTED]),
+        False,
+    ),
+    "twice, idempotent": (
+        "run_twice",
+        history([attempt(route="safe")], [run(), SECOND_RUN]),
+        False,
+    ),
+    "refused": ("refused_and_run", history([attempt(status=503)], [run()]), True),
+    "refused truly": (
+        "refused_and_run",
+        history([attempt(status=503)], [REJECTED]),
+        False,
+    ),
+    "failed": ("refused_and_run", history([attempt(status=502)], [run()]), False),
+    "unasked": ("unasked_runs", history([], [run()]), True),
+    "asked": ("unasked_runs", history([attempt()], [run()]), False),
+    "answered": ("mixed_responses", history([attempt()], [run()]), False),
+    "no signature": (
+        "mixed_responses",
+        history([attempt(headers=ANSWER[:1])], [run()]),
+        True,
+    ),
+    "signature of another target": (
+        "mixed_responses",
+        history([attempt()], [run(target="t2")]),
+        True,
+    ),
+    "another answer": ("mixed_responses", history([attempt(id="a2")], [run()]), True),
+    "another body": ("mixed_responses", history([attempt(body=b"do")], [run()]), True),
+    "ends within an event": (
+        "mixed_responses",
+        history([stream("1", body=b"id: 2")], [run()]),
+        True,
+    ),
+    "cut body": ("mixed_responses", history([cut(body=b"do")], [run()]), False),
+    "bytes without a request": (
+        "mixed_responses",
+        history([attempt(unrequested_bytes=b"x")], [run()]),
+        True,
+    ),
+    "event of another request": (
+        "mixed_responses",
+        history([replace(stream("1"), events=(Event(1, "1", "t1", "a2"),))], [run()]),
+        True,
+    ),
+    "whole stream": (
+        "pieces_out_of_order",
+        history([stream("111", expected_events=3)]),
+        False,
+    ),
+    "resumed stream": (
+        "pieces_out_of_order",
+        history([stream("11", [3, 4], last_event=2, expected_events=4)]),
+        False,
+    ),
+    "missing event": ("pieces_out_of_order", history([stream("11", [1, 3])]), True),
+    "event twice": ("pieces_out_of_order", history([stream("11", [1, 1])]), True),
+    "resumed at the wrong event": (
+        "pieces_out_of_order",
+        history([stream("1", [1], last_event=2)]),
+        True,
+    ),
+    "ends too early": (
+        "pieces_out_of_order",
+        history([stream("11", expected_events=3)]),
+        True,
+    ),
+    "cut before its end": (
+        "pieces_out_of_order",
+        history([stream("11", expected_events=3, ending=Ending.CLOSED)]),
+        False,
+    ),
+    "versions in one answer": ("mixed_versions", history(MIXED_STREAMS), True),
+    "two such streams": ("mixed_versions", history(MIXED_STREAMS[:2]), False),
+    "versions over tries": (
+        "mixed_versions",
+        history(
+            stream(version, id=f"{version}-{n}", request=n, resumes=resumes)
+            for n in range(3)
+            for version, resumes in (("1", ""), ("2", "1"))
+        ),
+        True,
+    ),
+    "stream that starts anew": (
+        "mixed_versions",
+        history(
+            stream(version, id=f"{version}-{n}", request=n)
+            for n in range(3)
+            for version in "12"
+        ),
+        False,
+    ),
+    "denied": ("denied", history(MANY), True),
+    "denied ten times": ("denied", history(MANY[:10]), False),
+    "removed key denied": (
+        "denied",
+        history([replace(a, api_key="gone") for a in MANY]),
+        False,
+    ),
+    "arrivals after leaving": (
+        "arrivals_after_leaving",
+        history([LEFT], ARRIVALS),
+        True,
+    ),
+    "three arrivals": ("arrivals_after_leaving", history([LEFT], ARRIVALS[1:]), False),
+    "arrivals, process stopped": (
+        "arrivals_after_leaving",
+        history([LEFT], ARRIVALS, [STOP]),
+        False,
+    ),
+    "at work after leaving": (
+        "at_work_after_leaving",
+        history([LEFT], [run(ended_s=AT_S + 5.6)]),
+        True,
+    ),
+    "ended after leaving": (
+        "at_work_after_leaving",
+        history([LEFT], [run(ended_s=AT_S + 5.4)]),
+        False,
+    ),
+    "drained": (
+        "drained_target",
+        history([attempt(sent_s=AT_S + 0.1)], [run()], targets=DRAINING),
+        True,
+    ),
+    "drained a moment ago": (
+        "drained_target",
+        history([attempt(sent_s=AT_S - 0.1)], [run()], targets=DRAINING),
+        False,
+    ),
+    "drained, store down": (
+        "drained_target",
+        history(
+            [attempt(sent_s=AT_S + 0.1)],
+            [run()],
+            [unplanned(FaultKind.STORE_DOWN, "store", AT_S - 3)],
+            targets=DRAINING,
+        ),
+        False,
+    ),
+    "said that it leaves": (
+        "target_that_said_it_leaves",
+        history([TOLD, attempt()], [run()]),
+        True,
+    ),
+    "said that it leaves, frozen since": (
+        "target_that_said_it_leaves",
+        history([TOLD, attempt()], [run()], [unplanned(FaultKind.FREEZE, "p1", AT_S)]),
+        False,
+    ),
+    "said so through another process": (
+        "target_that_said_it_leaves",
+        history([replace(TOLD, process="p2"), attempt()], [run()]),
+        False,
+    ),
+    "too many runs": (
+        "over_max_attempts",
+        history([attempt(route="safe")] * 4, [run(), SECOND_RUN, run(target="t3")]),
+        True,
+    ),
+    "one target broke off": (
+        "over_max_attempts",
+        history([attempt(route="safe")] * 4, [run(), SECOND_RUN, ABORTED]),
+        False,
+    ),
+    "stopped": ("process_ends", history([], [], [STOP], processes=ENDED), False),
+    "stopped with an error": (
+        "process_ends",
+        history([], [], [STOP], processes=FAILED),
+        True,
+    ),
+    "ended by itself": ("process_ends", history([], processes=ENDED), True),
+    "killed": (
+        "process_ends",
+        history([], [], [unplanned(FaultKind.KILL, "p1")], processes=FAILED),
+        False,
+    ),
+}
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_check(name):
+    check, seen, is_broken = CASES[name]
+    assert getattr(oracle, check)(seen).is_broken == is_broken
+
+
+# Time of sending after the second configuration, the request, and the detail.
+CONFIGURATION_CASES = {
+    "old key runs": (2.1, {"api_key": "old"}, "app", "ran with old key"),
+    "old key runs early": (1.9, {"api_key": "old"}, "app", ""),
+    "new key refused": (2.1, {"api_key": "new", "status": 401}, None, "answered 401"),
+    "new key refused early": (1.9, {"api_key": "new", "status": 401}, None, ""),
+    "old key refused": (2.1, {"api_key": "old", "status": 401}, None, ""),
+    "old service": (2.1, {"route": "safe"}, "app", "ran at the old service"),
+    "old service early": (1.9, {"route": "safe"}, "app", ""),
+    "new service": (2.1, {"route": "safe"}, "other", ""),
+}
+
+
+@pytest.mark.parametrize("name", CONFIGURATION_CASES)
+def test_old_configuration(name):
+    sent_s, changes, service, detail = CONFIGURATION_CASES[name]
+    found = attempt(sent_s=AT_S + sent_s, ended_s=AT_S + sent_s + 0.1, **changes)
+    runs = [] if service is None else [run(service=service)]
+    for faults, expected in (
+        ([], detail),
+        ([unplanned(FaultKind.KILL, "p1")], ""),
+        ([unplanned(FaultKind.STORE_SLOW, "store", AT_S - 2)], ""),
+    ):
+        seen = history([found], runs, faults, configurations=(FIRST, SECOND))
+        cases = oracle.old_configuration(seen).cases
+        assert len(cases) == (1 if expected else 0)
+        assert all(expected in case.detail for case in cases)
+
+
+def test_each_check_is_applied():
+    checks = {check.__name__ for check in oracle.CHECKS}
+    tested = {check for check, _, _ in CASES.values()} | {
+        "lost_around_stop",
+        "lost_around_hangup",
+        "lost_beside_configuration",
+        "lost_on_kept_connection",
+        "lost_resumptions",
+        "old_configuration",
+    }
+    assert checks == tested
