--- a/tools/burdockhaven_bench/soak/faults.py
+++ b/tools/burdockhaven_bench/soak/faults.py
@@ -17,6 +17,7 @@
     Process,
     Target,
 )
+from burdockhaven_bench.soak.links import Link
 from burdockhaven_bench.soak.plan import PlannedFault
 from burdockhaven_bench.soak.site import SoakSite, configuration_record, rotating_key
 from burdockhaven_standins.platform_targets import (
@@ -36,6 +37,8 @@
 # Processes of one run, daemons that are being replaced included.
 MAX_PROCESSES = 16
 POLL_INTERVAL_S = 0.05
+# Delay in seconds of a slow link, in each direction.
+LINK_DELAY_S = 0.3
 # Events after which a stream is broken off, at most.
 MAX_EVENTS_BEFORE_ABORT = 20
 
@@ -77,6 +80,8 @@
     # Processes that are stopping.
     stops: set[asyncio.Task[None]] = field(default_factory=set)
     version: int = 1
+    # Proxy in front of each server, by the name of the server.
+    links: dict[str, Link] = field(default_factory=dict)
 
     async def run(self, planned: tuple[PlannedFault, ...], start_s: float) -> None:
         """Apply all faults at their times; returns when the last one has ended."""
@@ -149,9 +154,12 @@
             FaultKind.TARGET_ABORT: self._abort_stream,
             FaultKind.TARGET_DRAIN: self._drain_target,
             FaultKind.TARGET_LEAVE: self._drain_target,
+            FaultKind.STORE_DOWN: self._disrupt_store,
+            FaultKind.STORE_SLOW: self._disrupt_store,
+            FaultKind.STORE_DROPS_RESPONSES: self._disrupt_store,
         }
         self.report(f"{fault.kind.value} x{fault.count} for {fault.duration_s:.1f} s")
-        await actions.get(fault.kind, self._disrupt_store)(fault)
+        await actions.get(fault.kind, self._disrupt_link)(fault)
 
     def _take_process(self, choice: float) -> RunningDaemon | None:
         """Pick a process, unless it is the last one."""
@@ -249,6 +257,27 @@
         faults.delay_s = 0.5 * active[FaultKind.STORE_SLOW]
         faults.drops_responses = active[FaultKind.STORE_DROPS_RESPONSES] > 0
 
+    async def _disrupt_link(self, fault: PlannedFault) -> None:
+        """Disrupt the link to a target or to the store."""
+        names = sorted(self.links)
+        name = names[int(fault.choice * len(names))]
+        link, started_s = self.links[name], time.monotonic()
+        if fault.kind is FaultKind.LINK_RESET:
+            link.reset()
+        elif fault.kind is FaultKind.LINK_SILENT:
+            link.silence()
+        link.faults.in_pieces |= fault.kind is FaultKind.LINK_PIECES
+        if fault.kind is FaultKind.LINK_DELAY:
+            link.faults.delay_s = LINK_DELAY_S
+        await asyncio.sleep(fault.duration_s)
+        if fault.kind is FaultKind.LINK_DELAY:
+            link.faults.delay_s = 0.0
+        elif fault.kind is FaultKind.LINK_PIECES:
+            link.faults.in_pieces = False
+        elif fault.kind is FaultKind.LINK_SILENT:
+            link.reset()
+        self._record(fault.kind, name, started_s)
+
     async def _silence_target(self, fault: PlannedFault) -> None:
         records = self.harness.site.records()
         record = records[int(fault.choice * len(records))]
@@ -315,6 +344,7 @@
             await asyncio.sleep(POLL_INTERVAL_S)
         unfinished = [r for r in record.received if r.ended_s is None]
         await self.harness.site.stop_engine(engine)
+        self.links.pop(record.id).close()
         for received in unfinished:
             received.end = RequestEnd.ABORTED
         target = self.targets[record.id]
--- a/tools/burdockhaven_bench/soak/history.py
+++ b/tools/burdockhaven_bench/soak/history.py
@@ -42,12 +42,20 @@
     TARGET_ABORT = "target-abort"
     TARGET_DRAIN = "target-drain"
     TARGET_LEAVE = "target-leave"
+    LINK_RESET = "link-reset"
+    LINK_SILENT = "link-silent"
+    LINK_DELAY = "link-delay"
+    LINK_PIECES = "link-pieces"
 
 
 PROCESS_DISRUPTIONS = frozenset({FaultKind.FREEZE, FaultKind.KILL})
 STORE_DISRUPTIONS = frozenset(
     {FaultKind.STORE_DOWN, FaultKind.STORE_SLOW, FaultKind.STORE_DROPS_RESPONSES}
 )
+# Data in odd pieces is no disruption.
+LINK_DISRUPTIONS = frozenset(
+    {FaultKind.LINK_RESET, FaultKind.LINK_SILENT, FaultKind.LINK_DELAY}
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tools/burdockhaven_bench/soak/plan.py
+++ b/tools/burdockhaven_bench/soak/plan.py
@@ -26,6 +26,7 @@
     FaultKind.TARGET_DRAIN,
     FaultKind.TARGET_ABORT,
     FaultKind.TARGET_LEAVE,
+    FaultKind.LINK_PIECES,
 )
 UNPLANNED = (
     FaultKind.FREEZE,
@@ -33,6 +34,9 @@
     FaultKind.STORE_DOWN,
     FaultKind.STORE_SLOW,
     FaultKind.STORE_DROPS_RESPONSES,
+    FaultKind.LINK_RESET,
+    FaultKind.LINK_SILENT,
+    FaultKind.LINK_DELAY,
 )
 # Shortest and longest duration in seconds of faults that end by themselves.
 DURATIONS_S = {
@@ -44,6 +48,9 @@
     FaultKind.TARGET_SILENT: (0.8, 1.4),
     FaultKind.TARGET_DRAIN: (2.2, 5.0),
     FaultKind.TARGET_LEAVE: (2.2, 5.0),
+    FaultKind.LINK_SILENT: (1.0, 4.0),
+    FaultKind.LINK_DELAY: (0.5, 3.0),
+    FaultKind.LINK_PIECES: (1.0, 5.0),
 }
 
 
--- a/tools/burdockhaven_bench/soak/run.py
+++ b/tools/burdockhaven_bench/soak/run.py
@@ -13,6 +13,7 @@
 from burdockhaven_bench.platform_harness import PlatformHarness
 from burdockhaven_bench.soak.faults import FaultDriver
 from burdockhaven_bench.soak.history import Execution, History
+from burdockhaven_bench.soak.links import Link
 from burdockhaven_bench.soak.plan import Plan
 from burdockhaven_bench.soak.site import ROUTES, SITES
 from burdockhaven_bench.soak.traffic import Traffic
@@ -84,8 +85,15 @@
     """Play the plan; all processes have ended when this returns or raises."""
     soak_site = SITES[options.site]
     site = soak_site.build()
+    links: dict[str, Link] = {}
+
+    async def connect_through(name: str, address: str) -> str:
+        links[name] = await Link.open(address)
+        return links[name].address
+
+    site.connect_through = connect_through
     harness = await PlatformHarness.start(options.folder, site)
-    driver = FaultDriver(harness, soak_site, report)
+    driver = FaultDriver(harness, soak_site, report, links=links)
     try:
         for record in site.records():
             driver.add_target(record)
@@ -96,6 +104,8 @@
         return await _play(options, driver, report)
     finally:
         await harness.stop()
+        for link in links.values():
+            link.close()
 
 
 async def _play(
--- a/tools/burdockhaven_standins/platform_site.py
+++ b/tools/burdockhaven_standins/platform_site.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import json
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 from aiohttp import web
@@ -87,6 +88,9 @@
     addresses: dict[str, str] = field(default_factory=dict)
     runners: dict[str, web.AppRunner] = field(default_factory=dict)
     registration_task: asyncio.Task[None] | None = None
+    # Returns the address that others use for a server, given its name and address;
+    # None if they reach it directly.
+    connect_through: Callable[[str, str], Awaitable[str]] | None = None
 
     async def start(self) -> None:
         """Serve the store and all targets; publish version 1 and register targets."""
@@ -167,4 +171,7 @@
         await web.TCPSite(runner, "127.0.0.1", 0).start()
         self.runners[name] = runner
         host, port = runner.addresses[0][:2]
-        return f"{host}:{port}"
+        address = f"{host}:{port}"
+        if self.connect_through is None:
+            return address
+        return await self.connect_through(name, address)
--- a/tools/tests/test_soak_oracle.py
+++ b/tools/tests/test_soak_oracle.py
@@ -158,6 +158,8 @@
         [unplanned(FaultKind.STORE_DOWN)],
         1,
     ),
+    "link delayed": (cut(), [run()], [unplanned(FaultKind.LINK_DELAY, "t1")], 0),
+    "link in pieces": (cut(), [run()], [unplanned(FaultKind.LINK_PIECES, "t1")], 1),
     "target silent": (cut(), [run()], [unplanned(FaultKind.TARGET_SILENT, "t1")], 1),
     "after the grace": (cut(ended_s=AT_S + 9.1), [run()], [], 0),
     "at another process": (cut(process="p2"), [run()], [], 0),
