--- a/tools/burdockhaven_bench/soak/client.py
+++ b/tools/burdockhaven_bench/soak/client.py
@@ -135,11 +135,14 @@
         """Send requests back to back and read the responses in order."""
         sent = [await self._send(request) for request in requests]
         attempts: list[Attempt] = []
-        is_behind_close = False
         for request, (position, sent_s) in zip(requests, sent, strict=True):
             reading = ResponseReading()
-            ending = Ending.UNSENT
-            if sent_s is not None:
+            previous = attempts[-1] if attempts else None
+            if sent_s is None:
+                ending = Ending.UNSENT
+            elif previous is not None and not self.is_usable:
+                ending = _ending_behind(previous)
+            else:
                 ending = await self._read(request, reading)
             if ending is not Ending.COMPLETE or reading.announces_close:
                 self.close()
@@ -163,11 +166,11 @@
                     expected_events=request.expected_events,
                     last_event=request.last_event,
                     resumes=request.resumes,
-                    is_behind_close=is_behind_close,
+                    is_behind_cut=previous is not None
+                    and previous.ending is Ending.CLOSED,
                     unrequested_bytes=b"" if attempts else unrequested,
                 )
             )
-            is_behind_close = not self.is_usable
         return attempts
 
     async def _send(self, request: OutgoingRequest) -> tuple[int, float | None]:
@@ -239,6 +242,12 @@
             raise
 
 
+def _ending_behind(previous: Attempt) -> Ending:
+    """Return how a request ends whose connection ended with the response before it."""
+    has_client_left = previous.ending in (Ending.LEFT, Ending.ABANDONED)
+    return Ending.LEFT if has_client_left else Ending.CLOSED
+
+
 class _GapError(Exception):
     """Nothing arrived for `GAP_TIMEOUT_S`."""
 
--- a/tools/burdockhaven_bench/soak/history.py
+++ b/tools/burdockhaven_bench/soak/history.py
@@ -113,9 +113,8 @@
     last_event: int = 0
     # Attempt that brought the first event; empty if the stream is new.
     resumes: str = ""
-    # Whether it was sent before the preceding response on the connection was read, and
-    # that response announced the close of the connection or did not complete.
-    is_behind_close: bool = False
+    # Whether the connection was cut within the response to a request sent before it.
+    is_behind_cut: bool = False
     # Bytes that arrived on the connection before this request was sent.
     unrequested_bytes: bytes = b""
 
--- a/tools/burdockhaven_bench/soak/oracle.py
+++ b/tools/burdockhaven_bench/soak/oracle.py
@@ -512,7 +512,7 @@
     """Whether a cut counts: it was passed on or is late, and nothing excuses it."""
     assert attempt.sent_s is not None
     is_late = attempt.ended_s - attempt.sent_s > LOSS_SLACK_S
-    if not runs and (attempt.is_behind_close or not is_late):
+    if not runs and (attempt.is_behind_cut or not is_late):
         return False
     return not (
         _is_excused_by_target(runs)
--- a/tools/tests/test_soak_oracle.py
+++ b/tools/tests/test_soak_oracle.py
@@ -142,8 +142,8 @@
         [],
         1,
     ),
-    "pipelined behind a close": (cut(is_behind_close=True), [], [], 0),
-    "pipelined behind a close, passed on": (cut(is_behind_close=True), [run()], [], 1),
+    "pipelined behind a cut": (cut(is_behind_cut=True), [], [], 0),
+    "pipelined behind a cut, passed on": (cut(is_behind_cut=True), [run()], [], 1),
     "process killed": (cut(), [run()], [unplanned(FaultKind.KILL)], 0),
     "process frozen long before": (
         cut(),
