The soak plots outcomes and faults; new members know others from their settings

Cause: a run's outcomes could not be read over time; members that start while the store is down knew nobody and refused all. Change: report.png on one time axis; the settings of a new daemon name the running ones. The stand-in engine ends quietly where its caller has left.

--- a/tools/burdockhaven_bench/platform_harness.py
+++ b/tools/burdockhaven_bench/platform_harness.py
@@ -8,7 +8,7 @@
 import os
 import signal
 import sys
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import TypeVar
@@ -113,11 +113,15 @@
         await self.site.stop()
 
     async def start_daemon(
-        self, node: str, predecessor: Daemon | None = None
+        self,
+        node: str,
+        predecessor: Daemon | None = None,
+        seeds: Sequence[str] = (),
     ) -> Daemon:
         """Start another daemon, without waiting until it is ready.
 
-        It takes over the addresses of its predecessor, which must have ended.
+        It takes over the addresses of its predecessor, which must have ended. `seeds`
+        are control addresses of other members.
         """
         if predecessor is None:
             ip = f"127.0.0.{next(self.ip_numbers)}"
@@ -130,7 +134,7 @@
             "zone": "a",
             "listen": listen,
             "port_range": [self.peer_port, self.peer_port + 15],
-            "seeds": [],
+            "seeds": list(seeds),
             "bootstrap": True,
             "bounds": BOUNDS,
             "platform": {"address": self.site.store_address},
--- a/tools/burdockhaven_bench/soak/__main__.py
+++ b/tools/burdockhaven_bench/soak/__main__.py
@@ -15,6 +15,7 @@
 from burdockhaven_bench.soak.history import FaultKind
 from burdockhaven_bench.soak.oracle import judge
 from burdockhaven_bench.soak.plan import Plan
+from burdockhaven_bench.soak.plot import write_plot
 from burdockhaven_bench.soak.report import format_findings, format_table, write_json
 from burdockhaven_bench.soak.run import SoakOptions, run_soak
 from burdockhaven_bench.soak.site import SITES
@@ -61,6 +62,7 @@
     print(table, findings, sep="\n")
     if options.report is not None:
         (folder / "report.txt").write_text(f"{command}\n{table}\n{findings}\n")
+        write_plot(result, folder / "report.png")
         write_json(result, verdicts, command, folder / "report.json")
     return BROKEN if any(verdict.is_broken for verdict in verdicts) else 0
 
--- a/tools/burdockhaven_bench/soak/faults.py
+++ b/tools/burdockhaven_bench/soak/faults.py
@@ -99,7 +99,9 @@
         node = f"d{number}" if predecessor is None else predecessor.daemon.node
         started_s = time.monotonic()
         daemon = await self.harness.start_daemon(
-            node, None if predecessor is None else predecessor.daemon
+            node,
+            None if predecessor is None else predecessor.daemon,
+            seeds=[p.daemon.listen["control"] for p in self.serving()],
         )
         running = RunningDaemon(f"p{number}-{node}", daemon, started_s)
         self.processes.append(running)
@@ -111,7 +113,7 @@
         """Record a target that exists from now on."""
         self.records.append(record)
         self.targets[record.id] = Target(
-            record.id, record.service, record.version, time.monotonic()
+            record.id, record.service, record.software_version, time.monotonic()
         )
 
     def publish(self, version: int) -> None:
@@ -304,7 +306,7 @@
         record.faults.says_leaving = fault.kind is FaultKind.TARGET_LEAVE
         record.faults.draining = not record.faults.says_leaving
         number = len(self.records)
-        successor = self.site.engine(f"i-llm-{number}", record.version, 1.2)
+        successor = self.site.engine(f"i-llm-{number}", record.software_version, 1.2)
         self.add_target(successor.record)
         await site.add_engine(successor)
         if record.faults.draining:
--- a/tools/burdockhaven_bench/soak/site.py
+++ b/tools/burdockhaven_bench/soak/site.py
@@ -112,7 +112,9 @@
         config = StepEngineConfig(
             slots=self.slots, tokens_per_event=TOKENS_PER_EVENT, slowness=slowness
         )
-        record = TargetRecord(target, ENGINE_SERVICE, self.slots, version=version)
+        record = TargetRecord(
+            target, ENGINE_SERVICE, self.slots, software_version=version
+        )
         return PlatformEngine(record, config)
 
     def configuration(self, version: int) -> bytes:
@@ -161,10 +163,10 @@
 SITES = {
     # Two software versions side by side, two engines each, of unlike speed.
     "mixed": SoakSite(
-        engines=(("1", 1.0), ("1", 1.5), ("2", 1.0), ("2", 1.3)),
+        engines=(("v1", 1.0), ("v1", 1.5), ("v2", 1.0), ("v2", 1.3)),
         plain_targets=2,
         slots=12,
     ),
     # One software version and fewer slots than the clients use at their peak.
-    "tight": SoakSite(engines=(("1", 1.0), ("1", 1.4)), plain_targets=1, slots=8),
+    "tight": SoakSite(engines=(("v1", 1.0), ("v1", 1.4)), plain_targets=1, slots=8),
 }
--- a/tools/burdockhaven_standins/platform_targets.py
+++ b/tools/burdockhaven_standins/platform_targets.py
@@ -100,8 +100,7 @@
     service: str
     slots: int
     zone: str = "a"
-    # Version of the target's software.
-    version: str = "1"
+    software_version: str = "v1"
     seq: int = 0
     # Requests that have reached the target, executed or not.
     arrivals: int = 0
@@ -118,7 +117,7 @@
             "service": self.service,
             "address": address,
             "zone": self.zone,
-            "version": self.version,
+            "version": self.software_version,
             "slots": self.slots,
             "state": "draining" if self.faults.draining else "ready",
             "cold_left_ms": 0,
@@ -337,8 +336,14 @@
                 received.end = RequestEnd.ABORTED
                 return response
             event_id, sent_events = event_id + 1, sent_events + 1
-            data = f"e{event_id} {record.version} {record.id} {received.attempt}"
-            await response.write(f"id: {event_id}\ndata: {data}\n\n".encode())
+            data = f"e{event_id} {record.software_version} {record.id} "
+            event = f"id: {event_id}\ndata: {data}{received.attempt}\n\n"
+            try:
+                await response.write(event.encode())
+            except ConnectionError:
+                # The sender has left; nobody reads the rest.
+                received.end = RequestEnd.DISCONNECTED
+                return response
         return response
 
     def _parse_run(self, request: web.Request) -> StepRun:
