--- a/tools/burdockhaven_bench/soak/client.py
+++ b/tools/burdockhaven_bench/soak/client.py
@@ -80,6 +80,8 @@
     """The part of a response that has been read."""
 
     status: int | None = None
+    # Time at which the head was read.
+    head_s: float | None = None
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
     events: list[Event] = field(default_factory=list)
@@ -160,6 +162,7 @@
                     ending=ending,
                     deadline_s=request.deadline_s,
                     status=reading.status,
+                    head_s=reading.head_s,
                     headers=tuple(reading.headers.items()),
                     body=reading.body,
                     events=tuple(reading.events),
@@ -211,6 +214,7 @@
     async def _read_whole(self, reading: ResponseReading) -> None:
         head = await self._read_until(b"\r\n\r\n")
         status_line, *lines = head.decode("latin-1").strip().split("\r\n")
+        reading.head_s = time.monotonic()
         reading.status = int(status_line.split(" ", 2)[1])
         fields = (line.partition(":") for line in lines)
         reading.headers = {n.strip().lower(): value.strip() for n, _, value in fields}
--- a/tools/burdockhaven_bench/soak/history.py
+++ b/tools/burdockhaven_bench/soak/history.py
@@ -103,6 +103,7 @@
     deadline_s: float | None = None
     # None without a response head.
     status: int | None = None
+    head_s: float | None = None
     # Response headers, by lower-case name.
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
