--- a/tools/burdockhaven_bench/soak/faults.py
+++ b/tools/burdockhaven_bench/soak/faults.py
@@ -303,8 +303,8 @@
         engine = staying[int(fault.choice * len(staying))]
         record = engine.record
         # Marked at once, so that no other fault picks the same engine.
-        record.faults.says_leaving = fault.kind is FaultKind.TARGET_LEAVE
-        record.faults.draining = not record.faults.says_leaving
+        record.faults.leaving = fault.kind is FaultKind.TARGET_LEAVE
+        record.faults.draining = not record.faults.leaving
         number = len(self.records)
         successor = self.site.engine(f"i-llm-{number}", record.software_version, 1.2)
         self.add_target(successor.record)
@@ -365,4 +365,4 @@
 
 
 def _is_leaving(record: TargetRecord) -> bool:
-    return record.faults.draining or record.faults.says_leaving
+    return record.faults.draining or record.faults.leaving
--- a/tools/burdockhaven_bench/soak/oracle.py
+++ b/tools/burdockhaven_bench/soak/oracle.py
@@ -22,7 +22,7 @@
     FaultKind,
     History,
 )
-from burdockhaven_standins.platform_targets import SERVER_LEAVING, SIGNATURE, RequestEnd
+from burdockhaven_standins.platform_targets import LEAVING, SIGNATURE, RequestEnd
 
 # Bounds that the platform states, in seconds.
 STABLE_S = 3.0
@@ -415,7 +415,7 @@
     """Requests to a target whose leaving the same process had passed on long before."""
     told: dict[tuple[str, str], float] = {}
     for response in history.attempts:
-        if response.header(SERVER_LEAVING) == "1" and response.head_s is not None:
+        if response.header(LEAVING) == "1" and response.head_s is not None:
             key = (response.process, _signer(response))
             told[key] = min(told.get(key, math.inf), response.head_s)
     by_id = {attempt.id: attempt for attempt in history.attempts}
@@ -432,7 +432,7 @@
             late_s = attempt.sent_s - told_s
             detail = f"sent {late_s:.2f} s after {run.target} said that it leaves"
             cases.append(_case(attempt, [run], detail))
-    return Verdict(Rule.DRAIN, SERVER_LEAVING, tuple(cases))
+    return Verdict(Rule.DRAIN, LEAVING, tuple(cases))
 
 
 def over_max_attempts(history: History) -> Verdict:
--- a/tools/burdockhaven_bench/soak/report.py
+++ b/tools/burdockhaven_bench/soak/report.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from burdockhaven_bench.soak.history import Attempt, Ending, History
-from burdockhaven_bench.soak.oracle import Case, Verdict
+from burdockhaven_bench.soak.oracle import LOSS_SLACK_S, Case, Verdict
 from burdockhaven_bench.soak.run import SoakResult
 
 # Seconds before a case whose faults are shown.
@@ -34,7 +34,10 @@
         word = "BROKEN" if verdict.is_broken else "holds"
         name = f"{verdict.rule.value} {verdict.check}"
         lines.append(f"  {word:6} {name:30} {len(verdict.cases)}, {verdict.allowed}")
-    lines.append(f"the clients were late by {result.longest_lag_s:.2f} s at most")
+    lag = f"the clients were late by {result.longest_lag_s:.2f} s at most"
+    if result.longest_lag_s > LOSS_SLACK_S:
+        lag += ": more than the slack of LOST, so check the times of its cases"
+    lines.append(lag)
     return "\n".join(lines)
 
 
--- a/tools/burdockhaven_standins/platform_targets.py
+++ b/tools/burdockhaven_standins/platform_targets.py
@@ -28,7 +28,7 @@
 LAST_EVENT_ID = "Last-Event-Id"
 TENANT = "X-Burdockhaven-Tenant"
 DEADLINE = "X-Burdockhaven-Deadline-Ms"
-SERVER_LEAVING = "Server-Leaving"
+LEAVING = "Server-Leaving"
 # Maximum number of waiting requests per slot; further requests are rejected.
 MAX_QUEUED_PER_SLOT = 1
 HEALTH_PATH = "/healthz"
@@ -40,7 +40,7 @@
 
     draining: bool = False
     # Responses say that the target leaves; its entry in the store does not change.
-    says_leaving: bool = False
+    leaving: bool = False
     # Requests are accepted and never answered.
     silent: bool = False
     # Event loop time in seconds until which nothing is sent; then the target continues.
@@ -156,7 +156,7 @@
     def headers(self, attempt: str) -> dict[str, str]:
         """Return the headers of the response to an executed request."""
         headers = {ATTEMPT: attempt, SIGNATURE: f"{self.id}.{self.seq}"}
-        return headers | self._leaving_headers()
+        return headers | self._signals()
 
     def health_response(self) -> web.Response:
         """Return the response to a health check."""
@@ -184,11 +184,11 @@
         received = self._receive(request)
         received.ended_s, received.end = received.arrived_s, RequestEnd.REJECTED
         headers = {ATTEMPT: received.attempt, NOT_EXECUTED: "1"}
-        return web.Response(status=status, headers=headers | self._leaving_headers())
+        return web.Response(status=status, headers=headers | self._signals())
 
-    def _leaving_headers(self) -> dict[str, str]:
-        if self.faults.draining or self.faults.says_leaving:
-            return {"Connection": "close", SERVER_LEAVING: "1"}
+    def _signals(self) -> dict[str, str]:
+        if self.faults.draining or self.faults.leaving:
+            return {"Connection": "close", LEAVING: "1"}
         return {}
 
 
