--- a/tools/burdockhaven_bench/soak/faults.py
+++ b/tools/burdockhaven_bench/soak/faults.py
@@ -51,8 +51,8 @@
     daemon: Daemon
     started_s: float
     ended_s: float = math.inf
-    # Whether a fault acts on the process.
-    is_taken: bool = False
+    # Whether the process is starting or a fault acts on it.
+    is_taken: bool = True
 
     def record(self) -> Process:
         """Describe the process for the oracle."""
@@ -135,7 +135,7 @@
         return names[-1] if names else ""
 
     def serving(self) -> list[RunningDaemon]:
-        """Return the daemons that run and that no fault acts on."""
+        """Return the daemons that are ready and that no fault acts on."""
         return [p for p in self.processes if p.daemon.is_running and not p.is_taken]
 
     async def _record_end(self, running: RunningDaemon) -> None:
@@ -195,6 +195,7 @@
             return daemon.front in await self.harness.look_up(daemon.node)
 
         await self.harness.wait_until(is_named)
+        running.is_taken = False
 
     async def _stop(self, running: RunningDaemon) -> None:
         """Send SIGTERM, and SIGKILL at the end of the grace period."""
@@ -210,6 +211,8 @@
 
     async def _hang_up(self, fault: PlannedFault) -> None:
         serving = self.serving()
+        if not serving:
+            return
         running = serving[int(fault.choice * len(serving))]
         running.daemon.process.send_signal(signal.SIGHUP)
         self._record(FaultKind.HANGUP, running.name, time.monotonic())
