--- a/tools/burdockhaven_bench/platform_harness.py
+++ b/tools/burdockhaven_bench/platform_harness.py
@@ -96,10 +96,16 @@
 
     @classmethod
     async def start(
-        cls, folder: Path, site: PlatformSite | None = None
+        cls,
+        folder: Path,
+        engine_versions: tuple[str, ...] = ("v1", "v1"),
+        site: PlatformSite | None = None,
     ) -> "PlatformHarness":
-        """Start the platform without any daemon; `site` replaces the default site."""
-        site = site or PlatformSite()
+        """Start the platform with engines of these versions, without any daemon.
+
+        `site` replaces the default site.
+        """
+        site = site or PlatformSite(engine_versions)
         await site.start()
         return cls(folder, site, aiohttp.ClientSession(), _free_port())
 
--- a/tools/burdockhaven_bench/soak/faults.py
+++ b/tools/burdockhaven_bench/soak/faults.py
@@ -156,6 +156,7 @@
             FaultKind.TARGET_ABORT: self._abort_stream,
             FaultKind.TARGET_DRAIN: self._drain_target,
             FaultKind.TARGET_LEAVE: self._drain_target,
+            FaultKind.TARGET_PAUSE: self._pause_target,
             FaultKind.STORE_DOWN: self._disrupt_store,
             FaultKind.STORE_SLOW: self._disrupt_store,
             FaultKind.STORE_DROPS_RESPONSES: self._disrupt_store,
@@ -292,6 +293,16 @@
         await asyncio.sleep(fault.duration_s)
         self._record(FaultKind.TARGET_SILENT, record.id, started_s)
 
+    async def _pause_target(self, fault: PlannedFault) -> None:
+        """Have a target turn all requests away, each for as long as that lasts."""
+        records = self.harness.site.records()
+        record = records[int(fault.choice * len(records))]
+        started_s = time.monotonic()
+        record.faults.pause_s = round(fault.duration_s, 1)
+        await asyncio.sleep(fault.duration_s)
+        record.faults.pause_s = None
+        self._record(fault.kind, record.id, started_s)
+
     async def _abort_stream(self, fault: PlannedFault) -> None:
         engines = self.harness.site.engines
         record = engines[int(fault.choice * len(engines))].record
--- a/tools/burdockhaven_bench/soak/history.py
+++ b/tools/burdockhaven_bench/soak/history.py
@@ -42,6 +42,7 @@
     TARGET_ABORT = "target-abort"
     TARGET_DRAIN = "target-drain"
     TARGET_LEAVE = "target-leave"
+    TARGET_PAUSE = "target-pause"
     LINK_RESET = "link-reset"
     LINK_SILENT = "link-silent"
     LINK_DELAY = "link-delay"
@@ -137,6 +138,8 @@
     # Infinite if it was still running at the end.
     ended_s: float
     end: RequestEnd | None
+    # Pause in seconds that the rejection asked for; None if it asked for none.
+    retry_after_s: float | None = None
 
     @property
     def has_run(self) -> bool:
--- a/tools/burdockhaven_bench/soak/oracle.py
+++ b/tools/burdockhaven_bench/soak/oracle.py
@@ -49,6 +49,10 @@
 MAX_ARRIVALS_AFTER_LEAVING = 3
 MAX_OVER_ATTEMPTS = 3
 PART_AT_WORK_AFTER_LEAVING = 0.25
+# Seconds after which a pause that a target asked for binds the process, and number of
+# requests that may still reach the target within it.
+PAUSE_SLACK_S = 0.5
+MAX_REQUESTS_WITHIN_PAUSE = 2
 MIN_RESUMED_STREAMS = 12
 MIN_RESUMED_PART = 0.5
 MIN_TARGETS_OF_VERSION = 2
@@ -450,6 +454,33 @@
     return Verdict(Rule.BUDGET, "max_attempts", tuple(cases), MAX_OVER_ATTEMPTS)
 
 
+def sent_within_pause(history: History) -> Verdict:
+    """Requests that a process sent to a target which had asked it for a pause."""
+    processes = {attempt.id: attempt.process for attempt in history.attempts}
+    arrivals: dict[tuple[str, str], list[Execution]] = defaultdict(list)
+    for run in sorted(history.executions, key=lambda run: run.arrived_s):
+        arrivals[processes.get(run.attempt, ""), run.target].append(run)
+    cases: dict[str, Case] = {}
+    for (process, target), runs in arrivals.items():
+        for rejected in runs:
+            if rejected.retry_after_s is None:
+                continue
+            start_s = rejected.arrived_s + PAUSE_SLACK_S
+            end_s = rejected.arrived_s + rejected.retry_after_s
+            early = [run for run in runs if start_s < run.arrived_s < end_s]
+            if len(early) <= MAX_REQUESTS_WITHIN_PAUSE or any(
+                fault.overlaps(rejected.arrived_s, end_s)
+                for fault in history.faults
+                if fault.kind in LINK_DISRUPTIONS
+                or (fault.kind in PROCESS_DISRUPTIONS and fault.subject == process)
+            ):
+                continue
+            for run in early:
+                detail = f"{process} sent {len(early)} within the pause of {target}"
+                cases.setdefault(run.attempt, Case(run.attempt, run.arrived_s, detail))
+    return Verdict(Rule.BUDGET, "pause", tuple(cases.values()))
+
+
 def process_ends(history: History) -> Verdict:
     """Processes that ended by themselves, with an error, or not within the grace."""
     cases = []
@@ -485,6 +516,7 @@
     drained_target,
     target_that_said_it_leaves,
     over_max_attempts,
+    sent_within_pause,
     process_ends,
 )
 
--- a/tools/burdockhaven_bench/soak/plan.py
+++ b/tools/burdockhaven_bench/soak/plan.py
@@ -26,6 +26,7 @@
     FaultKind.TARGET_DRAIN,
     FaultKind.TARGET_ABORT,
     FaultKind.TARGET_LEAVE,
+    FaultKind.TARGET_PAUSE,
     FaultKind.LINK_PIECES,
 )
 UNPLANNED = (
@@ -48,6 +49,7 @@
     FaultKind.TARGET_SILENT: (0.8, 1.4),
     FaultKind.TARGET_DRAIN: (2.2, 5.0),
     FaultKind.TARGET_LEAVE: (3.0, 8.0),
+    FaultKind.TARGET_PAUSE: (1.5, 4.0),
     FaultKind.LINK_SILENT: (1.0, 4.0),
     FaultKind.LINK_DELAY: (0.5, 3.0),
     FaultKind.LINK_PIECES: (1.0, 5.0),
--- a/tools/burdockhaven_bench/soak/run.py
+++ b/tools/burdockhaven_bench/soak/run.py
@@ -92,7 +92,7 @@
         return links[name].address
 
     site.connect_through = connect_through
-    harness = await PlatformHarness.start(options.folder, site)
+    harness = await PlatformHarness.start(options.folder, site=site)
     driver = FaultDriver(harness, soak_site, report, links=links)
     try:
         for record in site.records():
@@ -176,6 +176,7 @@
             received.arrived_s,
             math.inf if received.ended_s is None else received.ended_s,
             received.end,
+            received.retry_after_s,
         )
         for record in records
         for received in record.received
--- a/tools/burdockhaven_standins/platform_site.py
+++ b/tools/burdockhaven_standins/platform_site.py
@@ -77,9 +77,11 @@
 class PlatformSite:
     """The store and the targets, on loopback.
 
-    Without any target given, it has one plain service and two engines.
+    Without any target given, it has one plain service and the engines.
     """
 
+    # Software version of each engine.
+    engine_versions: tuple[str, ...] = ("v1", "v1")
     store: PlatformStoreStandin = field(default_factory=PlatformStoreStandin)
     services: list[PlatformService] = field(default_factory=list)
     engines: list[PlatformEngine] = field(default_factory=list)
@@ -157,8 +159,13 @@
         plain = TargetRecord("i-app", PLAIN_SERVICE, 4)
         self.services.append(PlatformService(plain, CALL_S))
         config = StepEngineConfig()
-        for number in range(2):
-            record = TargetRecord(f"i-llm-{number}", ENGINE_SERVICE, config.slots)
+        for number, version in enumerate(self.engine_versions):
+            record = TargetRecord(
+                f"i-llm-{number}",
+                ENGINE_SERVICE,
+                config.slots,
+                software_version=version,
+            )
             self.engines.append(PlatformEngine(record, config))
 
     async def _serve_target(self, target: PlatformService | PlatformEngine) -> None:
--- a/tools/burdockhaven_standins/platform_targets.py
+++ b/tools/burdockhaven_standins/platform_targets.py
@@ -29,6 +29,7 @@
 TENANT = "X-Burdockhaven-Tenant"
 DEADLINE = "X-Burdockhaven-Deadline-Ms"
 LEAVING = "Server-Leaving"
+RETRY_AFTER = "Retry-After"
 # Maximum number of waiting requests per slot; further requests are rejected.
 MAX_QUEUED_PER_SLOT = 1
 HEALTH_PATH = "/healthz"
@@ -41,6 +42,8 @@
     draining: bool = False
     # Responses say that the target leaves; its entry in the store does not change.
     leaving: bool = False
+    # Seconds that each refusal asks for; all requests are refused. None for no fault.
+    pause_s: float | None = None
     # Requests are accepted and never answered.
     silent: bool = False
     # Event loop time in seconds until which nothing is sent; then the target continues.
@@ -90,6 +93,8 @@
     ended_s: float | None = None
     # None while the target works on the request.
     end: RequestEnd | None = None
+    # Pause in seconds that its rejection asked for; None if it asked for none.
+    retry_after_s: float | None = None
 
 
 @dataclass(slots=True)
@@ -110,6 +115,11 @@
     # All requests in order of arrival, rejected ones included.
     received: list[ReceivedRequest] = field(default_factory=list)
 
+    @property
+    def arrivals(self) -> int:
+        """Number of requests that have reached the target, executed or not."""
+        return len(self.received)
+
     def store_entry(self, address: str) -> bytes:
         """Encode the entry that the target writes to the store."""
         self.seq += 1
@@ -135,7 +145,10 @@
         expected_id = request.headers.get(EXPECT_INSTANCE, self.id)
         if expected_id != self.id:
             return self._reject(421, request)
-        if waiting >= MAX_QUEUED_PER_SLOT * self.slots:
+        if (
+            self.faults.pause_s is not None
+            or waiting >= MAX_QUEUED_PER_SLOT * self.slots
+        ):
             return self.overload_rejection(request)
         return None
 
@@ -183,8 +196,11 @@
     def _reject(self, status: int, request: web.Request) -> web.Response:
         received = self._receive(request)
         received.ended_s, received.end = received.arrived_s, RequestEnd.REJECTED
-        headers = {ATTEMPT: received.attempt, NOT_EXECUTED: "1"}
-        return web.Response(status=status, headers=headers | self._signals())
+        headers = {ATTEMPT: received.attempt, NOT_EXECUTED: "1"} | self._signals()
+        if status == 503 and self.faults.pause_s is not None:
+            received.retry_after_s = self.faults.pause_s
+            headers[RETRY_AFTER] = f"{self.faults.pause_s:g}"
+        return web.Response(status=status, headers=headers)
 
     def _signals(self) -> dict[str, str]:
         if self.faults.draining or self.faults.leaving:
--- a/tools/tests/test_soak_oracle.py
+++ b/tools/tests/test_soak_oracle.py
@@ -248,6 +248,8 @@
 MANY = [attempt(id=f"m{number}", status=404) for number in range(11)]
 ARRIVALS = [run(arrived_s=AT_S + 5.6)] * 4
 LEFT = cut(ending=Ending.LEFT)
+PAUSE = run(end=RequestEnd.REJECTED, retry_after_s=3.0)
+WITHIN_PAUSE = [run(arrived_s=AT_S + second) for second in (2, 3, 3.9)]
 SAID = (*ANSWER, ("server-leaving", "1"))
 TOLD = attempt(id="told", headers=SAID, head_s=AT_S - 1.1)
 DRAINING = (Target("t1", "app", "1", 0.0, draining_s=AT_S - 2),)
@@ -430,6 +432,35 @@
         history([attempt(route="safe")] * 4, [run(), SECOND_RUN, ABORTED]),
         False,
     ),
+    "sent within a pause": (
+        "sent_within_pause",
+        history([attempt()], [PAUSE, *WITHIN_PAUSE]),
+        True,
+    ),
+    "two within a pause": (
+        "sent_within_pause",
+        history([attempt()], [PAUSE, *WITHIN_PAUSE[:2]]),
+        False,
+    ),
+    "right after the answer": (
+        "sent_within_pause",
+        history([attempt()], [PAUSE, *[run(arrived_s=AT_S + 1.4)] * 3]),
+        False,
+    ),
+    "after the pause": (
+        "sent_within_pause",
+        history([attempt()], [PAUSE, *[run(arrived_s=AT_S + 4.1)] * 3]),
+        False,
+    ),
+    "within a pause, frozen since": (
+        "sent_within_pause",
+        history(
+            [attempt()],
+            [PAUSE, *WITHIN_PAUSE],
+            [unplanned(FaultKind.FREEZE, "p1")],
+        ),
+        False,
+    ),
     "stopped": ("process_ends", history([], [], [STOP], processes=ENDED), False),
     "stopped with an error": (
         "process_ends",
