Stand-ins: one set of signals and records for tests and soak

Targets that drain say so in all their answers, as the platform's do; test_adapter_knows_every_header_of_a_stand_in asks for that in addition.

--- a/tools/burdockhaven_bench/platform_harness.py
+++ b/tools/burdockhaven_bench/platform_harness.py
@@ -35,6 +35,8 @@
 LISTENERS = ("front", "readiness", "control", "directory")
 # Header value: prompt and output tokens of each request.
 REQUEST_TOKENS = "100,20"
+# The same for streams that are interrupted.
+STREAM_TOKENS = "100,600"
 # Option of prctl(2): the signal that a process receives when its parent ends.
 PR_SET_PDEATHSIG = 1
 _libc = ctypes.CDLL(None)
--- a/tools/burdockhaven_standins/platform_targets.py
+++ b/tools/burdockhaven_standins/platform_targets.py
@@ -107,8 +107,6 @@
     zone: str = "a"
     software_version: str = "v1"
     seq: int = 0
-    # Requests that have reached the target, executed or not.
-    arrivals: int = 0
     # Executions by request id.
     runs: Counter[str] = field(default_factory=Counter)
     faults: TargetFaults = field(default_factory=TargetFaults)
@@ -138,10 +136,10 @@
 
     def rejection(self, request: web.Request, waiting: int) -> web.Response | None:
         """Return the rejection of a request; None if the target executes it."""
-        self.arrivals += 1
         attempt = request.headers.get(ATTEMPT)
         if attempt is None:
-            return web.Response(status=400, headers={NOT_EXECUTED: "1"})
+            headers = {NOT_EXECUTED: "1"} | self._signals()
+            return web.Response(status=400, headers=headers)
         expected_id = request.headers.get(EXPECT_INSTANCE, self.id)
         if expected_id != self.id:
             return self._reject(421, request)
--- a/tools/tests/test_platform_targets.py
+++ b/tools/tests/test_platform_targets.py
@@ -45,4 +45,5 @@
                 head = read_response_head(response.status, response.headers)
                 await response.read()
             assert head.unknown_headers == ()
-            assert head.observation.is_leaving is faults.leaving
+            says_leaving = faults.draining or faults.leaving
+            assert head.observation.is_leaving is says_leaving
