--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -282,7 +282,7 @@
             found = _find_placement(queued, free, now)
             if found is not None:
                 return self._grant(key, queued, found, now)
-        limits = self._limits_of(queue_class, now, queued)
+        limits = self._limits_of(queue_class, now, None if pause_left_s else queued)
         work = VersionedWork()
         work.add(request.software_version, limits.cost_s)
         for other, count in ahead:
@@ -291,8 +291,8 @@
         route_ahead = sum(
             count for other, count in ahead if other.route_key == queue_class.route_key
         )
-        wait_s = work.wait_s(request.software_version, limits.capacities)
-        wait_s = max(wait_s, pause_left_s)
+        work_wait_s = work.wait_s(request.software_version, limits.capacities)
+        wait_s = max(work_wait_s, pause_left_s)
         if not limits.admit(queued, wait_s, route_ahead, now):
             return self._refuse(request, wait_s, now)
         self.queue[key] = queued
--- a/packages/burdockhaven-entry/tests/gateway/test_signals_of_targets.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_signals_of_targets.py
@@ -105,7 +105,13 @@
         state.publish_targets()
         state.in_sync = True
         membership = Membership(
-            state, Endpoint(self), None, None, lambda *_: None, lambda *_: None
+            state,
+            Endpoint(self),
+            None,
+            None,
+            on_configuration=lambda *_: None,
+            spawn=lambda *_: None,
+            on_origin_message=lambda *_: None,
         )
         self.by_address[state.peer_address] = membership
         return membership
