--- a/tools/tests/test_soak.py
+++ b/tools/tests/test_soak.py
@@ -41,12 +41,13 @@
 @pytest.mark.process
 @pytest.mark.parametrize(
     ("seed", "options"),
-    [(5, ["--without", "target-leave"]), (11, [])],
-    ids=["without-server-leaving", "all-faults"],
+    [
+        (13, ["--clients", "16"]),
+        (24, ["--clients", "32", "--site", "tight"]),
+    ],
 )
 def test_short_soak_breaks_no_rule(seed, options, tmp_path):
-    command = [*soak_arguments(seed, minutes=0.5), "--clients", "16", *options]
-    command += ["--report", str(tmp_path)]
+    command = [*soak_arguments(seed, minutes=0.5), *options, "--report", str(tmp_path)]
     run = subprocess.run(command, capture_output=True, text=True, timeout=RUN_TIMEOUT_S)
     assert run.returncode == 0, run.stdout + run.stderr
     assert (tmp_path / "report.json").exists()
