--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -26,26 +26,21 @@
     retry_excluding,
 )
 from burdockhaven_entry.gateway.replacement_search import ReplacementSearch
-from burdockhaven_entry.gateway.responses import (
-    BAD_GATEWAY,
-    DEFAULT_RETRY_AFTER_S,
-    GATEWAY_TIMEOUT,
-    TOO_MANY_REQUESTS,
-    UNAVAILABLE,
-    error_response,
-    not_run_response,
-)
 from burdockhaven_entry.gateway.routed_request import RoutedRequest
 from burdockhaven_entry.gateway.stream_continuation import (
     continue_at,
     has_granted_version,
     is_resumed,
-    refusal_detail,
     refusal_reason,
     resume_at,
     unknown_origin_response,
 )
 from burdockhaven_entry.gateway.stream_origin_directory import StreamOriginDirectory
+from burdockhaven_entry.gateway.stream_responses import (
+    failure_response,
+    refusal_response,
+    timeout_response,
+)
 from burdockhaven_entry.gateway.stream_state import RunResult, StreamState
 from burdockhaven_entry.gateway.target_client import (
     SEND_STEP,
@@ -101,7 +96,7 @@
                     stream.requirements = resume_at(stream.requirements, found.origin)
                 return await self._forward_with_retries(routed, stream)
         except TimeoutError:
-            return self._timeout_response(routed, stream)
+            return timeout_response(stream)
         finally:
             if stream.replacement is not None:
                 self._give_back(stream.replacement)
@@ -133,7 +128,7 @@
             placement = await self._next_placement(routed, stream)
             if isinstance(placement, PlacementRefused):
                 if placement.is_version_gone or not self._is_client_waiting(stream):
-                    return self._refusal_response(routed, stream, placement)
+                    return refusal_response(stream, placement)
                 await self._pause(stream)
                 continue
             result = await self._use_placement(routed, stream, placement)
@@ -153,7 +148,7 @@
                 await self._acquire_next_run(routed, stream)
             ):
                 break
-        return self._failure_response(routed, stream)
+        return failure_response(stream)
 
     async def _next_placement(
         self, routed: RoutedRequest, stream: StreamState
@@ -180,13 +175,12 @@
         )
         if target is None or is_beyond_limit:
             self._give_back(placement)
-            if self.state.is_paused(placement.target):
-                # The next placement request names the pause, which ends by itself.
-                return RunResult.NOT_SENT
-            result = RunResult.NOT_SENT
-        else:
-            result = await self._run_on_target(routed, stream, target, placement)
-            stream.may_have_run = stream.possible_runs > 0
+            # The next placement request names a pause, which ends by itself.
+            if not self.state.is_paused(placement.target):
+                stream.exclude(placement.target)
+            return RunResult.NOT_SENT
+        result = await self._run_on_target(routed, stream, target, placement)
+        stream.may_have_run = stream.possible_runs > 0
         stream.exclude(placement.target)
         return result
 
@@ -445,57 +439,6 @@
             )
         return stream.is_retry_acquired
 
-    def _refusal_response(
-        self, routed: RoutedRequest, stream: StreamState, refused: PlacementRefused
-    ) -> web.StreamResponse:
-        if stream.response is not None or stream.possible_runs:
-            return self._failure_response(routed, stream)
-        status = TOO_MANY_REQUESTS if refused.over_quota else UNAVAILABLE
-        return not_run_response(
-            status,
-            refusal_detail(refused),
-            routed.client_request.attempt_id,
-            refused.retry_after_s,
-        )
-
-    def _failure_response(
-        self, routed: RoutedRequest, stream: StreamState
-    ) -> web.StreamResponse:
-        if stream.response is not None:
-            return _abort_response(routed, stream.response, "no engine continues it")
-        if stream.last_failure is not None:
-            return stream.last_failure
-        if stream.possible_runs:
-            return error_response(
-                BAD_GATEWAY,
-                "the engine failed; the request may have run",
-                routed.client_request.attempt_id,
-            )
-        return not_run_response(
-            UNAVAILABLE,
-            "no engine accepted the request",
-            routed.client_request.attempt_id,
-            DEFAULT_RETRY_AFTER_S,
-        )
-
-    def _timeout_response(
-        self, routed: RoutedRequest, stream: StreamState
-    ) -> web.StreamResponse:
-        if stream.response is not None:
-            return _abort_response(routed, stream.response, "deadline")
-        if stream.may_have_run:
-            return error_response(
-                GATEWAY_TIMEOUT,
-                "no response within the deadline",
-                routed.client_request.attempt_id,
-            )
-        return not_run_response(
-            UNAVAILABLE,
-            "no engine available within the deadline",
-            routed.client_request.attempt_id,
-            DEFAULT_RETRY_AFTER_S,
-        )
-
 
 def _first_event_timeout_s(placement: Placement) -> float:
     return (
@@ -510,14 +453,3 @@
     if error.step == SEND_STEP:
         return RunEnd.DISCONNECTED, RunResult.BROKEN
     return RunEnd.FAILED, RunResult.BROKEN
-
-
-def _abort_response(
-    routed: RoutedRequest, response: web.StreamResponse, reason: str
-) -> web.StreamResponse:
-    """Close the connection so that the client sees the response as truncated."""
-    routed.trace.truncated_by = reason
-    transport = routed.request.transport
-    if transport is not None:
-        transport.close()
-    return response
