Attribute the ends of engines to prompt parts and quarantine those that are proven

Callers saw engine after engine end beneath requests that share one part of their prompts, and with one or two of six engines up most other requests were late or refused.

Cause: a run that broke counted against its engine only. The request was sent to the next engine, beside other runs, and nothing was remembered of its prompt.

Change: a member reports the parts, but the last, of each prompt whose engine ended the connection before the first event; the broker counts the ends by part (CrashAttribution). The first event of a run acquits its parts. An accused part is on one engine at a time, alone there until the answer begins; after ends of three engine starts while other runs begin, or five if none does, it is quarantined for 15 s, doubled by each trial that ends its engine. The evidence goes to all members in heartbeats, so that the next broker has it. A stream that has begun is exempt.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -11,6 +11,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from burdockhaven_core.scheduling.crash_attribution import CrashAttribution
 from burdockhaven_core.scheduling.engine_load import EngineLoad, Run
 from burdockhaven_core.scheduling.peer_messages import (
     MemberId,
@@ -106,7 +107,8 @@
         self.accounts: dict[str, Account] = {}
         self.quotas = SharedQuotas(rule)
         self.costs = RouteCosts()
-        self.runs = RunTracker(self.costs)
+        self.crashes = CrashAttribution()
+        self.runs = RunTracker(self.costs, self.crashes)
         # Keeps the grants within the limits that engines name.
         self.limiters = RateLimiters()
         self.wait_estimator = WaitEstimator(self.costs, self.limiters)
@@ -148,6 +150,9 @@
         if key in self.queue:
             self.queue[key].paused_until_s = paused_until_s(request, now)
             return PlacementReply(request.number, Verdict.QUEUED)
+        quarantined = self._quarantined_part(request, now)
+        if quarantined:
+            return _quarantine_reply(request, quarantined)
         account = self.accounts.get(request.account)
         cost = quota_cost(account, request.prompt_tokens, request.output_tokens)
         if account is not None and not self.quotas.admits(
@@ -182,10 +187,12 @@
             engines = free.get(queued.request.service)
             if not engines or not _of_version(engines, queued.request):
                 continue
+            if self._must_wait_for_trial(queued.request, now):
+                continue
             attempts += 1
             if attempts > MAX_GRANT_ATTEMPTS:
                 break
-            found = _find_placement(queued, engines, now)
+            found = self._find_placement(queued, engines, now)
             if found is None:
                 continue
             del self.queue[key]
@@ -206,6 +213,12 @@
             ahead = work_ahead.setdefault(service, VersionedWork())
             version = queue_class.software_version
             for key, queued in group:
+                quarantined = self._quarantined_part(queued.request, now)
+                if quarantined:
+                    del self.queue[key]
+                    reply = _quarantine_reply(queued.request, quarantined)
+                    replies.append(AddressedReply(queued.request.sender, reply))
+                    continue
                 ahead.add(version, limits.cost_s)
                 wait_s = ahead.wait_s(version, limits.capacities)
                 if limits.admit(queued, wait_s, route_ahead[route_key], now):
@@ -230,6 +243,10 @@
             self.runs.apply_update(
                 (sender.node, sender.incarnation, update.number), update, now
             )
+        for broken in message.broken_prompts:
+            self.crashes.record_end(
+                self.runs.start_of(broken.target), broken.parts, now
+            )
 
     def apply_report(self, message: RunReport, now: float) -> None:
         """Reconcile the runs and queued requests of a member with its own lists.
@@ -277,9 +294,9 @@
             return self._refuse_until(request, pause_left_s, now)
         queue_class = queued.queue_class(now)
         ahead = self._counts_ahead(queue_class, now)
-        if not ahead:
+        if not ahead and not self._must_wait_for_trial(request, now):
             free = self._available_engines(request.service, now)
-            found = _find_placement(queued, free, now)
+            found = self._find_placement(queued, free, now)
             if found is not None:
                 return self._grant(key, queued, found, now)
         limits = self._limits_of(queue_class, now, None if pause_left_s else queued)
@@ -298,6 +315,30 @@
         self.queue[key] = queued
         return PlacementReply(request.number, Verdict.QUEUED)
 
+    def _quarantined_part(self, request: PlacementRequest, now: float) -> str:
+        """Return the part for which a request is refused; empty if there is none."""
+        if request.has_begun:
+            return ""
+        return self.crashes.quarantined_part(_shared_parts(request), now)
+
+    def _must_wait_for_trial(self, request: PlacementRequest, now: float) -> bool:
+        """Whether another run shows first if the prompt ends engines."""
+        return not request.has_begun and self.crashes.must_wait(
+            _shared_parts(request), self.runs.granted, now
+        )
+
+    def _is_trial(self, request: PlacementRequest) -> bool:
+        return not request.has_begun and self.crashes.is_trial(_shared_parts(request))
+
+    def _find_placement(
+        self, queued: QueuedRequest, engines: list[EngineLoad], now: float
+    ) -> Placement | None:
+        """Return the best engine; for a trial, among those with the fewest runs."""
+        if engines and self._is_trial(queued.request):
+            fewest = min(len(engine.runs) for engine in engines)
+            engines = [engine for engine in engines if len(engine.runs) == fewest]
+        return _find_placement(queued, engines, now)
+
     def _is_version_gone(self, request: PlacementRequest) -> bool:
         """Whether the service has engines, and none has the version that is needed."""
         engines = self.runs.open_engines(request.service)
@@ -363,7 +404,11 @@
             granted_s=now,
             predicted_ms=found.first_event_ms,
             route=request.route,
+            parts=_shared_parts(request),
+            is_trial=self._is_trial(request),
         )
+        if run.is_trial:
+            self.crashes.begin_trial(key, run.parts)
         self.runs.add_run(key, found.engine, run, request.parts)
         self.served_shares.record_grant(request, now)
         self.limiters.record_send(found.engine.target, now)
@@ -408,6 +453,16 @@
         return _refusal(request, verdict, wait_s)
 
 
+def _shared_parts(request: PlacementRequest) -> tuple[str, ...]:
+    """Return the names of the prompt's parts that other requests may have."""
+    return tuple(part for part, _ in request.parts[:-1])
+
+
+def _quarantine_reply(request: PlacementRequest, part: str) -> PlacementReply:
+    """Refuse a request for good; members that don't know the field may retry it."""
+    return PlacementReply(request.number, Verdict.OVERLOADED, quarantined_part=part)
+
+
 def _of_version(
     engines: list[EngineLoad], request: PlacementRequest
 ) -> list[EngineLoad]:
--- /dev/null
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/crash_attribution.py
@@ -0,0 +1,277 @@
+"""Finds the prompt parts beneath which engines end, and keeps them from engines.
+
+An engine that ends takes all of its runs with it, and each member sees only its own. So
+every end accuses the parts of all prompts whose answer had not begun there, except the
+last part of each, which no other request has. The first event of a run acquits its
+parts. A part that stays accused at the ends of several engines is quarantined.
+"""
+
+import enum
+import math
+from collections import OrderedDict
+from collections.abc import Container, Iterable
+from dataclasses import dataclass, field
+
+from burdockhaven_core.scheduling.peer_messages import AccusedPartNotice
+from burdockhaven_core.scheduling.request_queue import RequestKey
+
+# Ends of engines that quarantine a part, if runs without it begin meanwhile; and if
+# none does, so that it may be the engines that fail.
+QUARANTINE_ENDS = 3
+QUARANTINE_ENDS_ALONE = 5
+# Ends within this many seconds count once: one lost link ends the runs at many engines.
+SAME_CAUSE_S = 0.03
+# Seconds of the first quarantine, doubled by each trial that ends its engine, and the
+# upper bound.
+QUARANTINE_S = 15.0
+MAX_QUARANTINE_S = 960.0
+# An accused part is sent to one engine at a time, unless a run with it has begun within
+# this many seconds before.
+RECENTLY_BEGUN_S = 5.0
+# Seconds after its last accusation or quarantine in which a part is remembered.
+FORGET_S = 600.0
+# Seconds for which an acquittal is announced.
+ACQUITTAL_ANNOUNCE_S = 10.0
+# Upper bounds of the parts that are remembered, and of those in one heartbeat.
+MAX_ACCUSED = 256
+MAX_BEGUN = 4_096
+MAX_ANNOUNCED = 16
+MAX_CHANGES = 256
+
+
+class PartChangeKind(enum.Enum):
+    """What happened to a prompt part."""
+
+    ACCUSED = "accused"
+    QUARANTINED = "quarantined"
+    ACQUITTED = "acquitted"
+
+
+@dataclass(frozen=True, slots=True)
+class PartChange:
+    """A change in the belief about a prompt part, for the log."""
+
+    kind: PartChangeKind
+    part: str
+    # Ends of engines that accuse the part.
+    ends: int
+    # The engine that ended, or the member that announced the change.
+    source: str
+    # Length of the quarantine in seconds; 0 if there is none.
+    quarantine_s: float = 0.0
+
+
+@dataclass(slots=True)
+class _AccusedPart:
+    """Evidence against one prompt part since a run with it last began."""
+
+    # Engines that ended, by start, and the number of ends that count.
+    engines: set[str] = field(default_factory=set)
+    ends: int = 0
+    last_end_s: float = -math.inf
+    # Runs that this broker had seen begin at the first accusation.
+    begun_before: int = 0
+    # Whether only one run at a time may have the part, and the last such run.
+    is_serial: bool = False
+    trial: RequestKey | None = None
+    # When the last quarantine ends, 0 without one, and the number of quarantines.
+    quarantined_until_s: float = 0.0
+    quarantines: int = 0
+    # Whether this broker has used the evidence; others have it from announcements.
+    is_own: bool = True
+
+    def remembered_until_s(self) -> float:
+        return max(self.last_end_s, self.quarantined_until_s) + FORGET_S
+
+
+class CrashAttribution:
+    """The prompt parts that are accused of ending engines, as one broker knows them."""
+
+    def __init__(self) -> None:
+        self.accused: dict[str, _AccusedPart] = {}
+        # When a run with each part last began, the least recent first.
+        self.begun_s: OrderedDict[str, float] = OrderedDict()
+        # Number of runs that have begun.
+        self.begun_count = 0
+        # When parts were acquitted.
+        self.acquitted_s: dict[str, float] = {}
+        self.changes: list[PartChange] = []
+
+    def record_end(self, engine: str, parts: Iterable[str], now: float) -> None:
+        """Record that an engine ended before it began to answer a prompt.
+
+        `engine` identifies one start of an engine; `parts` are the prompt's parts
+        without the last.
+        """
+        self._forget(now)
+        for part in dict.fromkeys(parts):
+            accused = self.accused.get(part)
+            if accused is None:
+                accused = _AccusedPart(begun_before=self.begun_count)
+                self.accused[part] = accused
+            if engine in accused.engines and not accused.quarantines:
+                continue
+            accused.engines.add(engine)
+            if now - accused.last_end_s < SAME_CAUSE_S:
+                continue
+            accused.ends += 1
+            accused.last_end_s = now
+            accused.is_own = True
+            recently_begun_s = self.begun_s.get(part, -math.inf) + RECENTLY_BEGUN_S
+            accused.is_serial = accused.ends > 1 or recently_begun_s < now
+            self._add_change(PartChangeKind.ACCUSED, part, accused, engine)
+            self._quarantine_if_proven(part, accused, engine, now)
+        self._evict()
+
+    def record_begun(self, parts: Iterable[str], now: float) -> None:
+        """Record the first event of a run, which acquits the parts of its prompt."""
+        self.begun_count += 1
+        for part in parts:
+            self.begun_s[part] = now
+            self.begun_s.move_to_end(part)
+            if part in self.accused:
+                self._acquit(part, "", now)
+        while len(self.begun_s) > MAX_BEGUN:
+            self.begun_s.popitem(last=False)
+
+    def quarantined_part(self, parts: Iterable[str], now: float) -> str:
+        """Return a part that no engine may get now; empty if there is none."""
+        if not self.accused:
+            return ""
+        for part in parts:
+            accused = self.accused.get(part)
+            if accused is not None and accused.quarantined_until_s > now:
+                accused.is_own = True
+                return part
+        return ""
+
+    def must_wait(
+        self, parts: Iterable[str], in_flight: Container[RequestKey], now: float
+    ) -> bool:
+        """Whether a request with these parts has to wait for the run that tries one."""
+        if not self.accused:
+            return False
+        return any(
+            accused.quarantined_until_s > now
+            or (accused.is_serial and accused.trial in in_flight)
+            for accused in self._accused_among(parts)
+        )
+
+    def is_trial(self, parts: Iterable[str]) -> bool:
+        """Whether a run with these parts shows if an accused one ends engines."""
+        return any(accused.is_serial for accused in self._accused_among(parts))
+
+    def begin_trial(self, key: RequestKey, parts: Iterable[str]) -> None:
+        """Record that a request with accused parts is sent to an engine."""
+        for accused in self._accused_among(parts):
+            accused.trial = key
+
+    def quarantined(self, now: float) -> list[str]:
+        """Return the parts in quarantine."""
+        return [p for p, a in self.accused.items() if a.quarantined_until_s > now]
+
+    def announced(self, now: float) -> tuple[AccusedPartNotice, ...]:
+        """Return the evidence that other brokers need if they replace this one."""
+        acquittals = [
+            AccusedPartNotice(part, 0, _to_ms(now - acquitted_s), 0, 0)
+            for part, acquitted_s in self.acquitted_s.items()
+            if now - acquitted_s <= ACQUITTAL_ANNOUNCE_S
+        ]
+        own = [item for item in self.accused.items() if item[1].is_own]
+        own.sort(key=lambda item: item[1].remembered_until_s(), reverse=True)
+        evidence = [
+            AccusedPartNotice(
+                part,
+                accused.ends,
+                _to_ms(now - accused.last_end_s),
+                _to_ms(accused.quarantined_until_s - now),
+                accused.quarantines,
+            )
+            for part, accused in own
+        ]
+        return tuple((*acquittals, *evidence)[:MAX_ANNOUNCED])
+
+    def apply_notice(self, notice: AccusedPartNotice, source: str, now: float) -> None:
+        """Apply the evidence that another member's broker announces."""
+        observed_s = now - notice.age_ms / 1e3
+        accused = self.accused.get(notice.part)
+        if not notice.ends:
+            if accused is not None and accused.last_end_s < observed_s:
+                self._acquit(notice.part, source, observed_s)
+            return
+        if self.acquitted_s.get(notice.part, -math.inf) >= observed_s:
+            return
+        if accused is None:
+            accused = _AccusedPart(begun_before=self.begun_count, is_own=False)
+            self.accused[notice.part] = accused
+            self._evict()
+        accused.is_serial = True
+        accused.ends = max(accused.ends, notice.ends)
+        accused.last_end_s = max(accused.last_end_s, observed_s)
+        if notice.quarantines > accused.quarantines:
+            accused.quarantines = notice.quarantines
+            left_s = notice.quarantined_ms / 1e3
+            accused.quarantined_until_s = now + left_s
+            self._add_change(
+                PartChangeKind.QUARANTINED, notice.part, accused, source, left_s
+            )
+
+    def take_changes(self) -> list[PartChange]:
+        """Return the changes since the last call, and start anew."""
+        changes, self.changes = self.changes, []
+        return changes
+
+    def _accused_among(self, parts: Iterable[str]) -> list[_AccusedPart]:
+        if not self.accused:
+            return []
+        return [self.accused[part] for part in parts if part in self.accused]
+
+    def _quarantine_if_proven(
+        self, part: str, accused: _AccusedPart, engine: str, now: float
+    ) -> None:
+        others_begin = self.begun_count > accused.begun_before
+        needed = QUARANTINE_ENDS if others_begin else QUARANTINE_ENDS_ALONE
+        if accused.ends < needed or now < accused.quarantined_until_s:
+            return
+        quarantine_s = min(MAX_QUARANTINE_S, QUARANTINE_S * 2**accused.quarantines)
+        accused.quarantines += 1
+        accused.quarantined_until_s = now + quarantine_s
+        self._add_change(
+            PartChangeKind.QUARANTINED, part, accused, engine, quarantine_s
+        )
+
+    def _acquit(self, part: str, source: str, now: float) -> None:
+        accused = self.accused.pop(part)
+        self.acquitted_s[part] = now
+        self._add_change(PartChangeKind.ACQUITTED, part, accused, source)
+
+    def _add_change(
+        self,
+        kind: PartChangeKind,
+        part: str,
+        accused: _AccusedPart,
+        source: str,
+        quarantine_s: float = 0.0,
+    ) -> None:
+        if len(self.changes) < MAX_CHANGES:
+            change = PartChange(kind, part, accused.ends, source, quarantine_s)
+            self.changes.append(change)
+
+    def _forget(self, now: float) -> None:
+        for part, accused in list(self.accused.items()):
+            if accused.remembered_until_s() <= now:
+                del self.accused[part]
+        for part, acquitted_s in list(self.acquitted_s.items()):
+            if now - acquitted_s > ACQUITTAL_ANNOUNCE_S:
+                del self.acquitted_s[part]
+
+    def _evict(self) -> None:
+        while len(self.accused) > MAX_ACCUSED:
+            oldest = min(
+                self.accused, key=lambda part: self.accused[part].remembered_until_s()
+            )
+            del self.accused[oldest]
+
+
+def _to_ms(seconds: float) -> int:
+    return max(0, math.ceil(seconds * 1e3))
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
@@ -51,6 +51,10 @@
     prefilled_beside_tokens: int = 0
     # Empty for a run that is known only from a member's report.
     route: str = ""
+    # Names of the prompt's parts without the last; empty if only reported.
+    parts: tuple[str, ...] = ()
+    # Whether the run shows if its prompt ends engines.
+    is_trial: bool = False
 
     def age_ms(self, now: float) -> float:
         """Return the milliseconds since the grant."""
@@ -174,8 +178,11 @@
         """Return the number of requests that still fit into the batch.
 
         An engine that was ejected or broke a run off gets one request until a run
-        progresses; otherwise all slots that a crash frees would be filled at once.
+        progresses; otherwise all slots that a crash frees would be filled at once. One
+        that may end beneath a prompt gets no other until it begins to answer it.
         """
+        if any(run.is_trial and not run.first_event_seen for run in self.runs.values()):
+            return 0
         usable = 1 if self.ejections or self.has_broken_off else self.slots
         return usable - len(self.runs)
 
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
@@ -23,6 +23,20 @@
     age_ms: int
 
 
+class AccusedPartNotice(msgspec.Struct, frozen=True, array_like=True):
+    """What a broker knows of a prompt part that may end engines."""
+
+    part: str
+    # Ends of engines that accuse the part; 0 if a run with it has begun since.
+    ends: int
+    # Milliseconds since the last of these ends, or since the run began.
+    age_ms: int
+    # Milliseconds for which no engine gets the part; 0 if any may.
+    quarantined_ms: int
+    # Times that the part was quarantined.
+    quarantines: int
+
+
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """Announces the state of its sender at a fixed interval."""
 
@@ -56,6 +70,8 @@
     store_era: int = 0
     # Unix milliseconds of the start of each target in `leaving`; 0 if unknown.
     leaving_started_ms: tuple[int, ...] = ()
+    # Prompt parts accused of ending engines, by the evidence of the sender's broker.
+    accused_parts: tuple[AccusedPartNotice, ...] = ()
 
 
 class PausedTarget(msgspec.Struct, frozen=True, array_like=True):
@@ -106,6 +122,8 @@
     software_version: str = ""
     # Targets of the service that are paused for the sender.
     paused: tuple[PausedTarget, ...] = ()
+    # Whether an engine has begun to answer the prompt.
+    has_begun: bool = False
 
 
 class Verdict(enum.IntEnum):
@@ -138,6 +156,9 @@
     broker: str = ""
     # Software version of the target; empty unless granted.
     software_version: str = ""
+    # Prompt part that no engine gets, because engines end beneath it; empty unless the
+    # request is refused for it.
+    quarantined_part: str = ""
 
 
 class RunEnd(enum.IntEnum):
@@ -179,11 +200,20 @@
     longest_pause_tenth_ms: int = 0
 
 
+class BrokenPrompt(msgspec.Struct, frozen=True, array_like=True):
+    """A prompt whose engine ended the connection before its first event."""
+
+    target: str
+    # The prompt's parts without the last, which no other request has.
+    parts: tuple[str, ...]
+
+
 class RunProgress(msgspec.Struct, frozen=True, array_like=True, tag=4):
     """First events and ends of runs since the sender's previous message."""
 
     sender: MemberId
     updates: tuple[RunUpdate, ...]
+    broken_prompts: tuple[BrokenPrompt, ...] = ()
 
 
 class RunState(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Iterable, Mapping
 
+from burdockhaven_core.scheduling.crash_attribution import CrashAttribution
 from burdockhaven_core.scheduling.engine_load import EngineLoad, Run
 from burdockhaven_core.scheduling.engine_speed import ServiceSpeed
 from burdockhaven_core.scheduling.peer_messages import (
@@ -35,8 +36,9 @@
 class RunTracker:
     """The engines, and their runs in flight."""
 
-    def __init__(self, costs: RouteCosts) -> None:
+    def __init__(self, costs: RouteCosts, crashes: CrashAttribution) -> None:
         self.costs = costs
+        self.crashes = crashes
         self.engines: dict[str, EngineLoad] = {}
         # Learned times, by service.
         self.speeds: dict[str, ServiceSpeed] = {}
@@ -185,12 +187,18 @@
         engine.cache_tokens = cache_tokens
         return engine
 
+    def start_of(self, target: str) -> str:
+        """Return an identifier of the last known start of an engine."""
+        engine = self.engines.get(target)
+        return target if engine is None else f"{target}/{engine.started_ms}"
+
     def _apply_first_event(
         self, engine: EngineLoad, key: RequestKey, update: RunUpdate, now: float
     ) -> None:
         run = engine.runs.get(key)
         if run is not None and not run.first_event_seen:
             run.first_event_seen = True
+            self.crashes.record_begun(run.parts, now)
             engine.record_first_event(run, update.first_event_ms)
             engine.record_progress(now)
 
--- a/packages/burdockhaven-core/tests/scheduling/test_broker.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_broker.py
@@ -9,7 +9,10 @@
     Broker,
     RouteCounts,
 )
+from burdockhaven_core.scheduling.crash_attribution import QUARANTINE_ENDS
 from burdockhaven_core.scheduling.peer_messages import (
+    AccusedPartNotice,
+    BrokenPrompt,
     MemberId,
     PausedTarget,
     RunEnd,
@@ -702,3 +705,124 @@
     assert engine.runs == {}
     # The next request shows whether the engine takes requests again.
     assert engine.free_slots() == 1
+
+
+def prompt(number, *parts, **changes):
+    named = tuple((part, 100) for part in (*parts, f"own-{number}"))
+    return placement_request(number, parts=named, **changes)
+
+
+def end_engine(broker, number, target, now, sender=ME):
+    """Let an engine end beneath the prompt of a run that had not begun."""
+    run = broker.runs.engines[target].runs[sender.node, sender.incarnation, number]
+    message = RunProgress(
+        sender,
+        (RunUpdate(number, RunEnd.FAILED),),
+        (BrokenPrompt(target, run.parts),),
+    )
+    broker.apply_progress(message, now)
+
+
+def begun(number, sender=ME):
+    return RunProgress(sender, (RunUpdate(number),))
+
+
+def quarantine_part(broker, part="bad"):
+    """Let engines end beneath the part, as seen by several members."""
+    for number in range(QUARANTINE_ENDS):
+        sender = MemberId(f"entry-{number}", 1)
+        reply = broker.submit(
+            prompt(1, "all", part, sender=sender, excluded=tuple(broker_ended(broker))),
+            float(number),
+        )
+        end_engine(broker, 1, reply.target, float(number), sender)
+        sound = broker.submit(prompt(100 + number, "all"), number + 0.5)
+        broker.apply_progress(begun(100 + number), number + 0.6)
+        broker.apply_progress(ended(100 + number), number + 0.6)
+        assert sound.verdict is Verdict.GRANTED
+
+
+def broker_ended(broker):
+    return [e.target for e in broker.runs.engines.values() if e.has_broken_off]
+
+
+# Requests with one part ended engine after engine, at any member and without end.
+def test_request_with_a_quarantined_part_is_refused_for_good():
+    broker = make_broker(targets=[f"i-{n}" for n in range(6)])
+    quarantine_part(broker)
+    reply = broker.submit(prompt(50, "all", "bad"), 4.0)
+    assert (reply.verdict, reply.quarantined_part) == (Verdict.OVERLOADED, "bad")
+    assert reply.retry_after_ms == 0
+    assert broker.submit(prompt(51, "all"), 4.0).verdict is Verdict.GRANTED
+
+
+# The last part of a prompt is its own; sessions with a part of the same name share it.
+def test_last_part_of_a_prompt_is_not_accused():
+    broker = make_broker(targets=[f"i-{n}" for n in range(6)])
+    quarantine_part(broker)
+    last = placement_request(50, parts=(("all", 100), ("bad", 100)))
+    assert broker.submit(last, 4.0).verdict is Verdict.GRANTED
+
+
+def test_stream_that_has_begun_is_continued_in_spite_of_a_quarantine():
+    broker = make_broker(targets=[f"i-{n}" for n in range(6)])
+    quarantine_part(broker)
+    resumed = prompt(50, "all", "bad", is_retry=True, has_begun=True)
+    assert broker.submit(resumed, 4.0).verdict is Verdict.GRANTED
+
+
+def test_queued_request_is_refused_once_its_part_is_quarantined():
+    broker = make_broker(targets=("i-1",), slots=1)
+    broker.submit(prompt(1, "all"), 0.0)
+    assert broker.submit(prompt(2, "bad"), 0.0).verdict is Verdict.QUEUED
+    broker.crashes.apply_notice(
+        AccusedPartNotice("bad", QUARANTINE_ENDS, 100, 9_000, 1), "entry-2", 0.1
+    )
+    broker.apply_progress(ended(1), 0.2)
+    assert broker.grant_queued(0.2) == []
+    (refused,) = broker.refuse_infeasible(0.2)
+    assert refused.reply.quarantined_part == "bad"
+    assert broker.queue == {}
+
+
+# One prompt, sent again and again, took several engines down at the same time.
+def test_accused_part_is_at_one_engine_at_a_time():
+    broker = make_broker(targets=("i-1", "i-2", "i-3"))
+    first = broker.submit(prompt(1, "bad"), 0.0)
+    end_engine(broker, 1, first.target, 0.2)
+    trial = broker.submit(prompt(2, "bad", excluded=(first.target,)), 0.3)
+    assert trial.verdict is Verdict.GRANTED
+    assert broker.submit(prompt(3, "bad"), 0.3).verdict is Verdict.QUEUED
+    broker.submit(prompt(4, "sound"), 0.3)
+    (sound,) = broker.grant_queued(0.32)
+    assert (sound.reply.number, sound.reply.target != trial.target) == (4, True)
+    broker.apply_progress(begun(2), 0.4)
+    (granted,) = broker.grant_queued(0.4)
+    assert granted.reply.number == 3
+
+
+# The runs beside an accused prompt were lost with its engine.
+def test_accused_prompt_runs_alone_until_it_begins():
+    broker = make_broker(targets=("i-1", "i-2", "i-3"), slots=4)
+    first = broker.submit(prompt(1, "bad"), 0.0)
+    end_engine(broker, 1, first.target, 0.2)
+    busy = broker.submit(prompt(2, "sound"), 0.3)
+    broker.apply_progress(begun(2), 0.35)
+    trial = broker.submit(prompt(3, "bad", excluded=(first.target,)), 0.4)
+    assert trial.target not in (first.target, busy.target)
+    others = [broker.submit(prompt(n, "sound"), 0.4).target for n in range(4, 8)]
+    assert trial.target not in others
+    broker.apply_progress(begun(3), 0.5)
+    assert broker.runs.engines[trial.target].free_slots() == 3
+
+
+@pytest.mark.parametrize("end", [RunEnd.CANCELLED, RunEnd.REJECTED, RunEnd.NOT_SENT])
+def test_next_request_tries_an_accused_part_if_the_first_shows_nothing(end):
+    broker = make_broker(targets=("i-1", "i-2", "i-3"))
+    first = broker.submit(prompt(1, "bad"), 0.0)
+    end_engine(broker, 1, first.target, 0.2)
+    broker.submit(prompt(2, "bad"), 0.3)
+    assert broker.submit(prompt(3, "bad"), 0.3).verdict is Verdict.QUEUED
+    broker.apply_progress(ended(2, end), 0.4)
+    (granted,) = broker.grant_queued(0.4)
+    assert granted.reply.number == 3
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
@@ -163,6 +163,7 @@
             store_era=self.store_eras.current,
             limits=self.target_signals.signals.limits.announced(self.clock()),
             leaving_started_ms=tuple(map(self.registry.start_of, leaving)),
+            accused_parts=self.broker.crashes.announced(self.clock()),
         )
 
     def usage(self) -> tuple[tuple[str, int], ...]:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
@@ -181,6 +181,8 @@
         if heartbeat.store_era != UNKNOWN_ERA:
             self.state.store_eras.observe(heartbeat.store_era, heartbeat.sender.node)
         self.state.record_announced_leaving(heartbeat, now)
+        for notice in heartbeat.accused_parts:
+            self.state.broker.crashes.apply_notice(notice, heartbeat.sender.node, now)
         if heartbeat.config_version > self.state.version and not self.is_fetching:
             self.is_fetching = True
             self.spawn(self._fetch_configuration(heartbeat))
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
@@ -17,6 +17,7 @@
 from burdockhaven_core.scheduling.broker import AddressedReply, Broker
 from burdockhaven_core.scheduling.member_list import MemberList
 from burdockhaven_core.scheduling.peer_messages import (
+    BrokenPrompt,
     CancelPlacement,
     Heartbeat,
     MemberId,
@@ -40,6 +41,8 @@
 MAX_UNANSWERED_ATTEMPTS = 2
 # Seconds for which a suspected member is skipped.
 SUSPICION_S = 1.5
+# Parts of one prompt that are reported if its engine ends; bounds the message.
+MAX_REPORTED_PARTS = 32
 # Seconds without a reply after which a queued request is sent again, in case the reply
 # was lost.
 QUEUED_RESEND_S = 0.2
@@ -76,6 +79,8 @@
     expected_tokens: int = 0
     # Software version of the targets that may be used; empty for any.
     software_version: str = ""
+    # Whether an engine has begun to answer the prompt.
+    has_begun: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,6 +106,13 @@
     retry_after_s: float
     # Whether no target has the software version that the request needs.
     is_version_gone: bool = False
+    # Prompt part beneath which engines end; empty unless refused for it.
+    quarantined_part: str = ""
+
+    @property
+    def is_final(self) -> bool:
+        """Whether the request would be refused again."""
+        return self.is_version_gone or bool(self.quarantined_part)
 
 
 @dataclass(slots=True)
@@ -111,6 +123,8 @@
     target: str
     prompt_tokens: int
     sent_s: float
+    # Names of the prompt's parts without the last.
+    parts: tuple[str, ...] = ()
     first_event_seen: bool = False
 
 
@@ -155,6 +169,8 @@
     own_refusals: dict[int, PlacementReply] = field(default_factory=dict)
     runs: dict[int, LocalRun] = field(default_factory=dict)
     pending_updates: list[RunUpdate] = field(default_factory=list)
+    # Prompts whose engines have ended, to be sent with the updates.
+    broken_prompts: list[BrokenPrompt] = field(default_factory=list)
     last_number: int = 0
 
     async def place(
@@ -173,7 +189,11 @@
             self.own_refusals.pop(number, None)
         if reply.verdict is Verdict.GRANTED:
             self.runs[number] = LocalRun(
-                number, reply.target, requirements.prompt_tokens, self.clock()
+                number,
+                reply.target,
+                requirements.prompt_tokens,
+                self.clock(),
+                tuple(part for part, _ in requirements.parts[:-1]),
             )
             return Placement(
                 number,
@@ -186,6 +206,7 @@
             reply.verdict is Verdict.OVER_QUOTA,
             reply.retry_after_ms / 1e3,
             reply.verdict is Verdict.VERSION_GONE,
+            reply.quarantined_part,
         )
 
     def refuse_waiting(
@@ -216,9 +237,17 @@
         end: RunEnd,
         typical_pause_s: float = 0.0,
         longest_pause_s: float = 0.0,
+        has_disconnected: bool = False,
     ) -> None:
-        """Record how a run ended, and the pauses between its events."""
-        if self.runs.pop(number, None) is not None:
+        """Record how a run ended, and the pauses between its events.
+
+        `has_disconnected` tells that the engine ended the connection within a response.
+        """
+        run = self.runs.pop(number, None)
+        if run is not None:
+            if has_disconnected and run.parts and not run.first_event_seen:
+                prompt = BrokenPrompt(run.target, run.parts[:MAX_REPORTED_PARTS])
+                self.broken_prompts.append(prompt)
             pauses = (int(pause * 1e4) for pause in (typical_pause_s, longest_pause_s))
             self._add_update(RunUpdate(number, end, 0, *pauses))
 
@@ -233,8 +262,11 @@
         """Send the pending run updates to the broker in one message."""
         if not self.pending_updates:
             return
-        message = RunProgress(self.member_id, tuple(self.pending_updates))
+        message = RunProgress(
+            self.member_id, tuple(self.pending_updates), tuple(self.broken_prompts)
+        )
         self.pending_updates.clear()
+        self.broken_prompts.clear()
         node = self.broker_node()
         if node == self.member_id.node:
             self.broker.apply_progress(message, self.clock())
@@ -369,6 +401,7 @@
             zone=self.zone,
             software_version=requirements.software_version,
             paused=self.paused_targets(requirements.service),
+            has_begun=requirements.has_begun,
         )
         if node == self.member_id.node:
             self.on_reply(self.submit(request, now), node)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/responses.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/responses.py
@@ -50,7 +50,10 @@
 
 
 def not_run_response(
-    status: int, detail: str, attempt_id: str, retry_after_s: float
+    status: int, detail: str, attempt_id: str, retry_after_s: float | None
 ) -> web.Response:
-    """Create a response for a request that has not run; the client may retry."""
+    """Create a response for a request that has not run.
+
+    `retry_after_s` is None if it would be refused again.
+    """
     return error_response(status, detail, attempt_id, retry_after_s)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_continuation.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_continuation.py
@@ -69,6 +69,8 @@
     """Return why a placement was refused, for the log."""
     if refused.over_quota:
         return "quota exceeded"
+    if refused.quarantined_part:
+        return f"quarantined part {refused.quarantined_part}"
     return "software version gone" if refused.is_version_gone else "overloaded"
 
 
@@ -76,6 +78,11 @@
     """Return the explanation of a refused placement for the client."""
     if refused.over_quota:
         return "account quota exceeded"
+    if refused.quarantined_part:
+        return (
+            f"the request is not run: engines end beneath part "
+            f"{refused.quarantined_part} of its prompt"
+        )
     if refused.is_version_gone:
         return "no engine of the software version that began the stream"
     return "no engine available within the deadline"
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -43,6 +43,7 @@
 )
 from burdockhaven_entry.gateway.stream_state import RunResult, StreamState
 from burdockhaven_entry.gateway.target_client import (
+    READ_STEP,
     SEND_STEP,
     SendError,
     SendOutcome,
@@ -127,7 +128,7 @@
         for count in itertools.count(1):
             placement = await self._next_placement(routed, stream)
             if isinstance(placement, PlacementRefused):
-                if placement.is_version_gone or not self._is_client_waiting(stream):
+                if placement.is_final or not self._is_client_waiting(stream):
                     return refusal_response(stream, placement)
                 await self._pause(stream)
                 continue
@@ -244,6 +245,7 @@
         reuse = routed.route.idempotent
         request = routed.outgoing_request(target.id, now, stream.last_event_id, reuse)
         end = RunEnd.CANCELLED
+        has_disconnected = False
         search: ReplacementSearch | None = None
         try:
             async with asyncio.timeout(None) as run_timeout:
@@ -269,6 +271,7 @@
         except SendError as error:
             routed.trace.failures.append(str(error))
             end, result = _classify_send_error(error)
+            has_disconnected = error.step in (SEND_STEP, READ_STEP)
             if result is RunResult.BROKEN:
                 stream.record_possible_run(target.id)
             return result
@@ -278,6 +281,7 @@
                 end,
                 stream.typical_pause_s(),
                 stream.longest_pause_s(),
+                has_disconnected,
             )
             if search is not None:
                 search.discard()
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_responses.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_responses.py
@@ -26,7 +26,8 @@
         TOO_MANY_REQUESTS if refused.over_quota else UNAVAILABLE,
         refusal_detail(refused),
         stream.routed.client_request.attempt_id,
-        refused.retry_after_s,
+        # A client that returns would be refused again.
+        None if refused.quarantined_part else refused.retry_after_s,
     )
 
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_state.py
@@ -121,6 +121,7 @@
         if self.delivered_s is not None:
             requirements = dataclasses.replace(
                 requirements,
+                has_begun=True,
                 objective_s=self.give_up_s,
                 client_timeout_s=self.give_up_s,
             )
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
@@ -40,6 +40,8 @@
 
 # Step in which a request is sent and the head of its response awaited.
 SEND_STEP = "send"
+# Step in which the body of a response is read.
+READ_STEP = "read answer"
 
 
 class SendError(Exception):
@@ -120,7 +122,7 @@
             raise self._read_error("connection reset before the end of the body")
 
     def _read_error(self, detail: str) -> SendError:
-        return SendError(SendOutcome.UNKNOWN, "read answer", self.target, detail)
+        return SendError(SendOutcome.UNKNOWN, READ_STEP, self.target, detail)
 
 
 class TargetClient:
