--- a/packages/burdockhaven-core/src/burdockhaven_core/log_numbers.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/log_numbers.py
@@ -70,5 +70,10 @@
     FLOOR_OPENED = 602
     QUEUE_HELD = 603
 
+    # Prompts beneath which engines end.
+    PROMPT_PART_ACCUSED = 701
+    PROMPT_PART_QUARANTINED = 702
+    PROMPT_PART_ACQUITTED = 703
+
     # Faults of the program itself.
     INTERNAL_ERROR = 901
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -22,6 +22,7 @@
 from burdockhaven_entry.gateway.peer_endpoint import PeerEndpoint
 from burdockhaven_entry.gateway.placement_client import PlacementClient
 from burdockhaven_entry.gateway.plain_forwarding import PlainForwarder
+from burdockhaven_entry.gateway.prompt_part_log import log_part_changes
 from burdockhaven_entry.gateway.queue_poller import QueuePoller
 from burdockhaven_entry.gateway.request_log import log_cut
 from burdockhaven_entry.gateway.responses import STOPPING_RETRY_AFTER_S
@@ -247,6 +248,9 @@
             jitter=0.1,
         )
         timer.subscribe(EXPIRY_INTERVAL_S, self._expire_targets)
+        timer.subscribe(
+            EXPIRY_INTERVAL_S, lambda now: log_part_changes(self.state.broker.crashes)
+        )
         timer.subscribe(ABSENCE_CHECK_INTERVAL_S, self._discard_runs_of_absent_members)
         timer.subscribe(QUEUE_LOG_INTERVAL_S, self._log_queue)
         timer.subscribe(
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
@@ -499,6 +499,44 @@
             "engines": "by engine: runs/slots, pending, slowdown, failure rate, state",
         },
     ),
+    EventSpec(
+        EventNumber.PROMPT_PART_ACCUSED,
+        "info",
+        "Engine {source} ended before it answered a prompt with part {part}; {ends} "
+        "ends since a run with the part last began.",
+        "Nothing, unless the part is quarantined (702).",
+        {
+            "part": "name of the part, as in the requests' headers",
+            "ends": "number of ends of engines",
+            "source": "the engine and its start",
+        },
+    ),
+    EventSpec(
+        EventNumber.PROMPT_PART_QUARANTINED,
+        "warning",
+        "Requests with prompt part {part} are refused for {seconds} s, because {ends} "
+        "engines ended beneath it.",
+        "Find the account of the requests with this part in event 306; have the part "
+        "or the engines' software corrected.",
+        {
+            "part": "name of the part, as in the requests' headers",
+            "ends": "number of ends of engines",
+            "seconds": "time until one request tries the part again",
+            "source": "the engine that ended last, or the member that announced it",
+        },
+    ),
+    EventSpec(
+        EventNumber.PROMPT_PART_ACQUITTED,
+        "info",
+        "An engine has begun to answer a prompt with part {part}, which {ends} ends of "
+        "engines had accused.",
+        "Nothing.",
+        {
+            "part": "name of the part, as in the requests' headers",
+            "ends": "number of ends of engines",
+            "source": "the member that announced it; empty for this one",
+        },
+    ),
     EventSpec(
         EventNumber.INTERNAL_ERROR,
         "error",
