--- a/packages/burdockhaven-ctl/src/burdockhaven_ctl/explain.py
+++ b/packages/burdockhaven-ctl/src/burdockhaven_ctl/explain.py
@@ -19,6 +19,8 @@
 KEY_VALUE_OUTAGE_BEGIN = 403
 KEY_VALUE_OUTAGE_END = 404
 QUEUE_HELD = 603
+PROMPT_PART_ACCUSED = 701
+PROMPT_PART_QUARANTINED = 702
 # Failures at the same target within this time of a request's end are related to it.
 TARGET_WINDOW_MS = 2_000
 # A QUEUE_HELD event within this time before a refusal shows the state of its engines.
@@ -28,6 +30,8 @@
 # Logged as the status if the client disconnected.
 STATUS_CLIENT_DISCONNECTED = 0
 STATUS_OK = 200
+# Logged before the name of the prompt part for which a request was refused.
+QUARANTINED_PREFIX = "quarantined part "
 # Logged as the origin of a resumed stream if it could not be found.
 UNKNOWN_ORIGIN = "unknown"
 
@@ -82,6 +86,8 @@
 
 def _answer_findings(line: SavedLogLine, log: SavedLog) -> list[str]:
     status = line.integer("status")
+    if QUARANTINED_PREFIX in line.text("failures"):
+        return _quarantine_findings(line, log)
     if status == 429:
         return _quota_findings(line, log)
     if status == 503 and line.text("origin") == UNKNOWN_ORIGIN:
@@ -136,6 +142,30 @@
     ]
 
 
+def _quarantine_findings(line: SavedLogLine, log: SavedLog) -> list[str]:
+    """Return which ends of engines led to the quarantine of a prompt part."""
+    rest = line.text("failures").rpartition(QUARANTINED_PREFIX)[2]
+    part = rest.partition(";")[0].strip()
+    earlier = [
+        other
+        for other in log.lines
+        if other.at_ms <= line.at_ms and other.text("part") == part
+    ]
+    engines = [o.text("source") for o in earlier if o.number == PROMPT_PART_ACCUSED]
+    findings = [
+        f"part {part} of the prompt is quarantined: {len(engines)} engines ended "
+        f"before they answered a prompt with it: {', '.join(engines) or 'none is logged'}"
+    ]
+    quarantines = [o for o in earlier if o.number == PROMPT_PART_QUARANTINED]
+    if quarantines:
+        last = quarantines[-1]
+        findings.append(
+            f"{last.node} quarantined it for {last.text('seconds')} s, "
+            f"{line.at_ms - last.at_ms} ms before"
+        )
+    return findings
+
+
 def _store_outage_findings(line: SavedLogLine, log: SavedLog) -> list[str]:
     outage: SavedLogLine | None = None
     for other in log.lines:
--- a/packages/burdockhaven-ctl/tests/test_explain.py
+++ b/packages/burdockhaven-ctl/tests/test_explain.py
@@ -84,6 +84,24 @@
     assert f"which software version began the stream of attempt {shown}" in output.out
 
 
+def test_refusal_of_a_quarantined_part_names_the_engines_that_ended(run_explain):
+    accused = [
+        format_log_line(0.1 * n, 701, "PROMPT_PART_ACCUSED", part="p1", source=f"i-{n}")
+        for n in range(3)
+    ]
+    other = format_log_line(0.4, 701, "PROMPT_PART_ACCUSED", part="p2", source="i-9")
+    quarantined = format_log_line(
+        0.5, 702, "PROMPT_PART_QUARANTINED", "entry-9", part="p1", seconds=15.0
+    )
+    failures = "placement refused: quarantined part p1"
+    line = answered_line(1.5, status=503, failures=failures)
+    code, output = run_explain(*accused, other, quarantined, line)
+    assert code == ExitCode.OK
+    assert "part p1 of the prompt is quarantined: 3 engines ended" in output.out
+    assert "i-0, i-1, i-2" in output.out
+    assert "entry-9 quarantined it for 15.0 s, 1000 ms before" in output.out
+
+
 def test_ended_store_outage_is_not_a_cause(run_explain):
     outage_begin = format_log_line(1.0, 403, "KEY_VALUE_OUTAGE_BEGIN", detail="x")
     outage_end = format_log_line(1.2, 404, "KEY_VALUE_OUTAGE_END", seconds=0.2)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/metrics_text.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/metrics_text.py
@@ -146,6 +146,11 @@
                 state.stream_origins.discarded_early,
             ),
             ("queued", "Requests queued at its broker", len(state.broker.queue)),
+            (
+                "quarantined_prompt_parts",
+                "Prompt parts that no engine gets, because engines ended beneath them",
+                len(state.broker.crashes.quarantined(now)),
+            ),
             (
                 "store_restores",
                 "Restores of the store from a copy, seen since the start",
