--- a/packages/burdockhaven-ctl/src/burdockhaven_ctl/explain.py
+++ b/packages/burdockhaven-ctl/src/burdockhaven_ctl/explain.py
@@ -152,9 +152,10 @@
         if other.at_ms <= line.at_ms and other.text("part") == part
     ]
     engines = [o.text("source") for o in earlier if o.number == PROMPT_PART_ACCUSED]
+    names = ", ".join(engines) or "none is logged"
     findings = [
         f"part {part} of the prompt is quarantined: {len(engines)} engines ended "
-        f"before they answered a prompt with it: {', '.join(engines) or 'none is logged'}"
+        f"before they answered a prompt with it: {names}"
     ]
     quarantines = [o for o in earlier if o.number == PROMPT_PART_QUARANTINED]
     if quarantines:
