Blame the prompt part that explains an engine's end best, not all that were there

Cause: any accused part with three ends counted as proven. While two of six engines are left, no run of the route may begin between three ends, so its common part stays accused too. The same held for a session whose request was sent twice.

Change: of the parts of one prompt only those that began longest ago are blamed; a part that began before needs five ends, one that never did three, or two if one ended a trial and no other part was on both. Which parts are tried by one request at a time follows from the same times.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -408,7 +408,8 @@
             is_trial=self._is_trial(request),
         )
         if run.is_trial:
-            self.crashes.begin_trial(key, run.parts)
+            engine = self.runs.start_of(found.engine.target)
+            self.crashes.begin_trial(key, engine, run.parts)
         self.runs.add_run(key, found.engine, run, request.parts)
         self.served_shares.record_grant(request, now)
         self.limiters.record_send(found.engine.target, now)
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/crash_attribution.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/crash_attribution.py
@@ -3,7 +3,8 @@
 An engine that ends takes all of its runs with it, and each member sees only its own. So
 every end accuses the parts of all prompts whose answer had not begun there, except the
 last part of each, which no other request has. The first event of a run acquits its
-parts. A part that stays accused at the ends of several engines is quarantined.
+parts. A part that stays accused at the ends of several engines is quarantined, unless
+another part of the same prompt explains the ends better.
 """
 
 import enum
@@ -15,10 +16,13 @@
 from burdockhaven_core.scheduling.peer_messages import AccusedPartNotice
 from burdockhaven_core.scheduling.request_queue import RequestKey
 
-# Ends of engines that quarantine a part, if runs without it begin meanwhile; and if
-# none does, so that it may be the engines that fail.
+# Ends of engines that quarantine a part with which no run has begun: in general, and if
+# one of them ended a trial, in which no other prompt was sent to the engine.
 QUARANTINE_ENDS = 3
-QUARANTINE_ENDS_ALONE = 5
+QUARANTINE_ENDS_WITH_TRIAL = 2
+# The same if runs with the part began before, or if none begins without it either, so
+# that it may be the engines that fail.
+QUARANTINE_ENDS_IN_DOUBT = 5
 # Ends within this many seconds count once: one lost link ends the runs at many engines.
 SAME_CAUSE_S = 0.03
 # Seconds of the first quarantine, doubled by each trial that ends its engine, and the
@@ -71,9 +75,11 @@
     last_end_s: float = -math.inf
     # Runs that this broker had seen begin at the first accusation.
     begun_before: int = 0
-    # Whether only one run at a time may have the part, and the last such run.
-    is_serial: bool = False
+    # The last run that was sent to an engine as a trial, and the engine's start.
     trial: RequestKey | None = None
+    trial_engine: str = ""
+    # Whether an engine ended beneath a trial.
+    has_ended_trial: bool = False
     # When the last quarantine ends, 0 without one, and the number of quarantines.
     quarantined_until_s: float = 0.0
     quarantines: int = 0
@@ -104,23 +110,11 @@
         without the last.
         """
         self._forget(now)
-        for part in dict.fromkeys(parts):
-            accused = self.accused.get(part)
-            if accused is None:
-                accused = _AccusedPart(begun_before=self.begun_count)
-                self.accused[part] = accused
-            if engine in accused.engines and not accused.quarantines:
-                continue
-            accused.engines.add(engine)
-            if now - accused.last_end_s < SAME_CAUSE_S:
-                continue
-            accused.ends += 1
-            accused.last_end_s = now
-            accused.is_own = True
-            recently_begun_s = self.begun_s.get(part, -math.inf) + RECENTLY_BEGUN_S
-            accused.is_serial = accused.ends > 1 or recently_begun_s < now
-            self._add_change(PartChangeKind.ACCUSED, part, accused, engine)
-            self._quarantine_if_proven(part, accused, engine, now)
+        distinct = list(dict.fromkeys(parts))
+        for part in distinct:
+            self._accuse(part, engine, now)
+        for part in self._culprits(distinct, now):
+            self._quarantine(part, engine, now)
         self._evict()
 
     def record_begun(self, parts: Iterable[str], now: float) -> None:
@@ -153,18 +147,21 @@
             return False
         return any(
             accused.quarantined_until_s > now
-            or (accused.is_serial and accused.trial in in_flight)
-            for accused in self._accused_among(parts)
+            or (accused.trial in in_flight and self._is_on_trial(part, accused))
+            for part, accused in self._accused_among(parts)
         )
 
     def is_trial(self, parts: Iterable[str]) -> bool:
         """Whether a run with these parts shows if an accused one ends engines."""
-        return any(accused.is_serial for accused in self._accused_among(parts))
+        return any(
+            self._is_on_trial(part, accused)
+            for part, accused in self._accused_among(parts)
+        )
 
-    def begin_trial(self, key: RequestKey, parts: Iterable[str]) -> None:
+    def begin_trial(self, key: RequestKey, engine: str, parts: Iterable[str]) -> None:
         """Record that a request with accused parts is sent to an engine."""
-        for accused in self._accused_among(parts):
-            accused.trial = key
+        for _, accused in self._accused_among(parts):
+            accused.trial, accused.trial_engine = key, engine
 
     def quarantined(self, now: float) -> list[str]:
         """Return the parts in quarantine."""
@@ -205,7 +202,6 @@
             accused = _AccusedPart(begun_before=self.begun_count, is_own=False)
             self.accused[notice.part] = accused
             self._evict()
-        accused.is_serial = True
         accused.ends = max(accused.ends, notice.ends)
         accused.last_end_s = max(accused.last_end_s, observed_s)
         if notice.quarantines > accused.quarantines:
@@ -221,18 +217,65 @@
         changes, self.changes = self.changes, []
         return changes
 
-    def _accused_among(self, parts: Iterable[str]) -> list[_AccusedPart]:
+    def _accused_among(self, parts: Iterable[str]) -> list[tuple[str, _AccusedPart]]:
         if not self.accused:
             return []
-        return [self.accused[part] for part in parts if part in self.accused]
+        return [(part, self.accused[part]) for part in parts if part in self.accused]
 
-    def _quarantine_if_proven(
-        self, part: str, accused: _AccusedPart, engine: str, now: float
-    ) -> None:
-        others_begin = self.begun_count > accused.begun_before
-        needed = QUARANTINE_ENDS if others_begin else QUARANTINE_ENDS_ALONE
-        if accused.ends < needed or now < accused.quarantined_until_s:
+    def _is_on_trial(self, part: str, accused: _AccusedPart) -> bool:
+        """Whether only one run at a time may have the part."""
+        begun_s = self.begun_s.get(part, -math.inf)
+        return bool(accused.quarantines) or (
+            begun_s + RECENTLY_BEGUN_S < accused.last_end_s
+        )
+
+    def _accuse(self, part: str, engine: str, now: float) -> None:
+        accused = self.accused.get(part)
+        if accused is None:
+            accused = _AccusedPart(begun_before=self.begun_count)
+            self.accused[part] = accused
+        if engine in accused.engines and not accused.quarantines:
             return
+        accused.engines.add(engine)
+        accused.has_ended_trial |= engine == accused.trial_engine
+        if now - accused.last_end_s < SAME_CAUSE_S:
+            return
+        accused.ends += 1
+        accused.last_end_s = now
+        accused.is_own = True
+        self._add_change(PartChangeKind.ACCUSED, part, accused, engine)
+
+    def _culprits(self, parts: list[str], now: float) -> list[str]:
+        """Return the parts of a prompt that explain the end of its engine best.
+
+        These are the ones whose runs last began longest ago. Several parts that are
+        always together can't be told apart; another prompt may do that.
+        """
+        proven = [part for part in parts if self._is_proven(part, now)]
+        begun_s = [self.begun_s.get(part, -math.inf) for part in proven]
+        culprits = [
+            part
+            for part, at_s in zip(proven, begun_s, strict=True)
+            if at_s == min(begun_s)
+        ]
+        if len(culprits) > 1:
+            return [p for p in culprits if self.accused[p].ends >= QUARANTINE_ENDS]
+        return culprits
+
+    def _is_proven(self, part: str, now: float) -> bool:
+        """Whether the evidence suffices for a quarantine that has not begun yet."""
+        accused = self.accused[part]
+        if now < accused.quarantined_until_s or accused.last_end_s < now:
+            return False
+        needed = QUARANTINE_ENDS
+        if part in self.begun_s or self.begun_count == accused.begun_before:
+            needed = QUARANTINE_ENDS_IN_DOUBT
+        elif accused.has_ended_trial:
+            needed = QUARANTINE_ENDS_WITH_TRIAL
+        return bool(accused.quarantines) or accused.ends >= needed
+
+    def _quarantine(self, part: str, engine: str, now: float) -> None:
+        accused = self.accused[part]
         quarantine_s = min(MAX_QUARANTINE_S, QUARANTINE_S * 2**accused.quarantines)
         accused.quarantines += 1
         accused.quarantined_until_s = now + quarantine_s
@@ -243,7 +286,8 @@
     def _acquit(self, part: str, source: str, now: float) -> None:
         accused = self.accused.pop(part)
         self.acquitted_s[part] = now
-        self._add_change(PartChangeKind.ACQUITTED, part, accused, source)
+        if accused.is_own or accused.quarantines:
+            self._add_change(PartChangeKind.ACQUITTED, part, accused, source)
 
     def _add_change(
         self,
--- a/packages/burdockhaven-core/tests/scheduling/test_broker.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_broker.py
@@ -730,6 +730,8 @@
 def quarantine_part(broker, part="bad"):
     """Let engines end beneath the part, as seen by several members."""
     for number in range(QUARANTINE_ENDS):
+        if broker.crashes.quarantined(float(number)):
+            return
         sender = MemberId(f"entry-{number}", 1)
         reply = broker.submit(
             prompt(1, "all", part, sender=sender, excluded=tuple(broker_ended(broker))),
--- a/tools/burdockhaven_bench/simulated_requests.py
+++ b/tools/burdockhaven_bench/simulated_requests.py
@@ -146,6 +146,8 @@
     """The requests of one simulation run, with their results."""
 
     requests: tuple[Request, ...]
+    # When engines ended beneath a crashing part of a prompt, and which.
+    crashes: tuple[tuple[float, str], ...] = ()
 
     def value_share(
         self, condition: Callable[[Request], bool] = lambda request: True
