Count an engine's end once: what a quarantined part explains accuses no other part

An account's sound requests were refused for 15 and 30 s beside the tainted ones.

Cause: ends stayed evidence against every part that was on the prompt, also after one of them had been quarantined for these ends. A part that an account shares, not seen to begin yet, waited at an engine that another part ended, and was proven by ends that were explained.

Change: a quarantine takes the ends beneath its part back from the parts beside it; an end beneath a quarantined part accuses nobody. Among equally suspect parts the first of a prompt is spared until other prompts accuse it.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -244,9 +244,8 @@
                 (sender.node, sender.incarnation, update.number), update, now
             )
         for broken in message.broken_prompts:
-            self.crashes.record_end(
-                self.runs.start_of(broken.target), broken.parts, now
-            )
+            start = self.runs.start_of(broken.target)
+            self.crashes.record_end(start, broken.parts, now)
 
     def apply_report(self, message: RunReport, now: float) -> None:
         """Reconcile the runs and queued requests of a member with its own lists.
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/crash_attribution.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/crash_attribution.py
@@ -9,7 +9,7 @@
 
 import enum
 import math
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Container, Iterable
 from dataclasses import dataclass, field
 
@@ -73,6 +73,8 @@
     engines: set[str] = field(default_factory=set)
     ends: int = 0
     last_end_s: float = -math.inf
+    # Number of these ends beneath prompts that have each other accused part.
+    beside: Counter[str] = field(default_factory=Counter)
     # Runs that this broker had seen begin at the first accusation.
     begun_before: int = 0
     # The last run that was sent to an engine as a trial, and the engine's start.
@@ -111,9 +113,13 @@
         """
         self._forget(now)
         distinct = list(dict.fromkeys(parts))
-        for part in distinct:
-            self._accuse(part, engine, now)
-        for part in self._culprits(distinct, now):
+        if self.quarantined_part(distinct, now):
+            # Explains the end: the run was granted before the quarantine.
+            return
+        counted = [part for part in distinct if self._accuse(part, engine, now)]
+        for part in counted:
+            self.accused[part].beside.update(p for p in counted if p != part)
+        for part in self._culprits(counted):
             self._quarantine(part, engine, now)
         self._evict()
 
@@ -174,7 +180,7 @@
             for part, acquitted_s in self.acquitted_s.items()
             if now - acquitted_s <= ACQUITTAL_ANNOUNCE_S
         ]
-        own = [item for item in self.accused.items() if item[1].is_own]
+        own = [item for item in self.accused.items() if item[1].is_own and item[1].ends]
         own.sort(key=lambda item: item[1].remembered_until_s(), reverse=True)
         evidence = [
             AccusedPartNotice(
@@ -229,44 +235,48 @@
             begun_s + RECENTLY_BEGUN_S < accused.last_end_s
         )
 
-    def _accuse(self, part: str, engine: str, now: float) -> None:
+    def _accuse(self, part: str, engine: str, now: float) -> bool:
+        """Add evidence against a part; False if it counts already."""
         accused = self.accused.get(part)
         if accused is None:
             accused = _AccusedPart(begun_before=self.begun_count)
             self.accused[part] = accused
         if engine in accused.engines and not accused.quarantines:
-            return
+            return False
         accused.engines.add(engine)
         accused.has_ended_trial |= engine == accused.trial_engine
         if now - accused.last_end_s < SAME_CAUSE_S:
-            return
+            return False
         accused.ends += 1
         accused.last_end_s = now
         accused.is_own = True
         self._add_change(PartChangeKind.ACCUSED, part, accused, engine)
+        return True
 
-    def _culprits(self, parts: list[str], now: float) -> list[str]:
-        """Return the parts of a prompt that explain the end of its engine best.
+    def _culprits(self, parts: list[str]) -> list[str]:
+        """Return the parts of a prompt to quarantine, which explain the end best.
 
-        These are the ones whose runs last began longest ago. Several parts that are
-        always together can't be told apart; another prompt may do that.
+        These are the ones whose runs last began longest ago. The first part of a prompt
+        is on the most other prompts; if it ends engines, these show it. Other parts
+        that are always together are told apart by a third end, or quarantined together.
         """
-        proven = [part for part in parts if self._is_proven(part, now)]
+        proven = [part for part in parts if self._is_proven(part)]
         begun_s = [self.begun_s.get(part, -math.inf) for part in proven]
-        culprits = [
+        earliest_s = min(begun_s, default=-math.inf)
+        equals = [
             part
             for part, at_s in zip(proven, begun_s, strict=True)
-            if at_s == min(begun_s)
+            if at_s == earliest_s
         ]
-        if len(culprits) > 1:
-            return [p for p in culprits if self.accused[p].ends >= QUARANTINE_ENDS]
-        return culprits
-
-    def _is_proven(self, part: str, now: float) -> bool:
-        """Whether the evidence suffices for a quarantine that has not begun yet."""
+        if len(equals) > 1 and equals[0] == parts[0]:
+            del equals[0]
+        if len(equals) > 1:
+            return [p for p in equals if self.accused[p].ends >= QUARANTINE_ENDS]
+        return equals
+
+    def _is_proven(self, part: str) -> bool:
+        """Whether the evidence against a part suffices for a quarantine."""
         accused = self.accused[part]
-        if now < accused.quarantined_until_s or accused.last_end_s < now:
-            return False
         needed = QUARANTINE_ENDS
         if part in self.begun_s or self.begun_count == accused.begun_before:
             needed = QUARANTINE_ENDS_IN_DOUBT
@@ -276,6 +286,7 @@
 
     def _quarantine(self, part: str, engine: str, now: float) -> None:
         accused = self.accused[part]
+        self._explain_away(accused)
         quarantine_s = min(MAX_QUARANTINE_S, QUARANTINE_S * 2**accused.quarantines)
         accused.quarantines += 1
         accused.quarantined_until_s = now + quarantine_s
@@ -283,6 +294,15 @@
             PartChangeKind.QUARANTINED, part, accused, engine, quarantine_s
         )
 
+    def _explain_away(self, culprit: _AccusedPart) -> None:
+        """Take back the ends that a culprit explains from the parts beside it."""
+        for part, ends in culprit.beside.items():
+            accused = self.accused.get(part)
+            if accused is not None and not accused.quarantines:
+                accused.ends = max(0, accused.ends - ends)
+                accused.has_ended_trial = False
+        culprit.beside.clear()
+
     def _acquit(self, part: str, source: str, now: float) -> None:
         accused = self.accused.pop(part)
         self.acquitted_s[part] = now
