Report the runs to a broker that takes over before it places a request

Cause: a broker learned the runs in flight from the periodic reports only (0.25 s). Until then it took all engines for idle and granted full ones; the runs waited in the engines' queues, were taken for silent and, on, answered 502 or cut.

Change: a member reports its runs to another broker before it sends it anything else, and as soon as the broker that it uses says that it drains. The five tests failed before.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
@@ -134,6 +134,7 @@
             view.heartbeat.peer_address for view in state.member_list.views.values()
         ]
         self.endpoint.send_all(addresses, state.heartbeat())
+        self.placement_client.follow_broker()
 
     def send(self, node: str, message: PeerMessage) -> None:
         """Send a message to the member on the node, if it is known."""
@@ -176,6 +177,9 @@
         if self.state.member_list.record_heartbeat(heartbeat, now):
             # Announce this member to the newly started one without delay.
             self.endpoint.send(heartbeat.peer_address, self.state.heartbeat())
+        sender = heartbeat.sender.node
+        if heartbeat.draining and sender == self.placement_client.reported_to:
+            self.placement_client.follow_broker()
         self.state.record_usage(heartbeat, now)
         self.state.record_announced_limits(heartbeat, now)
         if heartbeat.store_era != UNKNOWN_ERA:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
@@ -172,6 +172,8 @@
     # Prompts whose engines have ended, to be sent with the updates.
     broken_prompts: list[BrokenPrompt] = field(default_factory=list)
     last_number: int = 0
+    # Node of the broker that got the last report; empty before the first.
+    reported_to: str = ""
 
     async def place(
         self, requirements: PlacementRequirements
@@ -267,7 +269,7 @@
         )
         self.pending_updates.clear()
         self.broken_prompts.clear()
-        node = self.broker_node()
+        node = self.follow_broker()
         if node == self.member_id.node:
             self.broker.apply_progress(message, self.clock())
             self.grant_queued()
@@ -276,7 +278,20 @@
 
     def send_report(self) -> None:
         """Report all runs to the broker, to make up for lost messages."""
+        self._report_to(self.broker_node())
+
+    def follow_broker(self) -> str:
+        """Return the node of the broker to use, which has a report of the runs.
+
+        A broker that takes over would grant their slots again until the next report.
+        """
         node = self.broker_node()
+        if node != self.reported_to:
+            self._report_to(node)
+        return node
+
+    def _report_to(self, node: str) -> None:
+        self.reported_to = node
         now = self.clock()
         message = RunReport(
             sender=self.member_id,
@@ -339,7 +354,7 @@
         # Node of the broker that has queued the request; empty if none is known to.
         queued_at = ""
         while True:
-            node = self.broker_node()
+            node = self.follow_broker()
             if queued_at and queued_at != node:
                 self._send_cancellation(queued_at, number)
                 queued_at = ""
--- a/packages/burdockhaven-entry/tests/gateway/test_membership.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_membership.py
@@ -1,11 +1,14 @@
 import random
 
+import msgspec
 from gateway_fixtures import settings
 from scheduling_samples import heartbeat
 
 from burdockhaven_core.scheduling.member_list import FULL_MESH_MAX_MEMBERS, HUB_COUNT
+from burdockhaven_core.scheduling.peer_messages import RunReport
 from burdockhaven_entry.gateway.gateway_state import GatewayState
 from burdockhaven_entry.gateway.membership import Membership
+from burdockhaven_entry.gateway.placement_client import PlacementClient
 
 MEMBERS = FULL_MESH_MAX_MEMBERS + 4
 
@@ -15,6 +18,8 @@
 
     def __init__(self):
         self.sent = {}
+        # Messages to members by node, in order.
+        self.sent_to_nodes = []
 
     def send_all(self, addresses, message):
         self.sent |= dict.fromkeys(addresses, message)
@@ -29,8 +34,22 @@
         state.member_list.record_heartbeat(member, 1.0)
     state.member_list.update_hubs(state.heartbeat(), 1.0)
     endpoint = RecordingEndpoint()
+    placement_client = PlacementClient(
+        state.member_id,
+        state.member_list,
+        state.broker,
+        state.heartbeat,
+        send=lambda node, message: endpoint.sent_to_nodes.append((node, message)),
+        clock=state.clock,
+    )
     return Membership(
-        state, endpoint, None, None, lambda *_: None, lambda *_: None, lambda *_: None
+        state,
+        endpoint,
+        placement_client,
+        None,
+        lambda *_: None,
+        lambda *_: None,
+        lambda *_: None,
     )
 
 
@@ -43,3 +62,32 @@
     sent = membership.endpoint.sent
     assert len(sent) == MEMBERS
     assert all(message.draining for message in sent.values())
+
+
+def receive_drain_of(membership, node):
+    known = membership.state.member_list.views[node].heartbeat
+    draining = msgspec.structs.replace(
+        known, sequence=2, draining=True, config_version=0
+    )
+    membership.on_message(draining)
+
+
+# Guards against a broker that takes over and grants the slots of runs unknown to it.
+def test_runs_are_reported_to_the_next_broker_when_the_broker_drains():
+    membership = make_membership()
+    membership.placement_client.send_report()
+    receive_drain_of(membership, "entry-9")
+    receive_drain_of(membership, "entry-2")
+    sent = membership.endpoint.sent_to_nodes
+    assert [node for node, _ in sent] == ["entry-2", "entry-3"]
+    assert all(isinstance(message, RunReport) for _, message in sent)
+
+
+# Guards against a broker that takes over without the runs of the one that drains.
+def test_draining_member_reports_its_runs_to_the_next_broker():
+    membership = make_membership()
+    membership.placement_client.reported_to = membership.state.member_id.node
+    membership.state.draining = True
+    membership.announce_drain()
+    ((node, report),) = membership.endpoint.sent_to_nodes
+    assert (node, type(report)) == ("entry-2", RunReport)
--- a/packages/burdockhaven-entry/tests/gateway/test_placement_client.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_placement_client.py
@@ -13,6 +13,7 @@
     PlacementRequest,
     RunEnd,
     RunProgress,
+    RunReport,
     RunUpdate,
     Verdict,
 )
@@ -50,6 +51,12 @@
             heartbeat(node, 7, started_ms=started_ms), time.monotonic() + 60
         )
 
+    def drain_member(self, node, started_ms):
+        self.member_list.record_heartbeat(
+            heartbeat(node, 7, started_ms=started_ms, draining=True, sequence=2),
+            time.monotonic() + 60,
+        )
+
     def sent_to(self, node, kind):
         return [m for to, m in self.sent if to == node and isinstance(m, kind)]
 
@@ -143,6 +150,57 @@
     assert harness.sent_to("entry-2", CancelPlacement) == [CancelPlacement(ME, 1)]
 
 
+async def begin_run_placed_by(harness, node):
+    """Begin a run that the broker of another member has placed."""
+    running = asyncio.create_task(harness.placement_client.place(requirements()))
+    await wait_until(lambda: harness.sent_to(node, PlacementRequest))
+    grant = PlacementReply(1, Verdict.GRANTED, "i-1", broker=node)
+    harness.placement_client.on_reply(grant, node)
+    assert granted_target(await running, 1) == "i-1"
+
+
+# Guards against a broker that takes over and grants the slots of runs unknown to it.
+async def test_next_broker_knows_the_runs_before_it_places_a_request():
+    harness = PlacementHarness()
+    harness.add_member("entry-2", started_ms=1)
+    await begin_run_placed_by(harness, "entry-2")
+    harness.add_member("entry-3", started_ms=2)
+    harness.drain_member("entry-2", started_ms=1)
+    waiting = asyncio.create_task(harness.placement_client.place(requirements()))
+    await wait_until(lambda: harness.sent_to("entry-3", PlacementRequest))
+    waiting.cancel()
+    report, request = harness.sent_to("entry-3", RunReport | PlacementRequest)[:2]
+    next_broker = PlacementHarness().broker
+    next_broker.apply_report(report, 0.0)
+    assert next_broker.submit(request, 0.0).verdict is Verdict.QUEUED
+
+
+# Guards against a member whose own broker takes over and does not know the own runs.
+async def test_own_broker_that_takes_over_knows_the_own_runs():
+    harness = PlacementHarness()
+    harness.add_member("entry-2", started_ms=1)
+    await begin_run_placed_by(harness, "entry-2")
+    harness.drain_member("entry-2", started_ms=1)
+    waiting = asyncio.create_task(harness.placement_client.place(requirements()))
+    await wait_until(lambda: harness.broker.queue or waiting.done())
+    assert not waiting.done()
+    waiting.cancel()
+
+
+# Guards against a member without new requests whose runs the next broker does not know.
+async def test_progress_of_runs_is_preceded_by_their_report_to_a_new_broker():
+    harness = PlacementHarness()
+    harness.add_member("entry-2", started_ms=1)
+    await begin_run_placed_by(harness, "entry-2")
+    harness.add_member("entry-3", started_ms=2)
+    harness.drain_member("entry-2", started_ms=1)
+    harness.placement_client.record_first_event(1)
+    harness.placement_client.flush_progress()
+    report, progress = harness.sent_to("entry-3", RunReport | RunProgress)
+    assert [run.number for run in report.runs] == [1]
+    assert [update.number for update in progress.updates] == [1]
+
+
 async def test_abandoned_request_cancels_its_placement():
     harness = PlacementHarness()
     await harness.placement_client.place(requirements())
