Accept clients once another member has answered

Cause: a member that started with no seeds, or stale ones, read the members' entries after 0.5 s only. Until then it knew no other member, used its own broker, which took all engines for idle, and granted full ones.

Change: the entries are read at the start and their members probed at once. Clients are accepted once one of them has answered or none is registered, after 0.2 s at the latest.

A start takes up to 0.2 s longer if entries are registered and no member answers.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -55,7 +55,7 @@
 # Delay in seconds before each read of the members registered in the store. These reads
 # are cheap, as they may return data that is seconds old; members that register later
 # probe this one.
-MEMBER_DISCOVERY_DELAYS_S = (0.5, 1.0, 2.0, 4.0)
+MEMBER_DISCOVERY_DELAYS_S = (0.0, 0.5, 1.0, 2.0, 4.0)
 # Seconds before a watcher is restarted after an internal error.
 WATCH_RESTART_DELAY_S = 0.5
 # Seconds between two checks for expired target entries.
@@ -69,6 +69,9 @@
 # Longest time in seconds that clients wait after a start until the configuration and
 # the targets are read; then their requests are answered with 503.
 FIRST_SYNC_TIMEOUT_S = 0.8
+# Longest time in seconds after it that clients wait until another member has answered.
+# A member that knows no other would take all engines for idle.
+FIRST_CONTACT_TIMEOUT_S = 0.2
 # Seconds between two checks for request heads that exceed the header timeout.
 HEADER_TIMEOUT_CHECK_INTERVAL_S = 0.5
 INCARNATION_BITS = 48
@@ -291,6 +294,7 @@
             result = await self.store.read_prefix(MEMBERS_PREFIX, may_be_stale=True)
             if result.is_ok():
                 self.membership.probe_member_entries(result.unwrap().items)
+                self.membership.send_heartbeats()
 
     async def _listen(self) -> None:
         settings = self.state.settings
@@ -314,6 +318,9 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(FIRST_SYNC_TIMEOUT_S):
                 await self.store_handlers.first_sync.wait()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_CONTACT_TIMEOUT_S):
+                await self.membership.first_contact.wait()
 
     async def _listen_for_metrics(self) -> None:
         """Serve metrics if the port is free; requests do not depend on it."""
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
@@ -66,6 +66,8 @@
     heartbeat_schedule: HeartbeatSchedule = field(default_factory=HeartbeatSchedule)
     # Addresses to probe, each with the times of its discovery and of its last probe.
     unidentified_addresses: dict[str, tuple[float, float]] = field(default_factory=dict)
+    # Set once another member has sent a heartbeat or none is known to be probed.
+    first_contact: asyncio.Event = field(default_factory=asyncio.Event)
 
     def encode_entry(self) -> bytes:
         """Return the entry of this process for the store."""
@@ -83,6 +85,8 @@
                 # Written by a member of another version, which probes this one itself.
                 continue
             self.probe(entry.peer_address)
+        if not self.unidentified_addresses:
+            self.first_contact.set()
 
     def probe_seeds(self) -> None:
         """Probe the seed members named in the settings."""
@@ -174,6 +178,7 @@
         if heartbeat.sender.node == self.state.member_id.node:
             return
         self.unidentified_addresses.pop(heartbeat.peer_address, None)
+        self.first_contact.set()
         if self.state.member_list.record_heartbeat(heartbeat, now):
             # Announce this member to the newly started one without delay.
             self.endpoint.send(heartbeat.peer_address, self.state.heartbeat())
--- a/tools/tests/test_platform_process.py
+++ b/tools/tests/test_platform_process.py
@@ -410,3 +410,20 @@
     await start_broker_and_member(harness)
     heads = await stop_while_requests_wait_for_engines(harness, "broker")
     assert b"" not in heads.values()
+
+
+# Guards against engines that are overfilled by a member that does not know the others.
+async def test_starting_member_does_not_use_engines_that_others_have_filled(harness):
+    first = await harness.start_daemon("one")
+    await harness.wait_until_look_ups_name({first.front}, "one")
+    slots = sum(engine.record.slots for engine in harness.site.engines)
+    headers = {TOKEN_COUNTS: "100,3000"}
+    opening = [harness.open_stream(first.front, headers) for _ in range(slots)]
+    responses = [response for _, response in await asyncio.gather(*opening)]
+    assert {response.status for response in responses} == {200}
+    second = await harness.start_daemon("two")
+    received = await harness.wait_until(
+        lambda: harness.send_request(second.front, "/stream/x")
+    )
+    assert received.status == 503
+    assert harness.site.runs_of(received.request) == 0
