Announce the close of a connection whose request was not read

Cause: a request that is refused before its body has arrived (unknown route, bad headers) gets its answer on a connection that the HTTP library closes then, without saying so; so does a look-up with a body. The client's next request crosses the close.

Change: ClientServer marks such responses. The two cases of the test failed before; a request whose body was read keeps its connection, as before.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/client_server.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/client_server.py
@@ -75,6 +75,13 @@
     """Server for one address; a disconnect of the client cancels its handler."""
 
     def __init__(self, handler: Callable[[Any], Any]) -> None:
+        async def handle(request: web.BaseRequest) -> web.StreamResponse:
+            response: web.StreamResponse = await handler(request)
+            if not request.content.is_eof():
+                # The library closes a connection with an unread body in any case.
+                response.force_close()
+            return response
+
         self.options: dict[str, Any] = {
             "access_log": None,
             "keepalive_timeout": CLIENT_KEEPALIVE_S,
@@ -83,7 +90,7 @@
             "lingering_time": 0.0,
             "auto_decompress": False,
         }
-        super().__init__(handler, handler_cancellation=True, **self.options)
+        super().__init__(handle, handler_cancellation=True, **self.options)
 
     def __call__(self) -> RequestHandler:
         """Create the protocol of a newly accepted connection."""
--- a/packages/burdockhaven-entry/tests/gateway/test_client_server.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_client_server.py
@@ -102,6 +102,29 @@
     assert await client.status() == 200
 
 
+# Guards against a client that sends its next request on a connection that is closed
+# because the body of the last one was not read.
+@pytest.mark.parametrize("body_part", [b"", b"begin"])
+async def test_response_to_a_request_that_was_not_read_announces_the_close(
+    gateway, body_part
+):
+    client = await Client.connect(gateway)
+    head = REQUEST.replace(b"/safe/x", b"/unknown").replace(b"Length: 0", b"Length: 9")
+    client.writer.write(head + body_part)
+    response = await client.read_to_end()
+    assert response.startswith(b"HTTP/1.1 404 ")
+    assert b"\r\nconnection: close\r\n" in response.lower()
+
+
+async def test_response_to_a_request_that_was_read_keeps_the_connection(gateway):
+    client = await Client.connect(gateway)
+    head = REQUEST.replace(b"/safe/x", b"/unknown").replace(b"Length: 0", b"Length: 9")
+    client.writer.write(head + b"*" * 9)
+    assert await client.status() == 404
+    client.writer.write(REQUEST)
+    assert len(await client.reader.readuntil(b"done")) > 0
+
+
 async def test_drain_waits_for_a_pending_response(gateway):
     client = await Client.connect(gateway)
     client.writer.write(REQUEST)
