--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
@@ -20,8 +20,8 @@
 from burdockhaven_entry.platform import TargetResponseHead, read_response_head
 
 # Timeout in seconds for a new connection. Connecting takes milliseconds, so a longer
-# wait means that the target is unreachable or dead. A lost packet is retransmitted
-# after 0.2 s, which the timeout allows once.
+# wait means that the target is unreachable or dead, or that a packet was lost, which
+# the operating system sends again after 1 s only.
 CONNECT_TIMEOUT_S = 0.3
 # Seconds for which an idle connection stays in the pool.
 KEEPALIVE_S = 4.0
