Bodies of targets are read up to 32 MiB, unsigned ones not at all

Cause: `read_body` read whatever a target sent until its connection closed, so a body without end grew in memory until the deadline of the route. An answer that can't be used, because it is unsigned or encoded, was read to its end too.

Change: `read_body_up_to` stops at a bound and closes the connection; the send counts as failed at the target, and it may have run. The bound is eight times the largest body of a request that the platform allows by default. A plain answer without a signature or with a content encoding is given up at its head, and the reason is in `failures` of event 306.

Result: before, all five cases of test_endless_body_is_cut_and_the_request_retried failed: the target had sent all of its 128 MiB (the request itself was saved by a hedge), and the unsafe request got 504 at its deadline instead of 502. Now all pass; test_large_body_is_forwarded_whole (20 MiB) passes before and after.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
@@ -239,11 +239,14 @@
             routed.trace.failures.append(f"{target.id}: rejected, {head.status}")
             await target_response.read_body()
             return None
-        body = await target_response.read_body()
         if head.is_encoded or not head.is_signed:
+            routed.trace.failures.append(
+                f"{target.id}: unsigned or encoded, {head.status}"
+            )
             attempts.possible_runs += 1
             state.balancer.record_failure(target.id)
             return None
+        body = await target_response.read_body()
         response = web.Response(
             status=head.status,
             body=body,
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
@@ -17,7 +17,11 @@
 from yarl import URL
 
 from burdockhaven_core.scheduling.target_registry import TargetEntry
-from burdockhaven_entry.platform import TargetResponseHead, read_response_head
+from burdockhaven_entry.platform import (
+    TargetResponseHead,
+    read_body_up_to,
+    read_response_head,
+)
 
 # Timeout in seconds for a new connection. Connecting takes milliseconds, so a longer
 # wait means that the target is unreachable or dead, or that a packet was lost, which
@@ -25,6 +29,9 @@
 CONNECT_TIMEOUT_S = 0.3
 # Seconds for which an idle connection stays in the pool.
 KEEPALIVE_S = 4.0
+# Bytes of the largest body that is read whole, eight times the largest body of a
+# request that the platform allows by default.
+MAX_BODY_BYTES = 32 * 2**20
 
 
 class SendOutcome(enum.Enum):
@@ -97,11 +104,13 @@
     is_close_delimited: bool
 
     async def read_body(self) -> bytes:
-        """Return the complete body; raises `SendError` if it is truncated."""
+        """Return the body; raises `SendError` if it is truncated or too long."""
         try:
-            body = await self.response.read()
-        except (aiohttp.ClientError, asyncio.IncompleteReadError) as error:
+            body = await read_body_up_to(self.response, MAX_BODY_BYTES)
+        except aiohttp.ClientError as error:
             raise self._read_error(repr(error)) from error
+        if body is None:
+            raise self._read_error(f"the body exceeds {MAX_BODY_BYTES} bytes")
         self.check_complete()
         return body
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/__init__.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/__init__.py
@@ -23,6 +23,7 @@
         READINESS_PATH,
         encode_look_up,
     )
+    from burdockhaven_entry.platform.response_body import read_body_up_to
     from burdockhaven_entry.platform.response_headers import (
         TargetResponseHead,
         client_headers,
@@ -73,6 +74,7 @@
     "TargetEntryError",
     "client_headers",
     "encode_look_up",
+    "read_body_up_to",
     "read_response_head",
     "read_client_request",
     "read_configuration",
@@ -105,6 +107,7 @@
     "TargetResponseHead": "burdockhaven_entry.platform.response_headers",
     "client_headers": "burdockhaven_entry.platform.response_headers",
     "encode_look_up": "burdockhaven_entry.platform.look_up",
+    "read_body_up_to": "burdockhaven_entry.platform.response_body",
     "read_client_request": "burdockhaven_entry.platform.client_request",
     "read_configuration": "burdockhaven_entry.platform.configuration",
     "read_response_head": "burdockhaven_entry.platform.response_headers",
--- a/packages/burdockhaven-entry/tests/gateway/gateway_fixtures.py
+++ b/packages/burdockhaven-entry/tests/gateway/gateway_fixtures.py
@@ -36,6 +36,8 @@
 PLAIN_SERVICE = "plain"
 # Timeout in seconds of a wait; no test depends on it.
 WAIT_TIMEOUT_S = 30.0
+# Bytes after which an endless response stops, if its connection is still open.
+ENDLESS_RESPONSE_BYTES = 128 * 2**20
 
 
 def settings():
@@ -238,6 +240,35 @@
     return behave
 
 
+def response_head(fields="", status="200 OK", signature=SIGNATURE):
+    """Encode the head of a response; `ID` stands for the request's id."""
+    return f"HTTP/1.1 {status}\r\n{ATTEMPT}: ID\r\n{signature}{fields}\r\n".encode()
+
+
+@dataclass
+class EndlessResponse:
+    """A behaviour that sends the same bytes until its connection is closed."""
+
+    start: bytes
+    repeated: bytes
+    sent_bytes: int = 0
+
+    async def __call__(self, request, reader, writer):
+        writer.write(self.start.replace(b"ID", request.headers[ATTEMPT].encode()))
+        while self.sent_bytes < ENDLESS_RESPONSE_BYTES:
+            writer.write(self.repeated)
+            self.sent_bytes += len(self.repeated)
+            await writer.drain()
+            await asyncio.sleep(0)
+        await reader.read()
+        return False
+
+    @property
+    def was_cut(self):
+        """Whether the connection was closed before the end of the bytes."""
+        return self.sent_bytes < ENDLESS_RESPONSE_BYTES
+
+
 async def wait_until(condition):
     async with asyncio.timeout(WAIT_TIMEOUT_S):
         while True:
--- a/packages/burdockhaven-entry/tests/gateway/test_plain_forwarding.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_plain_forwarding.py
@@ -1,17 +1,21 @@
 import asyncio
+import random
 
 import pytest
 from gateway_fixtures import (
     ATTEMPT,
     REJECTED,
     SIGNATURE,
+    EndlessResponse,
     Gateway,
     Script,
     hang,
     reset_connection,
     respond,
+    response_head,
     routing_table,
     send_raw,
+    wait_until,
 )
 from scheduling_samples import heartbeat
 
@@ -236,3 +240,54 @@
             await target.closed.wait()
     states = gateway.state.balancer.targets.values()
     assert [state.in_flight for state in states] == [0, 0]
+
+
+LARGE_PIECE = bytes(2**16)
+CHUNKED = "Transfer-Encoding: chunked\r\n"
+# The start of a response whose body does not end, and the bytes that repeat.
+ENDLESS_BODIES = [
+    pytest.param(response_head(), LARGE_PIECE, id="close-delimited"),
+    pytest.param(
+        response_head(CHUNKED), b"10000\r\n%s\r\n" % LARGE_PIECE, id="chunked"
+    ),
+    pytest.param(
+        response_head("Content-Length: 99999999999\r\n"), LARGE_PIECE, id="length"
+    ),
+    pytest.param(
+        response_head(status="500 Internal Server Error"), LARGE_PIECE, id="error"
+    ),
+    pytest.param(response_head(signature=""), LARGE_PIECE, id="without a signature"),
+]
+
+
+# Guards against a body without end that fills the memory until the deadline.
+@pytest.mark.parametrize(("first", "repeated"), ENDLESS_BODIES)
+async def test_endless_body_is_cut_and_the_request_retried(start, first, repeated):
+    endless = EndlessResponse(first, repeated)
+    script = Script(endless, respond(b"whole"))
+    gateway = await start(plain=[script, script])
+    response = await gateway.call("/safe/x")
+    assert (response.status, response.body) == (200, b"whole")
+    await wait_until(lambda: any(target.closed.is_set() for target in gateway.targets))
+    assert endless.was_cut
+    rates = [s.failure_rate for s in gateway.state.balancer.targets.values()]
+    assert max(rates) > 0
+
+
+# Guards against an unsafe request that is sent again although an endless response may
+# mean that it has run.
+async def test_unsafe_request_is_not_retried_after_an_endless_body(start):
+    endless = EndlessResponse(response_head(), LARGE_PIECE)
+    script = Script(endless, respond(b"whole"))
+    gateway = await start(plain=[script, script])
+    assert (await gateway.call("/unsafe/x")).status == 502
+    assert len(gateway.received) == 1
+    assert endless.was_cut
+
+
+# Guards against a bound that cuts large complete responses.
+async def test_large_body_is_forwarded_whole(start):
+    body = random.Random(1).randbytes(2**20) * 20
+    gateway = await start(plain=[Script(respond(body))])
+    response = await gateway.call("/unsafe/x")
+    assert (response.status, response.body == body) == (200, True)
