A rejection stands by its head, whatever its body does

Cause: both forwarders read the whole body of a response that says that the request has not run. A body without end or one that falls silent held the request until its deadline, and a body that was cut made the send count as a possible run, though the target had said otherwise.

Change: `discard_body` reads such a body only to reuse its connection, up to 64 KiB and 0.1 s, and raises nothing; the connection is closed if there is more.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
@@ -237,7 +237,7 @@
             state.balancer.record_load(target.id, in_flight, now)
         if head.not_run:
             routed.trace.failures.append(f"{target.id}: rejected, {head.status}")
-            await target_response.read_body()
+            await target_response.discard_body()
             return None
         if head.is_encoded or not head.is_signed:
             routed.trace.failures.append(
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -299,7 +299,7 @@
         self.state.record_response(target, head, self.state.clock())
         if head.not_run:
             routed.trace.failures.append(f"{target.id}: rejected, {head.status}")
-            await target_response.read_body()
+            await target_response.discard_body()
             if head.observation.is_gone:
                 return RunEnd.LEAVING, RunResult.NOT_RUN
             is_pause = bool(head.observation.pause_s)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
@@ -8,7 +8,7 @@
 import enum
 import functools
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
 
 import aiohttp
@@ -32,6 +32,10 @@
 # Bytes of the largest body that is read whole, eight times the largest body of a
 # request that the platform allows by default.
 MAX_BODY_BYTES = 32 * 2**20
+# Bytes and seconds up to which a body of no interest is read, so that its connection
+# can be used again. Such bodies are short and arrive with their head.
+MAX_DISCARDED_BYTES = 65_536
+DISCARD_TIMEOUT_S = 0.1
 
 
 class SendOutcome(enum.Enum):
@@ -114,6 +118,12 @@
         self.check_complete()
         return body
 
+    async def discard_body(self) -> None:
+        """Read a body of no interest, unless its connection is better closed."""
+        with suppress(aiohttp.ClientError, TimeoutError):
+            async with asyncio.timeout(DISCARD_TIMEOUT_S):
+                await read_body_up_to(self.response, MAX_DISCARDED_BYTES)
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives; raises `SendError` if it is truncated."""
         try:
--- a/packages/burdockhaven-entry/tests/gateway/gateway_fixtures.py
+++ b/packages/burdockhaven-entry/tests/gateway/gateway_fixtures.py
@@ -247,7 +247,10 @@
 
 @dataclass
 class EndlessResponse:
-    """A behaviour that sends the same bytes until its connection is closed."""
+    """A behaviour that sends the same bytes until its connection is closed.
+
+    It is silent until then if there are none.
+    """
 
     start: bytes
     repeated: bytes
@@ -255,7 +258,7 @@
 
     async def __call__(self, request, reader, writer):
         writer.write(self.start.replace(b"ID", request.headers[ATTEMPT].encode()))
-        while self.sent_bytes < ENDLESS_RESPONSE_BYTES:
+        while self.repeated and self.sent_bytes < ENDLESS_RESPONSE_BYTES:
             writer.write(self.repeated)
             self.sent_bytes += len(self.repeated)
             await writer.drain()
--- a/packages/burdockhaven-entry/tests/gateway/test_plain_forwarding.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_plain_forwarding.py
@@ -291,3 +291,35 @@
     gateway = await start(plain=[Script(respond(body))])
     response = await gateway.call("/unsafe/x")
     assert (response.status, response.body == body) == (200, True)
+
+
+REJECTION_HEAD = response_head(
+    "X-Burdockhaven-Not-Executed: 1\r\n", "503 Service Unavailable", signature=""
+)
+# Rejections whose bodies are never complete, and the bytes that repeat in them.
+ENDLESS_REJECTIONS = [
+    pytest.param(REJECTION_HEAD, LARGE_PIECE, id="endless body"),
+    pytest.param(REJECTION_HEAD + b"wait", b"", id="silence within the body"),
+]
+
+
+# Guards against a rejection that counts as a possible run, or is awaited until the
+# deadline, because of its body.
+@pytest.mark.parametrize(("first", "repeated"), ENDLESS_REJECTIONS)
+async def test_rejection_is_known_by_its_head(start, first, repeated):
+    endless = EndlessResponse(first, repeated)
+    script = Script(endless, respond(b"whole"))
+    gateway = await start(plain=[script, script])
+    response = await gateway.call("/unsafe/x")
+    assert (response.status, response.body) == (200, b"whole")
+    await wait_until(lambda: any(target.closed.is_set() for target in gateway.targets))
+    assert endless.was_cut
+
+
+async def test_rejection_with_a_reset_body_has_not_run(start):
+    reset = send_raw(
+        REJECTION_HEAD.replace(b"\r\n\r\n", b"\r\nContent-Length: 9\r\n\r\n")
+    )
+    script = Script(reset, respond(b"whole"))
+    gateway = await start(plain=[script, script])
+    assert (await gateway.call("/unsafe/x")).status == 200
--- a/packages/burdockhaven-entry/tests/gateway/test_stream_forwarding.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_stream_forwarding.py
@@ -5,13 +5,16 @@
 import pytest
 from gateway_fixtures import (
     REJECTED,
+    EndlessResponse,
     Gateway,
     Script,
     hang,
     reset_connection,
     respond,
+    response_head,
     routing_table,
     stream_events,
+    wait_until,
     write_chunk,
 )
 
@@ -240,3 +243,22 @@
     placement_client = gateway.frontend.streams.placement_client
     response = await gateway.call("/stream/x")
     assert (response.status, response.body) == (200, numbered_events(1, 7))
+
+
+LARGE_PIECE = bytes(2**16)
+REJECTION_HEAD = response_head(
+    "X-Burdockhaven-Not-Executed: 1\r\n", "503 Service Unavailable", signature=""
+)
+
+
+# Guards against a rejection that counts as a possible run, or is awaited until the
+# deadline, because of its body.
+@pytest.mark.parametrize("repeated", [LARGE_PIECE, b""])
+async def test_rejected_stream_is_placed_again_whatever_its_body(start, repeated):
+    endless = EndlessResponse(REJECTION_HEAD, repeated)
+    script = Script(endless, stream_events(1, 2))
+    gateway = await start(engines=[script, script])
+    response = await gateway.call("/once/x")
+    assert (response.status, response.body) == (200, numbered_events(1, 2))
+    await wait_until(lambda: any(target.closed.is_set() for target in gateway.targets))
+    assert endless.was_cut
