A connection to a target fails after 1.1 MB in a row without content

Cause: aiohttp bounds the lines of a head (8,190 bytes each, 128 of them), also the status line and trailers, and fails at once on what is no HTTP. It bounds neither blank lines before a head, interim responses, white space before a value, nor chunk extensions, zeros and spaces of a chunk's size. A target that sends one of these without end kept the request until its deadline, and a processor busy.

Change: `TargetConnection` (was `_TrackedConnection`, in a module of its own) counts the bytes since the last head or byte of a body and ends the send beyond the largest head that the library accepts. A slow response, many interim responses and long chunk extensions between content are no failure.

Ruled out: a bound on all bytes beside the body, which would cut long streams of small chunks.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
@@ -12,11 +12,11 @@
 from dataclasses import dataclass
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 from multidict import CIMultiDict, CIMultiDictProxy
 from yarl import URL
 
 from burdockhaven_core.scheduling.target_registry import TargetEntry
+from burdockhaven_entry.gateway.target_connection import TargetConnection
 from burdockhaven_entry.platform import (
     TargetResponseHead,
     read_body_up_to,
@@ -82,19 +82,6 @@
     may_reuse_connection: bool
 
 
-class _TrackedConnection(ResponseHandler):
-    """A client connection that records whether it was closed with an error.
-
-    The library treats a reset as the regular end of a response without a length.
-    """
-
-    closed_with_error = False
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        self.closed_with_error = exc is not None
-        super().connection_lost(exc)
-
-
 @dataclass(slots=True)
 class TargetResponse:
     """A response whose head has arrived."""
@@ -103,7 +90,7 @@
     head: TargetResponseHead
     headers: CIMultiDictProxy[str]
     response: aiohttp.ClientResponse
-    connection: _TrackedConnection | None
+    connection: TargetConnection | None
     # Whether the body is delimited only by the close of the connection.
     is_close_delimited: bool
 
@@ -227,7 +214,7 @@
             head=head,
             headers=response.headers,
             response=response,
-            connection=(protocol if isinstance(protocol, _TrackedConnection) else None),
+            connection=(protocol if isinstance(protocol, TargetConnection) else None),
             is_close_delimited=not has_explicit_length,
         )
 
@@ -240,7 +227,7 @@
         connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S)
     # The library has no public way to set its connection class.
     connector._factory = functools.partial(  # type: ignore[assignment]
-        _TrackedConnection, loop=loop
+        TargetConnection, loop=loop
     )
     session = aiohttp.ClientSession(
         connector=connector,
--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_connection.py
@@ -0,0 +1,67 @@
+"""Connection to a target that bounds what it may send beside heads and bodies.
+
+aiohttp bounds the lines of a head, but neither interim responses, blank lines and white
+space before its end nor chunk extensions, leading zeros and trailers within a body.
+"""
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_parser import RawResponseMessage
+from aiohttp.streams import StreamReader
+
+# Maximum number of bytes in a row that complete no head and bring nothing of a body.
+# The largest head that the library accepts, 128 lines of 8,190 bytes, is smaller.
+MAX_BYTES_WITHOUT_CONTENT = 1_100_000
+SWITCHING_PROTOCOLS = 101
+
+
+class TargetConnection(ResponseHandler):
+    """A client connection that closes itself if the target sends no content.
+
+    It also records whether it was closed with an error: the library treats a reset as
+    the regular end of a response without a length.
+    """
+
+    closed_with_error = False
+    # Bytes received since the last head or byte of a body.
+    bytes_without_content = 0
+
+    def set_response_params(self, **params: object) -> None:
+        """Begin to wait for the response to a request."""
+        self.bytes_without_content = 0
+        super().set_response_params(**params)  # type: ignore[arg-type]
+
+    def feed_data(
+        self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
+    ) -> None:
+        """Pass on a head."""
+        message, _ = data
+        if message.code >= 200 or message.code == SWITCHING_PROTOCOLS:
+            self.bytes_without_content = 0
+        super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes; close the connection if they bring no content."""
+        body = self._payload
+        body_bytes = 0 if body is None else body.total_bytes
+        self.bytes_without_content += len(data)
+        super().data_received(data)
+        if body is not None and body.total_bytes > body_bytes:
+            self.bytes_without_content = 0
+        if self.bytes_without_content > MAX_BYTES_WITHOUT_CONTENT:
+            self._fail()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Record the error, if any."""
+        self.closed_with_error = exc is not None
+        super().connection_lost(exc)
+
+    def _fail(self) -> None:
+        detail = f"{self.bytes_without_content} bytes without content"
+        error = aiohttp.ClientPayloadError(detail)
+        body, transport = self._payload, self.transport
+        self.set_exception(error)
+        if body is not None:
+            body.set_exception(error)
+        if transport is not None:
+            transport.abort()
--- /dev/null
+++ b/packages/burdockhaven-entry/tests/gateway/test_target_connection.py
@@ -0,0 +1,68 @@
+import pytest
+from gateway_fixtures import (
+    EndlessResponse,
+    Gateway,
+    Script,
+    response_head,
+)
+
+SPACES = b" " * 2**16
+CHUNKED = response_head("Transfer-Encoding: chunked\r\n")
+INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
+# The start of a response and bytes that neither end its head nor bring a body.
+ENDLESS = [
+    pytest.param(b"HTTP/1.1 200 ", b"x" * 2**16, id="status line"),
+    pytest.param(b"HTTP/1.1 200 OK\r\n", b"X: y\r\n" * 9_000, id="header lines"),
+    pytest.param(b"HTTP/1.1 200 OK\r\nX: ", b"x" * 2**16, id="header value"),
+    pytest.param(b"HTTP/1.1 200 OK\r\nX:", SPACES, id="space before a value"),
+    pytest.param(b"", b"\x00 no response\r\n" * 4_000, id="no HTTP"),
+    pytest.param(b"", b"\r\n" * 2**15, id="blank lines"),
+    pytest.param(b"", INTERIM * 2_000, id="interim responses"),
+    pytest.param(CHUNKED + b"1;", b"x" * 2**16, id="chunk extension"),
+    pytest.param(CHUNKED, b"0" * 2**16, id="chunk size"),
+    pytest.param(CHUNKED + b"1\r\nx\r\n1", SPACES, id="space after a chunk size"),
+    pytest.param(CHUNKED + b"1\r\nx\r\nz", b"z" * 2**16, id="no chunk size"),
+    pytest.param(CHUNKED + b"1\r\nx\r\n0\r\nX:", SPACES, id="space in a trailer"),
+    pytest.param(CHUNKED + b"0\r\n", b"X: y\r\n" * 9_000, id="trailers"),
+]
+
+
+@pytest.fixture
+async def start():
+    started = []
+
+    async def make(**options):
+        started.append(await Gateway.start(**options))
+        return started[-1]
+
+    yield make
+    for gateway in started:
+        await gateway.stop()
+
+
+# Guards against a target that sends without end what the library does not bound.
+@pytest.mark.parametrize(("first", "repeated"), ENDLESS)
+async def test_bytes_without_content_end_the_send(start, first, repeated):
+    endless = EndlessResponse(first, repeated)
+    gateway = await start(plain=[Script(endless)])
+    response = await gateway.call("/unsafe/x")
+    assert (response.status, endless.was_cut) == (502, True)
+    await gateway.targets[0].closed.wait()
+
+
+# Guards against a bound that counts a response's whole length instead of a row.
+async def test_interim_responses_and_small_chunks_are_no_failure(start):
+    async def behave(request, reader, writer):
+        writer.write(INTERIM * 20)
+        attempt = request.headers["X-Burdockhaven-Attempt-Id"].encode()
+        writer.write(CHUNKED.replace(b"ID", attempt))
+        for _ in range(100):
+            writer.write(b"1;%s\r\nx\r\n" % (b"x" * 2**15))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
+
+    gateway = await start(plain=[Script(behave)])
+    response = await gateway.call("/unsafe/x")
+    assert (response.status, response.body) == (200, b"x" * 100)
