A pooled connection is closed if its target sends while no request is under way

Cause: aiohttp queues each head that arrives on an idle connection, without a bound, as long as the connection is in the pool (4 s).

Change: `TargetConnection` closes the connection at a head that no request awaits. A surplus response in the same packet as the response before it ends its connection too.

Result: before, test_idle_connection_is_closed_if_the_target_sends failed: more than 2 MiB were taken.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_connection.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_connection.py
@@ -23,20 +23,28 @@
     """
 
     closed_with_error = False
+    # Whether a request was sent whose response has no complete head yet.
+    is_awaiting_head = False
     # Bytes received since the last head or byte of a body.
     bytes_without_content = 0
 
     def set_response_params(self, **params: object) -> None:
         """Begin to wait for the response to a request."""
+        self.is_awaiting_head = True
         self.bytes_without_content = 0
         super().set_response_params(**params)  # type: ignore[arg-type]
 
     def feed_data(
         self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
     ) -> None:
-        """Pass on a head."""
+        """Pass on a head, or close the connection if no request awaits it."""
         message, _ = data
+        if not self.is_awaiting_head:
+            if self.transport is not None:
+                self.transport.close()
+            return
         if message.code >= 200 or message.code == SWITCHING_PROTOCOLS:
+            self.is_awaiting_head = False
             self.bytes_without_content = 0
         super().feed_data(data, size)
 
--- a/packages/burdockhaven-entry/tests/gateway/test_target_connection.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_target_connection.py
@@ -1,9 +1,13 @@
+import asyncio
+
 import pytest
 from gateway_fixtures import (
     EndlessResponse,
     Gateway,
     Script,
+    respond,
     response_head,
+    wait_until,
 )
 
 SPACES = b" " * 2**16
@@ -50,6 +54,25 @@
     await gateway.targets[0].closed.wait()
 
 
+# Guards against heads that fill the memory on a connection without a request.
+async def test_idle_connection_is_closed_if_the_target_sends(start):
+    endless = EndlessResponse(
+        b"", b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" * 400
+    )
+
+    async def respond_and_go_on(request, reader, writer):
+        await respond(b"whole")(request, reader, writer)
+        await released.wait()
+        return await endless(request, reader, writer)
+
+    released = asyncio.Event()
+    gateway = await start(plain=[Script(respond_and_go_on)])
+    assert (await gateway.call("/safe/x")).body == b"whole"
+    released.set()
+    await wait_until(gateway.targets[0].closed.is_set)
+    assert endless.sent_bytes < 2**21
+
+
 # Guards against a bound that counts a response's whole length instead of a row.
 async def test_interim_responses_and_small_chunks_are_no_failure(start):
     async def behave(request, reader, writer):
