--- a/tools/burdockhaven_bench/soak/client.py
+++ b/tools/burdockhaven_bench/soak/client.py
@@ -230,7 +230,7 @@
             chunk = self.reader.readexactly(size + 2)
             data = (await self._with_gap_timeout(chunk))[:size]
             reading.events += map(_decode_event, splitter.feed(data))
-        reading.body = splitter.buffer
+        reading.body = bytes(splitter.buffer)
         await self._read_until(b"\r\n")
 
     async def _read_until(self, separator: bytes) -> bytes:
