A run of a stream fails after 1 MiB without an event; comments are no events

Cause: an event without its blank line was kept without a bound until the deadline. Blank lines, comments and lines with unknown fields counted as events: they ended the search for another engine and went on to the client until the deadline.

Change: the splitter counts the bytes since the last event that has a field. Beyond 1 MiB (events are below a kilobyte) the run is broken off and resumed where the route allows it; else the client sees a truncated response. Blocks without a field go on to the client as before, but neither stop the search nor record a first event. No bound on the length or duration of a stream.

Now all pass; test_large_events_and_comments_are_forwarded_whole (events of 800 KB) passes before and after.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/event_splitter.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/event_splitter.py
@@ -3,7 +3,11 @@
 import re
 from dataclasses import dataclass
 
-ID_FIELD = b"id:"
+ID_FIELD = b"id"
+# Names of the fields that make an event; other lines are comments or ignored.
+EVENT_FIELDS = frozenset({b"data", b"event", ID_FIELD, b"retry"})
+# Bytes within which an event must end. It holds a few tokens, less than a kilobyte.
+MAX_EVENT_BYTES = 2**20
 # End of a line and a blank line; both ends of line are in use.
 BLANK_LINE = re.compile(rb"\n\r?\n")
 BLANK_LINE_MAX_BYTES = 3
@@ -17,6 +21,19 @@
     data: bytes
     # None if the event has no id.
     id: str | None
+    # Whether any line is the field of an event; false for comments and blank lines.
+    has_fields: bool
+
+    @classmethod
+    def from_bytes(cls, data: bytes) -> "StreamEvent":
+        """Read the id and the kind of an event from its bytes."""
+        has_fields = False
+        for line in data.splitlines():
+            name, _, value = line.partition(b":")
+            if name == ID_FIELD:
+                return cls(data, value.strip().decode("latin-1"), has_fields=True)
+            has_fields |= name in EVENT_FIELDS
+        return cls(data, None, has_fields)
 
 
 class EventSplitter:
@@ -26,16 +43,21 @@
         self.buffer = bytearray()
         # Position in the buffer before which no blank line begins.
         self.searched = 0
+        # Bytes received since the last event that has fields.
+        self.bytes_since_event = 0
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add received bytes; returns the events that they complete."""
         self.buffer += data
+        self.bytes_since_event += len(data)
         events: list[StreamEvent] = []
         start = 0
         while (end := _end_of_event(self.buffer, self.searched)) >= 0:
-            event = bytes(self.buffer[start:end])
-            events.append(StreamEvent(event, _event_id(event)))
+            event = StreamEvent.from_bytes(bytes(self.buffer[start:end]))
+            events.append(event)
             start = self.searched = end
+            if event.has_fields:
+                self.bytes_since_event = len(self.buffer) - end
         del self.buffer[:start]
         # The last bytes may be the begin of a blank line.
         self.searched = max(0, len(self.buffer) - BLANK_LINE_MAX_BYTES + 1)
@@ -45,10 +67,3 @@
 def _end_of_event(data: bytearray, start: int) -> int:
     found = BLANK_LINE.search(data, start)
     return -1 if found is None else found.end()
-
-
-def _event_id(event: bytes) -> str | None:
-    for line in event.splitlines():
-        if line.startswith(ID_FIELD):
-            return line[len(ID_FIELD) :].strip().decode("latin-1")
-    return None
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -16,7 +16,11 @@
 from burdockhaven_core.scheduling.quotas import quota_cost
 from burdockhaven_core.scheduling.target_registry import TargetEntry
 from burdockhaven_entry.gateway.client_server import close_after_response
-from burdockhaven_entry.gateway.event_splitter import EventSplitter, StreamEvent
+from burdockhaven_entry.gateway.event_splitter import (
+    MAX_EVENT_BYTES,
+    EventSplitter,
+    StreamEvent,
+)
 from burdockhaven_entry.gateway.gateway_state import GatewayState
 from burdockhaven_entry.gateway.placement_client import (
     Placement,
@@ -321,6 +325,9 @@
         splitter = EventSplitter()
         async for data in target_response.chunks():
             for event in splitter.feed(data):
+                if not event.has_fields:
+                    await stream.response.write(event.data)
+                    continue
                 self.placement_client.record_first_event(placement.number)
                 # A client that is slow to read does not make the engine silent.
                 search.stop()
@@ -332,6 +339,9 @@
                     self.origins.record(routed.client_request, origin)
                 await self._relay_event(stream, event)
                 search.restart(EVENT_PAUSE_TIMEOUT_S)
+            if splitter.bytes_since_event > MAX_EVENT_BYTES:
+                detail = f"no event ended within {MAX_EVENT_BYTES} bytes"
+                raise target_response.read_error(detail)
         if splitter.buffer.strip():
             routed.trace.failures.append(f"{target.id}: ended within an event")
             stream.record_possible_run(target.id)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
@@ -99,9 +99,9 @@
         try:
             body = await read_body_up_to(self.response, MAX_BODY_BYTES)
         except aiohttp.ClientError as error:
-            raise self._read_error(repr(error)) from error
+            raise self.read_error(repr(error)) from error
         if body is None:
-            raise self._read_error(f"the body exceeds {MAX_BODY_BYTES} bytes")
+            raise self.read_error(f"the body exceeds {MAX_BODY_BYTES} bytes")
         self.check_complete()
         return body
 
@@ -117,7 +117,7 @@
             async for data in self.response.content.iter_any():
                 yield data
         except aiohttp.ClientError as error:
-            raise self._read_error(repr(error)) from error
+            raise self.read_error(repr(error)) from error
         self.check_complete()
 
     def check_complete(self) -> None:
@@ -125,9 +125,10 @@
         if not self.is_close_delimited:
             return
         if self.connection is None or self.connection.closed_with_error:
-            raise self._read_error("connection reset before the end of the body")
+            raise self.read_error("connection reset before the end of the body")
 
-    def _read_error(self, detail: str) -> SendError:
+    def read_error(self, detail: str) -> SendError:
+        """Return the error of a body that can't be used; the request may have run."""
         return SendError(SendOutcome.UNKNOWN, READ_STEP, self.target, detail)
 
 
--- a/packages/burdockhaven-entry/tests/gateway/test_event_splitter.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_event_splitter.py
@@ -40,3 +40,31 @@
     (event,) = splitter.feed(b"\n" + piece)
     assert len(event.data) == 2_000 * len(piece) + 1
     assert searched < 2 * len(event.data)
+
+
+@pytest.mark.parametrize(
+    ("data", "id_", "has_fields"),
+    [
+        (b"data: x\n\n", None, True),
+        (b"data\n\n", None, True),
+        (b"event: end\r\n\r\n", None, True),
+        (b": comment\nid: 7\n\n", "7", True),
+        (b"data: x\nid: 7\n\n", "7", True),
+        (b": comment\n\n", None, False),
+        (b"\n\n", None, False),
+        (b"database: x\n\n", None, False),
+    ],
+)
+def test_event_has_fields_unless_it_is_comments_or_blank(data, id_, has_fields):
+    (event,) = EventSplitter().feed(data)
+    assert (event.data, event.id, event.has_fields) == (data, id_, has_fields)
+
+
+def test_bytes_since_the_last_event_include_comments():
+    splitter = EventSplitter()
+    splitter.feed(b"data: 1\n\n: c\n\n")
+    assert splitter.bytes_since_event == 5
+    splitter.feed(b"\n\nda")
+    assert splitter.bytes_since_event == 9
+    splitter.feed(b"ta: 2\n\n")
+    assert splitter.bytes_since_event == 0
--- a/packages/burdockhaven-entry/tests/gateway/test_stream_forwarding.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_stream_forwarding.py
@@ -1,5 +1,6 @@
 import asyncio
 import math
+import re
 
 import aiohttp
 import pytest
@@ -262,3 +263,56 @@
     assert (response.status, response.body) == (200, numbered_events(1, 2))
     await wait_until(lambda: any(target.closed.is_set() for target in gateway.targets))
     assert endless.was_cut
+
+
+STREAM_HEAD = response_head("Content-Type: text/event-stream\r\n")
+# Bytes that hold no event, however many come.
+NO_EVENTS = [
+    pytest.param(b"x" * 2**15, id="event without a blank line"),
+    pytest.param(b"\n" * 2**10, id="blank lines"),
+    pytest.param(b": comment\n\n" * 100, id="comments"),
+    pytest.param(b"no field\n\n" * 100, id="unknown fields"),
+]
+
+
+def received_ids(body):
+    return [int(number) for number in re.findall(rb"^id: (\d+)$", body, re.MULTILINE)]
+
+
+# Guards against a stream that fills the memory, or is not resumed, because its engine
+# sends bytes without end that hold no event.
+@pytest.mark.parametrize("delivered", [0, 3])
+@pytest.mark.parametrize("repeated", NO_EVENTS)
+async def test_stream_without_events_is_resumed(start, repeated, delivered):
+    endless = EndlessResponse(STREAM_HEAD + numbered_events(1, delivered), repeated)
+    script = Script(endless, stream_events(delivered + 1, 6))
+    gateway = await start(engines=[script, script])
+    response = await gateway.call("/stream/x")
+    assert received_ids(response.body) == [1, 2, 3, 4, 5, 6]
+    await wait_until(lambda: any(target.closed.is_set() for target in gateway.targets))
+    assert endless.was_cut
+
+
+# Guards against a stream that looks complete to its client after bytes without events.
+@pytest.mark.parametrize("repeated", NO_EVENTS)
+async def test_stream_without_events_is_truncated_without_resume(start, repeated):
+    endless = EndlessResponse(STREAM_HEAD + numbered_events(1, 3), repeated)
+    gateway = await start(engines=[Script(endless), Script(respond())])
+    with pytest.raises(aiohttp.ClientPayloadError):
+        await gateway.call("/once/x")
+    assert (endless.was_cut, len(gateway.received)) == (True, 1)
+
+
+# Guards against a bound that cuts large events, or counts a whole stream.
+async def test_large_events_and_comments_are_forwarded_whole(start):
+    event = b"id: %d\ndata: " + b"x" * 800_000 + b"\n\n: comment\n\n"
+    events = b"".join(event % number for number in range(1, 6))
+
+    async def behave(request, reader, writer):
+        attempt = request.headers["X-Burdockhaven-Attempt-Id"].encode()
+        writer.write(STREAM_HEAD.replace(b"ID", attempt) + events)
+        await writer.drain()
+        return False
+
+    gateway = await start(engines=[Script(behave)])
+    assert (await gateway.call("/once/x")).body == events
