A close-delimited stream without events has been broken off

Cause: a stream that ends with its connection was complete unless bytes of an event were left. An engine that dies after its head closes its connection in order as well, so its client got an empty answer, or the first part of a resumed stream, as complete.

Change: such a run is broken off unless an event has ended in it. A run with chunks may still have no events, as after a break behind the last one.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/event_splitter.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/event_splitter.py
@@ -45,6 +45,8 @@
         self.searched = 0
         # Bytes received since the last event that has fields.
         self.bytes_since_event = 0
+        # Whether any event that has fields has ended.
+        self.has_events = False
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add received bytes; returns the events that they complete."""
@@ -57,6 +59,7 @@
             events.append(event)
             start = self.searched = end
             if event.has_fields:
+                self.has_events = True
                 self.bytes_since_event = len(self.buffer) - end
         del self.buffer[:start]
         # The last bytes may be the begin of a blank line.
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -342,8 +342,13 @@
             if splitter.bytes_since_event > MAX_EVENT_BYTES:
                 detail = f"no event ended within {MAX_EVENT_BYTES} bytes"
                 raise target_response.read_error(detail)
-        if splitter.buffer.strip():
-            routed.trace.failures.append(f"{target.id}: ended within an event")
+        if splitter.buffer.strip() or (
+            # A target that fails after its head closes the connection in order, too.
+            target_response.is_close_delimited and not splitter.has_events
+        ):
+            routed.trace.failures.append(
+                f"{target.id}: ended before the end of an event"
+            )
             stream.record_possible_run(target.id)
             return RunEnd.FAILED, RunResult.BROKEN
         return RunEnd.COMPLETED, RunResult.DONE
--- a/packages/burdockhaven-entry/tests/gateway/gateway_fixtures.py
+++ b/packages/burdockhaven-entry/tests/gateway/gateway_fixtures.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import random
+import socket
+import struct
 import time
 from dataclasses import dataclass, field
 
@@ -220,6 +222,14 @@
     return False
 
 
+def send_reset(writer):
+    """Close the connection with a reset, which `abort` alone does not send."""
+    linger = struct.pack("ii", 1, 0)
+    connection = writer.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 async def hang(request, reader, writer):
     await reader.read()
     return False
--- a/packages/burdockhaven-entry/tests/gateway/test_stream_forwarding.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_stream_forwarding.py
@@ -14,6 +14,8 @@
     respond,
     response_head,
     routing_table,
+    send_raw,
+    send_reset,
     stream_events,
     wait_until,
     write_chunk,
@@ -316,3 +318,70 @@
 
     gateway = await start(engines=[Script(behave)])
     assert (await gateway.call("/once/x")).body == events
+
+
+def close_delimited_stream(first, last, *, rest=b"", reset=False):
+    """Send events without a length or chunks, then close or reset the connection."""
+    events = numbered_events(first, last) + rest
+
+    async def behave(request, reader, writer):
+        await send_raw(STREAM_HEAD + events)(request, reader, writer)
+        if reset:
+            await asyncio.sleep(0.05)
+            send_reset(writer)
+        return False
+
+    return behave
+
+
+async def test_close_delimited_stream_is_complete_at_the_end_of_an_event(start):
+    gateway = await start(engines=[Script(close_delimited_stream(1, 3))])
+    response = await gateway.call("/stream/x")
+    assert (response.status, response.body) == (200, numbered_events(1, 3))
+    assert len(gateway.received) == 1
+
+
+# Runs that broke off, though their connections were closed in order in three of them.
+BROKEN_OFF = [
+    pytest.param(close_delimited_stream(1, 3, rest=b"id: 4\nda"), 3, id="event"),
+    pytest.param(close_delimited_stream(1, 3, rest=b"id: 4\ndata: 4\n"), 3, id="line"),
+    pytest.param(close_delimited_stream(1, 3, reset=True), 3, id="reset"),
+    pytest.param(close_delimited_stream(1, 0), 0, id="no event"),
+]
+
+
+# Guards against a stream without length or chunks that ends too early and looks whole.
+@pytest.mark.parametrize(("broken", "last"), BROKEN_OFF)
+async def test_broken_close_delimited_stream_is_resumed(start, broken, last):
+    script = Script(broken, close_delimited_stream(last + 1, 6))
+    gateway = await start(engines=[script, script])
+    response = await gateway.call("/stream/x")
+    assert response.body == numbered_events(1, 6)
+    resumed_at = {request.headers.get("Last-Event-Id") for request in gateway.received}
+    assert resumed_at == ({None, str(last)} if last else {None})
+
+
+# Guards against a broken-off stream that its client takes for complete.
+@pytest.mark.parametrize(("broken", "last"), BROKEN_OFF)
+async def test_broken_close_delimited_stream_is_truncated(start, broken, last):
+    gateway = await start(engines=[Script(broken), Script(respond())])
+    with pytest.raises(aiohttp.ClientPayloadError):
+        await gateway.call("/once/x")
+    assert len(gateway.received) == 1
+
+
+# Guards against a broken stream that looks whole after a run that ends at its head.
+async def test_resumed_run_without_length_and_events_is_broken_off(start):
+    script = Script(
+        close_delimited_stream(1, 3, rest=b"id"), close_delimited_stream(1, 0)
+    )
+    gateway = await start(engines=[script, script])
+    with pytest.raises(aiohttp.ClientPayloadError):
+        await gateway.call("/stream/x")
+
+
+async def test_resumed_run_with_chunks_may_have_no_events(start):
+    script = Script(close_delimited_stream(1, 3, reset=True), stream_events(4, 3))
+    gateway = await start(engines=[script, script])
+    response = await gateway.call("/stream/x")
+    assert (response.status, response.body) == (200, numbered_events(1, 3))
