A resumed stream takes no events of an unsigned or encoded response

Cause: the signature and the encoding of a response were checked only where the head for the client was made from it. The responses of later runs were relayed unchecked, so bytes that are no answer reached a client whose stream was resumed.

Result: before, both cases of test_resumed_stream_takes_no_events_of_an_invalid_response failed: the client got a complete response with the event of the invalid run. Now it gets a truncated one.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -309,19 +309,22 @@
             is_pause = bool(head.observation.pause_s)
             end = RunEnd.PAUSED if is_pause else RunEnd.REJECTED
             return end, RunResult.NOT_RUN
+        if head.is_encoded or not head.is_signed:
+            routed.trace.failures.append(
+                f"{target.id}: unsigned or encoded, {head.status}"
+            )
+            stream.record_possible_run(target.id)
+            return RunEnd.FAILED, RunResult.BROKEN
         if not head.is_success or not head.is_event_stream:
             routed.trace.failures.append(f"{target.id}: failed, {head.status}")
             return await self._handle_failure(stream, target_response)
-        if stream.response is None and head.is_signed and not head.is_encoded:
+        if stream.response is None:
             stream.response = web.StreamResponse(
                 status=head.status, headers=client_headers(target_response.headers)
             )
             if self.state.draining:
                 close_after_response(routed.request, stream.response)
             await stream.response.prepare(routed.request)
-        if stream.response is None:
-            stream.record_possible_run(target.id)
-            return RunEnd.FAILED, RunResult.BROKEN
         splitter = EventSplitter()
         async for data in target_response.chunks():
             for event in splitter.feed(data):
@@ -360,7 +363,7 @@
         body = await target_response.read_body()
         stream.record_possible_run(target_response.target)
         head = target_response.head
-        if head.is_signed and not head.is_encoded and stream.response is None:
+        if stream.response is None:
             response = web.Response(
                 status=head.status,
                 body=body,
--- a/packages/burdockhaven-entry/tests/gateway/test_stream_forwarding.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_stream_forwarding.py
@@ -6,6 +6,7 @@
 import pytest
 from gateway_fixtures import (
     REJECTED,
+    SIGNATURE,
     EndlessResponse,
     Gateway,
     Script,
@@ -385,3 +386,22 @@
     gateway = await start(engines=[script, script])
     response = await gateway.call("/stream/x")
     assert (response.status, response.body) == (200, numbered_events(1, 3))
+
+
+# Guards against events of a run whose response is not valid, within a resumed stream.
+@pytest.mark.parametrize(
+    ("fields", "signature"),
+    [("", ""), ("Content-Encoding: gzip\r\n", SIGNATURE)],
+)
+async def test_resumed_stream_takes_no_events_of_an_invalid_response(
+    start, fields, signature
+):
+    head = response_head(
+        f"Content-Type: text/event-stream\r\n{fields}", signature=signature
+    )
+    broken = close_delimited_stream(1, 3, rest=b"id")
+    invalid = send_raw(head + b"id: 4\ndata: other\n\n")
+    gateway = await start(engines=[Script(broken, invalid)] * 2)
+    with pytest.raises(aiohttp.ClientPayloadError):
+        await gateway.call("/stream/x")
+    assert len(gateway.received) == 2
