A response to HEAD without a length is complete at its head

Cause: a response with neither a length nor chunks was taken to end with its connection, also the one to a HEAD request, which has no body. Its connection was back in the pool by then, which read as a reset.

Change: such a response has no body that could be cut.

Result: before, test_response_to_head_needs_no_length failed with 502; now it passes. test_response_to_head_may_name_any_length passes before and after.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
@@ -209,6 +209,7 @@
             "Content-Length" in response.headers
             or "chunked" in response.headers.get("Transfer-Encoding", "").lower()
             or response.status in (204, 304)
+            or request.method == "HEAD"
         )
         return TargetResponse(
             target=target.id,
--- a/packages/burdockhaven-entry/tests/gateway/test_plain_forwarding.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_plain_forwarding.py
@@ -323,3 +323,17 @@
     script = Script(reset, respond(b"whole"))
     gateway = await start(plain=[script, script])
     assert (await gateway.call("/unsafe/x")).status == 200
+
+
+# Guards against responses without a body that count as reset, for want of a length.
+async def test_response_to_head_needs_no_length(start):
+    gateway = await start(plain=[Script(send_raw(response_head()))])
+    response = await gateway.call("/unsafe/x", method="HEAD")
+    assert (response.status, response.body) == (200, b"")
+
+
+async def test_response_to_head_may_name_any_length(start):
+    head = response_head("Content-Length: 99999999999\r\n")
+    gateway = await start(plain=[Script(send_raw(head))])
+    response = await gateway.call("/unsafe/x", method="HEAD")
+    assert (response.status, response.body) == (200, b"")
