--- a/packages/burdockhaven-entry/tests/gateway/test_stream_forwarding.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_stream_forwarding.py
@@ -405,3 +405,21 @@
     with pytest.raises(aiohttp.ClientPayloadError):
         await gateway.call("/stream/x")
     assert len(gateway.received) == 2
+
+
+# Guards against an error response without end that holds a stream until its deadline.
+@pytest.mark.parametrize(
+    "head",
+    [
+        pytest.param(response_head(status="500 Internal Server Error"), id="error"),
+        pytest.param(response_head("Content-Type: text/plain\r\n"), id="no stream"),
+        pytest.param(response_head(signature=""), id="without a signature"),
+    ],
+)
+async def test_endless_response_that_is_no_stream_is_cut(start, head):
+    endless = EndlessResponse(head, LARGE_PIECE)
+    script = Script(endless, stream_events(1, 2))
+    gateway = await start(engines=[script, script])
+    response = await gateway.call("/stream/x")
+    assert (response.status, response.body) == (200, numbered_events(1, 2))
+    assert endless.was_cut
