--- a/packages/burdockhaven-entry/tests/gateway/test_plain_forwarding.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_plain_forwarding.py
@@ -15,6 +15,7 @@
     response_head,
     routing_table,
     send_raw,
+    send_reset,
     wait_until,
 )
 from scheduling_samples import heartbeat
@@ -63,11 +64,19 @@
     assert 0 < int(request.headers["X-Burdockhaven-Deadline-Ms"]) <= 5_000
 
 
+async def reset_within_body(request, reader, writer):
+    await CLOSE_DELIMITED(request, reader, writer)
+    await asyncio.sleep(0.05)
+    send_reset(writer)
+    return False
+
+
 # The behaviour of the target of the first attempt, and the status that the client
 # receives for a safe and for an unsafe request; a second attempt would get 200.
 FAULTS = [
     pytest.param(reset_connection, 200, 502, id="reset after the request"),
     pytest.param(TRUNCATED, 200, 502, id="truncated response"),
+    pytest.param(reset_within_body, 200, 502, id="reset of a close-delimited body"),
     pytest.param(GARBAGE, 200, 502, id="bytes that are not HTTP"),
     pytest.param(FAILED, 200, 500, id="error response of the target"),
     pytest.param(respond(attempt="other"), 200, 502, id="response to another request"),
