Responses of the store are read up to 32 MiB, the pages of a prefix up to 64 MiB

Cause: the client of the store read any response whole, joined pages as long as the store said that there are more, and repeated a page that brought nothing new for ever.

Change: a response beyond the bound ends its connection and fails the call (the kind follows the status, AMBIGUOUS for 200), so the caller backs off and reports an outage as for a store that doesn't answer. Pages of a prefix are bounded together, and each must go on beyond the last key. A value of 1 MB is 1.4 MB on the wire and pages have about 1 MB; 3,700 targets with entries of 1 KB are 4 MB.

Result: before, test_endless_response_of_the_store_is_cut (both), test_endless_pages_are_not_read and test_pages_that_do_not_go_on_are_not_read failed: all 128 MiB taken, all 100 pages read. Now they pass; test_large_values_are_read_whole passes before and after.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/store.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/store.py
@@ -14,6 +14,7 @@
 from result import Err, Ok, Result
 
 from burdockhaven_core.key_value_failure import FailureKind, KeyValueFailure
+from burdockhaven_entry.platform.response_body import read_body_up_to
 
 # Names the era of the store; it rises with each restore from a copy.
 ERA_HEADER = "Store-Era"
@@ -23,6 +24,10 @@
 CONNECT_TIMEOUT_S = 0.6
 # Seconds by which a watch may exceed its wait before its connection counts as silent.
 WATCH_TIMEOUT_MARGIN_S = 0.7
+# Bytes of the longest response, and of all pages of a prefix. The store sends pages of
+# about 1 MB, or a single larger value; a watch may report many changes at once.
+MAX_RESPONSE_BYTES = 32 * 2**20
+MAX_PREFIX_BYTES = 64 * 2**20
 
 
 class _RawItem(msgspec.Struct):
@@ -99,6 +104,8 @@
 
     body: Any
     era: int
+    # Length of the body in bytes, before it was decoded.
+    length: int
 
 
 # Receives the era of a response, None if it can't be read, and the text received;
@@ -148,6 +155,7 @@
         items: list[StoreItem] = []
         after_key = ""
         revision: StoreRevision | None = None
+        received_bytes = 0
         while True:
             query = {"prefix": prefix} | ({"after": after_key} if after_key else {})
             if may_be_stale:
@@ -161,6 +169,10 @@
             if revision is not None and era != revision.era:
                 detail = "the store was restored between two pages"
                 return self._failure(FailureKind.HISTORY_LOST, "read", detail)
+            received_bytes += result.ok_value.length
+            if received_bytes > MAX_PREFIX_BYTES:
+                detail = f"the pages of {prefix} exceed {MAX_PREFIX_BYTES} bytes"
+                return self._failure(FailureKind.AMBIGUOUS, "read", detail)
             items += [_decode_item(raw) for raw in page.items]
             # Return the revision of the first page: a watch from there repeats the
             # changes made while the later pages were read.
@@ -168,6 +180,9 @@
                 revision = StoreRevision(era, page.store_revision)
             if not page.truncated or not page.items:
                 return Ok(ChangeBatch(tuple(items), revision))
+            if page.items[-1].key <= after_key:
+                detail = f"the page after {after_key} does not go on"
+                return self._failure(FailureKind.AMBIGUOUS, "read", detail)
             after_key = page.items[-1].key
 
     async def watch(
@@ -269,7 +284,7 @@
                 headers=headers,
                 timeout=timeout,
             ) as response:
-                data = await response.read()
+                data = await read_body_up_to(response, MAX_RESPONSE_BYTES)
                 status = response.status
                 era = self._record_era(response.headers.get(ERA_HEADER, ""))
         except aiohttp.ClientConnectorError as error:
@@ -279,10 +294,14 @@
         if status != 200:
             kind = _STATUS_KINDS.get(status, FailureKind.AMBIGUOUS)
             return self._failure(kind, step, f"status {status}")
+        if data is None:
+            detail = f"the response exceeds {MAX_RESPONSE_BYTES} bytes"
+            return self._failure(FailureKind.AMBIGUOUS, step, detail)
+        if response_type is Any:
+            return Ok(_Response(None, era, len(data)))
         try:
-            if response_type is Any:
-                return Ok(_Response(None, era))
-            return Ok(_Response(msgspec.json.decode(data, type=response_type), era))
+            decoded = msgspec.json.decode(data, type=response_type)
+            return Ok(_Response(decoded, era, len(data)))
         except msgspec.MsgspecError as error:
             return self._failure(FailureKind.AMBIGUOUS, step, str(error))
 
--- a/packages/burdockhaven-entry/tests/platform/test_store.py
+++ b/packages/burdockhaven-entry/tests/platform/test_store.py
@@ -1,3 +1,5 @@
+import base64
+
 import pytest
 from aiohttp import web
 from aiohttp.test_utils import TestServer
@@ -5,13 +7,20 @@
 from burdockhaven_core.key_value_failure import FailureKind
 from burdockhaven_entry.platform import PlatformStore, StoreRevision
 
+# Bytes after which an endless response ends, if its connection is still open.
+ENDLESS_RESPONSE_BYTES = 128 * 2**20
+
 
 class Harness:
-    """A store client, and a server with scripted responses: status, era, body."""
+    """A store client, and a server with scripted responses: status, era, body.
+
+    A body of bytes is repeated until the client closes the connection.
+    """
 
     def __init__(self, *responses):
         self.responses = list(responses)
         self.eras = []
+        self.sent_bytes = 0
 
     async def __aenter__(self):
         app = web.Application()
@@ -29,8 +38,18 @@
     async def respond(self, request):
         status, era, body = self.responses.pop(0)
         headers = {} if era is None else {"Store-Era": era}
+        if isinstance(body, bytes):
+            return await self.respond_endlessly(request, status, headers, body)
         return web.json_response(body, status=status, headers=headers)
 
+    async def respond_endlessly(self, request, status, headers, repeated):
+        response = web.StreamResponse(status=status, headers=headers)
+        await response.prepare(request)
+        while self.sent_bytes < ENDLESS_RESPONSE_BYTES:
+            await response.write(repeated)
+            self.sent_bytes += len(repeated)
+        return response
+
     def record_era(self, era, text):
         self.eras.append((era, text))
         return 7 if era is None else era
@@ -67,6 +86,49 @@
     assert failure.kind is FailureKind.HISTORY_LOST
 
 
+# Guards against a response of the store that fills the memory.
+@pytest.mark.parametrize(
+    ("status", "kind"), [(200, FailureKind.AMBIGUOUS), (410, FailureKind.HISTORY_LOST)]
+)
+async def test_endless_response_of_the_store_is_cut(status, kind):
+    async with Harness((status, "3", b" " * 2**16)) as harness:
+        # The watch may take longer than the bytes.
+        watched = await harness.store.watch("a/", StoreRevision(3, 5), 60.0)
+    assert watched.unwrap_err().kind is kind
+    assert harness.sent_bytes < ENDLESS_RESPONSE_BYTES
+
+
+# Guards against a bound that cuts pages of large values.
+async def test_large_values_are_read_whole():
+    value = base64.b64encode(bytes(2**20)).decode()
+    items = [{"key": f"a/{n}", "value": value, "revision": 1} for n in range(4)]
+    body = {"items": items, "truncated": False, "store_revision": 5}
+    async with Harness((200, "3", body)) as harness:
+        batch = (await harness.store.read_prefix("a/")).unwrap()
+    assert [len(item.value) for item in batch.items] == [2**20] * 4
+
+
+# Guards against pages without end, which fill the memory one by one.
+async def test_endless_pages_are_not_read():
+    large = {"key": "a/1", "value": "A" * 2**21, "revision": 1}
+    pages = [
+        (200, "3", {"items": [large], "truncated": True, "store_revision": 5})
+    ] * 100
+    async with Harness(*pages) as harness:
+        failure = (await harness.store.read_prefix("a/")).unwrap_err()
+        assert failure.kind is FailureKind.AMBIGUOUS
+        assert len(harness.responses) > 0
+
+
+# Guards against a read that never ends, because its pages bring nothing new.
+async def test_pages_that_do_not_go_on_are_not_read():
+    pages = [(200, "3", page(5, "a/1", truncated=True))] * 100
+    async with Harness(*pages) as harness:
+        failure = (await harness.store.read_prefix("a/")).unwrap_err()
+        assert failure.kind is FailureKind.AMBIGUOUS
+        assert len(harness.responses) > 90
+
+
 def test_revisions_of_two_eras_are_not_compared():
     assert StoreRevision(1, 5).latest(StoreRevision(1, 4)) == StoreRevision(1, 5)
     with pytest.raises(ValueError, match="eras 1 and 2"):
