A configuration is fetched from a member up to 16 MiB

Cause: the fetch read whatever the member sent within its timeout of 1 s, also the body of an error, which isn't used.

Change: the body is read up to sixteen times the largest value of the store, and only with status 200; beyond, the connection is closed, BAD_PEER_MESSAGE is logged, and the next heartbeat with a newer version leads to another fetch.

Result: before, test_endless_configuration_of_a_peer_is_not_read failed: 131,072,000 bytes were applied as a configuration. Now it passes; test_large_configuration_of_a_peer_is_read_whole (2 MiB) passes before and after.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
@@ -30,10 +30,12 @@
 from burdockhaven_entry.gateway.peer_endpoint import PeerEndpoint
 from burdockhaven_entry.gateway.placement_client import PlacementClient
 from burdockhaven_entry.gateway.store_era import UNKNOWN_ERA
-from burdockhaven_entry.platform import StoreItem
+from burdockhaven_entry.platform import StoreItem, read_body_up_to
 
 # Timeout in seconds for fetching a configuration from another member.
 FETCH_TIMEOUT_S = 1.0
+# Bytes of the longest configuration that is fetched; the store holds values up to 1 MB.
+MAX_CONFIGURATION_BYTES = 16 * 2**20
 # Seconds to wait for the store to deliver a configuration that a hub already has,
 # before it is fetched from the hub.
 HUB_FETCH_DELAY_S = 0.8
@@ -208,8 +210,15 @@
         timeout = aiohttp.ClientTimeout(total=FETCH_TIMEOUT_S)
         try:
             async with self.session.get(url, timeout=timeout) as response:
-                data = await response.read()
-                if response.status == 200:
+                if response.status != 200:
+                    return
+                data = await read_body_up_to(response, MAX_CONFIGURATION_BYTES)
+                if data is None:
+                    detail = (
+                        f"the configuration exceeds {MAX_CONFIGURATION_BYTES} bytes"
+                    )
+                    self.endpoint.on_error(heartbeat.control_address, detail)
+                else:
                     self.on_configuration(data, heartbeat.sender.node)
         except (aiohttp.ClientError, TimeoutError) as error:
             # Retried on the next heartbeat of any member with a newer version.
--- a/packages/burdockhaven-entry/tests/gateway/test_membership.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_membership.py
@@ -1,11 +1,17 @@
+import asyncio
+import contextlib
 import random
 
+import aiohttp
 import msgspec
+from aiohttp import web
+from aiohttp.test_utils import TestServer
 from gateway_fixtures import settings
 from scheduling_samples import heartbeat
 
 from burdockhaven_core.scheduling.member_list import FULL_MESH_MAX_MEMBERS, HUB_COUNT
 from burdockhaven_core.scheduling.peer_messages import RunReport
+from burdockhaven_entry.gateway import membership as membership_module
 from burdockhaven_entry.gateway.gateway_state import GatewayState
 from burdockhaven_entry.gateway.membership import Membership
 from burdockhaven_entry.gateway.placement_client import PlacementClient
@@ -91,3 +97,64 @@
     membership.announce_drain()
     ((node, report),) = membership.endpoint.sent_to_nodes
     assert (node, type(report)) == ("entry-2", RunReport)
+
+
+class ScriptedPeer:
+    """A member whose response to a fetch repeats bytes until it is cut."""
+
+    def __init__(self, repeated, count):
+        self.repeated = repeated
+        self.count = count
+        self.sent = 0
+        self.ended = asyncio.Event()
+
+    async def respond(self, request):
+        response = web.StreamResponse()
+        await response.prepare(request)
+        try:
+            for _ in range(self.count):
+                await response.write(self.repeated)
+                self.sent += 1
+        finally:
+            self.ended.set()
+        return response
+
+
+@contextlib.asynccontextmanager
+async def fetch_from(peer):
+    """Let a member fetch a configuration from the peer; yields what it received."""
+    app = web.Application()
+    app.router.add_get("/{path:.*}", peer.respond)
+    received = []
+    tasks = []
+    async with TestServer(app) as server, aiohttp.ClientSession() as session:
+        membership = make_membership()
+        membership.state.member_list.hubs = ()
+        membership.session = session
+        membership.spawn = lambda task: tasks.append(asyncio.create_task(task))
+        membership.on_configuration = lambda data, node: received.append(data)
+        membership.endpoint.on_error = lambda address, detail: received.append(detail)
+        address = f"{server.host}:{server.port}"
+        newer = heartbeat("entry-2", 2, config_version=9, control_address=address)
+        membership.on_message(newer)
+        await asyncio.gather(*tasks)
+        await peer.ended.wait()
+        assert not membership.is_fetching
+        yield received
+
+
+# Guards against a member that fills the memory of another one.
+async def test_endless_configuration_of_a_peer_is_not_read(monkeypatch):
+    # A slow machine may need longer for the bytes than for a configuration.
+    monkeypatch.setattr(membership_module, "FETCH_TIMEOUT_S", 60.0)
+    peer = ScriptedPeer(bytes(2**16), 2_000)
+    async with fetch_from(peer) as received:
+        (detail,) = received
+        assert isinstance(detail, str), len(detail)
+        assert "exceeds" in detail
+        assert peer.sent < 2_000
+
+
+async def test_large_configuration_of_a_peer_is_read_whole():
+    async with fetch_from(ScriptedPeer(bytes(2**20), 2)) as received:
+        assert received == [bytes(2**21)]
