Connections to the store and to members are bounded like those to targets

Cause: responses of the store and of members were bounded by their timeouts only where they bring neither a head nor a body, as endless interim responses; a watch may last for long.

Change: both clients use the connections of the target client, now made by `create_connector`. Renamed, as it is no longer about targets alone: gateway/target_connection -> gateway/bounded_connection, TargetConnection -> BoundedConnection, test_target_connection -> test_bounded_connection.

Result: before (the test without its argument `create_connector`), test_store_that_sends_no_content_fails_the_call failed: the watch lasted for its 60.7 s; so did test_connections_to_the_store_and_to_members_are_bounded. Now both pass.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_connection.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/bounded_connection.py
@@ -1,9 +1,13 @@
-"""Connection to a target that bounds what it may send beside heads and bodies.
+"""Client connection that bounds what a server may send beside heads and bodies.
 
 aiohttp bounds the lines of a head, but neither interim responses, blank lines and white
 space before its end nor chunk extensions, leading zeros and trailers within a body.
 """
 
+import asyncio
+import functools
+from typing import Any
+
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_parser import RawResponseMessage
@@ -15,8 +19,8 @@
 SWITCHING_PROTOCOLS = 101
 
 
-class TargetConnection(ResponseHandler):
-    """A client connection that closes itself if the target sends no content.
+class BoundedConnection(ResponseHandler):
+    """A client connection that closes itself if the server sends no content.
 
     It also records whether it was closed with an error: the library treats a reset as
     the regular end of a response without a length.
@@ -73,3 +77,13 @@
             body.set_exception(error)
         if transport is not None:
             transport.abort()
+
+
+def create_connector(**options: Any) -> aiohttp.TCPConnector:
+    """Create a connector of such connections; requires a running event loop."""
+    connector = aiohttp.TCPConnector(**options)
+    # The library has no public way to set its connection class.
+    connector._factory = functools.partial(  # type: ignore[assignment]
+        BoundedConnection, loop=asyncio.get_running_loop()
+    )
+    return connector
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -14,6 +14,7 @@
 
 from burdockhaven_core.log_numbers import EventNumber
 from burdockhaven_core.scheduling.drain_schedule import DrainSchedule
+from burdockhaven_entry.gateway.bounded_connection import create_connector
 from burdockhaven_entry.gateway.client_server import ClientServer
 from burdockhaven_entry.gateway.control_handler import METRICS_PORT, ControlHandler
 from burdockhaven_entry.gateway.frontend import Frontend
@@ -89,10 +90,10 @@
         settings = state.settings
         self.timer = TimerService(state.clock, state.rng)
         self.store = PlatformStore.from_address(
-            settings.store_address, state.store_eras.record_response
+            settings.store_address, state.store_eras.record_response, create_connector
         )
         self.target_client = TargetClient.create()
-        self.session = aiohttp.ClientSession()
+        self.session = aiohttp.ClientSession(connector=create_connector())
         self.endpoint = PeerEndpoint(self._on_peer_message, self._on_peer_error)
         self.store_handlers = StoreEventHandlers(state)
         self.placement_client = PlacementClient(
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import enum
-import functools
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
@@ -16,7 +15,10 @@
 from yarl import URL
 
 from burdockhaven_core.scheduling.target_registry import TargetEntry
-from burdockhaven_entry.gateway.target_connection import TargetConnection
+from burdockhaven_entry.gateway.bounded_connection import (
+    BoundedConnection,
+    create_connector,
+)
 from burdockhaven_entry.platform import (
     TargetResponseHead,
     read_body_up_to,
@@ -90,7 +92,7 @@
     head: TargetResponseHead
     headers: CIMultiDictProxy[str]
     response: aiohttp.ClientResponse
-    connection: TargetConnection | None
+    connection: BoundedConnection | None
     # Whether the body is delimited only by the close of the connection.
     is_close_delimited: bool
 
@@ -216,21 +218,16 @@
             head=head,
             headers=response.headers,
             response=response,
-            connection=(protocol if isinstance(protocol, TargetConnection) else None),
+            connection=(protocol if isinstance(protocol, BoundedConnection) else None),
             is_close_delimited=not has_explicit_length,
         )
 
 
 def _create_session(*, force_close: bool) -> aiohttp.ClientSession:
-    loop = asyncio.get_running_loop()
     if force_close:
-        connector = aiohttp.TCPConnector(limit=0, force_close=True)
+        connector = create_connector(limit=0, force_close=True)
     else:
-        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S)
-    # The library has no public way to set its connection class.
-    connector._factory = functools.partial(  # type: ignore[assignment]
-        TargetConnection, loop=loop
-    )
+        connector = create_connector(limit=0, keepalive_timeout=KEEPALIVE_S)
     session = aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/store.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/store.py
@@ -135,9 +135,14 @@
         self.calls: dict[tuple[str, str], int] = {}
 
     @classmethod
-    def from_address(cls, address: str, on_era: OnEra) -> "PlatformStore":
+    def from_address(
+        cls,
+        address: str,
+        on_era: OnEra,
+        create_connector: Callable[..., aiohttp.TCPConnector] = aiohttp.TCPConnector,
+    ) -> "PlatformStore":
         """Create a client without connections; requires a running event loop."""
-        connector = aiohttp.TCPConnector(limit=8, keepalive_timeout=10.0)
+        connector = create_connector(limit=8, keepalive_timeout=10.0)
         session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
         return cls(address, session, on_era)
 
--- a/packages/burdockhaven-entry/tests/gateway/test_target_connection.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_bounded_connection.py
@@ -1,15 +1,29 @@
 import asyncio
+import contextlib
+import random
 
 import pytest
 from gateway_fixtures import (
+    ATTEMPT,
     EndlessResponse,
     Gateway,
+    ReceivedRequest,
     Script,
     respond,
     response_head,
+    settings,
     wait_until,
 )
 
+from burdockhaven_core.key_value_failure import FailureKind
+from burdockhaven_entry.gateway.bounded_connection import (
+    BoundedConnection,
+    create_connector,
+)
+from burdockhaven_entry.gateway.gateway_daemon import GatewayDaemon
+from burdockhaven_entry.gateway.gateway_state import GatewayState
+from burdockhaven_entry.platform import PlatformStore, StoreRevision
+
 SPACES = b" " * 2**16
 CHUNKED = response_head("Transfer-Encoding: chunked\r\n")
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -89,3 +103,36 @@
     gateway = await start(plain=[Script(behave)])
     response = await gateway.call("/unsafe/x")
     assert (response.status, response.body) == (200, b"x" * 100)
+
+
+# Guards against a store that keeps a watch busy with bytes that are no response.
+async def test_store_that_sends_no_content_fails_the_call():
+    endless = EndlessResponse(b"", INTERIM * 2_000)
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        with contextlib.suppress(ConnectionError):
+            await endless(ReceivedRequest("", {ATTEMPT: ""}, b""), reader, writer)
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    store = PlatformStore.from_address(
+        f"{host}:{port}", lambda *_: 1, create_connector=create_connector
+    )
+    async with server:
+        # The watch may take longer than the bytes.
+        watched = await store.watch("a/", StoreRevision(1, 1), 60.0)
+        await store.close()
+    assert watched.unwrap_err().kind is FailureKind.AMBIGUOUS
+    assert endless.was_cut
+
+
+async def test_connections_to_the_store_and_to_members_are_bounded():
+    state = GatewayState.from_settings(settings(), 1, 1, lambda: 1.0, random.Random(1))
+    daemon = GatewayDaemon(state, {})
+    for session in (daemon.store.session, daemon.session):
+        assert isinstance(session.connector._factory(), BoundedConnection)
+    await daemon.store.close()
+    await daemon.session.close()
+    await daemon.target_client.close()
