Event splitter: join comments and blank lines between events

Cause: each blank line or comment was an event of its own with a write to the client. A piece of 128 KB of blank lines led to 65,000 writes without a pause of the event loop.

Change: what lies between two events is passed on as one, blank lines in a row end one event.

Result: before, test_comments_and_blank_lines_are_joined_between_events failed (one item for each comment and pair of blank lines); now it passes.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/event_splitter.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/event_splitter.py
@@ -8,8 +8,9 @@
 EVENT_FIELDS = frozenset({b"data", b"event", ID_FIELD, b"retry"})
 # Bytes within which an event must end. It holds a few tokens, less than a kilobyte.
 MAX_EVENT_BYTES = 2**20
-# End of a line and a blank line; both ends of line are in use.
-BLANK_LINE = re.compile(rb"\n\r?\n")
+# End of a line and blank lines; both ends of line are in use.
+BLANK_LINES = re.compile(rb"\n(?:\r?\n)+")
+# Bytes of an end of a line and one blank line, at most.
 BLANK_LINE_MAX_BYTES = 3
 
 
@@ -17,7 +18,7 @@
 class StreamEvent:
     """One complete event."""
 
-    # Bytes as received, including the terminating blank line.
+    # Bytes as received, including the terminating blank lines.
     data: bytes
     # None if the event has no id.
     id: str | None
@@ -53,20 +54,30 @@
         self.buffer += data
         self.bytes_since_event += len(data)
         events: list[StreamEvent] = []
-        start = 0
+        # Where comments and blank lines since the last event begin, and the next event.
+        start = event_start = 0
         while (end := _end_of_event(self.buffer, self.searched)) >= 0:
-            event = StreamEvent.from_bytes(bytes(self.buffer[start:end]))
-            events.append(event)
-            start = self.searched = end
+            event = StreamEvent.from_bytes(bytes(self.buffer[event_start:end]))
             if event.has_fields:
+                events += self._without_fields(start, event_start)
+                events.append(event)
+                start = end
                 self.has_events = True
                 self.bytes_since_event = len(self.buffer) - end
-        del self.buffer[:start]
+            event_start = self.searched = end
+        events += self._without_fields(start, event_start)
+        del self.buffer[:event_start]
         # The last bytes may be the begin of a blank line.
         self.searched = max(0, len(self.buffer) - BLANK_LINE_MAX_BYTES + 1)
         return events
 
+    def _without_fields(self, start: int, end: int) -> list[StreamEvent]:
+        """Return comments and blank lines as one event, if there are any."""
+        if start == end:
+            return []
+        return [StreamEvent(bytes(self.buffer[start:end]), None, has_fields=False)]
+
 
 def _end_of_event(data: bytearray, start: int) -> int:
-    found = BLANK_LINE.search(data, start)
+    found = BLANK_LINES.search(data, start)
     return -1 if found is None else found.end()
--- a/packages/burdockhaven-entry/tests/gateway/test_event_splitter.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_event_splitter.py
@@ -68,3 +68,20 @@
     assert splitter.bytes_since_event == 9
     splitter.feed(b"ta: 2\n\n")
     assert splitter.bytes_since_event == 0
+
+
+# Guards against a write to the client for each of thousands of blank lines.
+def test_comments_and_blank_lines_are_joined_between_events():
+    splitter = EventSplitter()
+    noise = b":\n\n" * 500 + b"\n" * 1_001 + b": c\r\n\r\n"
+    pieces = [noise, b"data: 1\n\n", b"data: 2\n\n", noise, b"data: 3\n\n", noise]
+    events = splitter.feed(b"".join(pieces))
+    assert [event.data for event in events] == pieces
+    assert [event.has_fields for event in events] == [
+        False,
+        True,
+        True,
+        False,
+        True,
+        False,
+    ]
