Unreadable numbers of targets, clients and the store end no request or watch

Cause: `str.isdigit` accepts characters that `int` rejects, as a superscript two, and `int` rejects more than 4,300 digits. The ValueError came from the load header of a target, the id of an event, a part of a client's prompt and the era of the store (which ended the watch).

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_state.py
@@ -13,6 +13,7 @@
     retry_excluding,
 )
 from burdockhaven_entry.gateway.routed_request import RoutedRequest
+from burdockhaven_entry.platform import parse_whole_number
 
 # Minimum number of pauses from which the speed of an engine is estimated.
 MIN_PAUSE_SAMPLES = 3
@@ -200,6 +201,6 @@
 
 def _is_duplicate(event_id: str, last_event_id: str | None) -> bool:
     """Whether an earlier run already sent the event to the client."""
-    if last_event_id is None or not (event_id.isdigit() and last_event_id.isdigit()):
-        return False
-    return int(event_id) <= int(last_event_id)
+    number = parse_whole_number(event_id)
+    last_number = parse_whole_number(last_event_id or "")
+    return number is not None and last_number is not None and number <= last_number
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/__init__.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/__init__.py
@@ -52,6 +52,7 @@
         TargetEntryError,
         read_target_entry,
     )
+    from burdockhaven_entry.platform.whole_number import parse_whole_number
 
 __all__ = [
     "CONFIGURATION_KEY",
@@ -74,6 +75,7 @@
     "TargetEntryError",
     "client_headers",
     "encode_look_up",
+    "parse_whole_number",
     "read_body_up_to",
     "read_response_head",
     "read_client_request",
@@ -107,6 +109,7 @@
     "TargetResponseHead": "burdockhaven_entry.platform.response_headers",
     "client_headers": "burdockhaven_entry.platform.response_headers",
     "encode_look_up": "burdockhaven_entry.platform.look_up",
+    "parse_whole_number": "burdockhaven_entry.platform.whole_number",
     "read_body_up_to": "burdockhaven_entry.platform.response_body",
     "read_client_request": "burdockhaven_entry.platform.client_request",
     "read_configuration": "burdockhaven_entry.platform.configuration",
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/client_request.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/client_request.py
@@ -5,6 +5,8 @@
 
 from multidict import CIMultiDict, CIMultiDictProxy
 
+from burdockhaven_entry.platform.whole_number import parse_whole_number
+
 ATTEMPT_ID = "X-Burdockhaven-Attempt-Id"
 DEADLINE = "X-Burdockhaven-Deadline-Ms"
 TOKEN_COUNTS = "X-Burdockhaven-Token-Counts"
@@ -155,7 +157,8 @@
     parts = []
     for piece in value.split(","):
         name, colon, tokens = piece.strip().partition(":")
-        if not colon or not tokens.isdigit():
+        count = parse_whole_number(tokens)
+        if not colon or count is None:
             continue
-        parts.append((name, int(tokens)))
+        parts.append((name, count))
     return tuple(parts)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/response_headers.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/response_headers.py
@@ -11,6 +11,7 @@
     UnreadableSignal,
 )
 from burdockhaven_entry.platform.client_request import ATTEMPT_ID, HOP_BY_HOP_HEADERS
+from burdockhaven_entry.platform.whole_number import parse_whole_number
 
 SIGNATURE = "X-Burdockhaven-Response-Signature"
 NOT_EXECUTED = "X-Burdockhaven-Not-Executed"
@@ -185,8 +186,10 @@
 
 def _parse_load(value: str) -> TargetLoad | None:
     # Some targets add the speed of their machine, which changes within milliseconds.
-    parts = value.split(",")[:3]
-    if len(parts) < 3 or not all(part.strip().isdigit() for part in parts):
+    numbers = [parse_whole_number(part.strip()) for part in value.split(",")[:3]]
+    if len(numbers) < 3:
+        return None
+    running, waiting, slots = numbers
+    if running is None or waiting is None or slots is None:
         return None
-    running, waiting, slots = (int(part) for part in parts)
     return TargetLoad(running, waiting, slots)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/store.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/store.py
@@ -15,6 +15,7 @@
 
 from burdockhaven_core.key_value_failure import FailureKind, KeyValueFailure
 from burdockhaven_entry.platform.response_body import read_body_up_to
+from burdockhaven_entry.platform.whole_number import parse_whole_number
 
 # Names the era of the store; it rises with each restore from a copy.
 ERA_HEADER = "Store-Era"
@@ -311,8 +312,7 @@
             return self._failure(FailureKind.AMBIGUOUS, step, str(error))
 
     def _record_era(self, text: str) -> int:
-        is_number = text.isascii() and text.isdigit()
-        return self.on_era(int(text) if is_number else None, text)
+        return self.on_era(parse_whole_number(text), text)
 
     def _failure(
         self, kind: FailureKind, step: str, detail: str
--- a/packages/burdockhaven-entry/tests/gateway/test_plain_forwarding.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_plain_forwarding.py
@@ -346,3 +346,11 @@
     gateway = await start(plain=[Script(send_raw(head))])
     response = await gateway.call("/unsafe/x", method="HEAD")
     assert (response.status, response.body) == (200, b"")
+
+
+# Guards against a response that ends its request with an error for its load header.
+async def test_unreadable_load_of_a_target_is_ignored(start):
+    load = f"X-Burdockhaven-Instance-Load: 1,2,{'9' * 5_000}\r\n"
+    gateway = await start(plain=[Script(respond(b"whole", extra=load))])
+    response = await gateway.call("/unsafe/x")
+    assert (response.status, response.body) == (200, b"whole")
--- a/packages/burdockhaven-entry/tests/gateway/test_stream_forwarding.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_stream_forwarding.py
@@ -423,3 +423,13 @@
     response = await gateway.call("/stream/x")
     assert (response.status, response.body) == (200, numbered_events(1, 2))
     assert endless.was_cut
+
+
+# Guards against an event id that looks like a number and ends its request.
+@pytest.mark.parametrize("id_", [b"\xb2", b"9" * 5_000])
+async def test_event_id_that_is_no_number_is_forwarded(start, id_):
+    event = b"id: " + id_ + b"\ndata: x\n\n"
+    script = Script(send_raw(STREAM_HEAD + event * 2))
+    gateway = await start(engines=[script])
+    response = await gateway.call("/stream/x")
+    assert (response.status, response.body) == (200, event * 2)
--- a/packages/burdockhaven-entry/tests/platform/test_headers.py
+++ b/packages/burdockhaven-entry/tests/platform/test_headers.py
@@ -63,6 +63,12 @@
         read_client_request(bad)
 
 
+def test_prompt_part_without_a_readable_size_is_ignored():
+    parts = f"a:1,b:\u00b2,c:{'9' * 5_000},d:4"
+    values = headers(X_Burdockhaven_Attempt_Id="a", X_Burdockhaven_Prompt_Prefix=parts)
+    assert read_client_request(values).parts == (("a", 1), ("d", 4))
+
+
 SYSTEM_HEADERS = (
     "X-Burdockhaven-Tenant",
     "X-Burdockhaven-Expect-Instance",
@@ -122,6 +128,8 @@
         ("3,1,8,140", (3, 1, 8)),
         ("3,1", None),
         ("3,1,x", None),
+        ("3,1,\u00b2", None),
+        ("3,1," + "9" * 5_000, None),
         ("a,b", None),
         ("", None),
     ],
--- a/packages/burdockhaven-entry/tests/platform/test_store.py
+++ b/packages/burdockhaven-entry/tests/platform/test_store.py
@@ -62,7 +62,14 @@
 
 @pytest.mark.parametrize(
     ("text", "era", "used"),
-    [("3", 3, 3), (None, None, 7), ("x", None, 7), ("-1", None, 7), ("٣", None, 7)],
+    [
+        ("3", 3, 3),
+        (None, None, 7),
+        ("x", None, 7),
+        ("-1", None, 7),
+        ("٣", None, 7),
+        ("9" * 5_000, None, 7),
+    ],
 )
 async def test_era_of_a_response_is_part_of_its_revision(text, era, used):
     async with Harness((200, text, page(5))) as harness:
