Deeply nested JSON from the store or a member ends no watch

Cause: msgspec reports nesting beyond its limit as RecursionError, which only the endpoint of the members' messages caught. From a response of the store it ended the watch for good; from a target's or member's entry or a configuration as well.

Change: `DECODE_ERRORS` names the errors once, and all decoders use it.

Result: before, test_undecodable_response_of_the_store_is_a_failure and test_undecodable_member_entry_is_ignored (nesting; their cases of invalid UTF-8 passed), and the new cases of test_invalid_entry_is_an_error and test_invalid_configuration_is_an_error failed with RecursionError. Now all pass.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
@@ -30,7 +30,7 @@
 from burdockhaven_entry.gateway.peer_endpoint import PeerEndpoint
 from burdockhaven_entry.gateway.placement_client import PlacementClient
 from burdockhaven_entry.gateway.store_era import UNKNOWN_ERA
-from burdockhaven_entry.platform import StoreItem, read_body_up_to
+from burdockhaven_entry.platform import DECODE_ERRORS, StoreItem, read_body_up_to
 
 # Timeout in seconds for fetching a configuration from another member.
 FETCH_TIMEOUT_S = 1.0
@@ -83,7 +83,7 @@
         for item in items:
             try:
                 entry = msgspec.json.decode(item.value or b"", type=MemberEntry)
-            except msgspec.MsgspecError:
+            except DECODE_ERRORS:
                 # Written by a member of another version, which probes this one itself.
                 continue
             self.probe(entry.peer_address)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/peer_endpoint.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/peer_endpoint.py
@@ -9,13 +9,12 @@
 from collections.abc import Callable
 from typing import cast
 
-import msgspec
-
 from burdockhaven_core.scheduling.peer_messages import (
     PeerMessage,
     decode_message,
     encode_message,
 )
+from burdockhaven_entry.platform import DECODE_ERRORS
 
 # Maximum size of a sent datagram in bytes; UDP allows 65,507.
 MAX_DATAGRAM_BYTES = 60_000
@@ -74,7 +73,7 @@
         """Decode and handle a message; report one that can't be decoded."""
         try:
             message = decode_message(data)
-        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        except DECODE_ERRORS as error:
             self.on_error(f"{addr[0]}:{addr[1]}", str(error))
             return
         self.on_message(message)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/__init__.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/__init__.py
@@ -18,6 +18,7 @@
         ConfigurationError,
         read_configuration,
     )
+    from burdockhaven_entry.platform.decode_errors import DECODE_ERRORS
     from burdockhaven_entry.platform.look_up import (
         LOOK_UP_PATH,
         READINESS_PATH,
@@ -57,6 +58,7 @@
 __all__ = [
     "CONFIGURATION_KEY",
     "CONFIGURATION_PREFIX",
+    "DECODE_ERRORS",
     "LOOK_UP_PATH",
     "MEMBERS_PREFIX",
     "READINESS_PATH",
@@ -94,6 +96,7 @@
     "ChangeBatch": "burdockhaven_entry.platform.store",
     "ClientRequest": "burdockhaven_entry.platform.client_request",
     "ConfigurationError": "burdockhaven_entry.platform.configuration",
+    "DECODE_ERRORS": "burdockhaven_entry.platform.decode_errors",
     "LOOK_UP_PATH": "burdockhaven_entry.platform.look_up",
     "MEMBERS_PREFIX": "burdockhaven_entry.platform.store_keys",
     "MalformedRequestError": "burdockhaven_entry.platform.client_request",
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/configuration.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/configuration.py
@@ -12,6 +12,7 @@
     Service,
     ServiceShare,
 )
+from burdockhaven_entry.platform.decode_errors import DECODE_ERRORS
 
 MS_PER_S = 1_000.0
 TOKENS_UNIT = "tokens"
@@ -103,7 +104,7 @@
             account_of_key=_accounts_by_key(raw.tenants),
             limits=_client_limits(raw.limits),
         )
-    except (msgspec.MsgspecError, UnicodeDecodeError, ValueError) as error:
+    except (*DECODE_ERRORS, ValueError) as error:
         raise ConfigurationError(str(error)) from error
 
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/store.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/store.py
@@ -14,6 +14,7 @@
 from result import Err, Ok, Result
 
 from burdockhaven_core.key_value_failure import FailureKind, KeyValueFailure
+from burdockhaven_entry.platform.decode_errors import DECODE_ERRORS
 from burdockhaven_entry.platform.response_body import read_body_up_to
 from burdockhaven_entry.platform.whole_number import parse_whole_number
 
@@ -308,7 +309,7 @@
         try:
             decoded = msgspec.json.decode(data, type=response_type)
             return Ok(_Response(decoded, era, len(data)))
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             return self._failure(FailureKind.AMBIGUOUS, step, str(error))
 
     def _record_era(self, text: str) -> int:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/target_entry.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/target_entry.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from burdockhaven_core.scheduling.target_registry import TargetEntry
+from burdockhaven_entry.platform.decode_errors import DECODE_ERRORS
 
 DRAINING = "draining"
 KNOWN_STATES = frozenset({"ready", DRAINING})
@@ -31,7 +32,7 @@
     """Decode an entry; raises `TargetEntryError`."""
     try:
         raw = _decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise TargetEntryError(str(error)) from error
     if raw.state not in KNOWN_STATES:
         raise TargetEntryError(f"unknown state {raw.state!r}")
--- a/packages/burdockhaven-entry/tests/gateway/test_membership.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_membership.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 import msgspec
+import pytest
 from aiohttp import web
 from aiohttp.test_utils import TestServer
 from gateway_fixtures import settings
@@ -15,6 +16,7 @@
 from burdockhaven_entry.gateway.gateway_state import GatewayState
 from burdockhaven_entry.gateway.membership import Membership
 from burdockhaven_entry.gateway.placement_client import PlacementClient
+from burdockhaven_entry.platform import StoreItem
 
 MEMBERS = FULL_MESH_MAX_MEMBERS + 4
 
@@ -99,6 +101,18 @@
     assert (node, type(report)) == ("entry-2", RunReport)
 
 
+# Guards against a watch of the members that ends for good at an undecodable entry.
+@pytest.mark.parametrize(
+    "value", [b'{"x":' + b"[" * 100_000, b'{"peer_address":"\xff"}']
+)
+def test_undecodable_member_entry_is_ignored(value):
+    membership = make_membership()
+    valid = b'{"peer_address":"10.0.0.9:7600","control_address":"10.0.0.9:1"}'
+    items = (StoreItem("m/1", value, 1), StoreItem("m/2", valid, 1))
+    membership.probe_member_entries(items)
+    assert set(membership.unidentified_addresses) == {"10.0.0.9:7600"}
+
+
 class ScriptedPeer:
     """A member whose response to a fetch repeats bytes until it is cut."""
 
--- a/packages/burdockhaven-entry/tests/platform/test_configuration.py
+++ b/packages/burdockhaven-entry/tests/platform/test_configuration.py
@@ -91,6 +91,7 @@
         b'{"routes":[]}',
         b'{"version":"x"}',
         b"\xff\xfe",
+        b'{"other":' + b"[" * 100_000,
         json.dumps({"version": 1, "routes": [ROUTE | {"kind": "odd"}]}).encode(),
         json.dumps(
             {
--- a/packages/burdockhaven-entry/tests/platform/test_store.py
+++ b/packages/burdockhaven-entry/tests/platform/test_store.py
@@ -14,13 +14,14 @@
 class Harness:
     """A store client, and a server with scripted responses: status, era, body.
 
-    A body of bytes is repeated until the client closes the connection.
+    A body of bytes is repeated up to `max_bytes`, or until the connection is closed.
     """
 
     def __init__(self, *responses):
         self.responses = list(responses)
         self.eras = []
         self.sent_bytes = 0
+        self.max_bytes = ENDLESS_RESPONSE_BYTES
 
     async def __aenter__(self):
         app = web.Application()
@@ -45,7 +46,7 @@
     async def respond_endlessly(self, request, status, headers, repeated):
         response = web.StreamResponse(status=status, headers=headers)
         await response.prepare(request)
-        while self.sent_bytes < ENDLESS_RESPONSE_BYTES:
+        while self.sent_bytes < self.max_bytes:
             await response.write(repeated)
             self.sent_bytes += len(repeated)
         return response
@@ -105,6 +106,15 @@
     assert harness.sent_bytes < ENDLESS_RESPONSE_BYTES
 
 
+# Guards against a watch that ends for good, because its response can't be decoded.
+@pytest.mark.parametrize("data", [b'{"x":' + b"[" * 100_000, b'{"events":["\xff"]}'])
+async def test_undecodable_response_of_the_store_is_a_failure(data):
+    async with Harness((200, "3", data)) as harness:
+        harness.max_bytes = len(data)
+        watched = await harness.store.watch("a/", StoreRevision(3, 5), 60.0)
+    assert watched.unwrap_err().kind is FailureKind.AMBIGUOUS
+
+
 # Guards against a bound that cuts pages of large values.
 async def test_large_values_are_read_whole():
     value = base64.b64encode(bytes(2**20)).decode()
--- a/packages/burdockhaven-entry/tests/platform/test_target_entry.py
+++ b/packages/burdockhaven-entry/tests/platform/test_target_entry.py
@@ -34,6 +34,7 @@
     [
         b"",
         b"\xff",
+        b'{"other":' + b"[" * 100_000,
         json.dumps(ENTRY | {"state": "resting"}).encode(),
         json.dumps(ENTRY | {"slots": "many"}).encode(),
         json.dumps(ENTRY | {"address": "nowhere"}).encode(),
