--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/bounded_connection.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/bounded_connection.py
@@ -73,7 +73,7 @@
         error = aiohttp.ClientPayloadError(detail)
         body, transport = self._payload, self.transport
         self.set_exception(error)
-        if body is not None:
+        if body is not None and not body.is_eof():
             body.set_exception(error)
         if transport is not None:
             transport.abort()
--- a/packages/burdockhaven-entry/tests/gateway/test_bounded_connection.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_bounded_connection.py
@@ -14,6 +14,7 @@
     settings,
     wait_until,
 )
+from multidict import CIMultiDict
 
 from burdockhaven_core.key_value_failure import FailureKind
 from burdockhaven_entry.gateway.bounded_connection import (
@@ -22,6 +23,7 @@
 )
 from burdockhaven_entry.gateway.gateway_daemon import GatewayDaemon
 from burdockhaven_entry.gateway.gateway_state import GatewayState
+from burdockhaven_entry.gateway.target_client import OutgoingRequest
 from burdockhaven_entry.platform import PlatformStore, StoreRevision
 
 SPACES = b" " * 2**16
@@ -136,3 +138,19 @@
     await daemon.store.close()
     await daemon.session.close()
     await daemon.target_client.close()
+
+
+# Guards against a complete body that is lost, because the target goes on sending before
+# the body is read.
+async def test_bytes_after_a_complete_body_do_not_harm_it(start):
+    head = response_head("Content-Length: 5\r\n")
+    endless = EndlessResponse(head + b"whole", b"\r\n" * 2**15)
+    gateway = await start(plain=[Script(endless)])
+    entry = gateway.state.registry.entries["plain-0"]
+    request = OutgoingRequest(
+        "GET", "/x", CIMultiDict({ATTEMPT: "a1"}), b"", "a1", True
+    )
+    async with gateway.target_client.send(entry, request) as response:
+        await gateway.targets[0].closed.wait()
+        assert await response.read_body() == b"whole"
+    assert endless.was_cut
