--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/plain_balancer.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/plain_balancer.py
@@ -1,6 +1,7 @@
 """Load balancer for the targets of plain services.
 
-Chooses by latency, requests in flight and failure rate, with outlier ejection.
+Chooses by latency, requests in flight and failure rate, with outlier ejection. A target
+that asked for a pause gets one request at a time until one has succeeded.
 """
 
 import random
@@ -8,6 +9,7 @@
 from dataclasses import dataclass
 
 from burdockhaven_core.scheduling.target_limits import RateLimiters
+from burdockhaven_core.scheduling.target_pauses import Pause
 from burdockhaven_core.scheduling.target_registry import TargetEntry
 
 # Weight of a new measurement in the moving average of the latency.
@@ -24,6 +26,22 @@
 LOAD_REPORT_TTL_S = 0.25
 # Weight of a failure rate of 1; the load of a full target weighs about 1.
 FAILURE_COST_WEIGHT = 3.0
+# Multiple of the average latency after which a waiting request has its response: that
+# of the probe and its own.
+WAIT_LATENCY_FACTOR = 2.0
+# Longest time in seconds after which a waiting request looks for a target again.
+MAX_WAIT_S = 0.1
+
+
+@dataclass(slots=True)
+class TargetReturn:
+    """A return from a pause; it ends with the first request that succeeds."""
+
+    pause: Pause
+    # Monotonic time in seconds of the last refusal; requests sent later are probes.
+    refused_s: float
+    # Number of probes in flight.
+    probes: int = 0
 
 
 @dataclass(slots=True)
@@ -38,6 +56,20 @@
     # Requests in flight that the target reported last, and when it did so.
     reported_in_flight: int = 0
     reported_s: float = 0.0
+    # None unless the target asked for a pause and no later request has succeeded.
+    returning: TargetReturn | None = None
+
+    def begin_send(self, now: float) -> None:
+        """Record that a request is sent to the target."""
+        self.in_flight += 1
+        if self.returning is not None and now > self.returning.refused_s:
+            self.returning.probes += 1
+
+    def end_send(self, sent_s: float) -> None:
+        """Record the end, whatever it was, of a request sent at the given time."""
+        self.in_flight -= 1
+        if self.returning is not None and sent_s > self.returning.refused_s:
+            self.returning.probes -= 1
 
 
 class PlainBalancer:
@@ -54,13 +86,15 @@
     ) -> TargetEntry | None:
         """Return the target that should respond soonest; None if there is none.
 
-        Excluded targets and those at their limit are not used, ejected ones only if
-        nothing else is left.
+        Excluded targets, those at their limit and those that return from a pause and
+        have a probe in flight are not used, ejected ones only if nothing else is left.
         """
         usable = [
             entry
             for entry in entries
-            if entry.id not in excluded and self.limiters.admits(entry.id, now)
+            if entry.id not in excluded
+            and self.limiters.admits(entry.id, now)
+            and not self.has_probe(entry)
         ]
         not_ejected = [e for e in usable if self.state_of(e.id).ejected_until_s <= now]
         best: tuple[float, float] | None = None
@@ -78,17 +112,62 @@
             found = self.targets[target_id] = BalancedTarget()
         return found
 
+    def has_probe(self, entry: TargetEntry) -> bool:
+        """Whether a request in flight shows soon if the target takes requests again."""
+        returning = self.state_of(entry.id).returning
+        return (
+            returning is not None
+            and returning.probes > 0
+            and returning.pause.binds(entry.started_ms)
+        )
+
+    def wait_s(
+        self, entries: Iterable[TargetEntry], until_s: float, now: float
+    ) -> float | None:
+        """Return for how long a request without a target waits before its next look.
+
+        None if no target is expected to respond by the given time.
+        """
+        latest_s = [self._latest_start_s(entry, until_s) for entry in entries]
+        left_s = max(latest_s, default=now) - now
+        return min(MAX_WAIT_S, left_s) if left_s > 0.0 else None
+
+    def waiting_places(
+        self, entries: Iterable[TargetEntry], until_s: float, members: int, now: float
+    ) -> int:
+        """Return the number of requests that may wait for the targets at this member.
+
+        All members together hold no more than the targets process at once.
+        """
+        slots = sum(
+            entry.slots
+            for entry in entries
+            if self._latest_start_s(entry, until_s) > now
+        )
+        return max(min(1, slots), slots // members)
+
+    def _latest_start_s(self, entry: TargetEntry, until_s: float) -> float:
+        latency_s = self.state_of(entry.id).latency_s
+        return until_s - WAIT_LATENCY_FACTOR * latency_s
+
     def record_load(self, target_id: str, reported_in_flight: int, now: float) -> None:
         """Record the load that a target reported with a response."""
         target = self.state_of(target_id)
         target.reported_in_flight, target.reported_s = reported_in_flight, now
 
-    def record_success(self, target_id: str, latency_s: float) -> None:
-        """Record a response of the target."""
+    def record_success(self, target_id: str, sent_s: float, now: float) -> None:
+        """Record a response of the target to a request sent at the given time."""
         target = self.state_of(target_id)
+        latency_s = now - sent_s
         target.latency_s += LATENCY_EWMA_WEIGHT * (latency_s - target.latency_s)
         target.failure_rate *= 1 - FAILURE_EWMA_WEIGHT
         target.connect_failures = 0
+        if target.returning is not None and sent_s > target.returning.refused_s:
+            target.returning = None
+
+    def record_pause(self, target_id: str, pause: Pause, now: float) -> None:
+        """Record that the target refused a request and asked for a pause."""
+        self.state_of(target_id).returning = TargetReturn(pause, now)
 
     def record_failure(self, target_id: str) -> None:
         """Record that the target failed a request or timed out."""
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
@@ -188,6 +188,8 @@
             self.apply_limits(now)
         if changes.has_left:
             self.publish_targets()
+        if changes.pause is not None:
+            self.balancer.record_pause(target.id, changes.pause, now)
 
     def usable_targets(self, service: str) -> list[TargetEntry]:
         """Return the service's targets to which this process may send now."""
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
@@ -4,13 +4,18 @@
 route allows, and sent to another target beside one that is slow to respond. Unsafe
 requests are retried only if the target certainly did not run them. Each retry is also
 charged to the retry budget of the service.
+
+While no target may be sent to, some requests wait for those that can respond in time.
 """
 
 import asyncio
+import contextlib
+from collections import Counter
 from dataclasses import dataclass, field
 
 from aiohttp import web
 
+from burdockhaven_core.scheduling.plain_balancer import BalancedTarget
 from burdockhaven_core.scheduling.quotas import quota_cost
 from burdockhaven_core.scheduling.routing import Account
 from burdockhaven_core.scheduling.target_registry import TargetEntry
@@ -28,6 +33,7 @@
 )
 from burdockhaven_entry.gateway.routed_request import RoutedRequest
 from burdockhaven_entry.gateway.target_client import (
+    OutgoingRequest,
     SendError,
     SendOutcome,
     TargetClient,
@@ -70,6 +76,10 @@
     state: GatewayState
     target_client: TargetClient
     placement_client: PlacementClient
+    # Number of requests that wait for a target, by service.
+    waiting: Counter[str] = field(default_factory=Counter)
+    # Set, and replaced, at the next end of a send to the service.
+    send_ends: dict[str, asyncio.Event] = field(default_factory=dict)
 
     async def forward(self, routed: RoutedRequest) -> web.StreamResponse:
         """Return the response for the client, no later than at the deadline."""
@@ -131,11 +141,12 @@
         self, routed: RoutedRequest, attempts: _Attempts
     ) -> web.Response:
         while True:
-            now = self.state.clock()
-            entries = self.state.usable_targets(routed.service)
-            target = self.state.balancer.choose(entries, attempts.excluded, now)
-            if target is None or attempts.sends >= MAX_ATTEMPTS:
+            if attempts.sends >= MAX_ATTEMPTS:
+                return self._failure_response(routed, attempts)
+            target = await self._next_target(routed, attempts)
+            if target is None:
                 return self._failure_response(routed, attempts)
+            now = self.state.clock()
             if attempts.sends and not self._acquire_retry(routed, attempts, now):
                 return self._failure_response(routed, attempts)
             response = await self._attempt_with_hedges(routed, target, attempts)
@@ -144,6 +155,66 @@
             if attempts.possible_runs and not self._can_run_again(routed, attempts):
                 return self._failure_response(routed, attempts)
 
+    async def _next_target(
+        self, routed: RoutedRequest, attempts: _Attempts
+    ) -> TargetEntry | None:
+        """Return the target of the next attempt, once there is one in time."""
+        target = self._choose(routed, attempts)
+        if target is not None or not self._has_waiting_place(routed, attempts):
+            return target
+        began_s = self.state.clock()
+        self.waiting[routed.service] += 1
+        try:
+            while target is None:
+                wait_s = self._wait_s(routed, attempts)
+                if wait_s is None:
+                    return None
+                await self._wait_for_send_end(routed.service, wait_s)
+                target = self._choose(routed, attempts)
+            return target
+        finally:
+            self.waiting[routed.service] -= 1
+            routed.trace.queued_s += self.state.clock() - began_s
+
+    def _choose(self, routed: RoutedRequest, attempts: _Attempts) -> TargetEntry | None:
+        entries = self.state.usable_targets(routed.service)
+        now = self.state.clock()
+        return self.state.balancer.choose(entries, attempts.excluded, now)
+
+    def _has_waiting_place(self, routed: RoutedRequest, attempts: _Attempts) -> bool:
+        now = self.state.clock()
+        places = self.state.balancer.waiting_places(
+            self._awaited_targets(routed, attempts),
+            _respond_by_s(routed),
+            self.state.member_list.serving_count(now),
+            now,
+        )
+        return self.waiting[routed.service] < places
+
+    def _wait_s(self, routed: RoutedRequest, attempts: _Attempts) -> float | None:
+        return self.state.balancer.wait_s(
+            self._awaited_targets(routed, attempts),
+            _respond_by_s(routed),
+            self.state.clock(),
+        )
+
+    def _awaited_targets(
+        self, routed: RoutedRequest, attempts: _Attempts
+    ) -> list[TargetEntry]:
+        """Return the targets that may take the request a little later."""
+        return [
+            entry
+            for entry in self.state.usable_targets(routed.service)
+            if entry.id not in attempts.excluded
+            and self.state.balancer.has_probe(entry)
+        ]
+
+    async def _wait_for_send_end(self, service: str, wait_s: float) -> None:
+        event = self.send_ends.setdefault(service, asyncio.Event())
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                await event.wait()
+
     async def _attempt_with_hedges(
         self, routed: RoutedRequest, target: TargetEntry, attempts: _Attempts
     ) -> web.Response | None:
@@ -153,8 +224,8 @@
         """
         delay_s = self._hedge_delay_s(routed, target)
         if delay_s is None:
-            return await self._attempt(routed, target, attempts)
-        running = {asyncio.create_task(self._attempt(routed, target, attempts))}
+            return await self._start_attempt(routed, target, attempts)
+        running = {self._start_attempt(routed, target, attempts)}
         try:
             while running:
                 done, running = await asyncio.wait(
@@ -172,7 +243,7 @@
                     continue
                 self.state.balancer.record_failure(routed.trace.target)
                 routed.trace.failures.append(f"{routed.trace.target}: slow")
-                running.add(asyncio.create_task(self._attempt(routed, hedge, attempts)))
+                running.add(self._start_attempt(routed, hedge, attempts))
             return None
         finally:
             for task in running:
@@ -188,27 +259,52 @@
         ):
             return None
         now = self.state.clock()
-        entries = self.state.usable_targets(routed.service)
-        hedge = self.state.balancer.choose(entries, attempts.excluded, now)
+        hedge = self._choose(routed, attempts)
         if hedge is None or not self._acquire_retry(routed, attempts, now):
             return None
         return hedge
 
-    async def _attempt(
+    def _start_attempt(
         self, routed: RoutedRequest, target: TargetEntry, attempts: _Attempts
-    ) -> web.Response | None:
-        """Send the request once; None if another target may be tried."""
-        state = self.state
-        target_state = state.balancer.state_of(target.id)
-        sent_s = state.clock()
+    ) -> asyncio.Task[web.Response | None]:
+        """Send the request once; the result is None if another target may be tried.
+
+        The send counts at once, so that the next choice of a target knows it.
+        """
+        target_state = self.state.balancer.state_of(target.id)
+        sent_s = self.state.clock()
         attempts.begin(target.id)
         routed.trace.sends += 1
         routed.trace.target = target.id
         request = routed.outgoing_request(
             target.id, sent_s, None, routed.route.idempotent
         )
-        target_state.in_flight += 1
-        state.balancer.limiters.record_send(target.id, sent_s)
+        target_state.begin_send(sent_s)
+        self.state.balancer.limiters.record_send(target.id, sent_s)
+        task = asyncio.create_task(
+            self._attempt(routed, target, request, attempts, sent_s)
+        )
+        task.add_done_callback(
+            lambda _: self._end_attempt(routed.service, target_state, sent_s)
+        )
+        return task
+
+    def _end_attempt(
+        self, service: str, target_state: BalancedTarget, sent_s: float
+    ) -> None:
+        target_state.end_send(sent_s)
+        event = self.send_ends.pop(service, None)
+        if event is not None:
+            event.set()
+
+    async def _attempt(
+        self,
+        routed: RoutedRequest,
+        target: TargetEntry,
+        request: OutgoingRequest,
+        attempts: _Attempts,
+        sent_s: float,
+    ) -> web.Response | None:
         try:
             async with self.target_client.send(target, request) as target_response:
                 return await self._handle_response(
@@ -217,8 +313,6 @@
         except SendError as error:
             self._record_send_error(target, error, attempts)
             routed.trace.failures.append(str(error))
-        finally:
-            target_state.in_flight -= 1
         return None
 
     async def _handle_response(
@@ -253,7 +347,7 @@
             headers=client_headers(target_response.headers),
         )
         if head.is_success or head.status < 500:
-            state.balancer.record_success(target.id, now - sent_s)
+            state.balancer.record_success(target.id, sent_s, now)
             return response
         attempts.possible_runs += 1
         routed.trace.failures.append(f"{target.id}: failed, {head.status}")
@@ -334,3 +428,8 @@
             routed.client_request.attempt_id,
             DEFAULT_RETRY_AFTER_S,
         )
+
+
+def _respond_by_s(routed: RoutedRequest) -> float:
+    """Return the monotonic time by which waiting must have led to a response."""
+    return min(routed.objective_s, routed.deadline_s)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/routed_request.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/routed_request.py
@@ -23,7 +23,7 @@
     origin: OriginSource | None = None
     sends: int = 0
     # Seconds from placement requests to their decisions, including time in a broker's
-    # queue, summed over all placements.
+    # queue, summed over all placements; of a plain request, those without a target.
     queued_s: float = 0.0
     # Seconds from the arrival to the first event; None without an event.
     first_event_s: float | None = None
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
@@ -201,7 +201,7 @@
             "sends": "number of sends to targets",
             "prompt_tokens": "number of tokens in the prompt",
             "output_tokens": "maximum number of tokens in the answer",
-            "queued_ms": "time in a broker's queue",
+            "queued_ms": "time in a broker's queue, or until a plain target is free",
             "first_event_ms": "time to the first event; -1 if none arrived",
             "events": "number of events forwarded",
             "longest_pause_ms": "longest pause between two events",
--- a/packages/burdockhaven-entry/tests/gateway/gateway_fixtures.py
+++ b/packages/burdockhaven-entry/tests/gateway/gateway_fixtures.py
@@ -78,6 +78,12 @@
         route("/safe/", kind=RouteKind.SAFE, **plain_route),
         route("/unsafe/", kind=RouteKind.UNSAFE, **plain_route),
         route("/quick/", kind=RouteKind.UNSAFE, **(plain_route | {"timeout_s": 0.3})),
+        route(
+            "/patient/",
+            kind=RouteKind.UNSAFE,
+            objective_s=WAIT_TIMEOUT_S,
+            **(plain_route | {"timeout_s": WAIT_TIMEOUT_S}),
+        ),
         route("/stream/", max_attempts=2),
         route("/once/", resumable=False, max_attempts=1),
     )
--- a/packages/burdockhaven-entry/tests/gateway/test_plain_forwarding.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_plain_forwarding.py
@@ -12,14 +12,18 @@
     hang,
     reset_connection,
     respond,
+    respond_when_released,
     response_head,
     routing_table,
     send_raw,
     send_reset,
     wait_until,
 )
+from multidict import CIMultiDict, CIMultiDictProxy
 from scheduling_samples import heartbeat
 
+from burdockhaven_entry.platform import read_response_head
+
 FAILED = respond(b"no", "500 Internal Server Error")
 CLOSE_DELIMITED = send_raw(
     b"HTTP/1.1 200 OK\r\n%s: ID\r\n%s\r\nwhole" % (ATTEMPT.encode(), SIGNATURE.encode())
@@ -354,3 +358,54 @@
     gateway = await start(plain=[Script(respond(b"whole", extra=load))])
     response = await gateway.call("/unsafe/x")
     assert (response.status, response.body) == (200, b"whole")
+
+
+def turn_away(pause_s):
+    return respond(
+        b"",
+        "503 Service Unavailable",
+        f"Retry-After: {pause_s:g}\r\nX-Burdockhaven-Not-Executed: 1\r\n",
+        signature="",
+    )
+
+
+def pause_targets(gateway, *pauses_s):
+    """Let each target turn a request away for its time."""
+    now = gateway.state.clock()
+    for number, pause_s in enumerate(pauses_s):
+        entry = gateway.state.registry.entries[f"plain-{number}"]
+        headers = CIMultiDict({"Retry-After": f"{pause_s:g}"})
+        head = read_response_head(503, CIMultiDictProxy(headers))
+        gateway.state.record_response(entry, head, now)
+
+
+# Guards against a herd at a target that returns from a pause, and against refusals of
+# the requests that come while the first one is under way.
+async def test_requests_wait_for_the_first_one_at_a_target_that_returns(start):
+    released = asyncio.Event()
+    script = Script(respond_when_released(released), respond())
+    gateway = await start(plain=[script])
+    pause_targets(gateway, 0.01)
+    await wait_until(lambda: not gateway.state.is_paused("plain-0"))
+    calls = [asyncio.create_task(gateway.call("/patient/x")) for _ in range(4)]
+    await wait_until(lambda: len(gateway.frontend.pending) == 4)
+    await wait_until(lambda: gateway.received)
+    assert len(gateway.received) == 1
+    released.set()
+    assert [(await call).status for call in calls] == [200] * 4
+    assert len(gateway.received) == 4
+
+
+# Guards against requests that pile up behind a target and arrive as a herd later.
+async def test_no_more_requests_wait_than_the_target_takes_at_once(start):
+    released = asyncio.Event()
+    script = Script(respond_when_released(released), respond())
+    gateway = await start(plain=[script])
+    pause_targets(gateway, 0.01)
+    await wait_until(lambda: not gateway.state.is_paused("plain-0"))
+    slots = gateway.state.registry.entries["plain-0"].slots
+    calls = [asyncio.create_task(gateway.call("/patient/x")) for _ in range(slots + 3)]
+    await wait_until(lambda: sum(call.done() for call in calls) == 2)
+    released.set()
+    statuses = [(await call).status for call in calls]
+    assert sorted(statuses) == [200] * (1 + slots) + [503] * 2
--- a/packages/burdockhaven-entry/tests/gateway/test_signals_of_targets.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_signals_of_targets.py
@@ -170,10 +170,11 @@
             self.arrivals.append((state.settings.node, self.now))
         status, values = self.signal if is_told else (200, {})
         head = read_response_head(status, CIMultiDictProxy(CIMultiDict(values)))
-        state.balancer.state_of(entry.id).in_flight += 1
+        sent_s = self.now
+        state.balancer.state_of(entry.id).begin_send(sent_s)
 
         def respond():
-            state.balancer.state_of(entry.id).in_flight -= 1
+            state.balancer.state_of(entry.id).end_send(sent_s)
             state.record_response(entry, head, self.now)
             if is_told:
                 self.told.append((state.settings.node, self.now))
