--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/plain_balancer.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/plain_balancer.py
@@ -72,6 +72,15 @@
             self.returning.probes -= 1
 
 
+@dataclass(frozen=True, slots=True)
+class AwaitedTarget:
+    """A target that may take requests again in a while."""
+
+    entry: TargetEntry
+    # Seconds until its pause ends; 0 while the outcome of a probe is awaited.
+    pause_left_s: float
+
+
 class PlainBalancer:
     """Balances requests over the targets of all plain services."""
 
@@ -122,33 +131,44 @@
         )
 
     def wait_s(
-        self, entries: Iterable[TargetEntry], until_s: float, now: float
+        self, awaited: Iterable[AwaitedTarget], until_s: float, now: float
     ) -> float | None:
         """Return for how long a request without a target waits before its next look.
 
         None if no target is expected to respond by the given time.
         """
-        latest_s = [self._latest_start_s(entry, until_s) for entry in entries]
-        left_s = max(latest_s, default=now) - now
-        return min(MAX_WAIT_S, left_s) if left_s > 0.0 else None
+        in_time = [
+            target for target in awaited if self._slack_s(target, until_s, now) > 0.0
+        ]
+        if not in_time:
+            return None
+        left_s = max(self._slack_s(t, until_s, now) + t.pause_left_s for t in in_time)
+        pauses_s = [t.pause_left_s for t in in_time if t.pause_left_s]
+        return min(MAX_WAIT_S, left_s, *pauses_s)
 
     def waiting_places(
-        self, entries: Iterable[TargetEntry], until_s: float, members: int, now: float
+        self,
+        awaited: Iterable[AwaitedTarget],
+        until_s: float,
+        members: int,
+        now: float,
     ) -> int:
         """Return the number of requests that may wait for the targets at this member.
 
         All members together hold no more than the targets process at once.
         """
         slots = sum(
-            entry.slots
-            for entry in entries
-            if self._latest_start_s(entry, until_s) > now
+            target.entry.slots
+            for target in awaited
+            if self._slack_s(target, until_s, now) > 0.0
         )
         return max(min(1, slots), slots // members)
 
-    def _latest_start_s(self, entry: TargetEntry, until_s: float) -> float:
-        latency_s = self.state_of(entry.id).latency_s
-        return until_s - WAIT_LATENCY_FACTOR * latency_s
+    def _slack_s(self, target: AwaitedTarget, until_s: float, now: float) -> float:
+        """Return the seconds between the expected response and the given time."""
+        latency_s = self.state_of(target.entry.id).latency_s
+        expected_s = now + target.pause_left_s + WAIT_LATENCY_FACTOR * latency_s
+        return until_s - expected_s
 
     def record_load(self, target_id: str, reported_in_flight: int, now: float) -> None:
         """Record the load that a target reported with a response."""
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/target_signals.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/target_signals.py
@@ -72,13 +72,19 @@
         started_ms = self.registry.start_of(target_id)
         return self.pauses.left_s(target_id, started_ms, now) > 0.0
 
+    def pauses_left_s(
+        self, service: str, now: float
+    ) -> list[tuple[TargetEntry, float]]:
+        """Return the service's open targets and the seconds left of each pause."""
+        return [
+            (entry, self.pauses.left_s(entry.id, entry.started_ms, now))
+            for entry in self.registry.open_targets(service)
+        ]
+
     def pause_left_s(self, service: str, now: float) -> float:
         """Return the seconds until a pause leaves a target usable; 0 without one."""
         return min(
-            (
-                self.pauses.left_s(entry.id, entry.started_ms, now)
-                for entry in self.registry.open_targets(service)
-            ),
+            (left_s for _, left_s in self.pauses_left_s(service, now)),
             default=0.0,
         )
 
--- a/packages/burdockhaven-core/tests/scheduling/test_plain_balancer.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_plain_balancer.py
@@ -3,7 +3,11 @@
 import pytest
 from scheduling_samples import target
 
-from burdockhaven_core.scheduling.plain_balancer import MAX_WAIT_S, PlainBalancer
+from burdockhaven_core.scheduling.plain_balancer import (
+    MAX_WAIT_S,
+    AwaitedTarget,
+    PlainBalancer,
+)
 from burdockhaven_core.scheduling.target_pauses import Pause
 
 TARGET = target(started_ms=5)
@@ -81,24 +85,51 @@
     assert balancer.choose([TARGET, OTHER], set(), END_S) is OTHER
 
 
-# The time by which a response must be there, and the seconds to the next look.
+# Guards against a wait that ends too late, or that is refused although a target is free
+# in time. The seconds left of each pause, the time by which a response must be there,
+# and the seconds to the next look.
 @pytest.mark.parametrize(
-    ("until_s", "wait_s"),
-    [(9.0, MAX_WAIT_S), (1.09, 0.03), (1.06, None), (0.5, None)],
+    ("pauses_s", "until_s", "wait_s"),
+    [
+        ([0.0], 9.0, MAX_WAIT_S),
+        ([0.0], 1.09, 0.03),
+        ([0.0], 1.06, None),
+        ([0.0], 0.5, None),
+        ([], 9.0, None),
+        ([3.0], 9.0, MAX_WAIT_S),
+        ([0.05], 9.0, 0.05),
+        ([0.05, 30.0], 9.0, 0.05),
+        ([0.0, 0.05], 9.0, 0.05),
+        ([0.0, 30.0], 1.09, 0.03),
+        ([0.5], 1.55, None),
+        ([0.5, 30.0], 1.55, None),
+        ([0.02], 1.09, 0.02),
+    ],
 )
-def test_request_waits_no_longer_than_a_response_can_be_in_time(until_s, wait_s):
-    balancer = make_balancer()
-    found = balancer.wait_s([TARGET], until_s, 1.0)
+def test_request_waits_no_longer_than_a_response_can_be_in_time(
+    pauses_s, until_s, wait_s
+):
+    awaited = [AwaitedTarget(TARGET, pause_s) for pause_s in pauses_s]
+    found = make_balancer().wait_s(awaited, until_s, 1.0)
     assert found == (None if wait_s is None else pytest.approx(wait_s))
-    assert balancer.wait_s([], until_s, 1.0) is None
 
 
 # Guards against the waiting requests of all members being more than targets take.
 @pytest.mark.parametrize(
     ("members", "until_s", "places"),
-    [(1, 9.0, 16), (4, 9.0, 4), (9, 9.0, 1), (68, 9.0, 1), (1, 1.0, 0)],
+    [
+        (1, 9.0, 16),
+        (4, 9.0, 4),
+        (9, 9.0, 1),
+        (68, 9.0, 1),
+        (1, 2.0, 6),
+        (1, 1.0, 0),
+    ],
 )
 def test_places_to_wait_are_shared_by_the_members(members, until_s, places):
-    targets = [target(slots=6), target("i-2", slots=10)]
-    found = make_balancer().waiting_places(targets, until_s, members, 1.0)
+    awaited = [
+        AwaitedTarget(target(slots=6), 0.0),
+        AwaitedTarget(target("i-2", slots=10), 2.0),
+    ]
+    found = make_balancer().waiting_places(awaited, until_s, members, 1.0)
     assert found == places
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
@@ -20,7 +20,7 @@
     MemberId,
     PausedTarget,
 )
-from burdockhaven_core.scheduling.plain_balancer import PlainBalancer
+from burdockhaven_core.scheduling.plain_balancer import AwaitedTarget, PlainBalancer
 from burdockhaven_core.scheduling.stream_origins import (
     StreamOrigins,
     VersionHistory,
@@ -203,6 +203,15 @@
         """Whether this process must send nothing to the target for now."""
         return self.target_signals.signals.is_paused(target_id, self.clock())
 
+    def awaited_targets(self, service: str) -> list[AwaitedTarget]:
+        """Return the plain service's targets that may take requests in a while."""
+        now = self.clock()
+        return [
+            AwaitedTarget(entry, left_s)
+            for entry, left_s in self.target_signals.signals.pauses_left_s(service, now)
+            if left_s or self.balancer.has_probe(entry)
+        ]
+
     def pause_left_s(self, service: str) -> float:
         """Return the seconds until a pause leaves a target usable; 0 without one."""
         return self.target_signals.signals.pause_left_s(service, self.clock())
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
@@ -15,7 +15,7 @@
 
 from aiohttp import web
 
-from burdockhaven_core.scheduling.plain_balancer import BalancedTarget
+from burdockhaven_core.scheduling.plain_balancer import AwaitedTarget, BalancedTarget
 from burdockhaven_core.scheduling.quotas import quota_cost
 from burdockhaven_core.scheduling.routing import Account
 from burdockhaven_core.scheduling.target_registry import TargetEntry
@@ -61,12 +61,17 @@
     last_failure: web.Response | None = None
     # Whether the next attempt is charged to the retry budget already.
     is_retry_acquired: bool = False
+    # Whether the request waits for a target, so that none of its sends is under way.
+    is_waiting: bool = False
 
     def begin(self, target_id: str) -> None:
-        """Record that the request is sent to a target, which is not tried again."""
+        """Record that the request is sent to a target.
+
+        The target is not tried again, unless it asks for a pause and that has ended.
+        """
         self.sends += 1
         self.excluded.add(target_id)
-        self.is_retry_acquired = False
+        self.is_retry_acquired = self.is_waiting = False
 
 
 @dataclass(slots=True)
@@ -163,7 +168,10 @@
         if target is not None or not self._has_waiting_place(routed, attempts):
             return target
         began_s = self.state.clock()
+        if attempts.sends and not self._acquire_retry(routed, attempts, began_s):
+            return None
         self.waiting[routed.service] += 1
+        attempts.is_waiting = True
         try:
             while target is None:
                 wait_s = self._wait_s(routed, attempts)
@@ -200,13 +208,11 @@
 
     def _awaited_targets(
         self, routed: RoutedRequest, attempts: _Attempts
-    ) -> list[TargetEntry]:
-        """Return the targets that may take the request a little later."""
+    ) -> list[AwaitedTarget]:
         return [
-            entry
-            for entry in self.state.usable_targets(routed.service)
-            if entry.id not in attempts.excluded
-            and self.state.balancer.has_probe(entry)
+            target
+            for target in self.state.awaited_targets(routed.service)
+            if target.entry.id not in attempts.excluded
         ]
 
     async def _wait_for_send_end(self, service: str, wait_s: float) -> None:
@@ -331,6 +337,8 @@
             state.balancer.record_load(target.id, in_flight, now)
         if head.not_run:
             routed.trace.failures.append(f"{target.id}: rejected, {head.status}")
+            if head.observation.pause_s:
+                attempts.excluded.discard(target.id)
             await target_response.discard_body()
             return None
         if head.is_encoded or not head.is_signed:
@@ -416,7 +424,7 @@
     ) -> web.Response:
         if attempts.last_failure is not None:
             return attempts.last_failure
-        if attempts.sends:
+        if attempts.possible_runs or (attempts.sends and not attempts.is_waiting):
             return error_response(
                 GATEWAY_TIMEOUT,
                 "no response within the deadline",
--- a/packages/burdockhaven-entry/tests/gateway/test_plain_forwarding.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_plain_forwarding.py
@@ -22,6 +22,7 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 from scheduling_samples import heartbeat
 
+from burdockhaven_entry.gateway.plain_forwarding import PlainForwarder
 from burdockhaven_entry.platform import read_response_head
 
 FAILED = respond(b"no", "500 Internal Server Error")
@@ -409,3 +410,81 @@
     released.set()
     statuses = [(await call).status for call in calls]
     assert sorted(statuses) == [200] * (1 + slots) + [503] * 2
+
+
+@pytest.fixture
+def waits(monkeypatch):
+    """The waits of requests for a target, in seconds."""
+    found = []
+    wait = PlainForwarder._wait_for_send_end
+
+    async def record_wait(forwarder, service, wait_s):
+        found.append(wait_s)
+        await wait(forwarder, service, wait_s)
+
+    monkeypatch.setattr(PlainForwarder, "_wait_for_send_end", record_wait)
+    return found
+
+
+# Guards against refusals of requests that a target takes in time after its pause.
+async def test_request_waits_for_the_shortest_pause_if_all_targets_are_paused(start):
+    gateway = await start(plain=[Script(respond()), Script(respond())])
+    pause_targets(gateway, 0.2, 25)
+    assert (await gateway.call("/patient/x")).status == 200
+    assert [len(scripted.received) for scripted in gateway.targets] == [1, 0]
+
+
+# Guards against a request that is refused for good by a target that is free in time.
+async def test_request_turned_away_by_all_targets_is_sent_again_after_a_pause(start):
+    script = Script(turn_away(0.2), turn_away(0.2), respond())
+    gateway = await start(plain=[script, script])
+    assert (await gateway.call("/patient/x")).status == 200
+    assert len(gateway.received) == 3
+
+
+# Guards against a wait for a pause that ends too late for the deadline or objective.
+@pytest.mark.parametrize(
+    ("path", "headers"),
+    [("/unsafe/x", {}), ("/patient/x", {"X-Burdockhaven-Deadline-Ms": "900"})],
+)
+async def test_request_is_refused_at_once_if_all_pauses_end_too_late(
+    start, waits, path, headers
+):
+    gateway = await start(plain=[Script(respond()), Script(respond())])
+    pause_targets(gateway, 20, 25)
+    response = await gateway.call(path, headers=headers)
+    assert (response.status, gateway.received, waits) == (503, [], [])
+    assert float(response.headers["Retry-After"]) == 4.0
+
+
+# Guards against a request that waits for a second send which it may not make.
+async def test_request_without_retry_budget_does_not_wait(start, waits):
+    gateway = await start(plain=[Script(turn_away(0.2), respond())])
+    gateway.state.retry_budget.try_acquire = lambda *_: False
+    assert (await gateway.call("/patient/x")).status == 503
+    assert (len(gateway.received), waits) == (1, [])
+
+
+# Guards against a herd of the requests that wait for the end of a pause.
+async def test_requests_that_wait_for_a_pause_return_in_order(start):
+    released = asyncio.Event()
+    script = Script(respond_when_released(released), respond())
+    gateway = await start(plain=[script])
+    pause_targets(gateway, 0.5)
+    calls = [asyncio.create_task(gateway.call("/patient/x")) for _ in range(4)]
+    await wait_until(lambda: len(gateway.frontend.pending) == 4)
+    await wait_until(lambda: gateway.received)
+    assert len(gateway.received) == 1
+    released.set()
+    assert [(await call).status for call in calls] == [200] * 4
+
+
+# Guards against a 504, which may have run, for a request that only targets turned away.
+async def test_request_that_waits_while_the_process_stops_is_refused_as_not_run(start):
+    gateway = await start(plain=[Script(turn_away(20), respond())])
+    call = asyncio.create_task(gateway.call("/patient/x"))
+    await wait_until(lambda: gateway.frontend.plain.waiting["plain"])
+    gateway.frontend.answer_pending()
+    response = await call
+    assert response.status == 503
+    assert float(response.headers["Retry-After"]) > 0
