--- a/packages/burdockhaven-entry/tests/gateway/gateway_fixtures.py
+++ b/packages/burdockhaven-entry/tests/gateway/gateway_fixtures.py
@@ -131,8 +131,10 @@
     script: Script
     received: list = field(default_factory=list)
     closed: asyncio.Event = field(default_factory=asyncio.Event)
+    connections: int = 0
 
     async def serve(self, reader, writer):
+        self.connections += 1
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
