--- a/tools/tests/test_platform_process.py
+++ b/tools/tests/test_platform_process.py
@@ -162,6 +162,48 @@
     assert staying.runs.total()
 
 
+# Guards against rule DRAIN where the balancer of a process uses a leaving plain target.
+async def test_plain_target_that_says_that_it_leaves_is_left_alone(harness):
+    first, second = await start_two_daemons(harness)
+    record = harness.site.services[0].record
+    record.faults.leaving = True
+    assert (await harness.send_request(first.front, "/plain/x")).status == 200
+
+    async def is_avoided_by_the_other():
+        return (await harness.send_request(second.front, "/plain/x")).status == 503
+
+    await harness.wait_until(is_avoided_by_the_other)
+    before = record.arrivals
+    for daemon in (first, second):
+        for _ in range(4):
+            response = await harness.send_request(daemon.front, "/plain/x")
+            assert response.status == 503
+    assert record.arrivals == before
+
+
+# Guards against rule BUDGET, and against a plain target that is lost after its pause.
+async def test_plain_target_that_asks_for_a_pause_is_left_alone_until_its_end(harness):
+    daemons = await start_two_daemons(harness)
+    record = harness.site.services[0].record
+    for daemon in daemons:
+        record.faults.pause_s = 30.0 if daemon is daemons[0] else 0.5
+        before = record.arrivals
+        response = await harness.send_request(daemon.front, "/plain/x")
+        assert (response.status, record.arrivals) == (503, before + 1)
+    record.faults.pause_s = None
+
+    async def has_returned():
+        response = await harness.send_request(daemons[1].front, "/plain/x")
+        return response.status == 200
+
+    await harness.wait_until(has_returned)
+    before = record.arrivals
+    for _ in range(4):
+        response = await harness.send_request(daemons[0].front, "/plain/x")
+        assert response.status == 503
+    assert record.arrivals == before
+
+
 async def test_expired_target_entries_are_registered_again(harness):
     first, _ = await start_two_daemons(harness)
     harness.site.store.faults.down = True
