--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/plain_balancer.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/plain_balancer.py
@@ -43,6 +43,10 @@
     # Number of probes in flight.
     probes: int = 0
 
+    def is_probe(self, started_ms: int, sent_s: float) -> bool:
+        """Whether a request went to the start that returns, after its refusal."""
+        return sent_s > self.refused_s and self.pause.binds(started_ms)
+
 
 @dataclass(slots=True)
 class BalancedTarget:
@@ -59,16 +63,16 @@
     # None unless the target asked for a pause and no later request has succeeded.
     returning: TargetReturn | None = None
 
-    def begin_send(self, now: float) -> None:
-        """Record that a request is sent to the target."""
+    def begin_send(self, started_ms: int, now: float) -> None:
+        """Record that a request is sent to a start of the target."""
         self.in_flight += 1
-        if self.returning is not None and now > self.returning.refused_s:
+        if self.returning is not None and self.returning.is_probe(started_ms, now):
             self.returning.probes += 1
 
-    def end_send(self, sent_s: float) -> None:
+    def end_send(self, started_ms: int, sent_s: float) -> None:
         """Record the end, whatever it was, of a request sent at the given time."""
         self.in_flight -= 1
-        if self.returning is not None and sent_s > self.returning.refused_s:
+        if self.returning is not None and self.returning.is_probe(started_ms, sent_s):
             self.returning.probes -= 1
 
 
@@ -175,14 +179,15 @@
         target = self.state_of(target_id)
         target.reported_in_flight, target.reported_s = reported_in_flight, now
 
-    def record_success(self, target_id: str, sent_s: float, now: float) -> None:
+    def record_success(self, entry: TargetEntry, sent_s: float, now: float) -> None:
         """Record a response of the target to a request sent at the given time."""
-        target = self.state_of(target_id)
+        target = self.state_of(entry.id)
         latency_s = now - sent_s
         target.latency_s += LATENCY_EWMA_WEIGHT * (latency_s - target.latency_s)
         target.failure_rate *= 1 - FAILURE_EWMA_WEIGHT
         target.connect_failures = 0
-        if target.returning is not None and sent_s > target.returning.refused_s:
+        returning = target.returning
+        if returning is not None and returning.is_probe(entry.started_ms, sent_s):
             target.returning = None
 
     def record_pause(self, target_id: str, pause: Pause, now: float) -> None:
--- a/packages/burdockhaven-core/tests/scheduling/test_plain_balancer.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_plain_balancer.py
@@ -24,7 +24,7 @@
     """A balancer whose target asked for a pause, with requests sent before that."""
     balancer = make_balancer()
     for sent_s in sent_before_s:
-        balancer.state_of(TARGET.id).begin_send(sent_s)
+        balancer.state_of(TARGET.id).begin_send(TARGET.started_ms, sent_s)
     balancer.record_pause(TARGET.id, PAUSE, REFUSED_S)
     return balancer
 
@@ -34,7 +34,7 @@
     for count in range(wanted):
         if balancer.choose([entry], set(), now) is None:
             return count
-        balancer.state_of(entry.id).begin_send(now)
+        balancer.state_of(entry.id).begin_send(entry.started_ms, now)
     return wanted
 
 
@@ -43,18 +43,18 @@
     balancer = make_returning()
     assert count_sends(balancer, 9, END_S) == 1
     # The probe fails; the next one succeeds.
-    balancer.state_of(TARGET.id).end_send(END_S)
+    balancer.state_of(TARGET.id).end_send(TARGET.started_ms, END_S)
     assert count_sends(balancer, 9, 4.0) == 1
-    balancer.record_success(TARGET.id, 4.0, 4.1)
-    balancer.state_of(TARGET.id).end_send(4.0)
+    balancer.record_success(TARGET, 4.0, 4.1)
+    balancer.state_of(TARGET.id).end_send(TARGET.started_ms, 4.0)
     assert count_sends(balancer, 9, 4.1) == 9
 
 
 # Guards against a response that was under way at the refusal ending the return.
 def test_success_of_a_request_sent_before_the_pause_proves_nothing():
     balancer = make_returning(0.5)
-    balancer.record_success(TARGET.id, 0.5, 2.0)
-    balancer.state_of(TARGET.id).end_send(0.5)
+    balancer.record_success(TARGET, 0.5, 2.0)
+    balancer.state_of(TARGET.id).end_send(TARGET.started_ms, 0.5)
     assert count_sends(balancer, 9, END_S) == 1
 
 
@@ -68,7 +68,7 @@
     balancer = make_returning()
     assert count_sends(balancer, 1, END_S) == 1
     balancer.record_pause(TARGET.id, PAUSE, 3.1)
-    balancer.state_of(TARGET.id).end_send(END_S)
+    balancer.state_of(TARGET.id).end_send(TARGET.started_ms, END_S)
     assert count_sends(balancer, 9, 5.0) == 1
 
 
@@ -79,9 +79,16 @@
     assert count_sends(make_returning(), 9, END_S, entry) == sends
 
 
+# Guards against requests to the start before that count as probes of the new one.
+def test_requests_to_an_earlier_start_are_no_probes():
+    balancer = make_returning()
+    balancer.state_of(TARGET.id).begin_send(TARGET.started_ms - 1, END_S)
+    assert count_sends(balancer, 9, END_S) == 1
+
+
 def test_other_targets_are_used_while_a_probe_is_in_flight():
     balancer = make_returning()
-    balancer.state_of(TARGET.id).begin_send(END_S)
+    balancer.state_of(TARGET.id).begin_send(TARGET.started_ms, END_S)
     assert balancer.choose([TARGET, OTHER], set(), END_S) is OTHER
 
 
--- a/packages/burdockhaven-core/tests/scheduling/test_target_signals_fuzz.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_target_signals_fuzz.py
@@ -1,7 +1,8 @@
 """Stateful fuzzing of what members believe of targets that leave and ask for pauses.
 
 The oracle is what each start of a target has said to each member. Responses may come
-late, entries expire and return, and members restart and announce what they know.
+late, entries expire and return, and members restart and announce what they know. Plain
+requests go to what the members use, and end in any order.
 """
 
 import random
@@ -19,6 +20,7 @@
 )
 from scheduling_samples import ENGINES, target
 
+from burdockhaven_core.scheduling.plain_balancer import PlainBalancer
 from burdockhaven_core.scheduling.target_observation import TargetObservation
 from burdockhaven_core.scheduling.target_pauses import (
     MAX_RETURN_SPREAD_S,
@@ -42,6 +44,11 @@
         # Starts that told this incarnation that they leave, and ends of their pauses.
         self.told = set()
         self.pause_ends_s = {}
+        self.balancer = PlainBalancer(random.Random(number))
+        # Starts that asked for a pause after which no request has succeeded yet.
+        self.returning = set()
+        # Targets and times of the plain requests in flight.
+        self.sends = []
 
     @property
     def entries(self):
@@ -107,8 +114,11 @@
         entry = self.current[name]
         member = self.members[index]
         observation = TargetObservation(pause_s=pause_s)
-        member.signals.record(entry, observation, self.now)
+        changes = member.signals.record(entry, observation, self.now)
+        if changes.pause is not None:
+            member.balancer.record_pause(name, changes.pause, self.now)
         key = (name, entry.started_ms)
+        member.returning.add(key)
         end_s = max(member.pause_ends_s.get(key, 0.0), self.now + pause_s)
         member.pause_ends_s[key] = end_s
 
@@ -117,6 +127,37 @@
         observation = TargetObservation()
         self.members[index].signals.record(self.current[name], observation, self.now)
 
+    @rule(index=members, count=st.sampled_from([1, 4]))
+    def send_plain_requests(self, index, count):
+        member = self.members[index]
+        for _ in range(count):
+            entries = member.signals.usable_targets(ENGINES, self.now)
+            entry = member.balancer.choose(entries, set(), self.now)
+            if entry is not None:
+                member.balancer.state_of(entry.id).begin_send(
+                    entry.started_ms, self.now
+                )
+                member.sends.append((entry, self.now))
+
+    @rule(index=members, name=ids)
+    def pause_between_plain_requests(self, index, name):
+        self.send_plain_requests(index, 4)
+        self.pause(index, name, 0.5)
+        self.wait(1.0)
+
+    @rule(index=members, which=st.integers(0, 9), is_success=st.booleans())
+    def end_plain_request(self, index, which, is_success):
+        member = self.members[index]
+        if not member.sends:
+            return
+        entry, sent_s = member.sends.pop(which % len(member.sends))
+        key = (entry.id, entry.started_ms)
+        if is_success:
+            member.balancer.record_success(entry, sent_s, self.now)
+            if sent_s >= member.pause_ends_s.get(key, 0.0):
+                member.returning.discard(key)
+        member.balancer.state_of(entry.id).end_send(entry.started_ms, sent_s)
+
     @rule(sender=members, receiver=members)
     def send_heartbeat(self, sender, receiver):
         announcing = self.members[sender].signals.registry
@@ -148,6 +189,28 @@
                 is_current = start[1] == self.current[start[0]].started_ms
                 assert not is_current or start not in usable or end_s <= self.now
 
+    @invariant()
+    def a_start_returns_by_one_request_at_a_time(self):
+        for member in getattr(self, "members", ()):
+            for start in member.returning:
+                probes = [
+                    sent_s
+                    for entry, sent_s in member.sends
+                    if (entry.id, entry.started_ms) == start
+                    and sent_s >= member.pause_ends_s[start]
+                ]
+                is_current = start[1] == self.current[start[0]].started_ms
+                assert not is_current or len(probes) <= 1
+
+    @invariant()
+    def targets_without_probes_are_chosen(self):
+        for member in getattr(self, "members", ()):
+            entries = member.signals.usable_targets(ENGINES, self.now)
+            in_flight = {(entry.id, entry.started_ms) for entry, _ in member.sends}
+            is_idle = any((e.id, e.started_ms) not in in_flight for e in entries)
+            chosen = member.balancer.choose(entries, set(), self.now)
+            assert not is_idle or chosen is not None
+
     @invariant()
     def no_start_is_avoided_that_did_not_ask_for_it(self):
         for member in getattr(self, "members", ()):
@@ -182,6 +245,10 @@
     return record_pause(pauses, entry, pause_s, now)
 
 
+def end_return_by_any_success(balancer, entry, sent_s, now):
+    balancer.state_of(entry.id).returning = None
+
+
 SAFEGUARDS = {
     "a leave is recorded": (TargetRegistry, "mark_leaving", lambda *_: False),
     "a leave is that of one start": (TargetRegistry, "mark_leaving", mark_any_start),
@@ -189,6 +256,12 @@
     "a pause is recorded": (TargetPauses, "record", lambda *_: None),
     "the latest end of a pause counts": (TargetPauses, "record", keep_newest_pause),
     "a pause is that of one start": (Pause, "binds", lambda *_: True),
+    "a return is recorded": (PlainBalancer, "record_pause", lambda *_: None),
+    "a return ends by a later success": (
+        PlainBalancer,
+        "record_success",
+        end_return_by_any_success,
+    ),
 }
 
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
@@ -285,21 +285,21 @@
         request = routed.outgoing_request(
             target.id, sent_s, None, routed.route.idempotent
         )
-        target_state.begin_send(sent_s)
+        target_state.begin_send(target.started_ms, sent_s)
         self.state.balancer.limiters.record_send(target.id, sent_s)
         task = asyncio.create_task(
             self._attempt(routed, target, request, attempts, sent_s)
         )
         task.add_done_callback(
-            lambda _: self._end_attempt(routed.service, target_state, sent_s)
+            lambda _: self._end_attempt(target, target_state, sent_s)
         )
         return task
 
     def _end_attempt(
-        self, service: str, target_state: BalancedTarget, sent_s: float
+        self, target: TargetEntry, target_state: BalancedTarget, sent_s: float
     ) -> None:
-        target_state.end_send(sent_s)
-        event = self.send_ends.pop(service, None)
+        target_state.end_send(target.started_ms, sent_s)
+        event = self.send_ends.pop(target.service, None)
         if event is not None:
             event.set()
 
@@ -355,7 +355,7 @@
             headers=client_headers(target_response.headers),
         )
         if head.is_success or head.status < 500:
-            state.balancer.record_success(target.id, sent_s, now)
+            state.balancer.record_success(target, sent_s, now)
             return response
         attempts.possible_runs += 1
         routed.trace.failures.append(f"{target.id}: failed, {head.status}")
--- a/packages/burdockhaven-entry/tests/gateway/test_signals_of_targets.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_signals_of_targets.py
@@ -234,18 +234,18 @@
         status, values = self.signal if is_told else (200, {})
         head = read_response_head(status, CIMultiDictProxy(CIMultiDict(values)))
         sent_s = self.now
-        state.balancer.state_of(entry.id).begin_send(sent_s)
+        state.balancer.state_of(entry.id).begin_send(entry.started_ms, sent_s)
 
         def respond():
             if process in self.killed:
                 return
-            state.balancer.state_of(entry.id).end_send(sent_s)
+            state.balancer.state_of(entry.id).end_send(entry.started_ms, sent_s)
             state.record_response(entry, head, self.now)
             if is_told:
                 self.told.append((process, self.now))
                 self.probes[process] = 0
             elif status == 200:
-                state.balancer.record_success(entry.id, sent_s, self.now)
+                state.balancer.record_success(entry, sent_s, self.now)
             if is_probe:
                 self.probes.pop(process, None)
             if not self.is_plain:
