--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/target_pauses.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/target_pauses.py
@@ -50,6 +50,7 @@
 
         The argument is None for a response that asks for no pause. It leaves an earlier
         pause as it is, because it may answer a request that was sent before.
+        So does a late refusal of an earlier start.
         """
         if not pause_s:
             return None
@@ -61,6 +62,8 @@
             if known.until_s >= until_s:
                 return None
             now = min(known.began_s, now)
+        elif known is not None and target.started_ms < known.started_ms:
+            return None
         pause = Pause(target.service, target.started_ms, now, until_s)
         self.pauses[target.id] = pause
         return pause
--- a/packages/burdockhaven-core/tests/scheduling/test_target_pauses.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_target_pauses.py
@@ -48,6 +48,14 @@
     assert pauses.is_paused(target(started_ms=started_ms), 2.0) is paused
 
 
+# Guards against rule BUDGET where a late refusal by an earlier start replaces a pause.
+def test_late_refusal_of_an_earlier_start_leaves_the_pause_as_it_is():
+    pauses = make_pauses((1.0, 2.0))
+    assert pauses.record(target(started_ms=4), 9.0, 1.5) is None
+    assert pauses.is_paused(TARGET, 2.9)
+    assert not pauses.is_paused(target(started_ms=6), 2.9)
+
+
 def test_pause_that_ends_is_reported_once():
     pauses = make_pauses((1.0, 2.0))
     assert pauses.expire(2.9) == []
