Stand-in engines that crash on a part of a prompt

Cause: an engine may end on a part of a prompt, and no stand-in played that. Change: TargetFaults.crashing_parts names the parts. At the first token of an answer to such a prompt all connections of the engine end, new ones are refused for a time, its entry leaves the store, and it returns at the same address with an empty state, as a later start of the same target or under a new id. Servers of the site take their ports from the reserved range, so that no other socket takes the port of an engine that is down. Engines that leave do not return. Requests at targets record the parts of their prompts.

--- a/tools/burdockhaven_standins/platform_site.py
+++ b/tools/burdockhaven_standins/platform_site.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import itertools
 import json
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -12,10 +13,12 @@
 
 from burdockhaven_standins.platform_store import PlatformStoreStandin
 from burdockhaven_standins.platform_targets import (
+    EngineCrash,
     PlatformEngine,
     PlatformService,
     TargetRecord,
 )
+from burdockhaven_standins.ports import free_address
 from burdockhaven_standins.step_engine import StepEngineConfig
 
 HOST = "one.example"
@@ -23,6 +26,8 @@
 ENGINE_SERVICE = "llm"
 # Seconds between two writes of the entry of a target.
 REGISTRATION_INTERVAL_S = 0.5
+# Seconds after which the entry of a target that crashed is gone.
+ENTRY_LIFETIME_S = 1.0
 # Seconds that a call to the plain service takes.
 CALL_S = 0.02
 ROUTES = (
@@ -73,6 +78,10 @@
     return json.dumps(body).encode()
 
 
+def _ignore_engine(engine: PlatformEngine) -> None:
+    """Do nothing."""
+
+
 @dataclass(slots=True)
 class PlatformSite:
     """The store and the targets, on loopback.
@@ -89,6 +98,18 @@
     # Addresses of the targets, by target id.
     addresses: dict[str, str] = field(default_factory=dict)
     runners: dict[str, web.AppRunner] = field(default_factory=dict)
+    # Crashes of engines in order of time.
+    crashes: list[EngineCrash] = field(default_factory=list)
+    # Records of engines that returned from a crash under a new id.
+    former_records: list[TargetRecord] = field(default_factory=list)
+    # Engines on their way back from a crash.
+    returns: set[asyncio.Task[None]] = field(default_factory=set)
+    start_numbers: "itertools.count[int]" = field(
+        default_factory=lambda: itertools.count(2)
+    )
+    # Called when an engine has crashed, and when it has returned.
+    on_crash: Callable[[PlatformEngine], None] = _ignore_engine
+    on_return: Callable[[PlatformEngine], None] = _ignore_engine
     registration_task: asyncio.Task[None] | None = None
     # Returns the address that others use for a server, given its name and address;
     # None if they reach it directly.
@@ -111,8 +132,14 @@
         """Stop all servers."""
         if self.registration_task is not None:
             self.registration_task.cancel()
+        for task in self.returns:
+            task.cancel()
+        ends = await asyncio.gather(*self.returns, return_exceptions=True)
         for runner in self.runners.values():
             await runner.cleanup()
+        for end in ends:
+            if isinstance(end, Exception):
+                raise end
 
     async def add_engine(self, engine: PlatformEngine) -> None:
         """Start another engine and register it."""
@@ -126,18 +153,23 @@
         self.store.remove(f"servers/{engine.record.id}")
 
     async def stop_engine(self, engine: PlatformEngine) -> None:
-        """Stop an engine that is no longer registered."""
-        await self.runners.pop(engine.record.id).cleanup()
+        """Stop an engine that is no longer registered and may have crashed."""
+        runner = self.runners.pop(engine.record.id, None)
+        if runner is not None:
+            await runner.cleanup()
 
     def publish(self, version: int, api_keys: list[str]) -> None:
         """Write a configuration to the store, as the operator does."""
         self.store.put("op/config", configuration(version, api_keys))
 
     def register(self) -> None:
-        """Write the entries of all targets, unless the store is down."""
+        """Write the entries of all targets that serve, unless the store is down."""
         if self.store.faults.down:
             return
+        down = {engine.record.id for engine in self.engines if engine.is_down}
         for record in self.records():
+            if record.id in down:
+                continue
             address = self.addresses[record.id]
             self.store.put(f"servers/{record.id}", record.store_entry(address))
 
@@ -148,7 +180,8 @@
 
     def runs_of(self, attempt: str) -> int:
         """Return how many times a request was executed, over all targets."""
-        return sum(record.runs[attempt] for record in self.records())
+        records = self.records() + self.former_records
+        return sum(record.runs[attempt] for record in records)
 
     async def _register_periodically(self) -> None:
         while True:
@@ -168,17 +201,74 @@
             )
             self.engines.append(PlatformEngine(record, config))
 
-    async def _serve_target(self, target: PlatformService | PlatformEngine) -> None:
+    async def _serve_target(
+        self, target: PlatformService | PlatformEngine, address: str | None = None
+    ) -> None:
+        """Serve a target at an address, or at a free one."""
+        if isinstance(target, PlatformEngine):
+            target.on_crash = self._crash_handler(target)
         record = target.record
-        self.addresses[record.id] = await self._serve(record.id, target.application())
+        app = target.application()
+        self.addresses[record.id] = await self._serve(record.id, app, address)
+
+    def _crash_handler(self, engine: PlatformEngine) -> Callable[[EngineCrash], None]:
+        def handle(crash: EngineCrash) -> None:
+            self.crashes.append(crash)
+            runner = self.runners.pop(crash.target)
+            _abort_connections(runner)
+            self.on_crash(engine)
+            self.returns.add(asyncio.create_task(self._return_engine(engine, runner)))
+
+        return handle
+
+    async def _return_engine(
+        self, engine: PlatformEngine, runner: web.AppRunner
+    ) -> None:
+        """Keep a crashed engine down for its time and serve it again."""
+        record = engine.record
+        crashing = record.faults.crashing_parts
+        assert crashing is not None
+        loop = asyncio.get_running_loop()
+        crashed_s = loop.time()
+        host, port = runner.addresses[0][:2]
+        for listener in list(runner.sites):
+            await listener.stop()
+        # Those that were accepted since the crash.
+        _abort_connections(runner)
+        await runner.cleanup()
+        up_s = crashed_s + crashing.down_s
+        gone_s = min(up_s, crashed_s + ENTRY_LIFETIME_S)
+        await asyncio.sleep(max(0.0, gone_s - loop.time()))
+        self.store.remove(f"servers/{record.id}")
+        await asyncio.sleep(max(0.0, up_s - loop.time()))
+        if engine not in self.engines or record.faults.draining:
+            return
+        target = record.id
+        if crashing.has_new_id:
+            self.former_records.append(record)
+            target = f"{record.id}-{next(self.start_numbers)}"
+        engine.begin_new_start(target)
+        await self._serve_target(engine, f"{host}:{port}")
+        self.on_return(engine)
+        self.register()
 
-    async def _serve(self, name: str, app: web.Application) -> str:
+    async def _serve(
+        self, name: str, app: web.Application, address: str | None = None
+    ) -> str:
         runner = web.AppRunner(app, handler_cancellation=True, shutdown_timeout=0.1)
         await runner.setup()
-        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        # The port stays reserved while nothing listens on it.
+        address = address or free_address()
+        host, _, port = address.rpartition(":")
+        await web.TCPSite(runner, host, int(port)).start()
         self.runners[name] = runner
-        host, port = runner.addresses[0][:2]
-        address = f"{host}:{port}"
         if self.connect_through is None:
             return address
         return await self.connect_through(name, address)
+
+
+def _abort_connections(runner: web.AppRunner) -> None:
+    assert runner.server is not None
+    for connection in runner.server.connections:
+        if connection.transport is not None:
+            connection.transport.abort()
--- a/tools/burdockhaven_standins/platform_targets.py
+++ b/tools/burdockhaven_standins/platform_targets.py
@@ -11,7 +11,7 @@
 import itertools
 import time
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 import msgspec
@@ -35,6 +35,36 @@
 HEALTH_PATH = "/healthz"
 
 
+@dataclass(frozen=True, slots=True)
+class CrashingParts:
+    """Parts of prompts on which an engine crashes."""
+
+    # Ids of the parts. The first token of an answer to a prompt with one of them ends
+    # the engine.
+    ids: frozenset[str]
+    # Seconds until the engine serves again, with an empty state.
+    down_s: float
+    # Whether it returns under a new id; otherwise as a later start of the same target.
+    has_new_id: bool = False
+    # Whether the head of the response is sent before the first token.
+    sends_head: bool = True
+
+    def find(self, run: StepRun) -> str | None:
+        """Return the first of these parts in a prompt; None if it has none."""
+        return next((part for part, _ in run.parts if part in self.ids), None)
+
+
+@dataclass(frozen=True, slots=True)
+class EngineCrash:
+    """A crash of an engine."""
+
+    target: str
+    # Id of the part of the prompt that caused it.
+    part: str
+    # Seconds of the monotonic clock.
+    at_s: float
+
+
 @dataclass(slots=True)
 class TargetFaults:
     """Faults that are active."""
@@ -51,6 +81,8 @@
     # Number of events after which the next stream is aborted, in the middle of the
     # following event; None for no fault. At a service, 0 aborts the next response.
     abort_next_after_events: int | None = None
+    # Parts of prompts on which an engine crashes; None for no fault.
+    crashing_parts: CrashingParts | None = None
 
     def consume_abort(self, sent_events: int) -> bool:
         """Return whether to abort after this many events; resets the fault if so."""
@@ -88,6 +120,8 @@
     deadline_ms: float | None
     # The client account that the sender names; empty if none.
     account: str
+    # Ids of the parts of the prompt, in order.
+    parts: tuple[str, ...]
     # Arrival and end of the work, in seconds of the monotonic clock.
     arrived_s: float
     ended_s: float | None = None
@@ -107,6 +141,8 @@
     zone: str = "a"
     software_version: str = "v1"
     seq: int = 0
+    # Milliseconds that identify the start of the target; a later start has more.
+    started_ms: int = 1
     # Executions by request id.
     runs: Counter[str] = field(default_factory=Counter)
     faults: TargetFaults = field(default_factory=TargetFaults)
@@ -130,7 +166,7 @@
             "state": "draining" if self.faults.draining else "ready",
             "cold_left_ms": 0,
             "seq": self.seq,
-            "born": 1,
+            "born": self.started_ms,
         }
         return msgspec.json.encode(entry)
 
@@ -158,12 +194,19 @@
         try:
             yield received
         except (asyncio.CancelledError, ConnectionError):
-            received.end = RequestEnd.DISCONNECTED
+            received.end = received.end or RequestEnd.DISCONNECTED
             raise
         finally:
-            received.ended_s = time.monotonic()
+            received.ended_s = received.ended_s or time.monotonic()
             received.end = received.end or RequestEnd.COMPLETE
 
+    def abort_executions(self) -> None:
+        """Record that the target ends in the middle of its work."""
+        for received in self.received:
+            if received.ended_s is None:
+                received.ended_s = time.monotonic()
+                received.end = RequestEnd.ABORTED
+
     def headers(self, attempt: str) -> dict[str, str]:
         """Return the headers of the response to an executed request."""
         headers = {ATTEMPT: attempt, SIGNATURE: f"{self.id}.{self.seq}"}
@@ -186,6 +229,7 @@
             headers[ATTEMPT],
             None if deadline_ms is None else float(deadline_ms),
             headers.get(TENANT, ""),
+            tuple(part for part, _ in _parse_parts(request)),
             time.monotonic(),
         )
         self.received.append(received)
@@ -206,6 +250,10 @@
         return {}
 
 
+def _ignore_crash(crash: EngineCrash) -> None:
+    """Do nothing."""
+
+
 class PlatformService:
     """Plain service: each call takes `call_s`; the slots limit the concurrency."""
 
@@ -261,10 +309,35 @@
 
     def __init__(self, record: TargetRecord, config: StepEngineConfig) -> None:
         self.record = record
-        self.engine = StepEngine(config, self._on_event)
-        self.streams: dict[int, asyncio.Queue[bool]] = {}
+        self.config = config
         self.run_ids = itertools.count(1)
         self.work_available = asyncio.Event()
+        # Called when the engine crashes; has to end its connections and its listener.
+        self.on_crash: Callable[[EngineCrash], None] = _ignore_crash
+        self.is_down = False
+        self._reset_state()
+
+    def begin_new_start(self, target: str) -> None:
+        """Return from a crash as this target, which may be another one."""
+        record = self.record
+        started_ms = record.started_ms + 1
+        if target == record.id:
+            record.started_ms = started_ms
+        else:
+            self.record = TargetRecord(
+                target,
+                record.service,
+                record.slots,
+                record.zone,
+                record.software_version,
+                started_ms=started_ms,
+                faults=TargetFaults(crashing_parts=record.faults.crashing_parts),
+            )
+        self.is_down = False
+
+    def _reset_state(self) -> None:
+        self.engine = StepEngine(self.config, self._on_event, self._on_first_token)
+        self.streams: dict[int, asyncio.Queue[bool]] = {}
 
     def application(self) -> web.Application:
         """Create the HTTP application, which advances the engine while it runs."""
@@ -293,6 +366,16 @@
     def _on_event(self, run: StepRun, at_s: float, is_complete: bool) -> None:
         self.streams[run.run_id].put_nowait(is_complete)
 
+    def _on_first_token(self, run: StepRun, at_s: float) -> None:
+        crashing = self.record.faults.crashing_parts
+        part = None if crashing is None else crashing.find(run)
+        if part is None or self.is_down:
+            return
+        self.is_down = True
+        self.record.abort_executions()
+        self.on_crash(EngineCrash(self.record.id, part, time.monotonic()))
+        self._reset_state()
+
     async def _health(self, request: web.Request) -> web.Response:
         return self.record.health_response()
 
@@ -327,7 +410,8 @@
                 return await self._send_events(request, received, run)
             finally:
                 self.engine.cancel(run.run_id)
-                del self.streams[run.run_id]
+                # After a crash the run is no longer known.
+                self.streams.pop(run.run_id, None)
 
     async def _send_events(
         self, request: web.Request, received: ReceivedRequest, run: StepRun
@@ -338,8 +422,12 @@
         event_id = int(request.headers.get(LAST_EVENT_ID, "0"))
         sent_events = 0
         is_complete = False
+        events = self.streams[run.run_id]
+        crashing = faults.crashing_parts
+        if crashing is not None and crashing.sends_head and crashing.find(run):
+            await response.prepare(request)
         while not is_complete:
-            is_complete = await self.streams[run.run_id].get()
+            is_complete = await events.get()
             await faults.wait_while_silent()
             if not response.prepared:
                 await response.prepare(request)
@@ -356,7 +444,7 @@
                 await response.write(event.encode())
             except ConnectionError:
                 # The sender has left; nobody reads the rest.
-                received.end = RequestEnd.DISCONNECTED
+                received.end = received.end or RequestEnd.DISCONNECTED
                 return response
         return response
 
@@ -366,12 +454,16 @@
         remaining_tokens = (
             output - received_events * self.engine.config.tokens_per_event
         )
-        parts = tuple(
-            (name, int(tokens))
-            for name, _, tokens in (
-                part.partition(":")
-                for part in request.headers.get(PROMPT_PREFIX, "").split(",")
-                if part
-            )
+        return StepRun(
+            next(self.run_ids),
+            prompt,
+            max(1, remaining_tokens),
+            _parse_parts(request),
         )
-        return StepRun(next(self.run_ids), prompt, max(1, remaining_tokens), parts)
+
+
+def _parse_parts(request: web.Request) -> tuple[tuple[str, int], ...]:
+    """Return the id and the token count of each part of a prompt."""
+    parts = request.headers.get(PROMPT_PREFIX, "").split(",")
+    fields = (part.partition(":") for part in parts if part)
+    return tuple((name, int(tokens)) for name, _, tokens in fields)
--- a/tools/burdockhaven_standins/step_engine.py
+++ b/tools/burdockhaven_standins/step_engine.py
@@ -59,6 +59,12 @@
 # Called for each event with the run, the time in seconds and whether the answer is
 # complete.
 OnEvent = Callable[[StepRun, float, bool], None]
+# Called for the first token of each run with the run and the time in seconds.
+OnFirstToken = Callable[[StepRun, float], None]
+
+
+def _ignore_first_token(run: StepRun, at_s: float) -> None:
+    """Do nothing."""
 
 
 @dataclass(slots=True)
@@ -67,6 +73,7 @@
 
     config: StepEngineConfig
     on_event: OnEvent
+    on_first_token: OnFirstToken = _ignore_first_token
     waiting: deque[StepRun] = field(default_factory=deque)
     prefilling: deque[StepRun] = field(default_factory=deque)
     decoding: dict[int, StepRun] = field(default_factory=dict)
@@ -189,6 +196,8 @@
         if run.generated_tokens == 0 and (now - run.admitted_s) * 1e3 < first_ms:
             return
         run.generated_tokens += 1
+        if run.generated_tokens == 1:
+            self.on_first_token(run, now)
         run.held_tokens += 1
         is_complete = run.generated_tokens >= run.output_tokens
         if run.generated_tokens % self.config.tokens_per_event == 0 or is_complete:
--- a/tools/tests/test_platform_targets.py
+++ b/tools/tests/test_platform_targets.py
@@ -1,15 +1,24 @@
-"""The stand-in targets send no header that the platform's adapter does not know."""
+"""Headers of the stand-in targets, and crashes of stand-in engines."""
 
+import asyncio
+
+import aiohttp
+import msgspec
 import pytest
 from aiohttp.test_utils import TestClient, TestServer
 
 from burdockhaven_entry.platform import read_response_head
+from burdockhaven_standins.platform_site import PlatformSite
 from burdockhaven_standins.platform_targets import (
     ATTEMPT,
     EXPECT_INSTANCE,
+    LAST_EVENT_ID,
+    PROMPT_PREFIX,
     TOKEN_COUNTS,
+    CrashingParts,
     PlatformEngine,
     PlatformService,
+    RequestEnd,
     TargetFaults,
     TargetRecord,
 )
@@ -47,3 +56,135 @@
             assert head.unknown_headers == ()
             says_leaving = faults.draining or faults.leaving
             assert head.observation.is_leaving is says_leaving
+
+
+ENGINE = "i-llm"
+SOUND = "system:100,doc:50,user-1:10"
+TAINTED = "system:100,bad:80,user-2:10"
+LONG = "200,30000"
+# Limit of waits; no measurement depends on it.
+WAIT_TIMEOUT_S = 20.0
+# Longer than any test.
+NEVER_BACK_S = 600.0
+
+
+class CrashingEngine:
+    """A site with one engine that crashes on a part, and a client."""
+
+    def __init__(self, **crashing):
+        self.crashing = CrashingParts(frozenset({"bad"}), **crashing)
+        faults = TargetFaults(crashing_parts=self.crashing)
+        record = TargetRecord(ENGINE, "llm", 4, faults=faults)
+        self.engine = PlatformEngine(record, StepEngineConfig())
+        self.site = PlatformSite(engines=[self.engine])
+        self.returned = asyncio.Event()
+        self.site.on_return = lambda _: self.returned.set()
+
+    async def __aenter__(self):
+        await self.site.start()
+        self.address = self.site.addresses[ENGINE]
+        self.client = await aiohttp.ClientSession().__aenter__()
+        return self
+
+    async def __aexit__(self, *error):
+        await self.client.close()
+        await self.site.stop()
+
+    def send(self, attempt, parts, **headers):
+        headers = {ATTEMPT: attempt, PROMPT_PREFIX: parts, TOKEN_COUNTS: LONG} | headers
+        return self.client.post(f"http://{self.address}/x", headers=headers, data=b"x")
+
+    async def crash(self, **headers):
+        """Send a request that ends the engine; return its status, None without one."""
+        try:
+            response = await self.send("bad", TAINTED, **headers)
+        except (aiohttp.ServerDisconnectedError, aiohttp.ClientOSError):
+            return None
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await response.read()
+        return response.status
+
+    def entries(self):
+        """Decode the entries of engines in the store, by target id."""
+        return {
+            key.removeprefix("servers/"): msgspec.json.decode(item.value)
+            for key, item in self.site.store.items.items()
+            if key.startswith("servers/")
+        }
+
+    async def wait_until(self, condition):
+        async with asyncio.timeout(WAIT_TIMEOUT_S):
+            while True:
+                if condition():
+                    return
+                await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize(("sends_head", "status"), [(True, 200), (False, None)])
+@pytest.mark.parametrize("headers", [{}, {TOKEN_COUNTS: "9,1"}, {LAST_EVENT_ID: "7"}])
+async def test_crash_ends_all_connections_and_refuses_new_ones(
+    sends_head, status, headers
+):
+    async with CrashingEngine(down_s=NEVER_BACK_S, sends_head=sends_head) as seen:
+        sound = await seen.send("sound", SOUND)
+        await sound.content.readuntil(b"\n\n")
+        assert await seen.crash(**headers) == status
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await sound.read()
+        with pytest.raises(aiohttp.ClientConnectorError):
+            await seen.send("late", SOUND)
+        received = seen.engine.record.received
+        assert [(r.attempt, r.end) for r in received] == [
+            ("sound", RequestEnd.ABORTED),
+            ("bad", RequestEnd.ABORTED),
+        ]
+        assert received[1].parts == ("system", "bad", "user-2")
+        (crash,) = seen.site.crashes
+        assert (crash.target, crash.part) == (ENGINE, "bad")
+        # The entry is not written again while the engine is down.
+        await seen.wait_until(lambda: not seen.entries())
+        seen.site.register()
+        assert not seen.entries()
+
+
+@pytest.mark.parametrize("has_new_id", [False, True])
+async def test_engine_returns_from_a_crash_with_an_empty_state(has_new_id):
+    async with CrashingEngine(down_s=0.0, has_new_id=has_new_id) as seen:
+        sound = await seen.send("sound", SOUND)
+        await sound.content.readuntil(b"\n\n")
+        assert seen.engine.engine.cache
+        await seen.crash()
+        await asyncio.wait_for(seen.returned.wait(), WAIT_TIMEOUT_S)
+        assert not seen.engine.engine.cache
+        assert not seen.engine.engine.is_busy
+        ((target, entry),) = seen.entries().items()
+        assert (target != ENGINE) == has_new_id
+        assert entry["born"] == 2
+        assert entry["address"] == seen.address
+        # Requests for the earlier target are rejected where the id is another one.
+        old = await seen.send("old", SOUND, **{EXPECT_INSTANCE: ENGINE})
+        assert old.status == (421 if has_new_id else 200)
+        new = await seen.send("new", SOUND, **{EXPECT_INSTANCE: target})
+        assert new.status == 200
+        assert [seen.site.runs_of(a) for a in ("sound", "bad", "new")] == [1, 1, 1]
+        # It crashes again on the same part.
+        seen.returned.clear()
+        assert await seen.crash() == 200
+        await asyncio.wait_for(seen.returned.wait(), WAIT_TIMEOUT_S)
+        assert [crash.target for crash in seen.site.crashes] == [ENGINE, target]
+        ((_, entry),) = seen.entries().items()
+        assert entry["born"] == 3
+
+
+@pytest.mark.parametrize("end", ["draining", "deregistered"])
+async def test_engine_that_leaves_does_not_return_from_a_crash(end):
+    async with CrashingEngine(down_s=0.0) as seen:
+        if end == "draining":
+            seen.engine.record.faults.draining = True
+        else:
+            seen.site.deregister_engine(seen.engine)
+        await seen.crash()
+        await asyncio.wait(seen.site.returns, timeout=WAIT_TIMEOUT_S)
+        assert not seen.returned.is_set()
+        assert not seen.entries()
+        await seen.site.stop_engine(seen.engine)
