--- a/tools/burdockhaven_bench/platform_harness.py
+++ b/tools/burdockhaven_bench/platform_harness.py
@@ -16,7 +16,7 @@
 import aiohttp
 
 from burdockhaven_standins.platform_site import HOST, PlatformSite
-from burdockhaven_standins.platform_targets import ATTEMPT, TOKEN_COUNTS
+from burdockhaven_standins.platform_targets import ATTEMPT, RETRY_AFTER, TOKEN_COUNTS
 from burdockhaven_standins.ports import free_address
 
 T = TypeVar("T")
@@ -76,6 +76,8 @@
     request: str
     status: int
     body: bytes
+    # None without the header.
+    retry_after: str | None = None
 
 
 @dataclass(slots=True)
@@ -198,19 +200,26 @@
         await self.wait_until(all_agree)
 
     async def send_request(
-        self, address: str, path: str, key: str = "k1"
+        self,
+        address: str,
+        path: str,
+        key: str = "k1",
+        headers: dict[str, str] | None = None,
     ) -> ReceivedResponse:
-        """Send a request and read the complete response."""
+        """Send a request, with these headers besides, and read the response."""
         request = f"request-{next(self.request_numbers)}"
-        headers = {
+        sent = {
             "Host": HOST,
             ATTEMPT: request,
             "Authorization": f"Bearer {key}",
             TOKEN_COUNTS: REQUEST_TOKENS,
         }
         url = f"http://{address}{path}"
-        async with self.client.post(url, headers=headers, data=b"x") as response:
-            return ReceivedResponse(request, response.status, await response.read())
+        sent |= headers or {}
+        async with self.client.post(url, headers=sent, data=b"x") as response:
+            body = await response.read()
+            retry_after = response.headers.get(RETRY_AFTER)
+            return ReceivedResponse(request, response.status, body, retry_after)
 
     async def open_stream(
         self, address: str, headers: dict[str, str] | None = None
