Soak: tainted prompt parts, and checks of what becomes of such requests

Engines crash and return through their links; the history has the crashes and the parts. Two checks: BUDGET parts (requests and repeats that reach engines after five crashes) and LOST parts (sound requests with the same key or first part that begin half as often as others). A pause ends with the crash of the target that asked for it, and requests on which engines crash are no measure of resumed streams.

--- a/tools/burdockhaven_bench/soak/client.py
+++ b/tools/burdockhaven_bench/soak/client.py
@@ -14,6 +14,7 @@
     ATTEMPT,
     DEADLINE,
     LAST_EVENT_ID,
+    PROMPT_PREFIX,
     TOKEN_COUNTS,
 )
 
@@ -53,6 +54,8 @@
     half_pause_s: float | None = None
     # Seconds after which the client leaves; None if it stays.
     leave_after_s: float | None = None
+    # Id and token count of each part of the prompt, in order.
+    parts: tuple[tuple[str, int], ...] = ()
 
     def head(self) -> bytes:
         """Encode the request line and the headers."""
@@ -65,6 +68,9 @@
         ]
         if self.expected_events:
             lines.append(f"{TOKEN_COUNTS}: {self.prompt_tokens},{self.output_tokens}")
+        if self.parts:
+            parts = ",".join(f"{part}:{tokens}" for part, tokens in self.parts)
+            lines.append(f"{PROMPT_PREFIX}: {parts}")
         if self.deadline_s is not None:
             lines.append(f"{DEADLINE}: {self.deadline_s * 1e3:.0f}")
         if self.resumes:
@@ -172,6 +178,7 @@
                     is_behind_cut=previous is not None
                     and previous.ending is Ending.CLOSED,
                     unrequested_bytes=b"" if attempts else unrequested,
+                    parts=tuple(part for part, _ in request.parts),
                 )
             )
         return attempts
--- a/tools/burdockhaven_bench/soak/history.py
+++ b/tools/burdockhaven_bench/soak/history.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from burdockhaven_standins.platform_targets import RequestEnd
+from burdockhaven_standins.platform_targets import EngineCrash, RequestEnd
 
 
 class Ending(enum.Enum):
@@ -47,6 +47,7 @@
     LINK_SILENT = "link-silent"
     LINK_DELAY = "link-delay"
     LINK_PIECES = "link-pieces"
+    TAINTED_PART = "tainted-part"
 
 
 PROCESS_DISRUPTIONS = frozenset({FaultKind.FREEZE, FaultKind.KILL})
@@ -119,6 +120,8 @@
     is_behind_cut: bool = False
     # Bytes that arrived on the connection before this request was sent.
     unrequested_bytes: bytes = b""
+    # Ids of the parts of the prompt, in order.
+    parts: tuple[str, ...] = ()
 
     def header(self, name: str) -> str:
         """Return the value of a response header; empty if it is missing."""
@@ -152,7 +155,8 @@
     """A fault or a piece of planned work that was applied."""
 
     kind: FaultKind
-    # Process, target or store that it affects; for a configuration, the version.
+    # Process, target, part of prompts or store that it affects; for a configuration,
+    # the version.
     subject: str
     started_s: float
     ended_s: float
@@ -187,7 +191,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Target:
-    """A target and its software version."""
+    """One start of a target, and its software version."""
 
     id: str
     service: str
@@ -210,6 +214,8 @@
     configurations: tuple[Configuration, ...] = ()
     processes: tuple[Process, ...] = ()
     targets: tuple[Target, ...] = ()
+    # In order of time.
+    crashes: tuple[EngineCrash, ...] = ()
 
     def executions_by_attempt(self) -> dict[str, list[Execution]]:
         """Group what targets saw by attempt, in order of arrival."""
--- a/tools/burdockhaven_bench/soak/plan.py
+++ b/tools/burdockhaven_bench/soak/plan.py
@@ -39,6 +39,14 @@
     FaultKind.LINK_SILENT,
     FaultKind.LINK_DELAY,
 )
+# Kinds that a plan contains only on request.
+EXTRA = (FaultKind.TAINTED_PART,)
+# Seconds from the end of the quiet start or of a tainted part to the next one, and for
+# which requests with such a part are sent.
+TAINT_SPACING_S = (2.0, 5.0)
+TAINT_S = (14.0, 30.0)
+# Share of the requests of a route that have the part.
+TAINT_SHARE = (0.2, 0.4)
 # Shortest and longest duration in seconds of faults that end by themselves.
 DURATIONS_S = {
     FaultKind.FREEZE: (0.3, 4.0),
@@ -69,6 +77,8 @@
     # Number of subjects; processes are stopped at once, or one by one if `in_turn`.
     count: int = 1
     in_turn: bool = False
+    # Share of the requests of a route that it concerns.
+    share: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,8 +96,9 @@
         duration_s: float,
         daemons: int,
         without: frozenset[FaultKind] = frozenset(),
+        extra: frozenset[FaultKind] = frozenset(),
     ) -> "Plan":
-        """Draw a plan."""
+        """Draw a plan; `extra` adds kinds without a change to the other faults."""
         rng = random.Random(seed)
         faults: list[PlannedFault] = []
         start_s = QUIET_S
@@ -98,6 +109,9 @@
             faults += _draw_phase(rng, kinds, start_s, end_s, daemons)
             start_s = end_s + (0.0 if is_planned else SETTLE_S)
             is_planned = not is_planned
+        if FaultKind.TAINTED_PART in extra:
+            faults += _draw_tainted_parts(random.Random(f"{seed}/taint"), duration_s)
+            faults.sort(key=lambda fault: fault.at_s)
         kept = (fault for fault in faults if fault.kind not in without)
         return cls(seed, duration_s, tuple(kept))
 
@@ -122,3 +136,17 @@
         faults.append(PlannedFault(kind, at_s, duration_s, choice, count, in_turn))
         at_s += rng.uniform(*SPACING_S)
     return faults
+
+
+def _draw_tainted_parts(rng: random.Random, duration_s: float) -> list[PlannedFault]:
+    """Draw tainted parts one after the other, beside all other faults."""
+    faults = []
+    end_s = duration_s - QUIET_S
+    at_s = QUIET_S + rng.uniform(*TAINT_SPACING_S)
+    while at_s + TAINT_S[0] <= end_s:
+        length_s = min(rng.uniform(*TAINT_S), end_s - at_s)
+        share = rng.uniform(*TAINT_SHARE)
+        kind, choice = FaultKind.TAINTED_PART, rng.random()
+        faults.append(PlannedFault(kind, at_s, length_s, choice, share=share))
+        at_s += length_s + rng.uniform(*TAINT_SPACING_S)
+    return faults
--- a/tools/burdockhaven_bench/soak/report.py
+++ b/tools/burdockhaven_bench/soak/report.py
@@ -29,6 +29,8 @@
     faults = Counter(fault.kind.value for fault in history.faults)
     lines.append("faults")
     lines += [f"  {count:6} {kind}" for kind, count in sorted(faults.items())]
+    crashes = Counter(crash.part for crash in history.crashes)
+    lines += [f"  {n:6} crashes on {part}" for part, n in sorted(crashes.items())]
     lines.append("checks (cases, allowed)")
     for verdict in verdicts:
         word = "BROKEN" if verdict.is_broken else "holds"
@@ -67,6 +69,7 @@
         "counts": result.counts,
         "verdicts": [_verdict(verdict, start_s) for verdict in verdicts],
         "faults": [_relative(fault, start_s) for fault in result.history.faults],
+        "crashes": [_relative(crash, start_s) for crash in result.history.crashes],
         "attempts": [_attempt(a, start_s) for a in result.history.attempts],
         "executions": [_relative(e, start_s) for e in result.history.executions],
     }
@@ -113,6 +116,9 @@
             yield run.arrived_s, f"{run.attempt} reaches {run.target}"
             end = "at work" if run.end is None else run.end.value
             yield run.ended_s, f"{run.attempt} ends at {run.target}: {end}"
+    for crash in history.crashes:
+        if first_s - FAULTS_BEFORE_S <= crash.at_s <= case.at_s:
+            yield crash.at_s, f"{crash.target} crashes on {crash.part}"
     for fault in history.faults:
         if fault.overlaps(first_s - FAULTS_BEFORE_S, case.at_s):
             yield fault.started_s, f"{fault.kind.value} of {fault.subject}"
--- a/tools/burdockhaven_bench/soak/traffic.py
+++ b/tools/burdockhaven_bench/soak/traffic.py
@@ -13,6 +13,13 @@
 
 # Prompt and output tokens of streams, from 0.2 to about 6 s on an idle engine.
 STREAM_SIZES = ((100, 30), (500, 150), (2000, 600), (4000, 1500))
+# First parts of prompts; tainted prompts have the first of them.
+FIRST_PARTS = ("system-a", "system-b")
+MIDDLE_PARTS = ("doc-1", "doc-2", "doc-3")
+# Fractions of a prompt that its first, middle and tainted parts make up.
+FIRST_FRACTION = 0.2
+MIDDLE_FRACTION = 0.3
+TAINTED_FRACTION = 0.1
 ROUTE_WEIGHTS = {"safe": 2, "unsafe": 2, "moving": 2, "resumable": 5, "once": 2}
 MAX_TRIES = 3
 # Fractions of the exchanges.
@@ -33,6 +40,16 @@
 MAX_RETRY_AFTER_S = 2.0
 
 
+@dataclass(frozen=True, slots=True)
+class Taint:
+    """A part of prompts on which engines crash."""
+
+    # Id of the part.
+    part: str
+    # Share of the requests that have it.
+    share: float
+
+
 @dataclass(slots=True)
 class Traffic:
     """What all clients share."""
@@ -43,6 +60,10 @@
     process_at: Callable[[str], str]
     # Returns the key that the newest configuration introduced, and the one it removed.
     rotating_keys: Callable[[], tuple[str, str]]
+    # Returns the part that taints requests of a route now; None if there is none.
+    taint_of: Callable[[str], Taint | None]
+    # Whether clients state the parts of their prompts.
+    has_parts: bool = False
     attempts: list[Attempt] = field(default_factory=list)
     counts: Counter[str] = field(default_factory=Counter)
     is_stopping: bool = False
@@ -53,9 +74,10 @@
         default_factory=lambda: itertools.count(1)
     )
 
-    async def run_client(self, rng: random.Random) -> None:
+    async def run_client(self, seed: str) -> None:
         """Send requests until the traffic stops."""
-        client = _Client(self, rng)
+        rngs = random.Random(seed), random.Random(f"{seed}/parts")
+        client = _Client(self, *rngs)
         while not self.is_stopping:
             await client.send_next()
         client.close()
@@ -67,6 +89,8 @@
 
     traffic: Traffic
     rng: random.Random
+    # Of its own, so that parts change nothing else that clients send.
+    part_rng: random.Random
     connection: ClientConnection | None = None
     addresses: list[str] = field(default_factory=list)
     look_up_until_s: float = 0.0
@@ -156,8 +180,9 @@
         is_streaming = route.facts.is_streaming
         timeout_s = route.facts.timeout_s
         is_leaving = is_streaming and draws[3] < LEAVING
-        return OutgoingRequest(
-            attempt=self._next_attempt(),
+        attempt = self._next_attempt()
+        request = OutgoingRequest(
+            attempt=attempt,
             request=next(self.traffic.request_numbers),
             route=name,
             path=route.path,
@@ -170,6 +195,9 @@
             half_pause_s=draws[4] * MAX_HALF_PAUSE_S if draws[2] < HALF_SENT else None,
             leave_after_s=0.05 + draws[5] * 2.0 if is_leaving else None,
         )
+        if not (is_streaming and self.traffic.has_parts):
+            return request
+        return add_parts(request, self.part_rng, self.traffic.taint_of(name))
 
     def _pick_key(self, draw: float) -> str:
         added, removed = self.traffic.rotating_keys()
@@ -181,6 +209,27 @@
         return f"soak-{next(self.traffic.attempt_numbers)}"
 
 
+def add_parts(
+    request: OutgoingRequest, rng: random.Random, taint: Taint | None
+) -> OutgoingRequest:
+    """Add the parts of the prompt, of which the last one is unlike all others."""
+    tokens = request.prompt_tokens
+    parts = [
+        (rng.choice(FIRST_PARTS), int(tokens * FIRST_FRACTION)),
+        (rng.choice(MIDDLE_PARTS), int(tokens * MIDDLE_FRACTION)),
+    ]
+    api_key = request.api_key
+    if taint is not None and rng.random() < taint.share:
+        # All of them share their key and first part with sound requests.
+        parts[0] = FIRST_PARTS[0], parts[0][1]
+        position = rng.randint(1, len(parts))
+        parts.insert(position, (taint.part, int(tokens * TAINTED_FRACTION)))
+        api_key = STABLE_KEY
+    rest = tokens - sum(count for _, count in parts)
+    parts.append((f"user-{request.attempt}", rest))
+    return replace(request, parts=tuple(parts), api_key=api_key)
+
+
 def _may_retry(attempt: Attempt) -> bool:
     if attempt.ending is Ending.LEFT:
         return False
--- a/tools/burdockhaven_standins/platform_site.py
+++ b/tools/burdockhaven_standins/platform_site.py
@@ -213,8 +213,11 @@
 
     def _crash_handler(self, engine: PlatformEngine) -> Callable[[EngineCrash], None]:
         def handle(crash: EngineCrash) -> None:
+            runner = self.runners.pop(crash.target, None)
+            if runner is None:
+                # It is being stopped.
+                return
             self.crashes.append(crash)
-            runner = self.runners.pop(crash.target)
             _abort_connections(runner)
             self.on_crash(engine)
             self.returns.add(asyncio.create_task(self._return_engine(engine, runner)))
@@ -241,14 +244,16 @@
         await asyncio.sleep(max(0.0, gone_s - loop.time()))
         self.store.remove(f"servers/{record.id}")
         await asyncio.sleep(max(0.0, up_s - loop.time()))
-        if engine not in self.engines or record.faults.draining:
+        faults = record.faults
+        if engine not in self.engines or faults.draining or faults.leaving:
             return
         target = record.id
         if crashing.has_new_id:
             self.former_records.append(record)
-            target = f"{record.id}-{next(self.start_numbers)}"
+            target = f"{engine.first_id}-{next(self.start_numbers)}"
         engine.begin_new_start(target)
         await self._serve_target(engine, f"{host}:{port}")
+        engine.is_down = False
         self.on_return(engine)
         self.register()
 
--- a/tools/tests/test_soak_oracle.py
+++ b/tools/tests/test_soak_oracle.py
@@ -19,7 +19,7 @@
     RouteFacts,
     Target,
 )
-from burdockhaven_standins.platform_targets import RequestEnd
+from burdockhaven_standins.platform_targets import EngineCrash, RequestEnd
 
 ROUTES = {
     "plain": RouteFacts(False, False, timeout_s=5.0, max_attempts=1),
@@ -242,6 +242,258 @@
     assert oracle.lost_resumptions(seen).is_broken == is_broken
 
 
+# Times of crashes on a part; the fifth one is known to all members 3 s later.
+CRASHES = tuple(EngineCrash("t1", "bad", AT_S - second) for second in (4, 3, 2, 1, 0))
+FIFTH_KNOWN_S = AT_S + 3
+
+
+def with_part(number, sent_s, route="stream", part="bad"):
+    """A request with a part on which engines crash."""
+    return attempt(
+        id=f"bad-{number}",
+        request=f"bad-{number}",
+        route=route,
+        sent_s=sent_s,
+        ended_s=sent_s + 0.1,
+        status=503,
+        parts=("system", part, f"user-{number}"),
+    )
+
+
+def runs_of(found, count=1, arrived_s=None, **changes):
+    """Runs of a request that engines broke off."""
+    arrived_s = found.sent_s + 0.01 if arrived_s is None else arrived_s
+    changes = {"attempt": found.id, "end": RequestEnd.ABORTED} | changes
+    return [run(arrived_s=arrived_s, **changes)] * count
+
+
+# Number of requests, when they were sent after the fifth crash is known, the runs of
+# each, when these arrive, the crashes, the faults, and the number of cases.
+PART_HISTORIES = {
+    "four requests": (4, 0.1, 1, None, CRASHES, [], 4),
+    "three requests": (3, 0.1, 1, None, CRASHES, [], 0),
+    "two requests, two runs each": (2, 0.1, 2, None, CRASHES, [], 4),
+    "sent before, repeated later": (4, -0.1, 2, FIFTH_KNOWN_S + 0.1, CRASHES, [], 4),
+    "sent before, arrive later": (4, -0.1, 1, FIFTH_KNOWN_S + 0.1, CRASHES, [], 0),
+    "sent before": (4, -0.1, 2, None, CRASHES, [], 0),
+    "kept back": (4, 0.1, 0, None, CRASHES, [], 0),
+    "four crashes": (4, 0.1, 1, None, CRASHES[:4], [], 0),
+    "six crashes": (4, 0.1, 1, None, (CRASHES[0], *CRASHES), [], 4),
+    "crashes on another part": (
+        4,
+        0.1,
+        1,
+        None,
+        tuple(replace(crash, part="other") for crash in CRASHES),
+        [],
+        0,
+    ),
+    "two crashes on another part": (
+        4,
+        0.1,
+        1,
+        None,
+        (*CRASHES[2:], *(replace(crash, part="other") for crash in CRASHES[:2])),
+        [],
+        0,
+    ),
+    "process frozen": (
+        4,
+        0.1,
+        1,
+        None,
+        CRASHES,
+        [unplanned(FaultKind.FREEZE, "p1")],
+        0,
+    ),
+    "another process frozen": (
+        4,
+        0.1,
+        1,
+        None,
+        CRASHES,
+        [unplanned(FaultKind.FREEZE, "p2")],
+        4,
+    ),
+}
+
+
+@pytest.mark.parametrize("name", PART_HISTORIES)
+def test_parts_after_crashes(name):
+    count, sent_s, runs, arrived_s, crashes, faults, cases = PART_HISTORIES[name]
+    found = [with_part(number, FIFTH_KNOWN_S + sent_s) for number in range(count)]
+    executions = [r for a in found for r in runs_of(a, runs, arrived_s)]
+    seen = history(found, executions, faults, crashes=crashes)
+    verdict = oracle.parts_after_crashes(seen)
+    assert len(verdict.cases) == cases
+    assert verdict.is_broken == (cases > 0)
+
+
+def test_parts_after_crashes_counts_each_part_for_itself():
+    parts = ("bad", "worse")
+    found = [
+        with_part(f"{part}-{number}", FIFTH_KNOWN_S + 0.1, part=part)
+        for part in parts
+        for number in range(3)
+    ]
+    crashes = [replace(crash, part=part) for part in parts for crash in CRASHES]
+    executions = [r for a in found for r in runs_of(a)]
+    seen = history(found, executions, crashes=tuple(crashes))
+    assert not oracle.parts_after_crashes(seen).is_broken
+    executions += runs_of(found[0])
+    seen = history(found, executions, crashes=tuple(crashes))
+    assert [c.subject for c in oracle.parts_after_crashes(seen).cases] == [
+        *["bad-bad-0"] * 2,
+        "bad-bad-1",
+        "bad-bad-2",
+    ]
+
+
+# From here on, sound requests that are like those with the part are compared.
+COMPARED_S = AT_S + 6
+BEFORE_S = AT_S - 20
+
+
+def sound_streams(count, begun, sent_s, parts=("system", "doc"), **changes):
+    """Sound streams at a time, some of which begin at the first attempt."""
+    streams = [
+        stream(
+            "1",
+            id=f"{sent_s}-{parts[0]}-{number}",
+            request=f"{sent_s}-{parts[0]}-{number}",
+            sent_s=sent_s,
+            ended_s=sent_s + 0.1,
+            parts=parts,
+            **changes,
+        )
+        for number in range(count)
+    ]
+    refused = [replace(a, status=503, events=()) for a in streams[begun:]]
+    return streams[:begun] + refused
+
+
+def retried(streams):
+    """The same streams, each refused and then begun at the second attempt."""
+    first = [replace(a, id=f"{a.id}-1", status=503, events=()) for a in streams]
+    return first + streams
+
+
+OTHER_PARTS = ("other", "doc")
+ALIKE_S = COMPARED_S + 1
+# Sound streams and whether the check reports them, beside requests with the part up to
+# ten seconds after the first time at which requests are compared.
+SOUND_HISTORIES = {
+    "fewer than half as often": (
+        sound_streams(20, 9, ALIKE_S) + sound_streams(20, 20, BEFORE_S),
+        True,
+    ),
+    "half as often": (
+        sound_streams(20, 10, ALIKE_S) + sound_streams(20, 20, BEFORE_S),
+        False,
+    ),
+    "all begin seldom": (
+        sound_streams(20, 9, ALIKE_S) + sound_streams(20, 18, BEFORE_S),
+        False,
+    ),
+    "begin at the second attempt": (
+        retried(sound_streams(20, 20, ALIKE_S)) + sound_streams(20, 20, BEFORE_S),
+        True,
+    ),
+    "others of the same time": (
+        sound_streams(20, 0, ALIKE_S)
+        + sound_streams(20, 20, ALIKE_S, OTHER_PARTS, api_key="old"),
+        True,
+    ),
+    "same key only": (
+        sound_streams(20, 0, ALIKE_S, OTHER_PARTS) + sound_streams(20, 20, BEFORE_S),
+        True,
+    ),
+    "same first part only": (
+        sound_streams(20, 0, ALIKE_S, api_key="old") + sound_streams(20, 20, BEFORE_S),
+        True,
+    ),
+    "neither": (
+        sound_streams(20, 0, ALIKE_S, OTHER_PARTS, api_key="old")
+        + sound_streams(20, 20, BEFORE_S),
+        False,
+    ),
+    "few alike": (
+        sound_streams(19, 0, ALIKE_S) + sound_streams(20, 20, BEFORE_S),
+        False,
+    ),
+    "few others": (
+        sound_streams(20, 0, ALIKE_S) + sound_streams(19, 19, BEFORE_S),
+        False,
+    ),
+    "soon after the crashes": (
+        sound_streams(20, 0, COMPARED_S - 0.1) + sound_streams(20, 20, BEFORE_S),
+        False,
+    ),
+    "after the last request with the part": (
+        sound_streams(20, 0, COMPARED_S + 10.1) + sound_streams(20, 20, BEFORE_S),
+        False,
+    ),
+    "during the crashes, no measure": (
+        sound_streams(20, 0, ALIKE_S) + sound_streams(20, 20, AT_S - 1),
+        False,
+    ),
+    "of another route": (
+        [replace(a, route="safe") for a in sound_streams(20, 0, ALIKE_S)]
+        + sound_streams(20, 20, BEFORE_S),
+        False,
+    ),
+    "key that no configuration has": (
+        sound_streams(20, 0, ALIKE_S, api_key="gone") + sound_streams(20, 20, BEFORE_S),
+        False,
+    ),
+    "client left before the response": (
+        [replace(a, ending=Ending.LEFT) for a in sound_streams(20, 0, ALIKE_S)]
+        + sound_streams(20, 20, BEFORE_S),
+        False,
+    ),
+    "at another process that was killed": (
+        sound_streams(20, 0, ALIKE_S, process="p2") + sound_streams(20, 20, BEFORE_S),
+        False,
+    ),
+}
+
+
+@pytest.mark.parametrize("name", SOUND_HISTORIES)
+def test_lost_beside_parts(name):
+    streams, is_broken = SOUND_HISTORIES[name]
+    tainted = [with_part(1, AT_S - 4), with_part(2, COMPARED_S + 10)]
+    killed = unplanned(FaultKind.KILL, "p2", ALIKE_S - 1)
+    seen = history([*tainted, *streams], [], [killed], crashes=CRASHES)
+    assert oracle.lost_beside_parts(seen).is_broken == is_broken
+
+
+def test_lost_beside_parts_counts_from_the_last_crash_if_there_are_fewer_than_five():
+    streams = sound_streams(20, 0, ALIKE_S) + sound_streams(20, 20, BEFORE_S)
+    tainted = [with_part(1, AT_S - 4), with_part(2, COMPARED_S + 10)]
+    for last_s, is_broken in ((AT_S + 0.9, True), (AT_S + 1.1, False)):
+        crashes = (CRASHES[0], replace(CRASHES[0], at_s=last_s))
+        seen = history([*tainted, *streams], crashes=crashes)
+        assert oracle.lost_beside_parts(seen).is_broken == is_broken
+    # A crash after the fifth one does not change the time.
+    crashes = (*CRASHES, replace(CRASHES[0], at_s=AT_S + 1.1))
+    seen = history([*tainted, *streams], crashes=crashes)
+    assert oracle.lost_beside_parts(seen).is_broken
+
+
+def test_requests_on_which_engines_crash_are_no_measure_of_resumed_streams():
+    first = stream("11", id="first", ending=Ending.CLOSED)
+    resumed = [
+        stream("1", [3], id=f"a{number}", resumes="first", last_event=2)
+        for number in range(12)
+    ]
+    resumed[5:] = [replace(a, status=503, events=()) for a in resumed[5:]]
+    tainted = [with_part(number, AT_S + 1) for number in range(3)]
+    serving = tuple(Target(f"t{n}", "llm", "1", 0.0) for n in range(2))
+    for crashes, is_broken in ((CRASHES, True), ((), False)):
+        seen = history([first, *resumed, *tainted], targets=serving, crashes=crashes)
+        assert oracle.lost_resumptions(seen).is_broken == is_broken
+
+
 SECOND_RUN = run(target="t2")
 REJECTED = run(target="t2", end=RequestEnd.REJECTED)
 ABORTED = run(target="t3", end=RequestEnd.ABORTED)
@@ -461,6 +713,24 @@
         ),
         False,
     ),
+    "after the crash of the target that asked for the pause": (
+        "sent_within_pause",
+        history(
+            [attempt()],
+            [PAUSE, *WITHIN_PAUSE],
+            crashes=(EngineCrash("t1", "bad", AT_S + 1.5),),
+        ),
+        False,
+    ),
+    "after the crash of another target": (
+        "sent_within_pause",
+        history(
+            [attempt()],
+            [PAUSE, *WITHIN_PAUSE],
+            crashes=(EngineCrash("t2", "bad", AT_S + 1.5),),
+        ),
+        True,
+    ),
     "stopped": ("process_ends", history([], [], [STOP], processes=ENDED), False),
     "stopped with an error": (
         "process_ends",
@@ -519,6 +789,8 @@
         "lost_beside_configuration",
         "lost_on_kept_connection",
         "lost_resumptions",
+        "lost_beside_parts",
+        "parts_after_crashes",
         "old_configuration",
     }
     assert checks == tested
