Soak oracle: only targets of its own service can take up a stream

Cause: lost_resumptions counted the plain services' targets, which have a software version of the same name, among those that can take up a stream. Change: a target counts if its service and version are those that wrote the events. The bounds are the same.

--- a/tools/burdockhaven_bench/soak/oracle.py
+++ b/tools/burdockhaven_bench/soak/oracle.py
@@ -220,7 +220,11 @@
     """Streams that clients took up again, if they go on less often than new ones."""
     resumed: list[Attempt] = []
     new: list[Attempt] = []
-    versions = {a.id: {e.version for e in a.events} for a in history.attempts}
+    services = {target.id: target.service for target in history.targets}
+    origins = {
+        attempt.id: {(services.get(e.target), e.version) for e in attempt.events}
+        for attempt in history.attempts
+    }
     crashing_parts = {crash.part for crash in history.crashes}
     for attempt in history.attempts:
         if (
@@ -234,7 +238,7 @@
         if not attempt.resumes:
             if crashing_parts.isdisjoint(attempt.parts):
                 new.append(attempt)
-        elif _can_go_on(history, versions.get(attempt.resumes, set()), attempt.sent_s):
+        elif _can_go_on(history, origins.get(attempt.resumes, set()), attempt.sent_s):
             resumed.append(attempt)
     failed = [a for a in resumed if not _goes_on(a)]
     part = _part(len(resumed) - len(failed), len(resumed))
@@ -762,12 +766,14 @@
     return count / total if total else 1.0
 
 
-def _can_go_on(history: History, versions: set[str], at_s: float) -> bool:
-    """Whether two targets of the software version that began the stream serve."""
+def _can_go_on(
+    history: History, origins: set[tuple[str | None, str]], at_s: float
+) -> bool:
+    """Whether two targets of the service and version that began the stream serve."""
     serving = [
         target
         for target in history.targets
-        if target.version in versions
+        if (target.service, target.version) in origins
         and target.started_s + STABLE_S <= at_s < min(target.draining_s, target.ended_s)
     ]
     return len(serving) >= MIN_TARGETS_OF_VERSION
--- a/tools/tests/test_soak_oracle.py
+++ b/tools/tests/test_soak_oracle.py
@@ -242,6 +242,21 @@
     assert oracle.lost_resumptions(seen).is_broken == is_broken
 
 
+def test_targets_of_another_service_do_not_take_up_a_stream():
+    first = stream("11", id="first", ending=Ending.CLOSED)
+    refused = [
+        attempt(
+            id=f"a{number}", route="stream", status=503, resumes="first", last_event=2
+        )
+        for number in range(12)
+    ]
+    began = Target("t1", "llm", "1", 0.0, ended_s=AT_S)
+    for service, is_broken in (("app", False), ("llm", True)):
+        others = [Target(f"u{number}", service, "1", 0.0) for number in range(4)]
+        seen = history([first, *refused], targets=(began, *others))
+        assert oracle.lost_resumptions(seen).is_broken == is_broken
+
+
 # Times of crashes on a part; the fifth one is known to all members 3 s later.
 CRASHES = tuple(EngineCrash("t1", "bad", AT_S - second) for second in (4, 3, 2, 1, 0))
 FIFTH_KNOWN_S = AT_S + 3
