--- a/tools/burdockhaven_bench/soak/plan.py
+++ b/tools/burdockhaven_bench/soak/plan.py
@@ -2,6 +2,9 @@
 
 import random
 from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
 
 from burdockhaven_bench.soak.history import FaultKind
 
@@ -116,6 +119,16 @@
         return cls(seed, duration_s, tuple(kept))
 
 
+def write_plan(plan: Plan, path: Path) -> None:
+    """Write a plan, to play it again."""
+    path.write_bytes(msgspec.json.format(msgspec.json.encode(plan)))
+
+
+def read_plan(path: Path) -> Plan:
+    """Read a plan; raises `msgspec.DecodeError` if it is none."""
+    return msgspec.json.decode(path.read_bytes(), type=Plan)
+
+
 def _draw_phase(
     rng: random.Random,
     kinds: tuple[FaultKind, ...],
