Streams resumed after a start of all members wait for certainty

Cause: with one software version, the version that began a stream is certain 2.2 s after all members have started. A stream that its client takes up again before was refused at once, with a fixed Retry-After of 1 s that led into the next refusal.

Change: `sole_version` says when the only version will be certain. The stream waits for it if its client does and half of the objective is left for the first event; otherwise it is refused at once and told when to come back. It decides by the same rule as before, asked anew after the wait: another version seen here or by any member, an outage of the store or a member that doesn't reply ends or prolongs the wait. Streams that wait share one question. Log event 306 has `origin_ms`.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/stream_origins.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/stream_origins.py
@@ -10,8 +10,9 @@
 import heapq
 import math
 from collections.abc import Iterable
+from dataclasses import dataclass
 
-from burdockhaven_core.scheduling.member_list import MemberView
+from burdockhaven_core.scheduling.member_list import MEMBER_TIMEOUT_S, MemberView
 from burdockhaven_core.scheduling.peer_messages import (
     MemberId,
     StreamOrigin,
@@ -151,24 +152,46 @@
                 self.last_seen_s[service, version] = now
 
 
+@dataclass(frozen=True, slots=True)
+class SoleVersion:
+    """The only software version of a service that members have seen."""
+
+    # Empty if they have seen none, or more than one.
+    software_version: str
+    # Seconds until it is certain if no other is seen meanwhile; infinite without one.
+    certain_in_s: float
+
+    @property
+    def is_certain(self) -> bool:
+        """Whether no other version can have served within the window."""
+        return self.certain_in_s <= 0.0
+
+
+NO_SOLE_VERSION = SoleVersion("", math.inf)
+
+
 def sole_version(
     observations: Iterable[VersionObservation], window_s: float, are_all_heard: bool
-) -> str:
-    """Return the only version that members have seen; empty if that is not certain.
+) -> SoleVersion:
+    """Return the only version that members have seen, and when it is certain.
 
     Certain is one that a member has seen alone for the whole window. After a start of
     all members nobody has; then it suffices that all members have replied and one has
-    been in sync for as long as live targets need to register again.
+    been in sync for as long as live targets need to register again. A member that does
+    not reply now does later, or times out.
     """
     known: set[str] = set()
     complete_for_s = 0.0
     for observation in observations:
         known.update(observation.versions)
         complete_for_s = max(complete_for_s, observation.complete_for_s)
-    needed_s = OUTAGE_GRACE_S if are_all_heard else window_s
-    if complete_for_s < min(needed_s, window_s) or len(known) != 1:
-        return ""
-    return known.pop()
+    if len(known) != 1 or complete_for_s <= 0.0:
+        return NO_SOLE_VERSION
+    settled_in_s = OUTAGE_GRACE_S - complete_for_s
+    if not are_all_heard:
+        settled_in_s = max(settled_in_s, MEMBER_TIMEOUT_S)
+    certain_in_s = min(settled_in_s, window_s - complete_for_s)
+    return SoleVersion(known.pop(), max(0.0, certain_in_s))
 
 
 def pick_backups(
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/request_log.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/request_log.py
@@ -32,6 +32,7 @@
         software_versions=", ".join(trace.software_versions),
         resumes=routed.client_request.resumed_attempt_id or "",
         origin=trace.origin or "",
+        origin_ms=round(trace.origin_s * MS_PER_S),
         sends=trace.sends,
         prompt_tokens=routed.client_request.prompt_tokens or 0,
         output_tokens=routed.client_request.max_output_tokens or 0,
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/routed_request.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/routed_request.py
@@ -21,6 +21,8 @@
     software_versions: list[str] = field(default_factory=list)
     # How the origin of the resumed stream became known; None if none is resumed.
     origin: OriginSource | None = None
+    # Seconds from the arrival until then.
+    origin_s: float = 0.0
     sends: int = 0
     # Seconds from placement requests to their decisions, including time in a broker's
     # queue, summed over all placements; of a plain request, those without a target.
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_continuation.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_continuation.py
@@ -13,10 +13,11 @@
 )
 from burdockhaven_entry.gateway.responses import UNAVAILABLE, not_run_response
 from burdockhaven_entry.gateway.routed_request import RoutedRequest
+from burdockhaven_entry.gateway.stream_state import StreamState
 
-# Retry-After in seconds if the origin of a stream is unknown: a member that was
-# unreachable for a moment may know it.
-UNKNOWN_ORIGIN_RETRY_S = 1.0
+# Fraction of a route's objective that is left for the first event of a run when a
+# resumed stream waits for its software version.
+FIRST_EVENT_FRACTION = 0.5
 
 
 def is_resumed(routed: RoutedRequest) -> bool:
@@ -28,6 +29,12 @@
     )
 
 
+def latest_begin_s(stream: StreamState) -> float:
+    """Return when the next run has to begin so that the client still waits for it."""
+    first_event_s = FIRST_EVENT_FRACTION * stream.routed.route.objective_s
+    return stream.give_up_s - first_event_s
+
+
 def continue_at(
     requirements: PlacementRequirements, origin: StreamOrigin
 ) -> PlacementRequirements:
@@ -88,11 +95,13 @@
     return "no engine available within the deadline"
 
 
-def unknown_origin_response(routed: RoutedRequest) -> web.Response:
+def unknown_origin_response(
+    routed: RoutedRequest, retry_after_s: float
+) -> web.Response:
     """Return the refusal to resume a stream whose software version is unknown."""
     return not_run_response(
         UNAVAILABLE,
         "the software version that began the stream is unknown",
         routed.client_request.attempt_id,
-        UNKNOWN_ORIGIN_RETRY_S,
+        retry_after_s,
     )
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -35,6 +35,7 @@
     continue_at,
     has_granted_version,
     is_resumed,
+    latest_begin_s,
     refusal_reason,
     resume_at,
     unknown_origin_response,
@@ -92,11 +93,15 @@
             async with routed.time_limit:
                 if is_resumed(routed):
                     found = await self.origins.find(
-                        routed.client_request, routed.route, routed.service
+                        routed.client_request,
+                        routed.route,
+                        routed.service,
+                        latest_begin_s(stream),
                     )
                     routed.trace.origin = found.source
+                    routed.trace.origin_s = self.state.clock() - routed.arrived_s
                     if found.origin is None:
-                        return unknown_origin_response(routed)
+                        return unknown_origin_response(routed, found.retry_after_s)
                     routed = dataclasses.replace(routed, service=found.origin.service)
                     stream.requirements = resume_at(stream.requirements, found.origin)
                 return await self._forward_with_retries(routed, stream)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_origin_directory.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_origin_directory.py
@@ -2,10 +2,13 @@
 
 A member that carries a stream sends its origin to a few backups, so that it survives
 the member. Streams are resumed seldom, so the questions go to all members: that needs
-no agreement on who keeps which origin.
+no agreement on who keeps which origin. If no record is found, a stream waits for its
+service's only version to be certain, as long as its client does.
 """
 
 import asyncio
+import dataclasses
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -23,6 +26,7 @@
 from burdockhaven_core.scheduling.routing import Route
 from burdockhaven_core.scheduling.stream_origins import (
     BACKUP_COUNT,
+    SoleVersion,
     StreamOrigins,
     pick_backups,
     sole_version,
@@ -38,6 +42,16 @@
 MAX_ATTEMPTS = 2
 # Streams in one message, which stays below the size that fits into one packet.
 MAX_STREAMS_PER_MESSAGE = 100
+# Seconds between two looks, during a wait for a version to be certain, at whether it is
+# still the only one.
+VERSION_CHECK_INTERVAL_S = 0.1
+# Seconds by which such a wait is longer, so that rounding doesn't begin another one.
+ROUNDING_MARGIN_S = 0.001
+# Retry-After in seconds if the origin of a stream is unknown and nothing is known that
+# will make it certain: a member that was unreachable for a moment may know it.
+UNKNOWN_ORIGIN_RETRY_S = 1.0
+# Seconds over which clients spread that may return once a version is certain.
+CERTAIN_RETRY_SPREAD_S = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +61,8 @@
     # None if it is not known.
     origin: StreamOrigin | None
     source: OriginSource
+    # Seconds after which it may be known; 0 if it is.
+    retry_after_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -87,6 +103,8 @@
     carried: StreamOrigins = field(default_factory=StreamOrigins)
     backups: list[MemberId] = field(default_factory=list)
     questions: dict[int, _Question] = field(default_factory=dict)
+    # Questions about the versions of a service, shared by the streams that wait.
+    version_questions: dict[str, asyncio.Task[_Question]] = field(default_factory=dict)
     last_number: int = 0
 
     def record(self, client_request: ClientRequest, origin: StreamOrigin) -> None:
@@ -130,35 +148,93 @@
             self.send(node, _record_message(part))
 
     async def find(
-        self, client_request: ClientRequest, route: Route, service: str
+        self,
+        client_request: ClientRequest,
+        route: Route,
+        service: str,
+        latest_s: float,
     ) -> FoundOrigin:
         """Return the origin of the stream that a client resumes at the service.
 
-        If the route has moved to another service since, the software version counts.
+        Waits for it to be certain, but not if that is later than `latest_s`. If the
+        route has moved to another service since, the software version counts.
         """
+        found = await self._find(client_request, service, latest_s)
+        origin = found.origin
+        if origin is not None and all(
+            share.service != origin.service for share in route.shares
+        ):
+            origin = StreamOrigin(service, origin.software_version)
+        return dataclasses.replace(found, origin=origin)
+
+    async def _find(
+        self, client_request: ClientRequest, service: str, latest_s: float
+    ) -> FoundOrigin:
         key = 0
         if client_request.resumed_attempt_id is not None:
             key = stream_key(client_request.resumed_attempt_id)
-        now = self.state.clock()
-        origin = self.state.stream_origins.find(key, now) if key else None
-        source = OriginSource.OWN
-        question = None
-        if origin is None:
-            question = await self._ask_members(key, service)
-            origin, source = question.origin, OriginSource.MEMBER
-        if origin is None and question is not None:
-            version = sole_version(
-                [self._observe(service), *question.observations],
-                self.state.stream_origins.ttl_s,
-                are_all_heard=not question.missing,
-            )
-            origin = StreamOrigin(service, version) if version else None
-            source = OriginSource.SOLE_VERSION
-        if origin is None:
-            return FoundOrigin(None, OriginSource.UNKNOWN)
-        if all(share.service != origin.service for share in route.shares):
-            origin = StreamOrigin(service, origin.software_version)
-        return FoundOrigin(origin, source)
+        own = self._find_own(key)
+        if own is not None:
+            return FoundOrigin(own, OriginSource.OWN)
+        question = await self._ask_members(key, service)
+        while question.origin is None:
+            sole = self._sole_version(service, question)
+            if sole.is_certain:
+                origin = StreamOrigin(service, sole.software_version)
+                return FoundOrigin(origin, OriginSource.SOLE_VERSION)
+            certain_s = self.state.clock() + sole.certain_in_s + ROUNDING_MARGIN_S
+            if certain_s > latest_s or not (
+                await self._wait_while_sole(service, sole, certain_s)
+            ):
+                retry_after_s = self._retry_after_s(service, sole)
+                return FoundOrigin(None, OriginSource.UNKNOWN, retry_after_s)
+            own = self._find_own(key)
+            if own is not None:
+                return FoundOrigin(own, OriginSource.OWN)
+            question = await self._ask_about_versions(service)
+        return FoundOrigin(question.origin, OriginSource.MEMBER)
+
+    def _find_own(self, key: int) -> StreamOrigin | None:
+        if not key:
+            return None
+        return self.state.stream_origins.find(key, self.state.clock())
+
+    def _sole_version(self, service: str, question: _Question) -> SoleVersion:
+        return sole_version(
+            [self._observe(service), *question.observations],
+            self.state.stream_origins.ttl_s,
+            are_all_heard=not question.missing,
+        )
+
+    async def _wait_while_sole(
+        self, service: str, sole: SoleVersion, until_s: float
+    ) -> bool:
+        """Wait; False at once if this member sees another version meanwhile."""
+        while self._is_sole(service, sole):
+            left_s = until_s - self.state.clock()
+            if left_s <= 0.0:
+                return True
+            await asyncio.sleep(min(left_s, VERSION_CHECK_INTERVAL_S))
+        return False
+
+    def _is_sole(self, service: str, sole: SoleVersion) -> bool:
+        return {sole.software_version}.issuperset(self._observe(service).versions)
+
+    def _retry_after_s(self, service: str, sole: SoleVersion) -> float:
+        if math.isinf(sole.certain_in_s) or not self._is_sole(service, sole):
+            return UNKNOWN_ORIGIN_RETRY_S
+        spread_s = self.state.rng.uniform(0.0, CERTAIN_RETRY_SPREAD_S)
+        return sole.certain_in_s + ROUNDING_MARGIN_S + spread_s
+
+    async def _ask_about_versions(self, service: str) -> _Question:
+        """Ask for the versions of a service, once for all streams that ask now."""
+        task = self.version_questions.get(service)
+        if task is None:
+            task = asyncio.create_task(self._ask_members(0, service))
+            self.version_questions[service] = task
+            task.add_done_callback(lambda _: self.version_questions.pop(service))
+        # The other streams need the answer also if this one is cancelled.
+        return await asyncio.shield(task)
 
     def on_message(self, message: OriginMessage) -> None:
         """Handle a message of another member."""
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
@@ -198,6 +198,8 @@
             "if it resumes none",
             "origin": "how the version that began a resumed stream became known: own, "
             "member, sole_version or unknown; empty if none is resumed",
+            "origin_ms": "time from arrival until that was known or given up; 0 if "
+            "none is resumed",
             "sends": "number of sends to targets",
             "prompt_tokens": "number of tokens in the prompt",
             "output_tokens": "maximum number of tokens in the answer",
--- a/packages/burdockhaven-entry/tests/gateway/test_stream_origin_directory.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_stream_origin_directory.py
@@ -30,6 +30,8 @@
 from burdockhaven_entry.gateway.stream_origin_directory import (
     MAX_ATTEMPTS,
     REPLY_TIMEOUT_S,
+    ROUNDING_MARGIN_S,
+    VERSION_CHECK_INTERVAL_S,
     StreamOriginDirectory,
 )
 from burdockhaven_entry.platform import ClientRequest
@@ -94,12 +96,19 @@
     def begin(self, attempt, origin=V1, resumes=None):
         self.directory.record(client_request(attempt, resumes), origin)
 
-    async def find(self, resumes, served_route=None):
-        found = await self.directory.find(
-            client_request("later", resumes), served_route or route(), ENGINES
-        )
+    async def find(self, resumes, served_route=None, patience_s=0.0):
+        found = await self.ask(resumes, served_route, patience_s)
         return found.origin, found.source
 
+    async def ask(self, resumes, served_route=None, patience_s=0.0):
+        """Find an origin for a client that waits this long for it to be certain."""
+        return await self.directory.find(
+            client_request("later", resumes),
+            served_route or route(),
+            ENGINES,
+            self.state.clock() + patience_s,
+        )
+
 
 class Network:
     """Members that exchange datagrams; some are lost, held back or cut off."""
@@ -326,6 +335,156 @@
     play(scenario)
 
 
+def restart_all(network, *versions):
+    network.kill(*range(MEMBERS))
+    members = [network.restart(number) for number in range(MEMBERS)]
+    for member in members:
+        member.sync(*versions)
+    return members
+
+
+# Guards against LOST: streams resumed just after a start of all members are refused.
+@pytest.mark.parametrize("elapsed_s", [0.1, 0.7, 2.0])
+def test_resumed_stream_waits_until_the_sole_version_is_certain(elapsed_s):
+    async def scenario(network):
+        members = restart_all(network, "v1")
+        began_s = network.clock()
+        await asyncio.sleep(elapsed_s)
+        patience_s = OUTAGE_GRACE_S - elapsed_s + 2 * ROUNDING_MARGIN_S
+        found = await members[0].find("a1", patience_s=patience_s)
+        assert found == (V1, OriginSource.SOLE_VERSION)
+        assert network.clock() - began_s >= OUTAGE_GRACE_S
+
+    play(scenario)
+
+
+# Guards against a stream that is held although its version can't be certain in time.
+@pytest.mark.parametrize("elapsed_s", [0.1, 0.7, 2.0])
+def test_resumed_stream_does_not_wait_in_vain(elapsed_s):
+    async def scenario(network):
+        members = restart_all(network, "v1")
+        await asyncio.sleep(elapsed_s)
+        asked_s = network.clock()
+        left_s = OUTAGE_GRACE_S - elapsed_s
+        found = await members[0].ask("a1", patience_s=left_s - 0.1)
+        assert found.origin is None
+        assert network.clock() - asked_s < 2 * REPLY_TIMEOUT_S
+        assert found.retry_after_s >= left_s - 2 * REPLY_TIMEOUT_S
+        await asyncio.sleep(found.retry_after_s)
+        assert await members[0].find("a1") == (V1, OriginSource.SOLE_VERSION)
+
+    play(scenario)
+
+
+# Guards against ORDER: another version that shows up during the wait is overlooked.
+@pytest.mark.parametrize("seen_at", [0, 5])
+@pytest.mark.parametrize("has_left", [False, True])
+def test_version_that_shows_up_during_the_wait_ends_it(seen_at, has_left):
+    async def scenario(network):
+        members = restart_all(network, "v1")
+        await asyncio.sleep(0.1)
+        asked_s = network.clock()
+        asking = asyncio.create_task(members[0].find("a1", patience_s=10.0))
+        await asyncio.sleep(0.5)
+        members[seen_at].sync("v1", "v2")
+        if has_left:
+            members[seen_at].state.registry.remove("i-1", network.clock())
+            members[seen_at].state.publish_targets()
+        shown_s = network.clock()
+        assert await asking == (None, OriginSource.UNKNOWN)
+        if seen_at == 0:
+            assert network.clock() - shown_s <= VERSION_CHECK_INTERVAL_S
+        assert network.clock() - asked_s < OUTAGE_GRACE_S + 2 * REPLY_TIMEOUT_S
+
+    play(scenario)
+
+
+# Guards against ORDER: an outage of the store during the wait is overlooked.
+@pytest.mark.parametrize("returns_after_s", [None, 0.5])
+def test_outage_of_the_store_during_the_wait_begins_it_anew(returns_after_s):
+    async def scenario(network):
+        member = network[0]
+        member.sync("v1")
+        await asyncio.sleep(0.1)
+        patience_s = 2 * OUTAGE_GRACE_S
+        asking = asyncio.create_task(member.find("a1", patience_s=patience_s))
+        await asyncio.sleep(1.0)
+        member.state.in_sync = False
+        member.state.publish_targets()
+        if returns_after_s is None:
+            assert await asking == (None, OriginSource.UNKNOWN)
+            return
+        await asyncio.sleep(returns_after_s)
+        member.sync("v1")
+        returned_s = network.clock()
+        assert await asking == (V1, OriginSource.SOLE_VERSION)
+        assert network.clock() - returned_s >= OUTAGE_GRACE_S
+
+    play(scenario, count=1)
+
+
+# Guards against a stream that is held while nothing makes its version certain.
+@pytest.mark.parametrize("versions", [(), ("v1", "v2")])
+@pytest.mark.parametrize("is_in_sync", [False, True])
+def test_resumed_stream_waits_only_for_a_sole_version(versions, is_in_sync):
+    async def scenario(network):
+        member = network[0]
+        member.sync(*versions)
+        await asyncio.sleep(0.1)
+        member.state.in_sync = is_in_sync
+        member.state.publish_targets()
+        asked_s = network.clock()
+        found = await member.find("a1", patience_s=10.0)
+        assert found == (None, OriginSource.UNKNOWN)
+        assert network.clock() == asked_s
+
+    play(scenario, count=1)
+
+
+# Guards against ORDER: after the wait a member decides without one that doesn't reply.
+def test_wait_goes_on_while_a_member_does_not_reply():
+    async def scenario(network):
+        members = restart_all(network, "v1")
+        await asyncio.sleep(OUTAGE_GRACE_S - 0.1)
+        network.kill(4)
+        killed_s = network.clock()
+        found = await members[0].find("a1", patience_s=OUTAGE_GRACE_S)
+        assert found == (V1, OriginSource.SOLE_VERSION)
+        assert network.clock() - killed_s >= MEMBER_TIMEOUT_S
+
+    play(scenario)
+
+
+# Guards against ORDER and LOST: the record of a stream arrives while its client waits.
+def test_record_that_arrives_during_the_wait_counts():
+    async def scenario(network):
+        members = restart_all(network, "v1")
+        await asyncio.sleep(0.1)
+        asking = asyncio.create_task(members[0].find("a1", patience_s=10.0))
+        await asyncio.sleep(0.5)
+        members[0].begin("a1", V2)
+        assert await asking == (V2, OriginSource.OWN)
+
+    play(scenario)
+
+
+# Guards against a flood of questions when the wait of many streams ends at once.
+def test_streams_that_wait_ask_once_together():
+    async def scenario(network):
+        members = restart_all(network, "v1")
+        await asyncio.sleep(0.1)
+        streams = [
+            asyncio.create_task(members[0].find(f"a{number}", patience_s=10.0))
+            for number in range(100)
+        ]
+        await asyncio.sleep(1.0)
+        before = network.sent["FindOrigin"]
+        assert set(await asyncio.gather(*streams)) == {(V1, OriginSource.SOLE_VERSION)}
+        assert network.sent["FindOrigin"] - before <= MAX_ATTEMPTS * MEMBERS
+
+    play(scenario)
+
+
 # Guards against ORDER: a member that has just started decides without the others.
 def test_recent_view_alone_is_not_enough_while_a_member_does_not_reply():
     async def scenario(network):
--- a/packages/burdockhaven-entry/tests/gateway/test_stream_versions.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_stream_versions.py
@@ -1,9 +1,12 @@
 import contextlib
+import time
 
 import aiohttp
 import pytest
 from gateway_fixtures import ATTEMPT, Gateway, Script, stream_events
 
+from burdockhaven_core.scheduling.target_registry import OUTAGE_GRACE_S
+
 BREAK = stream_events(1, 3, end=False, reset=True)
 REST = stream_events(4, 6)
 
@@ -140,3 +143,27 @@
     assert response is not None and response.status == 503
     assert "Retry-After" in response.headers
     assert gateway.received == []
+
+
+# Guards against LOST: streams resumed just after a start of all members are refused.
+@pytest.mark.parametrize(
+    ("versions", "left_s", "status"),
+    [
+        (("v1",), 0.2, 200),
+        # Later than the client waits.
+        (("v1",), 2.1, 503),
+        (("v1", "v2"), 0.2, 503),
+    ],
+)
+async def test_resumed_stream_waits_for_certainty_if_its_client_does(
+    start, versions, left_s, status
+):
+    gateway = await start(*versions, behaviours=(REST,))
+    history = gateway.state.version_history
+    history.complete_since_s = time.monotonic() - OUTAGE_GRACE_S + left_s
+    resumed = {ATTEMPT: "a2", "Last-Event-Id": "3", "Resumes": "a1"}
+    response = await call(gateway, **resumed)
+    assert response is not None and response.status == status
+    assert len(gateway.received) == (status == 200)
+    if status == 503:
+        assert "Retry-After" in response.headers
