Versions that began known streams count among those that have served

Cause: `VersionHistory.observe` was called nowhere. A member that carries a stream whose target it has not read from the store yet (the broker's grant names the address), or that backs it up, did not count the stream's version among those that have served, and let a stream without a record continue at the version that it had read.

Change: recording the origin of a stream, own or of another member, records its version.

Before: with version 1 read from the store by all members and a stream begun at version 2, a stream without a record continued at version 1 (both cases of test_versions_that_began_known_streams_are_counted). After: refused until a resume window has passed. Not covered: above 16 members only hubs are asked about versions.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/stream_origins.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/stream_origins.py
@@ -105,7 +105,7 @@
         self.is_first_start = is_first_start
         # Versions of the registered targets, by service.
         self.present: dict[str, set[str]] = {}
-        # When each version was last present or granted, by service and version.
+        # When each version was last present or began a stream, by service and version.
         self.last_seen_s: dict[tuple[str, str], float] = {}
         # Since when every change of the targets has been seen; None if out of sync.
         self.complete_since_s: float | None = None
@@ -125,7 +125,7 @@
         self.is_first_start = self.is_first_start and not in_sync
 
     def observe(self, service: str, software_version: str, now: float) -> None:
-        """Record a version that a broker granted, whose target may be unknown here."""
+        """Record a version that began a stream, whose target may be unknown here."""
         self.last_seen_s[service, software_version] = now
 
     def versions_within(self, service: str, window_s: float, now: float) -> set[str]:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_origin_directory.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_origin_directory.py
@@ -121,12 +121,17 @@
         ):
             if attempt_id is not None:
                 key = stream_key(attempt_id)
-                self.state.stream_origins.record(key, origin, now)
+                self._record(key, origin, now)
                 self.carried.record(key, origin, now)
                 self.pending[key] = origin
         if was_empty:
             self.on_pending()
 
+    def _record(self, key: int, origin: StreamOrigin, now: float) -> None:
+        self.state.stream_origins.record(key, origin, now)
+        # The target that began the stream may be unknown here.
+        self.state.version_history.observe(origin.service, origin.software_version, now)
+
     def flush(self) -> None:
         """Send the origins recorded since the last call to the backups.
 
@@ -183,14 +188,15 @@
                 origin = StreamOrigin(service, sole.software_version)
                 return FoundOrigin(origin, OriginSource.SOLE_VERSION)
             certain_s = self.state.clock() + sole.certain_in_s + ROUNDING_MARGIN_S
-            if certain_s > latest_s or not (
+            is_sole = certain_s <= latest_s and (
                 await self._wait_while_sole(service, sole, certain_s)
-            ):
-                retry_after_s = self._retry_after_s(service, sole)
-                return FoundOrigin(None, OriginSource.UNKNOWN, retry_after_s)
+            )
             own = self._find_own(key)
             if own is not None:
                 return FoundOrigin(own, OriginSource.OWN)
+            if not is_sole:
+                retry_after_s = self._retry_after_s(service, sole)
+                return FoundOrigin(None, OriginSource.UNKNOWN, retry_after_s)
             question = await self._ask_about_versions(service)
         return FoundOrigin(question.origin, OriginSource.MEMBER)
 
@@ -243,8 +249,7 @@
             case RecordOrigins():
                 for key, index in message.streams:
                     if 0 <= index < len(message.origins):
-                        origin = message.origins[index]
-                        self.state.stream_origins.record(key, origin, now)
+                        self._record(key, message.origins[index], now)
             case FindOrigin():
                 self._reply(message, now)
             case OriginReply():
--- a/packages/burdockhaven-entry/tests/gateway/test_stream_origin_directory.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_stream_origin_directory.py
@@ -649,6 +649,28 @@
     play(scenario)
 
 
+# Guards against ORDER: a version is overlooked whose targets no member has read yet.
+@pytest.mark.parametrize("knows", ["carrier", "backup"])
+def test_versions_that_began_known_streams_are_counted(knows):
+    async def scenario(network):
+        for member in network.members.values():
+            member.sync("v1")
+        await asyncio.sleep(PAST_WINDOW_S)
+        network[1].begin("a1", V2)
+        await settle()
+        carrier, backups = network[1], backup_nodes(network[1])
+        if knows == "backup":
+            network.kill(1)
+            await asyncio.sleep(MEMBER_TIMEOUT_S + HEARTBEAT_INTERVAL_S)
+            carrier = network.members[backups[0]]
+        for asker in (carrier, network[2]):
+            assert (await asker.find(None))[0] is None
+        await asyncio.sleep(PAST_WINDOW_S)
+        assert (await network[2].find(None))[0] == V1
+
+    play(scenario)
+
+
 def test_sole_version_is_not_certain_after_an_outage_of_the_store():
     async def scenario(network):
         member = network[0]
