Record which software versions have served in the store

Cause: after a kill of all members nothing tells which versions had served. A resumed stream without an origin waited for 2.2 s at best, longer than clients of a short objective bear; and if the last engine of a version had left meanwhile, a stream that it began continued at the version that was left.

Change: the store has one record for each service, written under a condition when its versions change, before a new version gets into the broker. A resumed stream without an origin is checked against a read of the record that begins after the stream arrived: one version recorded and seen is certain at once, two are refused, also after the 2.2 s. Records of an older copy of the store, and first ones, are not used for a window. A version that has gone is removed in two steps, so that one that returns is kept.

Ruled out: removal after the time a version has been known as retiring (a member that missed its return in between removed it while it was used; found by test_version_that_returns_is_recorded_while_it_is_used at 59 and 61 s). The time since the record's last write counts instead.

Before, with the question to the record patched out: six cases of test_stream_origin_directory fail, two of them with a stream at the wrong version (test_version_that_ended_with_all_members_is_known_from_the_record), and three real daemons refuse streams resumed after a kill of all (test_streams_go_on_after_a_kill_of_all_members: the first of 8 answered 503).

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/stream_origins.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/stream_origins.py
@@ -136,6 +136,14 @@
             if seen_service == service and now - seen_s <= window_s
         }
 
+    def recent(self, window_s: float, now: float) -> set[tuple[str, str]]:
+        """Return all versions, with their services, that served within the window."""
+        return {
+            (service, version)
+            for service in self.present.keys() | {seen for seen, _ in self.last_seen_s}
+            for version in self.versions_within(service, window_s, now)
+        }
+
     def complete_for_s(self, now: float) -> float:
         """Return the seconds for which no change was missed; 0 if out of sync."""
         return 0.0 if self.complete_since_s is None else now - self.complete_since_s
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -36,6 +36,7 @@
 from burdockhaven_entry.gateway.stream_forwarding import StreamForwarder
 from burdockhaven_entry.gateway.stream_origin_directory import StreamOriginDirectory
 from burdockhaven_entry.gateway.target_client import TargetClient
+from burdockhaven_entry.gateway.version_recorder import VersionRecorder
 from burdockhaven_entry.log_events import log
 from burdockhaven_entry.platform import (
     MEMBERS_PREFIX,
@@ -108,10 +109,12 @@
             zone=state.settings.zone,
             paused_targets=state.paused_targets,
         )
+        self.version_recorder = VersionRecorder.create(state, self.store)
         self.stream_origins = StreamOriginDirectory(
             state,
             lambda node, message: self.membership.send(node, message),
             self._schedule_origins,
+            self.version_recorder.find,
         )
         self.queue_poller = QueuePoller(self.timer, state.broker, self.placement_client)
         self.membership = Membership(
@@ -287,6 +290,7 @@
             )
         )
         self.spawn(self._discover_members())
+        self.spawn(self.version_recorder.run())
 
     async def _discover_members(self) -> None:
         """Probe the members registered in the store; later ones probe this one."""
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
@@ -1,7 +1,7 @@
 """Shared state of one gateway process: settings, members, targets, quotas, routes."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
 
 from burdockhaven_core.scheduling import (
@@ -28,6 +28,7 @@
 )
 from burdockhaven_core.scheduling.target_limits import broker_rates, member_rates
 from burdockhaven_core.scheduling.target_signals import TargetSignals
+from burdockhaven_core.scheduling.version_records import VersionHold
 from burdockhaven_entry.gateway.gateway_metrics import GatewayMetrics
 from burdockhaven_entry.gateway.store_era import StoreEras
 from burdockhaven_entry.gateway.target_signal_log import TargetSignalLog
@@ -68,6 +69,10 @@
     # Software versions that began streams, and that have served.
     stream_origins: StreamOrigins
     version_history: VersionHistory
+    # Keeps versions out of use until they are recorded; None if they are not recorded.
+    version_hold: VersionHold | None = None
+    # Called after each change of the targets or of the configuration.
+    on_targets_published: Callable[[], None] = lambda: None
     # The configuration in force and its encoded form; None and empty before the first.
     table: RoutingTable | None = None
     table_bytes: bytes = b""
@@ -250,12 +255,31 @@
 
     def publish_targets(self) -> None:
         """Publish a change of the target registry to the broker and the balancer."""
-        self.broker.set_targets(self.registry.entries, set(self.registry.leaving))
+        now = self.clock()
+        leaving = set(self.registry.leaving)
+        self.broker.set_targets(self._recorded_entries(leaving, now), leaving)
         self.balancer.retain(self.registry.entries)
         self.target_signals.retain(self.registry.entries)
-        now = self.clock()
         self.version_history.update(self.registry.entries.values(), self.in_sync, now)
         self.version_history.discard_older(self.stream_origins.ttl_s, now)
+        self.on_targets_published()
+
+    def _recorded_entries(
+        self, leaving: set[str], now: float
+    ) -> Mapping[str, TargetEntry]:
+        """Return the entries without those of versions that are not recorded yet."""
+        hold = self.version_hold
+        if hold is None:
+            return self.registry.entries
+        hold.services = frozenset(self._resumable_services())
+        # Before the change that is published now: a version that returns is not known.
+        hold.retain(self.version_history.recent(self.stream_origins.ttl_s, now))
+        return hold.usable(self.registry.entries, leaving)
+
+    def _resumable_services(self) -> Iterator[str]:
+        for route in () if self.table is None else self.table.routes:
+            if route.resumable:
+                yield from (share.service for share in route.shares)
 
     def apply_table(self, table: RoutingTable, data: bytes) -> bool:
         """Put a configuration in force if it is newer; returns whether it was."""
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_origin_directory.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_origin_directory.py
@@ -9,7 +9,7 @@
 import asyncio
 import dataclasses
 import math
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 from burdockhaven_core.scheduling.member_list import MemberView
@@ -26,12 +26,17 @@
 from burdockhaven_core.scheduling.routing import Route
 from burdockhaven_core.scheduling.stream_origins import (
     BACKUP_COUNT,
+    NO_SOLE_VERSION,
     SoleVersion,
     StreamOrigins,
     pick_backups,
     sole_version,
     stream_key,
 )
+from burdockhaven_core.scheduling.version_records import (
+    VersionRecord,
+    recorded_version,
+)
 from burdockhaven_entry.gateway.gateway_state import GatewayState
 from burdockhaven_entry.gateway.origin_source import OriginSource
 from burdockhaven_entry.platform import ClientRequest
@@ -89,6 +94,10 @@
             self.done.set()
 
 
+async def _find_no_record(service: str) -> VersionRecord | None:
+    return None
+
+
 @dataclass(slots=True)
 class StreamOriginDirectory:
     """Records and finds the origins of streams, here and at other members."""
@@ -98,6 +107,8 @@
     send: Callable[[str, PeerMessage], None]
     # Called when there are origins to send to the backups by `flush`.
     on_pending: Callable[[], None] = lambda: None
+    # Reads which versions of a service have served; None if that is not recorded.
+    find_record: Callable[[str], Awaitable[VersionRecord | None]] = _find_no_record
     pending: dict[int, StreamOrigin] = field(default_factory=dict)
     # Streams that this member carries or has carried, for backups that are new.
     carried: StreamOrigins = field(default_factory=StreamOrigins)
@@ -182,11 +193,14 @@
         if own is not None:
             return FoundOrigin(own, OriginSource.OWN)
         question = await self._ask_members(key, service)
+        if question.origin is None:
+            recorded = await self._recorded_version(service, question)
+            if recorded is not None:
+                return _found_sole_version(service, recorded)
         while question.origin is None:
             sole = self._sole_version(service, question)
             if sole.is_certain:
-                origin = StreamOrigin(service, sole.software_version)
-                return FoundOrigin(origin, OriginSource.SOLE_VERSION)
+                return _found_sole_version(service, sole)
             certain_s = self.state.clock() + sole.certain_in_s + ROUNDING_MARGIN_S
             is_sole = certain_s <= latest_s and (
                 await self._wait_while_sole(service, sole, certain_s)
@@ -212,6 +226,20 @@
             are_all_heard=not question.missing,
         )
 
+    async def _recorded_version(
+        self, service: str, question: _Question
+    ) -> SoleVersion | None:
+        """Return what the record of the service says; None if it doesn't help."""
+        observations = [self._observe(service), *question.observations]
+        observed = {version for seen in observations for version in seen.versions}
+        if len(observed) > 1:
+            return NO_SOLE_VERSION
+        record = await self.find_record(service)
+        if record is None:
+            return None
+        observed.update(self._observe(service).versions)
+        return recorded_version(record, frozenset(observed))
+
     async def _wait_while_sole(
         self, service: str, sole: SoleVersion, until_s: float
     ) -> bool:
@@ -320,6 +348,13 @@
             self.backups = pick_backups(self.state.member_id.node, zone, views)
 
 
+def _found_sole_version(service: str, sole: SoleVersion) -> FoundOrigin:
+    if not sole.is_certain:
+        return FoundOrigin(None, OriginSource.UNKNOWN, UNKNOWN_ORIGIN_RETRY_S)
+    origin = StreamOrigin(service, sole.software_version)
+    return FoundOrigin(origin, OriginSource.SOLE_VERSION)
+
+
 async def _wait(event: asyncio.Event, timeout_s: float) -> None:
     task = asyncio.ensure_future(event.wait())
     try:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
@@ -333,6 +333,26 @@
         "A restore of the service from a copy may go unnoticed.",
         {"value": "era as received"},
     ),
+    EventSpec(
+        EventNumber.VERSIONS_RECORDED,
+        "info",
+        "The software versions of {service} were recorded: {versions}.",
+        "Nothing; compare with the releases.",
+        {
+            "service": "service of the engines",
+            "versions": "versions that may have begun a stream that is resumed now",
+            "retiring": "those of them that have gone and are removed next",
+            "complete": "whether the record alone tells that there was no other one",
+            "era": "era of the key-value service in which it was written",
+        },
+    ),
+    EventSpec(
+        EventNumber.VERSIONS_UNREADABLE,
+        "warning",
+        "The record of software versions at {key} is not readable: {detail}.",
+        "It is written anew and of use after a resume window. Find out who wrote it.",
+        {"key": "key of the record", "detail": "what is wrong with it"},
+    ),
     EventSpec(
         EventNumber.TARGET_LEAVING,
         "info",
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/__init__.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/__init__.py
@@ -48,6 +48,7 @@
         CONFIGURATION_PREFIX,
         MEMBERS_PREFIX,
         TARGETS_PREFIX,
+        VERSIONS_PREFIX,
     )
     from burdockhaven_entry.platform.target_entry import (
         TargetEntryError,
@@ -64,6 +65,7 @@
     "READINESS_PATH",
     "SETTINGS_VARIABLE",
     "TARGETS_PREFIX",
+    "VERSIONS_PREFIX",
     "ChangeBatch",
     "ClientRequest",
     "ConfigurationError",
@@ -108,6 +110,7 @@
     "StoreItem": "burdockhaven_entry.platform.store",
     "StoreRevision": "burdockhaven_entry.platform.store",
     "TARGETS_PREFIX": "burdockhaven_entry.platform.store_keys",
+    "VERSIONS_PREFIX": "burdockhaven_entry.platform.store_keys",
     "TargetEntryError": "burdockhaven_entry.platform.target_entry",
     "TargetResponseHead": "burdockhaven_entry.platform.response_headers",
     "client_headers": "burdockhaven_entry.platform.response_headers",
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/store.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/store.py
@@ -61,9 +61,18 @@
     lease: int
 
 
+class _Written(msgspec.Struct):
+    revision: int
+
+
+class _Expected(msgspec.Struct):
+    key: str
+    revision: int
+
+
 class _Transaction(msgspec.Struct):
     writes: list[_Write]
-    expect_rev: list[Any] = []
+    expect_rev: list[_Expected] = []
     remove: list[str] = []
 
 
@@ -252,6 +261,20 @@
         )
         return result.map(lambda response: None)
 
+    async def write_if(
+        self, key: str, value: bytes, revision: int
+    ) -> Result[int, KeyValueFailure]:
+        """Write a key that lasts if its revision is the given one, 0 for a new key.
+
+        Returns its new revision.
+        """
+        encoded = base64.b64encode(value).decode()
+        body = _Transaction([_Write(key, encoded, 0)], [_Expected(key, revision)])
+        result = await self._counted_call(
+            "POST", "/-/kv-txn", _Written, body=body, step="conditional write"
+        )
+        return result.map(lambda response: response.body.revision)
+
     async def _counted_call(
         self,
         method: str,
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/store_keys.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/store_keys.py
@@ -5,3 +5,5 @@
 TARGETS_PREFIX = "servers/"
 # Prefix of the members' own entries; the platform leaves its name to the project.
 MEMBERS_PREFIX = "burdockhaven/members/"
+# Prefix of the records of software versions, by service.
+VERSIONS_PREFIX = "burdockhaven/versions/"
--- a/packages/burdockhaven-entry/tests/gateway/test_stream_origin_directory.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_stream_origin_directory.py
@@ -21,6 +21,7 @@
 )
 from burdockhaven_core.scheduling.routing import ServiceShare
 from burdockhaven_core.scheduling.target_registry import OUTAGE_GRACE_S
+from burdockhaven_core.scheduling.version_records import VersionRecord
 from burdockhaven_entry.gateway.gateway_daemon import (
     HEARTBEAT_INTERVAL_S,
     ORIGIN_DELAY_S,
@@ -79,8 +80,15 @@
             self.state,
             lambda to, message: network.send(self, to, message),
             lambda: network.call_later(ORIGIN_DELAY_S, self.flush),
+            self.find_record,
         )
 
+    async def find_record(self, service):
+        self.network.record_reads += 1
+        if self.network.record is not None:
+            await asyncio.sleep(DELAY_S)
+        return self.network.record
+
     def flush(self):
         if self.is_up:
             self.directory.flush()
@@ -121,6 +129,9 @@
         self.frozen = set()
         self.cut = set()
         self.sent = Counter()
+        # Valid record of the service in the store; None also if the store is away.
+        self.record = None
+        self.record_reads = 0
         # The last message of each type.
         self.last_sent = {}
         self.members = {}
@@ -485,6 +496,86 @@
     play(scenario)
 
 
+# Guards against LOST: streams resumed just after a start of all members are held back.
+def test_recorded_sole_version_is_certain_at_once():
+    async def scenario(network):
+        network.record = VersionRecord(1, frozenset({"v1"}), is_complete=True)
+        members = restart_all(network, "v1")
+        asked_s = network.clock()
+        assert await members[0].find("a1") == (V1, OriginSource.SOLE_VERSION)
+        assert network.clock() - asked_s < 2 * REPLY_TIMEOUT_S
+
+    play(scenario)
+
+
+# Guards against ORDER: the last engine of a version ends together with all members.
+@pytest.mark.parametrize("retiring", [(), ("v2",)])
+@pytest.mark.parametrize("patience_s", [0.0, OUTAGE_GRACE_S - 0.5])
+def test_version_that_ended_with_all_members_is_known_from_the_record(
+    retiring, patience_s
+):
+    async def scenario(network):
+        network.record = VersionRecord(
+            1, frozenset({"v1", "v2"}), frozenset(retiring), is_complete=True
+        )
+        members = restart_all(network, "v1")
+        found = await members[0].find("a1", patience_s=patience_s)
+        assert found == (None, OriginSource.UNKNOWN)
+        await asyncio.sleep(2 * OUTAGE_GRACE_S)
+        found = await members[0].find("a1", patience_s=patience_s)
+        # Of a version that has long gone nothing is left to continue.
+        sole = (V1, OriginSource.SOLE_VERSION)
+        assert found == (sole if retiring else (None, OriginSource.UNKNOWN))
+
+    play(scenario)
+
+
+# Guards against ORDER: a member knows of a version that the record doesn't name.
+@pytest.mark.parametrize("seen_at", [0, 5])
+def test_record_of_one_version_does_not_outweigh_another_one_seen(seen_at):
+    async def scenario(network):
+        network.record = VersionRecord(1, frozenset({"v1"}), is_complete=True)
+        members = restart_all(network, "v1")
+        members[seen_at].sync("v1", "v2")
+        found = await members[0].find("a1", patience_s=10.0)
+        assert found == (None, OriginSource.UNKNOWN)
+        assert network.record_reads == 0
+
+    play(scenario)
+
+
+# Guards against ORDER: the only version present is taken for the recorded one.
+def test_record_of_another_version_than_the_present_one_refuses():
+    async def scenario(network):
+        network.record = VersionRecord(1, frozenset({"v2"}), is_complete=True)
+        members = restart_all(network, "v1")
+        assert (await members[0].find("a1", patience_s=10.0))[0] is None
+
+    play(scenario)
+
+
+# Guards against LOST: a member alone, or before it has read the targets, has no say.
+@pytest.mark.parametrize("versions", [(), ("v1",)])
+def test_record_is_certain_for_a_member_alone(versions):
+    async def scenario(network):
+        network.record = VersionRecord(1, frozenset({"v1"}), is_complete=True)
+        network[0].sync(*versions)
+        assert (await network[0].find("a1"))[0] == V1
+
+    play(scenario, count=1)
+
+
+# Guards against a call to the store for each resumed stream.
+def test_record_is_not_read_for_a_stream_whose_origin_is_known():
+    async def scenario(network):
+        network[1].begin("a1", V2)
+        await settle()
+        assert (await network[2].find("a1"))[0] == V2
+        assert network.record_reads == 0
+
+    play(scenario)
+
+
 # Guards against ORDER: a member that has just started decides without the others.
 def test_recent_view_alone_is_not_enough_while_a_member_does_not_reply():
     async def scenario(network):
--- a/packages/burdockhaven-entry/tests/platform/test_store.py
+++ b/packages/burdockhaven-entry/tests/platform/test_store.py
@@ -22,6 +22,8 @@
         self.eras = []
         self.sent_bytes = 0
         self.max_bytes = ENDLESS_RESPONSE_BYTES
+        # Bodies of the requests that had one.
+        self.bodies = []
 
     async def __aenter__(self):
         app = web.Application()
@@ -37,6 +39,8 @@
         await self.server.close()
 
     async def respond(self, request):
+        if request.can_read_body:
+            self.bodies.append(await request.json())
         status, era, body = self.responses.pop(0)
         headers = {} if era is None else {"Store-Era": era}
         if isinstance(body, bytes):
@@ -87,6 +91,26 @@
     assert harness.eras == [(4, "4")]
 
 
+# Guards against a conditional write whose condition the store doesn't get.
+@pytest.mark.parametrize(
+    ("status", "expected"), [(200, None), (412, FailureKind.CONDITION)]
+)
+async def test_conditional_write_names_the_revision(status, expected):
+    async with Harness((status, "4", {"revision": 6})) as harness:
+        written = await harness.store.write_if("a/1", b"x", 5)
+    if expected is None:
+        assert written.unwrap() == 6
+    else:
+        assert written.unwrap_err().kind is expected
+    assert harness.bodies == [
+        {
+            "writes": [{"key": "a/1", "value": "eA==", "lease": 0}],
+            "expect_rev": [{"key": "a/1", "revision": 5}],
+            "remove": [],
+        }
+    ]
+
+
 async def test_pages_of_two_eras_are_not_joined():
     pages = [(200, "3", page(5, "a/1", truncated=True)), (200, "4", page(4, "a/2"))]
     async with Harness(*pages) as harness:
--- a/tools/burdockhaven_bench/platform_harness.py
+++ b/tools/burdockhaven_bench/platform_harness.py
@@ -127,11 +127,13 @@
         node: str,
         predecessor: Daemon | None = None,
         seeds: Sequence[str] = (),
+        is_first_start: bool = True,
     ) -> Daemon:
         """Start another daemon, without waiting until it is ready.
 
         It takes over the addresses of its predecessor, which must have ended. `seeds`
-        are control addresses of other members.
+        are control addresses of other members. `is_first_start` tells it that the whole
+        system starts for the first time.
         """
         if predecessor is None:
             ip = f"127.0.0.{next(self.ip_numbers)}"
@@ -145,7 +147,7 @@
             "listen": listen,
             "port_range": [self.peer_port, self.peer_port + 15],
             "seeds": list(seeds),
-            "bootstrap": True,
+            "bootstrap": is_first_start,
             "bounds": BOUNDS,
             "platform": {"address": self.site.store_address},
         }
--- a/tools/tests/test_stream_versions_process.py
+++ b/tools/tests/test_stream_versions_process.py
@@ -13,9 +13,13 @@
 STREAM_HEAD_START_S = 0.5
 
 
+NODES = ("one", "two", "three")
+
+
 @pytest.fixture
-async def harness(tmp_path):
-    harness = await PlatformHarness.start(tmp_path, VERSIONS)
+async def harness(tmp_path, request):
+    versions = getattr(request, "param", VERSIONS)
+    harness = await PlatformHarness.start(tmp_path, versions)
     yield harness
     await harness.stop()
 
@@ -48,9 +52,9 @@
 # Guards against ORDER: streams of a member that was killed continue, at another member,
 # on engines of another software version.
 async def test_streams_of_a_killed_member_keep_their_software_version(harness):
-    daemons = [await harness.start_daemon(node) for node in ("one", "two", "three")]
+    daemons = [await harness.start_daemon(node) for node in NODES]
     fronts = {daemon.front for daemon in daemons}
-    await harness.wait_until_look_ups_name(fronts, "one", "two", "three")
+    await harness.wait_until_look_ups_name(fronts, *NODES)
     killed, *others = daemons
     streams = [await harness.open_stream(killed.front) for _ in range(STREAMS)]
     reads = [asyncio.create_task(last_event_id(response)) for _, response in streams]
@@ -71,3 +75,80 @@
         assert len(versions_of(harness, attempt, later)) == 1
     # All of them had been running for long enough to be recorded at other members.
     assert [response.status for _, response in resumed] == [200] * STREAMS
+
+
+async def resume_after_kill_of_all(harness, meanwhile):
+    """Kill all daemons under streams and resume these as soon as others accept them.
+
+    `meanwhile` is called between the end of the old daemons and the start of the new
+    ones. Returns the status of each resumed stream, and the versions that it used.
+    """
+    daemons = [await harness.start_daemon(node) for node in NODES]
+    fronts = {daemon.front for daemon in daemons}
+    await harness.wait_until_look_ups_name(fronts, *NODES)
+    streams = [await harness.open_stream(daemons[n % 3].front) for n in range(STREAMS)]
+    reads = [asyncio.create_task(last_event_id(response)) for _, response in streams]
+    await asyncio.sleep(STREAM_HEAD_START_S)
+    for daemon in daemons:
+        daemon.process.kill()
+    ids = await asyncio.gather(*reads)
+    for daemon in daemons:
+        await daemon.process.wait()
+    meanwhile()
+    started = [
+        await harness.start_daemon(daemon.node, daemon, is_first_start=False)
+        for daemon in daemons
+    ]
+
+    async def resume(index):
+        attempt, _ = streams[index]
+        headers = {"Last-Event-Id": str(ids[index]), "Resumes": attempt}
+        front = started[index % 3].front
+        later, response = await harness.wait_until(
+            lambda: harness.open_stream(front, headers)
+        )
+        await response.read()
+        return response.status, versions_of(harness, attempt, later)
+
+    return await asyncio.gather(*map(resume, range(STREAMS)))
+
+
+# Guards against LOST: streams resumed just after a start of all members are refused.
+@pytest.mark.parametrize("harness", [("v1", "v1")], indirect=True)
+async def test_streams_go_on_after_a_kill_of_all_members(harness):
+    resumed = await resume_after_kill_of_all(harness, lambda: None)
+    assert resumed == [(200, {"v1"})] * STREAMS
+
+
+# Guards against ORDER: the last engine of a version ends together with all members.
+async def test_streams_of_a_version_that_ended_with_all_members_do_not_go_on(harness):
+    def end_second_version():
+        for engine in list(harness.site.engines):
+            if engine.record.software_version == "v2":
+                harness.site.deregister_engine(engine)
+
+    engines = list(harness.site.engines)
+    before = {engine.record.id: engine.record.software_version for engine in engines}
+    assert set(before.values()) == {"v1", "v2"}
+    resumed = await resume_after_kill_of_all(harness, end_second_version)
+    assert [status for status, _ in resumed] == [503] * STREAMS
+
+
+# Guards against ORDER: the store is away or an older copy when all members start.
+@pytest.mark.parametrize("fault", ["down", "restored"])
+async def test_streams_do_not_mix_versions_while_the_record_is_not_valid(
+    harness, fault
+):
+    store = harness.site.store
+    copy = store.take_copy()
+
+    def fail():
+        if fault == "down":
+            store.faults.down = True
+        else:
+            store.restore(copy)
+            harness.site.register()
+
+    resumed = await resume_after_kill_of_all(harness, fail)
+    assert [status for status, _ in resumed] == [503] * STREAMS
+    assert all(len(versions) == 1 for _, versions in resumed)
