The recorder of software versions goes on after an internal error

Cause: an exception within an update ended its task, and versions that came later were held for good while an open target of another one was left.

Change: it is logged (INTERNAL_ERROR, as by the watchers) and tried again later.

Before: test_recorder_goes_on_after_an_internal_error, all members went on using v1 only. After: passes.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/version_recorder.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/version_recorder.py
@@ -88,23 +88,29 @@
         return recorder
 
     async def run(self) -> None:
-        """Keep the records up to date until cancelled."""
+        """Keep the records up to date until cancelled; internal errors are logged."""
         while True:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(CHECK_INTERVAL_S):
                     await self.changed.wait()
             self.changed.clear()
-            if not self._is_due():
-                continue
-            if not self._is_broker():
-                has_hubs = bool(self.state.member_list.hubs)
-                spread_s = RELAXED_UPDATE_SPREAD_S if has_hubs else UPDATE_SPREAD_S
-                await asyncio.sleep(self.state.rng.uniform(0.0, spread_s))
-            while self._is_due():
-                if await self._update():
-                    break
+            try:
+                await self._update_if_due()
+            except Exception as error:
+                step = "record software versions"
+                log(EventNumber.INTERNAL_ERROR, step=step, error=repr(error))
                 await asyncio.sleep(self.backoff.next_delay_s())
-            self.backoff.reset()
+
+    async def _update_if_due(self) -> None:
+        if self._is_due() and not self._is_broker():
+            has_hubs = bool(self.state.member_list.hubs)
+            spread_s = RELAXED_UPDATE_SPREAD_S if has_hubs else UPDATE_SPREAD_S
+            await asyncio.sleep(self.state.rng.uniform(0.0, spread_s))
+        while self._is_due():
+            if await self._update():
+                break
+            await asyncio.sleep(self.backoff.next_delay_s())
+        self.backoff.reset()
 
     async def find(self, service: str) -> VersionRecord | None:
         """Read the record of a service; None if it is missing or not valid."""
--- a/packages/burdockhaven-entry/tests/gateway/test_version_recorder.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_version_recorder.py
@@ -49,12 +49,15 @@
         self.refuses_reads = False
         self.refuses_writes = False
         self.drops_responses = False
+        self.raises = False
         self.writes = 0
         self.reads = 0
 
     async def read_prefix(self, prefix):
         self.reads += 1
         await asyncio.sleep(self.call_s)
+        if self.raises:
+            raise ValueError("a fault of the client")
         if self.refuses_reads:
             return failure(FailureKind.NOT_DONE)
         revision = StoreRevision(self.era, self.revision)
@@ -420,6 +423,21 @@
     play(scenario)
 
 
+# Guards against LOST: new versions stay unused after an internal error.
+def test_recorder_goes_on_after_an_internal_error():
+    async def scenario(cluster):
+        cluster.sync("v1")
+        await asyncio.sleep(SETTLE_S)
+        cluster.store.raises = True
+        cluster.sync("v1", "v2")
+        await asyncio.sleep(SETTLED_S)
+        cluster.store.raises = False
+        await asyncio.sleep(SETTLED_S)
+        assert cluster.used == [{"v1", "v2"}] * 3
+
+    play(scenario)
+
+
 # Guards against ORDER: bytes of another writer are taken for a record.
 def test_unreadable_record_is_written_anew_and_not_trusted():
     async def scenario(cluster):
