--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/version_records.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/version_records.py
@@ -140,20 +140,25 @@
         """Return the entries whose versions are not held."""
         if not self.services:
             return entries
-        for service in self.services:
-            present = [entry for entry in entries.values() if entry.service == service]
-            open_versions = {
-                (service, entry.software_version)
-                for entry in present
-                if not entry.draining and entry.id not in leaving
-            }
-            if not open_versions & self.released:
-                self.released |= {
-                    (service, entry.software_version) for entry in present
-                }
+        versions = {
+            target_id: (entry.service, entry.software_version)
+            for target_id, entry in entries.items()
+            if entry.service in self.services
+        }
+        services_in_use = {
+            version[0]
+            for target_id, version in versions.items()
+            if version in self.released
+            and target_id not in leaving
+            and not entries[target_id].draining
+        }
+        self.released |= {
+            version
+            for version in versions.values()
+            if version[0] not in services_in_use
+        }
         return {
             target_id: entry
             for target_id, entry in entries.items()
-            if entry.service not in self.services
-            or (entry.service, entry.software_version) in self.released
+            if target_id not in versions or versions[target_id] in self.released
         }
