Acquit prompt parts by first events that only a report tells of

Cause: if the message with a run's first event was lost, the next report marked the run as begun without acquitting the parts of its prompt. A sound part stayed accused, and its requests were tried one at a time until another run with it began. Change: a first event that is known from a report counts like one that was announced. Result: test_first_event_known_from_a_report_acquits, seen failing before.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
@@ -239,7 +239,9 @@
             return False
         known = engine.runs.get(key)
         if known is not None:
-            known.first_event_seen = known.first_event_seen or run.first_event_seen
+            if run.first_event_seen and not known.first_event_seen:
+                known.first_event_seen = True
+                self.crashes.record_begun(known.parts, now)
             return False
         # Another broker may have placed the request at a different engine.
         self.release(key)
--- /dev/null
+++ b/packages/burdockhaven-core/tests/scheduling/test_crash_attribution_review.py
@@ -0,0 +1,55 @@
+"""Ends of engines that point at the wrong prompt part, or at none."""
+
+from scheduling_samples import ME, placement_request, table, target
+
+from burdockhaven_core.scheduling.broker import Broker
+from burdockhaven_core.scheduling.peer_messages import (
+    BrokenPrompt,
+    RunEnd,
+    RunProgress,
+    RunReport,
+    RunState,
+    RunUpdate,
+    Verdict,
+)
+from burdockhaven_core.scheduling.quotas import QuotaRule
+
+
+def make_broker(targets=("i-1", "i-2", "i-3"), slots=4, **versions):
+    broker = Broker(QuotaRule(8.0, 0.0))
+    broker.set_table(table(slots=slots))
+    entries = {
+        name: target(name, slots=slots, software_version=versions.get(name[2:], ""))
+        for name in targets
+    }
+    broker.set_targets(entries, set())
+    return broker
+
+
+def prompt(number, *parts, **changes):
+    named = tuple((part, 100) for part in (*parts, f"own-{number}"))
+    return placement_request(number, parts=named, **changes)
+
+
+def progress(number, end=None, broken=(), sender=ME):
+    return RunProgress(sender, (RunUpdate(number, end),), broken)
+
+
+def accuse(broker, part, at_s=0.0, number=900):
+    """Let one engine end beneath a prompt with the part; returns the engine."""
+    reply = broker.submit(prompt(number, part), at_s)
+    assert reply.verdict is Verdict.GRANTED
+    broken = (BrokenPrompt(reply.target, (part,)),)
+    broker.apply_progress(progress(number, RunEnd.FAILED, broken), at_s + 0.1)
+    return reply.target
+
+
+# The message with the first event was lost; the report told the broker of it.
+def test_first_event_known_from_a_report_acquits():
+    broker = make_broker()
+    accuse(broker, "x")
+    trial = broker.submit(prompt(1, "x"), 0.5)
+    report = RunReport(ME, (RunState(1, trial.target, 1_000, 300, True),), ())
+    broker.apply_report(report, 0.8)
+    assert not broker.crashes.accused
+    assert broker.submit(prompt(2, "x"), 0.9).verdict is Verdict.GRANTED
