Choose the engine of a trial among those that the request may use

Cause: a trial was limited to the engines with the fewest runs before the engines that the request avoids, or whose software version it can't use, were dropped. A request whose engine had ended waited for as long as that engine, back and idle, had fewer runs than all others; meanwhile no other request with its parts was tried. Change: the fewest runs are counted among the engines that the request may use.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -333,8 +333,14 @@
         self, queued: QueuedRequest, engines: list[EngineLoad], now: float
     ) -> Placement | None:
         """Return the best engine; for a trial, among those with the fewest runs."""
-        if engines and self._is_trial(queued.request):
-            fewest = min(len(engine.runs) for engine in engines)
+        if self._is_trial(queued.request):
+            unavailable = queued.unavailable(now)
+            engines = [
+                engine
+                for engine in _of_version(engines, queued.request)
+                if engine.target not in unavailable
+            ]
+            fewest = min((len(engine.runs) for engine in engines), default=0)
             engines = [engine for engine in engines if len(engine.runs) == fewest]
         return _find_placement(queued, engines, now)
 
--- a/packages/burdockhaven-core/tests/scheduling/test_crash_attribution_review.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_crash_attribution_review.py
@@ -53,3 +53,24 @@
     broker.apply_report(report, 0.8)
     assert not broker.crashes.accused
     assert broker.submit(prompt(2, "x"), 0.9).verdict is Verdict.GRANTED
+
+
+# The engine that had ended was back and idle, but the request avoids it.
+def test_trial_goes_to_the_emptiest_engine_that_the_request_may_use():
+    broker = make_broker()
+    ended = accuse(broker, "x")
+    for number in range(1, 3):
+        excluded = (ended,)
+        broker.submit(prompt(number, "sound", excluded=excluded), 0.2)
+        broker.apply_progress(progress(number), 0.3)
+    reply = broker.submit(prompt(9, "x", excluded=(ended,), is_retry=True), 0.5)
+    assert reply.verdict is Verdict.GRANTED
+
+
+def test_trial_goes_to_the_emptiest_engine_of_its_version():
+    broker = make_broker(**{"1": "v1", "2": "v2", "3": "v2"})
+    broker.submit(prompt(1, "sound", software_version="v1"), 0.0)
+    broker.apply_progress(progress(1), 0.1)
+    broker.crashes.record_end("e0", ["x"], 0.2)
+    reply = broker.submit(prompt(2, "x", software_version="v1"), 0.5)
+    assert reply.verdict is Verdict.GRANTED
