Let a trial that is overdue hold back no other request

Cause: requests with an accused part waited for the run that tries it until that run ended. If its engine was silent, the search for a replacement of that very run was queued behind it, and so was every other request with the part, until the client gave up. Change: only a run whose first event is neither known nor overdue is waited for. Result: test_replacement_of_a_silent_trial_does_not_wait_for_it, seen failing before.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -323,7 +323,7 @@
     def _must_wait_for_trial(self, request: PlacementRequest, now: float) -> bool:
         """Whether another run shows first if the prompt ends engines."""
         return not request.has_begun and self.crashes.must_wait(
-            _shared_parts(request), self.runs.granted, now
+            _shared_parts(request), self.runs.undecided(now), now
         )
 
     def _is_trial(self, request: PlacementRequest) -> bool:
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
@@ -60,6 +60,11 @@
         """Return the milliseconds since the grant."""
         return (now - self.granted_s) * 1e3
 
+    def is_overdue(self, now: float) -> bool:
+        """Whether the first event should have come long ago."""
+        limit_ms = max(STALL_FACTOR * self.predicted_ms, STALL_MIN_MS)
+        return not self.first_event_seen and self.age_ms(now) > limit_ms
+
 
 @dataclass(slots=True)
 class EngineLoad:
@@ -157,10 +162,7 @@
 
     def is_run_stalled(self, run: Run, now: float) -> bool:
         """Whether the first event of this run is overdue without other progress."""
-        if run.first_event_seen or self.last_progress_s > run.granted_s:
-            return False
-        limit_ms = max(STALL_FACTOR * run.predicted_ms, STALL_MIN_MS)
-        return run.age_ms(now) > limit_ms
+        return run.is_overdue(now) and self.last_progress_s <= run.granted_s
 
     def decode_ms(self, output_tokens: int) -> float:
         """Predict the milliseconds from the first event to the end of a response."""
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
@@ -4,7 +4,9 @@
 tracker is reconciled with each report.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Container, Iterable, Mapping
+from dataclasses import dataclass
+from typing import cast
 
 from burdockhaven_core.scheduling.crash_attribution import CrashAttribution
 from burdockhaven_core.scheduling.engine_load import EngineLoad, Run
@@ -187,6 +189,10 @@
         engine.cache_tokens = cache_tokens
         return engine
 
+    def undecided(self, now: float) -> Container[RequestKey]:
+        """Return the runs whose first event is neither known nor overdue."""
+        return _UndecidedRuns(self, now)
+
     def start_of(self, target: str) -> str:
         """Return an identifier of the last known start of an engine."""
         engine = self.engines.get(target)
@@ -268,3 +274,20 @@
             or now - run.granted_s > GRANT_SETTLE_S
         ):
             self.release(key)
+
+
+@dataclass(frozen=True, slots=True)
+class _UndecidedRuns(Container[RequestKey]):
+    """Membership of a run among the undecided ones, without a list of all runs."""
+
+    tracker: RunTracker
+    now: float
+
+    def __contains__(self, key: object) -> bool:
+        # The annotation of the base class allows any key.
+        target = self.tracker.granted.get(cast(RequestKey, key), "")
+        engine = self.tracker.engines.get(target)
+        run = None if engine is None else engine.runs.get(cast(RequestKey, key))
+        return run is not None and not (
+            run.first_event_seen or run.is_overdue(self.now)
+        )
--- a/packages/burdockhaven-core/tests/scheduling/test_crash_attribution_review.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_crash_attribution_review.py
@@ -74,3 +74,14 @@
     broker.crashes.record_end("e0", ["x"], 0.2)
     reply = broker.submit(prompt(2, "x", software_version="v1"), 0.5)
     assert reply.verdict is Verdict.GRANTED
+
+
+# A request beneath whose trial an engine is silent waited for its own trial.
+def test_replacement_of_a_silent_trial_does_not_wait_for_it():
+    broker = make_broker()
+    ended = accuse(broker, "x")
+    trial = broker.submit(prompt(1, "x", excluded=(ended,)), 0.5)
+    other = prompt(2, "x", excluded=(ended, trial.target), is_retry=True)
+    assert broker.submit(other, 0.6).verdict is Verdict.QUEUED
+    (granted,) = broker.grant_queued(6.0)
+    assert granted.reply.number == 2
