Blame no part for ends that a part of other prompts explains better

Cause: the parts of one prompt were compared with each other only. Beside a prompt with the bad part wait others that have just the part that all have; after five ends with no run of the route between them, each of those blamed this part, and the whole route was refused for 15 s, also when the report with the bad part came first. Change: a part isn't quarantined the first time while another accused part was at the same engines, but for the last, and its runs last began longer ago. A part that turned bad after it had been answered needs no more ends for that, unless one that never began was at four of its five.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/crash_attribution.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/crash_attribution.py
@@ -271,8 +271,24 @@
         if len(equals) > 1 and equals[0] == parts[0]:
             del equals[0]
         if len(equals) > 1:
-            return [p for p in equals if self.accused[p].ends >= QUARANTINE_ENDS]
-        return equals
+            equals = [p for p in equals if self.accused[p].ends >= QUARANTINE_ENDS]
+        return [part for part in equals if not self._is_explained_by_other(part)]
+
+    def _is_explained_by_other(self, part: str) -> bool:
+        """Whether a part of other prompts was at the same ends and began longer ago.
+
+        It may be missing at the last of them, whose reports come one by one.
+        """
+        accused = self.accused[part]
+        if accused.quarantines:
+            return False
+        begun_s = self.begun_s.get(part, -math.inf)
+        shared_ends = max(QUARANTINE_ENDS, len(accused.engines)) - 1
+        return any(
+            self.begun_s.get(name, -math.inf) < begun_s
+            and len(accused.engines & other.engines) >= shared_ends
+            for name, other in self.accused.items()
+        )
 
     def _is_proven(self, part: str) -> bool:
         """Whether the evidence against a part suffices for a quarantine."""
--- a/packages/burdockhaven-core/tests/scheduling/test_crash_attribution_review.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_crash_attribution_review.py
@@ -1,8 +1,14 @@
 """Ends of engines that point at the wrong prompt part, or at none."""
 
+import pytest
 from scheduling_samples import ME, placement_request, table, target
 
 from burdockhaven_core.scheduling.broker import Broker
+from burdockhaven_core.scheduling.crash_attribution import (
+    QUARANTINE_ENDS,
+    QUARANTINE_ENDS_IN_DOUBT,
+    CrashAttribution,
+)
 from burdockhaven_core.scheduling.peer_messages import (
     BrokenPrompt,
     RunEnd,
@@ -85,3 +91,41 @@
     assert broker.submit(other, 0.6).verdict is Verdict.QUEUED
     (granted,) = broker.grant_queued(6.0)
     assert granted.reply.number == 2
+
+
+# Beside each prompt with the bad part waits one with the part that all have; the end of
+# its run is reported first.
+@pytest.mark.parametrize("victim_first", [True, False])
+def test_part_of_all_prompts_beside_the_bad_one_is_not_quarantined(victim_first):
+    crashes = CrashAttribution()
+    crashes.record_begun(["all"], 0.0)
+    for number in range(QUARANTINE_ENDS_IN_DOUBT + 1):
+        at_s = 1.0 + number
+        prompts = [["all", f"session-{number}"], ["all", "bad"]]
+        for parts in prompts if victim_first else reversed(prompts):
+            crashes.record_end(f"e{number}", parts, at_s)
+            at_s += 0.002
+    assert crashes.quarantined(at_s) == ["bad"]
+
+
+# The part began before, so that any part that never did could explain its ends.
+def test_part_that_turned_bad_is_quarantined_beside_a_part_at_one_end():
+    crashes = CrashAttribution()
+    crashes.record_begun(["bad"], 0.0)
+    for number in range(QUARANTINE_ENDS_IN_DOUBT):
+        crashes.record_end(f"e{number}", ["bad"], 1.0 + number)
+        crashes.record_begun(["y"], 1.5 + number)
+    crashes.record_end("e0", ["victim"], 2.0 + QUARANTINE_ENDS_IN_DOUBT)
+    assert crashes.quarantined(2.1 + QUARANTINE_ENDS_IN_DOUBT) == ["bad"]
+
+
+def test_part_that_turned_bad_needs_few_more_ends_beside_one_that_never_began():
+    crashes = CrashAttribution()
+    crashes.record_begun(["bad"], 0.0)
+    for number in range(QUARANTINE_ENDS):
+        crashes.record_end(f"e{number}", ["victim"], 1.0 + number)
+        crashes.record_end(f"e{number}", ["bad"], 1.0 + number)
+    for number in range(QUARANTINE_ENDS, QUARANTINE_ENDS_IN_DOUBT):
+        crashes.record_end(f"e{number}", ["bad"], 1.0 + number)
+        crashes.record_begun(["y"], 1.5 + number)
+    assert "bad" in crashes.quarantined(1.0 + QUARANTINE_ENDS_IN_DOUBT)
