Announce and keep quarantined parts before acquittals and newer accusations

Cause: a heartbeat names 16 parts, acquittals first. Of the evidence that is kept, a part that waited for its trial gave way to newer accusations of other parts. Change: quarantined parts, and acquittals of those, rank first in both; then the latest. Result: two tests, seen failing before; one that the order of notices is kept.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/crash_attribution.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/crash_attribution.py
@@ -8,6 +8,7 @@
 """
 
 import enum
+import heapq
 import math
 from collections import Counter, OrderedDict
 from collections.abc import Container, Iterable
@@ -91,6 +92,19 @@
     def remembered_until_s(self) -> float:
         return max(self.last_end_s, self.quarantined_until_s) + FORGET_S
 
+    def rank(self) -> tuple[bool, float]:
+        """Sort key by the worth of the evidence; the greatest is kept longest."""
+        return (bool(self.quarantines), self.remembered_until_s())
+
+
+@dataclass(frozen=True, slots=True)
+class _Acquittal:
+    """A run with an accused part has begun."""
+
+    at_s: float
+    # Whether the part had been quarantined.
+    had_quarantine: bool
+
 
 class CrashAttribution:
     """The prompt parts that are accused of ending engines, as one broker knows them."""
@@ -101,8 +115,8 @@
         self.begun_s: OrderedDict[str, float] = OrderedDict()
         # Number of runs that have begun.
         self.begun_count = 0
-        # When parts were acquitted.
-        self.acquitted_s: dict[str, float] = {}
+        # The last acquittal of each part.
+        self.acquittals: dict[str, _Acquittal] = {}
         self.changes: list[PartChange] = []
 
     def record_end(self, engine: str, parts: Iterable[str], now: float) -> None:
@@ -175,24 +189,42 @@
 
     def announced(self, now: float) -> tuple[AccusedPartNotice, ...]:
         """Return the evidence that other brokers need if they replace this one."""
-        acquittals = [
-            AccusedPartNotice(part, 0, _to_ms(now - acquitted_s), 0, 0)
-            for part, acquitted_s in self.acquitted_s.items()
-            if now - acquitted_s <= ACQUITTAL_ANNOUNCE_S
-        ]
-        own = [item for item in self.accused.items() if item[1].is_own and item[1].ends]
-        own.sort(key=lambda item: item[1].remembered_until_s(), reverse=True)
-        evidence = [
-            AccusedPartNotice(
-                part,
-                accused.ends,
-                _to_ms(now - accused.last_end_s),
-                _to_ms(accused.quarantined_until_s - now),
-                accused.quarantines,
-            )
-            for part, accused in own
+        if not self.accused and not self.acquittals:
+            return ()
+        # What concerns quarantines goes first, then the latest.
+        ranked: list[tuple[tuple[bool, float], bool, str]] = [
+            ((acquittal.had_quarantine, acquittal.at_s + FORGET_S), False, part)
+            for part, acquittal in self.acquittals.items()
+            if now - acquittal.at_s <= ACQUITTAL_ANNOUNCE_S
         ]
-        return tuple((*acquittals, *evidence)[:MAX_ANNOUNCED])
+        ranked.extend(
+            (accused.rank(), True, part)
+            for part, accused in self.accused.items()
+            if accused.is_own and accused.ends
+        )
+        chosen = heapq.nlargest(MAX_ANNOUNCED, ranked)
+        # An acquittal ends what was announced before; new evidence counts from there.
+        chosen.sort(key=lambda item: item[1])
+        return tuple(
+            self._evidence_notice(part, now)
+            if is_evidence
+            else self._acquittal_notice(part, now)
+            for _, is_evidence, part in chosen
+        )
+
+    def _acquittal_notice(self, part: str, now: float) -> AccusedPartNotice:
+        age_ms = _to_ms(now - self.acquittals[part].at_s)
+        return AccusedPartNotice(part, 0, age_ms, 0, 0)
+
+    def _evidence_notice(self, part: str, now: float) -> AccusedPartNotice:
+        accused = self.accused[part]
+        return AccusedPartNotice(
+            part,
+            accused.ends,
+            _to_ms(now - accused.last_end_s),
+            _to_ms(accused.quarantined_until_s - now),
+            accused.quarantines,
+        )
 
     def apply_notice(self, notice: AccusedPartNotice, source: str, now: float) -> None:
         """Apply the evidence that another member's broker announces."""
@@ -202,7 +234,8 @@
             if accused is not None and accused.last_end_s < observed_s:
                 self._acquit(notice.part, source, observed_s)
             return
-        if self.acquitted_s.get(notice.part, -math.inf) >= observed_s:
+        acquittal = self.acquittals.get(notice.part)
+        if acquittal is not None and acquittal.at_s >= observed_s:
             return
         if accused is None:
             accused = _AccusedPart(begun_before=self.begun_count, is_own=False)
@@ -321,7 +354,7 @@
 
     def _acquit(self, part: str, source: str, now: float) -> None:
         accused = self.accused.pop(part)
-        self.acquitted_s[part] = now
+        self.acquittals[part] = _Acquittal(now, bool(accused.quarantines))
         if accused.is_own or accused.quarantines:
             self._add_change(PartChangeKind.ACQUITTED, part, accused, source)
 
@@ -341,16 +374,14 @@
         for part, accused in list(self.accused.items()):
             if accused.remembered_until_s() <= now:
                 del self.accused[part]
-        for part, acquitted_s in list(self.acquitted_s.items()):
-            if now - acquitted_s > ACQUITTAL_ANNOUNCE_S:
-                del self.acquitted_s[part]
+        for part, acquittal in list(self.acquittals.items()):
+            if now - acquittal.at_s > ACQUITTAL_ANNOUNCE_S:
+                del self.acquittals[part]
 
     def _evict(self) -> None:
         while len(self.accused) > MAX_ACCUSED:
-            oldest = min(
-                self.accused, key=lambda part: self.accused[part].remembered_until_s()
-            )
-            del self.accused[oldest]
+            least = min(self.accused, key=lambda part: self.accused[part].rank())
+            del self.accused[least]
 
 
 def _to_ms(seconds: float) -> int:
--- a/packages/burdockhaven-core/tests/scheduling/test_crash_attribution_review.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_crash_attribution_review.py
@@ -5,8 +5,11 @@
 
 from burdockhaven_core.scheduling.broker import Broker
 from burdockhaven_core.scheduling.crash_attribution import (
+    MAX_ACCUSED,
+    MAX_ANNOUNCED,
     QUARANTINE_ENDS,
     QUARANTINE_ENDS_IN_DOUBT,
+    QUARANTINE_S,
     CrashAttribution,
 )
 from burdockhaven_core.scheduling.peer_messages import (
@@ -108,6 +111,34 @@
     assert crashes.quarantined(at_s) == ["bad"]
 
 
+# Acquittals of the parts beside the bad one filled all the places of the heartbeat.
+def test_quarantine_is_announced_among_many_acquittals():
+    first, second = CrashAttribution(), CrashAttribution()
+    for number in range(QUARANTINE_ENDS):
+        at_s = float(number)
+        first.record_end(f"e{number}", ["bad"], at_s)
+        for other in range(MAX_ANNOUNCED):
+            first.record_end(f"e{number}", [f"s-{number}-{other}"], at_s)
+            first.record_begun([f"s-{number}-{other}"], at_s + 0.3)
+    for notice in first.announced(3.0):
+        second.apply_notice(notice, "entry-1", 3.0)
+    assert second.quarantined(3.0) == ["bad"]
+
+
+# Later accusations of other parts displaced the one that waits for its trial.
+def test_part_with_past_quarantines_is_kept_and_announced():
+    crashes = CrashAttribution()
+    for number in range(QUARANTINE_ENDS):
+        crashes.record_end(f"e{number}", ["bad"], float(number))
+        crashes.record_begun(["y"], number + 0.5)
+    now = QUARANTINE_ENDS + QUARANTINE_S
+    for number in range(2 * MAX_ACCUSED):
+        crashes.record_end(f"e-{number}", [f"s-{number}"], now + number)
+    now += 2 * MAX_ACCUSED
+    assert "bad" in crashes.accused
+    assert "bad" in [notice.part for notice in crashes.announced(now)]
+
+
 # The part began before, so that any part that never did could explain its ends.
 def test_part_that_turned_bad_is_quarantined_beside_a_part_at_one_end():
     crashes = CrashAttribution()
@@ -129,3 +160,16 @@
         crashes.record_end(f"e{number}", ["bad"], 1.0 + number)
         crashes.record_begun(["y"], 1.5 + number)
     assert "bad" in crashes.quarantined(1.0 + QUARANTINE_ENDS_IN_DOUBT)
+
+
+def test_evidence_since_an_acquittal_is_announced_after_it():
+    first, second = CrashAttribution(), CrashAttribution()
+    for number in range(QUARANTINE_ENDS - 1):
+        first.record_end(f"e{number}", ["x"], float(number))
+        for notice in first.announced(number + 0.1):
+            second.apply_notice(notice, "entry-1", number + 0.1)
+    first.record_begun(["x"], 3.0)
+    first.record_end("e9", ["x"], 4.0)
+    for notice in first.announced(4.1):
+        second.apply_notice(notice, "entry-1", 4.1)
+    assert second.accused["x"].ends == 1
