Announce no prompt parts with long names

Cause: names of parts come from clients, up to the limit of a header; sixteen long ones made the heartbeat larger than a datagram, so it wasn't sent and the broker's member timed out at all others. Change: a part whose name is longer than 64 bytes is judged by its own broker only. Result: test_long_names_of_parts_do_not_inflate_the_heartbeat, seen failing before.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/crash_attribution.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/crash_attribution.py
@@ -42,6 +42,8 @@
 MAX_BEGUN = 4_096
 MAX_ANNOUNCED = 16
 MAX_CHANGES = 256
+# Longest name of a part that is announced: names come from clients.
+MAX_ANNOUNCED_NAME = 64
 
 
 class PartChangeKind(enum.Enum):
@@ -196,11 +198,12 @@
             ((acquittal.had_quarantine, acquittal.at_s + FORGET_S), False, part)
             for part, acquittal in self.acquittals.items()
             if now - acquittal.at_s <= ACQUITTAL_ANNOUNCE_S
+            and len(part) <= MAX_ANNOUNCED_NAME
         ]
         ranked.extend(
             (accused.rank(), True, part)
             for part, accused in self.accused.items()
-            if accused.is_own and accused.ends
+            if accused.is_own and accused.ends and len(part) <= MAX_ANNOUNCED_NAME
         )
         chosen = heapq.nlargest(MAX_ANNOUNCED, ranked)
         # An acquittal ends what was announced before; new evidence counts from there.
--- a/packages/burdockhaven-core/tests/scheduling/test_crash_attribution_review.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_crash_attribution_review.py
@@ -139,6 +139,16 @@
     assert "bad" in [notice.part for notice in crashes.announced(now)]
 
 
+# Names of parts come from clients: a heartbeat with long ones is too large to be sent.
+def test_long_names_of_parts_do_not_inflate_the_heartbeat():
+    crashes = CrashAttribution()
+    for number in range(MAX_ANNOUNCED):
+        crashes.record_end("e1", [f"{number}" + 8_000 * "x"], 1.0)
+    notices = crashes.announced(1.1)
+    size = sum(len(notice.part) for notice in notices)
+    assert size <= MAX_ANNOUNCED * 64
+
+
 # The part began before, so that any part that never did could explain its ends.
 def test_part_that_turned_bad_is_quarantined_beside_a_part_at_one_end():
     crashes = CrashAttribution()
