Report the ends beneath long prompts within a datagram, and accuse all parts

Cause: a member reports 32 parts of a prompt beneath which an engine ended, whatever their length. A bad part behind them was never accused, and many long names made the message too large to be sent: the ends of its runs were lost too. Change: the report carries the number of the placement request, by which the broker that granted it finds all parts; the parts themselves, for another broker, are bounded to 512 bytes of names for each prompt.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -239,13 +239,21 @@
     def apply_progress(self, message: RunProgress, now: float) -> None:
         """Apply the first events and ends of runs that a member announces."""
         sender = message.sender
+        # The ends of the runs remove them.
+        ended = [
+            (
+                self.runs.start_of(broken.target),
+                self.runs.parts_of((sender.node, sender.incarnation, broken.number))
+                or broken.parts,
+            )
+            for broken in message.broken_prompts
+        ]
         for update in message.updates:
             self.runs.apply_update(
                 (sender.node, sender.incarnation, update.number), update, now
             )
-        for broken in message.broken_prompts:
-            start = self.runs.start_of(broken.target)
-            self.crashes.record_end(start, broken.parts, now)
+        for start, parts in ended:
+            self.crashes.record_end(start, parts, now)
 
     def apply_report(self, message: RunReport, now: float) -> None:
         """Reconcile the runs and queued requests of a member with its own lists.
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
@@ -204,8 +204,11 @@
     """A prompt whose engine ended the connection before its first event."""
 
     target: str
-    # The prompt's parts without the last, which no other request has.
+    # The first of the prompt's parts without the last, which no other request has, for
+    # a broker that did not place the request.
     parts: tuple[str, ...]
+    # Number of the sender's placement request; 0 if unknown.
+    number: int = 0
 
 
 class RunProgress(msgspec.Struct, frozen=True, array_like=True, tag=4):
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
@@ -193,6 +193,12 @@
         """Return the runs whose first event is neither known nor overdue."""
         return _UndecidedRuns(self, now)
 
+    def parts_of(self, key: RequestKey) -> tuple[str, ...]:
+        """Return the prompt parts, but the last, of a run that this broker granted."""
+        engine = self.engines.get(self.granted.get(key, ""))
+        run = None if engine is None else engine.runs.get(key)
+        return () if run is None else run.parts
+
     def start_of(self, target: str) -> str:
         """Return an identifier of the last known start of an engine."""
         engine = self.engines.get(target)
--- a/packages/burdockhaven-core/tests/scheduling/test_crash_attribution_review.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_crash_attribution_review.py
@@ -149,6 +149,23 @@
     assert size <= MAX_ANNOUNCED * 64
 
 
+# A prompt of hundreds of parts: the member reports the first ones only.
+def test_part_beyond_those_reported_is_accused():
+    broker = make_broker(targets=[f"i-{n}" for n in range(8)])
+    sound = [f"p-{n}" for n in range(40)]
+    for number in range(QUARANTINE_ENDS):
+        at_s = float(number)
+        reply = broker.submit(prompt(number, *sound, "bad"), at_s)
+        if reply.verdict is not Verdict.GRANTED:
+            break
+        broken = (BrokenPrompt(reply.target, tuple(sound[:32]), number),)
+        broker.apply_progress(progress(number, RunEnd.FAILED, broken), at_s + 0.1)
+        broker.submit(prompt(100 + number, *sound), at_s + 0.5)
+        broker.apply_progress(progress(100 + number), at_s + 0.6)
+        broker.apply_progress(progress(100 + number, RunEnd.COMPLETED), at_s + 0.7)
+    assert broker.crashes.quarantined(3.0) == ["bad"]
+
+
 # The part began before, so that any part that never did could explain its ends.
 def test_part_that_turned_bad_is_quarantined_beside_a_part_at_one_end():
     crashes = CrashAttribution()
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
@@ -41,8 +41,10 @@
 MAX_UNANSWERED_ATTEMPTS = 2
 # Seconds for which a suspected member is skipped.
 SUSPICION_S = 1.5
-# Parts of one prompt that are reported if its engine ends; bounds the message.
+# Parts of one prompt that are reported if its engine ends, and the length of their
+# names; a broker that placed the request knows all of them.
 MAX_REPORTED_PARTS = 32
+MAX_REPORTED_NAMES_BYTES = 512
 # Seconds without a reply after which a queued request is sent again, in case the reply
 # was lost.
 QUEUED_RESEND_S = 0.2
@@ -248,8 +250,7 @@
         run = self.runs.pop(number, None)
         if run is not None:
             if has_disconnected and run.parts and not run.first_event_seen:
-                prompt = BrokenPrompt(run.target, run.parts[:MAX_REPORTED_PARTS])
-                self.broken_prompts.append(prompt)
+                self.broken_prompts.append(_broken_prompt(run))
             pauses = (int(pause * 1e4) for pause in (typical_pause_s, longest_pause_s))
             self._add_update(RunUpdate(number, end, 0, *pauses))
 
@@ -455,6 +456,18 @@
             self.send(node, CancelPlacement(self.member_id, number))
 
 
+def _broken_prompt(run: LocalRun) -> BrokenPrompt:
+    """Describe a run whose engine has ended; long prompts are cut short."""
+    reported: list[str] = []
+    left_bytes = MAX_REPORTED_NAMES_BYTES
+    for part in run.parts[:MAX_REPORTED_PARTS]:
+        left_bytes -= len(part.encode())
+        if left_bytes < 0:
+            break
+        reported.append(part)
+    return BrokenPrompt(run.target, tuple(reported), run.number)
+
+
 def retry_excluding(
     requirements: PlacementRequirements, target: str
 ) -> PlacementRequirements:
--- a/packages/burdockhaven-entry/tests/gateway/test_placement_client.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_placement_client.py
@@ -16,9 +16,11 @@
     RunReport,
     RunUpdate,
     Verdict,
+    encode_message,
 )
 from burdockhaven_core.scheduling.quotas import QuotaRule
 from burdockhaven_entry.gateway import placement_client as placement_client_module
+from burdockhaven_entry.gateway.peer_endpoint import MAX_DATAGRAM_BYTES
 from burdockhaven_entry.gateway.placement_client import (
     MAX_UNANSWERED_ATTEMPTS,
     Placement,
@@ -307,3 +309,22 @@
     client.record_end(first.number, RunEnd.COMPLETED)
     client.flush_progress()
     assert granted_target(await waiting, 2) == "i-1"
+
+
+# Clients name the parts of their prompts: the report of an engine's end with many long
+# ones was larger than a datagram, and the ends of the runs with it were lost.
+async def test_report_of_broken_prompts_fits_into_a_datagram():
+    harness = PlacementHarness(slots=64)
+    harness.add_member("entry-2", started_ms=1)
+    parts = tuple((f"{n}" + 500 * "x", 10) for n in range(30))
+    client = harness.placement_client
+    for number in range(1, 65):
+        placing = asyncio.create_task(client.place(requirements(parts=parts)))
+        await asyncio.sleep(0)
+        client.on_reply(PlacementReply(number, Verdict.GRANTED, "i-1"), "entry-2")
+        await placing
+        client.record_end(number, RunEnd.FAILED, has_disconnected=True)
+    client.flush_progress()
+    (message,) = harness.sent_to("entry-2", RunProgress)
+    assert len(message.broken_prompts) == 64
+    assert len(encode_message(message)) <= MAX_DATAGRAM_BYTES
