Accuse the prompt of a stream that is closed before its first event without a reset

Cause: a stream with neither length nor chunks that is closed in order before its first event, or within one, counts as broken off, but its prompt was not accused: a part that ends engines in this way ended one engine after the other.

Change: such an end is an error of reading, like a reset.

Result: test_engine_that_ends_without_reset_accuses_the_prompt, seen failing before.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -354,11 +354,7 @@
             # A target that fails after its head closes the connection in order, too.
             target_response.is_close_delimited and not splitter.has_events
         ):
-            routed.trace.failures.append(
-                f"{target.id}: ended before the end of an event"
-            )
-            stream.record_possible_run(target.id)
-            return RunEnd.FAILED, RunResult.BROKEN
+            raise target_response.read_error("ended before the end of an event")
         return RunEnd.COMPLETED, RunResult.DONE
 
     async def _handle_failure(
--- a/packages/burdockhaven-entry/tests/gateway/test_crashing_prompt_parts.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_crashing_prompt_parts.py
@@ -2,7 +2,7 @@
 
 import aiohttp
 import pytest
-from gateway_fixtures import Gateway, Script, stream_events
+from gateway_fixtures import ATTEMPT, SIGNATURE, Gateway, Script, stream_events
 
 PREFIX = "X-Burdockhaven-Prompt-Prefix"
 CRASHING_PART = "c0ffee"
@@ -51,3 +51,38 @@
     assert len(reached) <= MAX_CRASHES
     assert responses[-1].status == 503
     assert "Retry-After" not in responses[-1].headers
+
+
+def end_without_reset(part, rest):
+    """Like `end_on`, but the response has no length and its connection is closed."""
+
+    async def behave(request, reader, writer):
+        if part not in request.headers[PREFIX]:
+            return await stream_events(1, 2)(request, reader, writer)
+        head = (
+            f"HTTP/1.1 200 OK\r\n{ATTEMPT}: {request.headers[ATTEMPT]}\r\n{SIGNATURE}"
+            "Content-Type: text/event-stream\r\n\r\n"
+        )
+        writer.write(head.encode() + rest)
+        await writer.drain()
+        return False
+
+    return behave
+
+
+# The client got an empty response as if it were whole, and engine after engine ended.
+@pytest.mark.parametrize("rest", [b"", b"id: 1\nda"])
+async def test_engine_that_ends_without_reset_accuses_the_prompt(rest):
+    script = Script(end_without_reset(CRASHING_PART, rest))
+    gateway = await Gateway.start(engines=[script] * 6)
+    statuses = []
+    for number in range(10):
+        sound = await ask(gateway, 100 + number, ("5hared",))
+        assert sound.status == 200
+        response = await ask(gateway, number, ("5hared", CRASHING_PART))
+        statuses.append(None if response is None else response.status)
+    await gateway.stop()
+    reached = [r for r in gateway.received if CRASHING_PART in r.headers[PREFIX]]
+    assert len(reached) <= MAX_CRASHES
+    assert statuses[-1] == 503
+    assert 200 not in statuses
