Report an engine's end before its request is placed again

Cause: the end of a run was reported in the next turn of the event loop, after the request had asked for its next engine. Change: the end beneath a prompt is sent at once.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
@@ -249,10 +249,12 @@
         """
         run = self.runs.pop(number, None)
         if run is not None:
-            if has_disconnected and run.parts and not run.first_event_seen:
-                self.broken_prompts.append(_broken_prompt(run))
             pauses = (int(pause * 1e4) for pause in (typical_pause_s, longest_pause_s))
             self._add_update(RunUpdate(number, end, 0, *pauses))
+            if has_disconnected and run.parts and not run.first_event_seen:
+                self.broken_prompts.append(_broken_prompt(run))
+                # The broker has to know of it before the request is placed again.
+                self.flush_progress()
 
     def submit(self, request: PlacementRequest, now: float) -> PlacementReply:
         """Submit a request, of this or another member, to the local broker."""
