Count no request that waits for a trial as work ahead of others

Cause: requests with an accused part are queued until the run that tries it begins. Each counted as work ahead of the sound requests of its rank and below, so these were refused as infeasible while engines stood idle: 300 waiting, one engine of three with the trial, the next sound request refused with a Retry-After of 4 s. Change: requests that wait for a trial are left out of the work ahead of others; they are counted by class each time the queue is searched for infeasible ones. Result: test_requests_that_wait_for_a_trial_delay_no_sound_one, seen failing before.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -115,6 +115,9 @@
         self.served_shares = ServedShares()
         self.recent_refusals = RecentRefusals()
         self.queue = RequestQueue()
+        # Queued requests that wait for a trial, by class; counted anew when the queue
+        # is searched for those that can't be in time.
+        self.held: Counter[QueueClass] = Counter()
         # Decisions since `take_route_counts` was last called, by route.
         self.route_counts: dict[str, RouteCounts] = {}
 
@@ -205,6 +208,7 @@
     def refuse_infeasible(self, now: float) -> list[AddressedReply]:
         """Refuse queued requests that would wait past their latest time to be sent."""
         replies: list[AddressedReply] = []
+        self.held.clear()
         work_ahead: dict[str, VersionedWork] = {}
         route_ahead: Counter[RouteKey] = Counter()
         for queue_class, group in self._in_order(now):
@@ -222,7 +226,12 @@
                 ahead.add(version, limits.cost_s)
                 wait_s = ahead.wait_s(version, limits.capacities)
                 if limits.admit(queued, wait_s, route_ahead[route_key], now):
-                    route_ahead[route_key] += 1
+                    if self._must_wait_for_trial(queued.request, now):
+                        # Engines can't be kept busy with it, so nothing waits for it.
+                        self.held[queue_class] += 1
+                        ahead.add(version, -limits.cost_s)
+                    else:
+                        route_ahead[route_key] += 1
                 else:
                     ahead.add(version, -limits.cost_s)
                     del self.queue[key]
@@ -301,12 +310,20 @@
             return self._refuse_until(request, pause_left_s, now)
         queue_class = queued.queue_class(now)
         ahead = self._counts_ahead(queue_class, now)
-        if not ahead and not self._must_wait_for_trial(request, now):
+        is_held = self._must_wait_for_trial(request, now)
+        if not ahead and not is_held:
             free = self._available_engines(request.service, now)
             found = self._find_placement(queued, free, now)
             if found is not None:
                 return self._grant(key, queued, found, now)
         limits = self._limits_of(queue_class, now, None if pause_left_s else queued)
+        if not self.queue:
+            self.held.clear()
+        ahead = [
+            (other, count - self.held[other])
+            for other, count in ahead
+            if count > self.held[other]
+        ]
         work = VersionedWork()
         work.add(request.software_version, limits.cost_s)
         for other, count in ahead:
@@ -320,6 +337,7 @@
         if not limits.admit(queued, wait_s, route_ahead, now):
             return self._refuse(request, wait_s, now)
         self.queue[key] = queued
+        self.held[queue_class] += is_held
         return PlacementReply(request.number, Verdict.QUEUED)
 
     def _quarantined_part(self, request: PlacementRequest, now: float) -> str:
--- a/packages/burdockhaven-core/tests/scheduling/test_crash_attribution_review.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_crash_attribution_review.py
@@ -166,6 +166,18 @@
     assert broker.crashes.quarantined(3.0) == ["bad"]
 
 
+# Requests that wait for a trial counted as work ahead of sound ones.
+def test_requests_that_wait_for_a_trial_delay_no_sound_one():
+    broker = make_broker()
+    ended = accuse(broker, "x")
+    broker.submit(prompt(1, "x", excluded=(ended,)), 0.5)
+    for number in range(2, 302):
+        broker.submit(prompt(number, "x"), 0.5)
+    reply = broker.submit(prompt(999, "sound"), 0.51)
+    granted = [a.reply.number for a in broker.grant_queued(0.52)]
+    assert reply.verdict is Verdict.GRANTED or 999 in granted
+
+
 # The part began before, so that any part that never did could explain its ends.
 def test_part_that_turned_bad_is_quarantined_beside_a_part_at_one_end():
     crashes = CrashAttribution()
