Gateway's test of ends without a reset: keep the ends apart

Cause: the test ended its engines within 3 ms of each other. Change: the engine waits 50 ms before it closes, like the ones that reset.

--- a/packages/burdockhaven-entry/tests/gateway/test_crashing_prompt_parts.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_crashing_prompt_parts.py
@@ -1,5 +1,7 @@
 """Requests with a prompt part beneath which engines end."""
 
+import asyncio
+
 import aiohttp
 import pytest
 from gateway_fixtures import ATTEMPT, SIGNATURE, Gateway, Script, stream_events
@@ -65,6 +67,8 @@
         )
         writer.write(head.encode() + rest)
         await writer.drain()
+        # Ends within `SAME_CAUSE_S` count once.
+        await asyncio.sleep(0.05)
         return False
 
     return behave
