Known red: ends after the first event, and engines without a new start

Not mended: the first needs other evidence than the first event, the second contradicts the rule that one engine at fault counts once.

--- a/packages/burdockhaven-core/tests/scheduling/test_crash_attribution_review.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_crash_attribution_review.py
@@ -212,3 +212,14 @@
     for notice in first.announced(4.1):
         second.apply_notice(notice, "entry-1", 4.1)
     assert second.accused["x"].ends == 1
+
+
+# Two engines that return with the time of their first start: other runs begin there.
+def test_part_is_quarantined_though_engines_return_without_a_new_start():
+    crashes = CrashAttribution()
+    for number in range(4 * QUARANTINE_ENDS_IN_DOUBT):
+        at_s = 5.0 * number
+        crashes.record_end(f"e{number % 2}", ["all", "bad"], at_s)
+        crashes.record_begun(["all"], at_s + 4.0)
+    assert "bad" in crashes.accused
+    assert crashes.accused["bad"].quarantines
--- a/packages/burdockhaven-entry/tests/gateway/test_crashing_prompt_parts.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_crashing_prompt_parts.py
@@ -90,3 +90,28 @@
     assert len(reached) <= MAX_CRASHES
     assert statuses[-1] == 503
     assert 200 not in statuses
+
+
+def end_after_first_event(part):
+    """Like `end_on`, but the engine ends once it has sent the first event."""
+
+    async def behave(request, reader, writer):
+        is_bad = part in request.headers[PREFIX]
+        last = 1 if is_bad else 2
+        return await stream_events(1, last, end=not is_bad, reset=is_bad)(
+            request, reader, writer
+        )
+
+    return behave
+
+
+# The first event acquits all parts, so that engine after engine ends after it.
+async def test_engine_that_ends_after_the_first_event_accuses_the_prompt():
+    script = Script(end_after_first_event(CRASHING_PART))
+    gateway = await Gateway.start(engines=[script] * 6)
+    for number in range(10):
+        await ask(gateway, 100 + number, ("5hared",))
+        await ask(gateway, number, ("5hared", CRASHING_PART))
+    await gateway.stop()
+    reached = [r for r in gateway.received if CRASHING_PART in r.headers[PREFIX]]
+    assert len(reached) <= MAX_CRASHES
