Keep digests of long names of prompt parts

Cause: names of prompt parts come from clients, up to the limit of a head, and brokers keep thousands of them: by arithmetic 64 MB, and a placement request could exceed a datagram.

Change: the adapter replaces a name of more than 64 characters by a digest; the header goes to the engine as it came.

Result: test_long_names_of_prompt_parts_are_replaced_by_digests failed before for lack of the bound.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/client_request.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/client_request.py
@@ -1,5 +1,6 @@
 """Headers of client requests: parses them and derives those sent to the target."""
 
+import hashlib
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -18,6 +19,10 @@
 TENANT = "X-Burdockhaven-Tenant"
 AUTHORIZATION = "Authorization"
 KEY_SCHEME = "bearer "
+# Characters of the longest name of a prompt part that is kept as it is, and bytes of
+# the digest that replaces a longer one.
+MAX_PART_NAME = 64
+PART_DIGEST_BYTES = 16
 
 # Headers that apply to a single connection and are not forwarded.
 HOP_BY_HOP_HEADERS = frozenset(
@@ -160,5 +165,13 @@
         count = parse_whole_number(tokens)
         if not colon or count is None:
             continue
-        parts.append((name, count))
+        parts.append((_short_name(name), count))
     return tuple(parts)
+
+
+def _short_name(name: str) -> str:
+    """Return the name of a part; a digest if it is long, since brokers keep names."""
+    if len(name) <= MAX_PART_NAME:
+        return name
+    data = name.encode("utf-8", "surrogateescape")
+    return hashlib.blake2b(data, digest_size=PART_DIGEST_BYTES).hexdigest()
--- a/packages/burdockhaven-entry/tests/platform/test_headers.py
+++ b/packages/burdockhaven-entry/tests/platform/test_headers.py
@@ -9,6 +9,7 @@
     refusal_headers,
     target_headers,
 )
+from burdockhaven_entry.platform.client_request import MAX_PART_NAME
 
 
 def headers(**values):
@@ -169,3 +170,17 @@
     assert [found.value for found in head.observation.unreadable] == (
         [unreadable] if unreadable else []
     )
+
+
+# Names from clients filled the memory of a broker, and messages beyond a datagram.
+def test_long_names_of_prompt_parts_are_replaced_by_digests():
+    names = ["p" * MAX_PART_NAME, "q" * (MAX_PART_NAME + 1), "\udcff" * 5_000]
+    prefix = ",".join(f"{name}:7" for name in names)
+    received = headers(
+        X_Burdockhaven_Attempt_Id="a", X_Burdockhaven_Prompt_Prefix=prefix
+    )
+    parts = read_client_request(received).parts
+    assert [tokens for _, tokens in parts] == [7, 7, 7]
+    assert parts[0][0] == names[0]
+    assert max(len(name) for name, _ in parts) <= MAX_PART_NAME
+    assert len({name for name, _ in parts}) == len(names)
