--- a/tools/tests/test_soak.py
+++ b/tools/tests/test_soak.py
@@ -110,6 +110,7 @@
     [
         (13, ["--clients", "16"]),
         (24, ["--clients", "32", "--site", "tight"]),
+        (24, ["--clients", "24", "--with", "tainted-part"]),
     ],
 )
 def test_short_soak_breaks_no_rule(seed, options, tmp_path):
