A run acquits its prompt's parts once it goes on after its first event

Engines that had sent the first event before they ended were ended one after the other: ten requests made 20 runs, bound 5.

Cause: the first event acquitted the parts, only ends before it accused them, and a stream with an event was sent on in spite of a quarantine.

Change: a run acquits when it completes or has gone on for 0.3 s; an end until then accuses its parts; a stream is exempt from the quarantine once it has gone on for so long.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -153,6 +153,7 @@
         if key in self.queue:
             self.queue[key].paused_until_s = paused_until_s(request, now)
             return PlacementReply(request.number, Verdict.QUEUED)
+        self.crashes.settle(now)
         quarantined = self._quarantined_part(request, now)
         if quarantined:
             return _quarantine_reply(request, quarantined)
@@ -178,6 +179,7 @@
     def grant_queued(self, now: float) -> list[AddressedReply]:
         """Grant targets to queued requests while engines have free slots."""
         replies: list[AddressedReply] = []
+        self.crashes.settle(now)
         free = {
             service: self._available_engines(service, now)
             for service in self.runs.open_by_service
@@ -248,20 +250,19 @@
     def apply_progress(self, message: RunProgress, now: float) -> None:
         """Apply the first events and ends of runs that a member announces."""
         sender = message.sender
+        self.crashes.settle(now)
         # The ends of the runs remove them.
-        ended = [
-            (
-                self.runs.start_of(broken.target),
-                self.runs.parts_of((sender.node, sender.incarnation, broken.number))
-                or broken.parts,
-            )
-            for broken in message.broken_prompts
-        ]
+        ended = []
+        for broken in message.broken_prompts:
+            key = (sender.node, sender.incarnation, broken.number)
+            parts = self.runs.parts_of(key) or broken.parts
+            ended.append((key, self.runs.start_of(broken.target), parts))
         for update in message.updates:
             self.runs.apply_update(
                 (sender.node, sender.incarnation, update.number), update, now
             )
-        for start, parts in ended:
+        for key, start, parts in ended:
+            self.crashes.beginning.pop(key, None)
             self.crashes.record_end(start, parts, now)
 
     def apply_report(self, message: RunReport, now: float) -> None:
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/crash_attribution.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/crash_attribution.py
@@ -2,9 +2,9 @@
 
 An engine that ends takes all of its runs with it, and each member sees only its own. So
 every end accuses the parts of all prompts whose answer had not begun there, except the
-last part of each, which no other request has. The first event of a run acquits its
-parts. A part that stays accused at the ends of several engines is quarantined, unless
-another part of the same prompt explains the ends better.
+last part of each, which no other request has. A run that goes on after its first event
+acquits its parts. A part that stays accused at the ends of several engines is
+quarantined, unless another part of the same prompt explains the ends better.
 """
 
 import enum
@@ -24,6 +24,9 @@
 # The same if runs with the part began before, or if none begins without it either, so
 # that it may be the engines that fail.
 QUARANTINE_ENDS_IN_DOUBT = 5
+# Seconds after its first event for which a run has to go on to acquit its parts, unless
+# it completes: an engine may have sent an event before it ends.
+BEGIN_SETTLE_S = 0.3
 # Ends within this many seconds count once: one lost link ends the runs at many engines.
 SAME_CAUSE_S = 0.03
 # Seconds of the first quarantine, doubled by each trial that ends its engine, and the
@@ -117,6 +120,8 @@
         self.begun_s: OrderedDict[str, float] = OrderedDict()
         # Number of runs that have begun.
         self.begun_count = 0
+        # When each run with a first event that has not settled had it, and its parts.
+        self.beginning: dict[RequestKey, tuple[float, tuple[str, ...]]] = {}
         # The last acquittal of each part.
         self.acquittals: dict[str, _Acquittal] = {}
         self.changes: list[PartChange] = []
@@ -139,8 +144,30 @@
             self._quarantine(part, engine, now)
         self._evict()
 
+    def record_first_event(
+        self, key: RequestKey, parts: tuple[str, ...], now: float
+    ) -> None:
+        """Record the first event of a run, which acquits its parts if it goes on."""
+        self.beginning[key] = (now, parts)
+
+    def record_completed(self, key: RequestKey, now: float) -> None:
+        """Record that a run has completed, which acquits its parts."""
+        began = self.beginning.pop(key, None)
+        if began is not None:
+            self.record_begun(began[1], now)
+
+    def settle(self, now: float) -> None:
+        """Acquit the parts of the runs that have gone on after their first event."""
+        while self.beginning:
+            key = next(iter(self.beginning))
+            began_s, parts = self.beginning[key]
+            if now - began_s < BEGIN_SETTLE_S:
+                return
+            del self.beginning[key]
+            self.record_begun(parts, began_s)
+
     def record_begun(self, parts: Iterable[str], now: float) -> None:
-        """Record the first event of a run, which acquits the parts of its prompt."""
+        """Record that engines answer these parts, which acquits them."""
         self.begun_count += 1
         for part in parts:
             self.begun_s[part] = now
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
@@ -122,7 +122,7 @@
     software_version: str = ""
     # Targets of the service that are paused for the sender.
     paused: tuple[PausedTarget, ...] = ()
-    # Whether an engine has begun to answer the prompt.
+    # Whether an engine has gone on to answer the prompt after its first event.
     has_begun: bool = False
 
 
@@ -201,7 +201,7 @@
 
 
 class BrokenPrompt(msgspec.Struct, frozen=True, array_like=True):
-    """A prompt whose engine ended the connection before its first event."""
+    """A prompt whose engine ended the connection before it went on to answer it."""
 
     target: str
     # The first of the prompt's parts without the last, which no other request has, for
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
@@ -210,7 +210,7 @@
         run = engine.runs.get(key)
         if run is not None and not run.first_event_seen:
             run.first_event_seen = True
-            self.crashes.record_begun(run.parts, now)
+            self.crashes.record_first_event(key, run.parts, now)
             engine.record_first_event(run, update.first_event_ms)
             engine.record_progress(now)
 
@@ -228,6 +228,7 @@
                 run, update.pause_tenth_ms / 10, update.longest_pause_tenth_ms / 10
             )
         if update.end is RunEnd.COMPLETED:
+            self.crashes.record_completed(key, now)
             engine.record_progress(now)
             engine.record_success()
         elif update.end is RunEnd.UNREACHABLE:
@@ -253,7 +254,7 @@
         if known is not None:
             if run.first_event_seen and not known.first_event_seen:
                 known.first_event_seen = True
-                self.crashes.record_begun(known.parts, now)
+                self.crashes.record_first_event(key, known.parts, now)
             return False
         # Another broker may have placed the request at a different engine.
         self.release(key)
--- a/packages/burdockhaven-core/tests/scheduling/test_crash_attribution.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_crash_attribution.py
@@ -1,6 +1,7 @@
 import pytest
 
 from burdockhaven_core.scheduling.crash_attribution import (
+    BEGIN_SETTLE_S,
     FORGET_S,
     MAX_ACCUSED,
     MAX_ANNOUNCED,
@@ -315,3 +316,24 @@
     quarantine(second, at_s=3.0)
     pass_on(first, second, 5.5)
     assert second.quarantined(6.0) == ["bad"]
+
+
+# An engine sent an event of the prompt that ended it, and this acquitted the part.
+@pytest.mark.parametrize(
+    ("goes_on_s", "is_acquitted"),
+    [(BEGIN_SETTLE_S - 0.1, False), (BEGIN_SETTLE_S + 0.1, True)],
+)
+def test_run_acquits_once_it_goes_on_after_its_first_event(goes_on_s, is_acquitted):
+    crashes = CrashAttribution()
+    crashes.record_end("e1", ["bad"], 1.0)
+    crashes.record_first_event(KEY, ("bad",), 2.0)
+    crashes.settle(2.0 + goes_on_s)
+    assert ("bad" not in crashes.accused) is is_acquitted
+
+
+def test_run_that_completes_acquits_at_once():
+    crashes = CrashAttribution()
+    crashes.record_end("e1", ["x"], 1.0)
+    crashes.record_first_event(KEY, ("x",), 2.0)
+    crashes.record_completed(KEY, 2.01)
+    assert not crashes.accused
--- a/packages/burdockhaven-core/tests/scheduling/test_crash_attribution_review.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_crash_attribution_review.py
@@ -5,6 +5,7 @@
 
 from burdockhaven_core.scheduling.broker import Broker
 from burdockhaven_core.scheduling.crash_attribution import (
+    BEGIN_SETTLE_S,
     MAX_ACCUSED,
     MAX_ANNOUNCED,
     QUARANTINE_ENDS,
@@ -60,6 +61,7 @@
     trial = broker.submit(prompt(1, "x"), 0.5)
     report = RunReport(ME, (RunState(1, trial.target, 1_000, 300, True),), ())
     broker.apply_report(report, 0.8)
+    broker.crashes.settle(1.0 + BEGIN_SETTLE_S)
     assert not broker.crashes.accused
     assert broker.submit(prompt(2, "x"), 0.9).verdict is Verdict.GRANTED
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import dataclasses
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -15,6 +16,7 @@
 
 from burdockhaven_core.log_numbers import EventNumber
 from burdockhaven_core.scheduling.broker import AddressedReply, Broker
+from burdockhaven_core.scheduling.crash_attribution import BEGIN_SETTLE_S
 from burdockhaven_core.scheduling.member_list import MemberList
 from burdockhaven_core.scheduling.peer_messages import (
     BrokenPrompt,
@@ -81,7 +83,7 @@
     expected_tokens: int = 0
     # Software version of the targets that may be used; empty for any.
     software_version: str = ""
-    # Whether an engine has begun to answer the prompt.
+    # Whether an engine has gone on to answer the prompt after its first event.
     has_begun: bool = False
 
 
@@ -128,6 +130,8 @@
     # Names of the prompt's parts without the last.
     parts: tuple[str, ...] = ()
     first_event_seen: bool = False
+    # Monotonic time of the first event in seconds; infinite before it.
+    first_event_s: float = math.inf
 
 
 @dataclass(slots=True)
@@ -232,7 +236,8 @@
         run = self.runs.get(number)
         if run is not None and not run.first_event_seen:
             run.first_event_seen = True
-            first_ms = int((self.clock() - run.sent_s) * 1e3)
+            run.first_event_s = self.clock()
+            first_ms = int((run.first_event_s - run.sent_s) * 1e3)
             self._add_update(RunUpdate(number, None, first_ms))
 
     def record_end(
@@ -251,7 +256,8 @@
         if run is not None:
             pauses = (int(pause * 1e4) for pause in (typical_pause_s, longest_pause_s))
             self._add_update(RunUpdate(number, end, 0, *pauses))
-            if has_disconnected and run.parts and not run.first_event_seen:
+            has_settled = self.clock() - run.first_event_s >= BEGIN_SETTLE_S
+            if has_disconnected and run.parts and not has_settled:
                 self.broken_prompts.append(_broken_prompt(run))
                 # The broker has to know of it before the request is placed again.
                 self.flush_progress()
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_state.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from burdockhaven_core.scheduling.crash_attribution import BEGIN_SETTLE_S
 from burdockhaven_entry.gateway.event_splitter import StreamEvent
 from burdockhaven_entry.gateway.placement_client import (
     Placement,
@@ -68,6 +69,10 @@
     was_replaced: bool = False
     # Engine granted to replace a silent run; None if the next run needs a placement.
     replacement: Placement | None = None
+    # When the present run had its first event, 0 before it, and whether any run has
+    # gone on after its first event.
+    run_began_s: float = 0.0
+    has_gone_on: bool = False
     # Whether the software version of the stream is fixed, by its first event.
     is_origin_recorded: bool = False
 
@@ -122,7 +127,7 @@
         if self.delivered_s is not None:
             requirements = dataclasses.replace(
                 requirements,
-                has_begun=True,
+                has_begun=self.has_gone_on,
                 objective_s=self.give_up_s,
                 client_timeout_s=self.give_up_s,
             )
@@ -163,7 +168,7 @@
         """Record that the request is sent to an engine."""
         self.may_have_run = True
         self.is_retry_acquired = False
-        self.last_event_s = 0.0
+        self.last_event_s = self.run_began_s = 0.0
         self.pauses_s.clear()
 
     def record_event(self, event: StreamEvent, now: float) -> bool:
@@ -177,6 +182,8 @@
             self.pauses_s.append(pause_s)
             trace.longest_pause_s = max(trace.longest_pause_s, pause_s)
         self.last_event_s = now
+        self.run_began_s = self.run_began_s or now
+        self.has_gone_on |= now - self.run_began_s >= BEGIN_SETTLE_S
         if event.id is not None:
             if _is_duplicate(event.id, self.last_event_id):
                 return False
--- a/packages/burdockhaven-entry/tests/gateway/test_crashing_prompt_parts.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_crashing_prompt_parts.py
@@ -105,7 +105,7 @@
     return behave
 
 
-# The first event acquits all parts, so that engine after engine ends after it.
+# The first event acquitted all parts, so that engine after engine ended after it.
 async def test_engine_that_ends_after_the_first_event_accuses_the_prompt():
     script = Script(end_after_first_event(CRASHING_PART))
     gateway = await Gateway.start(engines=[script] * 6)
