--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -115,6 +115,9 @@
         self.served_shares = ServedShares()
         self.recent_refusals = RecentRefusals()
         self.queue = RequestQueue()
+        # Queued requests that wait for a trial, by class; counted anew when the queue
+        # is searched for those that can't be in time.
+        self.held: Counter[QueueClass] = Counter()
         # Decisions since `take_route_counts` was last called, by route.
         self.route_counts: dict[str, RouteCounts] = {}
 
@@ -150,6 +153,7 @@
         if key in self.queue:
             self.queue[key].paused_until_s = paused_until_s(request, now)
             return PlacementReply(request.number, Verdict.QUEUED)
+        self.crashes.settle(now)
         quarantined = self._quarantined_part(request, now)
         if quarantined:
             return _quarantine_reply(request, quarantined)
@@ -175,6 +179,7 @@
     def grant_queued(self, now: float) -> list[AddressedReply]:
         """Grant targets to queued requests while engines have free slots."""
         replies: list[AddressedReply] = []
+        self.crashes.settle(now)
         free = {
             service: self._available_engines(service, now)
             for service in self.runs.open_by_service
@@ -205,6 +210,7 @@
     def refuse_infeasible(self, now: float) -> list[AddressedReply]:
         """Refuse queued requests that would wait past their latest time to be sent."""
         replies: list[AddressedReply] = []
+        self.held.clear()
         work_ahead: dict[str, VersionedWork] = {}
         route_ahead: Counter[RouteKey] = Counter()
         for queue_class, group in self._in_order(now):
@@ -222,7 +228,12 @@
                 ahead.add(version, limits.cost_s)
                 wait_s = ahead.wait_s(version, limits.capacities)
                 if limits.admit(queued, wait_s, route_ahead[route_key], now):
-                    route_ahead[route_key] += 1
+                    if self._must_wait_for_trial(queued.request, now):
+                        # Engines can't be kept busy with it, so nothing waits for it.
+                        self.held[queue_class] += 1
+                        ahead.add(version, -limits.cost_s)
+                    else:
+                        route_ahead[route_key] += 1
                 else:
                     ahead.add(version, -limits.cost_s)
                     del self.queue[key]
@@ -239,20 +250,19 @@
     def apply_progress(self, message: RunProgress, now: float) -> None:
         """Apply the first events and ends of runs that a member announces."""
         sender = message.sender
+        self.crashes.settle(now)
         # The ends of the runs remove them.
-        ended = [
-            (
-                self.runs.start_of(broken.target),
-                self.runs.parts_of((sender.node, sender.incarnation, broken.number))
-                or broken.parts,
-            )
-            for broken in message.broken_prompts
-        ]
+        ended = []
+        for broken in message.broken_prompts:
+            key = (sender.node, sender.incarnation, broken.number)
+            parts = self.runs.parts_of(key) or broken.parts
+            ended.append((key, self.runs.start_of(broken.target), parts))
         for update in message.updates:
             self.runs.apply_update(
                 (sender.node, sender.incarnation, update.number), update, now
             )
-        for start, parts in ended:
+        for key, start, parts in ended:
+            self.crashes.beginning.pop(key, None)
             self.crashes.record_end(start, parts, now)
 
     def apply_report(self, message: RunReport, now: float) -> None:
@@ -301,12 +311,20 @@
             return self._refuse_until(request, pause_left_s, now)
         queue_class = queued.queue_class(now)
         ahead = self._counts_ahead(queue_class, now)
-        if not ahead and not self._must_wait_for_trial(request, now):
+        is_held = self._must_wait_for_trial(request, now)
+        if not ahead and not is_held:
             free = self._available_engines(request.service, now)
             found = self._find_placement(queued, free, now)
             if found is not None:
                 return self._grant(key, queued, found, now)
         limits = self._limits_of(queue_class, now, None if pause_left_s else queued)
+        if not self.queue:
+            self.held.clear()
+        ahead = [
+            (other, count - self.held[other])
+            for other, count in ahead
+            if count > self.held[other]
+        ]
         work = VersionedWork()
         work.add(request.software_version, limits.cost_s)
         for other, count in ahead:
@@ -320,6 +338,7 @@
         if not limits.admit(queued, wait_s, route_ahead, now):
             return self._refuse(request, wait_s, now)
         self.queue[key] = queued
+        self.held[queue_class] += is_held
         return PlacementReply(request.number, Verdict.QUEUED)
 
     def _quarantined_part(self, request: PlacementRequest, now: float) -> str:
--- a/packages/burdockhaven-core/tests/scheduling/test_crash_attribution_review.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_crash_attribution_review.py
@@ -5,6 +5,7 @@
 
 from burdockhaven_core.scheduling.broker import Broker
 from burdockhaven_core.scheduling.crash_attribution import (
+    BEGIN_SETTLE_S,
     MAX_ACCUSED,
     MAX_ANNOUNCED,
     QUARANTINE_ENDS,
@@ -60,6 +61,7 @@
     trial = broker.submit(prompt(1, "x"), 0.5)
     report = RunReport(ME, (RunState(1, trial.target, 1_000, 300, True),), ())
     broker.apply_report(report, 0.8)
+    broker.crashes.settle(1.0 + BEGIN_SETTLE_S)
     assert not broker.crashes.accused
     assert broker.submit(prompt(2, "x"), 0.9).verdict is Verdict.GRANTED
 
@@ -166,6 +168,18 @@
     assert broker.crashes.quarantined(3.0) == ["bad"]
 
 
+# Requests that wait for a trial counted as work ahead of sound ones.
+def test_requests_that_wait_for_a_trial_delay_no_sound_one():
+    broker = make_broker()
+    ended = accuse(broker, "x")
+    broker.submit(prompt(1, "x", excluded=(ended,)), 0.5)
+    for number in range(2, 302):
+        broker.submit(prompt(number, "x"), 0.5)
+    reply = broker.submit(prompt(999, "sound"), 0.51)
+    granted = [a.reply.number for a in broker.grant_queued(0.52)]
+    assert reply.verdict is Verdict.GRANTED or 999 in granted
+
+
 # The part began before, so that any part that never did could explain its ends.
 def test_part_that_turned_bad_is_quarantined_beside_a_part_at_one_end():
     crashes = CrashAttribution()
@@ -200,3 +214,14 @@
     for notice in first.announced(4.1):
         second.apply_notice(notice, "entry-1", 4.1)
     assert second.accused["x"].ends == 1
+
+
+# Two engines that return with the time of their first start: other runs begin there.
+def test_part_is_quarantined_though_engines_return_without_a_new_start():
+    crashes = CrashAttribution()
+    for number in range(4 * QUARANTINE_ENDS_IN_DOUBT):
+        at_s = 5.0 * number
+        crashes.record_end(f"e{number % 2}", ["all", "bad"], at_s)
+        crashes.record_begun(["all"], at_s + 4.0)
+    assert "bad" in crashes.accused
+    assert crashes.accused["bad"].quarantines
