--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/crash_attribution.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/crash_attribution.py
@@ -7,13 +7,18 @@
 quarantined, unless another part of the same prompt explains the ends better.
 """
 
-import enum
 import heapq
 import math
-from collections import Counter, OrderedDict
+from collections import OrderedDict
 from collections.abc import Container, Iterable
-from dataclasses import dataclass, field
 
+from burdockhaven_core.scheduling.accused_part import (
+    FORGET_S,
+    AccusedPart,
+    Acquittal,
+    PartChange,
+    PartChangeKind,
+)
 from burdockhaven_core.scheduling.peer_messages import AccusedPartNotice
 from burdockhaven_core.scheduling.request_queue import RequestKey
 
@@ -36,8 +41,6 @@
 # An accused part is sent to one engine at a time, unless a run with it has begun within
 # this many seconds before.
 RECENTLY_BEGUN_S = 5.0
-# Seconds after its last accusation or quarantine in which a part is remembered.
-FORGET_S = 600.0
 # Seconds for which an acquittal is announced.
 ACQUITTAL_ANNOUNCE_S = 10.0
 # Upper bounds of the parts that are remembered, and of those in one heartbeat.
@@ -49,73 +52,11 @@
 MAX_ANNOUNCED_NAME = 64
 
 
-class PartChangeKind(enum.Enum):
-    """What happened to a prompt part."""
-
-    ACCUSED = "accused"
-    QUARANTINED = "quarantined"
-    ACQUITTED = "acquitted"
-
-
-@dataclass(frozen=True, slots=True)
-class PartChange:
-    """A change in the belief about a prompt part, for the log."""
-
-    kind: PartChangeKind
-    part: str
-    # Ends of engines that accuse the part.
-    ends: int
-    # The engine that ended, or the member that announced the change.
-    source: str
-    # Length of the quarantine in seconds; 0 if there is none.
-    quarantine_s: float = 0.0
-
-
-@dataclass(slots=True)
-class _AccusedPart:
-    """Evidence against one prompt part since a run with it last began."""
-
-    # Engines that ended, by start, and the number of ends that count.
-    engines: set[str] = field(default_factory=set)
-    ends: int = 0
-    last_end_s: float = -math.inf
-    # Number of these ends beneath prompts that have each other accused part.
-    beside: Counter[str] = field(default_factory=Counter)
-    # Runs that this broker had seen begin at the first accusation.
-    begun_before: int = 0
-    # The last run that was sent to an engine as a trial, and the engine's start.
-    trial: RequestKey | None = None
-    trial_engine: str = ""
-    # Whether an engine ended beneath a trial.
-    has_ended_trial: bool = False
-    # When the last quarantine ends, 0 without one, and the number of quarantines.
-    quarantined_until_s: float = 0.0
-    quarantines: int = 0
-    # Whether this broker has used the evidence; others have it from announcements.
-    is_own: bool = True
-
-    def remembered_until_s(self) -> float:
-        return max(self.last_end_s, self.quarantined_until_s) + FORGET_S
-
-    def rank(self) -> tuple[bool, float]:
-        """Sort key by the worth of the evidence; the greatest is kept longest."""
-        return (bool(self.quarantines), self.remembered_until_s())
-
-
-@dataclass(frozen=True, slots=True)
-class _Acquittal:
-    """A run with an accused part has begun."""
-
-    at_s: float
-    # Whether the part had been quarantined.
-    had_quarantine: bool
-
-
 class CrashAttribution:
     """The prompt parts that are accused of ending engines, as one broker knows them."""
 
     def __init__(self) -> None:
-        self.accused: dict[str, _AccusedPart] = {}
+        self.accused: dict[str, AccusedPart] = {}
         # When a run with each part last began, the least recent first.
         self.begun_s: OrderedDict[str, float] = OrderedDict()
         # Number of runs that have begun.
@@ -123,11 +64,11 @@
         # When each run with a first event that has not settled had it, and its parts.
         self.beginning: dict[RequestKey, tuple[float, tuple[str, ...]]] = {}
         # The last acquittal of each part.
-        self.acquittals: dict[str, _Acquittal] = {}
+        self.acquittals: dict[str, Acquittal] = {}
         self.changes: list[PartChange] = []
 
     def record_end(self, engine: str, parts: Iterable[str], now: float) -> None:
-        """Record that an engine ended before it began to answer a prompt.
+        """Record that an engine ended before it went on to answer a prompt.
 
         `engine` identifies one start of an engine; `parts` are the prompt's parts
         without the last.
@@ -268,7 +209,7 @@
         if acquittal is not None and acquittal.at_s >= observed_s:
             return
         if accused is None:
-            accused = _AccusedPart(begun_before=self.begun_count, is_own=False)
+            accused = AccusedPart(begun_before=self.begun_count, is_own=False)
             self.accused[notice.part] = accused
             self._evict()
         accused.ends = max(accused.ends, notice.ends)
@@ -286,12 +227,12 @@
         changes, self.changes = self.changes, []
         return changes
 
-    def _accused_among(self, parts: Iterable[str]) -> list[tuple[str, _AccusedPart]]:
+    def _accused_among(self, parts: Iterable[str]) -> list[tuple[str, AccusedPart]]:
         if not self.accused:
             return []
         return [(part, self.accused[part]) for part in parts if part in self.accused]
 
-    def _is_on_trial(self, part: str, accused: _AccusedPart) -> bool:
+    def _is_on_trial(self, part: str, accused: AccusedPart) -> bool:
         """Whether only one run at a time may have the part."""
         begun_s = self.begun_s.get(part, -math.inf)
         return bool(accused.quarantines) or (
@@ -302,7 +243,7 @@
         """Add evidence against a part; False if it counts already."""
         accused = self.accused.get(part)
         if accused is None:
-            accused = _AccusedPart(begun_before=self.begun_count)
+            accused = AccusedPart(begun_before=self.begun_count)
             self.accused[part] = accused
         if engine in accused.engines and not accused.quarantines:
             return False
@@ -373,7 +314,7 @@
             PartChangeKind.QUARANTINED, part, accused, engine, quarantine_s
         )
 
-    def _explain_away(self, culprit: _AccusedPart) -> None:
+    def _explain_away(self, culprit: AccusedPart) -> None:
         """Take back the ends that a culprit explains from the parts beside it."""
         for part, ends in culprit.beside.items():
             accused = self.accused.get(part)
@@ -384,7 +325,7 @@
 
     def _acquit(self, part: str, source: str, now: float) -> None:
         accused = self.accused.pop(part)
-        self.acquittals[part] = _Acquittal(now, bool(accused.quarantines))
+        self.acquittals[part] = Acquittal(now, bool(accused.quarantines))
         if accused.is_own or accused.quarantines:
             self._add_change(PartChangeKind.ACQUITTED, part, accused, source)
 
@@ -392,7 +333,7 @@
         self,
         kind: PartChangeKind,
         part: str,
-        accused: _AccusedPart,
+        accused: AccusedPart,
         source: str,
         quarantine_s: float = 0.0,
     ) -> None:
--- a/packages/burdockhaven-core/tests/scheduling/test_crash_attribution.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_crash_attribution.py
@@ -1,8 +1,8 @@
 import pytest
 
+from burdockhaven_core.scheduling.accused_part import FORGET_S, PartChangeKind
 from burdockhaven_core.scheduling.crash_attribution import (
     BEGIN_SETTLE_S,
-    FORGET_S,
     MAX_ACCUSED,
     MAX_ANNOUNCED,
     QUARANTINE_ENDS,
@@ -10,7 +10,6 @@
     QUARANTINE_S,
     SAME_CAUSE_S,
     CrashAttribution,
-    PartChangeKind,
 )
 
 KEY = ("entry-1", 1, 1)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/prompt_part_log.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/prompt_part_log.py
@@ -1,10 +1,8 @@
 """Logs the changes in the belief about prompt parts that may end engines."""
 
 from burdockhaven_core.log_numbers import EventNumber
-from burdockhaven_core.scheduling.crash_attribution import (
-    CrashAttribution,
-    PartChangeKind,
-)
+from burdockhaven_core.scheduling.accused_part import PartChangeKind
+from burdockhaven_core.scheduling.crash_attribution import CrashAttribution
 from burdockhaven_entry.log_events import log
 
 
