--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -330,6 +330,22 @@
             if self.state.draining:
                 close_after_response(routed.request, stream.response)
             await stream.response.prepare(routed.request)
+        await self._relay_events(
+            routed, stream, target, placement, target_response, search
+        )
+        return RunEnd.COMPLETED, RunResult.DONE
+
+    async def _relay_events(
+        self,
+        routed: RoutedRequest,
+        stream: StreamState,
+        target: TargetEntry,
+        placement: Placement,
+        target_response: TargetResponse,
+        search: ReplacementSearch,
+    ) -> None:
+        """Pass on the events of a run; raises `SendError` if they are not complete."""
+        assert stream.response is not None
         splitter = EventSplitter()
         async for data in target_response.chunks():
             for event in splitter.feed(data):
@@ -340,11 +356,7 @@
                 # A client that is slow to read does not make the engine silent.
                 search.stop()
                 routed.trace.add_software_version(target.software_version)
-                if routed.route.resumable and not stream.is_origin_recorded:
-                    stream.is_origin_recorded = True
-                    origin = StreamOrigin(routed.service, target.software_version)
-                    stream.requirements = continue_at(stream.requirements, origin)
-                    self.origins.record(routed.client_request, origin)
+                self._record_origin(routed, stream, target)
                 await self._relay_event(stream, event)
                 search.restart(EVENT_PAUSE_TIMEOUT_S)
             if splitter.bytes_since_event > MAX_EVENT_BYTES:
@@ -355,7 +367,17 @@
             target_response.is_close_delimited and not splitter.has_events
         ):
             raise target_response.read_error("ended before the end of an event")
-        return RunEnd.COMPLETED, RunResult.DONE
+
+    def _record_origin(
+        self, routed: RoutedRequest, stream: StreamState, target: TargetEntry
+    ) -> None:
+        """Fix the software version of a stream at its first event."""
+        if stream.is_origin_recorded or not routed.route.resumable:
+            return
+        stream.is_origin_recorded = True
+        origin = StreamOrigin(routed.service, target.software_version)
+        stream.requirements = continue_at(stream.requirements, origin)
+        self.origins.record(routed.client_request, origin)
 
     async def _handle_failure(
         self, stream: StreamState, target_response: TargetResponse
