Members that are not hubs follow the hubs instead of watching the store

Change: hubs announce the store revision of the last change of a target's entry beside the configuration version. The others read what is announced, first from a copy that may be old, and watch only while no hub in sync with the store is heard. An outage that all hubs report counts as one of this member, so its end brings a full read.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
@@ -72,6 +72,9 @@
     leaving_started_ms: tuple[int, ...] = ()
     # Prompt parts accused of ending engines, by the evidence of the sender's broker.
     accused_parts: tuple[AccusedPartNotice, ...] = ()
+    # Store revision of the last change of a target's entry that the sender has applied;
+    # 0 if unknown.
+    targets_revision: int = 0
 
 
 class PausedTarget(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
@@ -33,7 +33,11 @@
 from burdockhaven_entry.gateway.store_era import StoreEras
 from burdockhaven_entry.gateway.target_signal_log import TargetSignalLog
 from burdockhaven_entry.gateway.unknown_headers import UnknownHeaders
-from burdockhaven_entry.platform import PlatformSettings, TargetResponseHead
+from burdockhaven_entry.platform import (
+    PlatformSettings,
+    StoreRevision,
+    TargetResponseHead,
+)
 
 # Fraction of the platform's quota slack that is used while the usage of all members is
 # known; the rest covers brokers that overlap and heartbeats under way.
@@ -85,6 +89,9 @@
     has_synced: bool = False
     # Sequence number of the last heartbeat.
     sequence: int = 0
+    # Store revision of the last change of a target's entry that was applied; None
+    # before the first read.
+    targets_revision: StoreRevision | None = None
 
     @classmethod
     def from_settings(
@@ -169,8 +176,16 @@
             limits=self.target_signals.signals.limits.announced(self.clock()),
             leaving_started_ms=tuple(map(self.registry.start_of, leaving)),
             accused_parts=self.broker.crashes.announced(self.clock()),
+            targets_revision=self._announced_targets_revision(),
         )
 
+    def _announced_targets_revision(self) -> int:
+        """Return the revision of the targets; 0 while they are those of another era."""
+        revision = self.targets_revision
+        if revision is None or revision.era != self.store_eras.current:
+            return 0
+        return revision.number
+
     def usage(self) -> tuple[tuple[str, int], ...]:
         """Quota units that this process has used within the window, by account."""
         now = self.clock()
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_event_handlers.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_event_handlers.py
@@ -5,10 +5,15 @@
 
 from burdockhaven_core.key_value_failure import KeyValueFailure
 from burdockhaven_core.log_numbers import EventNumber
+from burdockhaven_core.scheduling.hub_feed import HubFeed, HubLoss, find_hub_feed
 from burdockhaven_core.scheduling.target_registry import TargetEntry
 from burdockhaven_entry.gateway.gateway_state import GatewayState
 from burdockhaven_entry.gateway.store_era import RestorePart
-from burdockhaven_entry.gateway.store_sync import PrefixHandlers, WatchTiming
+from burdockhaven_entry.gateway.store_sync import (
+    Announcement,
+    PrefixHandlers,
+    WatchTiming,
+)
 from burdockhaven_entry.log_events import log
 from burdockhaven_entry.platform import (
     CONFIGURATION_KEY,
@@ -16,6 +21,7 @@
     TARGETS_PREFIX,
     ConfigurationError,
     StoreItem,
+    StoreRevision,
     TargetEntryError,
     read_configuration,
     read_target_entry,
@@ -23,13 +29,20 @@
 
 # Timing for members that are not hubs, if there are hubs (`member_list.py`). Hubs
 # announce new versions and leaving targets to all members, so a silent connection to
-# the store does no harm, whereas 87 members that each watched every change of every
-# target made 200 calls a second. The batch delay is shorter for the configuration,
-# because a change has to be in force within two seconds.
+# the store does no harm. Such a member watches only while no hub informs it
+# (`hub_feed.py`). The delays are shorter for the configuration, because a change has to
+# be in force within two seconds.
 RELAXED_CONFIGURATION_TIMING = WatchTiming(
-    wait_s=10.0, batch_delay_s=0.5, max_backoff_s=2.5
+    wait_s=10.0, batch_delay_s=0.5, max_backoff_s=2.5, catch_up_spread_s=0.2
+)
+RELAXED_TARGETS_TIMING = WatchTiming(
+    wait_s=10.0, batch_delay_s=1.5, max_backoff_s=2.5, catch_up_spread_s=0.7
 )
-RELAXED_TARGETS_TIMING = WatchTiming(wait_s=10.0, batch_delay_s=1.5, max_backoff_s=2.5)
+
+_ANNOUNCEMENT_OF_LOSS = {
+    HubLoss.NO_HUB: Announcement.NONE,
+    HubLoss.OUT_OF_SYNC: Announcement.OUTAGE,
+}
 
 
 @dataclass(slots=True)
@@ -52,6 +65,7 @@
                 self._on_configuration_snapshot,
                 RestorePart.CONFIGURATION,
                 self._configuration_timing,
+                self._configuration_announcement,
             ),
             PrefixHandlers(
                 TARGETS_PREFIX,
@@ -62,6 +76,8 @@
                 self._on_targets_restored,
                 RestorePart.TARGETS,
                 self._targets_timing,
+                self._targets_announcement,
+                self._record_targets_revision,
             ),
         )
 
@@ -75,6 +91,26 @@
     def _targets_timing(self) -> WatchTiming:
         return WatchTiming() if self._is_primary_watcher() else RELAXED_TARGETS_TIMING
 
+    def _configuration_announcement(self, known: StoreRevision) -> Announcement:
+        feed = self._hub_feed(known)
+        if isinstance(feed, HubLoss):
+            return _ANNOUNCEMENT_OF_LOSS[feed]
+        is_behind = feed.config_version > self.state.version
+        return Announcement.BEHIND if is_behind else Announcement.CURRENT
+
+    def _targets_announcement(self, known: StoreRevision) -> Announcement:
+        feed = self._hub_feed(known)
+        if isinstance(feed, HubLoss):
+            return _ANNOUNCEMENT_OF_LOSS[feed]
+        is_behind = feed.targets_revision > known.number
+        return Announcement.BEHIND if is_behind else Announcement.CURRENT
+
+    def _hub_feed(self, known: StoreRevision) -> HubFeed | HubLoss:
+        return find_hub_feed(self.state.member_list, known.era, self.state.clock())
+
+    def _record_targets_revision(self, revision: StoreRevision) -> None:
+        self.state.targets_revision = revision
+
     def _is_primary_watcher(self) -> bool:
         """Whether this member is a hub, or there are no hubs that could inform it."""
         member_list = self.state.member_list
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_sync.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_sync.py
@@ -2,11 +2,13 @@
 
 A watcher reads all keys of its prefix and then watches for changes from the revision of
 that read. After an outage, if the store no longer has the history or was restored from
-a copy, it reads all keys again. The module also maintains this member's own leased
+a copy, it reads all keys again. While other members tell it of changes, it doesn't
+watch but reads what they announce. The module also maintains this member's own leased
 entry.
 """
 
 import asyncio
+import enum
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -37,6 +39,28 @@
 # store was restored.
 RESTORE_READ_SPREAD_S = 0.3
 RESTORE_REGISTRATION_SPREAD_S = 1.0
+# Seconds between two checks of what other members announce.
+ANNOUNCEMENT_CHECK_S = 0.25
+# Wait of a watch that only fetches past changes; the store takes no shorter one.
+CATCH_UP_WAIT_S = 0.001
+
+
+class Announcement(enum.Enum):
+    """What other members tell of the changes of a prefix."""
+
+    # They tell nothing: this member has to watch the prefix.
+    NONE = "none"
+    # They have lost the store; changes during their outage are unknown.
+    OUTAGE = "outage"
+    # This member knows all changes that they know.
+    CURRENT = "current"
+    # There are changes that this member has not read.
+    BEHIND = "behind"
+
+
+def no_announcement(known: StoreRevision) -> Announcement:
+    """Tell of no changes, so that a watcher always watches."""
+    return Announcement.NONE
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +77,8 @@
     # Maximum backoff in seconds after a failure; refused calls are billed, too. Targets
     # whose entries expired in an outage have to be read within two seconds of its end.
     max_backoff_s: float = 0.6
+    # Seconds over which the members spread their reads of an announced change.
+    catch_up_spread_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +100,10 @@
     part: RestorePart
     # Returns the timing that applies now.
     timing: Callable[[], WatchTiming] = WatchTiming
+    # Tells whether other members know of changes after a revision.
+    announcement: Callable[[StoreRevision], Announcement] = no_announcement
+    # Receives the revision of each change of the prefix, and of each read.
+    on_revision: Callable[[StoreRevision], None] = lambda revision: None
 
 
 class PrefixWatcher:
@@ -102,6 +132,8 @@
         # Monotonic time of the first consecutive failure; None while calls succeed.
         self.failing_since_s: float | None = None
         self.in_outage = False
+        # Whether other members told this one of changes, so that it did not watch.
+        self.is_following = False
         self.backoff = Backoff(rng, INITIAL_BACKOFF_S)
 
     async def run(self) -> None:
@@ -109,8 +141,69 @@
         while True:
             if self.revision is None or self.revision.era != self.eras.current:
                 await self._read()
-            else:
+                continue
+            announcement = self.handlers.announcement(self.revision)
+            if announcement is Announcement.OUTAGE and self.is_following:
+                self._adopt_outage()
+            elif announcement in (Announcement.NONE, Announcement.OUTAGE):
+                self.is_following = False
                 await self._watch(self.revision)
+            else:
+                self.is_following = True
+                await self._follow(self.revision, announcement)
+
+    def _adopt_outage(self) -> None:
+        """Begin the outage that other members report, with a full read at its end.
+
+        Entries may have expired during it, which shows only in a full read.
+        """
+        self.is_following = False
+        self.revision = None
+        if not self.in_outage:
+            self.in_outage = True
+            detail = "the members that watch it are out of sync"
+            self.handlers.on_outage(
+                KeyValueFailure(FailureKind.NOT_DONE, "follow", "store", detail)
+            )
+
+    async def _follow(self, known: StoreRevision, announcement: Announcement) -> None:
+        """Read the changes that other members announce; otherwise wait for some."""
+        if announcement is Announcement.CURRENT:
+            self.last_success_s = self.clock()
+            await asyncio.sleep(ANNOUNCEMENT_CHECK_S)
+            return
+        spread_s = self.handlers.timing().catch_up_spread_s
+        await asyncio.sleep(self.rng.random() * spread_s)
+        if await self._read_copy(known):
+            return
+        await asyncio.sleep(spread_s)
+        await self._fetch_changes(self.revision or known, CATCH_UP_WAIT_S)
+        revision = self.revision
+        if revision and self.handlers.announcement(revision) is Announcement.BEHIND:
+            # The store does not have what was announced; other members may send it.
+            await asyncio.sleep(self.handlers.timing().max_backoff_s)
+
+    async def _read_copy(self, known: StoreRevision) -> bool:
+        """Read all keys from a copy that may be old; False if it is not current.
+
+        The platform bills a tenth of a call for it.
+        """
+        prefix = self.handlers.prefix
+        result = await self.store.read_prefix(prefix, may_be_stale=True)
+        if isinstance(result, Err):
+            # The watch that follows tells whether the store has failed.
+            return False
+        revision = result.ok_value.revision
+        if (
+            revision.era != known.era
+            or revision.era != self.eras.current
+            or revision.number <= known.number
+        ):
+            return False
+        self._record_success()
+        self.handlers.on_snapshot(result.ok_value.items)
+        self._advance(revision)
+        return self.handlers.announcement(revision) is not Announcement.BEHIND
 
     async def _read(self) -> None:
         if self.read_era is not None and self.read_era != self.eras.current:
@@ -129,34 +222,44 @@
             self.handlers.on_snapshot(result.ok_value.items)
         else:
             self.handlers.on_restored(result.ok_value.items)
-        self.revision = revision
+        self._advance(revision)
         self.read_era = revision.era
         self.eras.mark_done(self.handlers.part, revision.era)
 
+    def _advance(self, revision: StoreRevision) -> None:
+        self.revision = revision
+        self.handlers.on_revision(revision)
+
     async def _watch(self, after: StoreRevision) -> None:
+        """Wait for changes after a revision, then for more that belong together."""
         timing = self.handlers.timing()
-        result = await self._watch_within_era(after, timing.wait_s)
+        has_changes = await self._fetch_changes(after, timing.wait_s)
+        if has_changes and timing.batch_delay_s:
+            await asyncio.sleep(timing.batch_delay_s)
+
+    async def _fetch_changes(self, after: StoreRevision, wait_s: float) -> bool:
+        """Apply the changes after a revision; returns whether there were any."""
+        result = await self._watch_within_era(after, wait_s)
         if result is None:
-            return
+            return False
         if isinstance(result, Ok):
             if result.ok_value.revision.era != after.era:
                 # Sent before the store was restored, or after it; not to be repeated
                 # without a pause.
                 await asyncio.sleep(self.backoff.next_delay_s())
-                return
+                return False
             self._record_success()
             self._apply(result.ok_value)
-            if result.ok_value.items and timing.batch_delay_s:
-                await asyncio.sleep(timing.batch_delay_s)
-            return
+            return bool(result.ok_value.items)
         failure = result.err_value
         if failure.kind is FailureKind.HISTORY_LOST:
             self.revision = None
-            return
+            return False
         await self._record_failure(failure)
         if self.in_outage:
             # Read all keys again; removals during an outage show only in a full read.
             self.revision = None
+        return False
 
     async def _watch_within_era(
         self, after: StoreRevision, wait_s: float
@@ -178,6 +281,8 @@
             self.handlers.on_change(item)
         if self.revision is not None:
             self.revision = self.revision.latest(batch.revision)
+            if batch.items:
+                self.handlers.on_revision(self.revision)
 
     def _record_success(self) -> None:
         now = self.clock()
