Fewer store calls at a start: members wait for hubs, and hubs alone keep the version records

Change: for 1.5 s after its start a member without hubs waits for some before it watches; members that other hubs inform leave the version records to them. Result: counted in test_version_recorder.py (before: a read by each member at each release) and test_store_calls_of_many_members.py.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/hub_feed.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/hub_feed.py
@@ -38,7 +38,7 @@
 
     Revisions of different eras can't be compared, so hubs of another era don't count.
     """
-    if member_list.member_id.node in member_list.hubs:
+    if not member_list.is_follower:
         return HubLoss.NO_HUB
     heartbeats = [
         view.heartbeat
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/member_list.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/member_list.py
@@ -60,6 +60,11 @@
         # Time of the last message of each former hub that timed out, by node.
         self.failed_hub_seen_s: dict[str, float] = {}
 
+    @property
+    def is_follower(self) -> bool:
+        """Whether other members are the hubs, which inform this one."""
+        return bool(self.hubs) and self.member_id.node not in self.hubs
+
     def record_heartbeat(self, heartbeat: Heartbeat, now: float) -> bool:
         """Record a heartbeat; return True for a member or incarnation that is new."""
         known = self.views.get(heartbeat.sender.node)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_event_handlers.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_event_handlers.py
@@ -1,6 +1,7 @@
 """Applies the store's configuration and target entries to the state of this process."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from burdockhaven_core.key_value_failure import KeyValueFailure
@@ -38,11 +39,8 @@
 RELAXED_TARGETS_TIMING = WatchTiming(
     wait_s=10.0, batch_delay_s=1.5, max_backoff_s=2.5, catch_up_spread_s=0.7
 )
-
-_ANNOUNCEMENT_OF_LOSS = {
-    HubLoss.NO_HUB: Announcement.NONE,
-    HubLoss.OUT_OF_SYNC: Announcement.OUTAGE,
-}
+# Seconds after its start for which a member waits for hubs before it watches the store.
+HUB_DISCOVERY_S = 1.5
 
 
 @dataclass(slots=True)
@@ -52,6 +50,11 @@
     state: GatewayState
     # Set once the newest known configuration is in force and the targets are read.
     first_sync: asyncio.Event = field(default_factory=asyncio.Event)
+    # Monotonic time of the start in seconds.
+    started_s: float = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.started_s = self.state.clock()
 
     def for_all_prefixes(self) -> tuple[PrefixHandlers, ...]:
         """Return the handlers of each watched prefix."""
@@ -83,39 +86,43 @@
 
     def _configuration_timing(self) -> WatchTiming:
         return (
-            WatchTiming()
-            if self._is_primary_watcher()
-            else RELAXED_CONFIGURATION_TIMING
+            RELAXED_CONFIGURATION_TIMING
+            if self.state.member_list.is_follower
+            else WatchTiming()
         )
 
     def _targets_timing(self) -> WatchTiming:
-        return WatchTiming() if self._is_primary_watcher() else RELAXED_TARGETS_TIMING
+        is_follower = self.state.member_list.is_follower
+        return RELAXED_TARGETS_TIMING if is_follower else WatchTiming()
 
     def _configuration_announcement(self, known: StoreRevision) -> Announcement:
-        feed = self._hub_feed(known)
-        if isinstance(feed, HubLoss):
-            return _ANNOUNCEMENT_OF_LOSS[feed]
-        is_behind = feed.config_version > self.state.version
-        return Announcement.BEHIND if is_behind else Announcement.CURRENT
+        return self._announcement(
+            known, lambda feed: feed.config_version > self.state.version
+        )
 
     def _targets_announcement(self, known: StoreRevision) -> Announcement:
-        feed = self._hub_feed(known)
-        if isinstance(feed, HubLoss):
-            return _ANNOUNCEMENT_OF_LOSS[feed]
-        is_behind = feed.targets_revision > known.number
-        return Announcement.BEHIND if is_behind else Announcement.CURRENT
+        return self._announcement(
+            known, lambda feed: feed.targets_revision > known.number
+        )
 
-    def _hub_feed(self, known: StoreRevision) -> HubFeed | HubLoss:
-        return find_hub_feed(self.state.member_list, known.era, self.state.clock())
+    def _announcement(
+        self, known: StoreRevision, is_behind: Callable[[HubFeed], bool]
+    ) -> Announcement:
+        now = self.state.clock()
+        feed = find_hub_feed(self.state.member_list, known.era, now)
+        if isinstance(feed, HubFeed):
+            return Announcement.BEHIND if is_behind(feed) else Announcement.CURRENT
+        if feed is HubLoss.OUT_OF_SYNC:
+            return Announcement.OUTAGE
+        is_settled = now - self.started_s >= HUB_DISCOVERY_S
+        if self.state.member_list.hubs or is_settled:
+            return Announcement.NONE
+        # The hubs are not known yet; a watch would be billed until it ends.
+        return Announcement.CURRENT
 
     def _record_targets_revision(self, revision: StoreRevision) -> None:
         self.state.targets_revision = revision
 
-    def _is_primary_watcher(self) -> bool:
-        """Whether this member is a hub, or there are no hubs that could inform it."""
-        member_list = self.state.member_list
-        return not member_list.hubs or self.state.member_id.node in member_list.hubs
-
     def apply_configuration(self, data: bytes, source: str) -> None:
         """Put a configuration in force if it is valid and newer."""
         try:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/version_recorder.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/version_recorder.py
@@ -145,7 +145,13 @@
         return order[:1] == [state.member_id.node]
 
     def _is_due(self) -> bool:
-        return self.state.in_sync and any(map(self._is_service_due, self.hold.services))
+        """Whether a record may have to change; where there are hubs, they keep them.
+
+        Another member needs the records once it is a broker, so once it is a hub.
+        """
+        if self.state.member_list.is_follower or not self.state.in_sync:
+            return False
+        return any(map(self._is_service_due, self.hold.services))
 
     def _is_service_due(self, service: str) -> bool:
         present = self.state.version_history.present.get(service, set())
--- a/packages/burdockhaven-entry/tests/gateway/test_store_calls_of_many_members.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_store_calls_of_many_members.py
@@ -10,8 +10,8 @@
 
 import pytest
 from result import Err, Ok
-from virtual_time_loop import run_in_virtual_time
 
+from burdockhaven_bench.restore import VirtualTimeLoop
 from burdockhaven_core.key_value_failure import FailureKind, KeyValueFailure
 from burdockhaven_entry.gateway.store_era import UNKNOWN_ERA, RestorePart, StoreEras
 from burdockhaven_entry.gateway.store_event_handlers import RELAXED_TARGETS_TIMING
@@ -32,6 +32,16 @@
 CHANGE_KNOWN_S = 2.5
 
 
+def run_in_virtual_time(main):
+    """Run an async function that is given the loop's clock; return its result."""
+
+    async def run():
+        return await main(asyncio.get_running_loop().time)
+
+    with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+        return runner.run(run())
+
+
 class BilledStore:
     """A store in memory that adds up what its calls cost."""
 
--- a/packages/burdockhaven-entry/tests/gateway/test_version_recorder.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_version_recorder.py
@@ -11,6 +11,10 @@
 
 from burdockhaven_bench.restore import VirtualTimeLoop
 from burdockhaven_core.key_value_failure import FailureKind, KeyValueFailure
+from burdockhaven_core.scheduling.member_list import (
+    FULL_MESH_MAX_MEMBERS,
+    HUB_COUNT,
+)
 from burdockhaven_core.scheduling.version_records import decode_version_record
 from burdockhaven_entry.gateway.gateway_state import GatewayState
 from burdockhaven_entry.gateway.version_recorder import (
@@ -170,6 +174,8 @@
                             in_sync=other.state.in_sync,
                         )
                         member.state.member_list.record_heartbeat(beat, member.clock())
+                member_list = member.state.member_list
+                member_list.update_hubs(member.state.heartbeat(), member.clock())
             await asyncio.sleep(0.15)
 
     def sync(self, *versions):
@@ -381,6 +387,32 @@
     play(scenario)
 
 
+# Guards against calls by every member of a large cluster at each release.
+def test_only_hubs_update_the_records():
+    async def scenario(cluster):
+        await asyncio.sleep(SETTLE_S)
+        cluster.sync("v1")
+        await asyncio.sleep(SETTLED_S)
+        for number in range(2, 7):
+            reads = cluster.store.reads
+            cluster.sync("v1", f"v{number}")
+            await asyncio.sleep(15.0)
+            assert cluster.store.versions == {
+                "v1",
+                *(f"v{n}" for n in range(2, number + 1)),
+            }
+            assert cluster.store.reads - reads <= HUB_COUNT
+        # A member that becomes the broker reads them then.
+        for member in cluster.members[:HUB_COUNT]:
+            member.kill()
+        del cluster.members[:HUB_COUNT]
+        reads = cluster.store.reads
+        await asyncio.sleep(15.0)
+        assert 1 <= cluster.store.reads - reads <= HUB_COUNT
+
+    play(scenario, count=FULL_MESH_MAX_MEMBERS + HUB_COUNT + 1)
+
+
 # Guards against a call to the store for each stream that is resumed at the same time.
 def test_questions_at_the_same_time_share_a_read():
     async def scenario(cluster):
