Choice of the broker and heartbeats cost a member the same in a large cluster as in a small one

Members that are no hubs also heard each other's heartbeats once in four seconds, 47 a second at 195 members. Change: the broker is looked for among the hubs, the oldest members, first; a heartbeat without its lists says whether this member is a candidate; accounts without quota are announced only by members that can be the broker. A member sends at most three heartbeats an interval to others that are no hubs; timeouts among these grow with the length of a round. Result: test_heartbeat_schedule.py at 87, 195 and 300 members (before: 75 heartbeats a second from each of 300).

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/heartbeat_schedule.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/heartbeat_schedule.py
@@ -6,14 +6,21 @@
 import math
 from dataclasses import dataclass
 
-from burdockhaven_core.scheduling.member_list import MemberList, MemberView
+from burdockhaven_core.scheduling.member_list import (
+    SPARSE_ROUND_MEMBERS,
+    MemberList,
+    MemberView,
+)
 
 # Ticks between two heartbeats to a hub or from a hub. At 0.15 s per tick, it takes
 # three lost heartbeats before a member times out.
 HUB_INTERVAL_TICKS = 2
 # Ticks in which a member that is not a hub sends one heartbeat to each other member
-# that is not a hub: four seconds, less than half of their timeout.
+# that is not a hub, up to `SPARSE_ROUND_MEMBERS`: four seconds, less than half of their
+# timeout.
 ROUND_TICKS = 27
+# Most heartbeats of one tick to members that are not hubs.
+MAX_OTHERS_PER_TICK = SPARSE_ROUND_MEMBERS // ROUND_TICKS
 
 
 @dataclass(slots=True)
@@ -46,7 +53,7 @@
         others = [view for view in views if view.node not in member_list.hubs]
         if not others:
             return []
-        count = math.ceil(len(others) / ROUND_TICKS)
+        count = min(math.ceil(len(others) / ROUND_TICKS), MAX_OTHERS_PER_TICK)
         start = self.round_position % len(others)
         self.round_position = start + count
         return (others + others)[start : start + count]
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/member_list.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/member_list.py
@@ -7,7 +7,9 @@
 (`heartbeat_schedule.py`).
 """
 
-from dataclasses import dataclass
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from burdockhaven_core.scheduling.peer_messages import Heartbeat, MemberId
 
@@ -15,7 +17,8 @@
 MEMBER_TIMEOUT_S = 0.9
 # Seconds without a message after which a member is no longer used as a broker.
 BROKER_TIMEOUT_S = 0.45
-# Seconds without a message after which a member is removed from the list.
+# Shortest time in seconds without a message after which a member is removed from the
+# list.
 MEMBER_EXPIRY_S = 30.0
 # Largest cluster in which each member sends heartbeats to all others. With 87 members
 # that took a tenth of a core per member and 15 MB/s between zones (docs/CAPACITY.md).
@@ -25,6 +28,11 @@
 # Replaces `MEMBER_TIMEOUT_S` for members that are not hubs and that no hub reports as
 # timed out; other members receive their heartbeats only every four seconds.
 SPARSE_MEMBER_TIMEOUT_S = 9.0
+# Number of members for which it holds. Where there are more, each member still sends as
+# many heartbeats a second, so that a round and this timeout last longer.
+SPARSE_ROUND_MEMBERS = 81
+# Timeouts after which a silent member is removed from the list.
+EXPIRY_TIMEOUTS = 1.25
 # Seconds within which a new hub has received heartbeats from all other members.
 HUB_SETTLE_S = 1.5
 
@@ -38,11 +46,19 @@
     last_seen_s: float
     # Until when the member gets no placement requests, after it failed to reply to one.
     suspect_until_s: float = 0.0
+    # Name of the member's VM.
+    node: str = field(init=False)
 
-    @property
-    def node(self) -> str:
-        """Name of the member's VM."""
-        return self.heartbeat.sender.node
+    def __post_init__(self) -> None:
+        self.node = self.heartbeat.sender.node
+
+
+class _BrokerCandidate(NamedTuple):
+    """A member that may be the broker; the fields are in order of importance."""
+
+    is_out_of_sync: bool
+    started_ms: int
+    node: str
 
 
 class MemberList:
@@ -110,6 +126,12 @@
         ages.append((own.draining, own.started_ms, own.sender.node))
         return tuple(node for _, _, node in sorted(ages)[:HUB_COUNT])
 
+    @property
+    def sparse_timeout_s(self) -> float:
+        """Seconds without a message after which a member that is no hub times out."""
+        rounds = len(self.views) / SPARSE_ROUND_MEMBERS
+        return SPARSE_MEMBER_TIMEOUT_S * max(1.0, rounds)
+
     def live_members(
         self, now: float, timeout_s: float = MEMBER_TIMEOUT_S
     ) -> list[MemberView]:
@@ -118,39 +140,46 @@
         In a large cluster, members that are not hubs apply a longer timeout, except to
         hubs and to nodes that a hub announces as timed out.
         """
+        return self._live(self.views.values(), now, timeout_s)
+
+    def _live(
+        self, views: Iterable[MemberView], now: float, timeout_s: float
+    ) -> list[MemberView]:
         if not self.hubs or self._has_full_view(now):
-            return [v for v in self.views.values() if now - v.last_seen_s <= timeout_s]
-        timed_out_nodes = self.nodes_timed_out_at_hubs(now)
+            return [view for view in views if now - view.last_seen_s <= timeout_s]
+        close_nodes = self._closely_watched_nodes(now)
+        sparse_timeout_s = self.sparse_timeout_s
         return [
             view
-            for view in self.views.values()
+            for view in views
             if now - view.last_seen_s
-            <= self._timeout_s(view, timed_out_nodes, timeout_s, now)
+            <= (timeout_s if view.node in close_nodes else sparse_timeout_s)
         ]
 
-    def _timeout_s(
-        self, view: MemberView, timed_out_nodes: set[str], timeout_s: float, now: float
-    ) -> float:
-        """Return the seconds without a message after which a member has timed out."""
-        hub_since_s = self.hub_since_s.get(view.node)
-        is_settled_hub = (
-            hub_since_s is not None and now - hub_since_s > MEMBER_TIMEOUT_S
+    def _closely_watched_nodes(self, now: float) -> set[str]:
+        """Return the nodes to which the short timeout applies."""
+        nodes = self.nodes_timed_out_at_hubs(now)
+        nodes.update(
+            node
+            for node, since_s in self.hub_since_s.items()
+            if now - since_s > MEMBER_TIMEOUT_S
         )
-        is_failed_hub = view.last_seen_s <= self.failed_hub_seen_s.get(
-            view.node, float("-inf")
+        nodes.update(
+            node
+            for node, seen_s in self.failed_hub_seen_s.items()
+            if node in self.views and self.views[node].last_seen_s <= seen_s
         )
-        if is_settled_hub or is_failed_hub or view.node in timed_out_nodes:
-            return timeout_s
-        return SPARSE_MEMBER_TIMEOUT_S
+        return nodes
 
     def timed_out_nodes(self, now: float) -> tuple[str, ...]:
         """Return the nodes to announce as timed out; empty unless a settled hub."""
         if not self._has_full_view(now):
             return ()
+        sparse_timeout_s = self.sparse_timeout_s
         return tuple(
             view.node
             for view in self.views.values()
-            if MEMBER_TIMEOUT_S < now - view.last_seen_s <= SPARSE_MEMBER_TIMEOUT_S
+            if MEMBER_TIMEOUT_S < now - view.last_seen_s <= sparse_timeout_s
         )
 
     def nodes_timed_out_at_hubs(self, now: float) -> set[str]:
@@ -198,6 +227,19 @@
         live = len(self.live_members(now)) + 1
         return 1.0 if 2 * live >= known else live / known
 
+    def broker(self, now: float, own: Heartbeat) -> str:
+        """Return the node of the broker to use.
+
+        The hubs are the oldest members, so the first of them that is in sync with the
+        store is found without a look at the others.
+        """
+        hubs = [self.views[node] for node in self.hubs if node in self.views]
+        candidates = self._broker_candidates(hubs, now, own)
+        has_found = bool(candidates) and candidates[0].node in self.hubs
+        if not has_found or candidates[0].is_out_of_sync:
+            candidates = self._broker_candidates(self.views.values(), now, own)
+        return candidates[0].node if candidates else own.sender.node
+
     def broker_order(self, now: float, own: Heartbeat) -> list[str]:
         """Return the nodes to send placement requests to, in order of preference.
 
@@ -205,26 +247,36 @@
         member does not change the broker. Members that are out of sync with the store
         come last, because they don't know of new or leaving targets.
         """
+        candidates = self._broker_candidates(self.views.values(), now, own)
+        return [candidate.node for candidate in candidates]
+
+    def _broker_candidates(
+        self, views: Iterable[MemberView], now: float, own: Heartbeat
+    ) -> list[_BrokerCandidate]:
+        """Return which of these members, and this one, may be the broker, in order."""
         # Hubs send heartbeats half as often as members of a full mesh.
         timeout_s = MEMBER_TIMEOUT_S if self.hubs else BROKER_TIMEOUT_S
-        candidates = [
-            (
-                not view.heartbeat.in_sync,
-                view.heartbeat.started_ms,
-                view.heartbeat.sender.node,
-            )
-            for view in self.live_members(now, timeout_s)
-            if view.heartbeat.ready
-            and not view.heartbeat.draining
-            and view.suspect_until_s <= now
+        heartbeats = [
+            view.heartbeat
+            for view in self._live(views, now, timeout_s)
+            if view.suspect_until_s <= now
         ]
-        if own.ready and not own.draining:
-            candidates.append((not own.in_sync, own.started_ms, own.sender.node))
-        return [node for _, _, node in sorted(candidates)]
+        return sorted(
+            _BrokerCandidate(
+                not heartbeat.in_sync, heartbeat.started_ms, heartbeat.sender.node
+            )
+            for heartbeat in (*heartbeats, own)
+            if heartbeat.ready and not heartbeat.draining
+        )
 
     def expire_members(self, now: float) -> None:
-        """Remove the members without a message for `MEMBER_EXPIRY_S`."""
-        for node, view in list(self.views.items()):
-            if now - view.last_seen_s > MEMBER_EXPIRY_S:
-                del self.views[node]
-                self.failed_hub_seen_s.pop(node, None)
+        """Remove the members that have been silent for long."""
+        expiry_s = max(MEMBER_EXPIRY_S, EXPIRY_TIMEOUTS * self.sparse_timeout_s)
+        expired = [
+            node
+            for node, view in self.views.items()
+            if now - view.last_seen_s > expiry_s
+        ]
+        for node in expired:
+            del self.views[node]
+            self.failed_hub_seen_s.pop(node, None)
--- a/packages/burdockhaven-core/tests/scheduling/test_heartbeat_schedule.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_heartbeat_schedule.py
@@ -5,7 +5,10 @@
 import pytest
 from scheduling_samples import heartbeat
 
-from burdockhaven_core.scheduling.heartbeat_schedule import HeartbeatSchedule
+from burdockhaven_core.scheduling.heartbeat_schedule import (
+    MAX_OTHERS_PER_TICK,
+    HeartbeatSchedule,
+)
 from burdockhaven_core.scheduling.member_list import (
     FULL_MESH_MAX_MEMBERS,
     HUB_COUNT,
@@ -110,7 +113,7 @@
 
 
 @pytest.mark.parametrize(
-    "size", [2, FULL_MESH_MAX_MEMBERS, FULL_MESH_MAX_MEMBERS + 1, 40, 87]
+    "size", [2, FULL_MESH_MAX_MEMBERS, FULL_MESH_MAX_MEMBERS + 1, 40, 87, 195]
 )
 def test_no_member_times_out_without_failures(size):
     cluster = Cluster(size)
@@ -132,6 +135,16 @@
     assert cluster.sent < 60 * 87 * 86 / 10
 
 
+@pytest.mark.parametrize("size", [87, 195, 300])
+def test_heartbeats_of_a_member_do_not_grow_with_the_cluster(size):
+    """Only hubs send to all; with rounds of four seconds, 300 members sent 75 each."""
+    cluster = Cluster(size)
+    cluster.run(9.0)
+    of_hubs = 30 * HUB_COUNT * (size - 1)
+    to_hubs_and_others = 30 * HUB_COUNT + 60 * MAX_OTHERS_PER_TICK
+    assert cluster.sent <= of_hubs + size * to_hubs_and_others
+
+
 @pytest.mark.parametrize("ended", [(30,), (0,), (1, 2), range(20), range(30, 40)])
 def test_ended_members_stop_serving_within_two_seconds(ended):
     cluster = Cluster(40)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -101,7 +101,7 @@
             member_id=state.member_id,
             member_list=state.member_list,
             broker=state.broker,
-            own_heartbeat=state.heartbeat,
+            own_heartbeat=state.heartbeat_head,
             send=lambda node, message: self.membership.send(node, message),
             clock=state.clock,
             on_pending_updates=self._schedule_flush,
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
 
+import msgspec
+
 from burdockhaven_core.scheduling import (
     Broker,
     MemberList,
@@ -155,7 +157,26 @@
 
     def heartbeat(self) -> Heartbeat:
         """Build the heartbeat that announces the state of this process."""
-        leaving = self.registry.unusable_targets(self.clock())
+        now = self.clock()
+        leaving = self.registry.unusable_targets(now)
+        return msgspec.structs.replace(
+            self.heartbeat_head(),
+            leaving=leaving,
+            exhausted_accounts=self._announced_exhausted_accounts(now),
+            usage=self.usage(),
+            timed_out_nodes=self.member_list.timed_out_nodes(now),
+            store_era=self.store_eras.current,
+            limits=self.target_signals.signals.limits.announced(now),
+            leaving_started_ms=tuple(map(self.registry.start_of, leaving)),
+            accused_parts=self.broker.crashes.announced(now),
+            targets_revision=self._announced_targets_revision(),
+        )
+
+    def heartbeat_head(self) -> Heartbeat:
+        """Build a heartbeat without what grows with targets, members or accounts.
+
+        It says whether this member can be the broker, which is asked at each request.
+        """
         return Heartbeat(
             sender=self.member_id,
             sequence=self.sequence,
@@ -167,18 +188,18 @@
             ready=self.table is not None,
             draining=self.draining,
             config_version=self.version,
-            leaving=leaving,
-            exhausted_accounts=self.broker.exhausted_accounts(self.clock()),
-            usage=self.usage(),
             in_sync=self.in_sync,
-            timed_out_nodes=self.member_list.timed_out_nodes(self.clock()),
-            store_era=self.store_eras.current,
-            limits=self.target_signals.signals.limits.announced(self.clock()),
-            leaving_started_ms=tuple(map(self.registry.start_of, leaving)),
-            accused_parts=self.broker.crashes.announced(self.clock()),
-            targets_revision=self._announced_targets_revision(),
         )
 
+    def _announced_exhausted_accounts(self, now: float) -> tuple[str, ...]:
+        """Return the accounts without quota; none at members that can't be the broker.
+
+        The others use only what the broker, one of the hubs, announces.
+        """
+        if self.member_list.is_follower:
+            return ()
+        return self.broker.exhausted_accounts(now)
+
     def _announced_targets_revision(self) -> int:
         """Return the revision of the targets; 0 while they are those of another era."""
         revision = self.targets_revision
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
@@ -352,8 +352,7 @@
 
     def broker_node(self) -> str:
         """Return the node of the broker to use."""
-        nodes = self.member_list.broker_order(self.clock(), self.own_heartbeat())
-        return nodes[0] if nodes else self.member_id.node
+        return self.member_list.broker(self.clock(), self.own_heartbeat())
 
     async def _await_decision(
         self, number: int, requirements: PlacementRequirements
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/version_recorder.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/version_recorder.py
@@ -141,8 +141,8 @@
 
     def _is_broker(self) -> bool:
         now, state = self.state.clock(), self.state
-        order = state.member_list.broker_order(now, state.heartbeat())
-        return order[:1] == [state.member_id.node]
+        broker = state.member_list.broker(now, state.heartbeat_head())
+        return broker == state.member_id.node
 
     def _is_due(self) -> bool:
         """Whether a record may have to change; where there are hubs, they keep them.
