--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -275,7 +275,7 @@
         for key in self.runs.apply_report(member, message.runs, now):
             self.queue.pop(key, None)
         waiting = set(message.waiting)
-        for key in [k for k in self.queue if k[0] == member.node]:
+        for key in self.queue.keys_of(member.node):
             is_settled = now - self.queue[key].arrived_s > GRANT_SETTLE_S
             if key[1] != member.incarnation or (is_settled and key[2] not in waiting):
                 del self.queue[key]
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/request_queue.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/request_queue.py
@@ -24,6 +24,8 @@
     def __init__(self) -> None:
         self.class_of: dict[RequestKey, QueueClass] = {}
         self.groups: dict[QueueClass, _Group] = {}
+        # Keys by the node of their member, in the order of their arrival.
+        self.keys_by_node: dict[str, dict[RequestKey, None]] = {}
         # When each request becomes late; entries of removed requests are skipped.
         self.late_times: list[tuple[float, RequestKey]] = []
 
@@ -42,6 +44,10 @@
         del group[key]
         if not group:
             del self.groups[queue_class]
+        keys = self.keys_by_node[key[0]]
+        del keys[key]
+        if not keys:
+            del self.keys_by_node[key[0]]
 
     def __iter__(self) -> Iterator[RequestKey]:
         return iter(self.class_of)
@@ -49,6 +55,10 @@
     def __len__(self) -> int:
         return len(self.class_of)
 
+    def keys_of(self, node: str) -> list[RequestKey]:
+        """Return the keys of the requests of one member."""
+        return list(self.keys_by_node.get(node, ()))
+
     def holds_service(self, service: str) -> bool:
         """Whether a request for the service is queued."""
         return any(queue_class.service == service for queue_class in self.groups)
@@ -81,6 +91,7 @@
     ) -> None:
         self.class_of[key] = queue_class
         self.groups.setdefault(queue_class, {})[key] = queued
+        self.keys_by_node.setdefault(key[0], {})[key] = None
 
     def _move_late_requests(self, now: float) -> None:
         while self.late_times and self.late_times[0][0] < now:
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
@@ -48,8 +48,11 @@
         self.open_by_service: dict[str, list[EngineLoad]] = {}
         # host:port by target.
         self.addresses: dict[str, str] = {}
-        # The target granted to each request.
+        # The target granted to each request; changed by `_put` and `_pop` only.
         self.granted: dict[RequestKey, str] = {}
+        # The same requests by the node of their member, in the order of their grants.
+        # With them, a report of one member costs no look at the runs of all.
+        self.granted_by_node: dict[str, dict[RequestKey, None]] = {}
         # When each member last reported its runs.
         self.reported_s: dict[str, float] = {}
 
@@ -83,14 +86,27 @@
         parts: tuple[tuple[str, int], ...],
     ) -> None:
         """Record the grant of an engine to a request."""
-        self.granted[key] = engine.target
+        self._put(key, engine.target)
         engine.add_run(run, parts)
 
+    def _put(self, key: RequestKey, target: str) -> None:
+        self.granted[key] = target
+        self.granted_by_node.setdefault(key[0], {})[key] = None
+
+    def _pop(self, key: RequestKey) -> str | None:
+        target = self.granted.pop(key, None)
+        if target is not None:
+            keys = self.granted_by_node[key[0]]
+            del keys[key]
+            if not keys:
+                del self.granted_by_node[key[0]]
+        return target
+
     def apply_update(self, key: RequestKey, update: RunUpdate, now: float) -> None:
         """Apply the first event or the end of a run."""
         engine = self.engines.get(self.granted.get(key, ""))
         if engine is None:
-            self.granted.pop(key, None)
+            self._pop(key)
         elif update.end is None:
             self._apply_first_event(engine, key, update, now)
         else:
@@ -98,7 +114,7 @@
 
     def release(self, key: RequestKey) -> None:
         """Remove a run, if there is one, and free its slot."""
-        target = self.granted.pop(key, None)
+        target = self._pop(key)
         engine = self.engines.get(target) if target is not None else None
         if engine is not None:
             engine.runs.pop(key, None)
@@ -125,7 +141,7 @@
             for run in listed.values()
             if self._adopt(member, run, now)
         ]
-        for key in [k for k in self.granted if k[0] == member.node]:
+        for key in list(self.granted_by_node.get(member.node, ())):
             if key[1] != member.incarnation or key[2] not in listed:
                 self._release_unlisted(key, member, now)
         return adopted
@@ -258,7 +274,7 @@
             return False
         # Another broker may have placed the request at a different engine.
         self.release(key)
-        self.granted[key] = run.target
+        self._put(key, run.target)
         engine.runs[key] = Run(
             sender=member.node,
             incarnation=member.incarnation,
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/shared_quotas.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/shared_quotas.py
@@ -6,7 +6,7 @@
 within one heartbeat interval.
 """
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -46,7 +46,10 @@
     def __init__(self, rule: QuotaRule) -> None:
         self.rule = rule
         # By incarnation: the usage of a node's earlier incarnation still counts.
+        # The least recently heard first.
         self.members: dict[MemberId, _MemberUsage] = {}
+        # Sum of their usage by account, so that no request needs all members.
+        self.reported_units: Counter[str] = Counter()
         # The recent grants, the oldest first.
         self.grants: deque[_Grant] = deque()
         # Monotonic time of this process's start, from which on all usage is known.
@@ -63,7 +66,10 @@
         self, member: MemberId, units: Iterable[tuple[str, int]], now: float
     ) -> None:
         """Replace the usage of a member by what it published."""
-        self.members[member] = _MemberUsage(dict(units), now)
+        self._forget(member)
+        usage = _MemberUsage(dict(units), now)
+        self.members[member] = usage
+        self.reported_units.update(usage.units)
 
     def record_grant(
         self, sender: MemberId, account: str, units: float, now: float
@@ -74,7 +80,7 @@
     def used(self, account: Account, now: float) -> float:
         """Return the units that the account has used within the window."""
         self._expire(now)
-        reported = sum(m.units.get(account.name, 0) for m in self.members.values())
+        reported = self.reported_units[account.name]
         granted = sum(
             grant.units
             for grant in self.grants
@@ -135,7 +141,14 @@
     def _expire(self, now: float) -> None:
         while self.grants and now - self.grants[0].granted_s > GRANT_SETTLE_S:
             self.grants.popleft()
-        for member, usage in list(self.members.items()):
-            # The usage of a member that ended still counts for one window.
-            if now - usage.received_s > self.rule.window_s:
-                del self.members[member]
+        # The usage of a member that ended still counts for one window.
+        while self.members:
+            member = next(iter(self.members))
+            if now - self.members[member].received_s <= self.rule.window_s:
+                break
+            self._forget(member)
+
+    def _forget(self, member: MemberId) -> None:
+        usage = self.members.pop(member, None)
+        if usage is not None:
+            self.reported_units.subtract(usage.units)
