Hubs and the broker run on strong VMs

Change: heartbeats state the processor capacity of the sender's VM, from the settings of the platform. Members with three quarters of the largest capacity come first in the order of hubs and brokers; among them age decides, so a restart changes nothing.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/member_list.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/member_list.py
@@ -1,10 +1,10 @@
 """Member list with a heartbeat failure detector.
 
 In a small cluster each member sends heartbeats to all others. In a large one that would
-take most of the members' time, so above `FULL_MESH_MAX_MEMBERS` the oldest members act
-as hubs: all members send heartbeats to the hubs, the hubs send heartbeats to all and
-list the nodes that timed out, and the other members exchange heartbeats at a low rate
-(`heartbeat_schedule.py`).
+take most of the members' time, so above `FULL_MESH_MAX_MEMBERS` the oldest members on
+strong VMs act as hubs. All members send heartbeats to the hubs; the hubs send them to
+all and list the nodes that timed out. The other members exchange heartbeats at a low
+rate (`heartbeat_schedule.py`).
 """
 
 from collections.abc import Iterable
@@ -25,6 +25,9 @@
 FULL_MESH_MAX_MEMBERS = 16
 # Number of hubs in larger clusters.
 HUB_COUNT = 4
+# Members whose VMs have a smaller fraction of the processor capacity of the largest one
+# become hub or broker only if no others are left.
+STRONG_FRACTION = 0.75
 # Replaces `MEMBER_TIMEOUT_S` for members that are not hubs and that no hub reports as
 # timed out; other members receive their heartbeats only every four seconds.
 SPARSE_MEMBER_TIMEOUT_S = 9.0
@@ -57,6 +60,7 @@
     """A member that may be the broker; the fields are in order of importance."""
 
     is_out_of_sync: bool
+    is_weak: bool
     started_ms: int
     node: str
 
@@ -75,6 +79,8 @@
         self.hub_since_s: dict[str, float] = {}
         # Time of the last message of each former hub that timed out, by node.
         self.failed_hub_seen_s: dict[str, float] = {}
+        # Processor capacity in hundredths of a core below which a VM counts as weak.
+        self.strong_percent = 0.0
 
     @property
     def is_follower(self) -> bool:
@@ -106,7 +112,10 @@
 
     def update_hubs(self, own: Heartbeat, now: float) -> None:
         """Select the hubs again; called at each heartbeat interval."""
-        self.hubs = self._select_hubs(own, now)
+        live = [*(view.heartbeat for view in self.live_members(now)), own]
+        largest = max(heartbeat.processor_percent for heartbeat in live)
+        self.strong_percent = STRONG_FRACTION * largest
+        self.hubs = self._select_hubs(live)
         for node in self.hubs:
             self.hub_since_s.setdefault(node, now)
         for node in [node for node in self.hub_since_s if node not in self.hubs]:
@@ -115,16 +124,23 @@
             if view is not None and now - view.last_seen_s > MEMBER_TIMEOUT_S:
                 self.failed_hub_seen_s[node] = view.last_seen_s
 
-    def _select_hubs(self, own: Heartbeat, now: float) -> tuple[str, ...]:
-        """Return the oldest nodes, draining ones last; none in a full mesh."""
+    def _select_hubs(self, live: Iterable[Heartbeat]) -> tuple[str, ...]:
+        """Return the oldest nodes on strong VMs, draining ones last; none in a mesh."""
         if len(self.views) + 1 <= FULL_MESH_MAX_MEMBERS:
             return ()
-        ages = [
-            (view.heartbeat.draining, view.heartbeat.started_ms, view.node)
-            for view in self.live_members(now)
+        candidates = [
+            (
+                heartbeat.draining,
+                self._is_weak(heartbeat),
+                heartbeat.started_ms,
+                heartbeat.sender.node,
+            )
+            for heartbeat in live
         ]
-        ages.append((own.draining, own.started_ms, own.sender.node))
-        return tuple(node for _, _, node in sorted(ages)[:HUB_COUNT])
+        return tuple(node for *_, node in sorted(candidates)[:HUB_COUNT])
+
+    def _is_weak(self, heartbeat: Heartbeat) -> bool:
+        return heartbeat.processor_percent < self.strong_percent
 
     @property
     def sparse_timeout_s(self) -> float:
@@ -230,8 +246,8 @@
     def broker(self, now: float, own: Heartbeat) -> str:
         """Return the node of the broker to use.
 
-        The hubs are the oldest members, so the first of them that is in sync with the
-        store is found without a look at the others.
+        The hubs are the first in this order, so the first of them that is in sync with
+        the store is found without a look at the others.
         """
         hubs = [self.views[node] for node in self.hubs if node in self.views]
         candidates = self._broker_candidates(hubs, now, own)
@@ -243,9 +259,10 @@
     def broker_order(self, now: float, own: Heartbeat) -> list[str]:
         """Return the nodes to send placement requests to, in order of preference.
 
-        The member that has run longest comes first, so that the start or restart of a
-        member does not change the broker. Members that are out of sync with the store
-        come last, because they don't know of new or leaving targets.
+        The member on a strong VM that has run longest comes first, so that the start or
+        restart of a member does not change the broker; on a weak VM it would delay all
+        members. Members that are out of sync with the store come last, because they
+        don't know of new or leaving targets.
         """
         candidates = self._broker_candidates(self.views.values(), now, own)
         return [candidate.node for candidate in candidates]
@@ -263,7 +280,10 @@
         ]
         return sorted(
             _BrokerCandidate(
-                not heartbeat.in_sync, heartbeat.started_ms, heartbeat.sender.node
+                not heartbeat.in_sync,
+                self._is_weak(heartbeat),
+                heartbeat.started_ms,
+                heartbeat.sender.node,
             )
             for heartbeat in (*heartbeats, own)
             if heartbeat.ready and not heartbeat.draining
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
@@ -75,6 +75,8 @@
     # Store revision of the last change of a target's entry that the sender has applied;
     # 0 if unknown.
     targets_revision: int = 0
+    # Processor capacity of the sender's VM in hundredths of a core; 0 if unknown.
+    processor_percent: int = 0
 
 
 class PausedTarget(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
@@ -189,6 +189,7 @@
             draining=self.draining,
             config_version=self.version,
             in_sync=self.in_sync,
+            processor_percent=round(self.settings.processor_cores * 100),
         )
 
     def _announced_exhausted_accounts(self, now: float) -> tuple[str, ...]:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/settings.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/settings.py
@@ -53,6 +53,8 @@
     first_start: bool
     # Maximum time in seconds for which a client caches a look-up.
     look_up_ttl_max_s: float
+    # Processor capacity of the VM in nominal cores; 0 if the file doesn't state it.
+    processor_cores: float = 0.0
 
     @property
     def listen_addresses(self) -> tuple[str, ...]:
@@ -82,6 +84,13 @@
     ttl_max_s: Positive = 5.0
 
 
+class _Limits(msgspec.Struct):
+    # Share of the time for which the process gets a core.
+    cpu_share: NotNegative = 0.0
+    # Speed of that core relative to a nominal one, in spite of the name.
+    cores: NotNegative = 1.0
+
+
 class _Platform(msgspec.Struct):
     address: Address
 
@@ -94,6 +103,7 @@
     port_range: Annotated[list[int], msgspec.Meta(min_length=2)]
     bounds: _Bounds
     platform: _Platform
+    limits: _Limits = msgspec.field(default_factory=_Limits)
     seeds: list[Address] = []
     bootstrap: bool = False
 
@@ -177,4 +187,5 @@
         quota_slack=file.bounds.quota_slack,
         first_start=file.bootstrap,
         look_up_ttl_max_s=file.bounds.ttl_max_s,
+        processor_cores=file.limits.cpu_share * file.limits.cores,
     )
--- a/packages/burdockhaven-entry/tests/platform/test_platform_settings.py
+++ b/packages/burdockhaven-entry/tests/platform/test_platform_settings.py
@@ -38,6 +38,28 @@
     assert settings.store_address == "10.200.1.7:8225"
 
 
+@pytest.mark.parametrize(
+    ("limits", "cores"),
+    [
+        ("limits: {cpu_share: 0.717, cores: 3, memory_mb: 552}", 2.151),
+        ("limits: {cpu_share: 0.5}", 0.5),
+        ("limits: {memory_mb: 200}", 0.0),
+        ("", 0.0),
+    ],
+)
+def test_processor_capacity_is_share_times_speed(limits, cores):
+    settings = read_settings(f"{VALID_SETTINGS}\n{limits}\n")
+    assert settings.processor_cores == pytest.approx(cores)
+
+
+def test_faulty_processor_capacity_is_named():
+    text = f"{VALID_SETTINGS}\nlimits: {{cpu_share: -1, cores: many}}\n"
+    with pytest.raises(SettingsError) as error:
+        read_settings(text)
+    names = [line.partition(":")[0] for line in error.value.faults]
+    assert names == ["limits.cpu_share", "limits.cores"]
+
+
 @pytest.mark.parametrize(
     ("old", "new", "fault"),
     [
