Log and metrics of the broker in use and of members that follow hubs

Cause: why a member sends its placement requests where it does could not be seen. Change: event 205 at each change of the broker, with its capacity and the threshold; metrics follows_hubs, is_broker and processor_cores. The test of the event 204 expects the events 205 around it, too.

--- a/packages/burdockhaven-core/src/burdockhaven_core/log_numbers.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/log_numbers.py
@@ -25,6 +25,7 @@
     PEER_LOST = 202
     PEER_JOINED = 203
     BROKER_SUSPECTED = 204
+    BROKER_CHANGED = 205
 
     # Requests and runs.
     REQUEST_REFUSED = 301
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/metrics_text.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/metrics_text.py
@@ -121,6 +121,7 @@
     def _state_gauges(self) -> Iterator[Metric]:
         state = self.state
         now = state.clock()
+        broker = state.member_list.broker(now, state.heartbeat_head())
         for name, text, value in (
             (
                 "configuration_version",
@@ -161,6 +162,21 @@
                 "Members that exchange heartbeats with all others",
                 len(state.member_list.hubs),
             ),
+            (
+                "follows_hubs",
+                "Whether it reads from the store only what hubs announce",
+                int(state.member_list.is_follower),
+            ),
+            (
+                "is_broker",
+                "Whether it sends its placement requests to its own broker",
+                int(broker == state.member_id.node),
+            ),
+            (
+                "processor_cores",
+                "Processor capacity of its VM in nominal cores; 0 if unknown",
+                state.settings.processor_cores,
+            ),
         ):
             yield GaugeMetricFamily(f"burdockhaven_{name}", text, value=value)
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
@@ -296,9 +296,22 @@
         """
         node = self.broker_node()
         if node != self.reported_to:
+            self._log_broker_change(node)
             self._report_to(node)
         return node
 
+    def _log_broker_change(self, node: str) -> None:
+        view = self.member_list.views.get(node)
+        broker = self.own_heartbeat() if view is None else view.heartbeat
+        log(
+            EventNumber.BROKER_CHANGED,
+            peer=node,
+            previous=self.reported_to,
+            processor_percent=broker.processor_percent,
+            strong_percent=round(self.member_list.strong_percent),
+            in_sync=broker.in_sync,
+        )
+
     def _report_to(self, node: str) -> None:
         self.reported_to = node
         now = self.clock()
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
@@ -124,6 +124,21 @@
             "skipped_s": "time for which other brokers are used",
         },
     ),
+    EventSpec(
+        EventNumber.BROKER_CHANGED,
+        "info",
+        "Placement requests go to the broker of {peer} from now on, before to "
+        "{previous}.",
+        "None for one change after a stop. If members switch to and fro, look for 204.",
+        {
+            "peer": "name of the member whose broker is used",
+            "previous": "member whose broker was used before; empty at the start",
+            "processor_percent": "processor capacity of the member's VM in hundredths "
+            "of a core; 0 if unknown",
+            "strong_percent": "capacity from which on members are preferred as broker",
+            "in_sync": "whether the broker's member is in sync with the store",
+        },
+    ),
     EventSpec(
         EventNumber.REQUEST_REFUSED,
         "info",
--- a/packages/burdockhaven-entry/tests/gateway/test_placement_client.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_placement_client.py
@@ -241,7 +241,7 @@
     assert progress.updates[0].end is None
 
 
-async def test_suspected_broker_is_logged_once_while_it_is_skipped(monkeypatch):
+async def test_suspected_broker_and_changes_are_logged_once(monkeypatch):
     logged = []
     monkeypatch.setattr(
         placement_client_module,
@@ -252,7 +252,11 @@
     harness.add_member("entry-2", started_ms=1)
     await harness.placement_client.place(requirements())
     await harness.placement_client.place(requirements())
-    assert logged == [(EventNumber.BROKER_SUSPECTED, "entry-2")]
+    assert logged == [
+        (EventNumber.BROKER_CHANGED, "entry-2"),
+        (EventNumber.BROKER_SUSPECTED, "entry-2"),
+        (EventNumber.BROKER_CHANGED, ME.node),
+    ]
 
 
 async def test_first_of_several_updates_requests_one_flush():
