--- a/packages/burdockhaven-entry/tests/gateway/test_store_sync_fuzz.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_store_sync_fuzz.py
@@ -1,7 +1,8 @@
 """Random histories of a store that is also compacted and restored from copies.
 
-The oracle is the content of the store: whatever happens, the watcher ends up with it.
-The store answers in memory; the order of tasks on the event loop varies with the seed.
+The oracle is the content of the store: whatever happens, the watcher ends up with it,
+also one that follows what other members announce. The store answers in memory; the
+order of tasks on the event loop varies with the seed.
 """
 
 import asyncio
@@ -13,11 +14,19 @@
 from burdockhaven_core.key_value_failure import FailureKind, KeyValueFailure
 from burdockhaven_entry.gateway import store_sync
 from burdockhaven_entry.gateway.store_era import RestorePart, StoreEras
-from burdockhaven_entry.gateway.store_sync import PrefixHandlers, PrefixWatcher
+from burdockhaven_entry.gateway.store_sync import (
+    Announcement,
+    PrefixHandlers,
+    PrefixWatcher,
+    WatchTiming,
+    no_announcement,
+)
 from burdockhaven_entry.platform import ChangeBatch, StoreItem, StoreRevision
 
 KEYS = tuple(f"a/{number}" for number in range(4))
 STEPS = 60
+# Number of the last changes that reads from an old copy don't contain.
+OLD_COPY_CHANGES = 2
 HISTORY_LOST = Err(KeyValueFailure(FailureKind.HISTORY_LOST, "watch", "store", "410"))
 RESET = Err(KeyValueFailure(FailureKind.AMBIGUOUS, "watch", "store", "reset"))
 SETTLE_TIMEOUT_S = 20.0
@@ -67,10 +76,20 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
-    async def read_prefix(self, prefix):
+    async def read_prefix(self, prefix, *, may_be_stale=False):
+        if may_be_stale:
+            return await self.reply(*self.old_copy())
         items = tuple(self.items.values())
         return await self.reply(items, StoreRevision(self.era, self.revision))
 
+    def old_copy(self):
+        """Return the items without the last changes of this era, and their revision."""
+        revision = max(1, self.revision - OLD_COPY_CHANGES)
+        kept = [item for item in self.history if item.revision <= revision]
+        items = {item.key: item for item in kept}
+        present = tuple(item for item in items.values() if item.value is not None)
+        return present, StoreRevision(self.era, revision)
+
     async def watch(self, prefix, after, wait_s):
         era = self.era
         while True:
@@ -106,6 +125,14 @@
 
     def __init__(self):
         self.items = {}
+        # Last revision of the handlers, and whether one was lower within its era.
+        self.revision = None
+        self.has_gone_back = False
+
+    def advance(self, revision):
+        last, self.revision = self.revision, revision
+        if last is not None and last.era == revision.era:
+            self.has_gone_back |= revision.number < last.number
 
     def replace(self, items):
         self.items = {item.key: item.value for item in items}
@@ -116,7 +143,7 @@
         else:
             self.items[item.key] = item.value
 
-    def handlers(self):
+    def handlers(self, announcement):
         return PrefixHandlers(
             "a/",
             self.replace,
@@ -125,16 +152,38 @@
             lambda failure: None,
             self.replace,
             RestorePart.TARGETS,
+            lambda: WatchTiming(max_backoff_s=0.01),
+            announcement,
+            self.advance,
         )
 
 
-async def play(seed, *, states_era=True):
+class Members:
+    """Other members, which tell of every change, or of nothing for a time."""
+
+    def __init__(self, store, rng):
+        self.store = store
+        self.rng = rng
+        self.are_reliable = False
+
+    def announcement(self, known):
+        is_heard = self.are_reliable or self.rng.random() < 0.8
+        if known.era != self.store.era or not is_heard:
+            return self.rng.choice([Announcement.NONE, Announcement.OUTAGE])
+        if self.store.revision > known.number:
+            return Announcement.BEHIND
+        return Announcement.CURRENT
+
+
+async def play(seed, *, states_era=True, follows=False):
     """Return whether the watcher has the content of the store in the end."""
     rng = random.Random(seed)
     eras = StoreEras(lambda: 0.0)
     store, view = HistoryStore(eras, states_era), View()
     store.take_copy()
-    watcher = PrefixWatcher(store, view.handlers(), eras, lambda: 0.0, rng)
+    members = Members(store, random.Random(seed))
+    announcement = members.announcement if follows else no_announcement
+    watcher = PrefixWatcher(store, view.handlers(announcement), eras, lambda: 0.0, rng)
     task = asyncio.create_task(watcher.run())
     for step in range(STEPS):
         action = rng.choice(["write"] * 6 + ["remove", "copy", "restore", "compact"])
@@ -156,11 +205,13 @@
         store.fails_next = rng.random() < 0.1
         for _ in range(rng.randrange(6)):
             await asyncio.sleep(0)
+    members.are_reliable = True
     # The last change, which may have a revision that was given out before.
     store.write(KEYS[0], b"last")
 
     def is_settled():
-        return view.items == {key: item.value for key, item in store.items.items()}
+        content = {key: item.value for key, item in store.items.items()}
+        return view.items == content and not view.has_gone_back
 
     try:
         async with asyncio.timeout(SETTLE_TIMEOUT_S):
@@ -183,6 +234,7 @@
 def _short_delays(monkeypatch):
     monkeypatch.setattr(store_sync, "RESTORE_READ_SPREAD_S", 0.0)
     monkeypatch.setattr(store_sync, "INITIAL_BACKOFF_S", 0.0)
+    monkeypatch.setattr(store_sync, "ANNOUNCEMENT_CHECK_S", 0.001)
 
 
 @pytest.mark.parametrize("seed", range(20))
@@ -190,6 +242,11 @@
     assert await play(seed)
 
 
+@pytest.mark.parametrize("seed", range(40))
+async def test_follower_ends_up_with_the_content_of_the_store(seed):
+    assert await play(seed, follows=True)
+
+
 async def test_oracle_finds_what_is_missed_if_the_store_states_no_era(monkeypatch):
     monkeypatch.setattr(f"{__name__}.SETTLE_TIMEOUT_S", 0.2)
     assert not all([await play(seed, states_era=False) for seed in range(20)])
