Targets are published once for a batch of changes, and not for a mere rewrite of an entry

Each changed entry was published with a look at all targets (10 us each, so 10 ms), and servers that start write their entries again and again. Change: a batch is published once; an entry that was only written again not at all. Hubs wait 0.1 s for changes that belong together. A member that follows them reads a copy of all keys only up to 200 of them.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_event_handlers.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_event_handlers.py
@@ -1,6 +1,7 @@
 """Applies the store's configuration and target entries to the state of this process."""
 
 import asyncio
+import dataclasses
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -39,6 +40,8 @@
 RELAXED_TARGETS_TIMING = WatchTiming(
     wait_s=10.0, batch_delay_s=1.5, max_backoff_s=2.5, catch_up_spread_s=0.7
 )
+# Timing for hubs; many targets that start together write their entries again and again.
+HUB_TARGETS_TIMING = WatchTiming(batch_delay_s=0.1)
 # Seconds after its start for which a member waits for hubs before it watches the store.
 HUB_DISCOVERY_S = 1.5
 
@@ -50,6 +53,8 @@
     state: GatewayState
     # Set once the newest known configuration is in force and the targets are read.
     first_sync: asyncio.Event = field(default_factory=asyncio.Event)
+    # Whether targets have changed since they were last published.
+    has_unpublished_targets: bool = False
     # Monotonic time of the start in seconds.
     started_s: float = field(init=False)
 
@@ -80,7 +85,7 @@
                 RestorePart.TARGETS,
                 self._targets_timing,
                 self._targets_announcement,
-                self._record_targets_revision,
+                self._on_targets_revision,
             ),
         )
 
@@ -92,8 +97,10 @@
         )
 
     def _targets_timing(self) -> WatchTiming:
-        is_follower = self.state.member_list.is_follower
-        return RELAXED_TARGETS_TIMING if is_follower else WatchTiming()
+        member_list = self.state.member_list
+        if member_list.is_follower:
+            return RELAXED_TARGETS_TIMING
+        return HUB_TARGETS_TIMING if member_list.hubs else WatchTiming()
 
     def _configuration_announcement(self, known: StoreRevision) -> Announcement:
         return self._announcement(
@@ -120,8 +127,12 @@
         # The hubs are not known yet; a watch would be billed until it ends.
         return Announcement.CURRENT
 
-    def _record_targets_revision(self, revision: StoreRevision) -> None:
+    def _on_targets_revision(self, revision: StoreRevision) -> None:
+        """Publish the changes up to a revision; once, because it costs all targets."""
         self.state.targets_revision = revision
+        if self.has_unpublished_targets:
+            self.has_unpublished_targets = False
+            self.state.publish_targets()
 
     def apply_configuration(self, data: bytes, source: str) -> None:
         """Put a configuration in force if it is valid and newer."""
@@ -166,6 +177,7 @@
     def _on_target_change(self, item: StoreItem) -> None:
         registry = self.state.registry
         target_id = item.key.removeprefix(TARGETS_PREFIX)
+        before = registry.entries.get(target_id)
         if item.value is None:
             registry.remove(target_id, self.state.clock())
         else:
@@ -174,7 +186,8 @@
                 registry.discard(target_id, self.state.clock())
             else:
                 registry.put(entry)
-        self.state.publish_targets()
+        if not _is_same_target(before, registry.entries.get(target_id)):
+            self.has_unpublished_targets = True
 
     def _on_targets_outage(self, failure: KeyValueFailure) -> None:
         self.state.in_sync = False
@@ -187,6 +200,13 @@
         self.state.registry.end_store_outage(self.state.clock())
 
 
+def _is_same_target(before: TargetEntry | None, after: TargetEntry | None) -> bool:
+    """Whether an entry was at most written again without a change."""
+    if before is None or after is None:
+        return before is after
+    return before == dataclasses.replace(after, sequence=before.sequence)
+
+
 def _decode_target(item: StoreItem) -> TargetEntry | None:
     """Decode a target entry; logs an invalid one and returns None."""
     target_id = item.key.removeprefix(TARGETS_PREFIX)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_sync.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_sync.py
@@ -41,6 +41,9 @@
 RESTORE_REGISTRATION_SPREAD_S = 1.0
 # Seconds between two checks of what other members announce.
 ANNOUNCEMENT_CHECK_S = 0.25
+# Number of keys up to which all are read from a copy to learn of a change; beyond it,
+# that costs more than the call that it saves.
+MAX_COPIED_KEYS = 200
 # Wait of a watch that only fetches past changes; the store takes no shorter one.
 CATCH_UP_WAIT_S = 0.001
 
@@ -125,6 +128,8 @@
         # Store revision up to which changes were received; None before the first read
         # and while all keys have to be read again.
         self.revision: StoreRevision | None = None
+        # Number of keys at the last read of all.
+        self.key_count = 0
         # Era of the last read; None before the first.
         self.read_era: int | None = None
         # Monotonic time of the last success; None before the first.
@@ -174,7 +179,7 @@
             return
         spread_s = self.handlers.timing().catch_up_spread_s
         await asyncio.sleep(self.rng.random() * spread_s)
-        if await self._read_copy(known):
+        if self.key_count <= MAX_COPIED_KEYS and await self._read_copy(known):
             return
         await asyncio.sleep(spread_s)
         await self._fetch_changes(self.revision or known, CATCH_UP_WAIT_S)
@@ -202,6 +207,7 @@
             return False
         self._record_success()
         self.handlers.on_snapshot(result.ok_value.items)
+        self.key_count = len(result.ok_value.items)
         self._advance(revision)
         return self.handlers.announcement(revision) is not Announcement.BEHIND
 
@@ -222,6 +228,7 @@
             self.handlers.on_snapshot(result.ok_value.items)
         else:
             self.handlers.on_restored(result.ok_value.items)
+        self.key_count = len(result.ok_value.items)
         self._advance(revision)
         self.read_era = revision.era
         self.eras.mark_done(self.handlers.part, revision.era)
