Test of the soak's end: don't inherit an ignored SIGINT

Shown by a run of the test alone: passes, and with SIGINT ignored fails. Change: the test starts the soak with the default action; the check is the same. Result: passes both ways.

--- a/tools/tests/test_soak.py
+++ b/tools/tests/test_soak.py
@@ -126,9 +126,14 @@
     [(signal.SIGINT, INTERRUPTED), (signal.SIGKILL, -signal.SIGKILL)],
 )
 def test_daemons_end_with_the_soak(number, exit_code):
-    process = subprocess.Popen(
-        soak_arguments(seed=1, minutes=1), stdout=subprocess.PIPE, text=True
-    )
+    # A shell starts its background jobs with SIGINT ignored, and children inherit that.
+    inherited = signal.signal(signal.SIGINT, signal.default_int_handler)
+    try:
+        process = subprocess.Popen(
+            soak_arguments(seed=1, minutes=1), stdout=subprocess.PIPE, text=True
+        )
+    finally:
+        signal.signal(signal.SIGINT, inherited)
     pids = []
     for line in process.stdout:
         if found := STARTED.search(line):
