A connect timeout that fires late blames no target

A connect timeout of 0.3 s fires although the target has accepted, if the event loop stood still meanwhile; the run counted as UNREACHABLE, both engines were ejected, and get one request until a run progresses. Change: a timeout that fires more than 50 ms late is tried again, three times at most, with event 515.

--- a/packages/burdockhaven-core/src/burdockhaven_core/log_numbers.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/log_numbers.py
@@ -67,6 +67,7 @@
     TARGET_PAUSED = 512
     TARGET_PAUSE_ENDED = 513
     RESPONSE_HEADER_UNKNOWN = 514
+    CONNECTION_TRIED_AGAIN = 515
 
     # Tier admission.
     FLOOR_CLOSED = 601
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
@@ -14,11 +14,13 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 from yarl import URL
 
+from burdockhaven_core.log_numbers import EventNumber
 from burdockhaven_core.scheduling.target_registry import TargetEntry
 from burdockhaven_entry.gateway.bounded_connection import (
     BoundedConnection,
     create_connector,
 )
+from burdockhaven_entry.log_events import log
 from burdockhaven_entry.platform import (
     TargetResponseHead,
     read_body_up_to,
@@ -29,6 +31,11 @@
 # wait means that the target is unreachable or dead, or that a packet was lost, which
 # the operating system sends again after 1 s only.
 CONNECT_TIMEOUT_S = 0.3
+# Seconds by which a connect timeout fires too late if this process stood still. The
+# target may have accepted in the meantime, so the timeout says nothing about it.
+OWN_STALL_S = 0.05
+# Connections that are tried for one send if this process stands still during each.
+MAX_CONNECT_ATTEMPTS = 3
 # Seconds for which an idle connection stays in the pool.
 KEEPALIVE_S = 4.0
 # Bytes of the largest body that is read whole, eight times the largest body of a
@@ -177,15 +184,8 @@
         target: TargetEntry,
         request: OutgoingRequest,
     ) -> aiohttp.ClientResponse:
-        url = URL(f"http://{target.address}{request.raw_path}", encoded=True)
         try:
-            return await session.request(
-                request.method,
-                url,
-                headers=request.headers,
-                data=request.body if request.body else None,
-                allow_redirects=False,
-            )
+            return await _connect_and_send(session, target, request)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise SendError(
                 SendOutcome.NOT_SENT, "connect", target.id, repr(error)
@@ -223,6 +223,36 @@
         )
 
 
+async def _connect_and_send(
+    session: aiohttp.ClientSession, target: TargetEntry, request: OutgoingRequest
+) -> aiohttp.ClientResponse:
+    """Send the request; connects again after a timeout that fired late."""
+    loop = asyncio.get_running_loop()
+    url = URL(f"http://{target.address}{request.raw_path}", encoded=True)
+    attempts_left = MAX_CONNECT_ATTEMPTS
+    while True:
+        started_s = loop.time()
+        attempts_left -= 1
+        try:
+            return await session.request(
+                request.method,
+                url,
+                headers=request.headers,
+                data=request.body if request.body else None,
+                allow_redirects=False,
+            )
+        except aiohttp.ConnectionTimeoutError:
+            late_s = loop.time() - started_s - CONNECT_TIMEOUT_S
+            if late_s < OWN_STALL_S or not attempts_left:
+                raise
+            log(
+                EventNumber.CONNECTION_TRIED_AGAIN,
+                target=target.id,
+                late_ms=round(late_s * 1e3),
+                attempts_left=attempts_left,
+            )
+
+
 def _create_session(*, force_close: bool) -> aiohttp.ClientSession:
     if force_close:
         connector = create_connector(limit=0, force_close=True)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
@@ -476,6 +476,18 @@
         "Look up what it asks for; it is passed on to clients and has no effect here.",
         {"target": "name of the target", "header": "name in lower case"},
     ),
+    EventSpec(
+        EventNumber.CONNECTION_TRIED_AGAIN,
+        "warning",
+        "The time limit for connecting to target {target} ended {late_ms} ms late: "
+        "this process stood still. It connects again, {attempts_left} tries left.",
+        "The target is not at fault. Check the processor time of this VM.",
+        {
+            "target": "name of the target",
+            "late_ms": "time by which the limit was overrun",
+            "attempts_left": "connections that may still be tried for this send",
+        },
+    ),
     EventSpec(
         EventNumber.ORDERS_TAKEN,
         "info",
