--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
@@ -2,8 +2,9 @@
 
 Every member runs a broker; the member list gives the order in which they are tried, the
 longest-running member first, so that the start of a member does not change the broker
-in use. A member that does not reply is suspected and skipped for `SUSPICION_S`. If no
-other member is available, the broker of this process is used.
+in use. A member that replies to no request is suspected and skipped for `SUSPICION_S`;
+one that replies late is waited for (`reply_times.py`). If no other member is available,
+the broker of this process is used.
 """
 
 import asyncio
@@ -34,11 +35,9 @@
     RunUpdate,
     Verdict,
 )
+from burdockhaven_core.scheduling.reply_times import ReplyTimes
 from burdockhaven_entry.log_events import log
 
-# Seconds to wait for a reply of another member. The one-way latency between zones is
-# about a millisecond; a busy process takes some tens of milliseconds to reply.
-REPLY_TIMEOUT_S = 0.06
 # Consecutive requests without a reply after which a member is suspected.
 MAX_UNANSWERED_ATTEMPTS = 2
 # Seconds for which a suspected member is skipped.
@@ -140,13 +139,30 @@
 
     requirements: PlacementRequirements
     reply: asyncio.Future[PlacementReply]
-    broker: str = ""
+    broker: str
+    # Monotonic time of the first send that the broker has not replied to; None if it
+    # has, and the request is in its queue.
+    sent_s: float | None
 
     def is_undecided(self) -> bool:
         """Whether no broker has granted or refused the request yet."""
         return not self.reply.done() or self.reply.result().verdict is Verdict.QUEUED
 
 
+@dataclass(slots=True)
+class _Attempts:
+    """The sends of one placement request to one broker."""
+
+    # Node of the broker; empty before the first.
+    broker: str = ""
+    # Monotonic time in seconds of the first send that is counted.
+    first_sent_s: float = 0.0
+    # Sends without a reply.
+    unanswered: int = 0
+    # Whether the broker has queued the request.
+    is_queued: bool = False
+
+
 SendMessage = Callable[[str, PeerMessage], None]
 
 
@@ -180,6 +196,7 @@
     last_number: int = 0
     # Node of the broker that got the last report; empty before the first.
     reported_to: str = ""
+    reply_times: ReplyTimes = field(default_factory=ReplyTimes)
 
     async def place(
         self, requirements: PlacementRequirements
@@ -357,6 +374,8 @@
         pending = self.pending.get(reply.number)
         is_awaited = pending is not None and not pending.reply.done()
         if is_awaited and pending is not None:
+            if pending.sent_s is not None and node == pending.broker:
+                self.reply_times.record(node, pending.sent_s, self.clock())
             pending.reply.set_result(reply)
         elif reply.verdict is Verdict.GRANTED and reply.number not in self.runs:
             # The request was abandoned or granted by another broker; without this, the
@@ -371,44 +390,52 @@
         self, number: int, requirements: PlacementRequirements
     ) -> PlacementReply:
         """Return the final reply of a broker; retries until there is one."""
-        attempts = 0
-        # Node of the broker that has queued the request; empty if none is known to.
-        queued_at = ""
+        attempts = _Attempts()
         while True:
             node = self.follow_broker()
-            if queued_at and queued_at != node:
-                self._send_cancellation(queued_at, number)
-                queued_at = ""
-            reply = await self._send_and_wait(
-                number, requirements, node, bool(queued_at)
-            )
-            if reply is None and queued_at:
+            if node != attempts.broker:
+                if attempts.is_queued:
+                    self._send_cancellation(attempts.broker, number)
+                attempts = _Attempts(node, self.clock())
+            reply = await self._send_and_wait(number, requirements, attempts)
+            if reply is None and attempts.is_queued:
                 # Sent again in the next iteration, in case the reply was lost.
-                queued_at = ""
+                attempts = _Attempts(node, self.clock())
             elif reply is None:
-                attempts += 1
-                if attempts >= MAX_UNANSWERED_ATTEMPTS:
-                    self._mark_suspect(node)
-                    attempts = 0
+                self._count_unanswered(attempts)
             elif reply.verdict is Verdict.QUEUED:
-                queued_at, attempts = node, 0
+                attempts.is_queued = True
             else:
                 return reply
 
+    def _count_unanswered(self, attempts: "_Attempts") -> None:
+        """Suspect the broker after several, unless it replies to other requests."""
+        attempts.unanswered += 1
+        if attempts.unanswered < MAX_UNANSWERED_ATTEMPTS:
+            return
+        node = attempts.broker
+        if not self.reply_times.has_replied_since(node, attempts.first_sent_s):
+            self._mark_suspect(node)
+        attempts.unanswered, attempts.first_sent_s = 0, self.clock()
+
     async def _send_and_wait(
-        self, number: int, requirements: PlacementRequirements, node: str, queued: bool
+        self, number: int, requirements: PlacementRequirements, attempts: "_Attempts"
     ) -> PlacementReply | None:
         """Send the request unless it is queued; None if no reply arrives in time."""
         if number in self.own_refusals:
             return self.own_refusals[number]
+        node, is_queued = attempts.broker, attempts.is_queued
         future: asyncio.Future[PlacementReply] = (
             asyncio.get_running_loop().create_future()
         )
-        self.pending[number] = _PendingPlacement(requirements, future, node)
-        if not queued:
+        sent_s = None if is_queued else attempts.first_sent_s
+        self.pending[number] = _PendingPlacement(requirements, future, node, sent_s)
+        if not is_queued:
             self._send_request(number, requirements, node)
-        timeout_s = QUEUED_RESEND_S if queued else REPLY_TIMEOUT_S
-        await asyncio.wait({future}, timeout=timeout_s)
+        wait_s = QUEUED_RESEND_S
+        if not is_queued:
+            wait_s = self.reply_times.wait_s(node, attempts.unanswered)
+        await asyncio.wait({future}, timeout=wait_s)
         return future.result() if future.done() else None
 
     def _send_request(
@@ -459,7 +486,9 @@
                 EventNumber.BROKER_SUSPECTED,
                 peer=node,
                 attempts=MAX_UNANSWERED_ATTEMPTS,
-                timeout_ms=round(REPLY_TIMEOUT_S * 1e3),
+                timeout_ms=round(
+                    self.reply_times.wait_s(node, MAX_UNANSWERED_ATTEMPTS - 1) * 1e3
+                ),
                 skipped_s=SUSPICION_S,
             )
         view.suspect_until_s = now + SUSPICION_S
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
@@ -114,13 +114,13 @@
         EventNumber.BROKER_SUSPECTED,
         "warning",
         "The broker of {peer} did not reply to {attempts} messages within "
-        "{timeout_ms} ms each; it is skipped for {skipped_s} s.",
+        "up to {timeout_ms} ms each; it is skipped for {skipped_s} s.",
         "If many members log it for the same peer, check the processor time of that "
         "member.",
         {
             "peer": "name of the member",
             "attempts": "placement requests in a row without a reply",
-            "timeout_ms": "time that each reply was awaited",
+            "timeout_ms": "longest time that a reply was awaited",
             "skipped_s": "time for which other brokers are used",
         },
     ),
--- a/packages/burdockhaven-entry/tests/gateway/test_placement_client.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_placement_client.py
@@ -129,6 +129,60 @@
     assert len(harness.sent_to("entry-2", PlacementRequest)) == MAX_UNANSWERED_ATTEMPTS
 
 
+class LiveBroker:
+    """A broker on another member that replies to each request, after a time."""
+
+    def __init__(self, harness, node, delay_s=0.0, lost=()):
+        self.harness = harness
+        self.node = node
+        self.delay_s = delay_s
+        # Numbers of requests whose first sends are lost, and how many of them.
+        self.lost = dict(lost)
+        harness.add_member(node, started_ms=1)
+        harness.placement_client.send = self.receive
+
+    def receive(self, node, message):
+        self.harness.sent.append((node, message))
+        if not isinstance(message, PlacementRequest):
+            return
+        if self.lost.get(message.number, 0):
+            self.lost[message.number] -= 1
+            return
+        reply = PlacementReply(message.number, Verdict.GRANTED, "i-1", broker=node)
+        asyncio.get_running_loop().call_later(
+            self.delay_s, self.harness.placement_client.on_reply, reply, node
+        )
+
+    @property
+    def is_suspected(self):
+        view = self.harness.member_list.views[self.node]
+        return view.suspect_until_s > 0
+
+
+# Guards against two brokers at once: members turned to and fro in a burst, in which the
+# broker took longer to reply than the 60 ms that each of two sends was awaited.
+async def test_broker_whose_replies_take_longer_and_longer_is_waited_for():
+    harness = PlacementHarness()
+    broker = LiveBroker(harness, "entry-2")
+    for step in range(12):
+        broker.delay_s = 0.015 * step
+        await harness.placement_client.place(requirements())
+        assert not broker.is_suspected
+
+
+# Guards against a member that turns away for one request that is lost again and again.
+async def test_broker_that_replies_to_other_requests_is_not_suspected():
+    harness = PlacementHarness()
+    broker = LiveBroker(harness, "entry-2", lost={1: 3})
+    lost = asyncio.create_task(harness.placement_client.place(requirements()))
+    await wait_until(lambda: harness.placement_client.pending)
+    while not lost.done():
+        await harness.placement_client.place(requirements())
+        await asyncio.sleep(0.01)
+    assert granted_target(await lost, 1) == "i-1"
+    assert not broker.is_suspected
+
+
 async def test_late_grant_is_cancelled():
     harness = PlacementHarness()
     harness.add_member("entry-2", started_ms=1)
