--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
@@ -34,8 +34,6 @@
 # Seconds by which a connect timeout fires too late if this process stood still. The
 # target may have accepted in the meantime, so the timeout says nothing about it.
 OWN_STALL_S = 0.05
-# Connections that are tried for one send if this process stands still during each.
-MAX_CONNECT_ATTEMPTS = 3
 # Seconds for which an idle connection stays in the pool.
 KEEPALIVE_S = 4.0
 # Bytes of the largest body that is read whole, eight times the largest body of a
@@ -226,31 +224,33 @@
 async def _connect_and_send(
     session: aiohttp.ClientSession, target: TargetEntry, request: OutgoingRequest
 ) -> aiohttp.ClientResponse:
-    """Send the request; connects again after a timeout that fired late."""
+    """Send the request; connects once more after a timeout that fired late."""
     loop = asyncio.get_running_loop()
-    url = URL(f"http://{target.address}{request.raw_path}", encoded=True)
-    attempts_left = MAX_CONNECT_ATTEMPTS
-    while True:
-        started_s = loop.time()
-        attempts_left -= 1
-        try:
-            return await session.request(
-                request.method,
-                url,
-                headers=request.headers,
-                data=request.body if request.body else None,
-                allow_redirects=False,
-            )
-        except aiohttp.ConnectionTimeoutError:
-            late_s = loop.time() - started_s - CONNECT_TIMEOUT_S
-            if late_s < OWN_STALL_S or not attempts_left:
-                raise
-            log(
-                EventNumber.CONNECTION_TRIED_AGAIN,
-                target=target.id,
-                late_ms=round(late_s * 1e3),
-                attempts_left=attempts_left,
-            )
+    started_s = loop.time()
+    try:
+        return await _request(session, target, request)
+    except aiohttp.ConnectionTimeoutError:
+        late_s = loop.time() - started_s - CONNECT_TIMEOUT_S
+        if late_s < OWN_STALL_S:
+            raise
+    log(
+        EventNumber.CONNECTION_TRIED_AGAIN,
+        target=target.id,
+        late_ms=round(late_s * 1e3),
+    )
+    return await _request(session, target, request)
+
+
+async def _request(
+    session: aiohttp.ClientSession, target: TargetEntry, request: OutgoingRequest
+) -> aiohttp.ClientResponse:
+    return await session.request(
+        request.method,
+        URL(f"http://{target.address}{request.raw_path}", encoded=True),
+        headers=request.headers,
+        data=request.body if request.body else None,
+        allow_redirects=False,
+    )
 
 
 def _create_session(*, force_close: bool) -> aiohttp.ClientSession:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
@@ -480,12 +480,11 @@
         EventNumber.CONNECTION_TRIED_AGAIN,
         "warning",
         "The time limit for connecting to target {target} ended {late_ms} ms late: "
-        "this process stood still. It connects again, {attempts_left} tries left.",
+        "this process stood still. It connects once more.",
         "The target is not at fault. Check the processor time of this VM.",
         {
             "target": "name of the target",
             "late_ms": "time by which the limit was overrun",
-            "attempts_left": "connections that may still be tried for this send",
         },
     ),
     EventSpec(
