Engines that return without a new start count again against a prompt part

Change: it counts again if another engine ended beneath the part too, this one at least 2 s before, and any run has begun since; five ends are needed then.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/accused_part.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/accused_part.py
@@ -37,9 +37,11 @@
 class AccusedPart:
     """Evidence against one prompt part since a run with it last began."""
 
-    # Engines that ended, by start, and the number of ends that count.
-    engines: set[str] = field(default_factory=set)
+    # When each engine, by start, last ended, and the number of ends that count.
+    engines: dict[str, float] = field(default_factory=dict)
     ends: int = 0
+    # Number of these ends at engines that had returned without a new start.
+    repeated_ends: int = 0
     last_end_s: float = -math.inf
     # Number of these ends beneath prompts that have each other accused part.
     beside: Counter[str] = field(default_factory=Counter)
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/crash_attribution.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/crash_attribution.py
@@ -26,14 +26,17 @@
 # one of them ended a trial, in which no other prompt was sent to the engine.
 QUARANTINE_ENDS = 3
 QUARANTINE_ENDS_WITH_TRIAL = 2
-# The same if runs with the part began before, or if none begins without it either, so
-# that it may be the engines that fail.
+# The same if runs with the part began before, if none begins without it either, so that
+# it may be the engines that fail, or if some of the ends are those of a single start.
 QUARANTINE_ENDS_IN_DOUBT = 5
 # Seconds after its first event for which a run has to go on to acquit its parts, unless
 # it completes: an engine may have sent an event before it ends.
 BEGIN_SETTLE_S = 0.3
 # Ends within this many seconds count once: one lost link ends the runs at many engines.
 SAME_CAUSE_S = 0.03
+# Seconds after its end in which an engine does not count as returned: the runs that
+# ended with it are reported one by one.
+RETURN_S = 2.0
 # Seconds of the first quarantine, doubled by each trial that ends its engine, and the
 # upper bound.
 QUARANTINE_S = 15.0
@@ -245,9 +248,11 @@
         if accused is None:
             accused = AccusedPart(begun_before=self.begun_count)
             self.accused[part] = accused
-        if engine in accused.engines and not accused.quarantines:
+        is_repeated = engine in accused.engines and not accused.quarantines
+        if is_repeated and not self._has_returned(engine, accused, now):
             return False
-        accused.engines.add(engine)
+        accused.repeated_ends += is_repeated
+        accused.engines[engine] = now
         accused.has_ended_trial |= engine == accused.trial_engine
         if now - accused.last_end_s < SAME_CAUSE_S:
             return False
@@ -257,6 +262,20 @@
         self._add_change(PartChangeKind.ACCUSED, part, accused, engine)
         return True
 
+    def _has_returned(self, engine: str, accused: AccusedPart, now: float) -> bool:
+        """Whether an engine that ended has gone on in the same start.
+
+        A single engine that ends again and again may itself be at fault, and so may the
+        engines if no run has begun since.
+        """
+        last_begun_s = next(reversed(self.begun_s.values()), -math.inf)
+        ended_s = accused.engines[engine]
+        return (
+            len(accused.engines) > 1
+            and now - ended_s >= RETURN_S
+            and last_begun_s > ended_s
+        )
+
     def _culprits(self, parts: list[str]) -> list[str]:
         """Return the parts of a prompt to quarantine, which explain the end best.
 
@@ -290,7 +309,7 @@
         shared_ends = max(QUARANTINE_ENDS, len(accused.engines)) - 1
         return any(
             self.begun_s.get(name, -math.inf) < begun_s
-            and len(accused.engines & other.engines) >= shared_ends
+            and len(accused.engines.keys() & other.engines.keys()) >= shared_ends
             for name, other in self.accused.items()
         )
 
@@ -298,7 +317,9 @@
         """Whether the evidence against a part suffices for a quarantine."""
         accused = self.accused[part]
         needed = QUARANTINE_ENDS
-        if part in self.begun_s or self.begun_count == accused.begun_before:
+        has_begun = part in self.begun_s
+        may_be_engines = self.begun_count == accused.begun_before
+        if has_begun or may_be_engines or accused.repeated_ends:
             needed = QUARANTINE_ENDS_IN_DOUBT
         elif accused.has_ended_trial:
             needed = QUARANTINE_ENDS_WITH_TRIAL
--- a/packages/burdockhaven-core/tests/scheduling/test_crash_attribution_review.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_crash_attribution_review.py
@@ -11,6 +11,7 @@
     QUARANTINE_ENDS,
     QUARANTINE_ENDS_IN_DOUBT,
     QUARANTINE_S,
+    RETURN_S,
     CrashAttribution,
 )
 from burdockhaven_core.scheduling.peer_messages import (
@@ -225,3 +226,26 @@
         crashes.record_begun(["all"], at_s + 4.0)
     assert "bad" in crashes.accused
     assert crashes.accused["bad"].quarantines
+
+
+# Guards against prompts that are refused because engines fail whatever they run: a
+# single one while others go on, or all that there are.
+@pytest.mark.parametrize(("engines", "others_begin"), [(1, True), (2, False)])
+def test_ends_of_engines_that_fail_by_themselves_do_not_add_up(engines, others_begin):
+    crashes = CrashAttribution()
+    for number in range(4 * QUARANTINE_ENDS_IN_DOUBT):
+        at_s = 5.0 * number
+        crashes.record_end(f"e{number % engines}", ["all", "innocent"], at_s)
+        if others_begin:
+            crashes.record_begun(["other"], at_s + 4.0)
+    assert not crashes.accused["innocent"].quarantines
+
+
+# Guards against one end that counts as several, because its runs are reported late.
+def test_late_reports_of_an_end_do_not_count_as_a_return():
+    crashes = CrashAttribution()
+    for number in range(QUARANTINE_ENDS_IN_DOUBT):
+        at_s = RETURN_S / 2 / QUARANTINE_ENDS_IN_DOUBT * number
+        crashes.record_end(f"e{number % 2}", ["all", "innocent"], at_s)
+        crashes.record_begun(["other"], at_s + 0.01)
+    assert crashes.accused["innocent"].ends == 2
