--- a/packages/burdockhaven-core/tests/scheduling/test_reply_times.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_reply_times.py
@@ -17,7 +17,7 @@
 LOADS = {
     "idle": [0.002] * 40,
     "burst": [0.002] * 20 + ramp(0.002, 0.15, 40) + [0.15] * 20,
-    "rise to twice the objective of a reply": ramp(0.03, 0.12, 30),
+    "steady rise": ramp(0.03, 0.12, 30),
     "one long prompt among short ones": [0.005, 0.05] * 20,
 }
 
