Streams resumed after a start of all members go on at their own version

A failed read of the version record, and a record of an earlier era, let the versions present now decide after 2.2 s, so that a stream could go on at another version than its own (ORDER). Then quotas, which come back evenly, and the rank of late requests refused most of them.

Change: while a service has several versions its broker writes the origins that members report to the store; a failed read is repeated or refuses; resumed streams keep quota and rank as on time.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -11,6 +11,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from burdockhaven_core.resumption.quota_reservations import QuotaReservations
 from burdockhaven_core.scheduling.crash_attribution import CrashAttribution
 from burdockhaven_core.scheduling.engine_load import EngineLoad, Run
 from burdockhaven_core.scheduling.peer_messages import (
@@ -106,6 +107,7 @@
         self.table: RoutingTable | None = None
         self.accounts: dict[str, Account] = {}
         self.quotas = SharedQuotas(rule)
+        self.quota_reservations = QuotaReservations()
         self.costs = RouteCosts()
         self.crashes = CrashAttribution()
         self.runs = RunTracker(self.costs, self.crashes)
@@ -157,13 +159,9 @@
         quarantined = self._quarantined_part(request, now)
         if quarantined:
             return _quarantine_reply(request, quarantined)
-        account = self.accounts.get(request.account)
-        cost = quota_cost(account, request.prompt_tokens, request.output_tokens)
-        if account is not None and not self.quotas.admits(
-            account, cost, now, others_wait=self.queue.holds_service(request.service)
-        ):
-            wait_s = self.quotas.retry_after_s(account, cost, now)
-            return _refusal(request, Verdict.OVER_QUOTA, wait_s)
+        refusal = self._refuse_over_quota(request, now)
+        if refusal is not None:
+            return refusal
         was_refused = request.digest != 0 and self.recent_refusals.consume(
             request.digest, now
         )
@@ -297,6 +295,32 @@
         counts, self.route_counts = self.route_counts, {}
         return counts
 
+    def _refuse_over_quota(
+        self, request: PlacementRequest, now: float
+    ) -> PlacementReply | None:
+        """Return the refusal of a request whose account has no quota left, or None.
+
+        What a resumed stream lacks is kept for it until it returns.
+        """
+        account = self.accounts.get(request.account)
+        if account is None:
+            return None
+        cost = quota_cost(account, request.prompt_tokens, request.output_tokens)
+        needed = cost
+        if request.is_resumption:
+            self.quota_reservations.release(request.digest)
+        else:
+            needed += self.quota_reservations.units(account.name, now)
+        others_wait = self.queue.holds_service(request.service)
+        if self.quotas.admits(account, needed, now, others_wait=others_wait):
+            return None
+        wait_s = self.quotas.retry_after_s(account, needed, now)
+        if request.is_resumption and request.digest:
+            self.quota_reservations.reserve(
+                request.digest, account.name, cost, wait_s, now
+            )
+        return _refusal(request, Verdict.OVER_QUOTA, wait_s)
+
     def _place_or_queue(
         self, key: RequestKey, queued: QueuedRequest, now: float
     ) -> PlacementReply:
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
@@ -129,6 +129,8 @@
     paused: tuple[PausedTarget, ...] = ()
     # Whether an engine has gone on to answer the prompt after its first event.
     has_begun: bool = False
+    # Whether the client resumes a stream, of which it has events.
+    is_resumption: bool = False
 
 
 class Verdict(enum.IntEnum):
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/queue_order.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/queue_order.py
@@ -134,9 +134,13 @@
         return self.objective_s - LATE_MARGIN_S
 
     def queue_class(self, now: float) -> QueueClass:
-        """Return the current class, which changes when the request becomes late."""
+        """Return the current class, which changes when the request becomes late.
+
+        A resumed stream keeps the rank of one on time: its client has a part of the
+        response already and waits for the next event, not for the first one.
+        """
         factor = 1.0
-        if self.late_at_s < now:
+        if self.late_at_s < now and not self.request.is_resumption:
             factor = RETRY_FACTOR if self.is_retry else LATE_FACTOR
         request = self.request
         return QueueClass(
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/version_records.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/version_records.py
@@ -30,6 +30,14 @@
         return self.is_complete and self.era == era
 
 
+@dataclass(frozen=True, slots=True)
+class RecordReading:
+    """A record as read, and whether it names every version."""
+
+    record: VersionRecord
+    is_valid: bool
+
+
 class VersionRecordError(ValueError):
     """The bytes do not hold a valid record."""
 
@@ -92,15 +100,17 @@
 
 
 def recorded_version(
-    record: VersionRecord, observed: frozenset[str]
+    reading: RecordReading, observed: frozenset[str]
 ) -> SoleVersion | None:
-    """Return what a valid record says of streams without an origin; None if nothing.
+    """Return what a record says of streams without an origin; None if nothing.
 
-    Certain is a version that is recorded alone, if no member has seen another. A record
-    of one version besides retiring ones proves nothing, as they may be in use again.
+    Certain is a version that a valid record names alone, if no member has seen another.
+    A record of one version besides retiring ones proves nothing, as they may be in use
+    again. One that is not valid may lack versions, but those that it names have served.
     """
+    record = reading.record
     known = record.versions | observed
-    if len(known) == 1:
+    if reading.is_valid and len(known) == 1:
         return SoleVersion(min(known), certain_in_s=0.0)
     if len((record.versions - record.retiring) | observed) > 1:
         return NO_SOLE_VERSION
--- a/packages/burdockhaven-core/tests/scheduling/test_version_records.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_version_records.py
@@ -5,6 +5,7 @@
 
 from burdockhaven_core.scheduling.stream_origins import NO_SOLE_VERSION
 from burdockhaven_core.scheduling.version_records import (
+    RecordReading,
     ServiceVersions,
     VersionHold,
     VersionRecord,
@@ -124,7 +125,7 @@
     ],
 )
 def test_recorded_version(current, observed, expected):
-    sole = recorded_version(current, versions(*observed))
+    sole = recorded_version(RecordReading(current, True), versions(*observed))
     if isinstance(expected, str):
         assert sole is not None and sole.is_certain
         assert sole.software_version == expected
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -43,6 +43,7 @@
     PlatformSettings,
     PlatformStore,
 )
+from burdockhaven_entry.resumption import OriginLog
 from burdockhaven_entry.timer import TimerService
 
 # Seconds between two heartbeats to each member.
@@ -54,6 +55,9 @@
 # Seconds from a stream's first event to the message that tells its origin to the
 # backups, and the origins of all streams that begin meanwhile.
 ORIGIN_DELAY_S = 0.1
+# The same while a service has several software versions: a kill of all members loses
+# the streams whose origins are still on the way to the store.
+STORED_ORIGIN_DELAY_S = 0.02
 # Delay in seconds before each read of the members registered in the store. These reads
 # are cheap, as they may return data that is seconds old; members that register later
 # probe this one.
@@ -110,11 +114,14 @@
             paused_targets=state.paused_targets,
         )
         self.version_recorder = VersionRecorder.create(state, self.store)
+        self.origin_log = OriginLog(state, self.store, self.version_recorder.is_broker)
         self.stream_origins = StreamOriginDirectory(
             state,
             lambda node, message: self.membership.send(node, message),
             self._schedule_origins,
             self.version_recorder.find,
+            self.origin_log.find,
+            self.origin_log.add,
         )
         self.queue_poller = QueuePoller(self.timer, state.broker, self.placement_client)
         self.membership = Membership(
@@ -272,8 +279,10 @@
         )
 
     def _schedule_origins(self) -> None:
+        is_stored = self.stream_origins.has_several_versions()
+        delay_s = STORED_ORIGIN_DELAY_S if is_stored else ORIGIN_DELAY_S
         self.timer.call_at(
-            self.state.clock() + ORIGIN_DELAY_S,
+            self.state.clock() + delay_s,
             lambda now: self.stream_origins.flush(),
         )
 
@@ -292,6 +301,7 @@
         )
         self.spawn(self._discover_members())
         self.spawn(self.version_recorder.run())
+        self.spawn(self.origin_log.run())
 
     async def _discover_members(self) -> None:
         """Probe the members registered in the store; later ones probe this one."""
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/origin_source.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/origin_source.py
@@ -10,6 +10,8 @@
     OWN = "own"
     # Another member replied with it.
     MEMBER = "member"
+    # It was kept in the store, which a start of all members leaves intact.
+    STORE = "store"
     # The service has had a single software version while the stream may have begun.
     SOLE_VERSION = "sole_version"
     # Nobody knows it.
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
@@ -84,6 +84,8 @@
     software_version: str = ""
     # Whether an engine has gone on to answer the prompt after its first event.
     has_begun: bool = False
+    # Whether the client resumes a stream, of which it has events.
+    is_resumption: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -465,6 +467,7 @@
             software_version=requirements.software_version,
             paused=self.paused_targets(requirements.service),
             has_begun=requirements.has_begun,
+            is_resumption=requirements.is_resumption,
         )
         if node == self.member_id.node:
             self.on_reply(self.submit(request, now), node)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_continuation.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_continuation.py
@@ -53,7 +53,9 @@
 
     It goes ahead of equal new streams, which can use the engines of every version.
     """
-    return dataclasses.replace(continue_at(requirements, origin), is_retry=True)
+    return dataclasses.replace(
+        continue_at(requirements, origin), is_retry=True, is_resumption=True
+    )
 
 
 def has_granted_version(
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -137,6 +137,9 @@
         for count in itertools.count(1):
             placement = await self._next_placement(routed, stream)
             if isinstance(placement, PlacementRefused):
+                if self._can_wait_for_quota(stream, placement):
+                    await asyncio.sleep(placement.retry_after_s)
+                    continue
                 if placement.is_final or not self._is_client_waiting(stream):
                     return refusal_response(stream, placement)
                 await self._pause(stream)
@@ -198,6 +201,20 @@
         """Whether a committed request has a client that still waits for an event."""
         return stream.is_committed and self.state.clock() < stream.give_up_s
 
+    def _can_wait_for_quota(
+        self, stream: StreamState, refused: PlacementRefused
+    ) -> bool:
+        """Whether a resumed stream has quota again while its client still waits.
+
+        The broker keeps that quota for it. Its client may have no attempt left.
+        """
+        back_s = self.state.clock() + refused.retry_after_s
+        return (
+            refused.over_quota
+            and stream.requirements.is_resumption
+            and back_s <= latest_begin_s(stream)
+        )
+
     async def _acquire_next_run(
         self, routed: RoutedRequest, stream: StreamState
     ) -> bool:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_origin_directory.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_origin_directory.py
@@ -9,9 +9,13 @@
 import asyncio
 import dataclasses
 import math
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
 
+from result import Err, Ok, Result
+
+from burdockhaven_core.key_value_failure import KeyValueFailure
+from burdockhaven_core.resumption import origin_message, streams_of
 from burdockhaven_core.scheduling.member_list import MemberView
 from burdockhaven_core.scheduling.peer_messages import (
     FindOrigin,
@@ -34,7 +38,7 @@
     stream_key,
 )
 from burdockhaven_core.scheduling.version_records import (
-    VersionRecord,
+    RecordReading,
     recorded_version,
 )
 from burdockhaven_entry.gateway.gateway_state import GatewayState
@@ -55,6 +59,8 @@
 # Retry-After in seconds if the origin of a stream is unknown and nothing is known that
 # will make it certain: a member that was unreachable for a moment may know it.
 UNKNOWN_ORIGIN_RETRY_S = 1.0
+# Seconds before a failed read of the store is repeated.
+STORE_RETRY_S = 0.1
 # Seconds over which clients spread that may return once a version is certain.
 CERTAIN_RETRY_SPREAD_S = 0.2
 
@@ -94,8 +100,14 @@
             self.done.set()
 
 
-async def _find_no_record(service: str) -> VersionRecord | None:
-    return None
+async def _find_no_record(
+    service: str,
+) -> Result[RecordReading | None, KeyValueFailure]:
+    return Ok(None)
+
+
+async def _find_no_origin(key: int) -> Result[StreamOrigin | None, KeyValueFailure]:
+    return Ok(None)
 
 
 @dataclass(slots=True)
@@ -108,7 +120,17 @@
     # Called when there are origins to send to the backups by `flush`.
     on_pending: Callable[[], None] = lambda: None
     # Reads which versions of a service have served; None if that is not recorded.
-    find_record: Callable[[str], Awaitable[VersionRecord | None]] = _find_no_record
+    find_record: Callable[
+        [str], Awaitable[Result[RecordReading | None, KeyValueFailure]]
+    ] = _find_no_record
+    # Reads the origin of a stream from the store; None if it is not there.
+    find_stored: Callable[
+        [int], Awaitable[Result[StreamOrigin | None, KeyValueFailure]]
+    ] = _find_no_origin
+    # Writes origins to the store; called at the broker only.
+    store_origins: Callable[[Mapping[int, StreamOrigin]], None] = lambda streams: None
+    # Node of the broker that has all origins carried here; "" if it needs none.
+    informed_broker: str = ""
     pending: dict[int, StreamOrigin] = field(default_factory=dict)
     # Streams that this member carries or has carried, for backups that are new.
     carried: StreamOrigins = field(default_factory=StreamOrigins)
@@ -156,12 +178,61 @@
             streams = pending
             if backup not in before:
                 streams = self.carried.items(self.state.clock())
-            self._send_origins(backup.node, list(streams.items()))
+            self._send_origins(backup.node, streams)
+        self._inform_broker(pending)
+
+    def _inform_broker(self, pending: Mapping[int, StreamOrigin]) -> None:
+        """Let the broker write what may be needed after a start of all members.
+
+        That is nothing while each service has a single software version.
+        """
+        before, self.informed_broker = self.informed_broker, ""
+        if not self.has_several_versions():
+            return
+        broker = self._broker()
+        if not broker:
+            return
+        self.informed_broker = broker
+        if broker != before:
+            pending = self.carried.items(self.state.clock())
+        if broker == self.state.member_id.node:
+            self._store(pending)
+        elif broker == before and broker in {backup.node for backup in self.backups}:
+            # It has received them as a backup.
+            return
+        else:
+            self._send_origins(broker, pending)
+
+    def _broker(self) -> str:
+        state = self.state
+        return state.member_list.broker(state.clock(), state.heartbeat_head())
+
+    def has_several_versions(self) -> bool:
+        """Whether a service has had several software versions in the resume window."""
+        services = {service for service, _ in self._recent_versions()}
+        return len(services) < len(self._recent_versions())
+
+    def _recent_versions(self) -> set[tuple[str, str]]:
+        return self.state.version_history.recent(
+            self.state.stream_origins.ttl_s, self.state.clock()
+        )
+
+    def _store(self, streams: Mapping[int, StreamOrigin]) -> None:
+        """Write the origins of streams that began at one of several versions."""
+        services = [service for service, _ in self._recent_versions()]
+        self.store_origins(
+            {
+                key: origin
+                for key, origin in streams.items()
+                if services.count(origin.service) > 1
+            }
+        )
 
-    def _send_origins(self, node: str, streams: list[tuple[int, StreamOrigin]]) -> None:
-        for start in range(0, len(streams), MAX_STREAMS_PER_MESSAGE):
-            part = streams[start : start + MAX_STREAMS_PER_MESSAGE]
-            self.send(node, _record_message(part))
+    def _send_origins(self, node: str, streams: Mapping[int, StreamOrigin]) -> None:
+        items = list(streams.items())
+        for start in range(0, len(items), MAX_STREAMS_PER_MESSAGE):
+            part = dict(items[start : start + MAX_STREAMS_PER_MESSAGE])
+            self.send(node, origin_message(part))
 
     async def find(
         self,
@@ -194,9 +265,9 @@
             return FoundOrigin(own, OriginSource.OWN)
         question = await self._ask_members(key, service)
         if question.origin is None:
-            recorded = await self._recorded_version(service, question)
-            if recorded is not None:
-                return _found_sole_version(service, recorded)
+            found = await self._find_in_store(key, service, question, latest_s)
+            if found is not None:
+                return found
         while question.origin is None:
             sole = self._sole_version(service, question)
             if sole.is_certain:
@@ -226,19 +297,48 @@
             are_all_heard=not question.missing,
         )
 
+    async def _find_in_store(
+        self, key: int, service: str, question: _Question, latest_s: float
+    ) -> FoundOrigin | None:
+        """Return what the store tells of a stream; None if it tells nothing.
+
+        A read that fails is repeated as long as the client waits. It isn't taken for
+        a missing record, which would let the versions present now decide.
+        """
+        while True:
+            recorded = await self._recorded_version(service, question)
+            if isinstance(recorded, Ok):
+                sole = recorded.ok_value
+                if sole is not None and sole.is_certain:
+                    return _found_sole_version(service, sole)
+                stored = await self.find_stored(key) if key else Ok(None)
+                if isinstance(stored, Ok):
+                    if stored.ok_value is not None:
+                        return FoundOrigin(stored.ok_value, OriginSource.STORE)
+                    if sole is None:
+                        return None
+                    return _found_sole_version(service, sole)
+            retry_s = self.state.clock() + STORE_RETRY_S
+            if retry_s > latest_s:
+                retry_after_s = UNKNOWN_ORIGIN_RETRY_S
+                return FoundOrigin(None, OriginSource.UNKNOWN, retry_after_s)
+            await asyncio.sleep(STORE_RETRY_S)
+
     async def _recorded_version(
         self, service: str, question: _Question
-    ) -> SoleVersion | None:
+    ) -> Result[SoleVersion | None, KeyValueFailure]:
         """Return what the record of the service says; None if it doesn't help."""
         observations = [self._observe(service), *question.observations]
         observed = {version for seen in observations for version in seen.versions}
         if len(observed) > 1:
-            return NO_SOLE_VERSION
-        record = await self.find_record(service)
-        if record is None:
-            return None
+            return Ok(NO_SOLE_VERSION)
+        reading = await self.find_record(service)
+        if isinstance(reading, Err):
+            return reading
+        if reading.ok_value is None:
+            return Ok(None)
         observed.update(self._observe(service).versions)
-        return recorded_version(record, frozenset(observed))
+        return Ok(recorded_version(reading.ok_value, frozenset(observed)))
 
     async def _wait_while_sole(
         self, service: str, sole: SoleVersion, until_s: float
@@ -275,9 +375,11 @@
         now = self.state.clock()
         match message:
             case RecordOrigins():
-                for key, index in message.streams:
-                    if 0 <= index < len(message.origins):
-                        self._record(key, message.origins[index], now)
+                streams = streams_of(message)
+                for key, origin in streams.items():
+                    self._record(key, origin, now)
+                if self._broker() == self.state.member_id.node:
+                    self._store(streams)
             case FindOrigin():
                 self._reply(message, now)
             case OriginReply():
@@ -361,11 +463,3 @@
         await asyncio.wait({task}, timeout=timeout_s)
     finally:
         task.cancel()
-
-
-def _record_message(streams: list[tuple[int, StreamOrigin]]) -> RecordOrigins:
-    origins = tuple({origin for _, origin in streams})
-    indexes = {origin: index for index, origin in enumerate(origins)}
-    return RecordOrigins(
-        origins, tuple((key, indexes[origin]) for key, origin in streams)
-    )
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/version_recorder.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/version_recorder.py
@@ -8,10 +8,12 @@
 import contextlib
 from dataclasses import dataclass, field
 
-from result import Err
+from result import Err, Ok, Result
 
+from burdockhaven_core.key_value_failure import FailureKind, KeyValueFailure
 from burdockhaven_core.log_numbers import EventNumber
 from burdockhaven_core.scheduling.version_records import (
+    RecordReading,
     ServiceVersions,
     VersionHold,
     VersionRecord,
@@ -24,6 +26,7 @@
 from burdockhaven_entry.gateway.gateway_state import GatewayState
 from burdockhaven_entry.log_events import log
 from burdockhaven_entry.platform import VERSIONS_PREFIX, PlatformStore, StoreItem
+from burdockhaven_entry.resumption import BatchedRead
 
 # Upper bounds in seconds of the random delays after a failed update.
 INITIAL_BACKOFF_S = 0.1
@@ -44,6 +47,9 @@
 READ_TIMEOUT_S = 0.3
 
 
+_Records = Result[dict[str, RecordReading], KeyValueFailure]
+
+
 @dataclass(slots=True)
 class _KnownRecord:
     """A record as last read or written, and since when."""
@@ -75,8 +81,10 @@
     known: dict[str, _KnownRecord] = field(default_factory=dict)
     # Set when the targets or the configuration have changed.
     changed: asyncio.Event = field(default_factory=asyncio.Event)
-    # Read that has not been sent yet; None if there is none.
-    next_read: asyncio.Task[dict[str, VersionRecord]] | None = None
+    reads: BatchedRead[_Records] = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.reads = BatchedRead(self._read, self.state.clock, READ_BATCH_S)
 
     @classmethod
     def create(cls, state: GatewayState, store: PlatformStore) -> "VersionRecorder":
@@ -102,7 +110,7 @@
                 await asyncio.sleep(self.backoff.next_delay_s())
 
     async def _update_if_due(self) -> None:
-        if self._is_due() and not self._is_broker():
+        if self._is_due() and not self.is_broker():
             has_hubs = bool(self.state.member_list.hubs)
             spread_s = RELAXED_UPDATE_SPREAD_S if has_hubs else UPDATE_SPREAD_S
             await asyncio.sleep(self.state.rng.uniform(0.0, spread_s))
@@ -112,34 +120,38 @@
             await asyncio.sleep(self.backoff.next_delay_s())
         self.backoff.reset()
 
-    async def find(self, service: str) -> VersionRecord | None:
-        """Read the record of a service; None if it is missing or not valid."""
-        if self.next_read is None:
-            self.next_read = asyncio.create_task(self._read_soon())
-        with contextlib.suppress(TimeoutError):
+    async def find(self, service: str) -> Result[RecordReading | None, KeyValueFailure]:
+        """Read the record of a service; None if it is missing or not readable."""
+        try:
             async with asyncio.timeout(READ_TIMEOUT_S):
-                return (await asyncio.shield(self.next_read)).get(service)
-        return None
+                readings = await self.reads.get()
+        except TimeoutError:
+            detail = f"no response for {READ_TIMEOUT_S} s"
+            failure = KeyValueFailure(
+                FailureKind.AMBIGUOUS, "read", self.store.address, detail
+            )
+            return Err(failure)
+        return readings.map(lambda records: records.get(service))
 
-    async def _read_soon(self) -> dict[str, VersionRecord]:
-        """Read the valid records, for all questions that arrive before the read."""
-        await asyncio.sleep(READ_BATCH_S)
-        self.next_read = None
+    async def _read(self) -> _Records:
         result = await self.store.read_prefix(VERSIONS_PREFIX)
         if isinstance(result, Err):
-            return {}
+            return result
         era = result.ok_value.revision.era
         records = {
             item.key.removeprefix(VERSIONS_PREFIX): _decode(item)
             for item in result.ok_value.items
         }
-        return {
-            service: record
-            for service, record in records.items()
-            if record is not None and record.is_valid(era)
-        }
+        return Ok(
+            {
+                service: RecordReading(record, record.is_valid(era))
+                for service, record in records.items()
+                if record is not None
+            }
+        )
 
-    def _is_broker(self) -> bool:
+    def is_broker(self) -> bool:
+        """Whether placement requests go to this member's broker."""
         now, state = self.state.clock(), self.state
         broker = state.member_list.broker(now, state.heartbeat_head())
         return broker == state.member_id.node
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
@@ -368,6 +368,31 @@
         "It is written anew and of use after a resume window. Find out who wrote it.",
         {"key": "key of the record", "detail": "what is wrong with it"},
     ),
+    EventSpec(
+        EventNumber.ORIGINS_WRITTEN,
+        "info",
+        "Origins of {streams} streams were written; batches were last written "
+        "{idle_s} s ago.",
+        "Nothing; a service has several software versions.",
+        {
+            "streams": "streams in the first batch after a pause",
+            "idle_s": "seconds since the batch before; -1 if there was none",
+        },
+    ),
+    EventSpec(
+        EventNumber.ORIGINS_NOT_WRITTEN,
+        "warning",
+        "Origins of {streams} streams could not be written yet: {detail}.",
+        "If all processes end now, these streams can't be resumed.",
+        {"streams": "streams that wait", "detail": "what failed"},
+    ),
+    EventSpec(
+        EventNumber.ORIGINS_UNREADABLE,
+        "warning",
+        "The batch of stream origins at {key} is not readable: {detail}.",
+        "Its streams may be refused when they are resumed. Find out who wrote it.",
+        {"key": "key of the batch", "detail": "what is wrong with it"},
+    ),
     EventSpec(
         EventNumber.TARGET_LEAVING,
         "info",
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/__init__.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/__init__.py
@@ -38,6 +38,7 @@
         read_settings,
     )
     from burdockhaven_entry.platform.store import (
+        MAX_REMOVALS,
         ChangeBatch,
         PlatformStore,
         StoreItem,
@@ -47,6 +48,7 @@
         CONFIGURATION_KEY,
         CONFIGURATION_PREFIX,
         MEMBERS_PREFIX,
+        ORIGINS_PREFIX,
         TARGETS_PREFIX,
         VERSIONS_PREFIX,
     )
@@ -61,7 +63,9 @@
     "CONFIGURATION_PREFIX",
     "DECODE_ERRORS",
     "LOOK_UP_PATH",
+    "MAX_REMOVALS",
     "MEMBERS_PREFIX",
+    "ORIGINS_PREFIX",
     "READINESS_PATH",
     "SETTINGS_VARIABLE",
     "TARGETS_PREFIX",
@@ -100,8 +104,10 @@
     "ConfigurationError": "burdockhaven_entry.platform.configuration",
     "DECODE_ERRORS": "burdockhaven_entry.platform.decode_errors",
     "LOOK_UP_PATH": "burdockhaven_entry.platform.look_up",
+    "MAX_REMOVALS": "burdockhaven_entry.platform.store",
     "MEMBERS_PREFIX": "burdockhaven_entry.platform.store_keys",
     "MalformedRequestError": "burdockhaven_entry.platform.client_request",
+    "ORIGINS_PREFIX": "burdockhaven_entry.platform.store_keys",
     "PlatformSettings": "burdockhaven_entry.platform.settings",
     "PlatformStore": "burdockhaven_entry.platform.store",
     "READINESS_PATH": "burdockhaven_entry.platform.look_up",
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/store.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/store.py
@@ -5,7 +5,7 @@
 """
 
 import base64
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -30,6 +30,8 @@
 # about 1 MB, or a single larger value; a watch may report many changes at once.
 MAX_RESPONSE_BYTES = 32 * 2**20
 MAX_PREFIX_BYTES = 64 * 2**20
+# Keys that the store removes in one transaction.
+MAX_REMOVALS = 32
 
 
 class _RawItem(msgspec.Struct):
@@ -71,7 +73,7 @@
 
 
 class _Transaction(msgspec.Struct):
-    writes: list[_Write]
+    writes: list[_Write] = []
     expect_rev: list[_Expected] = []
     remove: list[str] = []
 
@@ -253,7 +255,7 @@
     async def put(
         self, key: str, value: bytes, lease: int
     ) -> Result[None, KeyValueFailure]:
-        """Write a key that exists as long as the lease."""
+        """Write a key that exists as long as the lease; 0 for one that lasts."""
         encoded = base64.b64encode(value).decode()
         body = _Transaction([_Write(key, encoded, lease)])
         result = await self._counted_call(
@@ -261,6 +263,14 @@
         )
         return result.map(lambda response: None)
 
+    async def remove(self, keys: Sequence[str]) -> Result[None, KeyValueFailure]:
+        """Remove up to `MAX_REMOVALS` keys at once; absent ones are ignored."""
+        body = _Transaction(remove=list(keys))
+        result = await self._counted_call(
+            "POST", "/-/kv-txn", dict[str, Any], body=body, step="remove"
+        )
+        return result.map(lambda response: None)
+
     async def write_if(
         self, key: str, value: bytes, revision: int
     ) -> Result[int, KeyValueFailure]:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/store_keys.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/store_keys.py
@@ -7,3 +7,5 @@
 MEMBERS_PREFIX = "burdockhaven/members/"
 # Prefix of the records of software versions, by service.
 VERSIONS_PREFIX = "burdockhaven/versions/"
+# Prefix of the batches of stream origins, by writer and number.
+ORIGINS_PREFIX = "burdockhaven/origins/"
--- a/packages/burdockhaven-entry/tests/gateway/test_stream_origin_directory.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_stream_origin_directory.py
@@ -7,9 +7,11 @@
 
 import pytest
 from gateway_fixtures import settings
+from result import Err, Ok
 from scheduling_samples import ENGINES, heartbeat, route, table, target
 
 from burdockhaven_bench.restore import VirtualTimeLoop
+from burdockhaven_core.key_value_failure import FailureKind, KeyValueFailure
 from burdockhaven_core.scheduling.member_list import (
     FULL_MESH_MAX_MEMBERS,
     MEMBER_TIMEOUT_S,
@@ -21,7 +23,10 @@
 )
 from burdockhaven_core.scheduling.routing import ServiceShare
 from burdockhaven_core.scheduling.target_registry import OUTAGE_GRACE_S
-from burdockhaven_core.scheduling.version_records import VersionRecord
+from burdockhaven_core.scheduling.version_records import (
+    RecordReading,
+    VersionRecord,
+)
 from burdockhaven_entry.gateway.gateway_daemon import (
     HEARTBEAT_INTERVAL_S,
     ORIGIN_DELAY_S,
@@ -81,13 +86,31 @@
             lambda to, message: network.send(self, to, message),
             lambda: network.call_later(ORIGIN_DELAY_S, self.flush),
             self.find_record,
+            self.find_stored,
+            self.store_origins,
         )
 
     async def find_record(self, service):
         self.network.record_reads += 1
-        if self.network.record is not None:
-            await asyncio.sleep(DELAY_S)
-        return self.network.record
+        if self.network.is_store_away:
+            return Err(KeyValueFailure(FailureKind.NOT_DONE, "read", "store", ""))
+        if self.network.record is None:
+            return Ok(None)
+        await asyncio.sleep(DELAY_S)
+        return Ok(RecordReading(self.network.record, self.network.is_record_valid))
+
+    async def find_stored(self, key):
+        if self.network.is_store_away:
+            return Err(KeyValueFailure(FailureKind.NOT_DONE, "read", "store", ""))
+        origin, until_s = self.network.stored.get(key, (None, 0.0))
+        if self.network.clock() > until_s:
+            return Ok(None)
+        await asyncio.sleep(DELAY_S)
+        return Ok(origin)
+
+    def store_origins(self, streams):
+        until_s = self.network.clock() + 2 * WINDOW_S
+        self.network.stored |= {key: (streams[key], until_s) for key in streams}
 
     def flush(self):
         if self.is_up:
@@ -129,8 +152,12 @@
         self.frozen = set()
         self.cut = set()
         self.sent = Counter()
-        # Valid record of the service in the store; None also if the store is away.
+        # Record of the service in the store; None if there is none.
         self.record = None
+        self.is_record_valid = True
+        self.is_store_away = False
+        # Origins that brokers have written to the store, and until when they last.
+        self.stored = {}
         self.record_reads = 0
         # The last message of each type.
         self.last_sent = {}
@@ -844,3 +871,110 @@
         assert network.sent == {"RecordOrigins": 3}
 
     play(scenario, count=count)
+
+
+async def begin_at_two_versions(network):
+    """Begin a stream at each of two versions, while members know of both."""
+    for member in network.members.values():
+        member.sync("v1", "v2")
+    network[1].begin("old")
+    network[2].begin("new", V2)
+    await settle()
+    await settle()
+
+
+# Guards against LOST: after a kill of all members no stream goes on if its service has
+# several software versions; and against ORDER: one goes on at the other version.
+@pytest.mark.parametrize("count", [3, MEMBERS, FULL_MESH_MAX_MEMBERS + 5])
+@pytest.mark.parametrize("present", [("v1", "v2"), ("v2",)])
+def test_streams_of_two_versions_go_on_after_a_kill_of_all_members(count, present):
+    async def scenario(network):
+        await begin_at_two_versions(network)
+        network.record = VersionRecord(1, frozenset({"v1", "v2"}), is_complete=True)
+        network.kill(*range(count))
+        members = [network.restart(number) for number in range(count)]
+        for member in members:
+            member.sync(*present)
+        for member in members:
+            assert await member.find("old") == (V1, OriginSource.STORE)
+            assert await member.find("new") == (V2, OriginSource.STORE)
+            assert await member.find("other") == (None, OriginSource.UNKNOWN)
+
+    play(scenario, count=count)
+
+
+# Guards against LOST: streams that run when the second version appears are not stored.
+def test_streams_that_began_before_the_second_version_are_stored():
+    async def scenario(network):
+        for member in network.members.values():
+            member.sync("v1")
+        network[1].begin("before")
+        await settle()
+        assert not network.stored
+        for member in network.members.values():
+            member.sync("v1", "v2")
+        network[1].begin("after")
+        await settle()
+        await settle()
+        assert {origin for origin, _ in network.stored.values()} == {V1}
+        assert len(network.stored) == 2
+
+    play(scenario)
+
+
+# Guards against calls to the store on days without a release.
+def test_nothing_is_stored_while_there_is_one_version():
+    async def scenario(network):
+        for member in network.members.values():
+            member.sync("v1")
+        network[1].begin("a1")
+        await settle()
+        await settle()
+        assert not network.stored
+
+    play(scenario)
+
+
+# Guards against ORDER: the servers of the old version have just left, and a read of the
+# store that fails is taken for "no other version was recorded".
+@pytest.mark.parametrize("patience_s", [0.0, 2 * OUTAGE_GRACE_S])
+def test_failed_read_of_the_store_does_not_let_the_present_version_decide(patience_s):
+    async def scenario(network):
+        await begin_at_two_versions(network)
+        network.record = VersionRecord(1, frozenset({"v1", "v2"}), is_complete=True)
+        network.is_store_away = True
+        members = restart_all(network, "v2")
+        await asyncio.sleep(2 * OUTAGE_GRACE_S)
+        unknown = (None, OriginSource.UNKNOWN)
+        assert await members[0].find("old", patience_s=patience_s) == unknown
+        network.is_store_away = False
+        assert await members[0].find("old") == (V1, OriginSource.STORE)
+
+    play(scenario)
+
+
+# Guards against LOST: a stream is refused though the store returns while it waits.
+def test_failed_read_of_the_store_is_repeated_while_the_client_waits():
+    async def scenario(network):
+        await begin_at_two_versions(network)
+        network.is_store_away = True
+        members = restart_all(network, "v1", "v2")
+        network.call_later(1.0, lambda: setattr(network, "is_store_away", False))
+        found = await members[0].find("old", patience_s=5.0)
+        assert found == (V1, OriginSource.STORE)
+
+    play(scenario)
+
+
+# Guards against ORDER: the store is restored from a copy, its record is of an earlier
+# era, and the servers of the old version have left.
+def test_record_that_is_not_valid_still_tells_of_another_version():
+    async def scenario(network):
+        network.record = VersionRecord(1, frozenset({"v1", "v2"}), is_complete=True)
+        network.is_record_valid = False
+        members = restart_all(network, "v2")
+        await asyncio.sleep(2 * OUTAGE_GRACE_S)
+        found = await members[0].find("old", patience_s=OUTAGE_GRACE_S)
+        assert found == (None, OriginSource.UNKNOWN)
+
+    play(scenario)
--- a/packages/burdockhaven-entry/tests/gateway/test_version_recorder.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_version_recorder.py
@@ -45,6 +45,8 @@
 class Store:
     """The store as seen by all members."""
 
+    address = "store"
+
     def __init__(self):
         self.items = {}
         self.revision = 1
@@ -134,8 +136,11 @@
         return {entries[i].software_version for i in self.state.broker.runs.addresses}
 
     async def find(self):
-        record = await self.recorder.find(ENGINES)
-        return None if record is None else set(record.versions)
+        """Return the versions of a valid record; None if there is no such record."""
+        reading = (await self.recorder.find(ENGINES)).unwrap_or(None)
+        if reading is None or not reading.is_valid:
+            return None
+        return set(reading.record.versions)
 
     def kill(self):
         self.task.cancel()
