A large configuration is read over a narrow link

Cause: a call to the store had 1 s in all. Over 10 Mbit/s a configuration of 1,488 routes takes longer, so members that start beside it read it again and again.

Change: the second counts as time without a byte; the whole response has 10 s more. Test: a response in pieces over more than the limit is read whole, a silent one fails.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/store.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/store.py
@@ -20,10 +20,14 @@
 
 # Names the era of the store; it rises with each restore from a copy.
 ERA_HEADER = "Store-Era"
-# Timeouts in seconds for a call and for its connection. The store responds within
-# milliseconds; if a call takes longer, the connection or the store has failed.
+# Timeouts in seconds without a byte of a response, and for its connection. The store
+# responds within milliseconds; if nothing arrives for longer, the connection or the
+# store has failed.
 CALL_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 0.6
+# Seconds in which the rest of a response may arrive. A page of 1 MB takes more than 2 s
+# on the narrowest links, so with a shorter limit a large configuration is never read.
+TRANSFER_TIMEOUT_S = 10.0
 # Seconds by which a watch may exceed its wait before its connection counts as silent.
 WATCH_TIMEOUT_MARGIN_S = 0.7
 # Bytes of the longest response, and of all pages of a prefix. The store sends pages of
@@ -294,8 +298,10 @@
         step: str,
         query: dict[str, str] | None = None,
         body: Any = None,
-        timeout_s: float = CALL_TIMEOUT_S,
+        timeout_s: float | None = None,
     ) -> Result[_Response, KeyValueFailure]:
+        if timeout_s is None:
+            timeout_s = CALL_TIMEOUT_S
         result = await self._send(
             method, path, response_type, step, query, body, timeout_s
         )
@@ -313,7 +319,11 @@
         body: Any,
         timeout_s: float,
     ) -> Result[_Response, KeyValueFailure]:
-        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+        timeout = aiohttp.ClientTimeout(
+            total=timeout_s + TRANSFER_TIMEOUT_S,
+            sock_connect=CONNECT_TIMEOUT_S,
+            sock_read=timeout_s,
+        )
         headers = {"Content-Type": "application/json"} if body is not None else {}
         try:
             async with self.session.request(
--- a/packages/burdockhaven-entry/tests/platform/test_store.py
+++ b/packages/burdockhaven-entry/tests/platform/test_store.py
@@ -1,14 +1,18 @@
+import asyncio
 import base64
 
+import msgspec
 import pytest
 from aiohttp import web
 from aiohttp.test_utils import TestServer
 
 from burdockhaven_core.key_value_failure import FailureKind
-from burdockhaven_entry.platform import PlatformStore, StoreRevision
+from burdockhaven_entry.platform import PlatformStore, StoreRevision, store
 
 # Bytes after which an endless response ends, if its connection is still open.
 ENDLESS_RESPONSE_BYTES = 128 * 2**20
+# Seconds between two pieces of a slow response.
+PIECE_INTERVAL_S = 0.1
 
 
 class Harness:
@@ -43,10 +47,23 @@
             self.bodies.append(await request.json())
         status, era, body = self.responses.pop(0)
         headers = {} if era is None else {"Store-Era": era}
+        if isinstance(body, SlowBody):
+            return await self.respond_slowly(request, status, headers, body)
         if isinstance(body, bytes):
             return await self.respond_endlessly(request, status, headers, body)
         return web.json_response(body, status=status, headers=headers)
 
+    async def respond_slowly(self, request, status, headers, body):
+        response = web.StreamResponse(status=status, headers=headers)
+        await response.prepare(request)
+        for piece in body.pieces[: body.sent_pieces]:
+            await response.write(piece)
+            await asyncio.sleep(PIECE_INTERVAL_S)
+        if body.sent_pieces < len(body.pieces):
+            # Until the client gives up.
+            await asyncio.sleep(10 * PIECE_INTERVAL_S)
+        return response
+
     async def respond_endlessly(self, request, status, headers, repeated):
         response = web.StreamResponse(status=status, headers=headers)
         await response.prepare(request)
@@ -174,3 +191,30 @@
     assert StoreRevision(1, 5).latest(StoreRevision(1, 4)) == StoreRevision(1, 5)
     with pytest.raises(ValueError, match="eras 1 and 2"):
         StoreRevision(1, 5).latest(StoreRevision(2, 4))
+
+
+class SlowBody:
+    """A JSON body that is sent in pieces, and may stop before its end."""
+
+    def __init__(self, data, pieces, sent_pieces):
+        size = -(-len(data) // pieces)
+        self.pieces = [data[at : at + size] for at in range(0, len(data), size)]
+        self.sent_pieces = sent_pieces
+
+
+# Guards against CONFIG: on a narrow link a large configuration takes longer than a call
+# to the store may wait, so that a member that has just started never reads it.
+async def test_response_that_arrives_slowly_is_read_whole(monkeypatch):
+    monkeypatch.setattr(store, "CALL_TIMEOUT_S", 0.5)
+    body = SlowBody(msgspec.json.encode(page(5, "op/config")), 8, 8)
+    async with Harness((200, "1", body)) as harness:
+        result = await harness.store.read_prefix("op/")
+        assert [item.key for item in result.unwrap().items] == ["op/config"]
+
+
+async def test_response_that_falls_silent_is_a_failure(monkeypatch):
+    monkeypatch.setattr(store, "CALL_TIMEOUT_S", 0.2)
+    body = SlowBody(msgspec.json.encode(page(5, "op/config")), 8, 3)
+    async with Harness((200, "1", body)) as harness:
+        result = await harness.store.read_prefix("op/")
+        assert result.unwrap_err().kind is FailureKind.AMBIGUOUS
