Large requests of a route go ahead of its small ones

Ruled out: the pause limit alone (165 to 250 ms of 270 on engines of nominal speed).

Change: requests of at least twice the average size of their route have 2.5 times the value of the others, late ones too.

--- a/packages/burdockhaven-core/src/burdockhaven_core/log_numbers.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/log_numbers.py
@@ -71,6 +71,8 @@
     TARGET_PAUSE_ENDED = 513
     RESPONSE_HEADER_UNKNOWN = 514
     CONNECTION_TRIED_AGAIN = 515
+    TARGET_PACED = 516
+    TARGET_PACE_ENDED = 517
 
     # Tier admission.
     FLOOR_CLOSED = 601
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -36,6 +36,7 @@
 from burdockhaven_core.scheduling.recent_refusals import RecentRefusals
 from burdockhaven_core.scheduling.request_queue import RequestKey, RequestQueue
 from burdockhaven_core.scheduling.route_costs import RouteCosts
+from burdockhaven_core.scheduling.route_sizes import RouteSizes
 from burdockhaven_core.scheduling.routing import Account, RoutingTable
 from burdockhaven_core.scheduling.run_tracker import GRANT_SETTLE_S, RunTracker
 from burdockhaven_core.scheduling.served_shares import RouteKey, ServedShares
@@ -109,6 +110,7 @@
         self.quotas = SharedQuotas(rule)
         self.quota_reservations = QuotaReservations()
         self.costs = RouteCosts()
+        self.sizes = RouteSizes()
         self.crashes = CrashAttribution()
         self.runs = RunTracker(self.costs, self.crashes)
         # Keeps the grants within the limits that engines name.
@@ -165,7 +167,11 @@
         was_refused = request.digest != 0 and self.recent_refusals.consume(
             request.digest, now
         )
-        queued = QueuedRequest.from_request(request, was_refused, now)
+        if not request.is_retry and not was_refused:
+            self.sizes.record(request)
+        queued = QueuedRequest.from_request(
+            request, was_refused, now, is_large=self.sizes.is_large(request)
+        )
         self._counts_of(request.route).submitted += 1
         if not request.is_retry:
             # A member may place the same request again and again.
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
@@ -8,6 +8,8 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
+from burdockhaven_core.capacity import MachineSpeed, Pace
+from burdockhaven_core.capacity.machine_speed import SLOW_FACTOR
 from burdockhaven_core.scheduling.engine_speed import ServiceSpeed
 
 # Weight of a new outcome in the moving average of the failure rate.
@@ -94,6 +96,10 @@
     software_version: str = ""
     # Unix milliseconds of the engine's start; 0 if not stated.
     started_ms: int = 0
+    # As the engine reports it.
+    machine: MachineSpeed = field(default_factory=MachineSpeed)
+    # None unless the engine has just started or recovered and is paced.
+    pace: Pace | None = None
     # Moving average of the share of runs that failed.
     failure_rate: float = 0.0
     # Ejections, and runs that ended without a response, since a run last progressed.
@@ -196,7 +202,9 @@
         """
         if any(run.is_trial and not run.first_event_seen for run in self.runs.values()):
             return 0
-        usable = 1 if self.ejections or self.has_broken_off else self.slots
+        usable = self.slots if self.pace is None else self.pace.usable_slots
+        if self.ejections or self.has_broken_off:
+            usable = 1
         return usable - len(self.runs)
 
     def add_run(self, run: Run, parts: tuple[tuple[str, int], ...]) -> None:
@@ -221,9 +229,15 @@
         ):
             self.cached_part_tokens -= self.cached_parts.popitem(last=False)[1]
 
-    def record_first_event(self, run: Run, first_event_ms: float) -> None:
+    def record_machine(self, slowdown: float, now: float) -> None:
+        """Apply the speed of the machine that the engine reported with a response."""
+        self.machine.record(slowdown, now)
+        self.speed.slow_machines.record(slowdown)
+
+    def record_first_event(self, run: Run, first_event_ms: float, now: float) -> None:
         """Learn from the time between sending a run and its first event."""
-        if run.is_prefilled_alone and first_event_ms:
+        is_slow_machine = self.machine.slowdown(now) >= SLOW_FACTOR
+        if run.is_prefilled_alone and first_event_ms and not is_slow_machine:
             self.speed.record_first_event(
                 self.target, run.prefill_tokens, first_event_ms
             )
@@ -298,7 +312,11 @@
         state = "ejected" if self.ejected_until_s > now else "open"
         if self.is_stalled(now):
             state = "stalled"
+        slowdown = self.machine.slowdown(now)
+        machine = "" if slowdown < SLOW_FACTOR else f" machine x{slowdown:.1f}"
+        if self.pace is not None:
+            machine += f" paced at {self.pace.usable_slots}"
         return (
             f"{self.target} {len(self.runs)}/{self.slots} pending {pending} "
-            f"x{self.slowness:.2f} failures {self.failure_rate:.2f} {state}"
+            f"x{self.slowness:.2f}{machine} failures {self.failure_rate:.2f} {state}"
         )
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_speed.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_speed.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass, field
 
+from burdockhaven_core.capacity import SlowShare
 from burdockhaven_core.scheduling.first_event_model import FirstEventModel
 
 # Milliseconds of one decoding step that are assumed until they are measured.
@@ -47,6 +48,8 @@
     prefill_pause_limit_ms: float | None = None
     # Moving average of the relative errors of predicted first events.
     first_event_error: float = 0.0
+    # How often the engines' machines are slow through other work on them.
+    slow_machines: SlowShare = field(default_factory=SlowShare)
 
     def slowness(self, target: str) -> float:
         """Return an engine's time for a step relative to a nominal engine."""
@@ -100,7 +103,11 @@
         if not limit_ms or unlimited_ms < PAUSE_INFORMATIVE_RATIO * limit_ms:
             return
         exceeds = measured_ms > limit_ms
-        quantile = PAUSE_QUANTILE if exceeds else PAUSE_QUANTILE - 1.0
+        # Pauses on a machine that is slow through other work don't come from the
+        # prompt. Counted as its own, they would keep long prompts from every engine
+        # that has runs.
+        covered = PAUSE_QUANTILE * (1.0 - self.slow_machines.share)
+        quantile = covered if exceeds else covered - 1.0
         self.prefill_pause_limit_ms = limit_ms * (1.0 + PAUSE_ADJUSTMENT * quantile)
 
     def retain(self, targets: set[str]) -> None:
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
@@ -205,6 +205,9 @@
     # Lower quartile and maximum of the pauses between events in 0.1 ms; 0 if unknown.
     pause_tenth_ms: int = 0
     longest_pause_tenth_ms: int = 0
+    # Time of work on the target's machine in percent of the usual one, as the target
+    # reported with its response; 0 if it did not.
+    machine_percent: int = 0
 
 
 class BrokenPrompt(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/placement.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/placement.py
@@ -78,6 +78,7 @@
         ):
             continue
         first_ms = engine.first_event_ms(prefill_tokens, backlog)
+        first_ms *= engine.machine.slowdown(now)
         on_time = first_ms <= OBJECTIVE_FRACTION * constraints.objective_left_ms
         found = Placement(engine, prefill_tokens, first_ms, on_time)
         rank = (
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/plain_balancer.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/plain_balancer.py
@@ -6,8 +6,9 @@
 
 import random
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from burdockhaven_core.capacity import MachineSpeed
 from burdockhaven_core.scheduling.target_limits import RateLimiters
 from burdockhaven_core.scheduling.target_pauses import Pause
 from burdockhaven_core.scheduling.target_registry import TargetEntry
@@ -60,6 +61,8 @@
     # Requests in flight that the target reported last, and when it did so.
     reported_in_flight: int = 0
     reported_s: float = 0.0
+    # Speed of the target's machine as it reports it.
+    machine: MachineSpeed = field(default_factory=MachineSpeed)
     # None unless the target asked for a pause and no later request has succeeded.
     returning: TargetReturn | None = None
 
@@ -174,10 +177,21 @@
         expected_s = now + target.pause_left_s + WAIT_LATENCY_FACTOR * latency_s
         return until_s - expected_s
 
-    def record_load(self, target_id: str, reported_in_flight: int, now: float) -> None:
-        """Record the load that a target reported with a response."""
+    def record_load(
+        self,
+        target_id: str,
+        reported_in_flight: int,
+        now: float,
+        slowdown: float | None = None,
+    ) -> None:
+        """Record the load that a target reported with a response.
+
+        `slowdown` is the time of work on its machine relative to the usual one.
+        """
         target = self.state_of(target_id)
         target.reported_in_flight, target.reported_s = reported_in_flight, now
+        if slowdown is not None:
+            target.machine.record(slowdown, now)
 
     def record_success(self, entry: TargetEntry, sent_s: float, now: float) -> None:
         """Record a response of the target to a request sent at the given time."""
@@ -221,6 +235,7 @@
         wait = (1 + in_flight) / entry.slots
         return (
             target.latency_s
+            * target.machine.slowdown(now)
             * (1 + wait)
             * (1 + FAILURE_COST_WEIGHT * target.failure_rate)
         )
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/queue_order.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/queue_order.py
@@ -20,6 +20,10 @@
 # Weight factor of a late retry: it goes ahead of late new requests, whose clients may
 # still retry, and behind requests that can be on time.
 RETRY_FACTOR = 1.7
+# Weight divisor of a request that is large among those of its route: at equal rank it
+# is worth several of them, and it fits only the engines that are fast enough for it.
+# A late one goes ahead of underserved routes but behind what can be on time.
+LARGE_FACTOR = 2.5
 # Greatest weight of a request whose route is underserved: behind on-time requests of
 # the first rank, ahead of late ones.
 UNDERSERVED_WEIGHT = 1.5
@@ -44,6 +48,8 @@
     is_retry: bool
     # Software version of the targets that may be used; empty for any.
     software_version: str = ""
+    # Whether the requests are large among those of their route.
+    is_large: bool = False
 
     def is_same_line(self, other: "QueueClass") -> bool:
         """Whether the classes differ at most in the software version."""
@@ -64,7 +70,8 @@
         event is late. The measured cost of the routes has no part in it: it changes
         with the load, so that routes of nearly equal value would change places.
         """
-        return (self.priority, PRIORITY_FACTOR**self.route_priority * self.late_factor)
+        weight = PRIORITY_FACTOR**self.route_priority * self.late_factor
+        return (self.priority, weight / LARGE_FACTOR if self.is_large else weight)
 
     def rank(
         self, underserved: Mapping[RouteKey, float]
@@ -98,12 +105,19 @@
     send_by_s: float
     # Whether the client was refused before, or a target has failed the request.
     is_retry: bool
+    # Whether it is large among the requests of its route.
+    is_large: bool = False
     # Until when each target is paused for the sender.
     paused_until_s: dict[str, float] = field(default_factory=dict)
 
     @classmethod
     def from_request(
-        cls, request: PlacementRequest, was_refused: bool, now: float
+        cls,
+        request: PlacementRequest,
+        was_refused: bool,
+        now: float,
+        *,
+        is_large: bool = False,
     ) -> "QueuedRequest":
         """Create the queue entry of a request that arrives now."""
         deadline_s = now + request.deadline_ms / 1e3
@@ -115,6 +129,7 @@
             deadline_s=deadline_s,
             send_by_s=min(deadline_s, client_timeout_at_s) - MIN_RUN_S,
             is_retry=request.is_retry or was_refused,
+            is_large=is_large,
             paused_until_s=paused_until_s(request, now),
         )
 
@@ -151,6 +166,7 @@
             factor,
             self.is_retry,
             request.software_version,
+            self.is_large,
         )
 
 
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import cast
 
+from burdockhaven_core.capacity import Pace, PaceChange, PaceChanges, PaceReason
 from burdockhaven_core.scheduling.crash_attribution import CrashAttribution
 from burdockhaven_core.scheduling.engine_load import EngineLoad, Run
 from burdockhaven_core.scheduling.engine_speed import ServiceSpeed
@@ -33,6 +34,19 @@
 # Engine limits assumed for a service whose configuration states none.
 DEFAULT_CACHE_TOKENS = 500_000
 DEFAULT_TOKENS_PER_EVENT = 1
+# Starts of engines that are remembered for each service.
+MAX_KNOWN_STARTS = 10_000
+# Ends of runs that show that an engine does not take more requests.
+FAILED_ENDS = frozenset(
+    {
+        RunEnd.UNREACHABLE,
+        RunEnd.DISCONNECTED,
+        RunEnd.FAILED,
+        RunEnd.REJECTED,
+        RunEnd.REPLACED,
+        RunEnd.PAUSED,
+    }
+)
 
 
 class RunTracker:
@@ -50,6 +64,14 @@
         self.addresses: dict[str, str] = {}
         # The target granted to each request; changed by `_put` and `_pop` only.
         self.granted: dict[RequestKey, str] = {}
+        # Whether engines of every service are paced; those of a service whose targets
+        # report the speed of their machines are in any case.
+        self.paces_all = False
+        self.pace_changes = PaceChanges()
+        self.pace_reasons: dict[str, PaceReason] = {}
+        # Last known start of each engine by service, in Unix milliseconds. Engines that
+        # were away from the store for a moment have not started.
+        self.known_starts: dict[str, dict[str, int]] = {}
         # The same requests by the node of their member, in the order of their grants.
         # With them, a report of one member costs no look at the runs of all.
         self.granted_by_node: dict[str, dict[RequestKey, None]] = {}
@@ -69,10 +91,12 @@
         self.addresses = {entry.id: entry.address for entry in entries.values()}
         for entry in entries.values():
             engine = self._engine(entry, table)
+            self._pace_if_started(engine, entry)
             if not entry.draining and entry.id not in leaving:
                 self.open_by_service.setdefault(entry.service, []).append(engine)
         for speed in self.speeds.values():
             speed.retain(set(entries))
+        self._note_starts(entries)
 
     def open_engines(self, service: str) -> list[EngineLoad]:
         """Return the engines of a service that accept new requests."""
@@ -205,6 +229,46 @@
         engine.cache_tokens = cache_tokens
         return engine
 
+    def _note_starts(self, entries: Mapping[str, TargetEntry]) -> None:
+        for entry in entries.values():
+            starts = self.known_starts.setdefault(entry.service, {})
+            starts.pop(entry.id, None)
+            starts[entry.id] = entry.started_ms
+            if len(starts) > MAX_KNOWN_STARTS:
+                del starts[next(iter(starts))]
+
+    def _is_paced(self, engine: EngineLoad) -> bool:
+        return self.paces_all or engine.speed.slow_machines.has_reports
+
+    def _pace_if_started(self, engine: EngineLoad, entry: TargetEntry) -> None:
+        """Pace an engine that has started since this broker first saw its service."""
+        starts = self.known_starts.get(entry.service)
+        if starts is None or starts.get(entry.id) == entry.started_ms:
+            return
+        if engine.pace is None and self._is_paced(engine):
+            self._begin_pace(engine, PaceReason.STARTED)
+
+    def _pace_if_recovered(self, engine: EngineLoad) -> None:
+        """Pace an engine whose run progresses after others had failed."""
+        has_failed = bool(engine.ejections) or engine.has_broken_off
+        if has_failed and engine.pace is None and self._is_paced(engine):
+            self._begin_pace(engine, PaceReason.RECOVERED)
+
+    def _begin_pace(self, engine: EngineLoad, reason: PaceReason) -> None:
+        engine.pace = Pace(engine.slots)
+        self.pace_reasons[engine.target] = reason
+        self.pace_changes.add(PaceChange(engine.target, reason, is_over=False))
+
+    def _end_pace_if_over(self, engine: EngineLoad) -> None:
+        pace = engine.pace
+        if pace is None or not pace.is_over:
+            return
+        engine.pace = None
+        reason = self.pace_reasons.pop(engine.target, PaceReason.STARTED)
+        self.pace_changes.add(
+            PaceChange(engine.target, reason, True, pace.timely, pace.late)
+        )
+
     def undecided(self, now: float) -> Container[RequestKey]:
         """Return the runs whose first event is neither known nor overdue."""
         return _UndecidedRuns(self, now)
@@ -227,8 +291,16 @@
         if run is not None and not run.first_event_seen:
             run.first_event_seen = True
             self.crashes.record_first_event(key, run.parts, now)
-            engine.record_first_event(run, update.first_event_ms)
+            if update.machine_percent:
+                engine.record_machine(update.machine_percent / 100, now)
+            engine.record_first_event(run, update.first_event_ms, now)
+            self._pace_if_recovered(engine)
             engine.record_progress(now)
+            if engine.pace is not None and update.first_event_ms:
+                engine.pace.record_response(
+                    run.granted_s, update.first_event_ms, run.predicted_ms, now
+                )
+                self._end_pace_if_over(engine)
 
     def _apply_end(
         self, engine: EngineLoad, key: RequestKey, update: RunUpdate, now: float
@@ -243,6 +315,8 @@
             engine.record_pauses(
                 run, update.pause_tenth_ms / 10, update.longest_pause_tenth_ms / 10
             )
+        if run is not None and engine.pace is not None and update.end in FAILED_ENDS:
+            engine.pace.record_failure(run.granted_s, now)
         if update.end is RunEnd.COMPLETED:
             self.crashes.record_completed(key, now)
             engine.record_progress(now)
@@ -285,6 +359,10 @@
             predicted_ms=engine.first_event_ms(run.prompt_tokens, engine.backlog(now)),
             first_event_seen=run.first_event_seen,
         )
+        if engine.pace is not None:
+            # Another broker has given it as many.
+            engine.pace.limit = max(engine.pace.limit, len(engine.runs))
+            self._end_pace_if_over(engine)
         return True
 
     def _release_unlisted(self, key: RequestKey, member: MemberId, now: float) -> None:
--- a/packages/burdockhaven-core/tests/scheduling/test_engine_load.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_engine_load.py
@@ -61,7 +61,7 @@
     behind = run(2)
     load.add_run(behind, ())
     before_ms = load.first_event_ms(1_000, load.backlog(9.0))
-    load.record_first_event(behind, 10.0)
+    load.record_first_event(behind, 10.0, 9.0)
     assert load.first_event_ms(1_000, load.backlog(9.0)) == before_ms
 
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -20,6 +20,7 @@
 from burdockhaven_entry.gateway.frontend import Frontend
 from burdockhaven_entry.gateway.gateway_state import GatewayState
 from burdockhaven_entry.gateway.membership import Membership
+from burdockhaven_entry.gateway.pace_log import log_pace_changes
 from burdockhaven_entry.gateway.peer_endpoint import PeerEndpoint
 from burdockhaven_entry.gateway.placement_client import PlacementClient
 from burdockhaven_entry.gateway.plain_forwarding import PlainForwarder
@@ -266,6 +267,10 @@
         timer.subscribe(
             EXPIRY_INTERVAL_S, lambda now: log_part_changes(self.state.broker.crashes)
         )
+        timer.subscribe(
+            EXPIRY_INTERVAL_S,
+            lambda now: log_pace_changes(self.state.broker.runs.pace_changes),
+        )
         timer.subscribe(ABSENCE_CHECK_INTERVAL_S, self._discard_runs_of_absent_members)
         timer.subscribe(QUEUE_LOG_INTERVAL_S, self._log_queue)
         timer.subscribe(
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/metrics_text.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/metrics_text.py
@@ -146,6 +146,11 @@
                 "Streams whose software version it had to forget early",
                 state.stream_origins.discarded_early,
             ),
+            (
+                "paced_targets",
+                "Targets that its broker paces after a start or a recovery",
+                sum(e.pace is not None for e in state.broker.runs.engines.values()),
+            ),
             ("queued", "Requests queued at its broker", len(state.broker.queue)),
             (
                 "quarantined_prompt_parts",
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
@@ -250,14 +250,20 @@
             if not pending.reply.done():
                 pending.reply.set_result(self.own_refusals[number])
 
-    def record_first_event(self, number: int) -> None:
-        """Record that the first event of a run has arrived."""
+    def record_first_event(
+        self, number: int, machine_slowdown: float | None = None
+    ) -> None:
+        """Record that the first event of a run has arrived.
+
+        `machine_slowdown` is what the target reported of its machine.
+        """
         run = self.runs.get(number)
         if run is not None and not run.first_event_seen:
             run.first_event_seen = True
             run.first_event_s = self.clock()
             first_ms = int((run.first_event_s - run.sent_s) * 1e3)
-            self._add_update(RunUpdate(number, None, first_ms))
+            percent = round((machine_slowdown or 0.0) * 100)
+            self._add_update(RunUpdate(number, None, first_ms, machine_percent=percent))
 
     def record_end(
         self,
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
@@ -334,7 +334,9 @@
         state.record_response(target, head, now)
         if head.load is not None:
             in_flight = head.load.running + head.load.waiting
-            state.balancer.record_load(target.id, in_flight, now)
+            state.balancer.record_load(
+                target.id, in_flight, now, head.load.machine_slowdown
+            )
         if head.not_run:
             routed.trace.failures.append(f"{target.id}: rejected, {head.status}")
             if head.observation.pause_s:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -364,12 +364,14 @@
         """Pass on the events of a run; raises `SendError` if they are not complete."""
         assert stream.response is not None
         splitter = EventSplitter()
+        load = target_response.head.load
+        slowdown = None if load is None else load.machine_slowdown
         async for data in target_response.chunks():
             for event in splitter.feed(data):
                 if not event.has_fields:
                     await stream.response.write(event.data)
                     continue
-                self.placement_client.record_first_event(placement.number)
+                self.placement_client.record_first_event(placement.number, slowdown)
                 # A client that is slow to read does not make the engine silent.
                 search.stop()
                 routed.trace.add_software_version(target.software_version)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
@@ -512,6 +512,26 @@
             "late_ms": "time by which the limit was overrun",
         },
     ),
+    EventSpec(
+        EventNumber.TARGET_PACED,
+        "info",
+        "Target {target} has {reason} and gets few requests until it responds in time.",
+        "Nothing; event 517 follows once it gets all that it has slots for.",
+        {"target": "name of the target", "reason": "started or recovered"},
+    ),
+    EventSpec(
+        EventNumber.TARGET_PACE_ENDED,
+        "info",
+        "Target {target} gets all requests that it has slots for again: {timely} "
+        "responses were timely, {late} were not.",
+        "If many were not, compare the target's machine with the others.",
+        {
+            "target": "name of the target",
+            "reason": "why it was paced: started or recovered",
+            "timely": "responses in the expected time",
+            "late": "reductions after a response that was late or failed",
+        },
+    ),
     EventSpec(
         EventNumber.ORDERS_TAKEN,
         "info",
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/response_headers.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/response_headers.py
@@ -74,6 +74,9 @@
     running: int
     waiting: int
     slots: int
+    # Time of work on the target's machine relative to the usual one; None if the target
+    # does not report it.
+    machine_slowdown: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -185,11 +188,12 @@
 
 
 def _parse_load(value: str) -> TargetLoad | None:
-    # Some targets add the speed of their machine, which changes within milliseconds.
-    numbers = [parse_whole_number(part.strip()) for part in value.split(",")[:3]]
+    # Some targets add the time of work on their machine in percent of the usual one.
+    numbers = [parse_whole_number(part.strip()) for part in value.split(",")[:4]]
     if len(numbers) < 3:
         return None
-    running, waiting, slots = numbers
+    running, waiting, slots, *rest = numbers
     if running is None or waiting is None or slots is None:
         return None
-    return TargetLoad(running, waiting, slots)
+    percent = rest[0] if rest else None
+    return TargetLoad(running, waiting, slots, percent / 100 if percent else None)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/settings.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/settings.py
@@ -12,6 +12,11 @@
 NotNegative = Annotated[float, msgspec.Meta(ge=0)]
 
 
+# Part of the rules by which targets end when the requests that they hold exceed their
+# memory.
+MEMORY_PRESSURE = "pressure"
+
+
 class SettingsError(ValueError):
     """The settings are invalid; `faults` lists every fault."""
 
@@ -55,6 +60,8 @@
     look_up_ttl_max_s: float
     # Processor capacity of the VM in nominal cores; 0 if the file doesn't state it.
     processor_cores: float = 0.0
+    # Whether targets end when the requests that they hold exceed their memory.
+    targets_end_when_overfull: bool = False
 
     @property
     def listen_addresses(self) -> tuple[str, ...]:
@@ -106,6 +113,8 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
     seeds: list[Address] = []
     bootstrap: bool = False
+    # Names of the parts of the platform's rules that are in force.
+    contracts: list[str] = []
 
 
 def read_settings(text: str) -> PlatformSettings:
@@ -187,5 +196,6 @@
         quota_slack=file.bounds.quota_slack,
         first_start=file.bootstrap,
         look_up_ttl_max_s=file.bounds.ttl_max_s,
+        targets_end_when_overfull=MEMORY_PRESSURE in file.contracts,
         processor_cores=file.limits.cpu_share * file.limits.cores,
     )
