--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -11,6 +11,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from burdockhaven_core.capacity.memory_use import has_room, needed_tokens
 from burdockhaven_core.resumption.quota_reservations import QuotaReservations
 from burdockhaven_core.scheduling.crash_attribution import CrashAttribution
 from burdockhaven_core.scheduling.engine_load import EngineLoad, Run
@@ -111,6 +112,8 @@
         self.quota_reservations = QuotaReservations()
         self.costs = RouteCosts()
         self.sizes = RouteSizes()
+        # Whether engines end if their requests exceed their memory.
+        self.guards_memory = False
         self.crashes = CrashAttribution()
         self.runs = RunTracker(self.costs, self.crashes)
         # Keeps the grants within the limits that engines name.
@@ -334,6 +337,8 @@
         engines = _of_version(self.runs.open_engines(request.service), request)
         if self._is_version_gone(request):
             return self._refuse(request, RETRY_AFTER_MAX_S, now)
+        if engines and not self._fits_some_engine(request, engines):
+            return PlacementReply(request.number, Verdict.OVERLOADED, is_too_large=True)
         targets = [engine.target for engine in engines]
         remaining = [target for target in targets if target not in request.excluded]
         pause_left_s = queued.pause_left_s(remaining or targets, now)
@@ -401,8 +406,20 @@
             ]
             fewest = min((len(engine.runs) for engine in engines), default=0)
             engines = [engine for engine in engines if len(engine.runs) == fewest]
+        if self.guards_memory:
+            tokens = _needed_tokens(queued.request)
+            engines = [engine for engine in engines if engine.has_memory_for(tokens)]
         return _find_placement(queued, engines, now)
 
+    def _fits_some_engine(
+        self, request: PlacementRequest, engines: list[EngineLoad]
+    ) -> bool:
+        """Whether an engine without other requests has the memory for this one."""
+        if not self.guards_memory:
+            return True
+        tokens = _needed_tokens(request)
+        return any(has_room(0, tokens, engine.cache_tokens) for engine in engines)
+
     def _is_version_gone(self, request: PlacementRequest) -> bool:
         """Whether the service has engines, and none has the version that is needed."""
         engines = self.runs.open_engines(request.service)
@@ -470,6 +487,7 @@
             route=request.route,
             parts=_shared_parts(request),
             is_trial=self._is_trial(request),
+            memory_tokens=_needed_tokens(request),
         )
         if run.is_trial:
             engine = self.runs.start_of(found.engine.target)
@@ -518,6 +536,13 @@
         return _refusal(request, verdict, wait_s)
 
 
+def _needed_tokens(request: PlacementRequest) -> int:
+    """Return the tokens of memory that a request may take at an engine."""
+    return needed_tokens(
+        request.prompt_tokens, request.expected_tokens, request.output_tokens
+    )
+
+
 def _shared_parts(request: PlacementRequest) -> tuple[str, ...]:
     """Return the names of the prompt's parts that other requests may have."""
     return tuple(part for part, _ in request.parts[:-1])
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
@@ -10,6 +10,7 @@
 
 from burdockhaven_core.capacity import MachineSpeed, Pace
 from burdockhaven_core.capacity.machine_speed import SLOW_FACTOR
+from burdockhaven_core.capacity.memory_use import has_room
 from burdockhaven_core.scheduling.engine_speed import ServiceSpeed
 
 # Weight of a new outcome in the moving average of the failure rate.
@@ -57,6 +58,8 @@
     parts: tuple[str, ...] = ()
     # Whether the run shows if its prompt ends engines.
     is_trial: bool = False
+    # Tokens of memory that the run may take; 0 for one known only from a report.
+    memory_tokens: int = 0
 
     def age_ms(self, now: float) -> float:
         """Return the milliseconds since the grant."""
@@ -207,6 +210,11 @@
             usable = 1
         return usable - len(self.runs)
 
+    def has_memory_for(self, tokens: int) -> bool:
+        """Whether the runs in flight leave memory for a request of so many tokens."""
+        held = sum(run.memory_tokens or run.prompt_tokens for run in self.runs.values())
+        return has_room(held, tokens, self.cache_tokens)
+
     def add_run(self, run: Run, parts: tuple[tuple[str, int], ...]) -> None:
         """Add a run and cache its prompt parts, evicting the least recently used."""
         run.is_prefilled_alone = not any(
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
@@ -166,6 +166,8 @@
     # Prompt part that no engine gets, because engines end beneath it; empty unless the
     # request is refused for it.
     quarantined_part: str = ""
+    # Whether the request needs more memory than any target has.
+    is_too_large: bool = False
 
 
 class RunEnd(enum.IntEnum):
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
@@ -118,6 +118,7 @@
         now = clock()
         broker = Broker(rule)
         broker.runs.paces_all = settings.targets_end_when_overfull
+        broker.guards_memory = settings.targets_end_when_overfull
         registry = TargetRegistry()
         if not settings.first_start:
             # Members that have ended may have used up the quotas.
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/placement_client.py
@@ -113,11 +113,13 @@
     is_version_gone: bool = False
     # Prompt part beneath which engines end; empty unless refused for it.
     quarantined_part: str = ""
+    # Whether the request needs more memory than any target has.
+    is_too_large: bool = False
 
     @property
     def is_final(self) -> bool:
         """Whether the request would be refused again."""
-        return self.is_version_gone or bool(self.quarantined_part)
+        return self.is_version_gone or bool(self.quarantined_part) or self.is_too_large
 
 
 @dataclass(slots=True)
@@ -234,6 +236,7 @@
             reply.retry_after_ms / 1e3,
             reply.verdict is Verdict.VERSION_GONE,
             reply.quarantined_part,
+            reply.is_too_large,
         )
 
     def refuse_waiting(
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_continuation.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_continuation.py
@@ -80,6 +80,8 @@
         return "quota exceeded"
     if refused.quarantined_part:
         return f"quarantined part {refused.quarantined_part}"
+    if refused.is_too_large:
+        return "too large for any engine"
     return "software version gone" if refused.is_version_gone else "overloaded"
 
 
@@ -92,6 +94,8 @@
             f"the request is not run: engines end beneath part "
             f"{refused.quarantined_part} of its prompt"
         )
+    if refused.is_too_large:
+        return "the request is not run: it needs more memory than any engine has"
     if refused.is_version_gone:
         return "no engine of the software version that began the stream"
     return "no engine available within the deadline"
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_responses.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_responses.py
@@ -27,7 +27,9 @@
         refusal_detail(refused),
         stream.routed.client_request.attempt_id,
         # A client that returns would be refused again.
-        None if refused.quarantined_part else refused.retry_after_s,
+        None
+        if refused.quarantined_part or refused.is_too_large
+        else refused.retry_after_s,
     )
 
 
