Accounts of one tier share the engines by their quotas

Cause: among accounts of equal rank only quotas divide the engines, so that callers wait and are refused beside an account that asks seven times as much as usual.

Change: package fairness in core: the broker counts the engine time granted to each account; requests of one that has used over 1.5 times its part in 4 s go behind those of the others, late ones too, wherever the settings name memory pressure. Only the order changes: no engine is idle while anything waits. SlidingWindow moves to the core's root, where both packages may import it.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 
 from burdockhaven_core.capacity.memory_use import has_room, needed_tokens
+from burdockhaven_core.fairness import AccountShares
 from burdockhaven_core.resumption.quota_reservations import QuotaReservations
 from burdockhaven_core.scheduling.crash_attribution import CrashAttribution
 from burdockhaven_core.scheduling.engine_load import EngineLoad, Run
@@ -40,7 +41,7 @@
 from burdockhaven_core.scheduling.route_sizes import RouteSizes
 from burdockhaven_core.scheduling.routing import Account, RoutingTable
 from burdockhaven_core.scheduling.run_tracker import GRANT_SETTLE_S, RunTracker
-from burdockhaven_core.scheduling.served_shares import RouteKey, ServedShares
+from burdockhaven_core.scheduling.served_shares import RouteKey, ServedShares, Tier
 from burdockhaven_core.scheduling.shared_quotas import SharedQuotas
 from burdockhaven_core.scheduling.target_limits import RateLimiters
 from burdockhaven_core.scheduling.target_registry import TargetEntry
@@ -114,6 +115,11 @@
         self.sizes = RouteSizes()
         # Whether engines end if their requests exceed their memory.
         self.guards_memory = False
+        # Whether accounts of one tier share the engines by their quotas.
+        self.divides_engines = False
+        self.account_shares = AccountShares()
+        # Quota units a second, by account.
+        self.quota_rates: dict[str, float] = {}
         self.crashes = CrashAttribution()
         self.runs = RunTracker(self.costs, self.crashes)
         # Keeps the grants within the limits that engines name.
@@ -133,6 +139,9 @@
         self.table = table
         keys = table.account_of_key or {}
         self.accounts = {account.name: account for account in keys.values()}
+        self.quota_rates = {
+            account.name: account.rate_per_s for account in keys.values()
+        }
 
     def set_targets(
         self, entries: Mapping[str, TargetEntry], leaving: set[str]
@@ -173,7 +182,11 @@
         if not request.is_retry and not was_refused:
             self.sizes.record(request)
         queued = QueuedRequest.from_request(
-            request, was_refused, now, is_large=self.sizes.is_large(request)
+            request,
+            was_refused,
+            now,
+            is_large=self.sizes.is_large(request),
+            is_overdrawn=self._is_overdrawn(request, now),
         )
         self._counts_of(request.route).submitted += 1
         if not request.is_retry:
@@ -296,6 +309,7 @@
         """
         self.runs.discard_absent(present, now)
         self.served_shares.discard_idle(now)
+        self.account_shares.discard_idle(now)
         for key in [k for k in self.queue if k[0] not in present]:
             del self.queue[key]
 
@@ -411,6 +425,18 @@
             engines = [engine for engine in engines if engine.has_memory_for(tokens)]
         return _find_placement(queued, engines, now)
 
+    def _is_overdrawn(self, request: PlacementRequest, now: float) -> bool:
+        """Whether the request's account uses more than its part of the engines.
+
+        A resumed stream has been counted before.
+        """
+        if not self.divides_engines or not request.account or request.is_resumption:
+            return False
+        tier = Tier.from_request(request)
+        return self.account_shares.is_overdrawn(
+            tier, request.account, self.quota_rates, now
+        )
+
     def _fits_some_engine(
         self, request: PlacementRequest, engines: list[EngineLoad]
     ) -> bool:
@@ -494,6 +520,13 @@
             self.crashes.begin_trial(key, engine, run.parts)
         self.runs.add_run(key, found.engine, run, request.parts)
         self.served_shares.record_grant(request, now)
+        if self.divides_engines and request.account:
+            self.account_shares.record_grant(
+                Tier.from_request(request),
+                request.account,
+                _engine_time_s(found, request),
+                now,
+            )
         self.limiters.record_send(found.engine.target, now)
         self._counts_of(request.route).granted += 1
         return self._grant_reply(
@@ -536,6 +569,14 @@
         return _refusal(request, verdict, wait_s)
 
 
+def _engine_time_s(found: Placement, request: PlacementRequest) -> float:
+    """Return the slot seconds that a granted request is expected to take."""
+    engine = found.engine
+    output_tokens = request.expected_tokens or request.output_tokens
+    prefill_ms = engine.prefill_ms(found.prefill_tokens)
+    return (prefill_ms + engine.decode_ms(output_tokens)) / 1e3
+
+
 def _needed_tokens(request: PlacementRequest) -> int:
     """Return the tokens of memory that a request may take at an engine."""
     return needed_tokens(
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/queue_order.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/queue_order.py
@@ -24,6 +24,9 @@
 # is worth several of them, and it fits only the engines that are fast enough for it.
 # A late one goes ahead of underserved routes but behind what can be on time.
 LARGE_FACTOR = 2.5
+# Weight factor of a request whose account uses more than its part: it goes behind late
+# requests of the others.
+OVERDRAWN_FACTOR = 3.0
 # Greatest weight of a request whose route is underserved: behind on-time requests of
 # the first rank, ahead of late ones.
 UNDERSERVED_WEIGHT = 1.5
@@ -50,6 +53,8 @@
     software_version: str = ""
     # Whether the requests are large among those of their route.
     is_large: bool = False
+    # Whether their accounts use more than their part of the engines.
+    is_overdrawn: bool = False
 
     def is_same_line(self, other: "QueueClass") -> bool:
         """Whether the classes differ at most in the software version."""
@@ -71,11 +76,15 @@
         with the load, so that routes of nearly equal value would change places.
         """
         weight = PRIORITY_FACTOR**self.route_priority * self.late_factor
-        return (self.priority, weight / LARGE_FACTOR if self.is_large else weight)
+        if self.is_large:
+            weight /= LARGE_FACTOR
+        if self.is_overdrawn:
+            weight *= OVERDRAWN_FACTOR
+        return (self.priority, weight)
 
     def rank(
         self, underserved: Mapping[RouteKey, float]
-    ) -> tuple[int, bool, float, bool]:
+    ) -> tuple[int, bool, float, bool, bool]:
         """Return the rank in the queue, given the relative shares of some routes.
 
         Within the priority of their accounts, requests of underserved routes go ahead
@@ -86,10 +95,17 @@
         priority, weight = self.sort_key
         share = underserved.get(self.route_key)
         is_guaranteed = False
-        if share is not None and (self.is_retry or self.late_factor == 1.0):
+        can_be_helped = self.is_retry or self.late_factor == 1.0
+        if share is not None and can_be_helped and not self.is_overdrawn:
             is_guaranteed = share < GUARANTEED_RATIO
             weight = min(weight, UNDERSERVED_WEIGHT)
-        return (priority, not is_guaranteed, weight, not self.is_retry)
+        return (
+            priority,
+            not is_guaranteed,
+            weight,
+            self.is_overdrawn,
+            not self.is_retry,
+        )
 
 
 @dataclass(slots=True)
@@ -107,6 +123,8 @@
     is_retry: bool
     # Whether it is large among the requests of its route.
     is_large: bool = False
+    # Whether its account used more than its part of the engines when it arrived.
+    is_overdrawn: bool = False
     # Until when each target is paused for the sender.
     paused_until_s: dict[str, float] = field(default_factory=dict)
 
@@ -118,6 +136,7 @@
         now: float,
         *,
         is_large: bool = False,
+        is_overdrawn: bool = False,
     ) -> "QueuedRequest":
         """Create the queue entry of a request that arrives now."""
         deadline_s = now + request.deadline_ms / 1e3
@@ -130,6 +149,7 @@
             send_by_s=min(deadline_s, client_timeout_at_s) - MIN_RUN_S,
             is_retry=request.is_retry or was_refused,
             is_large=is_large,
+            is_overdrawn=is_overdrawn,
             paused_until_s=paused_until_s(request, now),
         )
 
@@ -167,6 +187,7 @@
             self.is_retry,
             request.software_version,
             self.is_large,
+            self.is_overdrawn,
         )
 
 
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/quotas.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/quotas.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from burdockhaven_core.scheduling.routing import Account
-from burdockhaven_core.scheduling.sliding_window import SlidingWindow
+from burdockhaven_core.sliding_window import SlidingWindow
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/retry_budget.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/retry_budget.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass
 
-from burdockhaven_core.scheduling.sliding_window import SlidingWindow
+from burdockhaven_core.sliding_window import SlidingWindow
 
 # Fraction of the budget that is used; the rest is a margin for members whose member
 # lists differ.
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/served_shares.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/served_shares.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from burdockhaven_core.scheduling.peer_messages import PlacementRequest
-from burdockhaven_core.scheduling.sliding_window import SlidingWindow
+from burdockhaven_core.sliding_window import SlidingWindow
 
 # Seconds over which arrivals and grants are counted.
 WINDOW_S = 2.0
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/wait_estimate.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/wait_estimate.py
@@ -6,8 +6,8 @@
 from burdockhaven_core.scheduling.engine_load import EngineLoad
 from burdockhaven_core.scheduling.queue_order import QueueClass, QueuedRequest
 from burdockhaven_core.scheduling.route_costs import RouteCosts
-from burdockhaven_core.scheduling.sliding_window import SlidingWindow
 from burdockhaven_core.scheduling.target_limits import RateLimiters
+from burdockhaven_core.sliding_window import SlidingWindow
 
 # Seconds over which the arrival rate is measured. The lower rate of the two windows
 # counts, so that neither a short burst nor one that has ended leads to refusals.
--- a/packages/burdockhaven-core/tests/scheduling/test_sliding_window.py
+++ b/packages/burdockhaven-core/tests/test_sliding_window.py
@@ -2,7 +2,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from burdockhaven_core.scheduling.sliding_window import SlidingWindow
+from burdockhaven_core.sliding_window import SlidingWindow
 
 events = st.lists(
     st.tuples(st.floats(0, 2), st.floats(0, 100)), min_size=1, max_size=60
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
@@ -119,6 +119,7 @@
         broker = Broker(rule)
         broker.runs.paces_all = settings.targets_end_when_overfull
         broker.guards_memory = settings.targets_end_when_overfull
+        broker.divides_engines = settings.targets_end_when_overfull
         registry = TargetRegistry()
         if not settings.first_start:
             # Members that have ended may have used up the quotas.
