--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -187,7 +187,6 @@
             now,
             is_large=self.sizes.is_large(request),
             is_overdrawn=self._is_overdrawn(request, now),
-            first_event_s=self.runs.first_event_s(request),
         )
         self._counts_of(request.route).submitted += 1
         if not request.is_retry:
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/queue_order.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/queue_order.py
@@ -32,10 +32,6 @@
 UNDERSERVED_WEIGHT = 1.5
 # Seconds before its latency objective at which a request counts as late.
 LATE_MARGIN_S = 0.2
-# The same for a prompt that takes long by itself: a multiple of the first event that is
-# predicted on an idle engine, since other prompts delay it, and seconds for the way.
-FIRST_EVENT_FACTOR = 1.3
-FIRST_EVENT_MARGIN_S = 0.05
 # Shortest time in seconds that a run is assumed to need for its first event.
 MIN_RUN_S = 0.25
 
@@ -129,8 +125,6 @@
     is_large: bool = False
     # Whether its account used more than its part of the engines when it arrived.
     is_overdrawn: bool = False
-    # Predicted seconds to the first event on an idle engine of nominal speed.
-    first_event_s: float = 0.0
     # Until when each target is paused for the sender.
     paused_until_s: dict[str, float] = field(default_factory=dict)
 
@@ -143,7 +137,6 @@
         *,
         is_large: bool = False,
         is_overdrawn: bool = False,
-        first_event_s: float = 0.0,
     ) -> "QueuedRequest":
         """Create the queue entry of a request that arrives now."""
         deadline_s = now + request.deadline_ms / 1e3
@@ -157,7 +150,6 @@
             is_retry=request.is_retry or was_refused,
             is_large=is_large,
             is_overdrawn=is_overdrawn,
-            first_event_s=first_event_s,
             paused_until_s=paused_until_s(request, now),
         )
 
@@ -174,8 +166,7 @@
     @property
     def late_at_s(self) -> float:
         """When the first event can no longer be expected on time."""
-        first_event_s = FIRST_EVENT_FACTOR * self.first_event_s + FIRST_EVENT_MARGIN_S
-        return self.objective_s - max(LATE_MARGIN_S, first_event_s)
+        return self.objective_s - LATE_MARGIN_S
 
     def queue_class(self, now: float) -> QueueClass:
         """Return the current class, which changes when the request becomes late.
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
@@ -14,7 +14,6 @@
 from burdockhaven_core.scheduling.engine_speed import ServiceSpeed
 from burdockhaven_core.scheduling.peer_messages import (
     MemberId,
-    PlacementRequest,
     RunEnd,
     RunState,
     RunUpdate,
@@ -103,16 +102,6 @@
         """Return the engines of a service that accept new requests."""
         return self.open_by_service.get(service, [])
 
-    def first_event_s(self, request: PlacementRequest) -> float:
-        """Predict the seconds to the first event on an idle engine of nominal speed.
-
-        The prompt is taken to be cached nowhere.
-        """
-        speed = self.speeds.get(request.service)
-        if speed is None:
-            return 0.0
-        return speed.first_event.predict_ms(request.prompt_tokens) / 1e3
-
     def add_run(
         self,
         key: RequestKey,
--- a/packages/burdockhaven-core/tests/scheduling/test_load_large_requests.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_load_large_requests.py
@@ -13,7 +13,6 @@
     Verdict,
 )
 from burdockhaven_core.scheduling.placement import PlacementConstraints, place
-from burdockhaven_core.scheduling.queue_order import LATE_MARGIN_S, QueuedRequest
 from burdockhaven_core.scheduling.quotas import QuotaRule
 from burdockhaven_core.scheduling.route_sizes import MIN_SAMPLES, RouteSizes
 
@@ -112,13 +111,3 @@
         LARGE_TOKENS, (), 800.0, pause_ms / 1.2, excluded=(), is_large=is_large
     )
     assert (place(constraints, [engine], 1.0) is not None) == is_placed
-
-
-# Guards against requests that all wait until their first event is just too late: a long
-# prompt counts as late when its own prefill no longer fits, so that others go first.
-def test_request_counts_as_late_once_its_prefill_no_longer_fits():
-    short = QueuedRequest.from_request(request(1), False, 0.0, first_event_s=0.05)
-    long = QueuedRequest.from_request(request(2), False, 0.0, first_event_s=0.3)
-    assert long.late_at_s < short.late_at_s
-    assert short.late_at_s == pytest.approx(short.objective_s - LATE_MARGIN_S)
-    assert long.objective_s - long.late_at_s >= 0.3
