--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -617,7 +617,6 @@
         deadline_left_ms=(queued.deadline_s - now) * 1e3,
         output_tokens=request.expected_tokens or request.output_tokens,
         zone=request.zone,
-        is_large=queued.is_large,
     )
     return place(constraints, _of_version(engines, request), now)
 
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/placement.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/placement.py
@@ -10,10 +10,6 @@
 OBJECTIVE_FRACTION = 0.8
 # Fraction of the pause objective that a predicted pause may take.
 PAUSE_FRACTION = 0.9
-# The same for a request that is large among those of its route, on an engine that
-# prefills no other prompt: it is worth several of the streams that it may pause for
-# too long, and without it would wait for an engine without any until it is late.
-LARGE_PAUSE_FRACTION = 1.5
 # Cost of a first event that takes the full latency objective; a full batch costs 1.
 FIRST_EVENT_WEIGHT = 0.6
 # Cost of a prefill that takes the full latency objective; it pauses the whole batch.
@@ -48,8 +44,6 @@
     output_tokens: int = 0
     # Availability zone of the member that sends the request; empty if unknown.
     zone: str = ""
-    # Whether the request is large among those of its route.
-    is_large: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,10 +102,10 @@
     constraints: PlacementConstraints,
     backlog: Backlog,
 ) -> bool:
-    is_alone = constraints.is_large and not backlog.tokens
-    fraction = LARGE_PAUSE_FRACTION if is_alone else PAUSE_FRACTION
-    pause_ms = engine.pause_ms(prefill_tokens, backlog)
-    return pause_ms <= fraction * constraints.pause_objective_ms
+    return (
+        engine.pause_ms(prefill_tokens, backlog)
+        <= PAUSE_FRACTION * constraints.pause_objective_ms
+    )
 
 
 def _cost(found: Placement, constraints: PlacementConstraints) -> float:
--- a/packages/burdockhaven-core/tests/scheduling/test_load_large_requests.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_load_large_requests.py
@@ -4,15 +4,12 @@
 from scheduling_samples import ME, placement_request, table, target
 
 from burdockhaven_core.scheduling.broker import Broker
-from burdockhaven_core.scheduling.engine_load import EngineLoad, Run
-from burdockhaven_core.scheduling.engine_speed import ServiceSpeed
 from burdockhaven_core.scheduling.peer_messages import (
     RunEnd,
     RunProgress,
     RunUpdate,
     Verdict,
 )
-from burdockhaven_core.scheduling.placement import PlacementConstraints, place
 from burdockhaven_core.scheduling.quotas import QuotaRule
 from burdockhaven_core.scheduling.route_sizes import MIN_SAMPLES, RouteSizes
 
@@ -89,25 +86,3 @@
     sizes = RouteSizes()
     sizes.record(request(1))
     assert not sizes.is_large(request(2, LARGE_TOKENS))
-
-
-# Guards against a large prompt that waits for an engine without streams until it is
-# refused, and against streams that are paused by two such prompts at once.
-@pytest.mark.parametrize(
-    ("is_large", "other_prefill_tokens", "is_placed"),
-    [(True, 0, True), (False, 0, False), (True, 5_000, False)],
-)
-def test_large_request_may_pause_streams_a_little_longer(
-    is_large, other_prefill_tokens, is_placed
-):
-    engine = EngineLoad("i-1", SLOTS, 800_000, ServiceSpeed(tokens_per_event=8))
-    stream = Run("entry-1", 1, 1, 500, 500, 0.0, 100.0, first_event_seen=True)
-    engine.add_run(stream, ())
-    if other_prefill_tokens:
-        tokens = other_prefill_tokens
-        engine.add_run(Run("entry-1", 1, 2, tokens, tokens, 0.9, 500.0), ())
-    pause_ms = engine.pause_ms(LARGE_TOKENS, engine.backlog(1.0))
-    constraints = PlacementConstraints(
-        LARGE_TOKENS, (), 800.0, pause_ms / 1.2, excluded=(), is_large=is_large
-    )
-    assert (place(constraints, [engine], 1.0) is not None) == is_placed
