--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -38,7 +38,6 @@
 from burdockhaven_core.scheduling.recent_refusals import RecentRefusals
 from burdockhaven_core.scheduling.request_queue import RequestKey, RequestQueue
 from burdockhaven_core.scheduling.route_costs import RouteCosts
-from burdockhaven_core.scheduling.route_sizes import RouteSizes
 from burdockhaven_core.scheduling.routing import Account, RoutingTable
 from burdockhaven_core.scheduling.run_tracker import GRANT_SETTLE_S, RunTracker
 from burdockhaven_core.scheduling.served_shares import RouteKey, ServedShares, Tier
@@ -112,7 +111,6 @@
         self.quotas = SharedQuotas(rule)
         self.quota_reservations = QuotaReservations()
         self.costs = RouteCosts()
-        self.sizes = RouteSizes()
         # Whether engines end if their requests exceed their memory.
         self.guards_memory = False
         # Whether accounts of one tier share the engines by their quotas.
@@ -179,13 +177,10 @@
         was_refused = request.digest != 0 and self.recent_refusals.consume(
             request.digest, now
         )
-        if not request.is_retry and not was_refused:
-            self.sizes.record(request)
         queued = QueuedRequest.from_request(
             request,
             was_refused,
             now,
-            is_large=self.sizes.is_large(request),
             is_overdrawn=self._is_overdrawn(request, now),
         )
         self._counts_of(request.route).submitted += 1
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/queue_order.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/queue_order.py
@@ -20,10 +20,6 @@
 # Weight factor of a late retry: it goes ahead of late new requests, whose clients may
 # still retry, and behind requests that can be on time.
 RETRY_FACTOR = 1.7
-# Weight divisor of a request that is large among those of its route: at equal rank it
-# is worth several of them, and it fits only the engines that are fast enough for it.
-# A late one goes ahead of underserved routes but behind what can be on time.
-LARGE_FACTOR = 2.5
 # Weight factor of a request whose account uses more than its part: it goes behind late
 # requests of the others.
 OVERDRAWN_FACTOR = 3.0
@@ -51,8 +47,6 @@
     is_retry: bool
     # Software version of the targets that may be used; empty for any.
     software_version: str = ""
-    # Whether the requests are large among those of their route.
-    is_large: bool = False
     # Whether their accounts use more than their part of the engines.
     is_overdrawn: bool = False
 
@@ -76,8 +70,6 @@
         with the load, so that routes of nearly equal value would change places.
         """
         weight = PRIORITY_FACTOR**self.route_priority * self.late_factor
-        if self.is_large:
-            weight /= LARGE_FACTOR
         if self.is_overdrawn:
             weight *= OVERDRAWN_FACTOR
         return (self.priority, weight)
@@ -121,8 +113,6 @@
     send_by_s: float
     # Whether the client was refused before, or a target has failed the request.
     is_retry: bool
-    # Whether it is large among the requests of its route.
-    is_large: bool = False
     # Whether its account used more than its part of the engines when it arrived.
     is_overdrawn: bool = False
     # Until when each target is paused for the sender.
@@ -135,7 +125,6 @@
         was_refused: bool,
         now: float,
         *,
-        is_large: bool = False,
         is_overdrawn: bool = False,
     ) -> "QueuedRequest":
         """Create the queue entry of a request that arrives now."""
@@ -148,7 +137,6 @@
             deadline_s=deadline_s,
             send_by_s=min(deadline_s, client_timeout_at_s) - MIN_RUN_S,
             is_retry=request.is_retry or was_refused,
-            is_large=is_large,
             is_overdrawn=is_overdrawn,
             paused_until_s=paused_until_s(request, now),
         )
@@ -186,7 +174,6 @@
             factor,
             self.is_retry,
             request.software_version,
-            self.is_large,
             self.is_overdrawn,
         )
 
