A pace begins at the broker in use and limits unanswered requests only

Cause: found on reading: each member began a pace for each started target, plain ones too, that never ended where its broker is not used; and streams in flight held a recovered engine idle until they had ended. Change: a pace begins with the first run that this process grants after the start; it limits the requests without a first event. Origins are handed to the log only while there are several versions.

--- a/packages/burdockhaven-core/src/burdockhaven_core/capacity/pace.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/capacity/pace.py
@@ -1,4 +1,4 @@
-"""How many requests a target gets that has just started or recovered.
+"""How many unanswered requests a target gets that has just started or recovered.
 
 The limit grows with each response that comes as fast as expected of a target at full
 speed, so it doubles with each round, and falls at once if responses come late or fail.
@@ -8,8 +8,8 @@
 
 from dataclasses import dataclass
 
-# Requests at once that a target gets before its first response, and after a recovery
-# that another request has shown.
+# Requests without a response that a target gets before its first response, and after a
+# recovery that another request has shown.
 INITIAL_LIMIT = 2.0
 # The least that a target gets, so that its responses can show a recovery.
 MIN_LIMIT = 1.0
@@ -42,7 +42,7 @@
 
     @property
     def usable_slots(self) -> int:
-        """Number of requests that may be at the target now."""
+        """Number of requests without a response that may be at the target now."""
         return max(1, min(self.slots, int(self.limit)))
 
     def record_response(
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/engine_load.py
@@ -101,6 +101,8 @@
     started_ms: int = 0
     # As the engine reports it.
     machine: MachineSpeed = field(default_factory=MachineSpeed)
+    # Whether the engine has started and got no run from this process yet.
+    has_started: bool = False
     # None unless the engine has just started or recovered and is paced.
     pace: Pace | None = None
     # Moving average of the share of runs that failed.
@@ -200,15 +202,19 @@
         """Return the number of requests that still fit into the batch.
 
         An engine that was ejected or broke a run off gets one request until a run
-        progresses; otherwise all slots that a crash frees would be filled at once. One
+        progresses; otherwise all slots that a crash frees would be filled at once. A
+        pace limits the requests without a first event: streams that flow show no
+        trouble. One
         that may end beneath a prompt gets no other until it begins to answer it.
         """
         if any(run.is_trial and not run.first_event_seen for run in self.runs.values()):
             return 0
-        usable = self.slots if self.pace is None else self.pace.usable_slots
-        if self.ejections or self.has_broken_off:
-            usable = 1
-        return usable - len(self.runs)
+        usable = 1 if self.ejections or self.has_broken_off else self.slots
+        free = usable - len(self.runs)
+        if self.pace is None:
+            return free
+        pending = sum(not run.first_event_seen for run in self.runs.values())
+        return min(free, self.pace.usable_slots - pending)
 
     def has_memory_for(self, tokens: int) -> bool:
         """Whether the runs in flight leave memory for a request of so many tokens."""
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/run_tracker.py
@@ -91,7 +91,7 @@
         self.addresses = {entry.id: entry.address for entry in entries.values()}
         for entry in entries.values():
             engine = self._engine(entry, table)
-            self._pace_if_started(engine, entry)
+            engine.has_started |= self._has_started(entry)
             if not entry.draining and entry.id not in leaving:
                 self.open_by_service.setdefault(entry.service, []).append(engine)
         for speed in self.speeds.values():
@@ -110,6 +110,7 @@
         parts: tuple[tuple[str, int], ...],
     ) -> None:
         """Record the grant of an engine to a request."""
+        self._pace_if_started(engine)
         self._put(key, engine.target)
         engine.add_run(run, parts)
 
@@ -240,13 +241,19 @@
     def _is_paced(self, engine: EngineLoad) -> bool:
         return self.paces_all or engine.speed.slow_machines.has_reports
 
-    def _pace_if_started(self, engine: EngineLoad, entry: TargetEntry) -> None:
-        """Pace an engine that has started since this broker first saw its service."""
+    def _has_started(self, entry: TargetEntry) -> bool:
+        """Whether a target has started since this process first saw its service."""
         starts = self.known_starts.get(entry.service)
-        if starts is None or starts.get(entry.id) == entry.started_ms:
-            return
-        if engine.pace is None and self._is_paced(engine):
+        return starts is not None and starts.get(entry.id) != entry.started_ms
+
+    def _pace_if_started(self, engine: EngineLoad) -> None:
+        """Pace an engine that gets its first run here after its start.
+
+        Only the broker in use grants runs, so the others have no paces that never end.
+        """
+        if engine.has_started and engine.pace is None and self._is_paced(engine):
             self._begin_pace(engine, PaceReason.STARTED)
+        engine.has_started = False
 
     def _pace_if_recovered(self, engine: EngineLoad) -> None:
         """Pace an engine whose run progresses after others had failed."""
@@ -359,10 +366,6 @@
             predicted_ms=engine.first_event_ms(run.prompt_tokens, engine.backlog(now)),
             first_event_seen=run.first_event_seen,
         )
-        if engine.pace is not None:
-            # Another broker has given it as many.
-            engine.pace.limit = max(engine.pace.limit, len(engine.runs))
-            self._end_pace_if_over(engine)
         return True
 
     def _release_unlisted(self, key: RequestKey, member: MemberId, now: float) -> None:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_origin_directory.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_origin_directory.py
@@ -195,7 +195,7 @@
         self.informed_broker = broker
         if broker != before:
             pending = self.carried.items(self.state.clock())
-        if broker == self.state.member_id.node:
+        if self._is_broker():
             self._store(pending)
         elif broker == before and broker in {backup.node for backup in self.backups}:
             # It has received them as a backup.
@@ -207,6 +207,9 @@
         state = self.state
         return state.member_list.broker(state.clock(), state.heartbeat_head())
 
+    def _is_broker(self) -> bool:
+        return self._broker() == self.state.member_id.node
+
     def has_several_versions(self) -> bool:
         """Whether a service has had several software versions in the resume window."""
         services = {service for service, _ in self._recent_versions()}
@@ -378,7 +381,7 @@
                 streams = streams_of(message)
                 for key, origin in streams.items():
                     self._record(key, origin, now)
-                if self._broker() == self.state.member_id.node:
+                if self.has_several_versions() and self._is_broker():
                     self._store(streams)
             case FindOrigin():
                 self._reply(message, now)
