--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -93,6 +93,23 @@
         return route_ahead + 1 <= self.guaranteed_per_s * (queued.late_at_s - now)
 
 
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """What becomes of a placement request; queued unless granted or refused."""
+
+    # The engine that is granted; None without one.
+    found: Placement | None = None
+    is_refused: bool = False
+    # Predicted seconds until a queued request gets an engine, or a refused one would.
+    wait_s: float = 0.0
+    # Whether it waits for a trial of its prompt parts.
+    is_held: bool = False
+    # Queued requests that go ahead of it.
+    count_ahead: int = 0
+    # Whether it is refused since no engine has the memory for it.
+    is_too_large: bool = False
+
+
 @dataclass(slots=True)
 class RouteCounts:
     """Numbers of decisions on the placement requests of one route."""
@@ -342,19 +359,35 @@
     def _place_or_queue(
         self, key: RequestKey, queued: QueuedRequest, now: float
     ) -> PlacementReply:
+        request = queued.request
+        if not self.queue:
+            self.held.clear()
+        decision = self.decide(queued, now)
+        if decision.found is not None:
+            return self._grant(key, queued, decision.found, now)
+        if decision.is_too_large:
+            return PlacementReply(request.number, Verdict.OVERLOADED, is_too_large=True)
+        if decision.is_refused:
+            return self._refuse(request, decision.wait_s, now)
+        self.queue[key] = queued
+        self.held[queued.queue_class(now)] += decision.is_held
+        return PlacementReply(request.number, Verdict.QUEUED)
+
+    def decide(self, queued: QueuedRequest, now: float) -> Decision:
+        """Decide on a request that is within its quota; changes nothing."""
         request = queued.request
         engines = _of_version(self.runs.open_engines(request.service), request)
         if self._is_version_gone(request):
-            return self._refuse(request, RETRY_AFTER_MAX_S, now)
+            return Decision(is_refused=True, wait_s=RETRY_AFTER_MAX_S)
         if engines and not self._fits_some_engine(request, engines):
-            return PlacementReply(request.number, Verdict.OVERLOADED, is_too_large=True)
+            return Decision(is_refused=True, is_too_large=True)
         targets = [engine.target for engine in engines]
         remaining = [target for target in targets if target not in request.excluded]
         pause_left_s = queued.pause_left_s(remaining or targets, now)
         if request.excluded and not remaining:
-            return self._refuse_until(request, pause_left_s, now)
+            return _refuse_until(request, pause_left_s)
         if pause_left_s and now + pause_left_s > queued.send_by_s:
-            return self._refuse_until(request, pause_left_s, now)
+            return _refuse_until(request, pause_left_s)
         queue_class = queued.queue_class(now)
         ahead = self._counts_ahead(queue_class, now)
         is_held = self._must_wait_for_trial(request, now)
@@ -362,10 +395,8 @@
             free = self._available_engines(request.service, now)
             found = self._find_placement(queued, free, now)
             if found is not None:
-                return self._grant(key, queued, found, now)
+                return Decision(found)
         limits = self._limits_of(queue_class, now, None if pause_left_s else queued)
-        if not self.queue:
-            self.held.clear()
         ahead = [
             (other, count - self.held[other])
             for other, count in ahead
@@ -381,11 +412,9 @@
         )
         work_wait_s = work.wait_s(request.software_version, limits.capacities)
         wait_s = max(work_wait_s, pause_left_s)
-        if not limits.admit(queued, wait_s, route_ahead, now):
-            return self._refuse(request, wait_s, now)
-        self.queue[key] = queued
-        self.held[queue_class] += is_held
-        return PlacementReply(request.number, Verdict.QUEUED)
+        is_admitted = limits.admit(queued, wait_s, route_ahead, now)
+        count_ahead = sum(count for _, count in ahead)
+        return Decision(None, not is_admitted, wait_s, is_held, count_ahead)
 
     def _quarantined_part(self, request: PlacementRequest, now: float) -> str:
         """Return the part for which a request is refused; empty if there is none."""
@@ -541,18 +570,6 @@
             software_version="" if engine is None else engine.software_version,
         )
 
-    def _refuse_until(
-        self, request: PlacementRequest, pause_left_s: float, now: float
-    ) -> PlacementReply:
-        """Refuse a request for the rest of a pause; 0 without one.
-
-        The clients of one member are spread over the time after the pause.
-        """
-        if not pause_left_s:
-            return self._refuse(request, RETRY_AFTER_MIN_S, now)
-        spread_s = PAUSE_END_SPREAD_S * (request.number * GOLDEN_RATIO % 1.0)
-        return self._refuse(request, pause_left_s + spread_s, now)
-
     def _refuse(
         self, request: PlacementRequest, wait_s: float, now: float
     ) -> PlacementReply:
@@ -564,6 +581,17 @@
         return _refusal(request, verdict, wait_s)
 
 
+def _refuse_until(request: PlacementRequest, pause_left_s: float) -> Decision:
+    """Return the refusal of a request for the rest of a pause; 0 without one.
+
+    The clients of one member are spread over the time after the pause.
+    """
+    if not pause_left_s:
+        return Decision(is_refused=True, wait_s=RETRY_AFTER_MIN_S)
+    spread_s = PAUSE_END_SPREAD_S * (request.number * GOLDEN_RATIO % 1.0)
+    return Decision(is_refused=True, wait_s=pause_left_s + spread_s)
+
+
 def _engine_time_s(found: Placement, request: PlacementRequest) -> float:
     """Return the slot seconds that a granted request is expected to take."""
     engine = found.engine
