burdockhaven-ctl where: where a request would go now, without sending it

Operators asked for it. Any member's control address answers under /where or names the one whose broker decides.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -185,7 +185,7 @@
             self.queue[key].paused_until_s = paused_until_s(request, now)
             return PlacementReply(request.number, Verdict.QUEUED)
         self.crashes.settle(now)
-        quarantined = self._quarantined_part(request, now)
+        quarantined = self.quarantined_part(request, now)
         if quarantined:
             return _quarantine_reply(request, quarantined)
         refusal = self._refuse_over_quota(request, now)
@@ -198,7 +198,7 @@
             request,
             was_refused,
             now,
-            is_overdrawn=self._is_overdrawn(request, now),
+            is_overdrawn=self.is_overdrawn(request, now),
         )
         self._counts_of(request.route).submitted += 1
         if not request.is_retry:
@@ -231,7 +231,7 @@
             attempts += 1
             if attempts > MAX_GRANT_ATTEMPTS:
                 break
-            found = self._find_placement(queued, engines, now)
+            found = self.find_placement(queued, engines, now)
             if found is None:
                 continue
             del self.queue[key]
@@ -253,7 +253,7 @@
             ahead = work_ahead.setdefault(service, VersionedWork())
             version = queue_class.software_version
             for key, queued in group:
-                quarantined = self._quarantined_part(queued.request, now)
+                quarantined = self.quarantined_part(queued.request, now)
                 if quarantined:
                     del self.queue[key]
                     reply = _quarantine_reply(queued.request, quarantined)
@@ -337,25 +337,32 @@
 
         What a resumed stream lacks is kept for it until it returns.
         """
-        account = self.accounts.get(request.account)
-        if account is None:
-            return None
-        cost = quota_cost(account, request.prompt_tokens, request.output_tokens)
-        needed = cost
         if request.is_resumption:
             self.quota_reservations.release(request.digest)
-        else:
-            needed += self.quota_reservations.units(account.name, now)
-        others_wait = self.queue.holds_service(request.service)
-        if self.quotas.admits(account, needed, now, others_wait=others_wait):
+        wait_s = self.over_quota_wait_s(request, now)
+        if wait_s is None:
             return None
-        wait_s = self.quotas.retry_after_s(account, needed, now)
         if request.is_resumption and request.digest:
+            account = self.accounts[request.account]
+            cost = quota_cost(account, request.prompt_tokens, request.output_tokens)
             self.quota_reservations.reserve(
                 request.digest, account.name, cost, wait_s, now
             )
         return _refusal(request, Verdict.OVER_QUOTA, wait_s)
 
+    def over_quota_wait_s(self, request: PlacementRequest, now: float) -> float | None:
+        """Return the seconds until an account has the quota; None if it has it now."""
+        account = self.accounts.get(request.account)
+        if account is None:
+            return None
+        needed = quota_cost(account, request.prompt_tokens, request.output_tokens)
+        if not request.is_resumption:
+            needed += self.quota_reservations.units(account.name, now)
+        others_wait = self.queue.holds_service(request.service)
+        if self.quotas.admits(account, needed, now, others_wait=others_wait):
+            return None
+        return self.quotas.retry_after_s(account, needed, now)
+
     def _place_or_queue(
         self, key: RequestKey, queued: QueuedRequest, now: float
     ) -> PlacementReply:
@@ -393,7 +400,7 @@
         is_held = self._must_wait_for_trial(request, now)
         if not ahead and not is_held:
             free = self._available_engines(request.service, now)
-            found = self._find_placement(queued, free, now)
+            found = self.find_placement(queued, free, now)
             if found is not None:
                 return Decision(found)
         limits = self._limits_of(queue_class, now, None if pause_left_s else queued)
@@ -416,7 +423,7 @@
         count_ahead = sum(count for _, count in ahead)
         return Decision(None, not is_admitted, wait_s, is_held, count_ahead)
 
-    def _quarantined_part(self, request: PlacementRequest, now: float) -> str:
+    def quarantined_part(self, request: PlacementRequest, now: float) -> str:
         """Return the part for which a request is refused; empty if there is none."""
         if request.has_begun:
             return ""
@@ -431,7 +438,7 @@
     def _is_trial(self, request: PlacementRequest) -> bool:
         return not request.has_begun and self.crashes.is_trial(_shared_parts(request))
 
-    def _find_placement(
+    def find_placement(
         self, queued: QueuedRequest, engines: list[EngineLoad], now: float
     ) -> Placement | None:
         """Return the best engine; for a trial, among those with the fewest runs."""
@@ -444,12 +451,10 @@
             ]
             fewest = min((len(engine.runs) for engine in engines), default=0)
             engines = [engine for engine in engines if len(engine.runs) == fewest]
-        if self.guards_memory:
-            tokens = _needed_tokens(queued.request)
-            engines = [engine for engine in engines if engine.has_memory_for(tokens)]
+        engines = [e for e in engines if self.has_memory(e, queued.request)]
         return _find_placement(queued, engines, now)
 
-    def _is_overdrawn(self, request: PlacementRequest, now: float) -> bool:
+    def is_overdrawn(self, request: PlacementRequest, now: float) -> bool:
         """Whether the request's account uses more than its part of the engines.
 
         A resumed stream has been counted before.
@@ -470,6 +475,10 @@
         tokens = _needed_tokens(request)
         return any(has_room(0, tokens, engine.cache_tokens) for engine in engines)
 
+    def has_memory(self, engine: EngineLoad, request: PlacementRequest) -> bool:
+        """Whether an engine has the memory for a request beside its runs."""
+        return not self.guards_memory or engine.has_memory_for(_needed_tokens(request))
+
     def _is_version_gone(self, request: PlacementRequest) -> bool:
         """Whether the service has engines, and none has the version that is needed."""
         engines = self.runs.open_engines(request.service)
--- a/packages/burdockhaven-ctl/src/burdockhaven_ctl/main.py
+++ b/packages/burdockhaven-ctl/src/burdockhaven_ctl/main.py
@@ -41,6 +41,7 @@
 )
 from burdockhaven_ctl.render import Reply, render_json, render_table
 from burdockhaven_ctl.saved_log import SavedLog
+from burdockhaven_ctl.where import run_where
 
 EXIT_CODE_BY_FAILURE = {
     ApiFailureKind.UNREACHABLE: ExitCode.UNREACHABLE,
@@ -61,6 +62,8 @@
     options = build_parser().parse_args(arguments)
     if options.command == "explain":
         return run_explain(options)
+    if options.command == "where":
+        return run_where(options)
     built = build_client(options, os.environ)
     if isinstance(built, Err):
         print(built.err_value, file=sys.stderr)
--- a/packages/burdockhaven-ctl/src/burdockhaven_ctl/options.py
+++ b/packages/burdockhaven-ctl/src/burdockhaven_ctl/options.py
@@ -102,12 +102,33 @@
     )
     explain.add_argument("request", help="identity of the client's attempt")
     explain.add_argument("log", type=Path, nargs="+", help="saved logs of the entries")
+    _add_where_command(commands)
     commands.add_parser("members", help="show the entries")
     commands.add_parser("targets", help="show the targets as one entry sees them")
     commands.add_parser("floors", help="show the lowest tier that each group admits")
     commands.add_parser("queues", help="show the requests that are queued at one entry")
 
 
+def _add_where_command(
+    commands: "argparse._SubParsersAction[argparse.ArgumentParser]",
+) -> None:
+    where = commands.add_parser(
+        "where", help="explain where a request would go now, without sending it"
+    )
+    where.add_argument("control", help="control address of any entry, host:port")
+    where.add_argument("host", help="host of the request")
+    where.add_argument("path", help="path of the request")
+    where.add_argument("--account", default="", help="name of the client account")
+    where.add_argument("--prompt-tokens", type=int, default=0)
+    where.add_argument("--output-tokens", type=int, default=0, help="at most")
+    where.add_argument("--expected-tokens", type=int, default=0, help="of the output")
+    where.add_argument(
+        "--parts", default="", help="parts of the prompt, as ID:TOKENS,ID:TOKENS"
+    )
+    where.add_argument("--version", default="", help="software version it needs")
+    where.add_argument("--zone", help="availability zone of the entry that it reaches")
+
+
 def _parse_version(text: str) -> int | None:
     """Parse a version number; return None for the version in force."""
     if text == CURRENT_VERSION:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/control_handler.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/control_handler.py
@@ -1,4 +1,4 @@
-"""Control endpoints: look-ups by clients, readiness, configuration and metrics."""
+"""Control endpoints: look-ups, readiness, configuration, metrics, placements."""
 
 from aiohttp import web
 
@@ -16,6 +16,8 @@
 METRICS_PATH = "/metrics"
 # Path at which other members fetch the configuration in force.
 CONFIGURATION_PATH = "/configuration"
+# Path at which operators ask where a request would go.
+WHERE_PATH = "/where"
 VERSION_HEADER = "Burdockhaven-Version"
 # Seconds for which clients cache a look-up. A shorter time causes more calls, a longer
 # one more connections to members that have stopped.
@@ -39,6 +41,11 @@
             return self._look_up()
         if request.path == CONFIGURATION_PATH:
             return self._configuration()
+        if request.path == WHERE_PATH:
+            # Imported on the first question, so that the start does not wait for it.
+            from burdockhaven_entry.gateway.where_handler import handle_where
+
+            return handle_where(self.state, request)
         return error_response(NOT_FOUND, "unknown path")
 
     async def handle_metrics(self, request: web.BaseRequest) -> web.StreamResponse:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/responses.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/responses.py
@@ -7,6 +7,7 @@
 from burdockhaven_core.scheduling.broker import PAUSE_END_SPREAD_S, RETRY_AFTER_MAX_S
 from burdockhaven_entry.platform import refusal_headers
 
+TEMPORARY_REDIRECT = 307
 BAD_REQUEST = 400
 UNAUTHORIZED = 401
 NOT_FOUND = 404
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/__init__.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/__init__.py
@@ -11,6 +11,7 @@
     from burdockhaven_entry.platform.client_request import (
         ClientRequest,
         MalformedRequestError,
+        parse_prompt_parts,
         read_client_request,
         target_headers,
     )
@@ -83,6 +84,7 @@
     "TargetEntryError",
     "client_headers",
     "encode_look_up",
+    "parse_prompt_parts",
     "parse_whole_number",
     "read_body_up_to",
     "read_response_head",
@@ -121,6 +123,7 @@
     "TargetResponseHead": "burdockhaven_entry.platform.response_headers",
     "client_headers": "burdockhaven_entry.platform.response_headers",
     "encode_look_up": "burdockhaven_entry.platform.look_up",
+    "parse_prompt_parts": "burdockhaven_entry.platform.client_request",
     "parse_whole_number": "burdockhaven_entry.platform.whole_number",
     "read_body_up_to": "burdockhaven_entry.platform.response_body",
     "read_client_request": "burdockhaven_entry.platform.client_request",
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/client_request.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/client_request.py
@@ -100,7 +100,7 @@
         api_key=_api_key(headers),
         prompt_tokens=None if counts is None else counts[0],
         max_output_tokens=None if counts is None else counts[1],
-        parts=_parse_parts(headers.get(PROMPT_PREFIX, "")),
+        parts=parse_prompt_parts(headers.get(PROMPT_PREFIX, "")),
         last_event_id=headers.get(LAST_EVENT_ID),
         resumed_attempt_id=headers.get(RESUMES) or None,
         expected_output_tokens=_parse_number(headers, LENGTH_HINT),
@@ -158,7 +158,8 @@
     return numbers
 
 
-def _parse_parts(value: str) -> tuple[tuple[str, int], ...]:
+def parse_prompt_parts(value: str) -> tuple[tuple[str, int], ...]:
+    """Parse the parts of a prompt and their tokens; unreadable ones are skipped."""
     parts = []
     for piece in value.split(","):
         name, colon, tokens = piece.strip().partition(":")
