--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -182,6 +182,8 @@
         self.port = int(port)
         self.address = ""
         self.silenced = 0
+        # Whether new connections are reset.
+        self.refuses = False
         # One for each open connection, set once it is silent for good.
         self.open: set[asyncio.Event] = set()
 
@@ -202,6 +204,9 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if self.refuses:
+            writer.transport.abort()
+            return
         silent = asyncio.Event()
         self.open.add(silent)
         try:
@@ -328,6 +333,18 @@
                 )
             )
 
+    async def add_daemon(self, seeds: list[str], store_address: str) -> Daemon:
+        """Start a machine that is added later, with settings of its own."""
+        number = len(self.daemons) + 1
+        ip = f"127.0.0.{number}"
+        names = ("front", "readiness", "control", "directory")
+        listen = {name: f"{ip}:{free_port()}" for name in names}
+        daemon = await self._start_daemon(
+            f"front-{number}", ip, listen, seeds, False, store_address
+        )
+        self.daemons.append(daemon)
+        return daemon
+
     async def restart(self, daemon: Daemon) -> Daemon:
         """Start a process again that has ended."""
         ip = daemon.front.partition(":")[0]
@@ -344,6 +361,7 @@
         listen: dict[str, str],
         seeds: list[str],
         first_start: bool,
+        store_address: str = "",
     ) -> Daemon:
         settings = {
             "node": node,
@@ -387,7 +405,7 @@
             "fault_tolerance": {"machines": 2, "zones": 0, "regions": 0},
             "bounds": BOUNDS,
             "platform": {
-                "address": self.proxy.address,
+                "address": store_address or self.proxy.address,
                 "form": "kv",
                 "writes_per_s": 400,
                 "reads_per_s": 2000,
@@ -418,13 +436,14 @@
         end_s = time.monotonic() + timeout_s
         while time.monotonic() < end_s:
             with contextlib.suppress(TimeoutError, aiohttp.ClientError):
-                if all([await self._looks_up(d) == fronts for d in self.daemons]):
+                if all([await self.look_up(d) == fronts for d in self.daemons]):
                     self.record.write("all processes are ready")
                     return
             await asyncio.sleep(0.1)
         raise NotRunError("the processes did not become ready")
 
-    async def _looks_up(self, daemon: Daemon) -> set[str]:
+    async def look_up(self, daemon: Daemon) -> set[str]:
+        """Return the addresses that a process gives to clients."""
         url = (
             f"http://{daemon.listen['directory']}/-/lookup?name={HOST}&region=r&zone=a"
         )
