--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,3 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
+cd "$(dirname "$0")" && exec python3 case.py
--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import itertools
 import json
 import os
@@ -65,6 +66,9 @@
     "ttl_max_s": 5,
 }
 MEMORY_MB = 300
+# Option of prctl(2): the signal that a process gets when its parent ends.
+PR_SET_PDEATHSIG = 1
+_libc = ctypes.CDLL(None)
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -425,7 +429,12 @@
         }
         with self.log_path.open("ab") as log:
             process = await asyncio.create_subprocess_exec(
-                *command, cwd=ROOT, env=env, stdout=log, stderr=log
+                *command,
+                cwd=ROOT,
+                env=env,
+                stdout=log,
+                stderr=log,
+                preexec_fn=_end_with_parent,
             )
         self.record.write(f"process {node} starts")
         return Daemon(node, listen, process)
@@ -523,6 +532,11 @@
     os._exit(code)
 
 
+def _end_with_parent() -> None:
+    """Have the kernel kill this process when the script ends."""
+    _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 def _copy_log(path: Path, folder: Path) -> None:
     keep = os.environ.get("KEEP_LOG")
     if keep and path.exists():
