--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -95,23 +95,31 @@
 
 # Below the range of ephemeral ports, so that no outgoing connection takes a port.
 FIRST_PORT, LAST_PORT = 20_000, 31_000
+# Machines of a case, each with a loopback address of its own.
+MAX_MACHINES = 4
 _given_ports: set[int] = set()
 
 
 def free_port() -> int:
-    """Return a port that is free on all addresses, for TCP and UDP."""
+    """Return a port that is free on the loopback addresses, for TCP and UDP."""
     while True:
         port = random.randint(FIRST_PORT, LAST_PORT)
-        if port in _given_ports:
-            continue
-        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-            try:
-                tcp.bind(("0.0.0.0", port))
-                udp.bind(("0.0.0.0", port))
-            except OSError:
-                continue
-        _given_ports.add(port)
-        return port
+        if port not in _given_ports and _is_free(port):
+            _given_ports.add(port)
+            return port
+
+
+def _is_free(port: int) -> bool:
+    """Whether the port can be bound on all addresses of the machines."""
+    with contextlib.ExitStack() as stack:
+        for number in range(1, MAX_MACHINES + 1):
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                probe = stack.enter_context(socket.socket(type=kind))
+                try:
+                    probe.bind((f"127.0.0.{number}", port))
+                except OSError:
+                    return False
+    return True
 
 
 @dataclass
