--- a/review/lib2/world.py
+++ b/review/lib2/world.py
@@ -347,6 +347,8 @@
         self.attempts = itertools.count(1)
         self.tasks: list[asyncio.Task[None]] = []
         self.version = 0
+        # The tenant's quota; none by default.
+        self.quota: dict[str, Any] = {}
 
     async def start(
         self,
@@ -402,7 +404,7 @@
                 "header_timeout_ms": 3000,
                 "idle_timeout_ms": 15000,
             },
-            "tenants": [{"name": "hule930", "api_keys": [KEY]}],
+            "tenants": [{"name": "hule930", "api_keys": [KEY]} | self.quota],
         }
         self.store.put("op/config", json.dumps(body).encode())
 
