--- a/review/lib2/world.py
+++ b/review/lib2/world.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import itertools
 import json
 import os
@@ -68,6 +69,9 @@
 HEARTBEAT_S = 1.2
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 START_TIMEOUT_S = 20.0
+# Option of prctl(2): the signal that a process gets when its parent ends.
+PR_SET_PDEATHSIG = 1
+_libc = ctypes.CDLL(None)
 
 
 def trouble() -> bool:
@@ -75,6 +79,11 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+def _end_with_parent() -> None:
+    """Have the kernel kill this process when the script ends, however it does."""
+    _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 def free_port(ip: str = "127.0.0.1") -> int:
     """Return a free TCP port of an address."""
     with socket.socket() as sock:
@@ -488,6 +497,7 @@
                 },
                 stdout=output,
                 stderr=output,
+                preexec_fn=_end_with_parent,
             )
         daemon = Daemon(node, ip, listen, process, log)
         self.daemons[node] = daemon
