--- a/packages/burdockhaven-entry/tests/gateway/test_replacement_search.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_replacement_search.py
@@ -11,15 +11,19 @@
     Script,
     hang,
     reset_connection,
+    respond,
     routing_table,
     stream_events,
+    wait_until,
 )
 from test_stream_forwarding import (
+    SILENCES,
     numbered_events,
     set_idle_engines_ejected,
     silent_before,
 )
 
+from burdockhaven_core.scheduling.drain_schedule import DrainSchedule
 from burdockhaven_core.scheduling.routing import RoutingTable
 from burdockhaven_entry.gateway.placement_client import Placement, PlacementClient
 from burdockhaven_entry.gateway.replacement_search import ReplacementSearch
@@ -319,3 +323,51 @@
     gateway = await start(engines=[script, script])
     response = await gateway.call("/stream/x")
     assert (response.status, response.body) == (200, numbered_events(1, 4))
+
+
+# Guards against LOST: the run of a sound, silent engine is ended for an engine that is
+# full, so that the stream is cut although the first engine goes on.
+@pytest.mark.parametrize("silence", SILENCES)
+async def test_silent_stream_is_whole_if_the_engine_granted_instead_rejects_it(
+    start, silence
+):
+    script = Script(SILENCES[silence], REJECTED)
+    gateway = await start(engines=[script, script])
+    response = await gateway.call("/stream/x")
+    assert (response.status, response.body) == (200, numbered_events(1, 4))
+
+
+# Guards against the same where the engine that is granted instead is gone or fails.
+@pytest.mark.parametrize(
+    "failure",
+    [
+        reset_connection,
+        respond(b"no", "500 Internal Server Error"),
+        respond(b"no", "200 OK", signature=""),
+    ],
+    ids=["reset", "error", "unsigned"],
+)
+async def test_silent_stream_is_whole_if_the_engine_granted_instead_fails(
+    start, failure
+):
+    script = Script(silent_before(3, 4), failure)
+    gateway = await start(engines=[script, script])
+    response = await gateway.call("/stream/x")
+    assert (response.status, response.body) == (200, numbered_events(1, 4))
+
+
+# Guards against LOST around SIGTERM: all streams of a stopping member whose engines are
+# silent for a moment are cut, because no engine has room for them.
+async def test_silent_streams_of_a_stopping_member_are_whole_while_engines_are_full(
+    start,
+):
+    script = Script(*[silent_before(3, 4)] * 4, REJECTED)
+    gateway = await start(engines=[script, script])
+    streams = [asyncio.create_task(gateway.call("/stream/x")) for _ in range(4)]
+    await wait_until(lambda: len(gateway.received) == 4)
+    gateway.state.draining = True
+    gateway.frontend.drain = DrainSchedule.from_grace(gateway.state.clock(), 8.0)
+    responses = await asyncio.gather(*streams, return_exceptions=True)
+    assert [getattr(response, "body", response) for response in responses] == [
+        numbered_events(1, 4)
+    ] * 4
