A silent run ends only once another engine has accepted the request

Cause: a silent engine's run was ended when another engine was granted. A grant is the broker's belief about free places, not the engine's word: the engine may be full, gone or failing. Then the stream had neither engine.

Fix: the request is sent to the granted engine beside the silent run (OpenedRun); the silent run ends when the other answers with a stream or hasn't rejected for 50 ms, so two engines work on one stream for no longer than that. A rejection, reset, or failure leaves the silent run as it is, and the next look waits longer. A request without a head whose other engine has rejected is still answered before its client leaves.

--- /dev/null
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/opened_run.py
@@ -0,0 +1,70 @@
+"""Runs that are opened at another engine while the engine of a stream is silent.
+
+The silent engine may be sound and go on, and the other one may reject the request, so
+the silent run is given up only once the other engine has accepted it.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+from burdockhaven_core.scheduling.target_registry import TargetEntry
+from burdockhaven_entry.gateway.placement_client import Placement
+from burdockhaven_entry.gateway.target_client import (
+    OutgoingRequest,
+    TargetClient,
+    TargetResponse,
+)
+
+# Seconds without a response after which an engine counts as having accepted a request:
+# it rejects within a round trip, but answers only once it has read the prompt. Two
+# engines may not work on one stream for longer.
+ACCEPTANCE_DELAY_S = 0.05
+
+
+@dataclass(slots=True)
+class OpenedRun:
+    """A request that was sent, and whose response has not been used yet."""
+
+    placement: Placement
+    target: TargetEntry
+    target_client: TargetClient
+    # Sends the request; its result is the response, once the head has arrived.
+    opening: asyncio.Task[TargetResponse]
+
+    @classmethod
+    def begin(
+        cls,
+        target_client: TargetClient,
+        placement: Placement,
+        target: TargetEntry,
+        request: OutgoingRequest,
+    ) -> "OpenedRun":
+        """Send the request, without waiting for a response."""
+        opening = asyncio.create_task(target_client.open(target, request))
+        return cls(placement, target, target_client, opening)
+
+    async def wait_for_rejection(self) -> TargetResponse | None:
+        """Return the response if it begins at once; None if the engine is at work.
+
+        Raises `SendError` if there is no valid response.
+        """
+        done, _ = await asyncio.wait({self.opening}, timeout=ACCEPTANCE_DELAY_S)
+        return self.opening.result() if done else None
+
+    @asynccontextmanager
+    async def response(self) -> AsyncIterator[TargetResponse]:
+        """Yield the response once its head has arrived; raises `SendError`."""
+        response = await self.opening
+        try:
+            yield response
+        finally:
+            response.close()
+
+    def abort(self) -> None:
+        """Close the connection, which ends the run."""
+        if not self.opening.done():
+            self.opening.cancel()
+        elif not self.opening.cancelled() and self.opening.exception() is None:
+            self.opening.result().close()
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/replacement_search.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/replacement_search.py
@@ -1,34 +1,34 @@
 """Looks for another engine while the engine of a stream is silent.
 
 A silent engine may be sound and go on. Therefore its run is not ended before another
-engine has been granted to the request: if none is, the stream waits for the silent one.
+engine has accepted the request: if none does, the stream waits for the silent one.
 """
 
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from burdockhaven_entry.gateway.placement_client import Placement
+from burdockhaven_entry.gateway.opened_run import OpenedRun
 
-# Seconds between a refused placement and the next request for one.
+# Seconds between an unsuccessful look for another engine and the next one.
 SEARCH_INTERVAL_S = 0.5
 
 
 @dataclass(slots=True)
 class ReplacementSearch:
-    """Observes one run; holds the placement that is found while it is silent.
+    """Observes one run; holds the run that is opened elsewhere while it is silent.
 
     Each event of the run restarts it, because the engine is not silent.
     """
 
-    # Ends the run when it expires; set once a placement was found.
+    # Ends the run when it expires; set once another engine has accepted the request.
     run_timeout: asyncio.Timeout
-    # Requests another engine; None if there is none now.
-    find: Callable[[], Awaitable[Placement | None]]
-    # Returns a placement that is not used.
-    give_back: Callable[[Placement], None]
-    # The placement that was found; None while there is none.
-    found: Placement | None = None
+    # Opens a run at another engine; None if none accepts the request now.
+    find: Callable[[], Awaitable[OpenedRun | None]]
+    # Ends a run that was opened and is not used.
+    give_back: Callable[[OpenedRun], None]
+    # The run that was opened; None while there is none.
+    found: OpenedRun | None = None
     # Starts the search; None if no search is due.
     timer: asyncio.TimerHandle | None = None
     # The running search; None if there is none.
@@ -46,10 +46,14 @@
         """
         if self.run_timeout.expired():
             return
-        if self.found is not None:
+        if self.run_timeout.when() is not None:
             self.run_timeout.reschedule(None)
         self.discard()
 
+    def end_run_at(self, time_s: float) -> None:
+        """End the run at a time of the event loop unless it is no longer silent."""
+        self.run_timeout.reschedule(time_s)
+
     def discard(self) -> None:
         """End the search and give back what it has found."""
         if self.timer is not None:
@@ -62,8 +66,8 @@
         if found is not None:
             self.give_back(found)
 
-    def take(self) -> Placement | None:
-        """Return the placement that was found, if any, to the caller, who uses it."""
+    def take(self) -> OpenedRun | None:
+        """Return the run that was opened, if any, to the caller, who uses it."""
         found, self.found = self.found, None
         return found
 
@@ -72,7 +76,7 @@
         self.task = asyncio.get_running_loop().create_task(self._search())
 
     async def _search(self) -> None:
-        found: Placement | None = None
+        found: OpenedRun | None = None
         while found is None:
             found = await self.find()
             if found is None:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -22,6 +22,7 @@
     StreamEvent,
 )
 from burdockhaven_entry.gateway.gateway_state import GatewayState
+from burdockhaven_entry.gateway.opened_run import OpenedRun
 from burdockhaven_entry.gateway.placement_client import (
     Placement,
     PlacementClient,
@@ -109,7 +110,7 @@
             return timeout_response(stream)
         finally:
             if stream.replacement is not None:
-                self._give_back(stream.replacement)
+                self._abandon(stream, stream.replacement)
 
     def _placement_requirements(self, routed: RoutedRequest) -> PlacementRequirements:
         client_request = routed.client_request
@@ -137,7 +138,12 @@
         for count in itertools.count(1):
             if self._is_quarantined(stream):
                 return self._refuse_quarantined(stream)
-            placement = await self._next_placement(routed, stream)
+            opened, stream.replacement = stream.replacement, None
+            placement = (
+                await self._next_placement(routed, stream)
+                if opened is None
+                else opened.placement
+            )
             if isinstance(placement, Placement) and self._is_quarantined(stream):
                 # Since the request was queued.
                 self._give_back(placement)
@@ -150,10 +156,12 @@
                     return refusal_response(stream, placement)
                 await self._pause(stream)
                 continue
-            result = await self._use_placement(routed, stream, placement)
+            result = await self._use_placement(routed, stream, placement, opened)
             if result is RunResult.DONE and stream.response is not None:
                 return stream.response
-            if result is RunResult.BROKEN and not stream.can_run_again:
+            if result is RunResult.GIVEN_UP or (
+                result is RunResult.BROKEN and not stream.can_run_again
+            ):
                 break
             has_placement = stream.replacement is not None
             if count >= MAX_PLACEMENTS and not (
@@ -182,9 +190,6 @@
     async def _next_placement(
         self, routed: RoutedRequest, stream: StreamState
     ) -> Placement | PlacementRefused:
-        if stream.replacement is not None:
-            replacement, stream.replacement = stream.replacement, None
-            return replacement
         stream.readmit(self._usable_targets(routed, stream))
         requested_s = self.state.clock()
         placement = await self.placement_client.place(stream.current_requirements())
@@ -194,21 +199,30 @@
         return placement
 
     async def _use_placement(
-        self, routed: RoutedRequest, stream: StreamState, placement: Placement
+        self,
+        routed: RoutedRequest,
+        stream: StreamState,
+        placement: Placement,
+        opened: OpenedRun | None,
     ) -> RunResult:
-        """Run the request at the granted target, which the next placement avoids."""
-        target = self._resolve_target(routed, stream, placement)
-        # Granted before the broker knew which targets the request has used up.
-        is_beyond_limit = (
-            stream.has_used_up_targets and placement.target not in stream.ran_at
-        )
-        if target is None or is_beyond_limit:
-            self._give_back(placement)
-            # The next placement request names a pause, which ends by itself.
-            if not self.state.is_paused(placement.target):
-                stream.exclude(placement.target)
-            return RunResult.NOT_SENT
-        result = await self._run_on_target(routed, stream, target, placement)
+        """Run the request at the granted target, which the next placement avoids.
+
+        `opened` is the run at that target, None if it is still to be opened.
+        """
+        if opened is None:
+            target = self._resolve_target(routed, stream, placement)
+            # Granted before the broker knew which targets the request has used up.
+            is_beyond_limit = (
+                stream.has_used_up_targets and placement.target not in stream.ran_at
+            )
+            if target is None or is_beyond_limit:
+                self._give_back(placement)
+                # The next placement request names a pause, which ends by itself.
+                if not self.state.is_paused(placement.target):
+                    stream.exclude(placement.target)
+                return RunResult.NOT_SENT
+            opened = self._open_run(routed, stream, target, placement)
+        result = await self._run_on_target(routed, stream, opened)
         stream.may_have_run = stream.possible_runs > 0
         stream.exclude(placement.target)
         return result
@@ -272,21 +286,28 @@
             software_version=placement.software_version,
         )
 
-    async def _run_on_target(
+    def _open_run(
         self,
         routed: RoutedRequest,
         stream: StreamState,
         target: TargetEntry,
         placement: Placement,
-    ) -> RunResult:
+    ) -> OpenedRun:
+        """Send the request to the granted target."""
         now = self.state.clock()
         self._charge_quota(routed, now)
         routed.trace.sends += 1
-        routed.trace.target = target.id
-        stream.begin_run()
         self.state.record_send_of_content(routed.content, target)
         reuse = routed.route.idempotent
         request = routed.outgoing_request(target.id, now, stream.last_event_id, reuse)
+        return OpenedRun.begin(self.target_client, placement, target, request)
+
+    async def _run_on_target(
+        self, routed: RoutedRequest, stream: StreamState, opened: OpenedRun
+    ) -> RunResult:
+        target, placement = opened.target, opened.placement
+        routed.trace.target = target.id
+        stream.begin_run()
         end = RunEnd.CANCELLED
         has_disconnected = False
         search: ReplacementSearch | None = None
@@ -295,9 +316,9 @@
                 search = self._create_search(routed, stream, target, run_timeout)
                 try:
                     search.restart(_first_event_timeout_s(placement))
-                    async with self.target_client.send(target, request) as response:
+                    async with opened.response() as response:
                         end, result = await self._relay_response(
-                            routed, stream, target, placement, response, search
+                            routed, stream, opened, response, search
                         )
                         return result
                 finally:
@@ -306,19 +327,16 @@
             if search is None or self.state.clock() >= routed.deadline_s:
                 raise
             stream.record_possible_run(target.id)
-            stream.was_replaced = True
+            routed.trace.failures.append(f"{target.id}: silent")
             stream.replacement = search.take()
+            if stream.replacement is None:
+                return RunResult.GIVEN_UP
+            stream.was_replaced = True
             end = RunEnd.REPLACED
-            routed.trace.failures.append(f"{target.id}: silent")
             return RunResult.BROKEN
         except SendError as error:
-            routed.trace.failures.append(str(error))
-            end, result = _classify_send_error(error)
+            end, result = self._record_send_error(routed, stream, target, error)
             has_disconnected = error.is_disconnect
-            if has_disconnected and not stream.has_gone_on:
-                self.state.record_end_beneath(routed.content, target)
-            if result is RunResult.BROKEN:
-                stream.record_possible_run(target.id)
             return result
         finally:
             self.placement_client.record_end(
@@ -331,24 +349,33 @@
             if search is not None:
                 search.discard()
 
-    async def _relay_response(
+    def _record_send_error(
         self,
         routed: RoutedRequest,
         stream: StreamState,
         target: TargetEntry,
-        placement: Placement,
+        error: SendError,
+    ) -> tuple[RunEnd, RunResult]:
+        routed.trace.failures.append(str(error))
+        end, result = _classify_send_error(error)
+        if error.is_disconnect and not stream.has_gone_on:
+            self.state.record_end_beneath(routed.content, target)
+        if result is RunResult.BROKEN:
+            stream.record_possible_run(target.id)
+        return end, result
+
+    async def _relay_response(
+        self,
+        routed: RoutedRequest,
+        stream: StreamState,
+        opened: OpenedRun,
         target_response: TargetResponse,
         search: ReplacementSearch,
     ) -> tuple[RunEnd, RunResult]:
-        head = target_response.head
+        target, head = opened.target, target_response.head
         self.state.record_response(target, head, self.state.clock())
         if head.not_run:
-            routed.trace.failures.append(f"{target.id}: rejected, {head.status}")
-            await target_response.discard_body()
-            if head.observation.is_gone:
-                return RunEnd.LEAVING, RunResult.NOT_RUN
-            is_pause = bool(head.observation.pause_s)
-            end = RunEnd.PAUSED if is_pause else RunEnd.REJECTED
+            end = await self._handle_rejection(routed, target_response)
             return end, RunResult.NOT_RUN
         if head.is_encoded or not head.is_signed:
             routed.trace.failures.append(
@@ -367,11 +394,23 @@
                 close_after_response(routed.request, stream.response)
             await stream.response.prepare(routed.request)
         await self._relay_events(
-            routed, stream, target, placement, target_response, search
+            routed, stream, target, opened.placement, target_response, search
         )
         self._record_answered(stream, target.id)
         return RunEnd.COMPLETED, RunResult.DONE
 
+    async def _handle_rejection(
+        self, routed: RoutedRequest, target_response: TargetResponse
+    ) -> RunEnd:
+        head = target_response.head
+        routed.trace.failures.append(
+            f"{target_response.target}: rejected, {head.status}"
+        )
+        await target_response.discard_body()
+        if head.observation.is_gone:
+            return RunEnd.LEAVING
+        return RunEnd.PAUSED if head.observation.pause_s else RunEnd.REJECTED
+
     async def _relay_events(
         self,
         routed: RoutedRequest,
@@ -458,26 +497,33 @@
         target: TargetEntry,
         run_timeout: asyncio.Timeout,
     ) -> ReplacementSearch:
-        async def find() -> Placement | None:
-            return await self._find_replacement(routed, stream, target)
+        async def find() -> OpenedRun | None:
+            opened = await self._find_replacement(routed, stream, target)
+            if opened is None and stream.rejections and stream.response is None:
+                # Its client gets a response, so that it can send the request again.
+                left_s = stream.give_up_s - self.state.clock()
+                run_timeout.reschedule(asyncio.get_running_loop().time() + left_s)
+            return opened
+
+        def give_back(opened: OpenedRun) -> None:
+            self._abandon(stream, opened)
 
-        return ReplacementSearch(run_timeout, find, self._give_back)
+        return ReplacementSearch(run_timeout, find, give_back)
 
     def _give_back(self, placement: Placement) -> None:
         self.placement_client.record_end(placement.number, RunEnd.NOT_SENT)
 
+    def _abandon(self, stream: StreamState, opened: OpenedRun) -> None:
+        """End a run that was opened and is not used."""
+        opened.abort()
+        stream.ran_at.add(opened.target.id)
+        self.placement_client.record_end(opened.placement.number, RunEnd.CANCELLED)
+
     async def _find_replacement(
         self, routed: RoutedRequest, stream: StreamState, target: TargetEntry
-    ) -> Placement | None:
-        """Request an engine other than a silent one, if another run is allowed."""
-        route = routed.route
-        if not route.resumable or (
-            len(stream.ran_at | {target.id}) >= route.max_attempts
-        ):
-            return None
-        if not self._has_other_engine(routed, stream, target):
-            return None
-        if not self._admits_retry(routed, stream) or self._is_quarantined(stream):
+    ) -> OpenedRun | None:
+        """Open a run at an engine other than a silent one; None if there is none."""
+        if not self._may_replace(routed, stream, target):
             return None
         requirements = retry_excluding(stream.current_requirements(), target.id)
         # Without the digest, a refusal here does not count as one of the client.
@@ -485,10 +531,70 @@
         placement = await self.placement_client.place(requirements)
         if isinstance(placement, PlacementRefused):
             return None
-        if not self._acquire_retry(routed, stream):
+        other = self._resolve_target(routed, stream, placement)
+        if other is None or not self._acquire_retry(routed, stream):
             self._give_back(placement)
             return None
-        return placement
+        stream.is_retry_acquired = False
+        opened = self._open_run(routed, stream, other, placement)
+        return opened if await self._is_accepted(routed, stream, opened) else None
+
+    def _may_replace(
+        self, routed: RoutedRequest, stream: StreamState, target: TargetEntry
+    ) -> bool:
+        """Whether another engine than a silent one may get the request now."""
+        route = routed.route
+        return (
+            route.resumable
+            and len(stream.ran_at | {target.id}) < route.max_attempts
+            and self.state.clock() >= stream.search_from_s
+            and self._has_other_engine(routed, stream, target)
+            and self._admits_retry(routed, stream)
+            and not self._is_quarantined(stream)
+        )
+
+    async def _is_accepted(
+        self, routed: RoutedRequest, stream: StreamState, opened: OpenedRun
+    ) -> bool:
+        """Whether the engine of an opened run accepts it; otherwise the run has ended.
+
+        The silent run goes on beside it.
+        """
+        has_disconnected = False
+        try:
+            response = await opened.wait_for_rejection()
+            if response is None or _may_be_relayed(stream, response):
+                return True
+            end = await self._end_refused_run(routed, stream, opened, response)
+        except asyncio.CancelledError:
+            self._abandon(stream, opened)
+            raise
+        except SendError as error:
+            end, _ = self._record_send_error(routed, stream, opened.target, error)
+            has_disconnected = error.is_disconnect
+        stream.record_refused_replacement(self.state.clock())
+        self.placement_client.record_end(
+            opened.placement.number, end, has_disconnected=has_disconnected
+        )
+        return False
+
+    async def _end_refused_run(
+        self,
+        routed: RoutedRequest,
+        stream: StreamState,
+        opened: OpenedRun,
+        response: TargetResponse,
+    ) -> RunEnd:
+        target, head = opened.target, response.head
+        try:
+            self.state.record_response(target, head, self.state.clock())
+            if head.not_run:
+                return await self._handle_rejection(routed, response)
+            routed.trace.failures.append(f"{target.id}: not a stream, {head.status}")
+            stream.record_possible_run(target.id)
+            return RunEnd.FAILED
+        finally:
+            response.close()
 
     def _has_other_engine(
         self, routed: RoutedRequest, stream: StreamState, target: TargetEntry
@@ -532,6 +638,16 @@
     )
 
 
+def _may_be_relayed(stream: StreamState, response: TargetResponse) -> bool:
+    """Whether a response is part of the stream, or the final one to its client."""
+    head = response.head
+    if head.not_run or head.is_encoded or not head.is_signed:
+        return False
+    if head.is_success:
+        return head.is_event_stream
+    return stream.response is None and head.status < 500
+
+
 def _classify_send_error(error: SendError) -> tuple[RunEnd, RunResult]:
     if error.outcome is SendOutcome.NOT_SENT:
         return RunEnd.UNREACHABLE, RunResult.NOT_RUN
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_state.py
@@ -8,8 +8,8 @@
 
 from burdockhaven_core.scheduling.crash_attribution import BEGIN_SETTLE_S
 from burdockhaven_entry.gateway.event_splitter import StreamEvent
+from burdockhaven_entry.gateway.opened_run import OpenedRun
 from burdockhaven_entry.gateway.placement_client import (
-    Placement,
     PlacementRequirements,
     retry_excluding,
 )
@@ -20,6 +20,9 @@
 MIN_PAUSE_SAMPLES = 3
 # Maximum number of runs of a stream for each target that its route allows.
 MAX_RUNS_PER_TARGET = 2
+# Seconds between two looks for another engine, doubled after each that did not accept
+# the request.
+REPLACEMENT_RETRY_INTERVAL_S = 0.2
 # Seconds before its client disconnects at which a request without a head is answered.
 ANSWER_MARGIN_S = 0.3
 
@@ -35,6 +38,9 @@
     BROKEN = 3
     # Nothing was sent, because this process knows that the target leaves.
     NOT_SENT = 4
+    # The run was silent until its client was about to leave, and no other engine
+    # accepted the request.
+    GIVEN_UP = 5
 
 
 @dataclass(slots=True)
@@ -65,10 +71,13 @@
     is_retry_acquired: bool = False
     # Sends that targets rejected since the request was committed.
     rejections: int = 0
-    # Whether a run was ended because another engine was granted to the request.
+    # Whether another engine may have run the request beside a silent one.
     was_replaced: bool = False
-    # Engine granted to replace a silent run; None if the next run needs a placement.
-    replacement: Placement | None = None
+    # The run at another engine that replaces a silent one; None if the next run needs a
+    # placement.
+    replacement: OpenedRun | None = None
+    # Monotonic time in seconds from which another engine is looked for.
+    search_from_s: float = 0.0
     # When the present run had its first event, 0 before it, and whether any run has
     # gone on after its first event.
     run_began_s: float = 0.0
@@ -92,7 +101,7 @@
     def is_committed(self) -> bool:
         """Whether the client can no longer be told that the request has not run.
 
-        Its head was sent, or a run that might have completed was ended for another.
+        Its head was sent, or another engine got it while a run was silent.
         """
         return self.response is not None or self.was_replaced
 
@@ -164,6 +173,12 @@
         self.routed.trace.failed_runs += 1
         self.ran_at.add(target_id)
 
+    def record_refused_replacement(self, now: float) -> None:
+        """Record that an engine did not accept the request beside a silent run."""
+        self.rejections += 1
+        self.was_replaced |= self.possible_runs > 0
+        self.search_from_s = now + REPLACEMENT_RETRY_INTERVAL_S * 2**self.rejections
+
     def begin_run(self) -> None:
         """Record that the request is sent to an engine."""
         self.may_have_run = True
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
@@ -107,6 +107,13 @@
     # Whether the body is delimited only by the close of the connection.
     is_close_delimited: bool
 
+    def close(self) -> None:
+        """Close the connection unless the body was read completely."""
+        if self.response.content.is_eof():
+            self.response.release()
+        else:
+            self.response.close()
+
     async def read_body(self) -> bytes:
         """Return the body; raises `SendError` if it is truncated or too long."""
         try:
@@ -176,16 +183,26 @@
         self, target: TargetEntry, request: OutgoingRequest
     ) -> AsyncIterator[TargetResponse]:
         """Send the request once; raises `SendError` if it gets no valid response."""
+        response = await self.open(target, request)
+        try:
+            yield response
+        finally:
+            response.close()
+
+    async def open(
+        self, target: TargetEntry, request: OutgoingRequest
+    ) -> TargetResponse:
+        """Send the request once and return its response, which the caller closes.
+
+        Raises `SendError` if it gets no valid response.
+        """
         session = self.pooled if request.may_reuse_connection else self.unpooled
         response = await self._send_request(session, target, request)
         try:
-            yield self._check_head(target, request, response)
-        finally:
-            # Close the connection unless the body was read completely.
-            if response.content.is_eof():
-                response.release()
-            else:
-                response.close()
+            return self._check_head(target, request, response)
+        except SendError:
+            response.close()
+            raise
 
     async def _send_request(
         self,
