A replacement run is charged to the retry budget once

What callers saw: a stream whose silent engine had been given up was cut, although another engine had accepted it, while the retry budget had no room for one more send; otherwise each replacement used two of the budget's sends.

Cause: the run is charged when it is opened beside the silent one. The loop of placements charged the same run again before it used it, and gave it up if the budget was used up.

Evidence: the test failed before (payload not completed). The loop now charges a run only if it is not open yet.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -171,9 +171,9 @@
             if result is not RunResult.BROKEN and stream.is_committed:
                 await self._pause(stream)
                 stream.rejections += result is RunResult.NOT_RUN
-            if result is not RunResult.NOT_SENT and not (
-                await self._acquire_next_run(routed, stream)
-            ):
+            # A replacement was charged when it was opened.
+            is_charged = has_placement or result is RunResult.NOT_SENT
+            if not is_charged and not await self._acquire_next_run(routed, stream):
                 break
         return failure_response(stream)
 
