A stream whose head has arrived is not given up before its client leaves

What callers saw: a stream was cut 0.3 s before its client would leave, although its engine went on, if the head came while the engine was silent and another one had rejected the request.

Cause: the time at which a request without a head gets its answer stayed set after the head.

Evidence: the test failed before (payload not completed). The head now clears that time, unless another engine has accepted the request.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/replacement_search.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/replacement_search.py
@@ -54,6 +54,11 @@
         """End the run at a time of the event loop unless it is no longer silent."""
         self.run_timeout.reschedule(time_s)
 
+    def await_run(self) -> None:
+        """Let the run go on until another engine has accepted the request."""
+        if self.found is None and not self.run_timeout.expired():
+            self.run_timeout.reschedule(None)
+
     def discard(self) -> None:
         """End the search and give back what it has found."""
         if self.timer is not None:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -392,6 +392,8 @@
             )
             if self.state.draining:
                 close_after_response(routed.request, stream.response)
+            # Once its client has the head, a silent run is not ended for an answer.
+            search.await_run()
             await stream.response.prepare(routed.request)
         await self._relay_events(
             routed, stream, target, opened.placement, target_response, search
--- a/packages/burdockhaven-entry/tests/gateway/test_replacement_run.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_replacement_run.py
@@ -1,7 +1,8 @@
+import asyncio
 import dataclasses
 
 import pytest
-from gateway_fixtures import Gateway, Script, stream_events
+from gateway_fixtures import REJECTED, Gateway, Script, stream_events, write_chunk
 from test_stream_forwarding import numbered_events, silent_before
 
 
@@ -29,3 +30,21 @@
     assert (response.status, response.body) == (200, numbered_events(1, 4))
     now = gateway.state.clock()
     assert sum(window.sum(now) for window in budget.retries.values()) == 1
+
+
+# Guards against LOST: a stream whose head has arrived is cut shortly before its client
+# would leave, because another engine had rejected it before.
+async def test_stream_with_a_late_head_is_not_given_up_before_its_client_leaves(start):
+    async def behave(request, reader, writer):
+        await asyncio.sleep(1.6)
+        await stream_events(1, 0, end=False)(request, reader, writer)
+        await asyncio.sleep(0.65)
+        write_chunk(writer, b"id: 1\ndata: 1\n\n")
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
+
+    script = Script(behave, REJECTED)
+    gateway = await start(engines=[script, script])
+    response = await gateway.call("/stream/x")
+    assert (response.status, response.body) == (200, numbered_events(1, 1))
