A silent run is not ended for an engine that has no connection yet

What callers saw: a stream was cut although its silent engine was sound, if the engine that was granted instead could not be reached: gone, cut off, or a first packet that was lost.

Cause: an engine counts as having accepted a request if it does not reject it for 50 ms, counted from the start of the send; a connection may take 300 ms to fail.

Evidence: the test failed before (payload not completed), with a listener that ignores connections. The 50 ms now begin once the request has a connection, which the client session reports by its trace hooks; only streams use that session, on the same connections.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/opened_run.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/opened_run.py
@@ -8,6 +8,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
+from typing import Any
 
 from burdockhaven_core.scheduling.target_registry import TargetEntry
 from burdockhaven_entry.gateway.placement_client import Placement
@@ -17,9 +18,9 @@
     TargetResponse,
 )
 
-# Seconds without a response after which an engine counts as having accepted a request:
-# it rejects within a round trip, but answers only once it has read the prompt. Two
-# engines may not work on one stream for longer.
+# Seconds without a response after which an engine counts as having accepted a request
+# that has a connection: it rejects within a round trip, but answers only once it has
+# read the prompt. Two engines may not work on one stream for longer.
 ACCEPTANCE_DELAY_S = 0.05
 
 
@@ -32,6 +33,8 @@
     target_client: TargetClient
     # Sends the request; its result is the response, once the head has arrived.
     opening: asyncio.Task[TargetResponse]
+    # Resolved once the request has a connection.
+    connected: asyncio.Future[None]
 
     @classmethod
     def begin(
@@ -42,14 +45,17 @@
         request: OutgoingRequest,
     ) -> "OpenedRun":
         """Send the request, without waiting for a response."""
-        opening = asyncio.create_task(target_client.open(target, request))
-        return cls(placement, target, target_client, opening)
+        connected: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        opening = asyncio.create_task(target_client.open(target, request, connected))
+        return cls(placement, target, target_client, opening, connected)
 
     async def wait_for_rejection(self) -> TargetResponse | None:
         """Return the response if it begins at once; None if the engine is at work.
 
         Raises `SendError` if there is no valid response.
         """
+        waited: set[asyncio.Future[Any]] = {self.opening, self.connected}
+        await asyncio.wait(waited, return_when=asyncio.FIRST_COMPLETED)
         done, _ = await asyncio.wait({self.opening}, timeout=ACCEPTANCE_DELAY_S)
         return self.opening.result() if done else None
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
@@ -9,6 +9,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
+from types import SimpleNamespace
 
 import aiohttp
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -160,12 +161,18 @@
     ) -> None:
         self.pooled = pooled
         self.unpooled = unpooled
+        # Use the same connections, and report them to requests that wait for one.
+        self.reporting = {
+            session: _create_session(session.connector, _create_trace_config())
+            for session in (pooled, unpooled)
+        }
 
     @classmethod
     def create(cls) -> "TargetClient":
         """Create a client without connections; requires a running event loop."""
         return cls(
-            _create_session(force_close=False), _create_session(force_close=True)
+            _create_session(create_connector(limit=0, keepalive_timeout=KEEPALIVE_S)),
+            _create_session(create_connector(limit=0, force_close=True)),
         )
 
     def close_idle(self) -> int:
@@ -175,6 +182,8 @@
 
     async def close(self) -> None:
         """Close all connections."""
+        for session in self.reporting.values():
+            await session.close()
         await self.pooled.close()
         await self.unpooled.close()
 
@@ -190,14 +199,20 @@
             response.close()
 
     async def open(
-        self, target: TargetEntry, request: OutgoingRequest
+        self,
+        target: TargetEntry,
+        request: OutgoingRequest,
+        connected: asyncio.Future[None] | None = None,
     ) -> TargetResponse:
         """Send the request once and return its response, which the caller closes.
 
-        Raises `SendError` if it gets no valid response.
+        `connected` is resolved once the request has a connection. Raises `SendError` if
+        it gets no valid response.
         """
         session = self.pooled if request.may_reuse_connection else self.unpooled
-        response = await self._send_request(session, target, request)
+        if connected is not None:
+            session = self.reporting[session]
+        response = await self._send_request(session, target, request, connected)
         try:
             return self._check_head(target, request, response)
         except SendError:
@@ -209,9 +224,10 @@
         session: aiohttp.ClientSession,
         target: TargetEntry,
         request: OutgoingRequest,
+        connected: asyncio.Future[None] | None,
     ) -> aiohttp.ClientResponse:
         try:
-            return await _connect_and_send(session, target, request)
+            return await _connect_and_send(session, target, request, connected)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise SendError(
                 SendOutcome.NOT_SENT, "connect", target.id, repr(error)
@@ -250,13 +266,16 @@
 
 
 async def _connect_and_send(
-    session: aiohttp.ClientSession, target: TargetEntry, request: OutgoingRequest
+    session: aiohttp.ClientSession,
+    target: TargetEntry,
+    request: OutgoingRequest,
+    connected: asyncio.Future[None] | None,
 ) -> aiohttp.ClientResponse:
     """Send the request; connects once more after a timeout that fired late."""
     loop = asyncio.get_running_loop()
     started_s = loop.time()
     try:
-        return await _request(session, target, request)
+        return await _request(session, target, request, connected)
     except aiohttp.ConnectionTimeoutError:
         late_s = loop.time() - started_s - CONNECT_TIMEOUT_S
         if late_s < OWN_STALL_S:
@@ -266,11 +285,14 @@
         target=target.id,
         late_ms=round(late_s * 1e3),
     )
-    return await _request(session, target, request)
+    return await _request(session, target, request, connected)
 
 
 async def _request(
-    session: aiohttp.ClientSession, target: TargetEntry, request: OutgoingRequest
+    session: aiohttp.ClientSession,
+    target: TargetEntry,
+    request: OutgoingRequest,
+    connected: asyncio.Future[None] | None,
 ) -> aiohttp.ClientResponse:
     return await session.request(
         request.method,
@@ -278,16 +300,33 @@
         headers=request.headers,
         data=request.body if request.body else None,
         allow_redirects=False,
+        trace_request_ctx=connected,
     )
 
 
-def _create_session(*, force_close: bool) -> aiohttp.ClientSession:
-    if force_close:
-        connector = create_connector(limit=0, force_close=True)
-    else:
-        connector = create_connector(limit=0, keepalive_timeout=KEEPALIVE_S)
+def _create_trace_config() -> aiohttp.TraceConfig:
+    """Resolve the future of a request once it has a connection."""
+
+    async def report(
+        session: aiohttp.ClientSession, context: SimpleNamespace, params: object
+    ) -> None:
+        connected: asyncio.Future[None] = context.trace_request_ctx
+        if not connected.done():
+            connected.set_result(None)
+
+    config = aiohttp.TraceConfig()
+    config.on_connection_create_end.append(report)
+    config.on_connection_reuseconn.append(report)
+    return config
+
+
+def _create_session(
+    connector: aiohttp.BaseConnector | None, *trace_configs: aiohttp.TraceConfig
+) -> aiohttp.ClientSession:
     session = aiohttp.ClientSession(
         connector=connector,
+        connector_owner=not trace_configs,
+        trace_configs=list(trace_configs),
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
--- a/packages/burdockhaven-entry/tests/gateway/test_replacement_run.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_replacement_run.py
@@ -1,8 +1,16 @@
 import asyncio
 import dataclasses
+import socket
 
 import pytest
-from gateway_fixtures import REJECTED, Gateway, Script, stream_events, write_chunk
+from gateway_fixtures import (
+    REJECTED,
+    Gateway,
+    Script,
+    stream_events,
+    wait_until,
+    write_chunk,
+)
 from test_stream_forwarding import numbered_events, silent_before
 
 
@@ -48,3 +56,30 @@
     gateway = await start(engines=[script, script])
     response = await gateway.call("/stream/x")
     assert (response.status, response.body) == (200, numbered_events(1, 1))
+
+
+# Guards against LOST: the run of a sound, silent engine is ended for an engine to which
+# no connection can be made.
+async def test_silent_stream_is_whole_if_the_other_engine_is_unreachable(start):
+    script = Script(silent_before(3, 4), REJECTED)
+    gateway = await start(engines=[script, script])
+    # A listener whose queue of connections is full ignores further ones.
+    listener = socket.create_server(("127.0.0.1", 0), backlog=0)
+    host, port = listener.getsockname()
+    fillers = [socket.socket() for _ in range(4)]
+    for filler in fillers:
+        filler.setblocking(False)
+        filler.connect_ex((host, port))
+    try:
+        call = asyncio.create_task(gateway.call("/stream/x"))
+        await wait_until(lambda: gateway.received)
+        entries = gateway.state.registry.entries
+        for number, scripted in enumerate(gateway.targets):
+            if not scripted.received:
+                other = entries[f"engines-{number}"]
+                entries[other.id] = dataclasses.replace(other, address=f"{host}:{port}")
+        response = await call
+    finally:
+        for opened in (listener, *fillers):
+            opened.close()
+    assert (response.status, response.body) == (200, numbered_events(1, 4))
