A search that succeeds while its run is given up raises no error

What was seen: 'Task exception was never retrieved', RuntimeError 'Cannot change state of expiring Timeout'. No caller saw it.

Cause: a run whose time-out has fired takes some iterations of the event loop to end its connection. A search that ends in them set the time-out again.

Evidence: the test failed before with that error. The time-out is left alone once it has fired; what the search has opened is used or given back as before.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/replacement_search.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/replacement_search.py
@@ -52,7 +52,8 @@
 
     def end_run_at(self, time_s: float) -> None:
         """End the run at a time of the event loop unless it is no longer silent."""
-        self.run_timeout.reschedule(time_s)
+        if not self.run_timeout.expired():
+            self.run_timeout.reschedule(time_s)
 
     def await_run(self) -> None:
         """Let the run go on until another engine has accepted the request."""
@@ -87,4 +88,5 @@
             if found is None:
                 await asyncio.sleep(SEARCH_INTERVAL_S)
         self.found, self.task = found, None
-        self.run_timeout.reschedule(asyncio.get_running_loop().time())
+        # The run may be ending already, which takes its connection some iterations.
+        self.end_run_at(asyncio.get_running_loop().time())
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -504,13 +504,14 @@
             if opened is None and stream.rejections and stream.response is None:
                 # Its client gets a response, so that it can send the request again.
                 left_s = stream.give_up_s - self.state.clock()
-                run_timeout.reschedule(asyncio.get_running_loop().time() + left_s)
+                search.end_run_at(asyncio.get_running_loop().time() + left_s)
             return opened
 
         def give_back(opened: OpenedRun) -> None:
             self._abandon(stream, opened)
 
-        return ReplacementSearch(run_timeout, find, give_back)
+        search = ReplacementSearch(run_timeout, find, give_back)
+        return search
 
     def _give_back(self, placement: Placement) -> None:
         self.placement_client.record_end(placement.number, RunEnd.NOT_SENT)
--- a/packages/burdockhaven-entry/tests/gateway/test_replacement_run.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_replacement_run.py
@@ -5,6 +5,7 @@
 import pytest
 from gateway_fixtures import (
     REJECTED,
+    WAIT_TIMEOUT_S,
     Gateway,
     Script,
     stream_events,
@@ -13,6 +14,9 @@
 )
 from test_stream_forwarding import numbered_events, silent_before
 
+from burdockhaven_entry.gateway.placement_client import Placement
+from burdockhaven_entry.gateway.replacement_search import ReplacementSearch
+
 
 @pytest.fixture
 async def start():
@@ -83,3 +87,31 @@
         for opened in (listener, *fillers):
             opened.close()
     assert (response.status, response.body) == (200, numbered_events(1, 4))
+
+
+# Guards against an error in a background task when another engine accepts a request in
+# the iterations of the event loop in which the silent run is given up.
+async def test_search_that_succeeds_while_its_run_is_ending_raises_nothing():
+    is_ending = asyncio.Event()
+    given_back = []
+
+    async def find():
+        await is_ending.wait()
+        return Placement(1, "i-1")
+
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(None) as run_timeout:
+            search = ReplacementSearch(run_timeout, find, given_back.append)
+            search.restart(0.0)
+            await wait_until(lambda: search.task)
+            task = search.task
+            search.end_run_at(asyncio.get_running_loop().time())
+            try:
+                await asyncio.sleep(WAIT_TIMEOUT_S)
+            finally:
+                is_ending.set()
+                await asyncio.wait({task})
+                search.stop()
+    search.discard()
+    assert task.exception() is None
+    assert len(given_back) == 1
