The response of a run is closed if it arrives as the run ends

What callers saw: nothing at once; an engine worked on (or its connection stayed open until the garbage collector closed it) after its run had been replaced, or after its client had left.

Cause: since runs are opened by a task of their own, a response is lost if the wait for it is cancelled in the iteration of the event loop in which the head arrives.

Evidence: the test failed before. The run is now always aborted at the end of its use, which closes a response that arrived.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/opened_run.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/opened_run.py
@@ -62,11 +62,11 @@
     @asynccontextmanager
     async def response(self) -> AsyncIterator[TargetResponse]:
         """Yield the response once its head has arrived; raises `SendError`."""
-        response = await self.opening
         try:
-            yield response
+            yield await self.opening
         finally:
-            response.close()
+            # Also if the response arrived in the iteration in which the wait ended.
+            self.abort()
 
     def abort(self) -> None:
         """Close the connection, which ends the run."""
--- a/packages/burdockhaven-entry/tests/gateway/test_replacement_run.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_replacement_run.py
@@ -14,6 +14,7 @@
 )
 from test_stream_forwarding import numbered_events, silent_before
 
+from burdockhaven_entry.gateway.opened_run import OpenedRun
 from burdockhaven_entry.gateway.placement_client import Placement
 from burdockhaven_entry.gateway.replacement_search import ReplacementSearch
 
@@ -115,3 +116,41 @@
     search.discard()
     assert task.exception() is None
     assert len(given_back) == 1
+
+
+class ResponseStub:
+    is_closed = False
+
+    def close(self):
+        self.is_closed = True
+
+
+class ClientStub:
+    """Opens a response when an event is set."""
+
+    def __init__(self):
+        self.response = ResponseStub()
+        self.has_head = asyncio.Event()
+
+    async def open(self, target, request, connected):
+        await self.has_head.wait()
+        return self.response
+
+
+# Guards against an engine that works on, because its response arrived in the iteration
+# of the event loop in which its run was ended.
+async def test_response_that_arrives_as_its_run_ends_is_closed():
+    client = ClientStub()
+    opened = OpenedRun.begin(client, None, None, None)
+    opened.opening.add_done_callback(lambda _: user.cancel())
+
+    async def use():
+        async with opened.response():
+            await asyncio.sleep(WAIT_TIMEOUT_S)
+
+    user = asyncio.create_task(use())
+    await asyncio.sleep(0)
+    client.has_head.set()
+    with pytest.raises(asyncio.CancelledError):
+        await user
+    assert client.response.is_closed
