Refuse target entries with missing fields or numbers beyond 64 bits

Callers saw: all requests under way at a stopping process lost their connections. Heartbeats name leaving targets and their starts; one entry of another writer whose born exceeds 64 bits could not be encoded, so every heartbeat of every member failed, and the one that announces a drain ended the process before it drained.

Cause: the decoder accepted any integer, and what it accepts is kept and encoded again later. Numbers, the address and the lengths of names are now checked once, where an entry is decoded. An entry without slots, born or cold_left_ms is refused, too: the protocol states them for every entry, and one with missing fields names no target. The test store's entries got the field that they lacked. A fault of an entry is logged once until it changes; its writer may repeat it at every heartbeat.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_event_handlers.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_event_handlers.py
@@ -60,6 +60,9 @@
     first_sync: asyncio.Event = field(default_factory=asyncio.Event)
     # Whether targets have changed since they were last published.
     has_unpublished_targets: bool = False
+    # What is wrong with the last value of each target entry that can't be read; logged
+    # once, however often its writer repeats it.
+    unreadable: dict[str, str] = field(default_factory=dict)
     # Monotonic time of the start in seconds.
     started_s: float = field(init=False)
 
@@ -179,7 +182,7 @@
             self.apply_configuration(item.value, f"store revision {item.revision}")
 
     def _on_targets_snapshot(self, batch: ChangeBatch) -> None:
-        entries = _decode_targets(batch)
+        entries = self._decode_targets(batch)
         self.state.in_sync = True
         self.state.registry.replace(
             entries, self.state.clock(), _entry_revision(batch.revision)
@@ -188,7 +191,7 @@
         self._announce_first_sync()
 
     def _on_targets_restored(self, batch: ChangeBatch) -> None:
-        entries = _decode_targets(batch)
+        entries = self._decode_targets(batch)
         self.state.registry.replace_restored(
             entries, self.state.clock(), _entry_revision(batch.revision)
         )
@@ -202,8 +205,9 @@
         revision = EntryRevision(era, item.revision)
         if item.value is None:
             registry.remove(target_id, now, revision)
+            self.unreadable.pop(item.key, None)
         else:
-            entry = _decode_target(item, era)
+            entry = self._decode_target(item, era)
             if entry is None:
                 registry.discard(target_id, now, revision)
             else:
@@ -221,6 +225,38 @@
         _log_outage_end(seconds)
         self.state.registry.end_store_outage(self.state.clock())
 
+    def _decode_targets(self, batch: ChangeBatch) -> list[TargetEntry]:
+        """Decode the valid entries among all items of the prefix."""
+        era = batch.revision.era
+        present = {item.key for item in batch.items}
+        for key in self.unreadable.keys() - present:
+            del self.unreadable[key]
+        return [
+            entry for item in batch.items if (entry := self._decode_target(item, era))
+        ]
+
+    def _decode_target(self, item: StoreItem, era: int) -> TargetEntry | None:
+        """Decode a target entry; logs an invalid one and returns None."""
+        target_id = item.key.removeprefix(TARGETS_PREFIX)
+        try:
+            entry = read_target_entry(target_id, item.value or b"")
+        except TargetEntryError as error:
+            self._log_unreadable(item, str(error))
+            return None
+        self.unreadable.pop(item.key, None)
+        return dataclasses.replace(entry, revision=EntryRevision(era, item.revision))
+
+    def _log_unreadable(self, item: StoreItem, detail: str) -> None:
+        if self.unreadable.get(item.key) == detail:
+            return
+        self.unreadable[item.key] = detail
+        log(
+            EventNumber.TARGET_ENTRY_UNREADABLE,
+            key=item.key,
+            revision=item.revision,
+            detail=detail,
+        )
+
 
 def _is_same_target(before: TargetEntry | None, after: TargetEntry | None) -> bool:
     """Whether an entry was at most written again without a change."""
@@ -233,28 +269,6 @@
     return EntryRevision(revision.era, revision.number)
 
 
-def _decode_targets(batch: ChangeBatch) -> list[TargetEntry]:
-    """Decode the valid entries among the items of a read."""
-    era = batch.revision.era
-    return [entry for item in batch.items if (entry := _decode_target(item, era))]
-
-
-def _decode_target(item: StoreItem, era: int) -> TargetEntry | None:
-    """Decode a target entry; logs an invalid one and returns None."""
-    target_id = item.key.removeprefix(TARGETS_PREFIX)
-    try:
-        entry = read_target_entry(target_id, item.value or b"")
-        return dataclasses.replace(entry, revision=EntryRevision(era, item.revision))
-    except TargetEntryError as error:
-        log(
-            EventNumber.TARGET_ENTRY_UNREADABLE,
-            key=item.key,
-            revision=item.revision,
-            detail=str(error),
-        )
-        return None
-
-
 def _log_outage_begin(failure: KeyValueFailure) -> None:
     detail = f"{failure.step} at {failure.peer}: {failure.detail}"
     log(EventNumber.KEY_VALUE_OUTAGE_BEGIN, detail=detail)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/target_entry.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/target_entry.py
@@ -1,12 +1,19 @@
 """Decodes the entries by which targets register in the store."""
 
+import re
+
 import msgspec
 
 from burdockhaven_core.scheduling.target_registry import TargetEntry
 from burdockhaven_entry.platform.decode_errors import DECODE_ERRORS
+from burdockhaven_entry.platform.value_ranges import Count, Name, NotNegative
+from burdockhaven_entry.platform.whole_number import parse_whole_number
 
 DRAINING = "draining"
 KNOWN_STATES = frozenset({"ready", DRAINING})
+MAX_PORT = 65_535
+# An IPv4 address or the name of a host.
+HOST_PATTERN = re.compile(r"[A-Za-z0-9.-]+")
 
 
 class TargetEntryError(ValueError):
@@ -14,15 +21,16 @@
 
 
 class _Entry(msgspec.Struct):
-    service: str
-    address: str
-    zone: str
-    state: str
-    seq: int
+    service: Name
+    address: Name
+    zone: Name
+    state: Name
+    seq: NotNegative
     # Of the target's software.
-    version: str
-    slots: int = 1
-    born: int = 0
+    version: Name
+    slots: Count
+    cold_left_ms: float
+    born: NotNegative
 
 
 _decoder = msgspec.json.Decoder(_Entry)
@@ -36,8 +44,7 @@
         raise TargetEntryError(str(error)) from error
     if raw.state not in KNOWN_STATES:
         raise TargetEntryError(f"unknown state {raw.state!r}")
-    host, colon, port = raw.address.rpartition(":")
-    if not (host and colon and port.isdigit()):
+    if not _is_address(raw.address):
         raise TargetEntryError(f"address {raw.address!r} is not of the form HOST:PORT")
     return TargetEntry(
         id=target_id,
@@ -50,3 +57,10 @@
         sequence=raw.seq,
         software_version=raw.version,
     )
+
+
+def _is_address(text: str) -> bool:
+    host, _, port_text = text.rpartition(":")
+    port = parse_whole_number(port_text)
+    is_port = port is not None and 0 < port <= MAX_PORT
+    return is_port and HOST_PATTERN.fullmatch(host) is not None
--- a/packages/burdockhaven-entry/tests/gateway/test_lapsed_entries.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_lapsed_entries.py
@@ -57,6 +57,7 @@
             "version": "v1",
             "slots": 4,
             "state": state,
+            "cold_left_ms": 0,
             "seq": self.sequence,
             "born": born,
         }
--- a/packages/burdockhaven-entry/tests/platform/test_target_entry.py
+++ b/packages/burdockhaven-entry/tests/platform/test_target_entry.py
@@ -39,10 +39,44 @@
         json.dumps(ENTRY | {"slots": "many"}).encode(),
         json.dumps(ENTRY | {"address": "nowhere"}).encode(),
         json.dumps(ENTRY | {"version": 1}).encode(),
-        json.dumps({k: v for k, v in ENTRY.items() if k != "service"}).encode(),
-        json.dumps({k: v for k, v in ENTRY.items() if k != "version"}).encode(),
     ],
 )
 def test_invalid_entry_is_an_error(data):
     with pytest.raises(TargetEntryError):
         read_target_entry("i-1", data)
+
+
+# Guards against a request that is sent to what another writer has registered.
+@pytest.mark.parametrize("name", ENTRY)
+def test_entry_without_a_field_is_an_error(name):
+    data = json.dumps({k: v for k, v in ENTRY.items() if k != name}).encode()
+    with pytest.raises(TargetEntryError):
+        read_target_entry("i-1", data)
+
+
+# Guards against numbers that heartbeats can't carry, and against an address that raises
+# an error wherever it is used.
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"born": 10**20},
+        {"born": -1},
+        {"born": 1.5},
+        {"born": True},
+        {"seq": 2**63},
+        {"seq": -1},
+        {"slots": 2**31},
+        {"slots": -1},
+        {"cold_left_ms": "long"},
+        {"version": "v" * 2_000},
+        {"service": "s" * 2_000},
+        {"address": "10.128.0.9:99999"},
+        {"address": "10.128.0.9:\N{SUPERSCRIPT TWO}"},
+        {"address": "10.128.0.9:"},
+        {"address": "a b:80"},
+        {"address": "10.128.0.9/x:80"},
+    ],
+)
+def test_entry_with_an_odd_value_is_an_error(changes):
+    with pytest.raises(TargetEntryError):
+        read(**changes)
