Send to the other members whatever one address or message holds

Callers saw: nothing yet; found by reading. A member entry or a heartbeat whose peer address is not IP:PORT raised an error in each round of heartbeats, so that later recipients got none. With a port above 65,535 or a host that can't be encoded asyncio closes the datagram transport for good: the member is deaf and mute until it restarts, and tells nobody of its drain. A message that can't be encoded raised in whoever sent it.

Cause: PeerEndpoint trusted its addresses and messages. It now reports what can't be sent and sends the rest; entries of members are checked before they are probed. Numbers that no member sends, such as a limit that is not a number, are refused where a message is decoded: they raised an error at each later heartbeat.

The ranges moved to the core, which decodes such values too; the test of the boundary lists the module among the types that the adapter may import. It holds annotated types and no decision.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from burdockhaven_core.value_ranges import NotNegative, Rate, Seconds
+
 
 class MemberId(msgspec.Struct, frozen=True, array_like=True):
     """One incarnation of a member."""
@@ -18,7 +20,7 @@
 
     target: str
     # Requests per second from all members together; None if a limit was lifted.
-    limit_per_s: float | None
+    limit_per_s: Rate | None
     # Milliseconds since the response from which it is known.
     age_ms: int
 
@@ -54,10 +56,10 @@
 
     target: str
     # Unix milliseconds of the start that wrote the entry; 0 if unknown.
-    started_ms: int
+    started_ms: NotNegative
     # Era and revision of the store at which the entry was removed or written again.
-    era: int
-    revision: int
+    era: NotNegative
+    revision: NotNegative
     # Whether the entry is in the store as of that revision.
     is_present: bool
 
@@ -66,7 +68,7 @@
     """Announces the state of its sender at a fixed interval."""
 
     sender: MemberId
-    sequence: int
+    sequence: NotNegative
     # Unix milliseconds of the sender's start; orders the members by age.
     started_ms: int
     # Address for datagrams, and address from which members fetch configurations.
@@ -78,7 +80,7 @@
     ready: bool
     draining: bool
     # Version of the configuration in force; 0 if there is none yet.
-    config_version: int
+    config_version: NotNegative
     # Ids of the targets that leave or have left by their own word, as far as the sender
     # knows.
     leaving: tuple[str, ...] = ()
@@ -93,14 +95,14 @@
     # The latest known limits of targets, from the responses of any member.
     limits: tuple[AnnouncedLimit, ...] = ()
     # Era of the platform's store as far as the sender knows; 0 if unknown.
-    store_era: int = 0
+    store_era: NotNegative = 0
     # Unix milliseconds of the start of each target in `leaving`; 0 if unknown.
-    leaving_started_ms: tuple[int, ...] = ()
+    leaving_started_ms: tuple[NotNegative, ...] = ()
     # Prompt parts accused of ending engines, by the evidence of the sender's broker.
     accused_parts: tuple[AccusedPartNotice, ...] = ()
     # Store revision of the last change of a target's entry that the sender has applied;
     # 0 if unknown.
-    targets_revision: int = 0
+    targets_revision: NotNegative = 0
     # Processor capacity of the sender's VM in hundredths of a core; 0 if unknown.
     processor_percent: int = 0
     # Request contents accused of ending targets, by the evidence of all members.
@@ -329,7 +331,7 @@
     # Those that have served while a stream that is resumed now may have begun.
     versions: tuple[str, ...]
     # Seconds for which the member has missed no change; 0 if it is out of sync.
-    complete_for_s: float
+    complete_for_s: Seconds
 
 
 class OriginReply(msgspec.Struct, frozen=True, array_like=True, tag=9):
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/value_ranges.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/value_ranges.py
@@ -18,8 +18,15 @@
 # Characters of the longest name of a target, service, route or account.
 MAX_NAME_LENGTH = 1_000
 
+# Requests or tokens in a second that stand for no limit.
+MAX_RATE_PER_S = 1e12
+
 NotNegative = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+# Of 64 bits without a sign; messages hold no greater one.
+Key = Annotated[int, msgspec.Meta(ge=0)]
 Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 SpanMs = Annotated[float, msgspec.Meta(ge=0, le=MAX_SPAN_MS)]
+Seconds = Annotated[float, msgspec.Meta(ge=0)]
+Rate = Annotated[float, msgspec.Meta(ge=0, le=MAX_RATE_PER_S)]
 Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/membership.py
@@ -29,7 +29,7 @@
 )
 from burdockhaven_entry.gateway.control_handler import CONFIGURATION_PATH
 from burdockhaven_entry.gateway.gateway_state import GatewayState
-from burdockhaven_entry.gateway.peer_endpoint import PeerEndpoint
+from burdockhaven_entry.gateway.peer_endpoint import PeerEndpoint, parse_address
 from burdockhaven_entry.gateway.placement_client import PlacementClient
 from burdockhaven_entry.gateway.store_era import UNKNOWN_ERA
 from burdockhaven_entry.log_events import log
@@ -130,7 +130,12 @@
             self.probe(f"{host}:{self.state.settings.peer_port}")
 
     def probe(self, address: str) -> None:
-        """Send heartbeats to an address until a member there responds."""
+        """Send heartbeats to an address until a member there responds.
+
+        Nothing is sent to what is no address: it has another writer.
+        """
+        if parse_address(address) is None:
+            return
         known_addresses = {
             v.heartbeat.peer_address for v in self.state.member_list.views.values()
         }
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/peer_endpoint.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/peer_endpoint.py
@@ -6,18 +6,24 @@
 """
 
 import asyncio
+import ipaddress
 from collections.abc import Callable
 from typing import cast
 
+import msgspec
+
 from burdockhaven_core.scheduling.peer_messages import (
     PeerMessage,
     decode_message,
     encode_message,
 )
-from burdockhaven_entry.platform import DECODE_ERRORS
+from burdockhaven_entry.platform import DECODE_ERRORS, parse_whole_number
 
 # Maximum size of a sent datagram in bytes; UDP allows 65,507.
 MAX_DATAGRAM_BYTES = 60_000
+MAX_PORT = 65_535
+# Integers beyond 64 bits, and texts that are not Unicode.
+ENCODE_ERRORS = (msgspec.MsgspecError, OverflowError, UnicodeEncodeError)
 
 OnMessage = Callable[[PeerMessage], None]
 OnError = Callable[[str, str], None]
@@ -33,6 +39,8 @@
         self.transport: asyncio.DatagramTransport | None = None
         self.sent_messages = 0
         self.sent_bytes = 0
+        # Why the last message that could not be encoded was not sent.
+        self.encode_error = ""
 
     async def open(self, ip: str, port: int) -> None:
         """Bind the socket; raises `OSError` if the address can't be used."""
@@ -52,18 +60,35 @@
         """Send the message to several addresses; it is encoded once."""
         if self.transport is None or self.transport.is_closing() or not addresses:
             return
-        data = encode_message(message)
-        if len(data) > MAX_DATAGRAM_BYTES:
-            peers = ", ".join(addresses)
-            self.on_error(
-                peers, f"message of {len(data)} bytes exceeds the datagram limit"
-            )
+        data = self._encode(addresses, message)
+        if data is None:
             return
         for address in addresses:
-            host, _, port = address.rpartition(":")
+            parsed = parse_address(address)
+            if parsed is None:
+                # The transport would close for good.
+                self.on_error(address, "not an address of the form IP:PORT")
+                continue
             self.sent_messages += 1
             self.sent_bytes += len(data)
-            self.transport.sendto(data, (host, int(port)))
+            self.transport.sendto(data, parsed)
+
+    def _encode(self, addresses: list[str], message: PeerMessage) -> bytes | None:
+        """Encode a message; reports one that can't be sent and returns None."""
+        try:
+            data = encode_message(message)
+        except ENCODE_ERRORS as error:
+            detail = f"{type(message).__name__} can't be encoded: {error}"
+            # The next heartbeat is likely to have the same fault.
+            if detail != self.encode_error:
+                self.encode_error = detail
+                self.on_error(", ".join(addresses), detail)
+            return None
+        if len(data) > MAX_DATAGRAM_BYTES:
+            detail = f"message of {len(data)} bytes exceeds the datagram limit"
+            self.on_error(", ".join(addresses), detail)
+            return None
+        return data
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport for sending."""
@@ -80,3 +105,16 @@
 
     def error_received(self, exc: Exception) -> None:
         """Ignore an undeliverable datagram; the member list detects silent members."""
+
+
+def parse_address(text: str) -> tuple[str, int] | None:
+    """Return the IPv4 address and the port of IP:PORT; None if it is neither."""
+    host, _, port_text = text.rpartition(":")
+    port = parse_whole_number(port_text)
+    if port is None or not 0 < port <= MAX_PORT:
+        return None
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return None
+    return host, port
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/target_entry.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/target_entry.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from burdockhaven_core.scheduling.target_registry import TargetEntry
+from burdockhaven_core.value_ranges import Count, Name, NotNegative
 from burdockhaven_entry.platform.decode_errors import DECODE_ERRORS
-from burdockhaven_entry.platform.value_ranges import Count, Name, NotNegative
 from burdockhaven_entry.platform.whole_number import parse_whole_number
 
 DRAINING = "draining"
--- a/packages/burdockhaven-entry/tests/gateway/test_membership.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_membership.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import json
 import random
 
 import aiohttp
@@ -113,6 +114,27 @@
     assert set(membership.unidentified_addresses) == {"10.0.0.9:7600"}
 
 
+# Guards against an entry that ends the reads of the members, or the datagrams to all.
+@pytest.mark.parametrize(
+    "address",
+    [
+        "10.0.0.8",
+        "10.0.0.8:",
+        "10.0.0.8:99999",
+        "10.0.0.8:x",
+        "a:7600",
+        ":7600",
+        "\n:1",
+    ],
+)
+def test_member_entry_with_an_odd_address_is_not_probed(address):
+    membership = make_membership()
+    entry = {"peer_address": address, "control_address": "10.0.0.8:1"}
+    item = StoreItem("m/1", json.dumps(entry).encode(), 1)
+    membership.probe_member_entries((item,))
+    assert membership.unidentified_addresses == {}
+
+
 class ScriptedPeer:
     """A member whose response to a fetch repeats bytes until it is cut."""
 
--- a/packages/burdockhaven-entry/tests/platform/test_boundary.py
+++ b/packages/burdockhaven-entry/tests/platform/test_boundary.py
@@ -24,6 +24,7 @@
     "burdockhaven_core.scheduling.routing",
     "burdockhaven_core.scheduling.target_observation",
     "burdockhaven_core.scheduling.target_registry",
+    "burdockhaven_core.value_ranges",
 }
 
 
