Go on with a drain when a step of the stop fails

Cause: the steps of a stop were a chain. An error in the announcement, in the refusal of late placements or in a heartbeat sent after requests were accepted ended `run`, and with it all connections; one in the timer, in the log of cut responses or in a close came after the drain and turned the exit code to 1. A background task that ignores its cancellation held up the stop for good.

Each step now runs on its own: an error is logged (event 901's step) and the next one follows. Background tasks are waited for 0.1 s, and the servers shut down side by side, so that a stop ends within its margin. The drain itself depends on no timer callback and on none of these steps.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/client_server.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/client_server.py
@@ -11,6 +11,8 @@
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
+from burdockhaven_entry.gateway.stop_steps import attempt
+
 # Keep-alive timeout of client connections in seconds; longer than that of any client.
 CLIENT_KEEPALIVE_S = 120.0
 # Maximum size of one header line in bytes; the limit in the configuration is lower.
@@ -114,9 +116,12 @@
         return any(connection.is_busy() for connection in self._client_connections())
 
     def close_idle(self) -> None:
-        """Close all connections without a pending response."""
+        """Close all connections without a pending response.
+
+        One that can't be closed does not hold up the others, or end a drain early.
+        """
         for connection in self._client_connections():
-            connection.close_if_idle()
+            attempt("close idle connection", connection.close_if_idle)
 
     def enforce_header_timeout(self, limit_s: float) -> None:
         """Apply the header timeout to all connections."""
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -34,6 +34,7 @@
 from burdockhaven_entry.gateway.request_log import log_cut
 from burdockhaven_entry.gateway.request_quarantine_log import log_content_changes
 from burdockhaven_entry.gateway.responses import STOPPING_RETRY_AFTER_S
+from burdockhaven_entry.gateway.stop_steps import attempt, attempt_async
 from burdockhaven_entry.gateway.store_event_handlers import StoreEventHandlers
 from burdockhaven_entry.gateway.store_sync import (
     PrefixHandlers,
@@ -87,6 +88,10 @@
 HEADER_TIMEOUT_CHECK_INTERVAL_S = 0.5
 # Seconds that a stop waits for the end of this member's registration.
 DEREGISTRATION_TIMEOUT_S = 0.2
+# Seconds that a stop waits for the background tasks, which are cancelled, and for the
+# handlers of each server's connections.
+TASK_END_TIMEOUT_S = 0.1
+SHUTDOWN_TIMEOUT_S = 0.1
 INCARNATION_BITS = 48
 
 
@@ -219,10 +224,10 @@
         self._start_store_tasks()
         timer = asyncio.create_task(self.timer.run())
         # Replies tell whether members know a newer configuration than the store.
-        self.membership.probe_seeds()
-        self.membership.send_heartbeats()
+        attempt("probe seeds", self.membership.probe_seeds)
+        attempt("send heartbeats", self.membership.send_heartbeats)
         await self._listen()
-        self.membership.send_heartbeats()
+        attempt("send heartbeats", self.membership.send_heartbeats)
         log(
             EventNumber.READY,
             entry=state.member_id.node,
@@ -235,7 +240,7 @@
         assert self.drain_schedule is not None
         await self._drain(self.drain_schedule)
         self.timer.stop()
-        await timer
+        await attempt_async("run timer", lambda: timer)
         await self._close()
         log(EventNumber.STOPPED)
 
@@ -410,13 +415,14 @@
         From now on, each response closes its connection. New connections and requests
         are accepted while clients may still use cached look-ups; after that, requests
         that may not end in time are refused and connections are closed as they become
-        idle, until none is open or the grace period ends.
+        idle, until none is open or the grace period ends. An error in one step is
+        logged and ends nothing else: requests are under way meanwhile.
         """
         state = self.state
         state.draining = True
         self.frontend.drain = schedule
         log(EventNumber.STOP_REQUESTED)
-        self.membership.announce_drain()
+        attempt("announce drain", self.membership.announce_drain)
         # Again, because a datagram may be lost.
         self.timer.call_at(
             state.clock() + HEARTBEAT_INTERVAL_S,
@@ -424,15 +430,18 @@
         )
         await asyncio.sleep(max(0.0, schedule.accept_until_s - state.clock()))
         # The listener for requests of clients, which `_listen` adds last.
-        self.listeners[-1].close()
-        self._refuse_late_placements(schedule)
+        attempt("close listener", self.listeners[-1].close)
+        attempt(
+            "refuse late placements", lambda: self._refuse_late_placements(schedule)
+        )
         self.timer.call_at(
             schedule.answer_by_s, lambda now: self.frontend.answer_pending()
         )
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(max(0.0, schedule.end_s - state.clock())):
                 await self.frontend_server.drain()
-        log_cut(list(self.frontend.pending), schedule.requested_s)
+        pending = list(self.frontend.pending)
+        attempt("log cut responses", lambda: log_cut(pending, schedule.requested_s))
 
     def _refuse_late_placements(self, schedule: DrainSchedule) -> None:
         """Refuse the streams that wait for an engine and may not end in time.
@@ -450,17 +459,17 @@
     async def _close(self) -> None:
         for task in list(self.tasks):
             task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
-        await self._end_registration()
-        self.endpoint.close()
+        if self.tasks:
+            await asyncio.wait(self.tasks, timeout=TASK_END_TIMEOUT_S)
+        await attempt_async("end registration", self._end_registration)
+        attempt("close peer endpoint", self.endpoint.close)
         for listener in self.listeners:
-            listener.close()
-        await self.frontend_server.shutdown(0.1)
-        await self.control_server.shutdown(0.1)
-        await self.metrics_server.shutdown(0.1)
-        await self.target_client.close()
-        await self.session.close()
-        await self.store.close()
+            attempt("close listener", listener.close)
+        servers = (self.frontend_server, self.control_server, self.metrics_server)
+        await asyncio.gather(*map(_shut_down, servers))
+        await attempt_async("close target connections", self.target_client.close)
+        await attempt_async("close member connections", self.session.close)
+        await attempt_async("close store connections", self.store.close)
 
     def _enforce_header_timeout(self) -> None:
         table = self.state.table
@@ -513,6 +522,12 @@
         log(EventNumber.BAD_PEER_MESSAGE, peer=peer, detail=detail)
 
 
+async def _shut_down(server: ClientServer) -> None:
+    await attempt_async(
+        "close connections", lambda: server.shutdown(SHUTDOWN_TIMEOUT_S)
+    )
+
+
 def run_gateway(
     settings: PlatformSettings, sockets: Mapping[str, socket.socket]
 ) -> None:
