Handle signals from the first line of a process to its exit

Operators saw: a stopping process ended by signal 1 instead of with code 0, once in twelve stops beside reloads.

Cause: asyncio's handlers exist only while the event loop does. A SIGHUP during the imports, which take most of a start, or after the loop was closed met the default action, which ends the process; so did a second SIGTERM after the loop, and a SIGINT there raised KeyboardInterrupt. SIGHUP is now ignored from the first line on and has no handler that the loop could remove. SIGTERM and SIGINT before the loop end the process with code 0 at once: nothing has been accepted, and clients in the backlog can turn to another process. Once the drain is done they are blocked until the exit.

What remains: the first milliseconds, while the interpreter itself starts.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -5,7 +5,6 @@
 import gc
 import math
 import random
-import signal
 import socket
 import time
 from collections.abc import Callable, Coroutine, Mapping
@@ -52,6 +51,7 @@
     PlatformStore,
     StoreItem,
 )
+from burdockhaven_entry.process_signals import STOP_SIGNALS, ignore_until_exit
 from burdockhaven_entry.quarantine import QuarantineStore
 from burdockhaven_entry.resumption import OriginLog
 from burdockhaven_entry.timer import TimerService
@@ -282,10 +282,8 @@
 
     def _install_signal_handlers(self) -> None:
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in STOP_SIGNALS:
             loop.add_signal_handler(number, self.request_stop)
-        # Ignore reload requests: no setting changes while a process runs.
-        loop.add_signal_handler(signal.SIGHUP, lambda: None)
 
     def _schedule_periodic_work(self) -> None:
         timer = self.timer
@@ -536,6 +534,6 @@
     async def main() -> None:
         daemon = GatewayDaemon.from_settings(settings, sockets, time.monotonic)
         await daemon.run()
+        ignore_until_exit()
 
-    with contextlib.suppress(KeyboardInterrupt):
-        asyncio.run(main())
+    asyncio.run(main())
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/main.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/main.py
@@ -9,7 +9,12 @@
 from types import ModuleType
 from typing import cast
 
-EXIT_OK = 0
+from burdockhaven_entry.process_signals import (
+    EXIT_OK,
+    ignore_until_exit,
+    prepare_for_start,
+)
+
 EXIT_INVALID_SETTINGS = 2
 # Modules that the HTTP library and asyncio import if they can. Nothing on the platform
 # uses TLS, and each process would load OpenSSL and all certificates of the machine.
@@ -18,6 +23,7 @@
 
 def main(arguments: list[str] | None = None) -> int:
     """Run the daemon until it is stopped; return the exit code."""
+    prepare_for_start()
     options = _build_parser().parse_args(arguments)
     if options.platform:
         return _run_on_platform(options)
@@ -99,6 +105,7 @@
     async def run() -> None:
         daemon = Daemon.from_config(settings, asyncio.get_running_loop().time)
         await daemon.run()
+        ignore_until_exit()
 
     read = EntrySettings.from_file(options.config, os.environ)
     if isinstance(read, Err):
