--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/target_entry.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/target_entry.py
@@ -30,7 +30,9 @@
     version: Name
     slots: Count
     cold_left_ms: float
-    born: NotNegative
+    # Unix milliseconds of the start; targets that never start again under their id may
+    # leave it out.
+    born: NotNegative = 0
 
 
 _decoder = msgspec.json.Decoder(_Entry)
