--- a/tools/burdockhaven_bench/platform_harness.py
+++ b/tools/burdockhaven_bench/platform_harness.py
@@ -8,7 +8,7 @@
 import os
 import signal
 import sys
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import TypeVar
@@ -128,15 +128,19 @@
         predecessor: Daemon | None = None,
         seeds: Sequence[str] = (),
         is_first_start: bool = True,
+        ip: str | None = None,
+        limits: Mapping[str, float] | None = None,
     ) -> Daemon:
         """Start another daemon, without waiting until it is ready.
 
         It takes over the addresses of its predecessor, which must have ended. `seeds`
         are control addresses of other members. `is_first_start` tells it that the whole
-        system starts for the first time.
+        system starts for the first time. `ip` is its loopback address; by default, the
+        harness picks one. `limits` are written to its settings: `memory_mb`, `max_fds`
+        and others of the platform.
         """
         if predecessor is None:
-            ip = f"127.0.0.{next(self.ip_numbers)}"
+            ip = ip or f"127.0.0.{next(self.ip_numbers)}"
             listen = {name: f"{ip}:{_free_port()}" for name in LISTENERS}
         else:
             ip, listen = predecessor.ip, predecessor.listen
@@ -149,6 +153,7 @@
             "seeds": list(seeds),
             "bootstrap": is_first_start,
             "bounds": BOUNDS,
+            "limits": dict(limits or {}),
             "platform": {"address": self.site.store_address},
         }
         path = self.folder / f"{node}.yaml"
--- a/tools/burdockhaven_standins/platform_site.py
+++ b/tools/burdockhaven_standins/platform_site.py
@@ -6,7 +6,7 @@
 import asyncio
 import itertools
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from aiohttp import web
@@ -30,6 +30,8 @@
 ENTRY_LIFETIME_S = 1.0
 # Seconds that a call to the plain service takes.
 CALL_S = 0.02
+# Header fields that a target accepts; the platform limits only their bytes.
+MAX_HEADER_FIELDS = 32_768
 ROUTES = (
     {
         "name": "plain",
@@ -58,23 +60,33 @@
 )
 
 
-def configuration(version: int, api_keys: list[str]) -> bytes:
-    """Encode a configuration: two routes, two services, one client account."""
+def configuration(
+    version: int,
+    api_keys: list[str],
+    routes: Sequence[Mapping[str, object]] = ROUTES,
+    limits: Mapping[str, float] | None = None,
+) -> bytes:
+    """Encode a configuration: routes, their services, one client account.
+
+    `limits` are those of client requests; None for the defaults.
+    """
     config = StepEngineConfig()
     engine = {
         "slots": config.slots,
         "kv_capacity": config.memory_tokens,
         "stride": config.tokens_per_event,
     }
-    body = {
+    body: dict[str, object] = {
         "version": version,
-        "routes": ROUTES,
+        "routes": routes,
         "services": [
-            {"name": PLAIN_SERVICE},
-            {"name": ENGINE_SERVICE, "engine": engine},
+            {"name": name} | ({"engine": engine} if name == ENGINE_SERVICE else {})
+            for name in dict.fromkeys(route["service"] for route in routes)
         ],
         "tenants": [{"name": "acme", "api_keys": api_keys}],
     }
+    if limits is not None:
+        body["limits"] = limits
     return json.dumps(body).encode()
 
 
@@ -94,6 +106,9 @@
     store: PlatformStoreStandin = field(default_factory=PlatformStoreStandin)
     services: list[PlatformService] = field(default_factory=list)
     engines: list[PlatformEngine] = field(default_factory=list)
+    routes: Sequence[Mapping[str, object]] = ROUTES
+    # Limits of client requests in the configuration; None for the defaults.
+    limits: Mapping[str, float] | None = None
     store_address: str = ""
     # Addresses of the targets, by target id.
     addresses: dict[str, str] = field(default_factory=dict)
@@ -160,7 +175,8 @@
 
     def publish(self, version: int, api_keys: list[str]) -> None:
         """Write a configuration to the store, as the operator does."""
-        self.store.put("op/config", configuration(version, api_keys))
+        body = configuration(version, api_keys, self.routes, self.limits)
+        self.store.put("op/config", body)
 
     def register(self) -> None:
         """Write the entries of all targets that serve, unless the store is down."""
@@ -260,7 +276,12 @@
     async def _serve(
         self, name: str, app: web.Application, address: str | None = None
     ) -> str:
-        runner = web.AppRunner(app, handler_cancellation=True, shutdown_timeout=0.1)
+        runner = web.AppRunner(
+            app,
+            handler_cancellation=True,
+            shutdown_timeout=0.1,
+            max_headers=MAX_HEADER_FIELDS,
+        )
         await runner.setup()
         # The port stays reserved while nothing listens on it.
         address = address or free_address()
--- a/tools/burdockhaven_standins/platform_targets.py
+++ b/tools/burdockhaven_standins/platform_targets.py
@@ -11,7 +11,7 @@
 import itertools
 import time
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass, field
 
 import msgspec
@@ -254,18 +254,38 @@
     """Do nothing."""
 
 
+async def _answer_done(request: web.Request) -> bytes:
+    return b"done"
+
+
+async def answer_sizes(request: web.Request) -> bytes:
+    """Return the number of bytes in the body and the number of header fields."""
+    size = len(await request.read())
+    return f"{size} {len(request.raw_headers)}".encode()
+
+
 class PlatformService:
-    """Plain service: each call takes `call_s`; the slots limit the concurrency."""
+    """Plain service: each call takes `call_s`; the slots limit the concurrency.
+
+    `answer` returns the body of the response.
+    """
 
-    def __init__(self, record: TargetRecord, call_s: float) -> None:
+    def __init__(
+        self,
+        record: TargetRecord,
+        call_s: float,
+        answer: Callable[[web.Request], Awaitable[bytes]] = _answer_done,
+    ) -> None:
         self.record = record
         self.call_s = call_s
+        self.answer = answer
         self.free_slots = asyncio.Semaphore(record.slots)
         self.waiting = 0
 
     def application(self) -> web.Application:
         """Create the HTTP application of the service."""
-        app = web.Application()
+        # The size of bodies is not limited.
+        app = web.Application(client_max_size=0)
         app.router.add_get(HEALTH_PATH, self._health)
         app.router.add_route("*", "/{path:.*}", self._call)
         return app
@@ -301,7 +321,7 @@
             request.transport.abort()
             received.end = RequestEnd.ABORTED
         headers = self.record.headers(received.attempt)
-        return web.Response(body=b"done", headers=headers)
+        return web.Response(body=await self.answer(request), headers=headers)
 
 
 class PlatformEngine:
--- a/tools/burdockhaven_standins/ports.py
+++ b/tools/burdockhaven_standins/ports.py
@@ -4,11 +4,15 @@
 that two test processes never hand out the same port.
 """
 
+import contextlib
 import random
 import socket
 from collections import deque
 
 HOST = "127.0.0.1"
+# Loopback networks, of 2**16 hosts each, other than that of the default host.
+FIRST_NETWORK = 1
+LAST_NETWORK = 254
 # Below the range of ephemeral ports, so that no outgoing connection takes a port
 # between its selection and its use.
 FIRST_PORT = 20_000
@@ -34,6 +38,19 @@
     return [free_address() for _ in range(count)]
 
 
+def free_host(port: int) -> str:
+    """Return a loopback host other than the default one where the port is not in use.
+
+    The port is not reserved.
+    """
+    while True:
+        network = _rng.randint(FIRST_NETWORK, LAST_NETWORK)
+        host = f"127.{network}.{_rng.randint(1, 254)}.{_rng.randint(1, 254)}"
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((host, port))
+            return host
+
+
 def _reserve(port: int) -> bool:
     """Bind the port without listening on it; False if it is in use or reserved.
 
--- a/tools/tests/test_platform_targets.py
+++ b/tools/tests/test_platform_targets.py
@@ -21,6 +21,7 @@
     RequestEnd,
     TargetFaults,
     TargetRecord,
+    answer_sizes,
 )
 from burdockhaven_standins.step_engine import StepEngineConfig
 
@@ -120,6 +121,22 @@
                 await asyncio.sleep(0.01)
 
 
+# Guards against a stand-in that refuses a request inside the platform's limits.
+async def test_service_accepts_large_bodies_and_many_header_fields():
+    service = PlatformService(TargetRecord("i-1", "s", 4), 0.0, answer_sizes)
+    site = PlatformSite(services=[service])
+    await site.start()
+    headers = REQUEST | {f"f{number}": "1" for number in range(2_000)}
+    url = f"http://{site.addresses['i-1']}/x"
+    async with aiohttp.request(
+        "POST", url, headers=headers, data=bytes(4_194_304)
+    ) as response:
+        size, fields = map(int, (await response.text()).split())
+    await site.stop()
+    assert size == 4_194_304
+    assert fields >= len(headers)
+
+
 @pytest.mark.parametrize(("sends_head", "status"), [(True, 200), (False, None)])
 @pytest.mark.parametrize("headers", [{}, {TOKEN_COUNTS: "9,1"}, {LAST_EVENT_ID: "7"}])
 async def test_crash_ends_all_connections_and_refuses_new_ones(
--- a/tools/tests/test_ports.py
+++ b/tools/tests/test_ports.py
@@ -1,5 +1,6 @@
 import asyncio
 import random
+import socket
 import subprocess
 import sys
 from collections import deque
@@ -8,7 +9,7 @@
 import zmq
 
 from burdockhaven_standins import ports
-from burdockhaven_standins.ports import free_address, free_addresses
+from burdockhaven_standins.ports import free_address, free_addresses, free_host
 
 PICK_WITH_FIXED_SEED = """
 import random
@@ -48,6 +49,13 @@
         router.bind(f"tcp://{free_address()}")
 
 
+def test_free_host_can_use_a_port_that_the_default_host_uses():
+    with socket.create_server((ports.HOST, 0)) as used:
+        port = used.getsockname()[1]
+        with socket.create_server((free_host(port), port)):
+            pass
+
+
 def test_oldest_reservation_is_released(monkeypatch):
     monkeypatch.setattr(ports, "_reservations", deque())
     monkeypatch.setattr(ports, "MAX_RESERVATIONS", 3)
