Engines that reject a request beside a silent run do not delay its next run

What callers saw: a stream whose engine was silent, went on and then broke was continued later, up to the time at which its client leaves, the more engines had rejected it during the silence.

Cause: rejections beside a silent run were counted as rejections of the request's own sends, whose number doubles the pause before its next placement, and is never reset.

Both are counted apart now.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -501,7 +501,8 @@
     ) -> ReplacementSearch:
         async def find() -> OpenedRun | None:
             opened = await self._find_replacement(routed, stream, target)
-            if opened is None and stream.rejections and stream.response is None:
+            has_failed = stream.rejections or stream.refused_replacements
+            if opened is None and has_failed and stream.response is None:
                 # Its client gets a response, so that it can send the request again.
                 left_s = stream.give_up_s - self.state.clock()
                 search.end_run_at(asyncio.get_running_loop().time() + left_s)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_state.py
@@ -76,7 +76,9 @@
     # The run at another engine that replaces a silent one; None if the next run needs a
     # placement.
     replacement: OpenedRun | None = None
-    # Monotonic time in seconds from which another engine is looked for.
+    # Runs beside a silent one that engines did not accept, and the monotonic time in
+    # seconds from which another engine is looked for.
+    refused_replacements: int = 0
     search_from_s: float = 0.0
     # When the present run had its first event, 0 before it, and whether any run has
     # gone on after its first event.
@@ -175,9 +177,10 @@
 
     def record_refused_replacement(self, now: float) -> None:
         """Record that an engine did not accept the request beside a silent run."""
-        self.rejections += 1
+        self.refused_replacements += 1
         self.was_replaced |= self.possible_runs > 0
-        self.search_from_s = now + REPLACEMENT_RETRY_INTERVAL_S * 2**self.rejections
+        pause_s = REPLACEMENT_RETRY_INTERVAL_S * 2**self.refused_replacements
+        self.search_from_s = now + pause_s
 
     def begin_run(self) -> None:
         """Record that the request is sent to an engine."""
--- a/packages/burdockhaven-entry/tests/gateway/test_replacement_run.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_replacement_run.py
@@ -1,5 +1,6 @@
 import asyncio
 import dataclasses
+import math
 import socket
 
 import pytest
@@ -8,6 +9,7 @@
     WAIT_TIMEOUT_S,
     Gateway,
     Script,
+    reset_connection,
     stream_events,
     wait_until,
     write_chunk,
@@ -154,3 +156,29 @@
     with pytest.raises(asyncio.CancelledError):
         await user
     assert client.response.is_closed
+
+
+# Guards against LOST: a stream that breaks after a silence is continued only when its
+# client leaves, because of the engines that had rejected it during the silence.
+async def test_rejections_during_a_silence_do_not_delay_the_next_run(start):
+    async def behave(request, reader, writer):
+        nonlocal broke_s
+        await stream_events(1, 2, end=False)(request, reader, writer)
+        for number in (3, 4):
+            await asyncio.sleep(2.0)
+            write_chunk(writer, b"id: %d\ndata: %d\n\n" % (number, number))
+        broke_s = gateway.state.clock()
+        await asyncio.sleep(0.05)
+        return await reset_connection(request, reader, writer)
+
+    async def full_at_first(request, reader, writer):
+        is_full = gateway.state.clock() < broke_s + 0.2
+        answer = REJECTED if is_full else stream_events(5, 6)
+        return await answer(request, reader, writer)
+
+    broke_s = math.inf
+    script = Script(behave, full_at_first)
+    gateway = await start(engines=[script, script])
+    response = await gateway.call("/stream/x")
+    assert (response.status, response.body) == (200, numbered_events(1, 6))
+    assert gateway.state.clock() - broke_s < 1.2
