A content that was quarantined meanwhile is not sent beside a silent run

What was seen: a request that waited for another engine was sent to it although engines had ended beneath its content in the meantime; the silent run was given up for it, and the stream was cut.

Cause: the quarantine was checked before the request was queued only.

Evidence: the test failed before (payload not completed). The check is repeated after the grant.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -536,7 +536,9 @@
         if isinstance(placement, PlacementRefused):
             return None
         other = self._resolve_target(routed, stream, placement)
-        if other is None or not self._acquire_retry(routed, stream):
+        # Its like may have ended engines since the request was queued.
+        is_admitted = not self._is_quarantined(stream)
+        if other is None or not is_admitted or not self._acquire_retry(routed, stream):
             self._give_back(placement)
             return None
         stream.is_retry_acquired = False
--- a/packages/burdockhaven-entry/tests/gateway/test_replacement_run.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_replacement_run.py
@@ -9,6 +9,7 @@
     WAIT_TIMEOUT_S,
     Gateway,
     Script,
+    hang,
     reset_connection,
     stream_events,
     wait_until,
@@ -16,8 +17,9 @@
 )
 from test_stream_forwarding import numbered_events, silent_before
 
+from burdockhaven_entry.gateway.gateway_state import GatewayState
 from burdockhaven_entry.gateway.opened_run import OpenedRun
-from burdockhaven_entry.gateway.placement_client import Placement
+from burdockhaven_entry.gateway.placement_client import Placement, PlacementClient
 from burdockhaven_entry.gateway.replacement_search import ReplacementSearch
 
 
@@ -182,3 +184,22 @@
     response = await gateway.call("/stream/x")
     assert (response.status, response.body) == (200, numbered_events(1, 6))
     assert gateway.state.clock() - broke_s < 1.2
+
+
+# Guards against engines that end beneath a content which was quarantined while the
+# request waited for another engine.
+async def test_quarantined_content_is_not_sent_beside_a_silent_run(start, monkeypatch):
+    real_place = PlacementClient.place
+
+    async def place(self, requirements):
+        placement = await real_place(self, requirements)
+        if requirements.is_retry:
+            monkeypatch.setattr(GatewayState, "admits_content", lambda *_: False)
+        return placement
+
+    monkeypatch.setattr(PlacementClient, "place", place)
+    script = Script(silent_before(1, 4), hang)
+    gateway = await start(engines=[script, script])
+    assert (await gateway.call("/stream/x")).body == numbered_events(1, 4)
+    assert len(gateway.received) == 1
+    assert gateway.frontend.streams.placement_client.runs == {}
