A stall of this process is not taken for the acceptance of a request

What callers would see: a stream is cut although its silent engine is sound, if the process stands still for 50 ms or more (as beside a stop) while another engine rejects the request.

Cause: the event loop handles an overdue timer in the iteration in which it begins to read what arrived, so the engine counted as having accepted a request whose rejection was waiting to be read.

Evidence: the test failed before, with a stall of 0.15 s. The wait is repeated once if it ends late, so two engines work on one stream for 50 ms longer then.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/opened_run.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/opened_run.py
@@ -22,6 +22,9 @@
 # that has a connection: it rejects within a round trip, but answers only once it has
 # read the prompt. Two engines may not work on one stream for longer.
 ACCEPTANCE_DELAY_S = 0.05
+# Seconds by which the end of this wait is late if this process stood still. A rejection
+# that arrived in the meantime has not been read yet.
+OWN_STALL_S = 0.01
 
 
 @dataclass(slots=True)
@@ -56,8 +59,16 @@
         """
         waited: set[asyncio.Future[Any]] = {self.opening, self.connected}
         await asyncio.wait(waited, return_when=asyncio.FIRST_COMPLETED)
-        done, _ = await asyncio.wait({self.opening}, timeout=ACCEPTANCE_DELAY_S)
-        return self.opening.result() if done else None
+        if await self._waits_late() and not self.opening.done():
+            await self._waits_late()
+        return self.opening.result() if self.opening.done() else None
+
+    async def _waits_late(self) -> bool:
+        """Wait until the engine counts as at work; returns whether that ended late."""
+        loop = asyncio.get_running_loop()
+        accepted_s = loop.time() + ACCEPTANCE_DELAY_S
+        await asyncio.wait({self.opening}, timeout=ACCEPTANCE_DELAY_S)
+        return loop.time() - accepted_s > OWN_STALL_S
 
     @asynccontextmanager
     async def response(self) -> AsyncIterator[TargetResponse]:
--- a/packages/burdockhaven-entry/tests/gateway/test_replacement_run.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_replacement_run.py
@@ -2,6 +2,7 @@
 import dataclasses
 import math
 import socket
+import time
 
 import pytest
 from gateway_fixtures import (
@@ -17,6 +18,7 @@
 )
 from test_stream_forwarding import numbered_events, silent_before
 
+from burdockhaven_entry.gateway import opened_run
 from burdockhaven_entry.gateway.gateway_state import GatewayState
 from burdockhaven_entry.gateway.opened_run import OpenedRun
 from burdockhaven_entry.gateway.placement_client import Placement, PlacementClient
@@ -203,3 +205,23 @@
     assert (await gateway.call("/stream/x")).body == numbered_events(1, 4)
     assert len(gateway.received) == 1
     assert gateway.frontend.streams.placement_client.runs == {}
+
+
+# Guards against LOST: the run of a sound, silent engine is ended for one that has
+# rejected the request, because this process stood still and had not read the rejection.
+async def test_rejection_that_is_read_after_a_stall_is_no_acceptance():
+    client = ClientStub()
+
+    async def open_with_rejection(target, request, connected):
+        connected.set_result(None)
+        await asyncio.sleep(0.01)
+        # The event loop reads a response in several iterations.
+        for _ in range(5):
+            await asyncio.sleep(0)
+        return client.response
+
+    client.open = open_with_rejection
+    opened = OpenedRun.begin(client, None, None, None)
+    stall_s = 3 * opened_run.ACCEPTANCE_DELAY_S
+    asyncio.get_running_loop().call_later(0.005, time.sleep, stall_s)
+    assert await opened.wait_for_rejection() is client.response
