A silent run is not ended for a run beyond the limit of runs

What callers would see: a stream is cut although its silent engine is sound and another one has accepted it, if as many runs as the route allows had failed before.

Cause: the limit was checked only after the silent run had ended for the other one.

Evidence: the test failed before (payload not completed); it shortens the pauses between two looks, and five engines fail beside one silence. The limit is checked before another engine is asked.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -553,6 +553,7 @@
         return (
             route.resumable
             and len(stream.ran_at | {target.id}) < route.max_attempts
+            and stream.may_be_replaced
             and self.state.clock() >= stream.search_from_s
             and self._has_other_engine(routed, stream, target)
             and self._admits_retry(routed, stream)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_state.py
@@ -121,6 +121,12 @@
             max_runs = route.max_attempts
         return route.idempotent and self.possible_runs < max_runs
 
+    @property
+    def may_be_replaced(self) -> bool:
+        """Whether another run is allowed once that of a silent engine has ended."""
+        max_runs = MAX_RUNS_PER_TARGET * self.routed.route.max_attempts
+        return self.possible_runs + 1 < max_runs
+
     @property
     def has_used_up_targets(self) -> bool:
         """Whether the request may only return to targets that may have run it."""
--- a/packages/burdockhaven-entry/tests/gateway/test_replacement_run.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_replacement_run.py
@@ -12,13 +12,16 @@
     Script,
     hang,
     reset_connection,
+    respond,
+    routing_table,
     stream_events,
     wait_until,
     write_chunk,
 )
 from test_stream_forwarding import numbered_events, silent_before
 
-from burdockhaven_entry.gateway import opened_run
+from burdockhaven_core.scheduling.routing import RoutingTable
+from burdockhaven_entry.gateway import opened_run, replacement_search, stream_state
 from burdockhaven_entry.gateway.gateway_state import GatewayState
 from burdockhaven_entry.gateway.opened_run import OpenedRun
 from burdockhaven_entry.gateway.placement_client import Placement, PlacementClient
@@ -225,3 +228,25 @@
     stall_s = 3 * opened_run.ACCEPTANCE_DELAY_S
     asyncio.get_running_loop().call_later(0.005, time.sleep, stall_s)
     assert await opened.wait_for_rejection() is client.response
+
+
+# Guards against LOST: the silent run is ended for an engine that has accepted the
+# request, although the route allows no further run.
+async def test_silent_run_is_not_ended_for_one_beyond_the_limit_of_runs(
+    start, monkeypatch
+):
+    monkeypatch.setattr(stream_state, "REPLACEMENT_RETRY_INTERVAL_S", 0.0)
+    monkeypatch.setattr(replacement_search, "SEARCH_INTERVAL_S", 0.01)
+    failed = respond(b"no", "500 Internal Server Error")
+    script = Script(silent_before(3, 4, 2.0), *[failed] * 5, stream_events(3, 4))
+    routes = tuple(
+        dataclasses.replace(r, max_attempts=3) if r.prefix == "/stream/" else r
+        for r in routing_table().routes
+    )
+    table = routing_table()
+    table = RoutingTable.from_parts(
+        1, routes, table.services, table.account_of_key, table.limits
+    )
+    gateway = await start(engines=[script, script], table=table)
+    response = await gateway.call("/stream/x")
+    assert (response.status, response.body) == (200, numbered_events(1, 4))
