A request that was sent beside a silent run is not answered as not run

What callers saw: a 503, which says that the request has not run and never will, although another engine had got it: the silent engine rejected it in the end, and the run beside it was ended. Only routes whose requests may run again are affected.

Cause: a run that is opened and not used was not counted as a possible one; and if it was ended while its engine was being asked, that was noted an iteration of the event loop too late.

The run beside a silent one is ended and counted together with the silent one, unless it had no connection.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -348,6 +348,9 @@
             )
             if search is not None:
                 search.discard()
+            if stream.asked is not None:
+                # The task that asks it has not seen yet that it was cancelled.
+                self._abandon(stream, stream.asked)
 
     def _record_send_error(
         self,
@@ -519,8 +522,10 @@
 
     def _abandon(self, stream: StreamState, opened: OpenedRun) -> None:
         """End a run that was opened and is not used."""
+        stream.asked = None
         opened.abort()
-        stream.ran_at.add(opened.target.id)
+        if opened.connected.done():
+            stream.record_abandoned_run(opened.target.id)
         self.placement_client.record_end(opened.placement.number, RunEnd.CANCELLED)
 
     async def _find_replacement(
@@ -542,8 +547,10 @@
             self._give_back(placement)
             return None
         stream.is_retry_acquired = False
-        opened = self._open_run(routed, stream, other, placement)
-        return opened if await self._is_accepted(routed, stream, opened) else None
+        opened = stream.asked = self._open_run(routed, stream, other, placement)
+        is_accepted = await self._is_accepted(routed, stream, opened)
+        stream.asked = None
+        return opened if is_accepted else None
 
     def _may_replace(
         self, routed: RoutedRequest, stream: StreamState, target: TargetEntry
@@ -574,7 +581,8 @@
                 return True
             end = await self._end_refused_run(routed, stream, opened, response)
         except asyncio.CancelledError:
-            self._abandon(stream, opened)
+            if stream.asked is opened:
+                self._abandon(stream, opened)
             raise
         except SendError as error:
             end, _ = self._record_send_error(routed, stream, opened.target, error)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_state.py
@@ -73,6 +73,8 @@
     rejections: int = 0
     # Whether another engine may have run the request beside a silent one.
     was_replaced: bool = False
+    # The run beside a silent one whose engine has not accepted or refused it yet.
+    asked: OpenedRun | None = None
     # The run at another engine that replaces a silent one; None if the next run needs a
     # placement.
     replacement: OpenedRun | None = None
@@ -181,6 +183,12 @@
         self.routed.trace.failed_runs += 1
         self.ran_at.add(target_id)
 
+    def record_abandoned_run(self, target_id: str) -> None:
+        """Record that a run beside a silent one was ended without being used."""
+        self.possible_runs += 1
+        self.ran_at.add(target_id)
+        self.was_replaced = True
+
     def record_refused_replacement(self, now: float) -> None:
         """Record that an engine did not accept the request beside a silent run."""
         self.refused_replacements += 1
--- a/packages/burdockhaven-entry/tests/gateway/test_replacement_run.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_replacement_run.py
@@ -18,7 +18,11 @@
     wait_until,
     write_chunk,
 )
-from test_stream_forwarding import numbered_events, silent_before
+from test_stream_forwarding import (
+    numbered_events,
+    set_idle_engines_ejected,
+    silent_before,
+)
 
 from burdockhaven_core.scheduling.routing import RoutingTable
 from burdockhaven_entry.gateway import opened_run, replacement_search, stream_state
@@ -250,3 +254,24 @@
     gateway = await start(engines=[script, script], table=table)
     response = await gateway.call("/stream/x")
     assert (response.status, response.body) == (200, numbered_events(1, 4))
+
+
+# Guards against a 503, which says that a request has not run, after an engine got it
+# beside a silent one, which rejected it later.
+async def test_request_sent_beside_a_silent_run_is_not_answered_as_not_run(
+    start, monkeypatch
+):
+    async def reject_late(request, reader, writer):
+        await asyncio.sleep(1.6)
+        return await REJECTED(request, reader, writer)
+
+    monkeypatch.setattr(opened_run, "ACCEPTANCE_DELAY_S", WAIT_TIMEOUT_S)
+    gateway = await start(engines=[Script(reject_late), Script(hang)])
+    set_idle_engines_ejected(gateway, math.inf)
+    gateway.state.broker.runs.engines["engines-0"].ejected_until_s = 0.0
+    headers = {"X-Burdockhaven-Deadline-Ms": "4000"}
+    call = asyncio.create_task(gateway.call("/stream/x", headers=headers))
+    await wait_until(lambda: gateway.targets[0].received)
+    set_idle_engines_ejected(gateway, 0.0)
+    await wait_until(lambda: gateway.targets[1].received)
+    assert (await call).status in (502, 504)
