Refuse records and responses of the store with numbers beyond 64 bits

A record of a quarantined request whose key or ends exceed 64 bits is kept and sent in heartbeats, which then can't be encoded; so is a store revision. A lease of that size ended the task that keeps this member registered.

Cause: as with target entries, any integer was accepted where a value is decoded. The store's numbers and the records are now checked there; a record that fails is logged and skipped, a response that fails is a failed call.

--- a/packages/burdockhaven-core/src/burdockhaven_core/request_quarantine/content_key.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/request_quarantine/content_key.py
@@ -5,6 +5,7 @@
 # Bytes of a key. Two contents with one key would be refused together, so that a
 # checksum is too short.
 KEY_BYTES = 8
+MAX_KEY = 2 ** (8 * KEY_BYTES) - 1
 
 
 def content_key(method: str, host: str, path: str, account: str, body: bytes) -> int:
--- a/packages/burdockhaven-core/src/burdockhaven_core/request_quarantine/quarantine_record.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/request_quarantine/quarantine_record.py
@@ -4,7 +4,9 @@
 
 import msgspec
 
+from burdockhaven_core.request_quarantine.content_key import MAX_KEY
 from burdockhaven_core.scheduling.peer_messages import AccusedRequestNotice
+from burdockhaven_core.value_ranges import Key, NotNegative
 
 
 class QuarantineRecordError(ValueError):
@@ -13,7 +15,7 @@
 
 class _Record(msgspec.Struct):
     # Key of each end beneath the content, and its Unix time in milliseconds.
-    ends: list[tuple[int, int]]
+    ends: list[tuple[Key, NotNegative]]
 
 
 def encode_record(ends: Mapping[int, float], now: float, unix_ms: int) -> bytes:
@@ -37,5 +39,7 @@
         record = msgspec.json.decode(data, type=_Record)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise QuarantineRecordError(str(error)) from error
+    if max((content, *(end for end, _ in record.ends))) > MAX_KEY or content < 0:
+        raise QuarantineRecordError("a key exceeds 64 bits")
     ends = tuple((end, max(0, unix_ms - ended_ms)) for end, ended_ms in record.ends)
     return AccusedRequestNotice(content, ends)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/store.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/store.py
@@ -21,6 +21,7 @@
 from result import Err, Ok, Result
 
 from burdockhaven_core.key_value_failure import FailureKind, KeyValueFailure
+from burdockhaven_core.value_ranges import NotNegative
 from burdockhaven_entry.platform.decode_errors import DECODE_ERRORS
 from burdockhaven_entry.platform.response_body import read_body_up_to
 from burdockhaven_entry.platform.whole_number import parse_whole_number
@@ -48,23 +49,23 @@
 class _RawItem(msgspec.Struct):
     key: str
     value: str = ""
-    revision: int = 0
+    revision: NotNegative = 0
     tombstone: Any = None
 
 
 class _RangeResponse(msgspec.Struct):
     items: list[_RawItem]
     truncated: bool
-    store_revision: int
+    store_revision: NotNegative
 
 
 class _WatchResponse(msgspec.Struct):
     events: list[_RawItem]
-    store_revision: int
+    store_revision: NotNegative
 
 
 class _LeaseResponse(msgspec.Struct):
-    lease: int
+    lease: NotNegative
     ttl_ms: int
 
 
@@ -75,7 +76,7 @@
 
 
 class _Written(msgspec.Struct):
-    revision: int
+    revision: NotNegative
 
 
 class _Expected(msgspec.Struct):
--- a/packages/burdockhaven-entry/tests/platform/test_store.py
+++ b/packages/burdockhaven-entry/tests/platform/test_store.py
@@ -160,6 +160,29 @@
     assert watched.unwrap_err().kind is FailureKind.AMBIGUOUS
 
 
+# Guards against a number that is kept, and that no later call or heartbeat can carry.
+@pytest.mark.parametrize("revision", [10**20, 2**63, -1])
+async def test_number_of_the_store_beyond_63_bits_is_a_failure(revision):
+    odd_item = page(5, "a/1")
+    odd_item["items"][0]["revision"] = revision
+    async with Harness(
+        (200, "3", page(revision, "a/1")),
+        (200, "3", odd_item),
+        (200, "3", {"events": [], "store_revision": revision}),
+        (200, "3", {"lease": revision, "ttl_ms": 1}),
+        (200, "3", {"revision": revision}),
+    ) as harness:
+        results = [
+            await harness.store.read_prefix("a/"),
+            await harness.store.read_prefix("a/"),
+            await harness.store.watch("a/", StoreRevision(3, 5), 0.1),
+            await harness.store.grant_lease(1.0),
+            await harness.store.write_if("a/1", b"", 0),
+        ]
+    kinds = [result.unwrap_err().kind for result in results]
+    assert kinds == [FailureKind.AMBIGUOUS] * 5
+
+
 # Guards against a bound that cuts pages of large values.
 async def test_large_values_are_read_whole():
     value = base64.b64encode(bytes(2**20)).decode()
--- a/packages/burdockhaven-entry/tests/quarantine/test_quarantine_store.py
+++ b/packages/burdockhaven-entry/tests/quarantine/test_quarantine_store.py
@@ -1,6 +1,7 @@
 """Records of quarantined request contents, in virtual time."""
 
 import asyncio
+import json
 import random
 
 import pytest
@@ -16,6 +17,7 @@
     QUARANTINE_S,
 )
 from burdockhaven_core.scheduling.member_list import MEMBER_TIMEOUT_S
+from burdockhaven_core.scheduling.peer_messages import encode_message
 from burdockhaven_entry.gateway.gateway_state import GatewayState
 from burdockhaven_entry.platform import (
     QUARANTINE_PREFIX,
@@ -239,3 +241,26 @@
         assert not (await restart(store)).admits()
 
     play(scenario)
+
+
+# Guards against LOST: heartbeats carry these numbers, and a process whose heartbeats
+# can't be encoded ended at SIGTERM without a drain.
+@pytest.mark.parametrize(
+    ("key", "ends"),
+    [
+        (f"{1 << 64:x}", [[1, EPOCH_MS]]),
+        ("-1", [[1, EPOCH_MS]]),
+        (f"{1:016x}", [[1 << 64, EPOCH_MS]]),
+        (f"{1:016x}", [[-1, EPOCH_MS]]),
+        (f"{1:016x}", [[1, -(10**30)]]),
+    ],
+)
+def test_record_with_a_number_that_no_heartbeat_carries_is_ignored(key, ends):
+    async def scenario(store):
+        data = json.dumps({"ends": ends}).encode()
+        store.values[QUARANTINE_PREFIX + key] = data
+        member = await restart(store)
+        assert member.quarantine.accused == {}
+        assert encode_message(member.state.heartbeat())
+
+    play(scenario)
