Refuse client headers that messages to brokers can't carry

Callers saw: a request with token counts beyond 64 bits, or with a prompt part that is not UTF-8, was answered with an internal error, because its placement request could not be encoded. A stream whose attempt id is not UTF-8 was cut at its first event.

Cause: header values were taken as they came. Counts above 2^31 and ids that are not UTF-8 are now malformed (400); they can't be passed on unchanged either. A prompt part that is not UTF-8 keeps its bytes as Latin-1, since parts are hints and an unreadable one never refused a request.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/client_request.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/client_request.py
@@ -6,6 +6,7 @@
 
 from multidict import CIMultiDict, CIMultiDictProxy
 
+from burdockhaven_core.value_ranges import MAX_COUNT
 from burdockhaven_entry.platform.whole_number import parse_whole_number
 
 ATTEMPT_ID = "X-Burdockhaven-Attempt-Id"
@@ -91,7 +92,11 @@
     attempt_id = headers.get(ATTEMPT_ID, "")
     if not attempt_id:
         raise MalformedRequestError(f"missing header {ATTEMPT_ID}")
-    counts = _parse_numbers(headers, TOKEN_COUNTS)
+    for name in (ATTEMPT_ID, RESUMES):
+        if not _is_unicode(headers.get(name, "")):
+            raise MalformedRequestError(f"header {name} is not UTF-8")
+    counts = _parse_counts(headers, TOKEN_COUNTS)
+    hints = _parse_counts(headers, LENGTH_HINT)
     if counts is not None and len(counts) != 2:
         raise MalformedRequestError(f"header {TOKEN_COUNTS} does not hold two numbers")
     return ClientRequest(
@@ -103,7 +108,7 @@
         parts=parse_prompt_parts(headers.get(PROMPT_PREFIX, "")),
         last_event_id=headers.get(LAST_EVENT_ID),
         resumed_attempt_id=headers.get(RESUMES) or None,
-        expected_output_tokens=_parse_number(headers, LENGTH_HINT),
+        expected_output_tokens=None if hints is None else hints[0],
     )
 
 
@@ -158,6 +163,14 @@
     return numbers
 
 
+def _parse_counts(headers: Mapping[str, str], name: str) -> list[int] | None:
+    """Parse counts of tokens, which messages to other members carry."""
+    counts = _parse_numbers(headers, name)
+    if counts is not None and max(counts) > MAX_COUNT:
+        raise MalformedRequestError(f"header {name} holds more than {MAX_COUNT} tokens")
+    return counts
+
+
 def parse_prompt_parts(value: str) -> tuple[tuple[str, int], ...]:
     """Parse the parts of a prompt and their tokens; unreadable ones are skipped."""
     parts = []
@@ -171,8 +184,18 @@
 
 
 def _short_name(name: str) -> str:
-    """Return the name of a part; a digest if it is long, since brokers keep names."""
-    if len(name) <= MAX_PART_NAME:
+    """Return the name of a part; a digest if it is long, since brokers keep names.
+
+    Bytes that are not UTF-8 are kept as Latin-1: messages to brokers are Unicode.
+    """
+    if len(name) <= MAX_PART_NAME and _is_unicode(name):
         return name
     data = name.encode("utf-8", "surrogateescape")
+    if len(name) <= MAX_PART_NAME:
+        return data.decode("latin-1")
     return hashlib.blake2b(data, digest_size=PART_DIGEST_BYTES).hexdigest()
+
+
+def _is_unicode(text: str) -> bool:
+    """Whether a header value was valid UTF-8; other bytes become lone surrogates."""
+    return text.isascii() or not any("\ud800" <= c <= "\udfff" for c in text)
--- a/packages/burdockhaven-entry/tests/platform/test_headers.py
+++ b/packages/burdockhaven-entry/tests/platform/test_headers.py
@@ -57,6 +57,10 @@
         headers(X_Burdockhaven_Attempt_Id="a", X_Burdockhaven_Deadline_Ms="inf"),
         headers(X_Burdockhaven_Attempt_Id="a", X_Burdockhaven_Token_Counts="1"),
         headers(X_Burdockhaven_Attempt_Id="a", X_Burdockhaven_Token_Counts="1,-2"),
+        headers(X_Burdockhaven_Attempt_Id="a", X_Burdockhaven_Token_Counts="1e300,1"),
+        headers(X_Burdockhaven_Attempt_Id="a", X_Burdockhaven_Length_Hint="1e20"),
+        headers(X_Burdockhaven_Attempt_Id="a\udcff"),
+        headers(X_Burdockhaven_Attempt_Id="a", Resumes="a\udcff"),
     ],
 )
 def test_malformed_client_request_is_an_error(bad):
@@ -70,6 +74,21 @@
     assert read_client_request(values).parts == (("a", 1), ("d", 4))
 
 
+# Guards against a placement request that can't be encoded for the broker.
+def test_prompt_part_with_bytes_that_are_not_utf_8_gets_a_name_that_is():
+    value = "a\udcff:1,\udcff:2,\u00e9:3"
+    values = headers(X_Burdockhaven_Attempt_Id="a", X_Burdockhaven_Prompt_Prefix=value)
+    parts = read_client_request(values).parts
+    assert [count for _, count in parts] == [1, 2, 3]
+    assert all(name.encode() for name, _ in parts)
+
+
+# Guards against a deadline far off that is taken for a malformed one.
+def test_deadline_may_be_any_number():
+    values = headers(X_Burdockhaven_Attempt_Id="a", X_Burdockhaven_Deadline_Ms="1e300")
+    assert read_client_request(values).deadline_ms > 1e299
+
+
 SYSTEM_HEADERS = (
     "X-Burdockhaven-Tenant",
     "X-Burdockhaven-Expect-Instance",
