Refuse configurations with numbers that messages can't carry

Callers saw: nothing yet. A version or a priority beyond 64 bits, or a time-out of 1e300 ms, came into force; from then on the heartbeats of all members, or all placement requests of the route, could not be encoded.

The numbers and the lengths of names are checked where a configuration is decoded; the one in force stays.

Evidence: the 17 cases of test_configuration_with_a_number_out_of_range_is_an_error and 4 tests of test_message_values.py failed before.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/configuration.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/configuration.py
@@ -12,6 +12,14 @@
     Service,
     ServiceShare,
 )
+from burdockhaven_core.value_ranges import (
+    Count,
+    Integer,
+    Name,
+    NotNegative,
+    Rate,
+    SpanMs,
+)
 from burdockhaven_entry.platform.decode_errors import DECODE_ERRORS
 
 MS_PER_S = 1_000.0
@@ -29,61 +37,61 @@
 
 
 class _Split(msgspec.Struct):
-    service: str
-    weight: float
+    service: Name
+    weight: Rate
 
 
 class _Route(msgspec.Struct):
-    name: str
+    name: Name
     host: str
     prefix: str
     kind: str
-    timeout_ms: float
+    timeout_ms: SpanMs
     # In the platform's names, "target" means the objective here, not a server.
-    target_latency_ms: float = 0.0
-    priority: int = 0
+    target_latency_ms: SpanMs = 0.0
+    priority: Integer = 0
     # Used instead of `split` if all requests go to one service.
-    service: str | None = None
+    service: Name | None = None
     split: list[_Split] = []
-    max_attempts: int = 1
+    max_attempts: Integer = 1
     public: bool = False
     sticky: bool = False
     resumable: bool = False
-    target_gap_ms: float | None = None
+    target_gap_ms: SpanMs | None = None
 
 
 class _Engine(msgspec.Struct):
-    slots: int
-    kv_capacity: int = 500_000
+    slots: Count
+    kv_capacity: NotNegative = 500_000
     # Tokens in one event of a stream.
-    stride: int = 1
+    stride: Count = 1
 
 
 class _Service(msgspec.Struct):
-    name: str
-    max_conns: int = 100
+    name: Name
+    max_conns: Count = 100
     engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3_000.0
-    idle_timeout_ms: float = 15_000.0
+    max_header_bytes: NotNegative = 16_384
+    max_body_bytes: NotNegative = 4_194_304
+    header_timeout_ms: SpanMs = 3_000.0
+    idle_timeout_ms: SpanMs = 15_000.0
 
 
 class _Tenant(msgspec.Struct):
-    name: str
+    name: Name
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: Integer | None = None
     unit: str = ""
-    uncached_tokens: int = 0
-    rate_per_s: float = 0.0
-    burst: float = 0.0
+    uncached_tokens: Count = 0
+    rate_per_s: Rate = 0.0
+    burst: Rate = 0.0
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: NotNegative
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
--- a/packages/burdockhaven-entry/tests/gateway/test_message_values.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_message_values.py
@@ -4,6 +4,7 @@
 import json
 import random
 
+import pytest
 from fuzz_settings import FUZZING
 from gateway_fixtures import settings
 from hypothesis import example, given
@@ -19,6 +20,7 @@
     PlacementRequirements,
 )
 from burdockhaven_entry.platform import (
+    ConfigurationError,
     MalformedRequestError,
     read_client_request,
     read_configuration,
@@ -134,3 +136,23 @@
     assert message.parts == client_request.parts
     assert stream_key(client_request.attempt_id)
     assert stream_key(client_request.resumed_attempt_id or "")
+
+
+# Guards against a configuration with which no request can be placed.
+@FUZZING
+@given(st.sampled_from(["timeout_ms", "target_latency_ms", "priority"]), NUMBERS)
+@example("timeout_ms", 1e300)
+@example("target_gap_ms", 1e300)
+@example("priority", 10**20)
+def test_requests_of_an_accepted_route_can_be_placed(name, value):
+    try:
+        table = read_table(route=ROUTE | {name: value})
+    except ConfigurationError:
+        return
+    assert send(read_headers(HEADERS), table).route == "r1"
+
+
+@pytest.mark.parametrize("priority", [10**20, -(10**20), 2**63])
+def test_priority_that_no_message_carries_is_refused(priority):
+    with pytest.raises(ConfigurationError):
+        read_table(account=ACCOUNT | {"priority": priority})
--- a/packages/burdockhaven-entry/tests/platform/test_configuration.py
+++ b/packages/burdockhaven-entry/tests/platform/test_configuration.py
@@ -104,3 +104,39 @@
 def test_invalid_configuration_is_an_error(data):
     with pytest.raises(ConfigurationError):
         read_configuration(data)
+
+
+def changed(section, **changes):
+    """Return the configuration with changes to the first item of a section."""
+    parts = CONFIGURATION[section]
+    first = (parts[0] if isinstance(parts, list) else parts) | changes
+    return {section: [first] if isinstance(parts, list) else first}
+
+
+# Guards against numbers that messages to members can't carry, and against times that
+# raise an error wherever they are used.
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"version": 10**20},
+        {"version": -1},
+        changed("routes", timeout_ms=1e300),
+        changed("routes", timeout_ms=-1),
+        changed("routes", target_latency_ms=1e300),
+        changed("routes", target_gap_ms=1e300),
+        changed("routes", priority=10**20),
+        changed("routes", max_attempts=10**20),
+        changed("routes", service=None, split=[{"service": "x", "weight": -1}]),
+        changed("services", max_conns=10**20),
+        changed("services", engine={"slots": 10**20}),
+        changed("services", engine={"slots": 1, "kv_capacity": 10**20}),
+        changed("tenants", priority=-(10**20)),
+        changed("tenants", uncached_tokens=10**20),
+        changed("tenants", rate_per_s=1e300),
+        changed("limits", max_body_bytes=10**20),
+        changed("limits", header_timeout_ms=1e300),
+    ],
+)
+def test_configuration_with_a_number_out_of_range_is_an_error(changes):
+    with pytest.raises(ConfigurationError):
+        read(**changes)
