Take a target's limit above 1e12 a second for unreadable

Callers saw: nothing yet. A target that names a limit of 1e308 requests a second made each response of it an internal error, and each later heartbeat of the member: the number of members that share a limit is computed from it.

Cause: the header was checked against infinity only. A limit above 1e12 is logged as unreadable, like one that is no number.

Evidence: test_unreadable_limit_changes_nothing[1e308] failed before.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/response_headers.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/response_headers.py
@@ -1,6 +1,6 @@
 """Headers of target responses: parses them and filters them for the client."""
 
-import math
+import sys
 from dataclasses import dataclass
 
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -10,6 +10,7 @@
     TargetObservation,
     UnreadableSignal,
 )
+from burdockhaven_core.value_ranges import MAX_RATE_PER_S
 from burdockhaven_entry.platform.client_request import ATTEMPT_ID, HOP_BY_HOP_HEADERS
 from burdockhaven_entry.platform.whole_number import parse_whole_number
 
@@ -158,7 +159,7 @@
 
 def _read_observation(status: int, headers: CIMultiDictProxy[str]) -> TargetObservation:
     limit_text = headers.get(SERVER_LIMIT, "")
-    limit_per_s = _parse_number(limit_text)
+    limit_per_s = _parse_number(limit_text, MAX_RATE_PER_S)
     unreadable = []
     if limit_text and limit_per_s is None:
         unreadable.append(UnreadableSignal(Signal.LIMIT, limit_text))
@@ -178,13 +179,13 @@
     )
 
 
-def _parse_number(value: str) -> float | None:
-    """Parse a number that is neither negative nor infinite; None for anything else."""
+def _parse_number(value: str, most: float = sys.float_info.max) -> float | None:
+    """Parse a number from 0 to `most`; None for anything else."""
     try:
         number = float(value)
     except ValueError:
         return None
-    return number if 0 <= number < math.inf else None
+    return number if 0 <= number <= most else None
 
 
 def _parse_load(value: str) -> TargetLoad | None:
--- a/packages/burdockhaven-entry/tests/gateway/test_target_signal_log.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_target_signal_log.py
@@ -74,8 +74,10 @@
     await gateway.stop()
 
 
-async def test_unreadable_limit_changes_nothing():
-    script = Script(respond(extra="Server-Limit: x\r\n"))
+# Guards against a limit that raises an error at each later heartbeat.
+@pytest.mark.parametrize("value", ["x", "-1", "nan", "1e308"])
+async def test_unreadable_limit_changes_nothing(value):
+    script = Script(respond(extra=f"Server-Limit: {value}\r\n"))
     gateway = await Gateway.start(plain=[script])
     for _ in range(20):
         assert (await gateway.call("/safe/")).status == 200
