Keep the end of a response from a reset when its connection closes

Callers saw: a response that was cut, though the process had written all of it and logged 200.

Cause: during a drain each response closes its connection. A socket that is closed with unread bytes is reset, and the kernel drops what it has not sent yet. The next request of a client that sends ahead is such bytes.

The connection is now closed for writing first, and what arrives is discarded until the client closes it, for 1 s at most.

What remains: a client that takes longer than 1 s to read what the kernel holds, and an idle connection that is closed while its last answer is still on the way to a client that has sent more.

Evidence: test_answer_of_a_drain_is_whole_although_the_client_has_sent_more failed before with ECONNRESET.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/client_server.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/client_server.py
@@ -19,6 +19,9 @@
 MAX_HEADER_LINE_BYTES = 32_768
 # Seconds between two checks for idle connections during a drain.
 DRAIN_POLL_INTERVAL_S = 0.02
+# Longest time in seconds for which a connection is read after its last response, until
+# the client closes it.
+LINGER_S = 1.0
 REQUEST_TIMEOUT_RESPONSE = (
     b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 )
@@ -38,6 +41,35 @@
         elif data and self.head_started_s is None:
             self.head_started_s = self._loop.time()
 
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Send the rest of a response; one that closes its connection lingers."""
+        response, is_disconnected = await super().finish_response(
+            request, resp, start_time
+        )
+        if not (is_disconnected or response.keep_alive):
+            await self._linger()
+        return response, is_disconnected
+
+    async def _linger(self) -> None:
+        """Close for writing, and discard what is received until the client closes.
+
+        A socket that is closed with unread bytes is reset, and the kernel drops the
+        part of the response that it has not sent yet.
+        """
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return
+        self.close()
+        transport.write_eof()
+        transport.resume_reading()
+        # The client's close cancels the wait, with the handler.
+        await asyncio.sleep(LINGER_S)
+
     def is_busy(self) -> bool:
         """Whether a request has been read and not answered yet.
 
--- a/packages/burdockhaven-entry/tests/gateway/test_client_server.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_client_server.py
@@ -1,4 +1,5 @@
 import asyncio
+import socket
 
 import pytest
 from gateway_fixtures import (
@@ -11,7 +12,12 @@
     wait_until,
 )
 
+from burdockhaven_entry.gateway import client_server
+
 TIMEOUT_S = 30.0
+# Of an answer that fills the client's buffer many times over.
+LARGE_BODY_BYTES = 200_000
+SMALL_BUFFER_BYTES = 4_096
 REQUEST = (
     f"POST /safe/x HTTP/1.1\r\nHost: one.example\r\n{ATTEMPT}: a\r\n"
     f"Authorization: Bearer {API_KEY}\r\nContent-Length: 0\r\n\r\n"
@@ -161,3 +167,41 @@
     gateway.server.enforce_header_timeout(limit_s=-1.0)
     client.writer.write(REQUEST)
     await wait_until(lambda: len(gateway.received) == 2)
+
+
+# Guards against LOST: a connection was closed with bytes unread in its socket, which
+# resets it, and the kernel dropped the part of the answer that it had not sent yet.
+async def test_answer_of_a_drain_is_whole_although_the_client_has_sent_more():
+    body = b"x" * LARGE_BODY_BYTES
+    started = await Gateway.start(plain=[Script(respond(body))])
+    started.state.draining = True
+    loop = asyncio.get_running_loop()
+    client = socket.socket()
+    client.setblocking(False)
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+    await loop.sock_connect(client, ("127.0.0.1", started.port))
+    await loop.sock_sendall(client, REQUEST)
+    received = await loop.sock_recv(client, 1)
+    # Lets the process write and close; the test also holds if it is slower.
+    await asyncio.sleep(0.1)
+    await loop.sock_sendall(client, REQUEST)
+    async with asyncio.timeout(TIMEOUT_S):
+        while data := await loop.sock_recv(client, SMALL_BUFFER_BYTES):
+            received += data
+    assert received.partition(b"\r\n\r\n")[2] == body
+    client.close()
+    await wait_until(lambda: not started.server.connections)
+    await started.stop()
+
+
+# Guards against a client that keeps its connection, and a descriptor, for good.
+async def test_connection_that_the_client_does_not_close_is_closed(monkeypatch):
+    monkeypatch.setattr(client_server, "LINGER_S", 0.05)
+    started = await Gateway.start(plain=[Script(respond())])
+    started.state.draining = True
+    client = await Client.connect(started)
+    client.writer.write(REQUEST)
+    assert await client.status() == 200
+    await wait_until(lambda: not started.server.connections)
+    client.writer.close()
+    await started.stop()
