The steps of a stop that wait for others run side by side

Cause: the end of the registration (0.2 s at most) and the shutdown of each server followed one another. They don't depend on each other and run side by side now.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -464,12 +464,15 @@
             task.cancel()
         if self.tasks:
             await asyncio.wait(self.tasks, timeout=TASK_END_TIMEOUT_S)
-        await attempt_async("end registration", self._end_registration)
         attempt("close peer endpoint", self.endpoint.close)
         for listener in self.listeners:
             attempt("close listener", listener.close)
         servers = (self.frontend_server, self.control_server, self.metrics_server)
-        await asyncio.gather(*map(_shut_down, servers))
+        # Side by side, so that the process has exited when the platform would kill it.
+        await asyncio.gather(
+            attempt_async("end registration", self._end_registration),
+            *map(_shut_down, servers),
+        )
         await attempt_async("close target connections", self.target_client.close)
         await attempt_async("close member connections", self.session.close)
         await attempt_async("close store connections", self.store.close)
