Soak: a signal doesn't take the exit status from asyncio's wait

By reading: the signal methods of asyncio's processes call Popen.send_signal, which polls the process first; if it has ended just then, the poll takes the status that asyncio's watcher thread waits for. The harness sends signals by the process id now. The race was seen once and not reproduced on purpose.

--- a/tools/burdockhaven_bench/platform_harness.py
+++ b/tools/burdockhaven_bench/platform_harness.py
@@ -63,6 +63,16 @@
         """Whether the process has not ended yet."""
         return self.process.returncode is None
 
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process, unless it has ended.
+
+        The method of the process polls it first, and may so take its exit status from
+        asyncio's own wait, which then reports 255.
+        """
+        if self.is_running:
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.process.pid, number)
+
     @property
     def front(self) -> str:
         """The address that accepts requests."""
@@ -117,7 +127,7 @@
         """Kill the daemons that still run and stop the platform."""
         for daemon in self.daemons.values():
             if daemon.is_running:
-                daemon.process.kill()
+                daemon.send_signal(signal.SIGKILL)
                 await daemon.process.wait()
         await self.client.close()
         await self.site.stop()
@@ -175,9 +185,9 @@
 
     async def stop_daemon(self, node: str) -> int:
         """Stop a daemon gracefully and return its exit code."""
-        process = self.daemons[node].process
-        process.send_signal(signal.SIGTERM)
-        return await process.wait()
+        daemon = self.daemons[node]
+        daemon.send_signal(signal.SIGTERM)
+        return await daemon.process.wait()
 
     async def look_up(self, node: str) -> set[str]:
         """Addresses that a daemon returns for a look-up; empty if the look-up fails."""
--- a/tools/burdockhaven_bench/soak/faults.py
+++ b/tools/burdockhaven_bench/soak/faults.py
@@ -242,14 +242,14 @@
 
     async def _stop(self, running: RunningDaemon) -> None:
         """Send SIGTERM, and SIGKILL at the end of the grace period."""
-        process, started_s = running.daemon.process, time.monotonic()
-        process.send_signal(signal.SIGTERM)
+        daemon, started_s = running.daemon, time.monotonic()
+        daemon.send_signal(signal.SIGTERM)
         try:
             async with asyncio.timeout(GRACE_S):
-                await process.wait()
+                await daemon.process.wait()
         except TimeoutError:
-            process.kill()
-            await process.wait()
+            daemon.send_signal(signal.SIGKILL)
+            await daemon.process.wait()
         self._record(FaultKind.STOP, running.name, started_s)
 
     async def _hang_up(self, fault: PlannedFault) -> None:
@@ -257,7 +257,7 @@
         if not serving:
             return
         running = serving[int(fault.choice * len(serving))]
-        running.daemon.process.send_signal(signal.SIGHUP)
+        running.daemon.send_signal(signal.SIGHUP)
         self._record(FaultKind.HANGUP, running.name, time.monotonic())
 
     async def _freeze(self, fault: PlannedFault) -> None:
@@ -265,9 +265,9 @@
         if running is None:
             return
         started_s = time.monotonic()
-        running.daemon.process.send_signal(signal.SIGSTOP)
+        running.daemon.send_signal(signal.SIGSTOP)
         await asyncio.sleep(fault.duration_s)
-        running.daemon.process.send_signal(signal.SIGCONT)
+        running.daemon.send_signal(signal.SIGCONT)
         self._record(FaultKind.FREEZE, running.name, started_s)
         running.is_taken = False
 
@@ -276,7 +276,7 @@
         if running is None:
             return
         started_s = time.monotonic()
-        running.daemon.process.kill()
+        running.daemon.send_signal(signal.SIGKILL)
         await running.daemon.process.wait()
         await asyncio.sleep(fault.duration_s)
         successor = await self.start_daemon(running)
