Tests: a head of many short fields, without processes, shown to fail

Clients are bound by max_header_bytes, but a head of more than 128 fields gets 400: the HTTP library limits their number.

--- a/packages/burdockhaven-entry/tests/gateway/test_frontend.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_frontend.py
@@ -46,6 +46,15 @@
     assert gateway.received == []
 
 
+# Guards against a limit on the number of header fields: clients keep only to that on
+# their bytes.
+async def test_head_of_many_short_fields_is_forwarded(gateway):
+    fields = {f"f{number}": "1" for number in range(1_500)}
+    assert (await gateway.call("/safe/x", headers=fields)).status == 200
+    (received,) = gateway.received
+    assert received.headers.items() >= fields.items()
+
+
 @pytest.mark.parametrize("method", ["BREW", "TRACE", "CONNECT"])
 async def test_unsupported_method_is_not_forwarded(gateway, method):
     path = "/safe/x"
