Tests: a crowd that sends many heads of short fields ahead

The crowds of such heads pass only because the HTTP library refuses more than 128 fields, which it has to accept (test_head_of_many_short_fields_is_forwarded). In a trial on a scratch copy with that limit lifted and nothing else, heads_of_many_fields reaches 109 MB of the 128 allowed. The new crowd, 60 clients with 20 heads each, reaches 447 MB there and fails; on the product as it stands it passes (94 MB).

--- a/tools/burdockhaven_bench/client_crowd.py
+++ b/tools/burdockhaven_bench/client_crowd.py
@@ -228,13 +228,15 @@
     return pieces
 
 
-def many_fields(path: str, max_header_bytes: int, is_complete: bool) -> Pieces:
-    """Send a head of many short fields, or all of it but its last two bytes."""
+def many_fields(
+    path: str, max_header_bytes: int, is_complete: bool, count: int = 1
+) -> Pieces:
+    """Send heads of many short fields; an incomplete one lacks its last two bytes."""
     fields = ["Content-Length: 0", *short_fields(path, max_header_bytes - 32)]
 
     def pieces(number: int) -> Iterator[bytes]:
         head = request_head(path, number, fields)
-        yield head if is_complete else head[:-2]
+        yield (head if is_complete else head[:-2]) * count
 
     return pieces
 
--- a/tools/tests/test_client_crowd_process.py
+++ b/tools/tests/test_client_crowd_process.py
@@ -139,6 +139,10 @@
     return many_fields(path, MAX_HEAD, is_complete=False)
 
 
+def fields_ahead(path):
+    return many_fields(path, MAX_HEAD, is_complete=True, count=20)
+
+
 def fetches_ahead(path):
     return requests_ahead(path, 2_000, "GET")
 
@@ -181,6 +185,7 @@
     Crowd("bodies_beyond_the_limit", front(30, oversized(PLAIN))),
     Crowd("chunks_beyond_the_limit", front(30, oversized_chunks(PLAIN))),
     Crowd("heads_of_many_fields", front(90, complete_fields(SLOW))),
+    Crowd("heads_of_many_fields_ahead", front(60, fields_ahead(SLOW))),
     Crowd("heads_of_many_fields_that_stop", front(90, unfinished_fields(PLAIN))),
     Crowd(
         "bodies_and_heads_beside_the_front",
