Name the request in the log when an internal error ends it

Operators saw: a stream cut by an error of ours after its head was logged like one whose client had left (event 306, status 0), and the library's message names no request. So the logs could not tell such a cut from others around a SIGTERM. Event 901 now has the request's id in its step.

Evidence: the new test needs the log call in frontend.py, which was absent; it failed before by its absence.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/frontend.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/frontend.py
@@ -10,6 +10,7 @@
 
 from aiohttp import web
 
+from burdockhaven_core.log_numbers import EventNumber
 from burdockhaven_core.request_quarantine import content_key
 from burdockhaven_core.scheduling.drain_schedule import DrainSchedule
 from burdockhaven_core.scheduling.routing import Account, Route, RouteKind, RoutingTable
@@ -40,6 +41,7 @@
 )
 from burdockhaven_entry.gateway.routed_request import RequestTrace, RoutedRequest
 from burdockhaven_entry.gateway.stream_forwarding import StreamForwarder
+from burdockhaven_entry.log_events import log
 from burdockhaven_entry.platform import (
     ClientRequest,
     MalformedRequestError,
@@ -116,6 +118,13 @@
                 response = await self.plain.forward(routed)
             status = response.status
             return response
+        except ConnectionError:
+            # The client has left.
+            raise
+        except Exception as error:
+            step = f"request {routed.client_request.attempt_id}"
+            log(EventNumber.INTERNAL_ERROR, step=step, error=repr(error))
+            raise
         finally:
             self.pending.discard(routed)
             now = self.state.clock()
--- a/packages/burdockhaven-entry/tests/gateway/test_frontend.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_frontend.py
@@ -5,6 +5,9 @@
 from scheduling_samples import heartbeat
 
 from burdockhaven_core.key_value_failure import FailureKind, KeyValueFailure
+from burdockhaven_core.log_numbers import EventNumber
+from burdockhaven_entry.gateway import frontend
+from burdockhaven_entry.gateway.plain_forwarding import PlainForwarder
 from burdockhaven_entry.gateway.store_event_handlers import StoreEventHandlers
 from burdockhaven_entry.platform import ChangeBatch, StoreRevision
 
@@ -35,6 +38,20 @@
     assert gateway.received == []
 
 
+# Guards against a response that an error cuts without a log line naming its request.
+async def test_internal_error_names_the_request(gateway, monkeypatch):
+    async def fail(self, routed):
+        raise RuntimeError("a fault")
+
+    steps = []
+    monkeypatch.setattr(PlainForwarder, "forward", fail)
+    monkeypatch.setattr(
+        frontend, "log", lambda number, **fields: steps.append((number, fields["step"]))
+    )
+    assert (await gateway.call("/safe/x")).status == 500
+    assert steps == [(EventNumber.INTERNAL_ERROR, "request a1")]
+
+
 async def test_oversized_body_is_refused(gateway):
     assert (await gateway.call("/safe/x", b"x" * 1_001)).status == 413
     assert gateway.received == []
