settings: read the limits on memory and descriptors

No module read limits.memory_mb and limits.max_fds, so nothing could keep a process within them. They become fields of PlatformSettings, in bytes and descriptors, with defaults for files that don't state them and named faults for values out of range.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/settings.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/settings.py
@@ -16,6 +16,11 @@
 # memory.
 MEMORY_PRESSURE = "pressure"
 
+# Limits of a process in bytes and descriptors if the file doesn't state them.
+DEFAULT_MEMORY_BYTES = 512 * 10**6
+DEFAULT_MAX_DESCRIPTORS = 4096
+BYTES_PER_MB = 10**6
+
 
 class SettingsError(ValueError):
     """The settings are invalid; `faults` lists every fault."""
@@ -66,6 +71,11 @@
     processor_cores: float = 0.0
     # Whether targets end when the requests that they hold exceed their memory.
     targets_end_when_overfull: bool = False
+    # Bytes of memory beyond which the platform ends the process; what the kernel has
+    # received for it counts, too.
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
+    # Descriptors that the process may have open, including some kept for files.
+    max_descriptors: int = DEFAULT_MAX_DESCRIPTORS
 
     @property
     def listen_addresses(self) -> tuple[str, ...]:
@@ -102,6 +112,8 @@
     cpu_share: NotNegative = 0.0
     # Speed of that core relative to a nominal one, in spite of the name.
     cores: NotNegative = 1.0
+    memory_mb: Positive = DEFAULT_MEMORY_BYTES / BYTES_PER_MB
+    max_fds: Annotated[int, msgspec.Meta(gt=0)] = DEFAULT_MAX_DESCRIPTORS
 
 
 class _Platform(msgspec.Struct):
@@ -206,4 +218,6 @@
         look_up_ttl_max_s=file.bounds.ttl_max_s,
         targets_end_when_overfull=MEMORY_PRESSURE in file.contracts,
         processor_cores=file.limits.cpu_share * file.limits.cores,
+        memory_bytes=int(file.limits.memory_mb * BYTES_PER_MB),
+        max_descriptors=file.limits.max_fds,
     )
--- a/packages/burdockhaven-entry/tests/platform/test_platform_settings.py
+++ b/packages/burdockhaven-entry/tests/platform/test_platform_settings.py
@@ -52,6 +52,24 @@
     assert settings.processor_cores == pytest.approx(cores)
 
 
+def test_limits_of_memory_and_descriptors():
+    settings = read_settings(VALID_SETTINGS)
+    assert settings.memory_bytes == 512_000_000
+    assert settings.max_descriptors == 4_096
+    text = f"{VALID_SETTINGS}\nlimits: {{memory_mb: 300, max_fds: 4100}}\n"
+    settings = read_settings(text)
+    assert settings.memory_bytes == 300_000_000
+    assert settings.max_descriptors == 4_100
+
+
+def test_faulty_limits_of_memory_and_descriptors_are_named():
+    text = f"{VALID_SETTINGS}\nlimits: {{memory_mb: 0, max_fds: many}}\n"
+    with pytest.raises(SettingsError) as error:
+        read_settings(text)
+    names = [line.partition(":")[0] for line in error.value.faults]
+    assert names == ["limits.memory_mb", "limits.max_fds"]
+
+
 def test_faulty_processor_capacity_is_named():
     text = f"{VALID_SETTINGS}\nlimits: {{cpu_share: -1, cores: many}}\n"
     with pytest.raises(SettingsError) as error:
