Requests sent ahead wait unparsed; heads may have any number of fields

A client that sent requests ahead of their responses had up to 32 of them parsed and kept, each with up to 512 KiB of its body. A parsed field takes dozens of times its bytes, so that a few hundred connections filled the memory. A head with more than 128 fields was refused with 400, although it was within max_header_bytes: aiohttp's own limit.

The parser is now given one request at a time. What follows waits as bytes, 16 KiB of them, before the connection is read no further; so does an incomplete head, up to 64 KiB (431). Bytes of a chunked body that bring nothing of it are bounded, and a malformed body is answered 400 at once instead of 408 later. With nothing parsed ahead, the limit on the number of fields is what fits into the limit on their bytes.

Two tests of the drain waited until the library had queued the requests sent ahead, by its private list. They now wait until as many whole heads have been received.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/client_server.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/client_server.py
@@ -11,12 +11,16 @@
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
+from burdockhaven_entry.gateway.gated_connection import GatedConnection, Phase
 from burdockhaven_entry.gateway.stop_steps import attempt
 
 # Keep-alive timeout of client connections in seconds; longer than that of any client.
 CLIENT_KEEPALIVE_S = 120.0
 # Maximum size of one header line in bytes; the limit in the configuration is lower.
 MAX_HEADER_LINE_BYTES = 32_768
+# Maximum number of header fields: as many as the shortest lines that fit the limit on
+# heads in the configuration, which bounds their bytes.
+MAX_HEADER_FIELDS = MAX_HEADER_LINE_BYTES // len(b"a:\r\n")
 # Seconds between two checks for idle connections during a drain.
 DRAIN_POLL_INTERVAL_S = 0.02
 # Longest time in seconds for which a connection is read after its last response, until
@@ -25,9 +29,13 @@
 REQUEST_TIMEOUT_RESPONSE = (
     b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 )
+HEAD_TOO_LONG_RESPONSE = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\n"
+    b"Connection: close\r\n\r\n"
+)
 
 
-class ClientConnection(RequestHandler):
+class ClientConnection(GatedConnection):
     """A client connection that records when an incomplete request head started."""
 
     # Event loop time in seconds; None while no head is incomplete.
@@ -36,10 +44,11 @@
     def data_received(self, data: bytes) -> None:
         """Process received bytes."""
         super().data_received(data)
-        if self.is_busy():
-            self.head_started_s = None
-        elif data and self.head_started_s is None:
-            self.head_started_s = self._loop.time()
+        self._update_head_start()
+
+    def refuse_head(self) -> None:
+        """Refuse a request head that is too long."""
+        self._answer_and_close(HEAD_TOO_LONG_RESPONSE)
 
     async def finish_response(
         self,
@@ -51,6 +60,7 @@
         response, is_disconnected = await super().finish_response(
             request, resp, start_time
         )
+        self._update_head_start()
         if not (is_disconnected or response.keep_alive):
             await self._linger()
         return response, is_disconnected
@@ -81,10 +91,6 @@
         is_waiting = waiter is not None and not waiter.done()
         return bool(self._messages) or not is_waiting
 
-    def has_next_request(self) -> bool:
-        """Whether a further request was read behind the one in progress."""
-        return bool(self._messages)
-
     def close_if_idle(self) -> None:
         """Close the connection unless a response is pending.
 
@@ -100,10 +106,20 @@
         if started_s is None or self._loop.time() - started_s <= limit_s:
             return
         self.head_started_s = None
-        if self.transport is not None and not self.is_busy():
-            self.transport.write(REQUEST_TIMEOUT_RESPONSE)
+        if not self.is_busy():
+            self._answer_and_close(REQUEST_TIMEOUT_RESPONSE)
+
+    def _answer_and_close(self, response: bytes) -> None:
+        if self.transport is not None:
+            self.transport.write(response)
             self.force_close()
 
+    def _update_head_start(self) -> None:
+        if not (self.unparsed and self.phase is Phase.HEAD):
+            self.head_started_s = None
+        elif self.head_started_s is None:
+            self.head_started_s = self._loop.time()
+
 
 class ClientServer(web.Server):
     """Server for one address; a disconnect of the client cancels its handler."""
@@ -121,6 +137,7 @@
             "keepalive_timeout": CLIENT_KEEPALIVE_S,
             "max_line_size": MAX_HEADER_LINE_BYTES,
             "max_field_size": MAX_HEADER_LINE_BYTES,
+            "max_headers": MAX_HEADER_FIELDS,
             "lingering_time": 0.0,
             "auto_decompress": False,
         }
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/frontend.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/frontend.py
@@ -18,6 +18,7 @@
     close_after_response,
     has_response_begun,
 )
+from burdockhaven_entry.gateway.gated_connection import MalformedBodyError
 from burdockhaven_entry.gateway.gateway_state import GatewayState
 from burdockhaven_entry.gateway.plain_forwarding import PlainForwarder
 from burdockhaven_entry.gateway.request_log import (
@@ -207,6 +208,10 @@
         try:
             async with asyncio.timeout(limit_s):
                 return await self._read_body(request, table)
+        except MalformedBodyError:
+            response = error_response(BAD_REQUEST, "malformed request body")
+            response.force_close()
+            raise RequestRefusedError(response, client_request.attempt_id) from None
         except TimeoutError:
             detail = "request body not received within the timeout"
             response = not_run_response(
--- a/packages/burdockhaven-entry/tests/gateway/test_frontend_drain.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_frontend_drain.py
@@ -103,7 +103,7 @@
         writer.write(encode_request("/safe/x", f"b{number}"))
     await writer.drain()
     connection = gateway.server.connections[0]
-    await wait_until(lambda: len(connection._messages) == further)
+    await wait_until(lambda: connection.unparsed.count(b"\r\n\r\n") == further)
     gateway.state.draining = True
     released.set()
     data = await read_to_end(reader)
@@ -123,7 +123,7 @@
     for number in range(further):
         writer.write(encode_request("/safe/x", f"b{number}"))
     connection = gateway.server.connections[0]
-    await wait_until(lambda: len(connection._messages) == further)
+    await wait_until(lambda: connection.unparsed.count(b"\r\n\r\n") == further)
     start_drain(gateway, since_s=LATEST_REQUEST_S)
     released.set()
     await read_until(reader, LAST_CHUNK)
