Bodies that stop short and responses that are not read yield memory

Clients that sent bodies of legal size, stopped just short of their end and stayed ended the process: it ran out of memory. So did clients that read no responses. Nothing counted what was held for all clients together.

What a connection holds while it waits for its client is now charged to one account for the process, against a budget from limits.memory_mb. Beyond it, those yield that have held the most bytes for the longest time without progress, so that callers beside a crowd that stays are served: an incomplete body is answered 503 with Retry-After, a response that is not read is reset (it must not look complete), requests sent ahead are dropped. Log event 308 counts once a second.

--- a/packages/burdockhaven-core/src/burdockhaven_core/log_numbers.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/log_numbers.py
@@ -38,6 +38,7 @@
     REQUEST_MALFORMED = 305
     REQUEST_ANSWERED = 306
     REQUEST_TURNED_AWAY = 307
+    CLIENTS_LIMITED = 308
 
     # Configuration and the platform's services.
     CONFIGURATION_IN_FORCE = 401
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/client_server.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/client_server.py
@@ -1,18 +1,28 @@
-"""Client connections: header timeout, and closing idle connections during a drain.
+"""Client connections: time limits, account of what they hold, and the drain.
 
-Both extend the connection class of the HTTP library, whose `close` leaves the transport
+They extend the connection class of the HTTP library, whose `close` leaves the transport
 of an idle connection open.
 """
 
 import asyncio
+import socket
+import struct
 from collections.abc import Callable
 from typing import Any
 
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
-from burdockhaven_entry.gateway.gated_connection import GatedConnection, Phase
+from burdockhaven_core.client_limits import Holding, HoldingKind
+from burdockhaven_core.log_numbers import EventNumber
+from burdockhaven_entry.gateway.client_load import ClientLoad
+from burdockhaven_entry.gateway.gated_connection import (
+    BodyDiscardedError,
+    GatedConnection,
+    Phase,
+)
 from burdockhaven_entry.gateway.stop_steps import attempt
+from burdockhaven_entry.log_events import log
 
 # Keep-alive timeout of client connections in seconds; longer than that of any client.
 CLIENT_KEEPALIVE_S = 120.0
@@ -21,6 +31,14 @@
 # Maximum number of header fields: as many as the shortest lines that fit the limit on
 # heads in the configuration, which bounds their bytes.
 MAX_HEADER_FIELDS = MAX_HEADER_LINE_BYTES // len(b"a:\r\n")
+# Bytes of a response that wait in the process until it counts as not read.
+UNREAD_BYTES = 16_384
+# Bytes that may wait for a client in the connection to the target of its stream.
+STREAM_BUFFER_BYTES = 131_072
+# Bytes of a connection that is not read which wait in the kernel.
+RECEIVE_BUFFER_BYTES = 65_536
+# Makes a socket reset its connection when it is closed: linger for 0 s.
+LINGER_RESET = struct.pack("ii", 1, 0)
 # Seconds between two checks for idle connections during a drain.
 DRAIN_POLL_INTERVAL_S = 0.02
 # Longest time in seconds for which a connection is read after its last response, until
@@ -36,15 +54,54 @@
 
 
 class ClientConnection(GatedConnection):
-    """A client connection that records when an incomplete request head started."""
-
-    # Event loop time in seconds; None while no head is incomplete.
-    head_started_s: float | None = None
+    """A client connection that accounts for what is held for its client."""
+
+    def __init__(self, load: ClientLoad, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self.load = load
+        # Event loop time in seconds since when a request head is incomplete; None while
+        # none is.
+        self.head_started_s: float | None = None
+        # The transport until it is closed; the library drops its own reference before.
+        self.client_transport: asyncio.Transport | None = None
+        # What is held while the connection waits for its client; None for nothing.
+        self.holding: Holding[Any] | None = None
+        # Bytes of the request body that was received so far.
+        self.collected_bytes = 0
+        # Bytes of the response that is written, apart from what the transport keeps.
+        self.response_bytes = STREAM_BUFFER_BYTES
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin to read requests."""
+        assert isinstance(transport, asyncio.Transport)
+        transport.set_write_buffer_limits(high=UNREAD_BYTES)
+        self.client_transport = transport
+        super().connection_made(transport)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Forget the connection."""
+        self.client_transport = None
+        if self.holding is not None:
+            self.load.memory.release(self.holding)
+            self.holding = None
+        super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
         """Process received bytes."""
         super().data_received(data)
         self._update_head_start()
+        if self.unparsed or self.holding is not None:
+            self.update_holding()
+
+    def pause_writing(self) -> None:
+        """Account for a response that the client doesn't read."""
+        super().pause_writing()
+        self.update_holding()
+
+    def resume_writing(self) -> None:
+        """Go on after the client has read what was written."""
+        super().resume_writing()
+        self.update_holding()
 
     def refuse_head(self) -> None:
         """Refuse a request head that is too long."""
@@ -57,10 +114,19 @@
         start_time: float | None,
     ) -> tuple[web.StreamResponse, bool]:
         """Send the rest of a response; one that closes its connection lingers."""
+        body = resp.body if isinstance(resp, web.Response) else None
+        if isinstance(body, bytes):
+            self.response_bytes = len(body)
         response, is_disconnected = await super().finish_response(
             request, resp, start_time
         )
+        self.response_bytes = STREAM_BUFFER_BYTES
         self._update_head_start()
+        if self.holding is not None:
+            # Requests that were sent ahead wait anew, for the next response.
+            self.load.memory.release(self.holding)
+            self.holding = None
+            self.update_holding()
         if not (is_disconnected or response.keep_alive):
             await self._linger()
         return response, is_disconnected
@@ -80,6 +146,65 @@
         # The client's close cancels the wait, with the handler.
         await asyncio.sleep(LINGER_S)
 
+    def update_holding(self) -> None:
+        """Account for what is held for the client now."""
+        now = self._loop.time()
+        size = self._held_bytes()
+        memory = self.load.memory
+        if self.holding is None:
+            if not size:
+                return
+            self.holding = memory.hold(self, self._holding_kind(), size, now)
+        elif size:
+            memory.resize(self.holding, self._holding_kind(), size, now)
+        else:
+            memory.release(self.holding)
+            self.holding = None
+        if memory.is_exceeded():
+            self.load.relieve(now)
+
+    def collect(self, body_bytes: int) -> None:
+        """Account for the part of a request body that has been received."""
+        self.collected_bytes = body_bytes
+        self.update_holding()
+
+    def refresh_holding(self, now: float) -> None:
+        """Account for the part of a response that was read meanwhile."""
+        if self.holding is not None and self._held_bytes() != self.holding.size:
+            self.update_holding()
+
+    def make_yield(self) -> None:
+        """Free what is held for the client.
+
+        An incomplete body is answered by its handler; a response that is not read is
+        reset, so that it doesn't look complete. Requests that were sent ahead are
+        dropped: the response to the one before them announces no further one.
+        """
+        if self.writing_paused:
+            self.reset()
+        elif self.phase is Phase.BODY:
+            self._fail_body(BodyDiscardedError())
+        elif self.phase is Phase.RESPONSE:
+            self._drop_read_ahead()
+        else:
+            self.force_close()
+
+    def reset(self) -> None:
+        """Reset the connection, also if data wait to be sent."""
+        transport = self.client_transport
+        if transport is None:
+            return
+        client_socket = transport.get_extra_info("socket")
+        try:
+            client_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+        except OSError as error:
+            log(
+                EventNumber.INTERNAL_ERROR,
+                step="reset a connection",
+                error=repr(error),
+            )
+        transport.abort()
+
     def is_busy(self) -> bool:
         """Whether a request has been read and not answered yet.
 
@@ -120,11 +245,37 @@
         elif self.head_started_s is None:
             self.head_started_s = self._loop.time()
 
+    def _drop_read_ahead(self) -> None:
+        # What follows is read and ignored, so that a disconnect is noticed.
+        self.is_discarding = True
+        self.unparsed = bytearray()
+        self.close()
+        if self._buffer_paused:
+            self._resume_reading_for_buffer()
+        self.update_holding()
+
+    def _held_bytes(self) -> int:
+        size = len(self.unparsed) + self.collected_bytes
+        if self._buffer_paused:
+            size += RECEIVE_BUFFER_BYTES
+        if self.writing_paused and self.client_transport is not None:
+            size += self.response_bytes + self.client_transport.get_write_buffer_size()
+        return size
+
+    def _holding_kind(self) -> HoldingKind:
+        if self.writing_paused:
+            return HoldingKind.RESPONSE
+        if self.phase is Phase.BODY:
+            return HoldingKind.BODY
+        if self.phase is Phase.RESPONSE:
+            return HoldingKind.READ_AHEAD
+        return HoldingKind.HEAD
+
 
 class ClientServer(web.Server):
     """Server for one address; a disconnect of the client cancels its handler."""
 
-    def __init__(self, handler: Callable[[Any], Any]) -> None:
+    def __init__(self, handler: Callable[[Any], Any], load: ClientLoad) -> None:
         async def handle(request: web.BaseRequest) -> web.StreamResponse:
             response: web.StreamResponse = await handler(request)
             if not request.content.is_eof():
@@ -142,11 +293,12 @@
             "auto_decompress": False,
         }
         super().__init__(handle, handler_cancellation=True, **self.options)
+        self.load = load
 
     def __call__(self) -> RequestHandler:
         """Create the protocol of a newly accepted connection."""
         loop = asyncio.get_running_loop()
-        return ClientConnection(self, loop=loop, **self.options)
+        return ClientConnection(self.load, self, loop=loop, **self.options)
 
     async def drain(self) -> None:
         """Close each connection once it has no pending response; wait for the last.
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/frontend.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/frontend.py
@@ -18,9 +18,13 @@
     close_after_response,
     has_response_begun,
 )
-from burdockhaven_entry.gateway.gated_connection import MalformedBodyError
+from burdockhaven_entry.gateway.gated_connection import (
+    BodyDiscardedError,
+    MalformedBodyError,
+)
 from burdockhaven_entry.gateway.gateway_state import GatewayState
 from burdockhaven_entry.gateway.plain_forwarding import PlainForwarder
+from burdockhaven_entry.gateway.request_body import BodyTooLongError, read_body
 from burdockhaven_entry.gateway.request_log import (
     CLIENT_DISCONNECTED,
     log_answered,
@@ -154,7 +158,8 @@
         account = self._authenticate(table, route, client_request)
         limit_s = _time_limit_s(route, client_request)
         self._refuse_late_in_drain(client_request, arrived_s + limit_s)
-        digest = zlib.crc32(repr((route.name, client_request.parts)).encode() + body)
+        prefix = repr((route.name, client_request.parts)).encode()
+        digest = zlib.crc32(body, zlib.crc32(prefix))
         return RoutedRequest(
             request=request,
             client_request=client_request,
@@ -178,6 +183,16 @@
             trace=RequestTrace(),
         )
 
+    def _no_room(self, attempt_id: str) -> RequestRefusedError:
+        """Return the refusal of a request that the process has no room for now."""
+        response = not_run_response(
+            UNAVAILABLE,
+            "no room for the request now",
+            attempt_id,
+            DEFAULT_RETRY_AFTER_S,
+        )
+        return RequestRefusedError(response, attempt_id)
+
     def _refuse_late_in_drain(
         self, client_request: ClientRequest, deadline_s: float
     ) -> None:
@@ -208,6 +223,8 @@
         try:
             async with asyncio.timeout(limit_s):
                 return await self._read_body(request, table)
+        except BodyDiscardedError:
+            raise self._no_room(client_request.attempt_id) from None
         except MalformedBodyError:
             response = error_response(BAD_REQUEST, "malformed request body")
             response.force_close()
@@ -230,14 +247,10 @@
             raise RequestRefusedError(_body_too_large(limit))
         if not request.can_read_body:
             return b""
-        parts = []
-        size = 0
-        async for part in request.content.iter_any():
-            size += len(part)
-            if size > limit:
-                raise RequestRefusedError(_body_too_large(limit))
-            parts.append(part)
-        return b"".join(parts)
+        try:
+            return await read_body(request, limit)
+        except BodyTooLongError:
+            raise RequestRefusedError(_body_too_large(limit)) from None
 
     def _find_route(
         self,
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -84,8 +84,14 @@
 # Longest time in seconds after it that clients wait until another member has answered.
 # A member that knows no other would take all engines for idle.
 FIRST_CONTACT_TIMEOUT_S = 0.2
-# Seconds between two checks for request heads that exceed the header timeout.
-HEADER_TIMEOUT_CHECK_INTERVAL_S = 0.5
+# Seconds between two checks for clients that exceed the limits on their time.
+CLIENT_CHECK_INTERVAL_S = 0.5
+# Seconds between two log events about clients that had to give way.
+CLIENT_LOG_INTERVAL_S = 1.0
+# Header timeout in seconds at the addresses whose limits no configuration states, and
+# time without progress of a body before there is a configuration.
+DEFAULT_HEADER_TIMEOUT_S = 5.0
+DEFAULT_BODY_TIMEOUT_S = 15.0
 # Seconds that a stop waits for the end of this member's registration.
 DEREGISTRATION_TIMEOUT_S = 0.2
 # Seconds that a stop waits for the background tasks, which are cancelled, and for the
@@ -173,9 +179,11 @@
             ),
         )
         self.control = ControlHandler(state, self.store)
-        self.frontend_server = ClientServer(self.frontend.handle)
-        self.control_server = ClientServer(self.control.handle)
-        self.metrics_server = ClientServer(self.control.handle_metrics)
+        self.frontend_server = ClientServer(self.frontend.handle, state.client_load)
+        self.control_server = ClientServer(self.control.handle, state.client_load)
+        self.metrics_server = ClientServer(
+            self.control.handle_metrics, state.client_load
+        )
         self.listeners: list[asyncio.Server] = []
         self.stop_requested = asyncio.Event()
         # Set by the first request to stop.
@@ -311,7 +319,10 @@
         timer.subscribe(ABSENCE_CHECK_INTERVAL_S, self._discard_runs_of_absent_members)
         timer.subscribe(QUEUE_LOG_INTERVAL_S, self._log_queue)
         timer.subscribe(
-            HEADER_TIMEOUT_CHECK_INTERVAL_S, lambda now: self._enforce_header_timeout()
+            CLIENT_CHECK_INTERVAL_S, lambda now: self._enforce_client_limits()
+        )
+        timer.subscribe(
+            CLIENT_LOG_INTERVAL_S, lambda now: self.state.client_load.log_changes()
         )
 
     def _schedule_flush(self) -> None:
@@ -477,10 +488,18 @@
         await attempt_async("close member connections", self.session.close)
         await attempt_async("close store connections", self.store.close)
 
-    def _enforce_header_timeout(self) -> None:
-        table = self.state.table
-        if table is not None:
-            self.frontend_server.enforce_header_timeout(table.limits.header_timeout_s)
+    def _enforce_client_limits(self) -> None:
+        limits = None if self.state.table is None else self.state.table.limits
+        header_timeout_s, body_timeout_s = (
+            (DEFAULT_HEADER_TIMEOUT_S, DEFAULT_BODY_TIMEOUT_S)
+            if limits is None
+            else (limits.header_timeout_s, limits.idle_timeout_s)
+        )
+        self.frontend_server.enforce_header_timeout(header_timeout_s)
+        for server in (self.control_server, self.metrics_server):
+            server.enforce_header_timeout(DEFAULT_HEADER_TIMEOUT_S)
+        now = asyncio.get_running_loop().time()
+        self.state.client_load.end_stalled(body_timeout_s, now)
 
     def _log_queue(self, now: float) -> None:
         broker = self.state.broker
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
@@ -33,6 +33,7 @@
 from burdockhaven_core.scheduling.target_limits import broker_rates, member_rates
 from burdockhaven_core.scheduling.target_signals import TargetSignals
 from burdockhaven_core.scheduling.version_records import VersionHold
+from burdockhaven_entry.gateway.client_load import ClientLoad
 from burdockhaven_entry.gateway.gateway_metrics import GatewayMetrics
 from burdockhaven_entry.gateway.store_era import StoreEras
 from burdockhaven_entry.gateway.target_signal_log import TargetSignalLog
@@ -85,6 +86,8 @@
     # Software versions that began streams, and that have served.
     stream_origins: StreamOrigins
     version_history: VersionHistory
+    # Memory and connections that clients occupy.
+    client_load: ClientLoad
     # Keeps versions out of use until they are recorded; None if they are not recorded.
     version_hold: VersionHold | None = None
     # Called after each change of the targets or of the configuration.
@@ -174,6 +177,9 @@
             store_eras=StoreEras(clock),
             stream_origins=StreamOrigins(),
             version_history=VersionHistory(settings.first_start),
+            client_load=ClientLoad.from_limits(
+                settings.memory_bytes, settings.max_descriptors
+            ),
         )
 
     @property
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
@@ -41,6 +41,9 @@
 # Bytes of the largest body that is read whole, eight times the largest body of a
 # request that the platform allows by default.
 MAX_BODY_BYTES = 32 * 2**20
+# Bytes of a response that are read ahead of a client that doesn't read them; the
+# library pauses at twice as many.
+READ_AHEAD_BYTES = 65_536
 # Bytes and seconds up to which a body of no interest is read, so that its connection
 # can be used again. Such bodies are short and arrive with their head.
 MAX_DISCARDED_BYTES = 65_536
@@ -332,6 +335,7 @@
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
         raise_for_status=False,
+        read_bufsize=READ_AHEAD_BYTES,
     )
     # By default, the library retries a request if a pooled connection was closed.
     session._retry_connection = False
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
@@ -282,6 +282,26 @@
             "process or a member that it is the newest; -1 if never",
         },
     ),
+    EventSpec(
+        EventNumber.CLIENTS_LIMITED,
+        "warning",
+        "{count} connections or requests of clients gave way to the limits on memory "
+        "and connections; {held_bytes} of {budget_bytes} bytes are held.",
+        "Find out which clients don't finish requests or don't read responses. If they "
+        "are sound, the machine needs more memory or descriptors, or there are too few "
+        "members.",
+        {
+            "count": "connections and requests since the last of these events",
+            "memory": "connections since the start that yielded memory",
+            "connections": "connections since the start that made room for new ones",
+            "stalled": "connections since the start that made no progress",
+            "refused_connections": "connections since the start without room",
+            "refused_requests": "whole requests since the start without room",
+            "held_bytes": "bytes held for clients",
+            "budget_bytes": "bytes that may be held for clients",
+            "open": "open connections and their limit, by listener",
+        },
+    ),
     EventSpec(
         EventNumber.CONFIGURATION_IN_FORCE,
         "info",
--- a/packages/burdockhaven-entry/tests/gateway/gateway_fixtures.py
+++ b/packages/burdockhaven-entry/tests/gateway/gateway_fixtures.py
@@ -358,7 +358,7 @@
                 StreamOriginDirectory(state, lambda *_: None),
             ),
         )
-        server = ClientServer(frontend.handle)
+        server = ClientServer(frontend.handle, state.client_load)
         listener = await loop.create_server(server, "127.0.0.1", 0)
         port = listener.sockets[0].getsockname()[1]
         client = aiohttp.ClientSession()
