Whole requests at slow targets are admitted within a budget

Whole bodies of legal size at a target that doesn't respond ended the process: 60 of them took 371 MB, since each is held until it may not be sent again, and copied into the send buffer of its target. Heads of thousands of fields are held in the same way.

A whole request is charged for its head, its fields and its body twice, before anything is sent, and refused with 503 and Retry-After where the budget has no room: it has not run. A service may have three times as many requests under way as connections are left, so that requests to a slow one don't take them all.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/frontend.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/frontend.py
@@ -10,6 +10,7 @@
 
 from aiohttp import web
 
+from burdockhaven_core.client_limits import request_cost
 from burdockhaven_core.log_numbers import EventNumber
 from burdockhaven_core.request_quarantine import content_key
 from burdockhaven_core.scheduling.drain_schedule import DrainSchedule
@@ -132,6 +133,7 @@
             raise
         finally:
             self.pending.discard(routed)
+            self.state.client_load.release_request(routed.service, routed.cost)
             now = self.state.clock()
             self.state.metrics.record_request(routed, status, now)
             log_answered(routed, status, now)
@@ -144,7 +146,7 @@
             raise RequestRefusedError(
                 not_run_response(UNAVAILABLE, detail, "", DEFAULT_RETRY_AFTER_S)
             )
-        _check_head(request, table)
+        head_bytes = _check_head(request, table)
         client_request = self._parse_headers(request)
         limit_s = _time_limit_s(
             self._find_route(table, request, client_request), client_request
@@ -160,13 +162,17 @@
         self._refuse_late_in_drain(client_request, arrived_s + limit_s)
         prefix = repr((route.name, client_request.parts)).encode()
         digest = zlib.crc32(body, zlib.crc32(prefix))
+        cost = request_cost(head_bytes, len(request.raw_headers), len(body))
+        service = route.pick_service(self.state.rng)
+        if not self.state.client_load.admit_request(service, cost):
+            raise self._no_room(client_request.attempt_id)
         return RoutedRequest(
             request=request,
             client_request=client_request,
             body=body,
             route=route,
             account=account,
-            service=route.pick_service(self.state.rng),
+            service=service,
             priority=table.priority_of(route, account),
             arrived_s=arrived_s,
             deadline_s=arrived_s + limit_s,
@@ -180,6 +186,7 @@
                 body,
             ),
             version=table.version,
+            cost=cost,
             trace=RequestTrace(),
         )
 
@@ -302,21 +309,21 @@
         return RequestRefusedError(response, attempt_id)
 
 
-def _check_head(request: web.BaseRequest, table: RoutingTable) -> None:
+def _check_head(request: web.BaseRequest, table: RoutingTable) -> int:
+    """Return the bytes of the header fields; refuse them if there are too many."""
     if request.method not in FORWARDED_METHODS:
         raise RequestRefusedError(
             error_response(METHOD_NOT_ALLOWED, "method not allowed")
         )
     limit = table.limits.max_header_bytes
-    lines = request.raw_headers
-    if (
-        sum(
-            len(name) + len(value) + HEADER_LINE_OVERHEAD_BYTES for name, value in lines
-        )
-        > limit
-    ):
+    head_bytes = sum(
+        len(name) + len(value) + HEADER_LINE_OVERHEAD_BYTES
+        for name, value in request.raw_headers
+    )
+    if head_bytes > limit:
         detail = f"request headers larger than {limit} bytes"
         raise RequestRefusedError(error_response(HEADERS_TOO_LARGE, detail))
+    return head_bytes
 
 
 def _time_limit_s(route: Route, client_request: ClientRequest) -> float:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/routed_request.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/routed_request.py
@@ -80,6 +80,8 @@
     content: int
     # Version of the configuration by which it was routed.
     version: int
+    # Bytes of memory that are charged for it.
+    cost: int
     trace: RequestTrace
 
     @property
--- a/packages/burdockhaven-entry/tests/gateway/test_client_load.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_client_load.py
@@ -145,3 +145,25 @@
     assert len(hanging.server.connections) == 1
     writer.close()
     await wait_until(lambda: not hanging.frontend.pending)
+
+
+# Guards against requests to one slow service that take all connections.
+async def test_service_with_its_share_under_way_gets_no_further_request(hanging):
+    load = hanging.state.client_load
+    load.services.capacity = 4
+    writers = []
+    for _ in range(3):
+        _, writer = await connect(hanging)
+        writer.write(encode_request("/safe/x", "a"))
+        writers.append(writer)
+    await wait_until(lambda: len(hanging.received) == 3)
+    reader, writer = await connect(hanging)
+    writer.write(encode_request("/safe/x", "b"))
+    head = await read_head(reader)
+    assert b" 503 " in head
+    assert b"\r\nretry-after: " in head.lower()
+    assert len(hanging.received) == 3
+    for opened in (*writers, writer):
+        opened.close()
+    await wait_until(lambda: load.services.total == 0)
+    assert load.memory.requests_bytes == 0
