Connections of clients are bounded by listener, and the oldest idle one makes room

Clients that opened connections and sent half a head, or nothing, took descriptors without bound (468 of 400 allowed with 450 of them), at any address, so that connections to targets, store and members and the other addresses had none left; asyncio then stops accepting for a second.

The descriptors of limits.max_fds are divided between the listeners and the connections to targets. At a full listener the connection that has awaited its client the longest (idle, incomplete request, unread response) makes room for a new one; a request under way never does. Each address has a server of its own. Idle connections to targets are closed, and no request is hedged, while many sends are under way.

The event loop accepts as many connections at once as it asks a socket to keep waiting: 100, which also undid the backlog of 1,024. One is accepted at a time now, and 1,024 may wait. Accepted connections have small receive buffers, since what the process hasn't read counts.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/client_server.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/client_server.py
@@ -13,7 +13,7 @@
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
-from burdockhaven_core.client_limits import Holding, HoldingKind
+from burdockhaven_core.client_limits import Holding, HoldingKind, Listener
 from burdockhaven_core.log_numbers import EventNumber
 from burdockhaven_entry.gateway.client_load import ClientLoad
 from burdockhaven_entry.gateway.gated_connection import (
@@ -22,6 +22,7 @@
     Phase,
 )
 from burdockhaven_entry.gateway.stop_steps import attempt
+from burdockhaven_entry.listening_sockets import RECEIVE_BUFFER_BYTES
 from burdockhaven_entry.log_events import log
 
 # Keep-alive timeout of client connections in seconds; longer than that of any client.
@@ -35,8 +36,6 @@
 UNREAD_BYTES = 16_384
 # Bytes that may wait for a client in the connection to the target of its stream.
 STREAM_BUFFER_BYTES = 131_072
-# Bytes of a connection that is not read which wait in the kernel.
-RECEIVE_BUFFER_BYTES = 65_536
 # Makes a socket reset its connection when it is closed: linger for 0 s.
 LINGER_RESET = struct.pack("ii", 1, 0)
 # Seconds between two checks for idle connections during a drain.
@@ -53,15 +52,29 @@
 )
 
 
+class RefusedConnection(asyncio.Protocol):
+    """A connection that is closed at once, because its listener has no room."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Close the connection."""
+        assert isinstance(transport, asyncio.Transport)
+        transport.abort()
+
+
 class ClientConnection(GatedConnection):
     """A client connection that accounts for what is held for its client."""
 
-    def __init__(self, load: ClientLoad, *args: Any, **options: Any) -> None:
+    def __init__(
+        self, load: ClientLoad, listener: Listener, *args: Any, **options: Any
+    ) -> None:
         super().__init__(*args, **options)
         self.load = load
+        self.slots = load.slots[listener]
         # Event loop time in seconds since when a request head is incomplete; None while
         # none is.
         self.head_started_s: float | None = None
+        # Whether the last response was sent, and the client is to close the connection.
+        self.is_lingering = False
         # The transport until it is closed; the library drops its own reference before.
         self.client_transport: asyncio.Transport | None = None
         # What is held while the connection waits for its client; None for nothing.
@@ -76,16 +89,26 @@
         assert isinstance(transport, asyncio.Transport)
         transport.set_write_buffer_limits(high=UNREAD_BYTES)
         self.client_transport = transport
+        self.slots.begin_wait(self)
         super().connection_made(transport)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Forget the connection."""
         self.client_transport = None
+        self.load.close_connection(self.slots, self)
         if self.holding is not None:
             self.load.memory.release(self.holding)
             self.holding = None
         super().connection_lost(exc)
 
+    def enter(self, phase: Phase) -> None:
+        """Begin a phase."""
+        super().enter(phase)
+        if phase is Phase.RESPONSE:
+            self.slots.end_wait(self)
+        else:
+            self.slots.begin_wait(self)
+
     def data_received(self, data: bytes) -> None:
         """Process received bytes."""
         super().data_received(data)
@@ -96,11 +119,14 @@
     def pause_writing(self) -> None:
         """Account for a response that the client doesn't read."""
         super().pause_writing()
+        self.slots.begin_wait(self)
         self.update_holding()
 
     def resume_writing(self) -> None:
         """Go on after the client has read what was written."""
         super().resume_writing()
+        if self.phase is Phase.RESPONSE:
+            self.slots.end_wait(self)
         self.update_holding()
 
     def refuse_head(self) -> None:
@@ -138,9 +164,12 @@
         part of the response that it has not sent yet.
         """
         transport = self.transport
-        if transport is None or transport.is_closing():
+        has_yielded = self.is_discarding
+        if transport is None or transport.is_closing() or has_yielded:
             return
-        self.close()
+        self.is_lingering = True
+        self._drop_read_ahead()
+        self.slots.begin_wait(self)
         transport.write_eof()
         transport.resume_reading()
         # The client's close cancels the wait, with the handler.
@@ -182,6 +211,8 @@
         """
         if self.writing_paused:
             self.reset()
+        elif self.is_lingering:
+            self.force_close()
         elif self.phase is Phase.BODY:
             self._fail_body(BodyDiscardedError())
         elif self.phase is Phase.RESPONSE:
@@ -275,7 +306,12 @@
 class ClientServer(web.Server):
     """Server for one address; a disconnect of the client cancels its handler."""
 
-    def __init__(self, handler: Callable[[Any], Any], load: ClientLoad) -> None:
+    def __init__(
+        self,
+        handler: Callable[[Any], Any],
+        load: ClientLoad,
+        listener: Listener = Listener.FRONT,
+    ) -> None:
         async def handle(request: web.BaseRequest) -> web.StreamResponse:
             response: web.StreamResponse = await handler(request)
             if not request.content.is_eof():
@@ -294,11 +330,17 @@
         }
         super().__init__(handle, handler_cancellation=True, **self.options)
         self.load = load
+        self.listener = listener
 
+    # The library of the event loop accepts any protocol.
     def __call__(self) -> RequestHandler:
         """Create the protocol of a newly accepted connection."""
+        if not self.load.open_connection(self.listener):
+            return RefusedConnection()  # type: ignore[return-value]
         loop = asyncio.get_running_loop()
-        return ClientConnection(self.load, self, loop=loop, **self.options)
+        return ClientConnection(
+            self.load, self.listener, self, loop=loop, **self.options
+        )
 
     async def drain(self) -> None:
         """Close each connection once it has no pending response; wait for the last.
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -5,13 +5,13 @@
 import gc
 import math
 import random
-import socket
 import time
 from collections.abc import Callable, Coroutine, Mapping
 from typing import Any
 
 import aiohttp
 
+from burdockhaven_core.client_limits import ACCEPT_BATCH, Listener
 from burdockhaven_core.log_numbers import EventNumber
 from burdockhaven_core.scheduling.drain_schedule import DrainSchedule
 from burdockhaven_entry.gateway.bounded_connection import (
@@ -44,6 +44,7 @@
 from burdockhaven_entry.gateway.stream_origin_directory import StreamOriginDirectory
 from burdockhaven_entry.gateway.target_client import TargetClient
 from burdockhaven_entry.gateway.version_recorder import VersionRecorder
+from burdockhaven_entry.listening_sockets import ListeningSocket
 from burdockhaven_entry.log_events import log
 from burdockhaven_entry.platform import (
     MEMBERS_PREFIX,
@@ -105,7 +106,7 @@
     """All parts of one gateway process."""
 
     def __init__(
-        self, state: GatewayState, sockets: Mapping[str, socket.socket]
+        self, state: GatewayState, sockets: Mapping[str, ListeningSocket]
     ) -> None:
         self.state = state
         # Listening sockets by address.
@@ -119,7 +120,7 @@
             close_idle_connections,
         )
         self.store.on_silence = self._on_silent_connections
-        self.target_client = TargetClient.create()
+        self.target_client = TargetClient.create(state.client_load.shares.targets)
         # Without a pool: a connection that has gone silent meanwhile would delay the
         # rare fetch of a configuration from another member.
         self.session = aiohttp.ClientSession(
@@ -179,10 +180,19 @@
             ),
         )
         self.control = ControlHandler(state, self.store)
-        self.frontend_server = ClientServer(self.frontend.handle, state.client_load)
-        self.control_server = ClientServer(self.control.handle, state.client_load)
+        load = state.client_load
+        self.frontend_server = ClientServer(self.frontend.handle, load)
+        # Servers of the other addresses, by what they are for.
+        self.control_servers = {
+            listener: ClientServer(self.control.handle, load, listener)
+            for listener in (
+                Listener.READINESS,
+                Listener.CONTROL,
+                Listener.DIRECTORY,
+            )
+        }
         self.metrics_server = ClientServer(
-            self.control.handle_metrics, state.client_load
+            self.control.handle_metrics, load, Listener.METRICS
         )
         self.listeners: list[asyncio.Server] = []
         self.stop_requested = asyncio.Event()
@@ -198,7 +208,7 @@
     def from_settings(
         cls,
         settings: PlatformSettings,
-        sockets: Mapping[str, socket.socket],
+        sockets: Mapping[str, ListeningSocket],
         clock: Callable[[], float],
     ) -> "GatewayDaemon":
         """Create a daemon that serves listening sockets, given by address.
@@ -384,19 +394,28 @@
 
     async def _listen(self) -> None:
         settings = self.state.settings
-        for address in (
-            settings.readiness_address,
-            settings.control_address,
-            settings.directory_address,
-        ):
-            await self._serve(self.control_server, address)
+        addresses = {
+            Listener.READINESS: settings.readiness_address,
+            Listener.CONTROL: settings.control_address,
+            Listener.DIRECTORY: settings.directory_address,
+        }
+        for listener, address in addresses.items():
+            await self._serve(self.control_servers[listener], address)
         await self._listen_for_metrics()
         await self._wait_for_first_sync()
         await self._serve(self.frontend_server, settings.front_address)
 
     async def _serve(self, server: ClientServer, address: str) -> None:
         loop = asyncio.get_running_loop()
-        listener = await loop.create_server(server, sock=self.sockets[address])
+        listening_socket = self.sockets[address]
+        try:
+            listening_socket.limit_receive_buffers()
+        except OSError as error:
+            step = f"limit the receive buffers of {address}"
+            log(EventNumber.INTERNAL_ERROR, step=step, error=repr(error))
+        listener = await loop.create_server(
+            server, sock=listening_socket, backlog=ACCEPT_BATCH
+        )
         self.listeners.append(listener)
 
     async def _wait_for_first_sync(self) -> None:
@@ -413,7 +432,11 @@
         loop = asyncio.get_running_loop()
         ip = self.state.settings.ip
         try:
-            listener = await loop.create_server(self.metrics_server, ip, METRICS_PORT)
+            listener = await loop.create_server(
+                self.metrics_server,
+                sock=ListeningSocket.bind_to(ip, METRICS_PORT),
+                backlog=ACCEPT_BATCH,
+            )
         except OSError as error:
             step = f"listen for metrics at {ip}:{METRICS_PORT}"
             log(EventNumber.INTERNAL_ERROR, step=step, error=repr(error))
@@ -478,7 +501,11 @@
         attempt("close peer endpoint", self.endpoint.close)
         for listener in self.listeners:
             attempt("close listener", listener.close)
-        servers = (self.frontend_server, self.control_server, self.metrics_server)
+        servers = (
+            self.frontend_server,
+            *self.control_servers.values(),
+            self.metrics_server,
+        )
         # Side by side, so that the process has exited when the platform would kill it.
         await asyncio.gather(
             attempt_async("end registration", self._end_registration),
@@ -496,7 +523,7 @@
             else (limits.header_timeout_s, limits.idle_timeout_s)
         )
         self.frontend_server.enforce_header_timeout(header_timeout_s)
-        for server in (self.control_server, self.metrics_server):
+        for server in (*self.control_servers.values(), self.metrics_server):
             server.enforce_header_timeout(DEFAULT_HEADER_TIMEOUT_S)
         now = asyncio.get_running_loop().time()
         self.state.client_load.end_stalled(body_timeout_s, now)
@@ -554,7 +581,7 @@
 
 
 def run_gateway(
-    settings: PlatformSettings, sockets: Mapping[str, socket.socket]
+    settings: PlatformSettings, sockets: Mapping[str, ListeningSocket]
 ) -> None:
     """Run a gateway process on listening sockets until it is stopped."""
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/plain_forwarding.py
@@ -268,6 +268,8 @@
             attempts.possible_runs + running >= routed.route.max_attempts
         ):
             return None
+        if not self.target_client.has_room_for_hedge():
+            return None
         if not self.state.admits_content(routed.content):
             return None
         hedge = self._choose(routed, attempts)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
@@ -6,7 +6,8 @@
 
 import asyncio
 import enum
-from collections.abc import AsyncIterator
+import math
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
 from types import SimpleNamespace
@@ -38,6 +39,10 @@
 OWN_STALL_S = 0.05
 # Seconds for which an idle connection stays in the pool.
 KEEPALIVE_S = 4.0
+# Fractions of the connections that may be open from which on, by the sends under way,
+# no request is sent to two targets at once, and no connection is kept idle.
+HEDGE_FRACTION = 0.75
+IDLE_FRACTION = 0.25
 # Bytes of the largest body that is read whole, eight times the largest body of a
 # request that the platform allows by default.
 MAX_BODY_BYTES = 32 * 2**20
@@ -110,9 +115,16 @@
     connection: BoundedConnection | None
     # Whether the body is delimited only by the close of the connection.
     is_close_delimited: bool
+    # Called once, when the response is closed.
+    on_close: Callable[[], None]
+    is_closed: bool = False
 
     def close(self) -> None:
         """Close the connection unless the body was read completely."""
+        if self.is_closed:
+            return
+        self.is_closed = True
+        self.on_close()
         if self.response.content.is_eof():
             self.response.release()
         else:
@@ -160,7 +172,10 @@
     """HTTP client with two sessions: one with a connection pool, one without."""
 
     def __init__(
-        self, pooled: aiohttp.ClientSession, unpooled: aiohttp.ClientSession
+        self,
+        pooled: aiohttp.ClientSession,
+        unpooled: aiohttp.ClientSession,
+        max_connections: float,
     ) -> None:
         self.pooled = pooled
         self.unpooled = unpooled
@@ -169,15 +184,24 @@
             session: _create_session(session.connector, _create_trace_config())
             for session in (pooled, unpooled)
         }
+        # Connections that may be open, including idle ones.
+        self.max_connections = max_connections
+        # Sends under way, each on a connection of its own.
+        self.sending = 0
 
     @classmethod
-    def create(cls) -> "TargetClient":
+    def create(cls, max_connections: float = math.inf) -> "TargetClient":
         """Create a client without connections; requires a running event loop."""
         return cls(
             _create_session(create_connector(limit=0, keepalive_timeout=KEEPALIVE_S)),
             _create_session(create_connector(limit=0, force_close=True)),
+            max_connections,
         )
 
+    def has_room_for_hedge(self) -> bool:
+        """Whether a request may be sent to a further target beside the one it is at."""
+        return self.sending < HEDGE_FRACTION * self.max_connections
+
     def close_idle(self) -> int:
         """Close the idle connections, which may be silent; returns their number."""
         connector = self.pooled.connector
@@ -215,13 +239,24 @@
         session = self.pooled if request.may_reuse_connection else self.unpooled
         if connected is not None:
             session = self.reporting[session]
-        response = await self._send_request(session, target, request, connected)
+        if self.sending >= IDLE_FRACTION * self.max_connections:
+            self.close_idle()
+        self.sending += 1
+        try:
+            response = await self._send_request(session, target, request, connected)
+        except BaseException:
+            self._end_send()
+            raise
         try:
             return self._check_head(target, request, response)
         except SendError:
             response.close()
+            self._end_send()
             raise
 
+    def _end_send(self) -> None:
+        self.sending -= 1
+
     async def _send_request(
         self,
         session: aiohttp.ClientSession,
@@ -265,6 +300,7 @@
             response=response,
             connection=(protocol if isinstance(protocol, BoundedConnection) else None),
             is_close_delimited=not has_explicit_length,
+            on_close=self._end_send,
         )
 
 
--- a/packages/burdockhaven-entry/tests/gateway/test_client_load.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_client_load.py
@@ -11,11 +11,13 @@
     wait_until,
 )
 
-from burdockhaven_core.client_limits import MemoryBudget
+from burdockhaven_core.client_limits import Listener, MemoryBudget
 from burdockhaven_entry.gateway.client_load import (
     RESPONSE_STALL_TIMEOUT_S,
     YieldReason,
 )
+from burdockhaven_entry.gateway.client_server import ClientServer
+from burdockhaven_entry.gateway.control_handler import ControlHandler
 
 TIMEOUT_S = 30.0
 BODY_BYTES = 900
@@ -43,6 +45,10 @@
     await started.stop()
 
 
+def set_capacity(gateway, capacity):
+    gateway.state.client_load.slots[Listener.FRONT].capacity = capacity
+
+
 async def connect(gateway):
     before = len(gateway.server.connections)
     reader, writer = await asyncio.open_connection("127.0.0.1", gateway.port)
@@ -68,6 +74,65 @@
     return request.replace(b"Content-Length: 0", length) + b"x" * (BODY_BYTES - 1)
 
 
+# Guards against a crowd of connections that shuts out those that come next.
+@pytest.mark.parametrize("data", [b"", b"POST /safe"])
+async def test_longest_waiting_connection_makes_room_for_a_new_one(gateway, data):
+    set_capacity(gateway, 2)
+    first, first_writer = await connect(gateway)
+    first_writer.write(data)
+    _, second_writer = await connect(gateway)
+    await wait_until(lambda: len(gateway.server.connections) == 2)
+    third, third_writer = await connect(gateway)
+    assert await is_closed(first)
+    third_writer.write(encode_request("/safe/x", "a"))
+    assert b" 200 " in await read_head(third)
+    second_writer.close()
+    third_writer.close()
+    await wait_until(lambda: not gateway.server.connections)
+    load = gateway.state.client_load
+    assert load.slots[Listener.FRONT].open == 0
+    assert load.memory.total == 0
+
+
+# Guards against a crowd at one address that takes the connections of another one.
+async def test_full_listener_leaves_the_others_alone(gateway):
+    load = gateway.state.client_load
+    handler = ControlHandler(gateway.state, store=None)
+    loop = asyncio.get_running_loop()
+    servers = [
+        ClientServer(handler.handle, load, listener)
+        for listener in (Listener.DIRECTORY, Listener.READINESS)
+    ]
+    listening = [await loop.create_server(s, "127.0.0.1", 0) for s in servers]
+    ports = [opened.sockets[0].getsockname()[1] for opened in listening]
+    load.slots[Listener.DIRECTORY].capacity = 2
+    crowd = [await asyncio.open_connection("127.0.0.1", ports[0]) for _ in range(9)]
+    await wait_until(lambda: load.slots[Listener.DIRECTORY].open == 2)
+    assert load.yielded == {YieldReason.CONNECTIONS: 7}
+    for port in ports:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET /-/readyz HTTP/1.1\r\nHost: a\r\n\r\n")
+        assert b" 200 " in await read_head(reader)
+        writer.close()
+    assert load.slots[Listener.READINESS].capacity > 0
+    for _, writer in crowd:
+        writer.close()
+    for opened, server in zip(listening, servers, strict=True):
+        opened.close()
+        await server.shutdown(0.1)
+
+
+async def test_connection_is_refused_while_all_requests_are_under_way(hanging):
+    set_capacity(hanging, 1)
+    _, writer = await connect(hanging)
+    writer.write(encode_request("/safe/x", "a"))
+    await wait_until(lambda: hanging.received)
+    second, _ = await connect(hanging)
+    assert await is_closed(second)
+    assert len(hanging.server.connections) == 1
+    writer.close()
+
+
 # Guards against a final refusal of what is only too much now.
 @pytest.mark.parametrize("path", ["/safe/x", "/stream/x"])
 async def test_incomplete_body_that_yields_is_refused_as_not_run(gateway, path):
--- a/packages/burdockhaven-entry/tests/gateway/test_stop.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_stop.py
@@ -30,6 +30,7 @@
 from burdockhaven_entry.gateway.membership import Membership
 from burdockhaven_entry.gateway.placement_client import PlacementClient
 from burdockhaven_entry.gateway.target_client import TargetClient
+from burdockhaven_entry.listening_sockets import ListeningSocket
 from burdockhaven_entry.platform import PlatformStore
 from burdockhaven_entry.timer import TimerService
 
@@ -39,7 +40,7 @@
 
 
 def listen():
-    opened = socket.create_server((IP, 0))
+    opened = ListeningSocket.bind_to(IP, 0)
     return f"{IP}:{opened.getsockname()[1]}", opened
 
 
--- a/packages/burdockhaven-entry/tests/gateway/test_target_client.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_target_client.py
@@ -8,6 +8,7 @@
     ENGINE_SERVICE,
     Gateway,
     Script,
+    respond,
     stream_events,
     stream_when_released,
     wait_until,
@@ -64,3 +65,20 @@
     finally:
         released.set()
         await gateway.stop()
+
+
+# Guards against idle connections and hedges that take the descriptors of sends.
+async def test_idle_connections_are_closed_while_many_sends_are_under_way():
+    gateway = await Gateway.start(plain=[Script(respond())])
+    client, target = gateway.target_client, gateway.targets[0]
+    client.max_connections = 20
+    for _ in range(2):
+        assert (await gateway.call("/safe/x")).status == 200
+    assert target.connections == 1
+    assert client.has_room_for_hedge()
+    client.sending = 15
+    assert (await gateway.call("/safe/x")).status == 200
+    assert target.connections == 2
+    assert not client.has_room_for_hedge()
+    client.sending = 0
+    await gateway.stop()
--- a/packages/burdockhaven-entry/tests/test_listening_sockets.py
+++ b/packages/burdockhaven-entry/tests/test_listening_sockets.py
@@ -4,7 +4,10 @@
 
 import pytest
 
-from burdockhaven_entry.listening_sockets import open_listening_sockets
+from burdockhaven_entry.listening_sockets import (
+    RECEIVE_BUFFER_BYTES,
+    open_listening_sockets,
+)
 
 
 def free_addresses(count):
@@ -27,6 +30,35 @@
     sockets[address].close()
 
 
+# Guards against connections that are refused at a start, because few are accepted at
+# once and few could wait.
+def test_event_loop_does_not_shorten_the_backlog():
+    (address,) = free_addresses(1)
+    opened = open_listening_sockets([address])[address]
+    opened.listen(1)
+    host, _, port = address.rpartition(":")
+    clients = [
+        socket.create_connection((host, int(port)), timeout=0.5) for _ in range(20)
+    ]
+    for client in clients:
+        client.close()
+    opened.close()
+
+
+# Guards against memory that clients fill before the process reads anything.
+def test_accepted_connections_have_a_small_receive_buffer():
+    (address,) = free_addresses(1)
+    opened = open_listening_sockets([address])[address]
+    host, _, port = address.rpartition(":")
+    with socket.create_connection((host, int(port)), timeout=5.0):
+        accepted, _ = opened.accept()
+        with accepted:
+            size = accepted.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+    opened.close()
+    # The kernel doubles what is requested, for its own overhead.
+    assert size <= 2 * RECEIVE_BUFFER_BYTES
+
+
 def test_all_sockets_are_closed_if_an_address_is_in_use():
     first, taken = free_addresses(2)
     port = int(taken.rpartition(":")[2])
