--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/metrics_text.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/metrics_text.py
@@ -79,6 +79,7 @@
             ("origin",),
             _with_single_label(metrics.resumed),
         )
+        yield from self._client_load_metrics()
         yield _counter(
             "sends", "Sends to targets", ("service",), _with_single_label(metrics.sends)
         )
@@ -131,6 +132,48 @@
             metrics.queue_durations,
         )
 
+    def _client_load_metrics(self) -> Iterator[Metric]:
+        load = self.state.client_load
+        yield _counter(
+            "client_connections_yielded",
+            "Connections that gave way to limits on memory, connections or time",
+            ("reason",),
+            (((reason.value,), n) for reason, n in load.yielded.items()),
+        )
+        yield _counter(
+            "client_connections_refused",
+            "Connections closed at once, because none could make room",
+            ("listener",),
+            (
+                ((listener.value,), n)
+                for listener, n in load.refused_connections.items()
+            ),
+        )
+        yield _counter(
+            "client_requests_refused",
+            "Whole requests refused because of memory or of their service's share",
+            (),
+            [((), load.refused_requests)],
+        )
+        open_connections = GaugeMetricFamily(
+            "burdockhaven_client_connections",
+            "Open connections of clients",
+            labels=("listener",),
+        )
+        for listener, slots in load.slots.items():
+            open_connections.add_metric((listener.value,), slots.open)
+        yield open_connections
+        yield GaugeMetricFamily(
+            "burdockhaven_client_held_bytes",
+            "Estimated memory held for clients",
+            load.memory.total,
+        )
+        yield GaugeMetricFamily(
+            "burdockhaven_client_held_bytes_limit",
+            "Memory that may be held for clients",
+            load.memory.budget.total,
+        )
+
     def _state_gauges(self) -> Iterator[Metric]:
         state = self.state
         now = state.clock()
--- a/packages/burdockhaven-entry/tests/gateway/test_metrics_text.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_metrics_text.py
@@ -13,7 +13,9 @@
 )
 from multidict import CIMultiDict, CIMultiDictProxy
 
+from burdockhaven_core.client_limits import Listener
 from burdockhaven_core.scheduling.peer_messages import EntryChange
+from burdockhaven_entry.gateway.client_load import YieldReason
 from burdockhaven_entry.gateway.control_handler import (
     METRICS_PATH,
     METRICS_PORT,
@@ -146,3 +148,19 @@
     assert gateway.state.registry.apply_change(change)
     name = 'burdockhaven_targets_removed_elsewhere{service="plain"}'
     assert scrape(gateway)[name] == 1
+
+
+async def test_load_of_clients_is_shown(gateway):
+    load = gateway.state.client_load
+    assert (await gateway.call("/unsafe/x")).status == 200
+    load.yielded[YieldReason.MEMORY] += 2
+    load.refused_connections[Listener.DIRECTORY] += 1
+    load.refused_requests += 3
+    samples = scrape(gateway)
+    prefix = "burdockhaven_client_"
+    assert samples[prefix + 'connections{listener="front"}'] == 1
+    assert samples[prefix + 'connections_yielded_total{reason="memory"}'] == 2
+    assert samples[prefix + 'connections_refused_total{listener="directory"}'] == 1
+    assert samples[prefix + "requests_refused_total"] == 3
+    assert samples[prefix + "held_bytes"] == load.memory.total > 0
+    assert samples[prefix + "held_bytes_limit"] == load.memory.budget.total
