Tiny chunks don't delay everything else

Beside 60 clients that send bodies in chunks of 1 to 16 bytes, a process was killed 8 s after SIGTERM in one of three runs of the whole file of crowds: each chunk takes some microseconds, 64 KiB were read from each connection in turn, so that one iteration of the event loop took about a second, and the drain several iterations.

4 KiB are read at once, and 64 KiB only within a body whose length is known. The processor time of a chunk stays the same; what is due meanwhile waits for less of it.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gated_connection.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gated_connection.py
@@ -23,8 +23,11 @@
 # Bytes that a client may send ahead of a response before its connection is not read
 # any more. A disconnect is noticed only while the connection is read.
 READ_AHEAD_BYTES = 16_384
-# Bytes read from a socket at once.
-RECEIVE_BYTES = 65_536
+# Bytes read from a socket at once: by default, and within a body whose length is known.
+# Tiny chunks take some microseconds of processor time each, so that a crowd which sends
+# them would delay everything else if more were read.
+RECEIVE_BYTES = 4_096
+BODY_RECEIVE_BYTES = 65_536
 # Bytes in a row within a chunked body that bring nothing of it: extensions of chunks,
 # leading zeros and trailers.
 MAX_BYTES_WITHOUT_BODY = 32_768
@@ -69,9 +72,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin to read requests."""
-        # The library of the event loop has no public way to set it.
-        transport.max_size = RECEIVE_BYTES  # type: ignore[attr-defined]
         super().connection_made(transport)
+        self._set_receive_bytes(RECEIVE_BYTES)
 
     def enter(self, phase: Phase) -> None:
         """Begin a phase."""
@@ -178,6 +180,8 @@
         self.body_bytes = self.bytes_without_body = 0
         length = message.headers.get("Content-Length")
         self.body_left = None if message.chunked or length is None else int(length)
+        if self.body_left is not None and self.body_left > RECEIVE_BYTES:
+            self._set_receive_bytes(BODY_RECEIVE_BYTES)
         self.enter(Phase.BODY)
 
     def _continue_body(self, received: int) -> None:
@@ -185,6 +189,7 @@
         assert body is not None
         if body.is_eof():
             self.body = None
+            self._set_receive_bytes(RECEIVE_BYTES)
             self.enter(Phase.RESPONSE)
         elif self._messages and self._messages[-1][1] is not body:
             # The library has queued an error behind the request whose body it is in.
@@ -195,6 +200,11 @@
         else:
             self._count_bytes_without_body(body, received)
 
+    def _set_receive_bytes(self, size: int) -> None:
+        # The library of the event loop has no public way to set it.
+        if self.transport is not None:
+            self.transport.max_size = size  # type: ignore[attr-defined]
+
     def _count_bytes_without_body(self, body: StreamReader, received: int) -> None:
         if body.total_bytes != self.body_bytes:
             self.body_bytes = body.total_bytes
