Soak: engines that are full while a sound one is silent

`--with engines-full` has all engines but one reject requests as full, also where a broker counts free slots, and that one is silent for 1.3 s. Plans without it are unchanged. A full engine takes up no stream, so streams that are resumed meanwhile are no measure of LOST "resumed streams"; a test shows that neither a full nor a silent engine excuses a cut.

--- a/tools/burdockhaven_bench/soak/faults.py
+++ b/tools/burdockhaven_bench/soak/faults.py
@@ -49,6 +49,9 @@
 LINK_DELAY_S = 0.3
 # Seconds for which an engine that crashed is down.
 CRASH_DOWN_S = (1.0, 3.0)
+# Seconds for which a sound engine is silent while the others are full; members look for
+# another engine after one.
+SILENCE_BESIDE_FULL_S = 1.3
 # Fractions of the tainted parts on which engines return under a new id, and on which
 # the head of the response is sent before the crash.
 CRASH_WITH_NEW_ID = 0.5
@@ -202,6 +205,7 @@
             FaultKind.STORE_SLOW: self._disrupt_store,
             FaultKind.STORE_DROPS_RESPONSES: self._disrupt_store,
             FaultKind.TAINTED_PART: self._taint_part,
+            FaultKind.ENGINES_FULL: self._fill_engines,
         }
         self.report(f"{fault.kind.value} x{fault.count} for {fault.duration_s:.1f} s")
         await actions.get(fault.kind, self._disrupt_link)(fault)
@@ -345,6 +349,23 @@
         record.faults.pause_s = None
         self._record(fault.kind, record.id, started_s)
 
+    async def _fill_engines(self, fault: PlannedFault) -> None:
+        """Silence an engine while all others reject new requests as full.
+
+        A broker that counts free slots there moves streams from the silent engine.
+        """
+        engines = list(self.harness.site.engines)
+        silent = engines[int(fault.choice * len(engines))].record
+        started_s, now = time.monotonic(), asyncio.get_running_loop().time()
+        for engine in engines:
+            faults = engine.record.faults
+            if engine.record is silent:
+                faults.silent_until_s = now + SILENCE_BESIDE_FULL_S
+            else:
+                faults.full_until_s = now + fault.duration_s
+        await asyncio.sleep(fault.duration_s)
+        self._record(fault.kind, silent.id, started_s)
+
     async def _taint_part(self, fault: PlannedFault) -> None:
         """Have engines crash on a part of prompts, and clients send such prompts."""
         rng, started_s = random.Random(fault.choice), time.monotonic()
--- a/tools/burdockhaven_bench/soak/history.py
+++ b/tools/burdockhaven_bench/soak/history.py
@@ -48,6 +48,7 @@
     LINK_DELAY = "link-delay"
     LINK_PIECES = "link-pieces"
     TAINTED_PART = "tainted-part"
+    ENGINES_FULL = "engines-full"
 
 
 PROCESS_DISRUPTIONS = frozenset({FaultKind.FREEZE, FaultKind.KILL})
--- a/tools/burdockhaven_bench/soak/oracle.py
+++ b/tools/burdockhaven_bench/soak/oracle.py
@@ -233,6 +233,10 @@
             or not _is_in_touch(
                 history, attempt.process, attempt.sent_s, attempt.sent_s
             )
+            # Full engines take up no stream.
+            or history.is_disrupted(
+                (FaultKind.ENGINES_FULL,), attempt.sent_s, attempt.sent_s
+            )
         ):
             continue
         if not attempt.resumes:
--- a/tools/burdockhaven_bench/soak/plan.py
+++ b/tools/burdockhaven_bench/soak/plan.py
@@ -43,13 +43,15 @@
     FaultKind.LINK_DELAY,
 )
 # Kinds that a plan contains only on request.
-EXTRA = (FaultKind.TAINTED_PART,)
+EXTRA = (FaultKind.TAINTED_PART, FaultKind.ENGINES_FULL)
 # Seconds from the end of the quiet start or of a tainted part to the next one, and for
 # which requests with such a part are sent.
 TAINT_SPACING_S = (2.0, 5.0)
 TAINT_S = (14.0, 30.0)
 # Share of the requests of a route that have the part.
 TAINT_SHARE = (0.2, 0.4)
+# Seconds between the starts of two faults at which engines are full.
+FULL_SPACING_S = (1.5, 4.0)
 # Shortest and longest duration in seconds of faults that end by themselves.
 DURATIONS_S = {
     FaultKind.FREEZE: (0.3, 4.0),
@@ -64,6 +66,7 @@
     FaultKind.LINK_SILENT: (1.0, 4.0),
     FaultKind.LINK_DELAY: (0.5, 3.0),
     FaultKind.LINK_PIECES: (1.0, 5.0),
+    FaultKind.ENGINES_FULL: (1.6, 2.8),
 }
 
 
@@ -114,7 +117,9 @@
             is_planned = not is_planned
         if FaultKind.TAINTED_PART in extra:
             faults += _draw_tainted_parts(random.Random(f"{seed}/taint"), duration_s)
-            faults.sort(key=lambda fault: fault.at_s)
+        if FaultKind.ENGINES_FULL in extra:
+            faults += _draw_full_engines(random.Random(f"{seed}/full"), duration_s)
+        faults.sort(key=lambda fault: fault.at_s)
         kept = (fault for fault in faults if fault.kind not in without)
         return cls(seed, duration_s, tuple(kept))
 
@@ -163,3 +168,15 @@
         faults.append(PlannedFault(kind, at_s, length_s, choice, share=share))
         at_s += length_s + rng.uniform(*TAINT_SPACING_S)
     return faults
+
+
+def _draw_full_engines(rng: random.Random, duration_s: float) -> list[PlannedFault]:
+    """Draw times at which engines are full, beside all other faults."""
+    faults = []
+    kind = FaultKind.ENGINES_FULL
+    at_s = QUIET_S + rng.uniform(*FULL_SPACING_S)
+    while at_s < duration_s - QUIET_S:
+        length_s, choice = rng.uniform(*DURATIONS_S[kind]), rng.random()
+        faults.append(PlannedFault(kind, at_s, length_s, choice))
+        at_s += rng.uniform(*FULL_SPACING_S)
+    return faults
--- a/tools/burdockhaven_standins/platform_targets.py
+++ b/tools/burdockhaven_standins/platform_targets.py
@@ -78,6 +78,8 @@
     silent: bool = False
     # Event loop time in seconds until which nothing is sent; then the target continues.
     silent_until_s: float = 0.0
+    # The same, until which all requests are rejected as if every slot were taken.
+    full_until_s: float = 0.0
     # Number of events after which the next stream is aborted, in the middle of the
     # following event; None for no fault. At a service, 0 aborts the next response.
     abort_next_after_events: int | None = None
@@ -91,6 +93,10 @@
             self.abort_next_after_events = None
         return is_due
 
+    def is_full(self) -> bool:
+        """Whether requests are rejected without being executed."""
+        return asyncio.get_running_loop().time() < self.full_until_s
+
     async def wait_while_silent(self) -> None:
         """Wait until the target may send again."""
         if self.silent:
@@ -181,6 +187,7 @@
             return self._reject(421, request)
         if (
             self.faults.pause_s is not None
+            or self.faults.is_full()
             or waiting >= MAX_QUEUED_PER_SLOT * self.slots
         ):
             return self.overload_rejection(request)
--- a/tools/tests/test_platform_targets.py
+++ b/tools/tests/test_platform_targets.py
@@ -1,6 +1,7 @@
 """Headers of the stand-in targets, and crashes of stand-in engines."""
 
 import asyncio
+import math
 
 import aiohttp
 import msgspec
@@ -59,6 +60,21 @@
             assert head.observation.is_leaving is says_leaving
 
 
+# Guards against a full engine that executes a request or asks for a pause.
+async def test_full_engine_rejects_requests_without_executing_them():
+    engine = make_target("engine", TargetFaults(full_until_s=math.inf))
+    async with (
+        TestClient(TestServer(engine.application())) as client,
+        client.post("/x", headers=REQUEST) as response,
+    ):
+        head = read_response_head(response.status, response.headers)
+    assert head.not_run
+    assert not head.observation.pause_s
+    assert not engine.record.runs
+    (received,) = engine.record.received
+    assert received.end is RequestEnd.REJECTED
+
+
 ENGINE = "i-llm"
 SOUND = "system:100,doc:50,user-1:10"
 TAINTED = "system:100,bad:80,user-2:10"
--- a/tools/tests/test_soak_oracle.py
+++ b/tools/tests/test_soak_oracle.py
@@ -242,6 +242,34 @@
     assert oracle.lost_resumptions(seen).is_broken == is_broken
 
 
+# Guards against full engines that count as a fault of the daemons.
+def test_streams_resumed_while_engines_are_full_are_no_measure():
+    first = stream("11", id="first", ending=Ending.CLOSED)
+    refused = [
+        attempt(
+            id=f"a{number}", route="stream", status=503, resumes="first", last_event=2
+        )
+        for number in range(12)
+    ]
+    serving = tuple(Target(f"t{n}", "llm", "1", 0.0) for n in range(2))
+    sent_s = refused[0].sent_s
+    for at_s, is_broken in ((sent_s - 0.1, False), (sent_s + 0.1, True)):
+        full = unplanned(FaultKind.ENGINES_FULL, "t1", at_s)
+        seen = history([first, *refused], faults=[full], targets=serving)
+        assert oracle.lost_resumptions(seen).is_broken == is_broken
+
+
+# Guards against a cut that a full or a silent engine would excuse.
+def test_full_and_silent_engines_excuse_no_lost_stream():
+    runs = [
+        run(target="t1", end=RequestEnd.DISCONNECTED),
+        run(target="t2", end=RequestEnd.REJECTED),
+    ]
+    full = unplanned(FaultKind.ENGINES_FULL, "t1", AT_S)
+    seen = history([cut()], runs, [STOP, full])
+    assert oracle.lost_around_stop(seen).is_broken
+
+
 def test_targets_of_another_service_do_not_take_up_a_stream():
     first = stream("11", id="first", ending=Ending.CLOSED)
     refused = [
