Soak: a client notices a close while it pauses within a request

The client then paused between the two halves of the next request on that connection and took the end of its pause, 0.23 s later, for the time of the close, which is beyond the slack of the rule. The pause ends now when the connection does.

--- a/tools/burdockhaven_bench/soak/client.py
+++ b/tools/burdockhaven_bench/soak/client.py
@@ -28,6 +28,8 @@
 # Seconds beyond the timeout of its route for which a client waits for a whole response.
 TIMEOUT_MARGIN_S = 1.0
 CONNECT_TIMEOUT_S = 1.0
+# Seconds between two checks for the close of a connection.
+CLOSE_POLL_INTERVAL_S = 0.01
 
 _connection_numbers = itertools.count(1)
 
@@ -193,7 +195,7 @@
             else:
                 self.writer.write(request.head() + BODY[:FIRST_HALF_BYTES])
                 await self.writer.drain()
-                await asyncio.sleep(request.half_pause_s)
+                await self._pause_while_open(request.half_pause_s)
                 if self.reader.at_eof() or self.writer.is_closing():
                     return position, None
                 self.writer.write(BODY[FIRST_HALF_BYTES:])
@@ -203,6 +205,15 @@
             return position, None
         return position, sent_s
 
+    async def _pause_while_open(self, duration_s: float) -> None:
+        """Pause within a request; end early if the connection closes."""
+        end_s = time.monotonic() + duration_s
+        while not (self.reader.at_eof() or self.writer.is_closing()):
+            left_s = end_s - time.monotonic()
+            if left_s <= 0.0:
+                return
+            await asyncio.sleep(min(CLOSE_POLL_INTERVAL_S, left_s))
+
     async def _read(self, request: OutgoingRequest, reading: ResponseReading) -> Ending:
         """Read a response up to its end, a timeout or the moment the client leaves."""
         limit_s = request.timeout_s + TIMEOUT_MARGIN_S
