Soak: clients notice a pause that is too long 50 ms late

A daemon ends a stream that no engine continues when its client is due to leave, counted from the moment at which it wrote the last event.

--- a/tools/burdockhaven_bench/soak/client.py
+++ b/tools/burdockhaven_bench/soak/client.py
@@ -25,6 +25,9 @@
 # Seconds without any byte of a response after which clients give up: eight times the
 # pause objective of the streaming routes.
 GAP_TIMEOUT_S = 2.4
+# Seconds by which they notice that late, so that a daemon that gives up at the same
+# time is seen to close the connection.
+GAP_LAG_S = 0.05
 # Seconds beyond the timeout of its route for which a client waits for a whole response.
 TIMEOUT_MARGIN_S = 1.0
 CONNECT_TIMEOUT_S = 1.0
@@ -256,7 +259,7 @@
 
     async def _with_gap_timeout(self, reading: Coroutine[Any, Any, bytes]) -> bytes:
         try:
-            async with asyncio.timeout(GAP_TIMEOUT_S) as gap:
+            async with asyncio.timeout(GAP_TIMEOUT_S + GAP_LAG_S) as gap:
                 return await reading
         except TimeoutError:
             if gap.expired():
