The configuration is served at the control address only

Clients are given the address for look-ups.

Cause: one handler served the same paths at the three addresses. Each serves its own now; members fetch configurations, and operators ask /where, at the control address as before, so members of two versions still serve each other.

Evidence: test_api_keys_are_served_at_the_control_address_only failed before (directory and readiness answered with a key).

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/control_handler.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/control_handler.py
@@ -1,7 +1,10 @@
 """Control endpoints: look-ups, readiness, configuration, metrics, placements."""
 
+from collections.abc import Awaitable, Callable
+
 from aiohttp import web
 
+from burdockhaven_core.client_limits import Listener
 from burdockhaven_entry.gateway.gateway_state import GatewayState
 from burdockhaven_entry.gateway.responses import NOT_FOUND, UNAVAILABLE, error_response
 from burdockhaven_entry.platform import (
@@ -19,6 +22,15 @@
 # Path at which operators ask where a request would go.
 WHERE_PATH = "/where"
 VERSION_HEADER = "Burdockhaven-Version"
+# Paths by listener. Clients are given the address of the directory, and the
+# configuration holds the API keys of all accounts.
+PATHS_BY_LISTENER = {
+    Listener.READINESS: frozenset({READINESS_PATH}),
+    Listener.DIRECTORY: frozenset({LOOK_UP_PATH}),
+    Listener.CONTROL: frozenset(
+        {READINESS_PATH, LOOK_UP_PATH, CONFIGURATION_PATH, WHERE_PATH}
+    ),
+}
 # Seconds for which clients cache a look-up. A shorter time causes more calls, a longer
 # one more connections to members that have stopped.
 LOOK_UP_TTL_S = 0.9
@@ -33,6 +45,19 @@
         self.state = state
         self.store = store
 
+    def handler_for(
+        self, listener: Listener
+    ) -> Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]:
+        """Return the handler of a listener, which serves its own paths only."""
+        paths = PATHS_BY_LISTENER[listener]
+
+        async def handle(request: web.BaseRequest) -> web.StreamResponse:
+            if request.path not in paths:
+                return error_response(NOT_FOUND, "unknown path")
+            return await self.handle(request)
+
+        return handle
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle a request to a control address."""
         if request.path == READINESS_PATH:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -184,7 +184,7 @@
         self.frontend_server = ClientServer(self.frontend.handle, load)
         # Servers of the other addresses, by what they are for.
         self.control_servers = {
-            listener: ClientServer(self.control.handle, load, listener)
+            listener: ClientServer(self.control.handler_for(listener), load, listener)
             for listener in (
                 Listener.READINESS,
                 Listener.CONTROL,
--- a/tools/tests/test_platform_process.py
+++ b/tools/tests/test_platform_process.py
@@ -469,3 +469,16 @@
     )
     assert received.status == 503
     assert harness.site.runs_of(received.request) == 0
+
+
+# Guards against API keys that anyone can read: the directory, whose address clients are
+# given, answered with the whole configuration.
+async def test_api_keys_are_served_at_the_control_address_only(harness):
+    first, _ = await start_two_daemons(harness)
+    answers = {}
+    for listener, address in first.listen.items():
+        for path in ("/configuration", "/where", "/metrics", "/-/lookup", "/-/readyz"):
+            async with harness.client.get(f"http://{address}{path}") as response:
+                answers[listener, path] = await response.read()
+    with_keys = {listener for listener, _ in answers if b"k1" in answers[listener, _]}
+    assert with_keys == {"control"}
