A client that reads its response does not give way to a new connection

What callers would see: a long response is reset while its client reads it, for a new connection at a full listener, even where an idle connection could go. The request has run and its answer is lost. And a client that reads 10 KB a second was reset for having read nothing for 60 s.

Cause: a response counted as waiting for its client from the first moment in which the send buffer was full, and what a client reads showed only when megabytes of kernel buffer had become free.

Fix: a response waits for its client once nothing was read for 2 s. The send buffers of accepted connections are 64 KiB (requested), so that reading shows.

Evidence: test_client_that_reads_its_response_does_not_give_way failed before (connection reset), and passes; a response that isn't read still gives way.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/client_load.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/client_load.py
@@ -22,6 +22,9 @@
 
 # Seconds after which a connection is reset whose client reads nothing of a response.
 RESPONSE_STALL_TIMEOUT_S = 60.0
+# The same after which it may give way to a new connection. A client that reads doesn't
+# await anything: its answer would be lost.
+UNREAD_RESPONSE_WAIT_S = 2.0
 
 
 class YieldReason(enum.StrEnum):
@@ -44,6 +47,9 @@
     def refresh_holding(self, now: float) -> None:
         """Account for the part of a response that was read meanwhile."""
 
+    def set_awaiting(self, is_awaiting: bool) -> None:
+        """Record whether the connection awaits its client."""
+
 
 class ClientLoad:
     """Memory and connections that the clients of this process occupy."""
@@ -126,6 +132,8 @@
         for holding in tuple(self.memory.holdings):
             if holding.kind is HoldingKind.RESPONSE:
                 holding.owner.refresh_holding(now)
+                unread_s = now - holding.progressed_s
+                holding.owner.set_awaiting(unread_s > UNREAD_RESPONSE_WAIT_S)
         limits_s = {
             HoldingKind.BODY: body_timeout_s,
             HoldingKind.RESPONSE: RESPONSE_STALL_TIMEOUT_S,
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/client_server.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/client_server.py
@@ -119,7 +119,6 @@
     def pause_writing(self) -> None:
         """Account for a response that the client doesn't read."""
         super().pause_writing()
-        self.slots.begin_wait(self)
         self.update_holding()
 
     def resume_writing(self) -> None:
@@ -202,6 +201,13 @@
         if self.holding is not None and self._held_bytes() != self.holding.size:
             self.update_holding()
 
+    def set_awaiting(self, is_awaiting: bool) -> None:
+        """Record whether the connection awaits its client, from now on if it does."""
+        if not is_awaiting:
+            self.slots.end_wait(self)
+        elif self not in self.slots.awaiting:
+            self.slots.begin_wait(self)
+
     def make_yield(self) -> None:
         """Free what is held for the client.
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -409,9 +409,9 @@
         loop = asyncio.get_running_loop()
         listening_socket = self.sockets[address]
         try:
-            listening_socket.limit_receive_buffers()
+            listening_socket.limit_buffers()
         except OSError as error:
-            step = f"limit the receive buffers of {address}"
+            step = f"limit the buffers of {address}"
             log(EventNumber.INTERNAL_ERROR, step=step, error=repr(error))
         listener = await loop.create_server(
             server, sock=listening_socket, backlog=ACCEPT_BATCH
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/listening_sockets.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/listening_sockets.py
@@ -13,6 +13,8 @@
 # Size in bytes requested for the kernel's receive buffer of each accepted connection.
 # What clients have sent and the process hasn't read counts as its memory.
 RECEIVE_BUFFER_BYTES = 65_536
+# The same for its send buffer: what a client has read shows only as room in it.
+SEND_BUFFER_BYTES = 65_536
 
 
 class ListeningSocket(socket.socket):
@@ -36,13 +38,13 @@
             raise
         # The daemon sets it again and logs a failure.
         with contextlib.suppress(OSError):
-            listening.limit_receive_buffers()
+            listening.limit_buffers()
         return listening
 
-    def limit_receive_buffers(self) -> None:
-        """Limit the kernel's receive buffers of accepted connections."""
-        # Accepted connections inherit it.
+    def limit_buffers(self) -> None:
+        """Limit the kernel's buffers of accepted connections, which inherit them."""
         self.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        self.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
 
     def listen(self, backlog: int = LISTEN_BACKLOG) -> None:
         """Listen with the backlog of all listening sockets."""
--- a/packages/burdockhaven-entry/tests/gateway/test_client_load.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_client_load.py
@@ -14,6 +14,7 @@
 from burdockhaven_core.client_limits import Listener, MemoryBudget
 from burdockhaven_entry.gateway.client_load import (
     RESPONSE_STALL_TIMEOUT_S,
+    UNREAD_RESPONSE_WAIT_S,
     YieldReason,
 )
 from burdockhaven_entry.gateway.client_server import ClientServer
@@ -232,3 +233,38 @@
         opened.close()
     await wait_until(lambda: load.services.total == 0)
     assert load.memory.requests_bytes == 0
+
+
+# Guards against an answer that is lost although its client reads it: a connection with
+# a response under way gave way to a new one.
+async def test_client_that_reads_its_response_does_not_give_way(answering_much):
+    load = answering_much.state.client_load
+    set_capacity(answering_much, 2)
+    reader, writer = await connect(answering_much)
+    writer.write(encode_request("/safe/x", "a"))
+    await read_head(reader)
+    idle, idle_writer = await connect(answering_much)
+    await wait_until(lambda: load.slots[Listener.FRONT].open == 2)
+    _, new_writer = await connect(answering_much)
+    assert await is_closed(idle)
+    body = await asyncio.wait_for(reader.readexactly(len(LARGE_ANSWER)), TIMEOUT_S)
+    assert body == LARGE_ANSWER
+    for opened in (writer, idle_writer, new_writer):
+        opened.close()
+
+
+# Guards against a crowd that reads nothing and shuts out those that come next.
+async def test_client_that_does_not_read_its_response_gives_way(answering_much):
+    load = answering_much.state.client_load
+    set_capacity(answering_much, 1)
+    reader, writer = await connect(answering_much)
+    writer.write(encode_request("/safe/x", "a"))
+    await wait_until(lambda: load.memory.holdings)
+    (holding,) = load.memory.holdings
+    load.end_stalled(TIMEOUT_S, holding.progressed_s + UNREAD_RESPONSE_WAIT_S + 1.0)
+    _, new_writer = await connect(answering_much)
+    await wait_until(lambda: load.yielded[YieldReason.CONNECTIONS] == 1)
+    with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+        await asyncio.wait_for(reader.readexactly(2 * len(LARGE_ANSWER)), TIMEOUT_S)
+    writer.close()
+    new_writer.close()
