Idle connections leave memory to requests

What callers would see: every request is answered 503 for as long as idle connections stay, where a process has many descriptors for its memory (64 MB and 2,048, 512 MB and 65,536; not 300 MB and 4,100).

Cause: connections are charged to the account, and their number followed from the descriptors alone; what is idle holds nothing that could yield.

Fix: at most a quarter of the budget is for connections.

--- a/packages/burdockhaven-core/src/burdockhaven_core/client_limits/descriptor_shares.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/client_limits/descriptor_shares.py
@@ -1,6 +1,7 @@
 """Division of a process's descriptors between its listeners and its own connections."""
 
 import enum
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 from types import MappingProxyType
@@ -52,18 +53,22 @@
     targets: int
 
     @classmethod
-    def from_limit(cls, max_descriptors: int) -> "DescriptorShares":
+    def from_limit(
+        cls, max_descriptors: int, max_connections: float = math.inf
+    ) -> "DescriptorShares":
         """Divide the descriptors of a process.
 
         A crowd at one address can't take what the other addresses or the connections
-        to targets, store and members need.
+        to targets, store and members need. `max_connections` is the number that the
+        memory allows at all listeners together.
         """
         # Connections that are being refused hold descriptors for some iterations.
         refused = ACCEPT_BATCH * REFUSAL_ITERATIONS * len(Listener)
         reserved = FILE_DESCRIPTORS + OWN_DESCRIPTORS + refused
         sockets = max(0, max_descriptors - reserved)
+        shared = min(sockets, max_connections / sum(SHARES.values()))
         connections = {
-            listener: max(MIN_CONNECTIONS, int(share * sockets))
+            listener: max(MIN_CONNECTIONS, int(share * shared))
             for listener, share in SHARES.items()
         }
         targets = max(MIN_CONNECTIONS, sockets - sum(connections.values()))
--- a/packages/burdockhaven-core/src/burdockhaven_core/client_limits/memory_budget.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/client_limits/memory_budget.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from burdockhaven_core.client_limits.request_cost import CONNECTION_OVERHEAD_BYTES
+
 # Bytes for the program and its state: tables, targets, members and metrics.
 OWN_MEMORY_BYTES = 64 * 2**20
 # Fraction of the rest that may be charged to clients. The allocator's overhead, the
@@ -16,6 +18,9 @@
 # The rest of the total is left for short requests.
 REQUESTS_FRACTION = 0.75
 LONG_REQUESTS_FRACTION = 0.6
+# Fraction of the budget for connections without a request. More of them would leave too
+# little to requests.
+CONNECTIONS_FRACTION = 0.25
 # Cost in bytes up to which a request is short.
 SHORT_REQUEST_BYTES = 65_536
 
@@ -32,6 +37,8 @@
     requests: int
     # Of these, for long ones.
     long_requests: int
+    # Connections whose objects fit into their part.
+    connections: int
 
     @classmethod
     def from_memory(cls, memory_bytes: int) -> "MemoryBudget":
@@ -43,6 +50,7 @@
             relieved=int(total * RELIEVED_FRACTION),
             requests=int(total * REQUESTS_FRACTION),
             long_requests=int(total * LONG_REQUESTS_FRACTION),
+            connections=int(total * CONNECTIONS_FRACTION / CONNECTION_OVERHEAD_BYTES),
         )
 
     def requests_limit(self, cost: int) -> int:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/client_load.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/client_load.py
@@ -73,10 +73,9 @@
     @classmethod
     def from_limits(cls, memory_bytes: int, max_descriptors: int) -> "ClientLoad":
         """Create the account of a process with these limits."""
-        return cls(
-            MemoryBudget.from_memory(memory_bytes),
-            DescriptorShares.from_limit(max_descriptors),
-        )
+        budget = MemoryBudget.from_memory(memory_bytes)
+        shares = DescriptorShares.from_limit(max_descriptors, budget.connections)
+        return cls(budget, shares)
 
     def open_connection(self, listener: Listener) -> bool:
         """Count a new connection; False if its listener has no room.
