--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
@@ -249,7 +249,7 @@
             raise
         try:
             return self._check_head(target, request, response)
-        except SendError:
+        except BaseException:
             response.close()
             self._end_send()
             raise
