An upload that goes on gives way after connections that make no progress

What callers would see: at a full listener, an upload that goes on is refused for a new connection before silent ones are, since its place was that of its first byte.

Evidence: test_upload_that_goes_on_gives_way_after_silent_connections failed before; test_request_with_a_long_body_does_not_give_way guards the other side.

--- a/packages/burdockhaven-core/src/burdockhaven_core/client_limits/__init__.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/client_limits/__init__.py
@@ -6,7 +6,12 @@
     DescriptorShares,
     Listener,
 )
-from burdockhaven_core.client_limits.held_memory import HeldMemory, Holding, HoldingKind
+from burdockhaven_core.client_limits.held_memory import (
+    PROGRESS_BYTES,
+    HeldMemory,
+    Holding,
+    HoldingKind,
+)
 from burdockhaven_core.client_limits.memory_budget import MemoryBudget
 from burdockhaven_core.client_limits.request_cost import (
     CONNECTION_OVERHEAD_BYTES,
@@ -17,6 +22,7 @@
 __all__ = [
     "ACCEPT_BATCH",
     "CONNECTION_OVERHEAD_BYTES",
+    "PROGRESS_BYTES",
     "ConnectionSlots",
     "DescriptorShares",
     "HeldMemory",
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/client_server.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/client_server.py
@@ -13,7 +13,12 @@
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
-from burdockhaven_core.client_limits import Holding, HoldingKind, Listener
+from burdockhaven_core.client_limits import (
+    PROGRESS_BYTES,
+    Holding,
+    HoldingKind,
+    Listener,
+)
 from burdockhaven_core.log_numbers import EventNumber
 from burdockhaven_entry.gateway.client_load import ClientLoad
 from burdockhaven_entry.gateway.gated_connection import (
@@ -79,8 +84,10 @@
         self.client_transport: asyncio.Transport | None = None
         # What is held while the connection waits for its client; None for nothing.
         self.holding: Holding[Any] | None = None
-        # Bytes of the request body that was received so far.
+        # Bytes of the request body that was received so far, and of these, when it last
+        # counted as going on.
         self.collected_bytes = 0
+        self.renewed_bytes = 0
         # Bytes of the response that is written, apart from what the transport keeps.
         self.response_bytes = STREAM_BUFFER_BYTES
 
@@ -106,7 +113,7 @@
         super().enter(phase)
         if phase is Phase.RESPONSE:
             self.slots.end_wait(self)
-        else:
+        elif self.client_transport is not None:
             self.slots.begin_wait(self)
 
     def data_received(self, data: bytes) -> None:
@@ -169,13 +176,19 @@
         self.is_lingering = True
         self._drop_read_ahead()
         self.slots.begin_wait(self)
-        transport.write_eof()
+        try:
+            transport.write_eof()
+        except OSError:
+            # The client has reset the connection.
+            return
         transport.resume_reading()
         # The client's close cancels the wait, with the handler.
         await asyncio.sleep(LINGER_S)
 
     def update_holding(self) -> None:
-        """Account for what is held for the client now."""
+        """Account for what is held for the client now, unless it has left."""
+        if self.client_transport is None:
+            return
         now = self._loop.time()
         size = self._held_bytes()
         memory = self.load.memory
@@ -195,6 +208,14 @@
         """Account for the part of a request body that has been received."""
         self.collected_bytes = body_bytes
         self.update_holding()
+        if not body_bytes:
+            self.renewed_bytes = 0
+        elif self.phase is Phase.BODY and (
+            body_bytes - self.renewed_bytes >= PROGRESS_BYTES
+        ):
+            # An upload that goes on gives way after those that don't.
+            self.renewed_bytes = body_bytes
+            self.slots.begin_wait(self)
 
     def refresh_holding(self, now: float) -> None:
         """Account for the part of a response that was read meanwhile."""
--- a/packages/burdockhaven-entry/tests/gateway/test_client_load.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_client_load.py
@@ -268,3 +268,42 @@
         await asyncio.wait_for(reader.readexactly(2 * len(LARGE_ANSWER)), TIMEOUT_S)
     writer.close()
     new_writer.close()
+
+
+# Guards against an upload that is refused for a new connection, although others make no
+# progress.
+async def test_upload_that_goes_on_gives_way_after_silent_connections(gateway):
+    table = gateway.state.table
+    limits = dataclasses.replace(table.limits, max_body_bytes=4 * 2**20)
+    gateway.state.table = dataclasses.replace(table, limits=limits)
+    slots = gateway.state.client_load.slots[Listener.FRONT]
+    set_capacity(gateway, 2)
+    reader, writer = await connect(gateway)
+    size = 2 * 2**20
+    writer.write(encode_request("/safe/x", "a", length=size) + b"x" * 100)
+    await wait_until(lambda: slots.open == 1 and len(slots.awaiting) == 1)
+    idle, idle_writer = await connect(gateway)
+    await wait_until(lambda: len(slots.awaiting) == 2)
+    upload = next(iter(slots.awaiting))
+    writer.write(b"x" * (size // 2))
+    await wait_until(lambda: next(iter(slots.awaiting)) is not upload)
+    _, new_writer = await connect(gateway)
+    assert await is_closed(idle)
+    writer.write(b"x" * (size - size // 2 - 100))
+    assert b" 200 " in await read_head(reader)
+    for opened in (writer, idle_writer, new_writer):
+        opened.close()
+
+
+# Guards against a request under way that gives way because its body was long.
+async def test_request_with_a_long_body_does_not_give_way(hanging):
+    table = hanging.state.table
+    limits = dataclasses.replace(table.limits, max_body_bytes=4 * 2**20)
+    hanging.state.table = dataclasses.replace(table, limits=limits)
+    slots = hanging.state.client_load.slots[Listener.FRONT]
+    reader, writer = await connect(hanging)
+    size = 2 * 2**20
+    writer.write(encode_request("/patient/x", "a", length=size) + b"x" * size)
+    await wait_until(lambda: hanging.frontend.pending)
+    assert not slots.awaiting
+    writer.close()
