Quarantine records: one keeper for several kinds, written in batches

No change of behaviour but one: several records are written by one call, up to the 32 changes that the store takes, instead of one call each.

Prompt parts are to be recorded as contents of requests are. So what is particular to contents (keys, codec, which evidence is worth a record) moves to a RecordKind; reading, writing, renewing and removing stay in QuarantineStore. The test's store takes batches and heeds the prefix that is read.

Renamed: MAX_REMOVALS -> MAX_TRANSACTION_CHANGES.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -53,7 +53,7 @@
     StoreItem,
 )
 from burdockhaven_entry.process_signals import STOP_SIGNALS, ignore_until_exit
-from burdockhaven_entry.quarantine import QuarantineStore
+from burdockhaven_entry.quarantine import QuarantineStore, content_records
 from burdockhaven_entry.resumption import OriginLog
 from burdockhaven_entry.timer import TimerService
 
@@ -147,6 +147,7 @@
             self.store,
             self.version_recorder.is_broker,
             unix_ms=lambda: int(time.time() * 1e3),
+            kinds=(content_records(state.request_quarantine),),
         )
         self.stream_origins = StreamOriginDirectory(
             state,
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/__init__.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/__init__.py
@@ -39,7 +39,7 @@
         read_settings,
     )
     from burdockhaven_entry.platform.store import (
-        MAX_REMOVALS,
+        MAX_TRANSACTION_CHANGES,
         ChangeBatch,
         PlatformStore,
         StoreItem,
@@ -65,7 +65,7 @@
     "CONFIGURATION_PREFIX",
     "DECODE_ERRORS",
     "LOOK_UP_PATH",
-    "MAX_REMOVALS",
+    "MAX_TRANSACTION_CHANGES",
     "MEMBERS_PREFIX",
     "ORIGINS_PREFIX",
     "QUARANTINE_PREFIX",
@@ -108,7 +108,7 @@
     "ConfigurationError": "burdockhaven_entry.platform.configuration",
     "DECODE_ERRORS": "burdockhaven_entry.platform.decode_errors",
     "LOOK_UP_PATH": "burdockhaven_entry.platform.look_up",
-    "MAX_REMOVALS": "burdockhaven_entry.platform.store",
+    "MAX_TRANSACTION_CHANGES": "burdockhaven_entry.platform.store",
     "MEMBERS_PREFIX": "burdockhaven_entry.platform.store_keys",
     "MalformedRequestError": "burdockhaven_entry.platform.client_request",
     "ORIGINS_PREFIX": "burdockhaven_entry.platform.store_keys",
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/store.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/store.py
@@ -12,7 +12,7 @@
 import base64
 import contextlib
 import math
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import AsyncIterator, Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -42,8 +42,8 @@
 # about 1 MB, or a single larger value; a watch may report many changes at once.
 MAX_RESPONSE_BYTES = 32 * 2**20
 MAX_PREFIX_BYTES = 64 * 2**20
-# Keys that the store removes in one transaction.
-MAX_REMOVALS = 32
+# Keys that the store writes or removes in one transaction.
+MAX_TRANSACTION_CHANGES = 32
 
 
 class _RawItem(msgspec.Struct):
@@ -293,8 +293,23 @@
         )
         return result.map(lambda response: None)
 
+    async def put_all(
+        self, values: Mapping[str, bytes]
+    ) -> Result[None, KeyValueFailure]:
+        """Write up to `MAX_TRANSACTION_CHANGES` keys that last, all or none."""
+        body = _Transaction(
+            [
+                _Write(key, base64.b64encode(value).decode(), 0)
+                for key, value in values.items()
+            ]
+        )
+        result = await self._counted_call(
+            "POST", "/-/kv-txn", dict[str, Any], body=body, step="write"
+        )
+        return result.map(lambda response: None)
+
     async def remove(self, keys: Sequence[str]) -> Result[None, KeyValueFailure]:
-        """Remove up to `MAX_REMOVALS` keys at once; absent ones are ignored."""
+        """Remove up to `MAX_TRANSACTION_CHANGES` keys; absent ones are ignored."""
         body = _Transaction(remove=list(keys))
         result = await self._counted_call(
             "POST", "/-/kv-txn", dict[str, Any], body=body, step="remove"
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/quarantine/quarantine_store.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/quarantine/quarantine_store.py
@@ -1,33 +1,28 @@
-"""Keeps quarantined request contents in the platform's store.
+"""Keeps the evidence against what ends targets in the platform's store.
 
 After a start of all members nobody remembers which requests end targets, and each of
-them would end three more. The member whose broker is in use writes a record of each
-content that is quarantined, and removes it once it is acquitted or forgotten. A member
-that is cut off from most others reads what they have learned meanwhile.
+them would end three more. The member whose broker is in use writes a record of each one
+that is quarantined, and removes it once it is acquitted or forgotten. A member that is
+cut off from most others reads what they have learned meanwhile.
 """
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+import itertools
+from collections.abc import Callable, Hashable, Iterable, Sequence
 
 from result import Err
 
 from burdockhaven_core.log_numbers import EventNumber
-from burdockhaven_core.request_quarantine import (
-    QuarantineRecordError,
-    decode_record,
-    encode_record,
-    format_content,
-)
 from burdockhaven_entry.call_limits import Backoff
 from burdockhaven_entry.gateway.gateway_state import GatewayState
 from burdockhaven_entry.log_events import log
 from burdockhaven_entry.platform import (
-    MAX_REMOVALS,
-    QUARANTINE_PREFIX,
+    MAX_TRANSACTION_CHANGES,
     PlatformStore,
     StoreItem,
 )
+from burdockhaven_entry.quarantine.record_kind import Record, RecordKind
 
 # Upper bounds in seconds of the random delays after a failed call.
 INITIAL_BACKOFF_S = 0.2
@@ -47,16 +42,19 @@
         store: PlatformStore,
         is_broker: Callable[[], bool],
         unix_ms: Callable[[], int],
+        kinds: Sequence[RecordKind],
     ) -> None:
         self.state = state
         self.store = store
         self.is_broker = is_broker
         self.unix_ms = unix_ms
-        # Ends in each record that may be in the store; empty if they are not known.
-        self.recorded: dict[int, frozenset[int]] = {}
+        self.kinds = kinds
+        # Evidence in each record that may be in the store, by key; None if it is not
+        # known.
+        self.recorded: dict[str, Hashable] = {}
         # Era of the store for which that holds.
         self.era = state.store_eras.current
-        # Set when a content was accused or acquitted.
+        # Set when evidence has changed.
         self.has_changes = asyncio.Event()
         self.backoff = Backoff(state.rng, INITIAL_BACKOFF_S, MAX_BACKOFF_S)
 
@@ -74,7 +72,7 @@
                     is_read = await self._read()
                 is_done = is_read and await self._update()
             except Exception as error:
-                step = "write quarantined requests"
+                step = "write quarantine records"
                 log(EventNumber.INTERNAL_ERROR, step=step, error=repr(error))
                 is_done = False
             if is_done:
@@ -88,21 +86,24 @@
         return self.state.member_list.is_cut_off(self.state.clock())
 
     async def _read(self) -> bool:
-        """Apply the records in the store; returns whether they could be read."""
-        result = await self.store.read_prefix(QUARANTINE_PREFIX)
-        if isinstance(result, Err):
-            return False
-        now, unix_ms = self.state.clock(), self.unix_ms()
-        for item in result.ok_value.items:
-            self._apply(item, now, unix_ms)
+        """Apply the records in the store; returns whether all could be read."""
+        for kind in self.kinds:
+            result = await self.store.read_prefix(kind.prefix)
+            if isinstance(result, Err):
+                return False
+            now, unix_ms = self.state.clock(), self.unix_ms()
+            for item in result.ok_value.items:
+                self._apply(kind, item, now, unix_ms)
         self.backoff.reset()
         return True
 
-    def _apply(self, item: StoreItem, now: float, unix_ms: int) -> None:
+    def _apply(
+        self, kind: RecordKind, item: StoreItem, now: float, unix_ms: int
+    ) -> None:
+        name = item.key.removeprefix(kind.prefix)
         try:
-            content = int(item.key.removeprefix(QUARANTINE_PREFIX), 16)
-            notice = decode_record(content, item.value or b"", unix_ms)
-        except (QuarantineRecordError, ValueError) as error:
+            kind.apply(name, item.value or b"", now, unix_ms)
+        except ValueError as error:
             log(
                 EventNumber.QUARANTINE_UNREADABLE,
                 key=item.key,
@@ -110,45 +111,58 @@
                 detail=str(error),
             )
             return
-        self.recorded.setdefault(content, frozenset())
-        self.state.request_quarantine.apply_notice(notice, "key-value service", now)
+        self.recorded.setdefault(item.key, None)
 
     async def _update(self) -> bool:
         """Write and remove what has changed; returns whether nothing is left to do."""
-        proven = self.state.request_quarantine.proven()
+        wanted = self._wanted()
         if self.era != self.state.store_eras.current:
             # Restored from a copy, which may lack the latest records.
             self.era = self.state.store_eras.current
-            self.recorded = dict.fromkeys(self.recorded, frozenset())
-        if not (proven or self.recorded):
-            return True
+            self.recorded = dict.fromkeys(self.recorded)
         if not self.is_broker():
             # Whoever is the broker next removes what this one leaves.
-            for content in proven:
-                self.recorded.setdefault(content, frozenset())
+            self.recorded = dict.fromkeys(wanted) | self.recorded
             return True
-        for content, ends in proven.items():
-            if self.recorded.get(content) == ends.keys():
-                continue
-            data = encode_record(ends, self.state.clock(), self.unix_ms())
-            # An end may be added during the call.
-            encoded = frozenset(ends)
-            written = await self.store.put(_key(content), data, lease=0)
-            if isinstance(written, Err):
+        changed = [
+            key
+            for key, record in wanted.items()
+            if self.recorded.get(key) != record.evidence
+        ]
+        return await self._write(changed, wanted) and await self._remove(
+            [key for key in self.recorded if key not in wanted]
+        )
+
+    def _wanted(self) -> dict[str, Record]:
+        """Return the records that are to exist, by key."""
+        now = self.state.clock()
+        return {
+            kind.prefix + name: record
+            for kind in self.kinds
+            for name, record in kind.collect(now).items()
+        }
+
+    async def _write(self, keys: list[str], records: dict[str, Record]) -> bool:
+        for batch in _batches(keys):
+            now, unix_ms = self.state.clock(), self.unix_ms()
+            values = {key: records[key].encode(now, unix_ms) for key in batch}
+            if isinstance(await self.store.put_all(values), Err):
                 return False
-            self.recorded[content] = encoded
-        return await self._remove([c for c in self.recorded if c not in proven])
-
-    async def _remove(self, contents: list[int]) -> bool:
-        for start in range(0, len(contents), MAX_REMOVALS):
-            some = contents[start : start + MAX_REMOVALS]
-            removed = await self.store.remove([_key(content) for content in some])
-            if isinstance(removed, Err):
+            for key in batch:
+                self.recorded[key] = records[key].evidence
+        return True
+
+    async def _remove(self, keys: list[str]) -> bool:
+        for batch in _batches(keys):
+            if isinstance(await self.store.remove(batch), Err):
                 return False
-            for content in some:
-                del self.recorded[content]
+            for key in batch:
+                del self.recorded[key]
         return True
 
 
-def _key(content: int) -> str:
-    return QUARANTINE_PREFIX + format_content(content)
+def _batches(keys: Iterable[str]) -> Iterable[list[str]]:
+    """Divide keys into lists that one transaction may change."""
+    remaining = iter(keys)
+    while batch := list(itertools.islice(remaining, MAX_TRANSACTION_CHANGES)):
+        yield batch
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/resumption/origin_log.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/resumption/origin_log.py
@@ -25,7 +25,7 @@
 from burdockhaven_entry.gateway.gateway_state import GatewayState
 from burdockhaven_entry.log_events import log
 from burdockhaven_entry.platform import (
-    MAX_REMOVALS,
+    MAX_TRANSACTION_CHANGES,
     ORIGINS_PREFIX,
     PlatformStore,
     StoreItem,
@@ -146,9 +146,12 @@
         keys = [item.key for item in result.ok_value.items]
         self.may_have_keys = bool(keys)
         expired = self.expired_keys.observe(keys, window_s, now)
-        for start in range(0, len(expired), MAX_REMOVALS):
+        for start in range(0, len(expired), MAX_TRANSACTION_CHANGES):
             if isinstance(
-                await self.store.remove(expired[start : start + MAX_REMOVALS]), Err
+                await self.store.remove(
+                    expired[start : start + MAX_TRANSACTION_CHANGES]
+                ),
+                Err,
             ):
                 return
 
--- a/packages/burdockhaven-entry/tests/platform/test_store.py
+++ b/packages/burdockhaven-entry/tests/platform/test_store.py
@@ -379,3 +379,13 @@
         assert not waiting.done()
         waiting.cancel()
         await client.close()
+
+
+# Guards against records of which only some are written.
+async def test_several_keys_are_written_in_one_transaction():
+    async with Harness((200, "1", {"revision": 3})) as harness:
+        result = await harness.store.put_all({"a": b"1", "b": b"2"})
+    assert result.is_ok()
+    (body,) = harness.bodies
+    values = {w["key"]: base64.b64decode(w["value"]) for w in body["writes"]}
+    assert values == {"a": b"1", "b": b"2"}
--- a/packages/burdockhaven-entry/tests/quarantine/test_quarantine_store.py
+++ b/packages/burdockhaven-entry/tests/quarantine/test_quarantine_store.py
@@ -20,12 +20,13 @@
 from burdockhaven_core.scheduling.peer_messages import encode_message
 from burdockhaven_entry.gateway.gateway_state import GatewayState
 from burdockhaven_entry.platform import (
+    MAX_TRANSACTION_CHANGES,
     QUARANTINE_PREFIX,
     ChangeBatch,
     StoreItem,
     StoreRevision,
 )
-from burdockhaven_entry.quarantine import QuarantineStore
+from burdockhaven_entry.quarantine import QuarantineStore, content_records
 from burdockhaven_entry.quarantine.quarantine_store import (
     CHECK_INTERVAL_S,
     MAX_BACKOFF_S,
@@ -50,10 +51,11 @@
             return Err(KeyValueFailure(FailureKind.NOT_DONE, "step", "store", ""))
         return Ok(None)
 
-    async def put(self, key, value, lease):
+    async def put_all(self, values):
+        assert 0 < len(values) <= MAX_TRANSACTION_CHANGES
         await asyncio.sleep(CALL_S)
         if self.call().is_ok():
-            self.values[key] = value
+            self.values.update(values)
         return self.call()
 
     async def remove(self, keys):
@@ -63,7 +65,11 @@
         return self.call()
 
     async def read_prefix(self, prefix, may_be_stale=False):
-        items = tuple(StoreItem(key, value, 1) for key, value in self.values.items())
+        items = tuple(
+            StoreItem(key, value, 1)
+            for key, value in self.values.items()
+            if key.startswith(prefix)
+        )
         return self.call().map(lambda _: ChangeBatch(items, StoreRevision(0, 1)))
 
 
@@ -80,6 +86,7 @@
             store,
             lambda: self.is_broker,
             lambda: EPOCH_MS + clock_ms + round(loop.time() * 1e3),
+            (content_records(self.quarantine),),
         )
         self.task = loop.create_task(self.records.run())
 
--- a/packages/burdockhaven-entry/tests/resumption/test_origin_log.py
+++ b/packages/burdockhaven-entry/tests/resumption/test_origin_log.py
@@ -12,7 +12,7 @@
 from burdockhaven_core.scheduling.peer_messages import StreamOrigin
 from burdockhaven_entry.gateway.gateway_state import GatewayState
 from burdockhaven_entry.platform import (
-    MAX_REMOVALS,
+    MAX_TRANSACTION_CHANGES,
     ORIGINS_PREFIX,
     ChangeBatch,
     StoreItem,
@@ -48,7 +48,7 @@
         return result
 
     async def remove(self, keys):
-        assert len(keys) <= MAX_REMOVALS
+        assert len(keys) <= MAX_TRANSACTION_CHANGES
         for key in keys:
             self.values.pop(key, None)
         return await self.call()
@@ -145,7 +145,7 @@
 
 
 # Guards against keys that stay for ever, also those of processes that have ended.
-@pytest.mark.parametrize("batches", [1, MAX_REMOVALS + 3])
+@pytest.mark.parametrize("batches", [1, MAX_TRANSACTION_CHANGES + 3])
 def test_batches_are_removed_after_the_resume_window(batches):
     async def scenario(store):
         first = start(store)
