The length of a quarantine is bounded before it is computed

What callers would have seen: a broker that takes no more notice of ends of engines.

Now the number of doublings is bounded.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/accused_part.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/accused_part.py
@@ -9,6 +9,12 @@
 
 # Seconds after its last accusation or quarantine in which a part is remembered.
 FORGET_S = 600.0
+# Seconds of the first quarantine, doubled by each trial that ends its engine, and the
+# upper bound.
+QUARANTINE_S = 15.0
+MAX_QUARANTINE_S = 960.0
+# Quarantines after which they are no longer doubled; the upper bound is reached before.
+MAX_QUARANTINES = 16
 
 
 class PartChangeKind(enum.Enum):
@@ -74,3 +80,9 @@
     at_s: float
     # Whether the part had been quarantined.
     had_quarantine: bool
+
+
+def quarantine_s(quarantines: int) -> float:
+    """Return the seconds of the last one of this many quarantines, at least one."""
+    doublings = min(quarantines, MAX_QUARANTINES) - 1
+    return min(MAX_QUARANTINE_S, QUARANTINE_S * 2.0**doublings)
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/crash_attribution.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/crash_attribution.py
@@ -18,6 +18,7 @@
     Acquittal,
     PartChange,
     PartChangeKind,
+    quarantine_s,
 )
 from burdockhaven_core.scheduling.peer_messages import AccusedPartNotice
 from burdockhaven_core.scheduling.request_queue import RequestKey
@@ -37,10 +38,6 @@
 # Seconds after its end in which an engine does not count as returned: the runs that
 # ended with it are reported one by one.
 RETURN_S = 2.0
-# Seconds of the first quarantine, doubled by each trial that ends its engine, and the
-# upper bound.
-QUARANTINE_S = 15.0
-MAX_QUARANTINE_S = 960.0
 # An accused part is sent to one engine at a time, unless a run with it has begun within
 # this many seconds before.
 RECENTLY_BEGUN_S = 5.0
@@ -328,12 +325,10 @@
     def _quarantine(self, part: str, engine: str, now: float) -> None:
         accused = self.accused[part]
         self._explain_away(accused)
-        quarantine_s = min(MAX_QUARANTINE_S, QUARANTINE_S * 2**accused.quarantines)
         accused.quarantines += 1
-        accused.quarantined_until_s = now + quarantine_s
-        self._add_change(
-            PartChangeKind.QUARANTINED, part, accused, engine, quarantine_s
-        )
+        length_s = quarantine_s(accused.quarantines)
+        accused.quarantined_until_s = now + length_s
+        self._add_change(PartChangeKind.QUARANTINED, part, accused, engine, length_s)
 
     def _explain_away(self, culprit: AccusedPart) -> None:
         """Take back the ends that a culprit explains from the parts beside it."""
--- a/packages/burdockhaven-core/tests/scheduling/test_crash_attribution.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_crash_attribution.py
@@ -1,16 +1,21 @@
 import pytest
 
-from burdockhaven_core.scheduling.accused_part import FORGET_S, PartChangeKind
+from burdockhaven_core.scheduling.accused_part import (
+    FORGET_S,
+    MAX_QUARANTINE_S,
+    QUARANTINE_S,
+    PartChangeKind,
+)
 from burdockhaven_core.scheduling.crash_attribution import (
     BEGIN_SETTLE_S,
     MAX_ACCUSED,
     MAX_ANNOUNCED,
     QUARANTINE_ENDS,
     QUARANTINE_ENDS_IN_DOUBT,
-    QUARANTINE_S,
     SAME_CAUSE_S,
     CrashAttribution,
 )
+from burdockhaven_core.scheduling.peer_messages import AccusedPartNotice
 
 KEY = ("entry-1", 1, 1)
 
@@ -171,6 +176,17 @@
     assert crashes.quarantined(due_s + 2 * QUARANTINE_S) == []
 
 
+# Guards against a broker that handles no more ends: the length of a quarantine exceeded
+# the range of a float for a part that is tried for eleven days, or by a wrong notice.
+def test_length_of_a_quarantine_is_bounded_whatever_their_number():
+    crashes = CrashAttribution()
+    notice = AccusedPartNotice("bad", 3, 0, 1_000, 1_100)
+    crashes.apply_notice(notice, "entry-2", 0.0)
+    crashes.record_end("e1", ["bad"], 2.0)
+    assert crashes.quarantined(2.0 + MAX_QUARANTINE_S - 0.1) == ["bad"]
+    assert crashes.quarantined(2.0 + MAX_QUARANTINE_S) == []
+
+
 def test_trial_that_begins_acquits_the_part():
     crashes = CrashAttribution()
     due_s = quarantine(crashes) + QUARANTINE_S
--- a/packages/burdockhaven-core/tests/scheduling/test_crash_attribution_review.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_crash_attribution_review.py
@@ -3,6 +3,7 @@
 import pytest
 from scheduling_samples import ME, placement_request, table, target
 
+from burdockhaven_core.scheduling.accused_part import QUARANTINE_S
 from burdockhaven_core.scheduling.broker import Broker
 from burdockhaven_core.scheduling.crash_attribution import (
     BEGIN_SETTLE_S,
@@ -10,7 +11,6 @@
     MAX_ANNOUNCED,
     QUARANTINE_ENDS,
     QUARANTINE_ENDS_IN_DOUBT,
-    QUARANTINE_S,
     RETURN_S,
     CrashAttribution,
 )
