What is known of prompt parts that end engines outlasts a kill of all members

What callers saw: engines ended anew, with all that they ran, after each kill of all members.

The broker now writes a record of each accused part beside those of request contents, by the same keeper (QuarantineStore): ends, time of the last one, the quarantine and its number, and the parts beside it. The rule counts ends over all lives of the members, so a record begins with the first end that points at the part: other prompts have been answered since, so that the engines are sound, and none with the part. Shared parts of sound prompts are answered in between and so never recorded. What a record says counts like what a heartbeat says: until a run with the part begins. Writes and removals are limited to two calls a second.

Each request counts by the start of the member that sent it.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/accused_part.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/accused_part.py
@@ -15,6 +15,11 @@
 MAX_QUARANTINE_S = 960.0
 # Quarantines after which they are no longer doubled; the upper bound is reached before.
 MAX_QUARANTINES = 16
+# Other parts that the evidence against one names.
+MAX_BESIDE = 8
+# Characters of the longest name of a part that is announced or recorded: names come
+# from clients.
+MAX_NAME = 64
 
 
 class PartChangeKind(enum.Enum):
@@ -63,6 +68,8 @@
     quarantines: int = 0
     # Whether this broker has used the evidence; others have it from announcements.
     is_own: bool = True
+    # Whether some of the evidence was read from a record.
+    is_restored: bool = False
 
     def remembered_until_s(self) -> float:
         """Return the monotonic time in seconds at which the evidence is discarded."""
@@ -73,6 +80,23 @@
         return (bool(self.quarantines), self.remembered_until_s())
 
 
+@dataclass(frozen=True, slots=True)
+class PartEvidence:
+    """What has to be known of an accused part after the end of all members."""
+
+    part: str
+    # Ends of engines that accuse the part, at least one, and the monotonic time in
+    # seconds of the last.
+    ends: int
+    last_end_s: float
+    # Monotonic time in seconds at which the last quarantine ends, and the number of
+    # quarantines; both 0 without one.
+    quarantined_until_s: float = 0.0
+    quarantines: int = 0
+    # Number of the ends beneath prompts that had each other recorded part, too.
+    beside: tuple[tuple[str, int], ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class Acquittal:
     """A run with an accused part has begun."""
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/crash_attribution.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/crash_attribution.py
@@ -8,16 +8,20 @@
 """
 
 import heapq
+import itertools
 import math
 from collections import OrderedDict
 from collections.abc import Container, Iterable
 
 from burdockhaven_core.scheduling.accused_part import (
     FORGET_S,
+    MAX_BESIDE,
+    MAX_NAME,
     AccusedPart,
     Acquittal,
     PartChange,
     PartChangeKind,
+    PartEvidence,
     quarantine_s,
 )
 from burdockhaven_core.scheduling.peer_messages import AccusedPartNotice
@@ -48,8 +52,8 @@
 MAX_BEGUN = 4_096
 MAX_ANNOUNCED = 16
 MAX_CHANGES = 256
-# Longest name of a part that is announced: names come from clients.
-MAX_ANNOUNCED_NAME = 64
+# Upper bound of the parts that are recorded outside the members.
+MAX_RECORDED = 64
 
 
 class CrashAttribution:
@@ -165,13 +169,12 @@
         ranked: list[tuple[tuple[bool, float], bool, str]] = [
             ((acquittal.had_quarantine, acquittal.at_s + FORGET_S), False, part)
             for part, acquittal in self.acquittals.items()
-            if now - acquittal.at_s <= ACQUITTAL_ANNOUNCE_S
-            and len(part) <= MAX_ANNOUNCED_NAME
+            if now - acquittal.at_s <= ACQUITTAL_ANNOUNCE_S and len(part) <= MAX_NAME
         ]
         ranked.extend(
             (accused.rank(), True, part)
             for part, accused in self.accused.items()
-            if accused.is_own and accused.ends and len(part) <= MAX_ANNOUNCED_NAME
+            if accused.is_own and accused.ends and len(part) <= MAX_NAME
         )
         chosen = heapq.nlargest(MAX_ANNOUNCED, ranked)
         # An acquittal ends what was announced before; new evidence counts from there.
@@ -200,33 +203,87 @@
     def apply_notice(self, notice: AccusedPartNotice, source: str, now: float) -> None:
         """Apply the evidence that another member's broker announces."""
         observed_s = now - notice.age_ms / 1e3
-        accused = self.accused.get(notice.part)
         if not notice.ends:
+            accused = self.accused.get(notice.part)
             if accused is not None and accused.last_end_s < observed_s:
                 self._acquit(notice.part, source, observed_s)
             return
         acquittal = self.acquittals.get(notice.part)
         if acquittal is not None and acquittal.at_s >= observed_s:
             return
-        if accused is None:
-            accused = AccusedPart(begun_before=self.begun_count, is_own=False)
-            self.accused[notice.part] = accused
-            self._evict()
-        accused.ends = max(accused.ends, notice.ends)
-        accused.last_end_s = max(accused.last_end_s, observed_s)
-        if notice.quarantines > accused.quarantines:
-            accused.quarantines = notice.quarantines
-            left_s = notice.quarantined_ms / 1e3
-            accused.quarantined_until_s = now + left_s
-            self._add_change(
-                PartChangeKind.QUARANTINED, notice.part, accused, source, left_s
-            )
+        until_s = now + notice.quarantined_ms / 1e3 if notice.quarantines else 0.0
+        evidence = PartEvidence(
+            notice.part, notice.ends, observed_s, until_s, notice.quarantines
+        )
+        self._merge(evidence, source, now)
+
+    def recordable(self, now: float) -> list[PartEvidence]:
+        """Return the evidence that is to outlast the end of all members.
+
+        Without a quarantine that is only what points at the part: runs have begun since
+        the first end, so that the engines are sound, and none of them has the part.
+        """
+        self._forget(now)
+        recorded = heapq.nlargest(
+            MAX_RECORDED,
+            filter(self._is_recordable, self.accused),
+            key=lambda part: self.accused[part].rank(),
+        )
+        return [self._evidence_of(part, recorded) for part in recorded]
+
+    def restore(self, evidence: PartEvidence, source: str, now: float) -> None:
+        """Apply evidence that was recorded, unless the part was acquitted since."""
+        acquittal = self.acquittals.get(evidence.part)
+        acquitted_s = -math.inf if acquittal is None else acquittal.at_s
+        begun_s = self.begun_s.get(evidence.part, acquitted_s)
+        if max(begun_s, acquitted_s) < evidence.last_end_s:
+            self._merge(evidence, source, now).is_restored = True
 
     def take_changes(self) -> list[PartChange]:
         """Return the changes since the last call, and start anew."""
         changes, self.changes = self.changes, []
         return changes
 
+    def _merge(self, evidence: PartEvidence, source: str, now: float) -> AccusedPart:
+        """Add evidence that this broker has not observed itself."""
+        part = evidence.part
+        accused = self.accused.get(part)
+        if accused is None:
+            accused = AccusedPart(begun_before=self.begun_count, is_own=False)
+            self.accused[part] = accused
+            self._evict()
+        accused.ends = max(accused.ends, evidence.ends)
+        accused.last_end_s = max(accused.last_end_s, evidence.last_end_s)
+        for name, ends in evidence.beside:
+            accused.beside[name] = max(accused.beside[name], ends)
+        if evidence.quarantines > accused.quarantines:
+            accused.quarantines = evidence.quarantines
+            accused.quarantined_until_s = evidence.quarantined_until_s
+            left_s = max(0.0, evidence.quarantined_until_s - now)
+            self._add_change(PartChangeKind.QUARANTINED, part, accused, source, left_s)
+        return accused
+
+    def _is_recordable(self, part: str) -> bool:
+        accused = self.accused[part]
+        if not accused.ends or len(part) > MAX_NAME:
+            return False
+        has_begun = part in self.begun_s
+        may_be_engines = self.begun_count == accused.begun_before
+        points_at_part = not (has_begun or may_be_engines)
+        return bool(accused.quarantines) or accused.is_restored or points_at_part
+
+    def _evidence_of(self, part: str, recorded: Container[str]) -> PartEvidence:
+        accused = self.accused[part]
+        beside = ((p, n) for p, n in accused.beside.most_common() if p in recorded)
+        return PartEvidence(
+            part,
+            accused.ends,
+            accused.last_end_s,
+            accused.quarantined_until_s,
+            accused.quarantines,
+            tuple(itertools.islice(beside, MAX_BESIDE)),
+        )
+
     def _accused_among(self, parts: Iterable[str]) -> list[tuple[str, AccusedPart]]:
         if not self.accused:
             return []
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -53,7 +53,11 @@
     StoreItem,
 )
 from burdockhaven_entry.process_signals import STOP_SIGNALS, ignore_until_exit
-from burdockhaven_entry.quarantine import QuarantineStore, content_records
+from burdockhaven_entry.quarantine import (
+    QuarantineStore,
+    content_records,
+    part_records,
+)
 from burdockhaven_entry.resumption import OriginLog
 from burdockhaven_entry.timer import TimerService
 
@@ -147,7 +151,10 @@
             self.store,
             self.version_recorder.is_broker,
             unix_ms=lambda: int(time.time() * 1e3),
-            kinds=(content_records(state.request_quarantine),),
+            kinds=(
+                content_records(state.request_quarantine),
+                part_records(state.broker.crashes),
+            ),
         )
         self.stream_origins = StreamOriginDirectory(
             state,
@@ -319,10 +326,7 @@
             jitter=0.1,
         )
         timer.subscribe(EXPIRY_INTERVAL_S, self._expire_targets)
-        timer.subscribe(
-            EXPIRY_INTERVAL_S, lambda now: log_part_changes(self.state.broker.crashes)
-        )
-        timer.subscribe(EXPIRY_INTERVAL_S, self._handle_content_changes)
+        timer.subscribe(EXPIRY_INTERVAL_S, self._handle_quarantine_changes)
         timer.subscribe(
             EXPIRY_INTERVAL_S,
             lambda now: log_pace_changes(self.state.broker.runs.pace_changes),
@@ -552,8 +556,10 @@
             engines="; ".join(broker.runs.describe(now)),
         )
 
-    def _handle_content_changes(self, now: float) -> None:
-        if log_content_changes(self.state.request_quarantine):
+    def _handle_quarantine_changes(self, now: float) -> None:
+        has_part_changes = log_part_changes(self.state.broker.crashes)
+        has_content_changes = log_content_changes(self.state.request_quarantine)
+        if has_part_changes or has_content_changes:
             self.quarantine_store.has_changes.set()
 
     def _discard_runs_of_absent_members(self, now: float) -> None:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/prompt_part_log.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/prompt_part_log.py
@@ -6,9 +6,10 @@
 from burdockhaven_entry.log_events import log
 
 
-def log_part_changes(crashes: CrashAttribution) -> None:
-    """Log the changes since the last call."""
-    for change in crashes.take_changes():
+def log_part_changes(crashes: CrashAttribution) -> bool:
+    """Log the changes since the last call; returns whether there were any."""
+    changes = crashes.take_changes()
+    for change in changes:
         if change.kind is PartChangeKind.QUARANTINED:
             log(
                 EventNumber.PROMPT_PART_QUARANTINED,
@@ -24,3 +25,4 @@
             else EventNumber.PROMPT_PART_ACQUITTED
         )
         log(number, part=change.part, ends=change.ends, source=change.source)
+    return bool(changes)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
@@ -773,7 +773,7 @@
     EventSpec(
         EventNumber.QUARANTINE_UNREADABLE,
         "warning",
-        "The record of a quarantined request at {key} cannot be read: {detail}.",
+        "The quarantine record at {key} cannot be read: {detail}.",
         "Find out who else writes under this prefix; the record is ignored.",
         {
             "key": "key in the key-value service",
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/__init__.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/__init__.py
@@ -51,6 +51,7 @@
         MEMBERS_PREFIX,
         ORIGINS_PREFIX,
         QUARANTINE_PREFIX,
+        QUARANTINED_PARTS_PREFIX,
         TARGETS_PREFIX,
         VERSIONS_PREFIX,
     )
@@ -68,6 +69,7 @@
     "MAX_TRANSACTION_CHANGES",
     "MEMBERS_PREFIX",
     "ORIGINS_PREFIX",
+    "QUARANTINED_PARTS_PREFIX",
     "QUARANTINE_PREFIX",
     "READINESS_PATH",
     "SETTINGS_VARIABLE",
@@ -112,6 +114,7 @@
     "MEMBERS_PREFIX": "burdockhaven_entry.platform.store_keys",
     "MalformedRequestError": "burdockhaven_entry.platform.client_request",
     "ORIGINS_PREFIX": "burdockhaven_entry.platform.store_keys",
+    "QUARANTINED_PARTS_PREFIX": "burdockhaven_entry.platform.store_keys",
     "QUARANTINE_PREFIX": "burdockhaven_entry.platform.store_keys",
     "PlatformSettings": "burdockhaven_entry.platform.settings",
     "PlatformStore": "burdockhaven_entry.platform.store",
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/store_keys.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/store_keys.py
@@ -11,3 +11,6 @@
 ORIGINS_PREFIX = "burdockhaven/origins/"
 # Prefix of the records of quarantined requests, by key of the content.
 QUARANTINE_PREFIX = "burdockhaven/quarantine/"
+# Prefix of the records of accused prompt parts, by digest of the part's name. It is no
+# part of the one above: members of earlier versions read that as contents.
+QUARANTINED_PARTS_PREFIX = "burdockhaven/quarantined-parts/"
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/quarantine/quarantine_store.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/quarantine/quarantine_store.py
@@ -1,9 +1,9 @@
 """Keeps the evidence against what ends targets in the platform's store.
 
-After a start of all members nobody remembers which requests end targets, and each of
-them would end three more. The member whose broker is in use writes a record of each one
-that is quarantined, and removes it once it is acquitted or forgotten. A member that is
-cut off from most others reads what they have learned meanwhile.
+After a start of all members nobody remembers which requests and prompt parts end
+targets, and each of them would end three more. The member whose broker is in use writes
+a record of each one that is worth it, and removes it once it is acquitted or forgotten.
+A member that is cut off from most others reads what they have learned meanwhile.
 """
 
 import asyncio
@@ -14,7 +14,7 @@
 from result import Err
 
 from burdockhaven_core.log_numbers import EventNumber
-from burdockhaven_entry.call_limits import Backoff
+from burdockhaven_entry.call_limits import Backoff, CallRateLimiter
 from burdockhaven_entry.gateway.gateway_state import GatewayState
 from burdockhaven_entry.log_events import log
 from burdockhaven_entry.platform import (
@@ -31,6 +31,12 @@
 # is known to have changed; contents are forgotten, the broker changes and members are
 # cut off meanwhile.
 CHECK_INTERVAL_S = 2.0
+# The same while there is evidence: it may become worth a record without a change.
+EVIDENCE_CHECK_INTERVAL_S = 0.25
+# Sustained writes and removals per second, each of several records, and their largest
+# burst.
+CALLS_PER_S = 2.0
+CALL_BURST = 10.0
 
 
 class QuarantineStore:
@@ -57,14 +63,17 @@
         # Set when evidence has changed.
         self.has_changes = asyncio.Event()
         self.backoff = Backoff(state.rng, INITIAL_BACKOFF_S, MAX_BACKOFF_S)
+        self.limiter = CallRateLimiter(CALLS_PER_S, CALL_BURST, CALL_BURST)
 
     async def run(self) -> None:
         """Read the records, then keep them until cancelled; errors are logged."""
         is_read = False
         self.has_changes.set()
         while True:
+            has_evidence = any(kind.has_evidence() for kind in self.kinds)
+            interval_s = EVIDENCE_CHECK_INTERVAL_S if has_evidence else CHECK_INTERVAL_S
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(CHECK_INTERVAL_S):
+                async with asyncio.timeout(interval_s):
                     await self.has_changes.wait()
             self.has_changes.clear()
             try:
@@ -144,6 +153,7 @@
 
     async def _write(self, keys: list[str], records: dict[str, Record]) -> bool:
         for batch in _batches(keys):
+            await self._wait_for_call()
             now, unix_ms = self.state.clock(), self.unix_ms()
             values = {key: records[key].encode(now, unix_ms) for key in batch}
             if isinstance(await self.store.put_all(values), Err):
@@ -154,12 +164,19 @@
 
     async def _remove(self, keys: list[str]) -> bool:
         for batch in _batches(keys):
+            await self._wait_for_call()
             if isinstance(await self.store.remove(batch), Err):
                 return False
             for key in batch:
                 del self.recorded[key]
         return True
 
+    async def _wait_for_call(self) -> None:
+        if not self.limiter.try_acquire("change", self.state.clock()):
+            # By then there is room for one more call.
+            await asyncio.sleep(1.0 / CALLS_PER_S)
+            self.limiter.try_acquire("change", self.state.clock())
+
 
 def _batches(keys: Iterable[str]) -> Iterable[list[str]]:
     """Divide keys into lists that one transaction may change."""
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/quarantine/record_kind.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/quarantine/record_kind.py
@@ -10,7 +10,13 @@
     encode_record,
     format_content,
 )
-from burdockhaven_entry.platform import QUARANTINE_PREFIX
+from burdockhaven_core.scheduling.accused_part_record import (
+    decode_part_record,
+    encode_part_record,
+    part_record_name,
+)
+from burdockhaven_core.scheduling.crash_attribution import CrashAttribution
+from burdockhaven_entry.platform import QUARANTINE_PREFIX, QUARANTINED_PARTS_PREFIX
 
 # Source of evidence that was read from a record, for the log.
 STORE = "key-value service"
@@ -39,6 +45,8 @@
     # Applies a record that was read: the rest of its key, its value and the times as in
     # `Record.encode`. Raises `ValueError` if it can't be read.
     apply: Callable[[str, bytes, float, int], None]
+    # Whether there is evidence that may become worth a record as time passes.
+    has_evidence: Callable[[], bool] = lambda: False
 
 
 def content_records(quarantine: RequestQuarantine) -> RecordKind:
@@ -59,3 +67,23 @@
 
 def _content_record(ends: dict[int, float]) -> Record:
     return Record(frozenset(ends), functools.partial(encode_record, ends))
+
+
+def part_records(crashes: CrashAttribution) -> RecordKind:
+    """Return the records of prompt parts beneath which engines end."""
+
+    def collect(now: float) -> dict[str, Record]:
+        return {
+            part_record_name(evidence.part): Record(
+                evidence, functools.partial(encode_part_record, evidence)
+            )
+            for evidence in crashes.recordable(now)
+        }
+
+    def apply(name: str, data: bytes, now: float, unix_ms: int) -> None:
+        evidence = decode_part_record(name, data, now, unix_ms)
+        crashes.restore(evidence, STORE, now)
+
+    return RecordKind(
+        QUARANTINED_PARTS_PREFIX, collect, apply, lambda: bool(crashes.accused)
+    )
--- a/tools/tests/test_crashing_parts_process.py
+++ b/tools/tests/test_crashing_parts_process.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+import signal
 
 import aiohttp
 import pytest
@@ -31,6 +32,11 @@
 CRASHING_ROUNDS = 12
 JUDGED_ROUNDS = 8
 SOUND_PER_ROUND = 3
+# Losses of all daemons, seconds between a start of them and the first request with the
+# part, and rounds that are judged after each start.
+LOSSES = 3
+SETTLED_S = 3.2
+ROUNDS_PER_LIFE = 4
 
 
 @pytest.fixture
@@ -87,7 +93,7 @@
         for received in record.received
         if CRASHING_PART in received.parts
     ]
-    return [r.attempt for r in sorted(received, key=lambda r: r.arrived_s)]
+    return sorted(received, key=lambda r: r.arrived_s)
 
 
 # Guards against BUDGET: requests with a part on which engines crash, and their repeats,
@@ -123,7 +129,7 @@
         if len(harness.site.crashes) == crashes:
             sound_statuses += [None if s is None else s.status for s in sound]
         await harness.wait_until(is_every_engine_serving)
-    late = arrivals(harness)[before:]
+    late = [received.attempt for received in arrivals(harness)[before:]]
     assert len(late) <= ALLOWED_REQUESTS, f"{late} reached engines; {refusals=}"
     # All others are refused, with nothing that asks the client to come back.
     refused = JUDGED_ROUNDS - ALLOWED_REQUESTS
@@ -131,3 +137,55 @@
     # Requests with the same key and the same other parts are served.
     assert len(sound_statuses) >= refused * SOUND_PER_ROUND
     assert set(sound_statuses) == {200}
+
+
+# Guards against BUDGET: after each loss of all daemons a part that was known lets
+# engines crash anew. Each request counts by the start of the daemon that sent it.
+async def test_crashing_part_stays_known_after_losses_of_all_daemons(harness):
+    nodes = ("one", "two")
+    crashed_by_life = []
+    served_by_life = []
+    for life in range(LOSSES + 1):
+        daemons = [
+            await harness.start_daemon(
+                node, harness.daemons.get(node), is_first_start=not life
+            )
+            for node in nodes
+        ]
+        fronts = [daemon.front for daemon in daemons]
+        await harness.wait_until_look_ups_name(set(fronts), *nodes)
+        clients = Clients(harness, fronts)
+        clients.sent = life * 1_000
+
+        async def is_every_engine_serving(clients=clients):
+            response = await clients.send(is_tainted=False)
+            is_served = response is not None and response.status == 200
+            return is_served and not any(e.is_down for e in harness.site.engines)
+
+        # From then on the daemons count as being in touch.
+        await asyncio.sleep(SETTLED_S)
+        crashed_before = len(harness.site.crashes)
+        served = []
+        for _ in range(ROUNDS_PER_LIFE):
+            await harness.wait_until(is_every_engine_serving)
+            crashes = len(harness.site.crashes)
+            _, sound = await clients.play_round()
+            if len(harness.site.crashes) == crashes:
+                served += [None if s is None else s.status for s in sound]
+        await harness.wait_until(is_every_engine_serving)
+        crashed_by_life.append(len(harness.site.crashes) - crashed_before)
+        served_by_life.append(served)
+        for daemon in daemons:
+            daemon.send_signal(signal.SIGKILL)
+            await daemon.process.wait()
+
+    crashes = harness.site.crashes
+    late = []
+    if len(crashes) >= CRASHES:
+        counted_from_s = crashes[CRASHES - 1].at_s + STABLE_S
+        late = [r for r in arrivals(harness) if r.arrived_s > counted_from_s]
+    assert len(late) <= ALLOWED_REQUESTS, f"crashes by life: {crashed_by_life}"
+    # Requests with the same key and the same other parts are served in each life.
+    for served in served_by_life[1:]:
+        assert served
+        assert set(served) == {200}
