A member reads the quarantine records when it becomes the broker

What callers would see: a part or request that was known to end targets is free again after a change of the broker, or, once it has been answered, is refused for a while after the next start of all. Heartbeats name 16 pieces of evidence at most, and of parts only what the sender has used. The next broker knew no others: it wrote no later ends to their records, and nobody removed them.

Found by reading, while parts were added to the records. The new test (a member becomes the broker that has heard nothing of the part) failed before.

Now the records are read at that moment, and what they name is kept or removed. A member that is cut off reads at most each 1.5 s; the shorter looks while there is evidence would have let it read four times a second.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/quarantine/quarantine_store.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/quarantine/quarantine_store.py
@@ -3,12 +3,14 @@
 After a start of all members nobody remembers which requests and prompt parts end
 targets, and each of them would end three more. The member whose broker is in use writes
 a record of each one that is worth it, and removes it once it is acquitted or forgotten.
-A member that is cut off from most others reads what they have learned meanwhile.
+A member reads the records when it starts, when it becomes the broker, and while it is
+cut off from most others, which learn more meanwhile.
 """
 
 import asyncio
 import contextlib
 import itertools
+import math
 from collections.abc import Callable, Hashable, Iterable, Sequence
 
 from result import Err
@@ -33,6 +35,8 @@
 CHECK_INTERVAL_S = 2.0
 # The same while there is evidence: it may become worth a record without a change.
 EVIDENCE_CHECK_INTERVAL_S = 0.25
+# Shortest time in seconds between two reads of a member that is cut off.
+CUT_OFF_READ_INTERVAL_S = 1.5
 # Sustained writes and removals per second, each of several records, and their largest
 # burst.
 CALLS_PER_S = 2.0
@@ -60,6 +64,10 @@
         self.recorded: dict[str, Hashable] = {}
         # Era of the store for which that holds.
         self.era = state.store_eras.current
+        # Monotonic time in seconds at which the records were read, and whether that was
+        # since this member is the broker.
+        self.read_s = -math.inf
+        self.has_read_as_broker = False
         # Set when evidence has changed.
         self.has_changes = asyncio.Event()
         self.backoff = Backoff(state.rng, INITIAL_BACKOFF_S, MAX_BACKOFF_S)
@@ -67,7 +75,6 @@
 
     async def run(self) -> None:
         """Read the records, then keep them until cancelled; errors are logged."""
-        is_read = False
         self.has_changes.set()
         while True:
             has_evidence = any(kind.has_evidence() for kind in self.kinds)
@@ -77,9 +84,7 @@
                     await self.has_changes.wait()
             self.has_changes.clear()
             try:
-                if not is_read or self._is_cut_off():
-                    is_read = await self._read()
-                is_done = is_read and await self._update()
+                is_done = await self._synchronize()
             except Exception as error:
                 step = "write quarantine records"
                 log(EventNumber.INTERNAL_ERROR, step=step, error=repr(error))
@@ -90,9 +95,28 @@
                 self.has_changes.set()
                 await asyncio.sleep(self.backoff.next_delay_s())
 
-    def _is_cut_off(self) -> bool:
-        """Whether this member hears less than half of the others."""
-        return self.state.member_list.is_cut_off(self.state.clock())
+    async def _synchronize(self) -> bool:
+        """Read, write and remove what is due; returns whether nothing is left to do."""
+        is_broker = self.is_broker()
+        if self._must_read(is_broker):
+            if not await self._read():
+                return False
+            self.read_s = self.state.clock()
+        self.has_read_as_broker = is_broker
+        return await self._update(is_broker)
+
+    def _must_read(self, is_broker: bool) -> bool:
+        """Whether there may be records that this member needs and does not know.
+
+        Heartbeats name only some of the evidence, so a member that becomes the broker
+        needs the records of the one before. One that is cut off hears of nothing.
+        """
+        if is_broker and not self.has_read_as_broker:
+            return True
+        now = self.state.clock()
+        is_cut_off = self.state.member_list.is_cut_off(now)
+        interval_s = CUT_OFF_READ_INTERVAL_S if is_cut_off else math.inf
+        return now - self.read_s >= interval_s
 
     async def _read(self) -> bool:
         """Apply the records in the store; returns whether all could be read."""
@@ -122,14 +146,14 @@
             return
         self.recorded.setdefault(item.key, None)
 
-    async def _update(self) -> bool:
+    async def _update(self, is_broker: bool) -> bool:
         """Write and remove what has changed; returns whether nothing is left to do."""
         wanted = self._wanted()
         if self.era != self.state.store_eras.current:
             # Restored from a copy, which may lack the latest records.
             self.era = self.state.store_eras.current
             self.recorded = dict.fromkeys(self.recorded)
-        if not self.is_broker():
+        if not is_broker:
             # Whoever is the broker next removes what this one leaves.
             self.recorded = dict.fromkeys(wanted) | self.recorded
             return True
--- a/packages/burdockhaven-entry/tests/quarantine/test_part_records.py
+++ b/packages/burdockhaven-entry/tests/quarantine/test_part_records.py
@@ -180,3 +180,21 @@
         assert encode_message(later.state.heartbeat())
 
     play(scenario)
+
+
+# Guards against records that nobody removes: heartbeats name only some of the parts
+# that a broker knows, and the next broker knew no others.
+def test_next_broker_keeps_and_removes_what_it_was_not_told():
+    async def scenario(store):
+        first, second = Member(store), Member(store, 2, is_broker=False)
+        await asyncio.sleep(0.1)
+        await quarantine(first)
+        first.task.cancel()
+        second.is_broker = True
+        await asyncio.sleep(2 * CHECK_INTERVAL_S)
+        assert second.quarantined_parts() == ["bad"]
+        await asyncio.sleep(QUARANTINE_S + FORGET_S)
+        await asyncio.sleep(CHECK_INTERVAL_S)
+        assert store.values == {}
+
+    play(scenario)
