Quarantine records that a restored store has again are removed again

What callers would see: a request or part that was answered long ago is refused after a start of all, for as long as its quarantine once had to go, and this again after each start: the record was removed, a restore from an older copy brought it back, and no member knew of it. Beside that, records that the copy lacked were written again after up to 2 s; a kill of all members before that lost them.

Found by reading. Both new tests failed before. A member whose broker is in use now reads the records when the store's era rises, at once, removes what no longer holds and writes what does.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/quarantine/quarantine_store.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/quarantine/quarantine_store.py
@@ -8,7 +8,6 @@
 """
 
 import asyncio
-import contextlib
 import itertools
 import math
 from collections.abc import Callable, Hashable, Iterable, Sequence
@@ -77,11 +76,7 @@
         """Read the records, then keep them until cancelled; errors are logged."""
         self.has_changes.set()
         while True:
-            has_evidence = any(kind.has_evidence() for kind in self.kinds)
-            interval_s = EVIDENCE_CHECK_INTERVAL_S if has_evidence else CHECK_INTERVAL_S
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(interval_s):
-                    await self.has_changes.wait()
+            await self._wait_for_work()
             self.has_changes.clear()
             try:
                 is_done = await self._synchronize()
@@ -95,13 +90,37 @@
                 self.has_changes.set()
                 await asyncio.sleep(self.backoff.next_delay_s())
 
+    async def _wait_for_work(self) -> None:
+        """Wait until evidence has changed, the store was restored, or a look is due."""
+        has_evidence = any(kind.has_evidence() for kind in self.kinds)
+        interval_s = EVIDENCE_CHECK_INTERVAL_S if has_evidence else CHECK_INTERVAL_S
+        waits = [
+            asyncio.ensure_future(self.has_changes.wait()),
+            asyncio.ensure_future(self.state.store_eras.wait_beyond(self.era)),
+        ]
+        try:
+            await asyncio.wait(
+                waits, timeout=interval_s, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            for wait in waits:
+                wait.cancel()
+
     async def _synchronize(self) -> bool:
         """Read, write and remove what is due; returns whether nothing is left to do."""
         is_broker = self.is_broker()
+        era = self.state.store_eras.current
         if self._must_read(is_broker):
             if not await self._read():
                 return False
+            if self.read_s == -math.inf:
+                # Not known before the first response.
+                self.era = era = self.state.store_eras.current
             self.read_s = self.state.clock()
+        if era != self.era:
+            # Restored from a copy, which may lack the latest records.
+            self.era = era
+            self.recorded = dict.fromkeys(self.recorded)
         self.has_read_as_broker = is_broker
         return await self._update(is_broker)
 
@@ -109,9 +128,11 @@
         """Whether there may be records that this member needs and does not know.
 
         Heartbeats name only some of the evidence, so a member that becomes the broker
-        needs the records of the one before. One that is cut off hears of nothing.
+        needs the records of the one before. A store that was restored from a copy may
+        have records again that were removed. A member that is cut off hears of nothing.
         """
-        if is_broker and not self.has_read_as_broker:
+        is_restored = self.era != self.state.store_eras.current
+        if is_broker and (is_restored or not self.has_read_as_broker):
             return True
         now = self.state.clock()
         is_cut_off = self.state.member_list.is_cut_off(now)
@@ -149,10 +170,6 @@
     async def _update(self, is_broker: bool) -> bool:
         """Write and remove what has changed; returns whether nothing is left to do."""
         wanted = self._wanted()
-        if self.era != self.state.store_eras.current:
-            # Restored from a copy, which may lack the latest records.
-            self.era = self.state.store_eras.current
-            self.recorded = dict.fromkeys(self.recorded)
         if not is_broker:
             # Whoever is the broker next removes what this one leaves.
             self.recorded = dict.fromkeys(wanted) | self.recorded
--- a/packages/burdockhaven-entry/tests/quarantine/quarantine_fixtures.py
+++ b/packages/burdockhaven-entry/tests/quarantine/quarantine_fixtures.py
@@ -35,6 +35,7 @@
     def __init__(self):
         self.values = {}
         self.is_away = False
+        self.era = 1
         # Number of calls that change something.
         self.changes = 0
 
@@ -51,6 +52,13 @@
             self.values.update(values)
         return self.call()
 
+    def restore(self, values, *members):
+        """Return to an older copy; the members notice it by another call."""
+        self.values = dict(values)
+        self.era += 1
+        for member in members:
+            member.state.store_eras.observe(self.era, "store")
+
     async def remove(self, keys):
         assert 0 < len(keys) <= MAX_TRANSACTION_CHANGES
         self.changes += 1
@@ -65,7 +73,7 @@
             for key, value in self.values.items()
             if key.startswith(prefix)
         )
-        return self.call().map(lambda _: ChangeBatch(items, StoreRevision(0, 1)))
+        return self.call().map(lambda _: ChangeBatch(items, StoreRevision(self.era, 1)))
 
 
 class Member:
@@ -84,6 +92,7 @@
             lambda: EPOCH_MS + clock_ms + round(loop.time() * 1e3),
             (content_records(self.quarantine), part_records(self.crashes)),
         )
+        self.state.store_eras.observe(store.era, "store")
         self.task = loop.create_task(self.records.run())
 
     async def end_targets(self, count=QUARANTINE_ENDS):
--- a/packages/burdockhaven-entry/tests/quarantine/test_quarantine_store.py
+++ b/packages/burdockhaven-entry/tests/quarantine/test_quarantine_store.py
@@ -168,3 +168,40 @@
         assert encode_message(member.state.heartbeat())
 
     play(scenario)
+
+
+# Guards against BUDGET: all members are killed right after the store has returned from
+# a copy of before the records.
+def test_records_are_written_again_as_soon_as_the_store_was_restored():
+    async def scenario(store):
+        member = Member(store)
+        await member.end_targets()
+        await member.end_engine("e1", "all", "bad")
+        await asyncio.sleep(CHECK_INTERVAL_S)
+        before = set(store.values)
+        store.restore({}, member)
+        await asyncio.sleep(0.1)
+        assert (len(before), set(store.values)) == (2, before)
+
+    play(scenario)
+
+
+# Guards against records that come back with a copy and that nobody knows: each start of
+# all would refuse what was answered long ago.
+def test_removed_records_that_a_restore_brings_back_are_removed_again():
+    async def scenario(store):
+        member = Member(store)
+        await member.end_targets()
+        await member.end_engine("e1", "all", "bad")
+        await asyncio.sleep(QUARANTINE_S)
+        copy = dict(store.values)
+        await member.answer()
+        member.crashes.record_begun(["bad"], member.state.clock())
+        await asyncio.sleep(CHECK_INTERVAL_S)
+        assert (len(copy), store.values) == (2, {})
+        store.restore(copy, member)
+        await asyncio.sleep(0.1)
+        assert (store.values, member.crashes.accused) == ({}, {})
+        assert member.admits()
+
+    play(scenario)
