Quarantine records whose write was not answered are removed

What callers would see: as before, a request or part that was answered long ago is refused after a later start of all. A call to the store that gets no answer may take effect, or do so seconds later. The writer counted its record as not written, and never removed it if the content was acquitted before the write was repeated; a write of an earlier broker that came late was known to nobody.

Found by reading. Both new tests failed before. A record counts as possibly there from before its write, and the broker reads the records again each minute. What is known already isn't renewed by that: the first form of this change kept evidence alive for as long as its record was read (two tests showed it).

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/accused_part.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/accused_part.py
@@ -44,6 +44,23 @@
     quarantine_s: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class PartEvidence:
+    """What has to be known of an accused part after the end of all members."""
+
+    part: str
+    # Ends of engines that accuse the part, at least one, and the monotonic time in
+    # seconds of the last.
+    ends: int
+    last_end_s: float
+    # Monotonic time in seconds at which the last quarantine ends, and the number of
+    # quarantines; both 0 without one.
+    quarantined_until_s: float = 0.0
+    quarantines: int = 0
+    # Number of the ends beneath prompts that had each other recorded part, too.
+    beside: tuple[tuple[str, int], ...] = ()
+
+
 @dataclass(slots=True)
 class AccusedPart:
     """Evidence against one prompt part since a run with it last began."""
@@ -75,28 +92,16 @@
         """Return the monotonic time in seconds at which the evidence is discarded."""
         return max(self.last_end_s, self.quarantined_until_s) + FORGET_S
 
+    def covers(self, evidence: PartEvidence) -> bool:
+        """Whether this is all of the evidence, or more."""
+        has_ends = self.ends >= evidence.ends
+        return has_ends and self.quarantines >= evidence.quarantines
+
     def rank(self) -> tuple[bool, float]:
         """Sort key by the worth of the evidence; the greatest is kept longest."""
         return (bool(self.quarantines), self.remembered_until_s())
 
 
-@dataclass(frozen=True, slots=True)
-class PartEvidence:
-    """What has to be known of an accused part after the end of all members."""
-
-    part: str
-    # Ends of engines that accuse the part, at least one, and the monotonic time in
-    # seconds of the last.
-    ends: int
-    last_end_s: float
-    # Monotonic time in seconds at which the last quarantine ends, and the number of
-    # quarantines; both 0 without one.
-    quarantined_until_s: float = 0.0
-    quarantines: int = 0
-    # Number of the ends beneath prompts that had each other recorded part, too.
-    beside: tuple[tuple[str, int], ...] = ()
-
-
 @dataclass(frozen=True, slots=True)
 class Acquittal:
     """A run with an accused part has begun."""
--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/crash_attribution.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/crash_attribution.py
@@ -232,12 +232,19 @@
         return [self._evidence_of(part, recorded) for part in recorded]
 
     def restore(self, evidence: PartEvidence, source: str, now: float) -> None:
-        """Apply evidence that was recorded, unless the part was acquitted since."""
-        acquittal = self.acquittals.get(evidence.part)
+        """Apply evidence that was recorded, unless the part was acquitted since.
+
+        What is known already is not renewed: a record is read again and again.
+        """
+        part = evidence.part
+        acquittal = self.acquittals.get(part)
         acquitted_s = -math.inf if acquittal is None else acquittal.at_s
-        begun_s = self.begun_s.get(evidence.part, acquitted_s)
-        if max(begun_s, acquitted_s) < evidence.last_end_s:
-            self._merge(evidence, source, now).is_restored = True
+        if max(self.begun_s.get(part, -math.inf), acquitted_s) >= evidence.last_end_s:
+            return
+        accused = self.accused.get(part)
+        if accused is None or not accused.covers(evidence):
+            accused = self._merge(evidence, source, now)
+        accused.is_restored = True
 
     def take_changes(self) -> list[PartChange]:
         """Return the changes since the last call, and start anew."""
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/quarantine/quarantine_store.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/quarantine/quarantine_store.py
@@ -36,6 +36,9 @@
 EVIDENCE_CHECK_INTERVAL_S = 0.25
 # Shortest time in seconds between two reads of a member that is cut off.
 CUT_OFF_READ_INTERVAL_S = 1.5
+# The same of the broker. A write of an earlier broker may take effect after the first
+# read, and nobody else removes its record.
+READ_INTERVAL_S = 60.0
 # Sustained writes and removals per second, each of several records, and their largest
 # burst.
 CALLS_PER_S = 2.0
@@ -136,7 +139,9 @@
             return True
         now = self.state.clock()
         is_cut_off = self.state.member_list.is_cut_off(now)
-        interval_s = CUT_OFF_READ_INTERVAL_S if is_cut_off else math.inf
+        interval_s = READ_INTERVAL_S if is_broker else math.inf
+        if is_cut_off:
+            interval_s = CUT_OFF_READ_INTERVAL_S
         return now - self.read_s >= interval_s
 
     async def _read(self) -> bool:
@@ -197,6 +202,8 @@
             await self._wait_for_call()
             now, unix_ms = self.state.clock(), self.unix_ms()
             values = {key: records[key].encode(now, unix_ms) for key in batch}
+            # Without an answer it may take effect all the same.
+            self.recorded |= dict.fromkeys(batch)
             if isinstance(await self.store.put_all(values), Err):
                 return False
             for key in batch:
--- a/packages/burdockhaven-entry/tests/quarantine/quarantine_fixtures.py
+++ b/packages/burdockhaven-entry/tests/quarantine/quarantine_fixtures.py
@@ -35,6 +35,8 @@
     def __init__(self):
         self.values = {}
         self.is_away = False
+        # Writes take effect, and their answers are lost.
+        self.loses_answers = False
         self.era = 1
         # Number of calls that change something.
         self.changes = 0
@@ -50,6 +52,8 @@
         await asyncio.sleep(CALL_S)
         if self.call().is_ok():
             self.values.update(values)
+        if self.loses_answers:
+            return Err(KeyValueFailure(FailureKind.AMBIGUOUS, "step", "store", ""))
         return self.call()
 
     def restore(self, values, *members):
--- a/packages/burdockhaven-entry/tests/quarantine/test_quarantine_store.py
+++ b/packages/burdockhaven-entry/tests/quarantine/test_quarantine_store.py
@@ -18,6 +18,7 @@
 from burdockhaven_entry.quarantine.quarantine_store import (
     CHECK_INTERVAL_S,
     MAX_BACKOFF_S,
+    READ_INTERVAL_S,
 )
 
 
@@ -205,3 +206,37 @@
         assert member.admits()
 
     play(scenario)
+
+
+# Guards against records that nobody removes: a write without an answer took effect.
+def test_record_whose_write_was_not_answered_is_removed():
+    async def scenario(store):
+        member = Member(store)
+        await asyncio.sleep(0.1)
+        store.loses_answers = True
+        await member.end_targets()
+        assert store.values
+        await member.answer()
+        store.loses_answers = False
+        await asyncio.sleep(2 * MAX_BACKOFF_S)
+        assert store.values == {}
+
+    play(scenario)
+
+
+# The same, seconds later, so that the next broker has read the records before it.
+def test_record_that_appears_late_is_removed():
+    async def scenario(store):
+        first, second = Member(store), Member(store, 2)
+        await first.end_targets()
+        late = dict(store.values)
+        await asyncio.sleep(QUARANTINE_S)
+        await second.answer()
+        await first.answer()
+        first.task.cancel()
+        assert store.values == {}
+        store.values = late
+        await asyncio.sleep(READ_INTERVAL_S + CHECK_INTERVAL_S)
+        assert (store.values, second.admits()) == ({}, True)
+
+    play(scenario)
