Prompts wait after a start until the records of parts are read

What callers would see: engines that end after a start of all members although the part is recorded. A broker granted engines as soon as it knew a configuration and targets; if the read of the records came later (the store slow or away at the start, the next attempt up to 2 s off), prompts with a recorded part went to engines meanwhile.

A broker that starts, except in a first start of the whole system, now queues prompts with parts that others may share until the records are read, for half a second at most from the first of them: a store that is away does not keep service away. Once the store has answered with the configuration, a failed read is repeated at once.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/broker.py
@@ -36,6 +36,7 @@
 )
 from burdockhaven_core.scheduling.quotas import QuotaRule, quota_cost
 from burdockhaven_core.scheduling.recent_refusals import RecentRefusals
+from burdockhaven_core.scheduling.records_wait import RecordsWait
 from burdockhaven_core.scheduling.request_queue import RequestKey, RequestQueue
 from burdockhaven_core.scheduling.route_costs import RouteCosts
 from burdockhaven_core.scheduling.routing import Account, RoutingTable
@@ -136,6 +137,8 @@
         # Quota units a second, by account.
         self.quota_rates: dict[str, float] = {}
         self.crashes = CrashAttribution()
+        # Prompts wait for the evidence of before a start; by default there is none.
+        self.records_wait = RecordsWait()
         self.runs = RunTracker(self.costs, self.crashes)
         # Keeps the grants within the limits that engines name.
         self.limiters = RateLimiters()
@@ -430,9 +433,12 @@
         return self.crashes.quarantined_part(_shared_parts(request), now)
 
     def _must_wait_for_trial(self, request: PlacementRequest, now: float) -> bool:
-        """Whether another run shows first if the prompt ends engines."""
-        return not request.has_begun and self.crashes.must_wait(
-            _shared_parts(request), self.runs.undecided(now), now
+        """Whether another run, or a record, shows first if the prompt ends engines."""
+        parts = _shared_parts(request)
+        if request.has_begun or not parts:
+            return False
+        return self.records_wait.holds(now) or self.crashes.must_wait(
+            parts, self.runs.undecided(now), now
         )
 
     def _is_trial(self, request: PlacementRequest) -> bool:
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -153,9 +153,10 @@
             unix_ms=lambda: int(time.time() * 1e3),
             kinds=(
                 content_records(state.request_quarantine),
-                part_records(state.broker.crashes),
+                part_records(state.broker),
             ),
         )
+        self.store_handlers.on_configuration_read = self.quarantine_store.retry_now
         self.stream_origins = StreamOriginDirectory(
             state,
             lambda node, message: self.membership.send(node, message),
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_state.py
@@ -25,6 +25,7 @@
     PausedTarget,
 )
 from burdockhaven_core.scheduling.plain_balancer import AwaitedTarget, PlainBalancer
+from burdockhaven_core.scheduling.records_wait import RecordsWait
 from burdockhaven_core.scheduling.stream_origins import (
     StreamOrigins,
     VersionHistory,
@@ -153,8 +154,9 @@
         broker.divides_engines = settings.targets_end_when_overfull
         registry = TargetRegistry()
         if not settings.first_start:
-            # Members that have ended may have used up the quotas.
+            # Members that have ended may have used up the quotas and recorded parts.
             broker.quotas.usage_known_since_s = now
+            broker.records_wait = RecordsWait(is_pending=True)
         return cls(
             settings=settings,
             member_id=member_id,
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_event_handlers.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/store_event_handlers.py
@@ -58,6 +58,8 @@
     state: GatewayState
     # Set once the newest known configuration is in force and the targets are read.
     first_sync: asyncio.Event = field(default_factory=asyncio.Event)
+    # Called when the store has answered with the configuration, as after a start.
+    on_configuration_read: Callable[[], None] = lambda: None
     # Whether targets have changed since they were last published.
     has_unpublished_targets: bool = False
     # What is wrong with the last value of each target entry that can't be read; logged
@@ -167,6 +169,7 @@
 
     def _on_configuration_snapshot(self, batch: ChangeBatch) -> None:
         self.state.is_configuration_in_sync = True
+        self.on_configuration_read()
         for item in batch.items:
             self._on_configuration_change(item, batch.revision.era)
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/quarantine/quarantine_store.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/quarantine/quarantine_store.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import contextlib
 import itertools
 import math
 from collections.abc import Callable, Hashable, Iterable, Sequence
@@ -72,6 +73,8 @@
         self.has_read_as_broker = False
         # Set when evidence has changed.
         self.has_changes = asyncio.Event()
+        # Set when the store has answered a call of another part.
+        self.is_store_back = asyncio.Event()
         self.backoff = Backoff(state.rng, INITIAL_BACKOFF_S, MAX_BACKOFF_S)
         self.limiter = CallRateLimiter(CALLS_PER_S, CALL_BURST, CALL_BURST)
 
@@ -91,7 +94,17 @@
                 self.backoff.reset()
             else:
                 self.has_changes.set()
-                await asyncio.sleep(self.backoff.next_delay_s())
+                await self._wait_before_retry()
+
+    def retry_now(self) -> None:
+        """Repeat a call that has failed, because the store answers others."""
+        self.is_store_back.set()
+
+    async def _wait_before_retry(self) -> None:
+        self.is_store_back.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self.backoff.next_delay_s()):
+                await self.is_store_back.wait()
 
     async def _wait_for_work(self) -> None:
         """Wait until evidence has changed, the store was restored, or a look is due."""
@@ -153,6 +166,7 @@
             now, unix_ms = self.state.clock(), self.unix_ms()
             for item in result.ok_value.items:
                 self._apply(kind, item, now, unix_ms)
+            kind.on_read()
         self.backoff.reset()
         return True
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/quarantine/record_kind.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/quarantine/record_kind.py
@@ -15,7 +15,7 @@
     encode_part_record,
     part_record_name,
 )
-from burdockhaven_core.scheduling.crash_attribution import CrashAttribution
+from burdockhaven_core.scheduling.broker import Broker
 from burdockhaven_entry.platform import QUARANTINE_PREFIX, QUARANTINED_PARTS_PREFIX
 
 # Source of evidence that was read from a record, for the log.
@@ -47,6 +47,8 @@
     apply: Callable[[str, bytes, float, int], None]
     # Whether there is evidence that may become worth a record as time passes.
     has_evidence: Callable[[], bool] = lambda: False
+    # Called each time when all records have been read.
+    on_read: Callable[[], None] = lambda: None
 
 
 def content_records(quarantine: RequestQuarantine) -> RecordKind:
@@ -69,8 +71,9 @@
     return Record(frozenset(ends), functools.partial(encode_record, ends))
 
 
-def part_records(crashes: CrashAttribution) -> RecordKind:
+def part_records(broker: Broker) -> RecordKind:
     """Return the records of prompt parts beneath which engines end."""
+    crashes = broker.crashes
 
     def collect(now: float) -> dict[str, Record]:
         return {
@@ -85,5 +88,9 @@
         crashes.restore(evidence, STORE, now)
 
     return RecordKind(
-        QUARANTINED_PARTS_PREFIX, collect, apply, lambda: bool(crashes.accused)
+        QUARANTINED_PARTS_PREFIX,
+        collect,
+        apply,
+        has_evidence=lambda: bool(crashes.accused),
+        on_read=broker.records_wait.end,
     )
--- a/packages/burdockhaven-entry/tests/quarantine/quarantine_fixtures.py
+++ b/packages/burdockhaven-entry/tests/quarantine/quarantine_fixtures.py
@@ -1,6 +1,7 @@
 """Members and a store in memory for the records of quarantines, in virtual time."""
 
 import asyncio
+import dataclasses
 import random
 
 from gateway_fixtures import settings
@@ -84,7 +85,11 @@
     def __init__(self, store, incarnation=1, is_broker=True, clock_ms=0):
         loop = asyncio.get_running_loop()
         self.state = GatewayState.from_settings(
-            settings(), incarnation, incarnation, loop.time, random.Random(1)
+            dataclasses.replace(settings(), first_start=incarnation == 1),
+            incarnation,
+            incarnation,
+            loop.time,
+            random.Random(1),
         )
         self.is_broker = is_broker
         self.quarantine = self.state.request_quarantine
@@ -94,7 +99,7 @@
             store,
             lambda: self.is_broker,
             lambda: EPOCH_MS + clock_ms + round(loop.time() * 1e3),
-            (content_records(self.quarantine), part_records(self.crashes)),
+            (content_records(self.quarantine), part_records(self.state.broker)),
         )
         self.state.store_eras.observe(store.era, "store")
         self.task = loop.create_task(self.records.run())
--- a/packages/burdockhaven-entry/tests/quarantine/test_part_records.py
+++ b/packages/burdockhaven-entry/tests/quarantine/test_part_records.py
@@ -4,7 +4,7 @@
 import json
 
 import pytest
-from quarantine_fixtures import EPOCH_MS, Member, play, restart
+from quarantine_fixtures import CALL_S, EPOCH_MS, Member, play, restart
 
 from burdockhaven_core.scheduling.accused_part import FORGET_S, QUARANTINE_S
 from burdockhaven_core.scheduling.accused_part_record import part_record_name
@@ -198,3 +198,22 @@
         assert store.values == {}
 
     play(scenario)
+
+
+# Guards against BUDGET: a part is answered from memory that was not read yet, because
+# the store was away at the start and the next attempt to read was seconds off.
+def test_prompts_wait_for_the_records_and_these_are_read_once_the_store_answers():
+    async def scenario(store):
+        await quarantine(Member(store))
+        store.is_away = True
+        later = await restart(store)
+        await asyncio.sleep(4 * MAX_BACKOFF_S)
+        wait = later.state.broker.records_wait
+        assert wait.holds(later.state.clock())
+        store.is_away = False
+        later.records.retry_now()
+        await asyncio.sleep(CALL_S)
+        assert not wait.holds(later.state.clock())
+        assert later.quarantined_parts() == ["bad"]
+
+    play(scenario)
