Names of prompt parts are bounded after their bytes are decoded

What callers would see: a part that ends engines is found anew by each broker and after each start, if its name holds bytes that are not UTF-8 beside many characters of several bytes. The adapter measured such a name before it decoded the bytes as Latin-1, so that it kept up to 253 characters; brokers announce and record none above 64.

Found by reading. The new case of the test failed before (a name of 190 characters).

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/client_request.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/client_request.py
@@ -191,7 +191,7 @@
     if len(name) <= MAX_PART_NAME and _is_unicode(name):
         return name
     data = name.encode("utf-8", "surrogateescape")
-    if len(name) <= MAX_PART_NAME:
+    if len(data) <= MAX_PART_NAME:
         return data.decode("latin-1")
     return hashlib.blake2b(data, digest_size=PART_DIGEST_BYTES).hexdigest()
 
--- a/packages/burdockhaven-entry/tests/platform/test_headers.py
+++ b/packages/burdockhaven-entry/tests/platform/test_headers.py
@@ -193,13 +193,19 @@
 
 # Names from clients filled the memory of a broker, and messages beyond a datagram.
 def test_long_names_of_prompt_parts_are_replaced_by_digests():
-    names = ["p" * MAX_PART_NAME, "q" * (MAX_PART_NAME + 1), "\udcff" * 5_000]
+    names = [
+        "p" * MAX_PART_NAME,
+        "q" * (MAX_PART_NAME + 1),
+        "\udcff" * 5_000,
+        # Longer as bytes: brokers would neither announce nor record it.
+        "\u20ac" * (MAX_PART_NAME - 1) + "\udcff",
+    ]
     prefix = ",".join(f"{name}:7" for name in names)
     received = headers(
         X_Burdockhaven_Attempt_Id="a", X_Burdockhaven_Prompt_Prefix=prefix
     )
     parts = read_client_request(received).parts
-    assert [tokens for _, tokens in parts] == [7, 7, 7]
+    assert [tokens for _, tokens in parts] == [7] * len(names)
     assert parts[0][0] == names[0]
     assert max(len(name) for name, _ in parts) <= MAX_PART_NAME
     assert len({name for name, _ in parts}) == len(names)
