--- a/packages/burdockhaven-entry/src/burdockhaven_entry/quarantine/quarantine_store.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/quarantine/quarantine_store.py
@@ -108,8 +108,9 @@
 
     async def _wait_for_work(self) -> None:
         """Wait until evidence has changed, the store was restored, or a look is due."""
-        has_evidence = any(kind.has_evidence() for kind in self.kinds)
-        interval_s = EVIDENCE_CHECK_INTERVAL_S if has_evidence else CHECK_INTERVAL_S
+        interval_s = CHECK_INTERVAL_S
+        if self.has_read_as_broker and any(kind.has_evidence() for kind in self.kinds):
+            interval_s = EVIDENCE_CHECK_INTERVAL_S
         waits = [
             asyncio.ensure_future(self.has_changes.wait()),
             asyncio.ensure_future(self.state.store_eras.wait_beyond(self.era)),
