Refuse target entries whose id no header can hold

What callers saw, in a trial on the gateway's test fixture: an entry of another writer under servers/ whose key ends in a name with a line break, sound else, counts as an engine; each request that is placed there fails before it is sent, 502 where no other engine is left.

The id is the key, which no decoder checked. The first six new cases failed before; the others pin that any printable name stays usable.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/target_entry.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/target_entry.py
@@ -40,6 +40,9 @@
 
 def read_target_entry(target_id: str, data: bytes) -> TargetEntry:
     """Decode an entry; raises `TargetEntryError`."""
+    # Requests name the target in a header, which holds no control characters.
+    if not target_id or not target_id.isprintable():
+        raise TargetEntryError(f"no header can name the target {target_id!r}")
     try:
         raw = _decoder.decode(data)
     except DECODE_ERRORS as error:
--- a/packages/burdockhaven-entry/tests/platform/test_target_entry.py
+++ b/packages/burdockhaven-entry/tests/platform/test_target_entry.py
@@ -87,3 +87,16 @@
 def test_entry_with_an_odd_value_is_an_error(changes):
     with pytest.raises(TargetEntryError):
         read(**changes)
+
+
+# Guards against 502 for each request that is sent to what another writer has registered
+# under an id that no header can name.
+@pytest.mark.parametrize("target_id", ["", "a\nb", "a\rb", "a\0b", "a\x7fb", "\ud800"])
+def test_id_that_no_header_can_hold_is_an_error(target_id):
+    with pytest.raises(TargetEntryError):
+        read_target_entry(target_id, json.dumps(ENTRY).encode())
+
+
+@pytest.mark.parametrize("target_id", ["i-1", "a b", "\u20ac", "x" * 190])
+def test_id_may_hold_any_printable_character(target_id):
+    assert read_target_entry(target_id, json.dumps(ENTRY).encode()).id == target_id
