An unreadable quarantine record is logged once

What operators would see: since the broker reads the records each minute, event 707 each minute for one record that it can't read. It is logged once for each revision of the record now. The new test failed before. The module's docstring names all occasions of a read.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/quarantine/quarantine_store.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/quarantine/quarantine_store.py
@@ -4,7 +4,8 @@
 targets, and each of them would end three more. The member whose broker is in use writes
 a record of each one that is worth it, and removes it once it is acquitted or forgotten.
 A member reads the records when it starts, when it becomes the broker, and while it is
-cut off from most others, which learn more meanwhile.
+cut off from most others, which learn more meanwhile. The broker reads them again when
+the store was restored from a copy, and now and then for writes that were late.
 """
 
 import asyncio
@@ -71,6 +72,8 @@
         # since this member is the broker.
         self.read_s = -math.inf
         self.has_read_as_broker = False
+        # Revision of each record that can't be read, by key; logged once.
+        self.unreadable: dict[str, int] = {}
         # Set when evidence has changed.
         self.has_changes = asyncio.Event()
         # Set when the store has answered a call of another part.
@@ -178,15 +181,21 @@
         try:
             kind.apply(name, item.value or b"", now, unix_ms)
         except ValueError as error:
-            log(
-                EventNumber.QUARANTINE_UNREADABLE,
-                key=item.key,
-                revision=item.revision,
-                detail=str(error),
-            )
+            self._log_unreadable(item, str(error))
             return
         self.recorded.setdefault(item.key, None)
 
+    def _log_unreadable(self, item: StoreItem, detail: str) -> None:
+        if self.unreadable.get(item.key) == item.revision:
+            return
+        self.unreadable[item.key] = item.revision
+        log(
+            EventNumber.QUARANTINE_UNREADABLE,
+            key=item.key,
+            revision=item.revision,
+            detail=detail,
+        )
+
     async def _update(self, is_broker: bool) -> bool:
         """Write and remove what has changed; returns whether nothing is left to do."""
         wanted = self._wanted()
--- a/packages/burdockhaven-entry/tests/quarantine/test_quarantine_store.py
+++ b/packages/burdockhaven-entry/tests/quarantine/test_quarantine_store.py
@@ -7,6 +7,7 @@
 from quarantine_fixtures import CALL_S, CONTENT, EPOCH_MS, Member, play, restart
 from scheduling_samples import heartbeat
 
+from burdockhaven_core.log_numbers import EventNumber
 from burdockhaven_core.request_quarantine import QUARANTINE_ENDS
 from burdockhaven_core.request_quarantine.accused_request import (
     FORGET_QUARANTINED_S,
@@ -15,6 +16,7 @@
 from burdockhaven_core.scheduling.member_list import MEMBER_TIMEOUT_S
 from burdockhaven_core.scheduling.peer_messages import encode_message
 from burdockhaven_entry.platform import QUARANTINE_PREFIX
+from burdockhaven_entry.quarantine import quarantine_store
 from burdockhaven_entry.quarantine.quarantine_store import (
     CHECK_INTERVAL_S,
     MAX_BACKOFF_S,
@@ -240,3 +242,19 @@
         assert (store.values, second.admits()) == ({}, True)
 
     play(scenario)
+
+
+# Guards against a log that repeats one unreadable record each minute.
+def test_unreadable_record_is_logged_once(monkeypatch):
+    logged = []
+    monkeypatch.setattr(
+        quarantine_store, "log", lambda number, **fields: logged.append(number)
+    )
+
+    async def scenario(store):
+        store.values[QUARANTINE_PREFIX + "text"] = b""
+        Member(store)
+        await asyncio.sleep(3 * READ_INTERVAL_S)
+
+    play(scenario)
+    assert logged == [EventNumber.QUARANTINE_UNREADABLE]
