An end beside runs that began just before is recorded at once

What callers would see: a part ends one engine in each life of the members, if all are killed within the second after each end. An end was recorded only once another run had begun after it, 0.3 s beyond its first event at the earliest.

Runs that began within 5 s before the end show as well that the engines are sound. The new test (a kill 0.1 s after each end) failed before; without such a run an end still waits for one.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/crash_attribution.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/crash_attribution.py
@@ -42,8 +42,8 @@
 # Seconds after its end in which an engine does not count as returned: the runs that
 # ended with it are reported one by one.
 RETURN_S = 2.0
-# An accused part is sent to one engine at a time, unless a run with it has begun within
-# this many seconds before.
+# Seconds for which a run that has begun shows that its parts and the engines are sound.
+# An accused part without such a run is sent to one engine at a time.
 RECENTLY_BEGUN_S = 5.0
 # Seconds for which an acquittal is announced.
 ACQUITTAL_ANNOUNCE_S = 10.0
@@ -221,7 +221,7 @@
         """Return the evidence that is to outlast the end of all members.
 
         Without a quarantine that is only what points at the part: runs have begun since
-        the first end, so that the engines are sound, and none of them has the part.
+        the first end, or shortly before it, and none of them has the part.
         """
         self._forget(now)
         recorded = heapq.nlargest(
@@ -274,10 +274,17 @@
         accused = self.accused[part]
         if not accused.ends or len(part) > MAX_NAME:
             return False
-        has_begun = part in self.begun_s
-        may_be_engines = self.begun_count == accused.begun_before
-        points_at_part = not (has_begun or may_be_engines)
-        return bool(accused.quarantines) or accused.is_restored or points_at_part
+        if accused.quarantines or accused.is_restored:
+            return True
+        return part not in self.begun_s and self._are_others_answered(accused)
+
+    def _are_others_answered(self, accused: AccusedPart) -> bool:
+        """Whether runs begin around the ends of a part, so that engines are sound."""
+        last_begun_s = next(reversed(self.begun_s.values()), -math.inf)
+        has_begun_since = self.begun_count > accused.begun_before
+        return has_begun_since or (
+            last_begun_s + RECENTLY_BEGUN_S >= accused.last_end_s
+        )
 
     def _evidence_of(self, part: str, recorded: Container[str]) -> PartEvidence:
         accused = self.accused[part]
--- a/packages/burdockhaven-core/tests/scheduling/test_crash_attribution_records.py
+++ b/packages/burdockhaven-core/tests/scheduling/test_crash_attribution_records.py
@@ -7,6 +7,7 @@
     MAX_RECORDED,
     QUARANTINE_ENDS,
     QUARANTINE_ENDS_IN_DOUBT,
+    RECENTLY_BEGUN_S,
     CrashAttribution,
 )
 
@@ -138,3 +139,22 @@
     assert len(names) == MAX_RECORDED
     assert names[0] == "bad"
     assert max(map(len, names)) <= MAX_NAME
+
+
+# Guards against BUDGET: all members are killed right after each end, before another run
+# has begun.
+def test_end_beside_runs_that_began_just_before_is_recorded_at_once():
+    crashes = CrashAttribution()
+    for number in range(QUARANTINE_ENDS):
+        now = 10.0 * number
+        crashes.record_begun(["all"], now + 1.0)
+        crashes.record_end(f"e{number}", ["all", "bad"], now + 2.0)
+        crashes = restarted(crashes, now + 2.1)
+    assert crashes.quarantined(now + 2.1) == ["bad"]
+
+
+def test_end_long_after_the_last_run_that_began_is_not_recorded():
+    crashes = CrashAttribution()
+    crashes.record_begun(["all"], 0.0)
+    crashes.record_end("e1", ["other", "bad"], RECENTLY_BEGUN_S + 0.1)
+    assert recorded(crashes, RECENTLY_BEGUN_S + 0.2) == []
