A quarantine record that another broker has overwritten is written again

What callers would see: a part or request that was known to end targets is forgotten after a start of all, if two brokers were at work before (a partition, a suspected broker): the one that knew less wrote its record last, and the other went on to take its own for the one in the store.

The new test failed before.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/quarantine/quarantine_store.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/quarantine/quarantine_store.py
@@ -13,6 +13,7 @@
 import itertools
 import math
 from collections.abc import Callable, Hashable, Iterable, Sequence
+from dataclasses import dataclass
 
 from result import Err
 
@@ -47,6 +48,14 @@
 CALL_BURST = 10.0
 
 
+@dataclass(frozen=True, slots=True)
+class _Written:
+    """A record as this member wrote it last."""
+
+    evidence: Hashable
+    value: bytes
+
+
 class QuarantineStore:
     """Reads the records at the start, then writes and removes them."""
 
@@ -63,9 +72,9 @@
         self.is_broker = is_broker
         self.unix_ms = unix_ms
         self.kinds = kinds
-        # Evidence in each record that may be in the store, by key; None if it is not
-        # known.
-        self.recorded: dict[str, Hashable] = {}
+        # Each record that may be in the store, by key; None unless it is as this member
+        # wrote it.
+        self.recorded: dict[str, _Written | None] = {}
         # Era of the store for which that holds.
         self.era = state.store_eras.current
         # Monotonic time in seconds at which the records were read, and whether that was
@@ -183,7 +192,10 @@
         except ValueError as error:
             self._log_unreadable(item, str(error))
             return
-        self.recorded.setdefault(item.key, None)
+        known = self.recorded.get(item.key)
+        if known is None or known.value != item.value:
+            # From another broker.
+            self.recorded[item.key] = None
 
     def _log_unreadable(self, item: StoreItem, detail: str) -> None:
         if self.unreadable.get(item.key) == item.revision:
@@ -204,14 +216,16 @@
             self.recorded = dict.fromkeys(wanted) | self.recorded
             return True
         changed = [
-            key
-            for key, record in wanted.items()
-            if self.recorded.get(key) != record.evidence
+            key for key, record in wanted.items() if not self._is_written(key, record)
         ]
         return await self._write(changed, wanted) and await self._remove(
             [key for key in self.recorded if key not in wanted]
         )
 
+    def _is_written(self, key: str, record: Record) -> bool:
+        written = self.recorded.get(key)
+        return written is not None and written.evidence == record.evidence
+
     def _wanted(self) -> dict[str, Record]:
         """Return the records that are to exist, by key."""
         now = self.state.clock()
@@ -230,8 +244,8 @@
             self.recorded |= dict.fromkeys(batch)
             if isinstance(await self.store.put_all(values), Err):
                 return False
-            for key in batch:
-                self.recorded[key] = records[key].evidence
+            for key, value in values.items():
+                self.recorded[key] = _Written(records[key].evidence, value)
         return True
 
     async def _remove(self, keys: list[str]) -> bool:
--- a/packages/burdockhaven-entry/tests/quarantine/test_part_records.py
+++ b/packages/burdockhaven-entry/tests/quarantine/test_part_records.py
@@ -17,6 +17,7 @@
     CHECK_INTERVAL_S,
     EVIDENCE_CHECK_INTERVAL_S,
     MAX_BACKOFF_S,
+    READ_INTERVAL_S,
 )
 
 KEY = QUARANTINED_PARTS_PREFIX + part_record_name("bad")
@@ -217,3 +218,20 @@
         assert later.quarantined_parts() == ["bad"]
 
     play(scenario)
+
+
+# Guards against BUDGET: of two brokers at once, the one that knew less wrote last, and
+# the other one took its own record for the one in the store.
+def test_record_that_another_broker_has_overwritten_is_written_again():
+    async def scenario(store):
+        first, second = Member(store), Member(store, 2)
+        await asyncio.sleep(0.1)
+        await quarantine(first)
+        await quarantine(second, ends=1)
+        second.task.cancel()
+        assert (await restart(store, is_broker=False)).quarantined_parts() == []
+        await asyncio.sleep(READ_INTERVAL_S)
+        later = await restart(store, is_broker=False)
+        assert later.crashes.accused["bad"].quarantines == 1
+
+    play(scenario)
