Test responses without a length that are reset within a long upload

A target responds with 200 and no length before it has read an upload of 24 MiB, sends a part and resets. Tried: reset at once, 50 ms later, after 1 MiB of the upload, a close with unread bytes, an end in order followed by a reset; with and without a body, HTTP/1.0, Connection: close; on new and kept connections; on plain and streaming routes.

Early responses that end in order, before or after the upload, stay complete.

EarlyResponse and call_raw are new in the fixture.

--- a/packages/burdockhaven-entry/tests/gateway/gateway_fixtures.py
+++ b/packages/burdockhaven-entry/tests/gateway/gateway_fixtures.py
@@ -6,6 +6,7 @@
 import socket
 import struct
 import time
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 import aiohttp
@@ -144,10 +145,13 @@
                 line, *rest = head.strip().split("\r\n")
                 headers = dict(part.split(": ", 1) for part in rest)
                 length = int(headers.get("Content-Length", 0))
+                behaviour = self.script.next_behaviour()
+                if isinstance(behaviour, EarlyResponse):
+                    length = 0
                 body = await reader.readexactly(length)
                 request = ReceivedRequest(line, headers, body)
                 self.received.append(request)
-                if not await self.script.next_behaviour()(request, reader, writer):
+                if not await behaviour(request, reader, writer):
                     break
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
@@ -293,6 +297,16 @@
         return self.sent_bytes < ENDLESS_RESPONSE_BYTES
 
 
+@dataclass
+class EarlyResponse:
+    """A behaviour that begins before the body of the request has been read."""
+
+    behave: Callable[..., Awaitable[bool]]
+
+    async def __call__(self, request, reader, writer):
+        return await self.behave(request, reader, writer)
+
+
 async def wait_until(condition):
     async with asyncio.timeout(WAIT_TIMEOUT_S):
         while True:
@@ -373,6 +387,16 @@
         await self.server.shutdown(0.1)
         await self.target_client.close()
 
+    async def call_raw(self, path, body=b""):
+        """Return all bytes that a client gets until its connection ends."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        head = encode_request(path, "a1", length=len(body))
+        writer.write(head.replace(b"\r\n", b"\r\nConnection: close\r\n", 1) + body)
+        async with asyncio.timeout(WAIT_TIMEOUT_S):
+            received = await reader.read()
+        writer.close()
+        return received
+
     async def call_and_disconnect(self, path):
         """Send a request and close its connection before the response."""
         try:
