A malformed body ends its request at once

The client of a plain route got 504 after 5 s, that of a stream nothing for 15 s.

Cause: the library closes the connection and hands the parser's error to those who await a head. The reader of the body gets none. If head and body are received together, the error reaches the request, which is why it stood out so late.

BoundedConnection now refuses such a response: it ends the connection and gives the reason to the reader of the body. A refused response is logged with target, request, cause and an excerpt (event 520) and counted by cause; so are bytes without content, responses to another request and heads that the parser rejects, which were refused before. The request may have run, as before.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/bounded_connection.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/bounded_connection.py
@@ -1,4 +1,4 @@
-"""Client connection that bounds what a server may send beside heads and bodies.
+"""Client connection that refuses what is no response and bounds what is beside one.
 
 aiohttp bounds the lines of a head, but neither interim responses, blank lines and white
 space before its end nor chunk extensions, leading zeros and trailers within a body.
@@ -13,14 +13,24 @@
 from aiohttp.http_parser import RawResponseMessage
 from aiohttp.streams import StreamReader
 
+from burdockhaven_core.response_validation import ResponseFault, Violation
+
 # Maximum number of bytes in a row that complete no head and bring nothing of a body.
 # The largest head that the library accepts, 128 lines of 8,190 bytes, is smaller.
 MAX_BYTES_WITHOUT_CONTENT = 1_100_000
 SWITCHING_PROTOCOLS = 101
 
 
+class InvalidResponseError(aiohttp.ClientError):
+    """The received bytes are not a valid response; the request may have run."""
+
+    def __init__(self, violation: Violation) -> None:
+        super().__init__(str(violation))
+        self.violation = violation
+
+
 class BoundedConnection(ResponseHandler):
-    """A client connection that closes itself if the server sends no content.
+    """A client connection that closes itself if the server sends no valid response.
 
     It also records whether it was closed with an error: the library treats a reset as
     the regular end of a response without a length.
@@ -31,6 +41,8 @@
     is_awaiting_head = False
     # Bytes received since the last head or byte of a body.
     bytes_without_content = 0
+    # Why the connection closed itself; None if it did not.
+    refusal: InvalidResponseError | None = None
 
     def set_response_params(self, **params: object) -> None:
         """Begin to wait for the response to a request."""
@@ -53,24 +65,37 @@
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes; close the connection if they bring no content."""
+        """Parse received bytes; close the connection if they are no response."""
         body = self._payload
         body_bytes = 0 if body is None else body.total_bytes
         self.bytes_without_content += len(data)
-        super().data_received(data)
+        self._parse(data)
         if body is not None and body.total_bytes > body_bytes:
             self.bytes_without_content = 0
         if self.bytes_without_content > MAX_BYTES_WITHOUT_CONTENT:
-            self._fail()
+            excerpt = f"{self.bytes_without_content} bytes"
+            self._refuse(Violation(ResponseFault.NO_CONTENT, excerpt))
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Record the error, if any."""
         self.closed_with_error = exc is not None
         super().connection_lost(exc)
+        if self.refusal is not None:
+            # The library has replaced it by an error for the end of the connection.
+            self.set_exception(self.refusal)
+
+    def _parse(self, data: bytes) -> None:
+        super().data_received(data)
+        body, error = self._payload, self.exception()
+        if error is None or self.refusal is not None or body is None or body.is_eof():
+            return
+        # The library reports an error in a body only to those who await a head.
+        excerpt = str(error).partition("\n")[0]
+        self._refuse(Violation(ResponseFault.BODY, excerpt))
 
-    def _fail(self) -> None:
-        detail = f"{self.bytes_without_content} bytes without content"
-        error = aiohttp.ClientPayloadError(detail)
+    def _refuse(self, violation: Violation) -> None:
+        """Close the connection; whoever waits for the response gets the reason."""
+        error = self.refusal = InvalidResponseError(violation)
         body, transport = self._payload, self.transport
         self.set_exception(error)
         if body is not None and not body.is_eof():
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -124,7 +124,9 @@
             close_idle_connections,
         )
         self.store.on_silence = self._on_silent_connections
-        self.target_client = TargetClient.create(state.client_load.shares.targets)
+        self.target_client = TargetClient.create(
+            state.client_load.shares.targets, state.metrics.refused_responses
+        )
         # Without a pool: a connection that has gone silent meanwhile would delay the
         # rare fetch of a configuration from another member.
         self.session = aiohttp.ClientSession(
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_metrics.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_metrics.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 
 from burdockhaven_core.identity import AccountName
+from burdockhaven_core.response_validation import ResponseFault
 from burdockhaven_entry.account_labels import AccountLabels
 from burdockhaven_entry.gateway.routed_request import RoutedRequest
 
@@ -63,6 +64,8 @@
     # Sends to targets by service, and those without a complete response.
     sends: Counter[str] = field(default_factory=Counter)
     failed_sends: Counter[str] = field(default_factory=Counter)
+    # Responses of targets that were not valid.
+    refused_responses: Counter[ResponseFault] = field(default_factory=Counter)
     # Retries that the budget of a service admitted, and that it refused.
     retries: Counter[str] = field(default_factory=Counter)
     refused_retries: Counter[str] = field(default_factory=Counter)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/metrics_text.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/metrics_text.py
@@ -89,6 +89,12 @@
             ("service",),
             _with_single_label(metrics.failed_sends),
         )
+        yield _counter(
+            "refused_responses",
+            "Responses of targets that were not valid, by fault",
+            ("fault",),
+            (((fault.value,), n) for fault, n in metrics.refused_responses.items()),
+        )
         yield _counter(
             "retries",
             "Sends charged to the retry budget",
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
@@ -7,6 +7,7 @@
 import asyncio
 import enum
 import math
+from collections import Counter
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
@@ -17,9 +18,11 @@
 from yarl import URL
 
 from burdockhaven_core.log_numbers import EventNumber
+from burdockhaven_core.response_validation import ResponseFault, Violation
 from burdockhaven_core.scheduling.target_registry import TargetEntry
 from burdockhaven_entry.gateway.bounded_connection import (
     BoundedConnection,
+    InvalidResponseError,
     close_idle_connections,
     create_connector,
 )
@@ -68,6 +71,8 @@
 
 # Step in which a request is sent and the head of its response awaited.
 SEND_STEP = "send"
+# Step in which a head is matched with its request.
+CHECK_STEP = "read head"
 # Step in which the body of a response is read.
 READ_STEP = "read answer"
 
@@ -117,6 +122,8 @@
     is_close_delimited: bool
     # Called once, when the response is closed.
     on_close: Callable[[], None]
+    # Converts the error of a body that can't be read.
+    on_read_error: Callable[[aiohttp.ClientError], SendError]
     is_closed: bool = False
 
     def close(self) -> None:
@@ -135,7 +142,7 @@
         try:
             body = await read_body_up_to(self.response, MAX_BODY_BYTES)
         except aiohttp.ClientError as error:
-            raise self.read_error(repr(error)) from error
+            raise self.on_read_error(error) from error
         if body is None:
             raise self.read_error(f"the body exceeds {MAX_BODY_BYTES} bytes")
         self.check_complete()
@@ -153,7 +160,7 @@
             async for data in self.response.content.iter_any():
                 yield data
         except aiohttp.ClientError as error:
-            raise self.read_error(repr(error)) from error
+            raise self.on_read_error(error) from error
         self.check_complete()
 
     def check_complete(self) -> None:
@@ -176,6 +183,7 @@
         pooled: aiohttp.ClientSession,
         unpooled: aiohttp.ClientSession,
         max_connections: float,
+        refused: Counter[ResponseFault],
     ) -> None:
         self.pooled = pooled
         self.unpooled = unpooled
@@ -186,16 +194,26 @@
         }
         # Connections that may be open, including idle ones.
         self.max_connections = max_connections
+        # Responses that were not valid, by fault.
+        self.refused = refused
         # Sends under way, each on a connection of its own.
         self.sending = 0
 
     @classmethod
-    def create(cls, max_connections: float = math.inf) -> "TargetClient":
-        """Create a client without connections; requires a running event loop."""
+    def create(
+        cls,
+        max_connections: float = math.inf,
+        refused: Counter[ResponseFault] | None = None,
+    ) -> "TargetClient":
+        """Create a client without connections; requires a running event loop.
+
+        Invalid responses are counted in `refused`, if given.
+        """
         return cls(
             _create_session(create_connector(limit=0, keepalive_timeout=KEEPALIVE_S)),
             _create_session(create_connector(limit=0, force_close=True)),
             max_connections,
+            Counter() if refused is None else refused,
         )
 
     def has_room_for_hedge(self) -> bool:
@@ -271,9 +289,7 @@
                 SendOutcome.NOT_SENT, "connect", target.id, repr(error)
             ) from error
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
-            raise SendError(
-                SendOutcome.UNKNOWN, SEND_STEP, target.id, repr(error)
-            ) from error
+            raise self._response_error(SEND_STEP, target, request, error) from error
 
     def _check_head(
         self,
@@ -281,10 +297,14 @@
         request: OutgoingRequest,
         response: aiohttp.ClientResponse,
     ) -> TargetResponse:
+        error = response.content.exception()
+        if isinstance(error, InvalidResponseError):
+            # Refused with its body, so that nothing in its head counts.
+            raise self._response_error(READ_STEP, target, request, error)
         head = read_response_head(response.status, response.headers)
         if head.attempt_id and head.attempt_id != request.attempt_id:
-            detail = f"the response is for request {head.attempt_id}"
-            raise SendError(SendOutcome.UNKNOWN, "read head", target.id, detail)
+            violation = Violation(ResponseFault.OTHER_REQUEST, head.attempt_id)
+            raise self._refuse(CHECK_STEP, target, request, violation)
         connection = response.connection
         protocol = connection.protocol if connection is not None else None
         has_explicit_length = (
@@ -301,7 +321,43 @@
             connection=(protocol if isinstance(protocol, BoundedConnection) else None),
             is_close_delimited=not has_explicit_length,
             on_close=self._end_send,
+            on_read_error=lambda error: self._response_error(
+                READ_STEP, target, request, error
+            ),
+        )
+
+    def _response_error(
+        self,
+        step: str,
+        target: TargetEntry,
+        request: OutgoingRequest,
+        error: Exception,
+    ) -> SendError:
+        """Return the error of a request that was sent, for one of the library."""
+        if isinstance(error, InvalidResponseError):
+            return self._refuse(step, target, request, error.violation)
+        if isinstance(error, aiohttp.ClientResponseError):
+            violation = Violation(ResponseFault.HEAD, error.message)
+            return self._refuse(step, target, request, violation)
+        return SendError(SendOutcome.UNKNOWN, step, target.id, repr(error))
+
+    def _refuse(
+        self,
+        step: str,
+        target: TargetEntry,
+        request: OutgoingRequest,
+        violation: Violation,
+    ) -> SendError:
+        """Log and count an invalid response; its request may have run."""
+        self.refused[violation.fault] += 1
+        log(
+            EventNumber.RESPONSE_REFUSED,
+            target=target.id,
+            request=request.attempt_id,
+            cause=violation.fault.value,
+            excerpt=violation.excerpt,
         )
+        return SendError(SendOutcome.UNKNOWN, step, target.id, str(violation))
 
 
 async def _connect_and_send(
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/log_catalogue.py
@@ -563,6 +563,20 @@
             "source": "member that announced it",
         },
     ),
+    EventSpec(
+        EventNumber.RESPONSE_REFUSED,
+        "warning",
+        "What target {target} sent to request {request} is no valid response:"
+        " {cause}: {excerpt}.",
+        "Tell the owners of the target. The request may have run; event 306 says what"
+        " its client got. If the target goes on, take it out of service.",
+        {
+            "target": "name of the target",
+            "request": "id of the request",
+            "cause": "the fault; the label of `burdockhaven_refused_responses_total`",
+            "excerpt": "some of the bytes, escaped, or what they say",
+        },
+    ),
     EventSpec(
         EventNumber.TARGET_SIGNAL_UNREADABLE,
         "warning",
--- a/packages/burdockhaven-entry/tests/gateway/gateway_fixtures.py
+++ b/packages/burdockhaven-entry/tests/gateway/gateway_fixtures.py
@@ -40,6 +40,8 @@
 PLAIN_SERVICE = "plain"
 # Timeout in seconds of a wait; no test depends on it.
 WAIT_TIMEOUT_S = 30.0
+# Seconds between two pieces of a response, so that they are received apart.
+PIECE_INTERVAL_S = 0.01
 # Bytes after which an endless response stops, if its connection is still open.
 ENDLESS_RESPONSE_BYTES = 128 * 2**20
 
@@ -265,6 +267,20 @@
     return behave
 
 
+def send_pieces(*pieces):
+    """Send the pieces apart and wait until the connection is closed."""
+
+    async def behave(request, reader, writer):
+        for piece in pieces:
+            writer.write(piece.replace(b"ID", request.headers[ATTEMPT].encode()))
+            await writer.drain()
+            await asyncio.sleep(PIECE_INTERVAL_S)
+        await reader.read()
+        return False
+
+    return behave
+
+
 def response_head(fields="", status="200 OK", signature=SIGNATURE):
     """Encode the head of a response; `ID` stands for the request's id."""
     return f"HTTP/1.1 {status}\r\n{ATTEMPT}: ID\r\n{signature}{fields}\r\n".encode()
@@ -361,7 +377,7 @@
             on_queued=lambda: None,
             paused_targets=state.paused_targets,
         )
-        target_client = TargetClient.create()
+        target_client = TargetClient.create(refused=state.metrics.refused_responses)
         frontend = Frontend(
             state,
             PlainForwarder(state, target_client, placement_client),
--- a/packages/burdockhaven-entry/tests/gateway/test_metrics_text.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_metrics_text.py
@@ -9,6 +9,8 @@
     Script,
     reset_connection,
     respond,
+    response_head,
+    send_pieces,
     stream_events,
 )
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -67,6 +69,15 @@
     assert samples['burdockhaven_store_calls_total{call="watch",outcome="ok"}'] == 7
 
 
+async def test_refused_responses_are_counted_by_fault(gateway):
+    head = response_head("Transfer-Encoding: chunked\r\n")
+    gateway.targets[0].script.behaviours = [send_pieces(head, b"no size\r\n")]
+    for _ in range(2):
+        assert (await gateway.call("/unsafe/x")).status == 502
+    name = 'burdockhaven_refused_responses_total{fault="invalid body"}'
+    assert scrape(gateway)[name] == 2
+
+
 async def test_retries_are_counted_by_verdict(gateway):
     while gateway.state.acquire_retry("plain"):
         pass
