Responses without a valid status line are refused

Cause: aiohttp parses heads leniently and reports a status as a number, so that 000, 099, 600 and 999 were passed on as '0', '99', '600' and '999'. The same leniency let HTTP/0.9, HTTP/2.0, RTSP/1.0, a NUL in the reason, a blank line before the head and bare line ends through.

The rule is in burdockhaven_core.response_validation, without I/O: HeadLines checks the raw lines of each head, interim ones too, before the parser gets them. A status line is HTTP/1.0 or HTTP/1.1, a status from 100 to 599 and a reason without control bytes; as in many servers, the reason may be missing with its space. BoundedConnection applies it to every connection to targets, to the store and to other members. A line that can no longer become valid is refused before it ends, and a line of more than 16,400 bytes, so that no more is held than before.

A body is now parsed after its head, so that a malformed one in the same packet is refused as such.

--- a/packages/burdockhaven-core/src/burdockhaven_core/response_validation/__init__.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/response_validation/__init__.py
@@ -1,5 +1,17 @@
-"""Decides whether received bytes are a valid HTTP response."""
+"""Decides whether received bytes are a valid HTTP response.
 
+The parser of an HTTP library accepts much that the protocol does not allow, and what it
+reports is no longer what was sent: a status code has become a number, a name has been
+stripped. Two programs may read such bytes differently. So the lines of each head are
+checked as they are received, before the parser gets them.
+"""
+
+from burdockhaven_core.response_validation.head_lines import CheckedLines, HeadLines
 from burdockhaven_core.response_validation.violation import ResponseFault, Violation
 
-__all__ = ["ResponseFault", "Violation"]
+__all__ = [
+    "CheckedLines",
+    "HeadLines",
+    "ResponseFault",
+    "Violation",
+]
--- /dev/null
+++ b/packages/burdockhaven-core/src/burdockhaven_core/response_validation/head_lines.py
@@ -0,0 +1,93 @@
+"""Checks the lines of response heads by the grammar of RFC 9112."""
+
+import re
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from burdockhaven_core.response_validation.violation import ResponseFault, Violation
+
+LINE_END = b"\r\n"
+HEAD_END = b"\r\n\r\n"
+# Bytes of a line; a name and a value of 8,190 bytes each, the limits of the HTTP
+# library, fit.
+MAX_LINE_BYTES = 16_400
+# The reason may be missing together with the space before it, as in the heads of many
+# servers. A client gets a status line of its own, so that nothing depends on it.
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [\t -~\x80-\xff]*+)?\r\n")
+# Begins each status line.
+PROTOCOL = b"HTTP/1."
+# What may have been received of a line that has not ended.
+INCOMPLETE_STATUS_LINE = re.compile(rb"[\t -~\x80-\xff]*+\r?")
+
+
+@dataclass(frozen=True, slots=True)
+class CheckedLines:
+    """Valid lines of one head."""
+
+    # Complete lines, up to the end of the head if it has been received.
+    lines: bytes
+    # Bytes received behind the end of the head.
+    rest: bytes
+
+
+class HeadLines:
+    """Checks each line as soon as it is complete, of one head after the other."""
+
+    def __init__(self) -> None:
+        # Received bytes of a line that has not ended.
+        self.incomplete = b""
+        # Whether the next line is the first of a head.
+        self.begins_head = True
+
+    def add(self, data: bytes) -> Result[CheckedLines, Violation]:
+        """Check received bytes; returns the lines that they complete."""
+        if self.incomplete:
+            data = self.incomplete + data
+        end = self._head_end(data)
+        is_whole = end >= 0
+        if not is_whole:
+            end = data.rfind(LINE_END) + len(LINE_END)
+            if end < len(LINE_END):
+                end = 0
+        lines, rest = data[:end], data[end:]
+        violation = self._find_violation(lines, is_whole)
+        if violation is None and not is_whole:
+            violation = self._find_incomplete_violation(rest)
+        if violation is not None:
+            return Err(violation)
+        if is_whole:
+            self.incomplete = b""
+            return Ok(CheckedLines(lines, rest))
+        self.incomplete = rest
+        return Ok(CheckedLines(lines, b""))
+
+    def _head_end(self, data: bytes) -> int:
+        """Return where the head ends; -1 if its end has not been received."""
+        if not self.begins_head and data.startswith(LINE_END):
+            return len(LINE_END)
+        found = data.find(HEAD_END)
+        return found if found < 0 else found + len(HEAD_END)
+
+    def _find_violation(self, lines: bytes, is_whole: bool) -> Violation | None:
+        """Check complete lines, and record which line comes next."""
+        if self.begins_head and lines and not STATUS_LINE.match(lines):
+            return _violation_of_line(ResponseFault.STATUS_LINE, lines)
+        if lines:
+            self.begins_head = is_whole
+        return None
+
+    def _find_incomplete_violation(self, line: bytes) -> Violation | None:
+        """Check a line that has not ended, which may never end."""
+        if len(line) > MAX_LINE_BYTES:
+            return Violation.from_bytes(ResponseFault.LONG_LINE, line)
+        if self.begins_head:
+            is_protocol = line.startswith(PROTOCOL[: len(line)])
+            if not (is_protocol and INCOMPLETE_STATUS_LINE.fullmatch(line)):
+                return Violation.from_bytes(ResponseFault.STATUS_LINE, line)
+        return None
+
+
+def _violation_of_line(fault: ResponseFault, lines: bytes) -> Violation:
+    line, _, _ = lines.partition(LINE_END)
+    return Violation.from_bytes(fault, line)
--- a/packages/burdockhaven-core/src/burdockhaven_core/response_validation/violation.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/response_validation/violation.py
@@ -3,11 +3,18 @@
 import enum
 from dataclasses import dataclass
 
+# Bytes of an excerpt. A whole line may be long, and each of them is logged.
+MAX_EXCERPT_BYTES = 80
+
 
 class ResponseFault(enum.Enum):
     """Why received bytes are not a valid response."""
 
-    # The parser of the HTTP library rejects the head.
+    # The first line of a head names no known version or no status from 100 to 599.
+    STATUS_LINE = "invalid status line"
+    # A line does not end within the limit.
+    LONG_LINE = "line too long"
+    # The parser of the HTTP library rejects the head for another reason.
     HEAD = "invalid head"
     # It names another request than the one that awaits it.
     OTHER_REQUEST = "response to another request"
@@ -25,5 +32,10 @@
     # Some of the bytes, escaped to printable ASCII, or a description of them.
     excerpt: str
 
+    @classmethod
+    def from_bytes(cls, fault: ResponseFault, data: bytes) -> "Violation":
+        """Create a violation that shows the first of the bytes."""
+        return cls(fault, repr(data[:MAX_EXCERPT_BYTES])[2:-1])
+
     def __str__(self) -> str:
         return f"{self.fault.value}: {self.excerpt}"
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/bounded_connection.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/bounded_connection.py
@@ -1,7 +1,8 @@
 """Client connection that refuses what is no response and bounds what is beside one.
 
-aiohttp bounds the lines of a head, but neither interim responses, blank lines and white
-space before its end nor chunk extensions, leading zeros and trailers within a body.
+aiohttp parses heads leniently, so that each is checked before it is parsed; see
+`burdockhaven_core.response_validation`. aiohttp bounds the lines of a head, but neither
+interim responses nor chunk extensions, leading zeros and trailers within a body.
 """
 
 import asyncio
@@ -12,12 +13,18 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_parser import RawResponseMessage
 from aiohttp.streams import StreamReader
+from result import Err
 
-from burdockhaven_core.response_validation import ResponseFault, Violation
+from burdockhaven_core.response_validation import (
+    HeadLines,
+    ResponseFault,
+    Violation,
+)
 
 # Maximum number of bytes in a row that complete no head and bring nothing of a body.
 # The largest head that the library accepts, 128 lines of 8,190 bytes, is smaller.
 MAX_BYTES_WITHOUT_CONTENT = 1_100_000
+FIRST_FINAL_STATUS = 200
 SWITCHING_PROTOCOLS = 101
 
 
@@ -47,6 +54,7 @@
     def set_response_params(self, **params: object) -> None:
         """Begin to wait for the response to a request."""
         self.is_awaiting_head = True
+        self.head_lines = HeadLines()
         self.bytes_without_content = 0
         super().set_response_params(**params)  # type: ignore[arg-type]
 
@@ -59,7 +67,7 @@
             if self.transport is not None:
                 self.transport.close()
             return
-        if message.code >= 200 or message.code == SWITCHING_PROTOCOLS:
+        if message.code >= FIRST_FINAL_STATUS or message.code == SWITCHING_PROTOCOLS:
             self.is_awaiting_head = False
             self.bytes_without_content = 0
         super().feed_data(data, size)
@@ -69,7 +77,10 @@
         body = self._payload
         body_bytes = 0 if body is None else body.total_bytes
         self.bytes_without_content += len(data)
-        self._parse(data)
+        if self.is_awaiting_head and data:
+            self._parse_heads(data)
+        else:
+            self._parse_body(data)
         if body is not None and body.total_bytes > body_bytes:
             self.bytes_without_content = 0
         if self.bytes_without_content > MAX_BYTES_WITHOUT_CONTENT:
@@ -84,7 +95,21 @@
             # The library has replaced it by an error for the end of the connection.
             self.set_exception(self.refusal)
 
-    def _parse(self, data: bytes) -> None:
+    def _parse_heads(self, data: bytes) -> None:
+        """Parse the valid lines of heads, and the body behind the final one."""
+        while data and self.is_awaiting_head and self.exception() is None:
+            result = self.head_lines.add(data)
+            if isinstance(result, Err):
+                self._refuse(result.err_value)
+                return
+            checked = result.ok_value
+            if checked.lines:
+                super().data_received(checked.lines)
+            data = checked.rest
+        if data and self.exception() is None:
+            self._parse_body(data)
+
+    def _parse_body(self, data: bytes) -> None:
         super().data_received(data)
         body, error = self._payload, self.exception()
         if error is None or self.refusal is not None or body is None or body.is_eof():
--- a/packages/burdockhaven-entry/tests/gateway/test_invalid_responses.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_invalid_responses.py
@@ -1,9 +1,13 @@
 """Bytes from targets that are no valid response, judged by what the client reads."""
 
+from dataclasses import dataclass
+
 import pytest
 from gateway_fixtures import (
+    ENGINE_SERVICE,
     Gateway,
     Script,
+    respond,
     response_head,
     send_pieces,
     wait_until,
@@ -16,11 +20,13 @@
 PLAIN, STREAM = "/unsafe/x", "/once/"
 BODIES = {PLAIN: b"the body", STREAM: b"id: 1\ndata: 1\n\n"}
 OK = b"HTTP/1.1 200 OK"
+PATHS = pytest.mark.parametrize("path", [PLAIN, STREAM], ids=["plain", "stream"])
 CHUNKED = "Transfer-Encoding: chunked\r\n"
 HEAD = {
     PLAIN: response_head(CHUNKED),
     STREAM: response_head("Content-Type: text/event-stream\r\n" + CHUNKED),
 }
+LAST_CHUNK = b"0\r\n\r\n"
 
 
 @pytest.fixture
@@ -28,7 +34,8 @@
     started = []
 
     async def make(*behaviours, targets=1):
-        scripts = [Script(*behaviours) for _ in range(targets)]
+        # Shared, so that the first behaviour is that of the first request.
+        scripts = [Script(*behaviours)] * targets
         started.append(await Gateway.start(plain=scripts, engines=scripts))
         return started[-1]
 
@@ -49,6 +56,26 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
+@dataclass(frozen=True)
+class Head:
+    """The status line and fields of a response."""
+
+    status_line: bytes = OK
+    fields: bytes = b""
+
+    def respond(self, path):
+        """Encode a response to a request; the body fits the fields."""
+        body = BODIES[path]
+        framing = b""
+        if b"transfer-encoding" in self.fields.lower():
+            body = in_chunks(body) + LAST_CHUNK
+        elif b"Content-Length" not in self.fields:
+            framing = b"Content-Length: %d\r\n" % len(body)
+        content_type = b"Content-Type: text/event-stream\r\n" if path == STREAM else b""
+        head = response_head()[: -len(b"\r\n")].replace(OK, self.status_line, 1)
+        return head + content_type + framing + self.fields + b"\r\n" + body
+
+
 async def assert_refused(gateway, path, fault):
     """Check that the only target's response is kept from the client."""
     received = await gateway.call_raw(path)
@@ -72,8 +99,10 @@
 
 # Guards against requests that wait until their deadlines for the rest of a body.
 @pytest.mark.parametrize("chunks", BAD_CHUNKS.values(), ids=BAD_CHUNKS)
-async def test_malformed_plain_body_is_refused(start, chunks):
-    gateway = await start(send_pieces(HEAD[PLAIN], chunks))
+@pytest.mark.parametrize("is_apart", [True, False], ids=["apart", "with its head"])
+async def test_malformed_plain_body_is_refused(start, chunks, is_apart):
+    pieces = [HEAD[PLAIN], chunks] if is_apart else [HEAD[PLAIN] + chunks]
+    gateway = await start(send_pieces(*pieces))
     await assert_refused(gateway, PLAIN, ResponseFault.BODY)
 
 
@@ -96,3 +125,58 @@
     assert fields["cause"] == "invalid body"
     assert fields["excerpt"].isprintable()
     assert 0 < len(fields["excerpt"]) < 400
+
+
+# Status lines that aiohttp accepts, or that a client could read unlike it.
+BAD_STATUS_LINES = {
+    "status 000": b"HTTP/1.1 000 OK",
+    "status 099": b"HTTP/1.1 099 OK",
+    "status 600": b"HTTP/1.1 600 OK",
+    "status 999": b"HTTP/1.1 999 OK",
+    "four digits": b"HTTP/1.1 2000 OK",
+    "HTTP/0.9": b"HTTP/0.9 200 OK",
+    "HTTP/2.0": b"HTTP/2.0 200 OK",
+    "another protocol": b"RTSP/1.0 200 OK",
+    "NUL in the reason": b"HTTP/1.1 200 O\x00K",
+    "blank line before": b"\r\nHTTP/1.1 200 OK",
+    "bare line end": b"HTTP/1.1 200 OK\nX: y",
+    "invalid interim response": b"HTTP/1.1 000 OK\r\n\r\nHTTP/1.1 200 OK",
+}
+
+
+# Guards against a status that a client gets as the one of a response.
+@PATHS
+@pytest.mark.parametrize("line", BAD_STATUS_LINES.values(), ids=BAD_STATUS_LINES)
+async def test_invalid_status_line_is_refused(start, path, line):
+    gateway = await start(send_pieces(Head(line).respond(path)))
+    await assert_refused(gateway, path, ResponseFault.STATUS_LINE)
+
+
+BROKEN = Head(b"HTTP/1.1 000 OK")
+
+
+# Guards against an invalid response that ends a request which another target can serve.
+async def test_safe_request_goes_to_another_target(start):
+    broken = send_pieces(BROKEN.respond(PLAIN))
+    gateway = await start(broken, respond(b"whole"), targets=2)
+    response = await gateway.call("/safe/x")
+    assert (response.status, response.body) == (200, b"whole")
+    assert len(gateway.received) == 2
+
+
+# Guards against a target that counts as quick and sound for its invalid responses.
+async def test_refused_plain_responses_count_against_their_target(start):
+    gateway = await start(send_pieces(BROKEN.respond(PLAIN)))
+    for _ in range(3):
+        assert (await gateway.call(PLAIN)).status == 502
+    state = gateway.state.balancer.state_of("plain-0")
+    assert state.failure_rate > 0.2
+
+
+async def test_engine_is_ejected_for_invalid_responses(start):
+    gateway = await start(send_pieces(BROKEN.respond(STREAM)))
+    for _ in range(2):
+        assert (await gateway.call(STREAM)).status == 502
+    engine = gateway.state.broker.runs.engines[f"{ENGINE_SERVICE}-0"]
+    # Ends are reported to the broker a little later.
+    await wait_until(lambda: engine.ejections == 1)
