Responses with an invalid field line are refused

- a blank between a known name and its colon.
'Connection : close' and 'Upgrade : h2c' were passed on with 200; 'Content-Length : 15' made a stream begin with that line in its head and end without its end.
- a blank before a name: the line is read as part of the value before it, which was the signature, so that the client got another signature; folded values likewise.
- bare line ends; NUL, BEL or DEL in a value.
BEL and DEL made the client's connection end without an answer, or with 500, by an error that left the handler.

HeadLines now checks each field line: token characters up to the colon, then a value without control bytes except tabs. Folded values, which RFC 9112 lets a proxy refuse or replace, are refused. Interim heads are checked alike. Signals beside an invalid line aren't believed, and a rejection there is none: the request may have run.

--- a/packages/burdockhaven-core/src/burdockhaven_core/response_validation/head_lines.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/response_validation/head_lines.py
@@ -17,8 +17,14 @@
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [\t -~\x80-\xff]*+)?\r\n")
 # Begins each status line.
 PROTOCOL = b"HTTP/1."
+# A name that consists of token characters ends with its colon. A line that begins with
+# white space continues the value before it; such values are obsolete, and refused.
+_NAME = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]++"
+_VALUE = rb"[\t -~\x80-\xff]*+"
+FIELD_LINES = re.compile(rb"(?:%s:%s\r\n)*+" % (_NAME, _VALUE))
 # What may have been received of a line that has not ended.
 INCOMPLETE_STATUS_LINE = re.compile(rb"[\t -~\x80-\xff]*+\r?")
+INCOMPLETE_FIELD_LINE = re.compile(rb"(?:%s(?::%s)?)?\r?" % (_NAME, _VALUE))
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,8 +77,18 @@
 
     def _find_violation(self, lines: bytes, is_whole: bool) -> Violation | None:
         """Check complete lines, and record which line comes next."""
-        if self.begins_head and lines and not STATUS_LINE.match(lines):
-            return _violation_of_line(ResponseFault.STATUS_LINE, lines)
+        checked = 0
+        if self.begins_head and lines:
+            status_line = STATUS_LINE.match(lines)
+            if status_line is None:
+                return _violation_of_line(ResponseFault.STATUS_LINE, lines)
+            checked = status_line.end()
+        field_lines = FIELD_LINES.match(lines, checked)
+        assert field_lines is not None
+        fields_end = len(lines) - len(LINE_END) if is_whole else len(lines)
+        if field_lines.end() != fields_end:
+            bad = lines[field_lines.end() :]
+            return _violation_of_line(ResponseFault.FIELD_LINE, bad)
         if lines:
             self.begins_head = is_whole
         return None
@@ -85,6 +101,8 @@
             is_protocol = line.startswith(PROTOCOL[: len(line)])
             if not (is_protocol and INCOMPLETE_STATUS_LINE.fullmatch(line)):
                 return Violation.from_bytes(ResponseFault.STATUS_LINE, line)
+        elif not INCOMPLETE_FIELD_LINE.fullmatch(line):
+            return Violation.from_bytes(ResponseFault.FIELD_LINE, line)
         return None
 
 
--- a/packages/burdockhaven-core/src/burdockhaven_core/response_validation/violation.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/response_validation/violation.py
@@ -12,6 +12,8 @@
 
     # The first line of a head names no known version or no status from 100 to 599.
     STATUS_LINE = "invalid status line"
+    # Another line of a head is no field: no name and colon, or bytes not allowed.
+    FIELD_LINE = "invalid field line"
     # A line does not end within the limit.
     LONG_LINE = "line too long"
     # The parser of the HTTP library rejects the head for another reason.
--- a/packages/burdockhaven-core/tests/response_validation/test_head_lines.py
+++ b/packages/burdockhaven-core/tests/response_validation/test_head_lines.py
@@ -38,6 +38,32 @@
     b"",
     b"X: y",
 ]
+FIELDS = [
+    b"X:",
+    b"X: ",
+    b"X:y",
+    b"X: a\tb \xc3\xa9\xff",
+    b"!#$%&'*+-.^_`|~09azAZ: y",
+    b"X: " + b"y" * 8_190,
+]
+BAD_FIELDS = [
+    b"X : y",
+    b"X\t: y",
+    b"X y: z",
+    b" X: y",
+    b"\tX: y",
+    b": y",
+    b"X",
+    b"X\x00: y",
+    b"X\x7f: y",
+    b"\xc3\xa9: y",
+    b"X(: y",
+    b"X: a\x00b",
+    b"X: a\x07b",
+    b"X: a\x7fb",
+    b"X: a\rb",
+    b"X: a\nY: b",
+]
 
 
 def check(data, *, cuts=()):
@@ -67,12 +93,27 @@
     assert check(head(status_line)) is ResponseFault.STATUS_LINE
 
 
+@pytest.mark.parametrize("field", FIELDS)
+def test_field_is_valid(field):
+    data = head(fields=[b"A: b", field, b"C: d"])
+    assert check(data + b"body") == (data, b"body")
+
+
+# Guards against a line that a client reads unlike this process, wherever it stands.
+@pytest.mark.parametrize("field", BAD_FIELDS)
+@pytest.mark.parametrize("before", [(), (b"A: b",)], ids=["first", "later"])
+def test_field_is_invalid(before, field):
+    assert check(head(fields=[*before, field, b"C: d"])) is ResponseFault.FIELD_LINE
+
+
 @pytest.mark.parametrize(
     ("data", "fault"),
     [
         (b"garbage", ResponseFault.STATUS_LINE),
         (b"\r\n", ResponseFault.STATUS_LINE),
         (OK + b"\n", ResponseFault.STATUS_LINE),
+        (OK + b"\r\nX y", ResponseFault.FIELD_LINE),
+        (OK + b"\r\nX: \x00", ResponseFault.FIELD_LINE),
         (OK + b"x" * MAX_LINE_BYTES, ResponseFault.LONG_LINE),
         (OK + b"\r\nX: " + b"x" * MAX_LINE_BYTES, ResponseFault.LONG_LINE),
     ],
@@ -97,12 +138,16 @@
     assert len(violation.excerpt) < 400
 
 
+LINES = st.sampled_from([*FIELDS, *BAD_FIELDS])
+
+
 # Guards against bytes that are valid or not by how they arrive.
 @given(
     status_line=st.sampled_from([*STATUS_LINES, *BAD_STATUS_LINES]),
+    fields=st.lists(LINES, max_size=3),
     cuts=st.lists(st.integers(min_value=0, max_value=80), max_size=6),
 )
-def test_pieces_are_judged_like_the_whole(status_line, cuts):
-    data = head(status_line, [b"X: y"])
+def test_pieces_are_judged_like_the_whole(status_line, fields, cuts):
+    data = head(status_line, fields)
     cuts = sorted(cut for cut in cuts if cut < len(data))
     assert check(data, cuts=cuts) == check(data)
--- a/packages/burdockhaven-entry/tests/gateway/test_invalid_responses.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_invalid_responses.py
@@ -180,3 +180,62 @@
     engine = gateway.state.broker.runs.engines[f"{ENGINE_SERVICE}-0"]
     # Ends are reported to the broker a little later.
     await wait_until(lambda: engine.ejections == 1)
+
+
+BAD_FIELDS = {
+    "blank in a name": b"X y: z\r\n",
+    "control byte in a name": b"X\x01: y\r\n",
+    "blank after a known name": b"Connection : close\r\n",
+    "blank after the name of the length": b"Content-Length : 5\r\n",
+    "blank after the name of an upgrade": b"Upgrade : h2c\r\n",
+    "tab after a name": b"X\t: y\r\n",
+    "blank before a name": b" X: y\r\n",
+    "folded value": b"X: y\r\n z\r\n",
+    "bare line end": b"X: y\nZ: a\r\n",
+    "control byte in a value": b"X: \x07\r\n",
+    "DEL in a value": b"X: \x7f\r\n",
+    "NUL in a value": b"X: y\x00z\r\n",
+    "no colon": b"X\r\n",
+}
+
+
+# Guards against a line that reaches the client, changes the value before it or hides
+# where the body ends.
+@PATHS
+@pytest.mark.parametrize("line", BAD_FIELDS.values(), ids=BAD_FIELDS)
+async def test_invalid_field_line_is_refused(start, path, line):
+    gateway = await start(send_pieces(Head(fields=line).respond(path)))
+    await assert_refused(gateway, path, ResponseFault.FIELD_LINE)
+
+
+@PATHS
+@pytest.mark.parametrize("line", BAD_FIELDS.values(), ids=BAD_FIELDS)
+async def test_invalid_interim_response_is_refused(start, path, line):
+    interim = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n" + line + b"\r\n"
+    gateway = await start(send_pieces(interim + Head().respond(path)))
+    await assert_refused(gateway, path, ResponseFault.FIELD_LINE)
+
+
+SIGNALS = {
+    "rejection": "X-Burdockhaven-Not-Executed: 1\r\n",
+    "pause": "Retry-After: 9\r\nX-Burdockhaven-Not-Executed: 1\r\n",
+    "leaving": "Server-Leaving: 1\r\n",
+    "limit": "Server-Limit: 0.5\r\n",
+    "load": "X-Burdockhaven-Instance-Load: 9,9,9\r\n",
+}
+
+
+# Guards against what a target says of itself beside bytes that are no response.
+@PATHS
+@pytest.mark.parametrize("signal", SIGNALS.values(), ids=SIGNALS)
+async def test_signals_of_a_refused_head_are_not_believed(start, path, signal):
+    fields = signal.encode() + b"Connection : close\r\n"
+    head = Head(b"HTTP/1.1 503 Service Unavailable", fields)
+    gateway = await start(send_pieces(head.respond(path)))
+    await assert_refused(gateway, path, ResponseFault.FIELD_LINE)
+    state = gateway.state
+    for target in state.registry.entries:
+        assert state.registry.is_usable(target)
+        assert not state.is_paused(target)
+        assert state.balancer.state_of(target).reported_in_flight == 0
+    assert not state.target_signals.signals.limits.in_force()
