A switch of protocols that no request asked for is refused

A target that responds with 101 made the client get '101 Switching Protocols' without a body, after which a client may read anything as the other protocol. aiohttp takes 101 for a final response; no request here carries Upgrade. RFC 9110 allows 101 only as the answer to it.

--- a/packages/burdockhaven-core/src/burdockhaven_core/response_validation/violation.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/response_validation/violation.py
@@ -18,6 +18,8 @@
     LONG_LINE = "line too long"
     # The parser of the HTTP library rejects the head for another reason.
     HEAD = "invalid head"
+    # The response switches to a protocol that the request did not ask for.
+    UPGRADE = "unrequested upgrade"
     # It names another request than the one that awaits it.
     OTHER_REQUEST = "response to another request"
     # The body is not in the chunks that the head announces.
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/bounded_connection.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/bounded_connection.py
@@ -19,13 +19,13 @@
     HeadLines,
     ResponseFault,
     Violation,
+    find_head_fault,
 )
 
 # Maximum number of bytes in a row that complete no head and bring nothing of a body.
 # The largest head that the library accepts, 128 lines of 8,190 bytes, is smaller.
 MAX_BYTES_WITHOUT_CONTENT = 1_100_000
 FIRST_FINAL_STATUS = 200
-SWITCHING_PROTOCOLS = 101
 
 
 class InvalidResponseError(aiohttp.ClientError):
@@ -67,7 +67,11 @@
             if self.transport is not None:
                 self.transport.close()
             return
-        if message.code >= FIRST_FINAL_STATUS or message.code == SWITCHING_PROTOCOLS:
+        violation = find_head_fault(message.code)
+        if violation is not None:
+            self._refuse(violation)
+            return
+        if message.code >= FIRST_FINAL_STATUS:
             self.is_awaiting_head = False
             self.bytes_without_content = 0
         super().feed_data(data, size)
--- a/packages/burdockhaven-entry/tests/gateway/test_invalid_responses.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_invalid_responses.py
@@ -239,3 +239,12 @@
         assert not state.is_paused(target)
         assert state.balancer.state_of(target).reported_in_flight == 0
     assert not state.target_signals.signals.limits.in_force()
+
+
+# Guards against a client that takes what follows for another protocol.
+@PATHS
+async def test_unrequested_upgrade_is_refused(start, path):
+    line = b"HTTP/1.1 101 Switching Protocols"
+    head = Head(line, b"Connection: upgrade\r\nUpgrade: websocket\r\n")
+    gateway = await start(send_pieces(head.respond(path)))
+    await assert_refused(gateway, path, ResponseFault.UPGRADE)
