Responses whose end is ambiguous are refused

A client got a body that was not the target's: with 'chunked;q=1', 'xchunked' or 'chunked, gzip' as its transfer coding, the sizes of the chunks were passed on as part of the body; 'gzip, chunked' and 'chunked, chunked' were passed on with the first coding undone only; an empty coding beside a length, and chunks in HTTP/1.0, were passed on too, though readers differ on where such a body ends.

aiohttp takes the last coding, or none, for what it knows. find_head_fault now wants either a single 'chunked' of HTTP/1.1 or one length of digits. No request allows other codings (TE).

Before: 14 of 14 tests failed, in all the client read 200.

--- a/packages/burdockhaven-core/src/burdockhaven_core/response_validation/head_fields.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/response_validation/head_fields.py
@@ -1,15 +1,58 @@
-"""Checks what a parsed response head says."""
+"""Checks what the fields of a parsed response head say together."""
+
+import re
+from typing import Protocol
 
 from burdockhaven_core.response_validation.violation import ResponseFault, Violation
 
 SWITCHING_PROTOCOLS = 101
+FIRST_FINAL_STATUS = 200
+CONTENT_LENGTH = "Content-Length"
+TRANSFER_ENCODING = "Transfer-Encoding"
+CHUNKED = "chunked"
+LENGTH = re.compile("[0-9]+")
+
+
+class Fields(Protocol):
+    """The fields of a head, by name in any case."""
 
+    def getall(self, key: str, default: list[str]) -> list[str]:
+        """Return the values of all fields with the name, or the default."""
 
-def find_head_fault(status: int) -> Violation | None:
+
+def find_head_fault(status: int, has_chunks: bool, fields: Fields) -> Violation | None:
     """Return what is wrong with a head whose lines are valid; None if nothing.
 
-    No request asks for another protocol.
+    `has_chunks` tells whether its version of the protocol has transfer codings.
     """
     if status == SWITCHING_PROTOCOLS:
         return Violation(ResponseFault.UPGRADE, f"status {status}")
+    if status < FIRST_FINAL_STATUS:
+        return None
+    return _find_framing_fault(
+        has_chunks,
+        fields.getall(CONTENT_LENGTH, []),
+        fields.getall(TRANSFER_ENCODING, []),
+    )
+
+
+def _find_framing_fault(
+    has_chunks: bool, lengths: list[str], codings: list[str]
+) -> Violation | None:
+    """Return why readers may disagree on where the body ends; None if they can't.
+
+    No request allows codings other than chunks. Where both fields are present, RFC 9112
+    lets readers choose and tells them to handle the response as an error.
+    """
+    if codings:
+        text = ", ".join(codings)
+        if lengths or not has_chunks or text.lower() != CHUNKED:
+            return _violation_of_text(ResponseFault.FRAMING, f"coding {text}")
+    elif len(set(lengths)) > 1 or any(not LENGTH.fullmatch(text) for text in lengths):
+        text = ", ".join(lengths)
+        return _violation_of_text(ResponseFault.FRAMING, f"length {text}")
     return None
+
+
+def _violation_of_text(fault: ResponseFault, text: str) -> Violation:
+    return Violation.from_bytes(fault, text.encode(errors="backslashreplace"))
--- a/packages/burdockhaven-core/src/burdockhaven_core/response_validation/violation.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/response_validation/violation.py
@@ -20,6 +20,8 @@
     HEAD = "invalid head"
     # The response switches to a protocol that the request did not ask for.
     UPGRADE = "unrequested upgrade"
+    # The fields do not say in a single way where the body ends.
+    FRAMING = "ambiguous body length"
     # It names another request than the one that awaits it.
     OTHER_REQUEST = "response to another request"
     # The body is not in the chunks that the head announces.
--- a/packages/burdockhaven-core/tests/response_validation/test_head_fields.py
+++ b/packages/burdockhaven-core/tests/response_validation/test_head_fields.py
@@ -1,11 +1,52 @@
+import pytest
+
 from burdockhaven_core.response_validation import ResponseFault, find_head_fault
 
 
-def fault_of(status):
-    violation = find_head_fault(status)
+class Fields(dict):
+    """Values by name."""
+
+    def getall(self, key, default):
+        return self.get(key, default)
+
+
+def fault_of(status=200, *, has_chunks=True, **values):
+    fields = Fields({name.replace("_", "-"): v for name, v in values.items()})
+    violation = find_head_fault(status, has_chunks, fields)
     return None if violation is None else violation.fault
 
 
 def test_only_a_switch_of_protocols_is_no_interim_response():
     assert fault_of(101) is ResponseFault.UPGRADE
     assert [fault_of(status) for status in (100, 102, 103, 199, 200, 599)] == [None] * 6
+
+
+@pytest.mark.parametrize(
+    ("codings", "lengths", "has_chunks", "is_valid"),
+    [
+        ([], [], True, True),
+        ([], ["5"], True, True),
+        ([], ["5", "5"], True, True),
+        ([], ["5"], False, True),
+        (["chunked"], [], True, True),
+        (["Chunked"], [], True, True),
+        ([], ["5", "6"], True, False),
+        ([], ["+5"], True, False),
+        ([], [""], True, False),
+        ([], ["\u00b2"], True, False),
+        (["chunked"], ["5"], True, False),
+        (["chunked"], [], False, False),
+        (["chunked", "chunked"], [], True, False),
+        (["gzip, chunked"], [], True, False),
+        (["chunked, gzip"], [], True, False),
+        (["chunked;q=1"], [], True, False),
+        (["xchunked"], [], True, False),
+        (["identity"], ["5"], True, False),
+        ([""], ["5"], True, False),
+    ],
+)
+def test_body_ends_in_a_single_way(codings, lengths, has_chunks, is_valid):
+    values = {"Transfer_Encoding": codings, "Content_Length": lengths}
+    present = {name: value for name, value in values.items() if value}
+    fault = fault_of(has_chunks=has_chunks, **present)
+    assert fault is (None if is_valid else ResponseFault.FRAMING)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/bounded_connection.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/bounded_connection.py
@@ -11,6 +11,7 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import HttpVersion11
 from aiohttp.http_parser import RawResponseMessage
 from aiohttp.streams import StreamReader
 from result import Err
@@ -67,7 +68,11 @@
             if self.transport is not None:
                 self.transport.close()
             return
-        violation = find_head_fault(message.code)
+        violation = find_head_fault(
+            message.code,
+            message.version >= HttpVersion11,
+            message.headers,
+        )
         if violation is not None:
             self._refuse(violation)
             return
--- a/packages/burdockhaven-entry/tests/gateway/test_invalid_responses.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_invalid_responses.py
@@ -248,3 +248,22 @@
     head = Head(line, b"Connection: upgrade\r\nUpgrade: websocket\r\n")
     gateway = await start(send_pieces(head.respond(path)))
     await assert_refused(gateway, path, ResponseFault.UPGRADE)
+
+
+BAD_FRAMING = {
+    "another coding": Head(fields=b"Transfer-Encoding: gzip, chunked\r\n"),
+    "coding after the chunks": Head(fields=b"Transfer-Encoding: chunked, gzip\r\n"),
+    "chunks within chunks": Head(fields=b"Transfer-Encoding: chunked, chunked\r\n"),
+    "unknown coding": Head(fields=b"Transfer-Encoding: xchunked\r\n"),
+    "parameter of a coding": Head(fields=b"Transfer-Encoding: chunked;q=1\r\n"),
+    "no coding": Head(fields=b"Transfer-Encoding:\r\nContent-Length: 15\r\n"),
+    "chunks of HTTP/1.0": Head(b"HTTP/1.0 200 OK", CHUNKED.encode()),
+}
+
+
+# Guards against a body that is passed on with its coding, or with a part of it.
+@PATHS
+@pytest.mark.parametrize("head", BAD_FRAMING.values(), ids=BAD_FRAMING)
+async def test_ambiguous_length_is_refused(start, path, head):
+    gateway = await start(send_pieces(head.respond(path)))
+    await assert_refused(gateway, path, ResponseFault.FRAMING)
