Responses with contradictory fields are refused

A response that named two requests, two signatures or two content types was matched and trusted by the first of them, while its client got both and may read the other.

SINGLE_VALUE_HEADERS names the headers by which a response is matched, trusted and read; find_head_fault refuses a head that has one of them with different values. The same value twice stays valid.

--- a/packages/burdockhaven-core/src/burdockhaven_core/response_validation/head_fields.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/response_validation/head_fields.py
@@ -1,6 +1,7 @@
 """Checks what the fields of a parsed response head say together."""
 
 import re
+from collections.abc import Collection
 from typing import Protocol
 
 from burdockhaven_core.response_validation.violation import ResponseFault, Violation
@@ -20,20 +21,28 @@
         """Return the values of all fields with the name, or the default."""
 
 
-def find_head_fault(status: int, has_chunks: bool, fields: Fields) -> Violation | None:
+def find_head_fault(
+    status: int,
+    has_chunks: bool,
+    fields: Fields,
+    single_fields: Collection[str] = (),
+) -> Violation | None:
     """Return what is wrong with a head whose lines are valid; None if nothing.
 
     `has_chunks` tells whether its version of the protocol has transfer codings.
+    `single_fields` are the names of fields that decide how the response is used: they
+    may come again only with the same value.
     """
     if status == SWITCHING_PROTOCOLS:
         return Violation(ResponseFault.UPGRADE, f"status {status}")
     if status < FIRST_FINAL_STATUS:
         return None
-    return _find_framing_fault(
+    framing = _find_framing_fault(
         has_chunks,
         fields.getall(CONTENT_LENGTH, []),
         fields.getall(TRANSFER_ENCODING, []),
     )
+    return framing or _find_repeated_field(fields, single_fields)
 
 
 def _find_framing_fault(
@@ -54,5 +63,14 @@
     return None
 
 
+def _find_repeated_field(fields: Fields, names: Collection[str]) -> Violation | None:
+    for name in names:
+        values = fields.getall(name, [])
+        if len(set(values)) > 1:
+            text = f"{name}: {' and '.join(values)}"
+            return _violation_of_text(ResponseFault.REPEATED_FIELD, text)
+    return None
+
+
 def _violation_of_text(fault: ResponseFault, text: str) -> Violation:
     return Violation.from_bytes(fault, text.encode(errors="backslashreplace"))
--- a/packages/burdockhaven-core/src/burdockhaven_core/response_validation/violation.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/response_validation/violation.py
@@ -22,6 +22,8 @@
     UPGRADE = "unrequested upgrade"
     # The fields do not say in a single way where the body ends.
     FRAMING = "ambiguous body length"
+    # A field that may come once comes with different values.
+    REPEATED_FIELD = "contradictory fields"
     # It names another request than the one that awaits it.
     OTHER_REQUEST = "response to another request"
     # The body is not in the chunks that the head announces.
--- a/packages/burdockhaven-core/tests/response_validation/test_head_fields.py
+++ b/packages/burdockhaven-core/tests/response_validation/test_head_fields.py
@@ -10,9 +10,9 @@
         return self.get(key, default)
 
 
-def fault_of(status=200, *, has_chunks=True, **values):
+def fault_of(status=200, *, has_chunks=True, single=(), **values):
     fields = Fields({name.replace("_", "-"): v for name, v in values.items()})
-    violation = find_head_fault(status, has_chunks, fields)
+    violation = find_head_fault(status, has_chunks, fields, single)
     return None if violation is None else violation.fault
 
 
@@ -50,3 +50,8 @@
     present = {name: value for name, value in values.items() if value}
     fault = fault_of(has_chunks=has_chunks, **present)
     assert fault is (None if is_valid else ResponseFault.FRAMING)
+
+
+def test_field_may_be_repeated_with_one_value_only():
+    assert fault_of(single=["Id"], Id=["a", "a"], Other=["a", "b"]) is None
+    assert fault_of(single=["Id"], Id=["a", "b"]) is ResponseFault.REPEATED_FIELD
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/bounded_connection.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/bounded_connection.py
@@ -22,6 +22,7 @@
     Violation,
     find_head_fault,
 )
+from burdockhaven_entry.platform import SINGLE_VALUE_HEADERS
 
 # Maximum number of bytes in a row that complete no head and bring nothing of a body.
 # The largest head that the library accepts, 128 lines of 8,190 bytes, is smaller.
@@ -72,6 +73,7 @@
             message.code,
             message.version >= HttpVersion11,
             message.headers,
+            SINGLE_VALUE_HEADERS,
         )
         if violation is not None:
             self._refuse(violation)
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/platform/__init__.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/platform/__init__.py
@@ -38,6 +38,7 @@
         SettingsError,
         read_settings,
     )
+    from burdockhaven_entry.platform.single_value_headers import SINGLE_VALUE_HEADERS
     from burdockhaven_entry.platform.store import (
         MAX_TRANSACTION_CHANGES,
         ChangeBatch,
@@ -73,6 +74,7 @@
     "QUARANTINE_PREFIX",
     "READINESS_PATH",
     "SETTINGS_VARIABLE",
+    "SINGLE_VALUE_HEADERS",
     "TARGETS_PREFIX",
     "VERSIONS_PREFIX",
     "ChangeBatch",
@@ -120,6 +122,7 @@
     "PlatformStore": "burdockhaven_entry.platform.store",
     "READINESS_PATH": "burdockhaven_entry.platform.look_up",
     "SETTINGS_VARIABLE": "burdockhaven_entry.platform.settings",
+    "SINGLE_VALUE_HEADERS": "burdockhaven_entry.platform.single_value_headers",
     "SettingsError": "burdockhaven_entry.platform.settings",
     "StoreItem": "burdockhaven_entry.platform.store",
     "StoreRevision": "burdockhaven_entry.platform.store",
--- a/packages/burdockhaven-entry/tests/gateway/test_invalid_responses.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_invalid_responses.py
@@ -4,6 +4,7 @@
 
 import pytest
 from gateway_fixtures import (
+    ATTEMPT,
     ENGINE_SERVICE,
     Gateway,
     Script,
@@ -267,3 +268,19 @@
 async def test_ambiguous_length_is_refused(start, path, head):
     gateway = await start(send_pieces(head.respond(path)))
     await assert_refused(gateway, path, ResponseFault.FRAMING)
+
+
+CONTRADICTIONS = {
+    "request": f"{ATTEMPT}: other\r\n",
+    "signature": "X-Burdockhaven-Response-Signature: other\r\n",
+    "content type": "Content-Type: text/plain\r\nContent-Type: text/html\r\n",
+}
+
+
+# Guards against a response that is matched or trusted by one of two values, while its
+# client reads the other.
+@PATHS
+@pytest.mark.parametrize("fields", CONTRADICTIONS.values(), ids=CONTRADICTIONS)
+async def test_contradictory_fields_are_refused(start, path, fields):
+    gateway = await start(send_pieces(Head(fields=fields.encode()).respond(path)))
+    await assert_refused(gateway, path, ResponseFault.REPEATED_FIELD)
