A refused response does not accuse its request of ending targets

Bytes that are no response counted as a target that ended beneath the request: after a few of them, from targets that were all running, the request was quarantined and its callers got 503 without a time to come back; prompt parts were accused alike.

The connection is ended by this process then, so SendError.is_disconnect is false for a refused response. Its target's failures count as before: the failure rate of a plain target, the disconnects of an engine, which is ejected after two.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
@@ -81,18 +81,25 @@
     """A send got no valid, complete response; carries the failed step and target."""
 
     def __init__(
-        self, outcome: SendOutcome, step: str, target: str, detail: str
+        self,
+        outcome: SendOutcome,
+        step: str,
+        target: str,
+        detail: str,
+        is_refused: bool = False,
     ) -> None:
         super().__init__(f"{step} at {target}: {detail}")
         self.outcome = outcome
         self.step = step
         self.target = target
         self.detail = detail
+        # Whether the target sent bytes that are not a valid response.
+        self.is_refused = is_refused
 
     @property
     def is_disconnect(self) -> bool:
         """Whether the target ended the connection after the request was sent."""
-        return self.step in (SEND_STEP, READ_STEP)
+        return self.step in (SEND_STEP, READ_STEP) and not self.is_refused
 
 
 @dataclass(frozen=True, slots=True)
@@ -357,7 +364,9 @@
             cause=violation.fault.value,
             excerpt=violation.excerpt,
         )
-        return SendError(SendOutcome.UNKNOWN, step, target.id, str(violation))
+        return SendError(
+            SendOutcome.UNKNOWN, step, target.id, str(violation), is_refused=True
+        )
 
 
 async def _connect_and_send(
--- a/packages/burdockhaven-entry/tests/gateway/test_invalid_responses.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_invalid_responses.py
@@ -284,3 +284,13 @@
 async def test_contradictory_fields_are_refused(start, path, fields):
     gateway = await start(send_pieces(Head(fields=fields.encode()).respond(path)))
     await assert_refused(gateway, path, ResponseFault.REPEATED_FIELD)
+
+
+# Guards against a request that is quarantined for the invalid responses of its targets:
+# these have not ended.
+@pytest.mark.parametrize("path", ["/safe/x", PLAIN, "/stream/", STREAM])
+async def test_refused_response_does_not_accuse_its_request(start, path):
+    gateway = await start(send_pieces(BROKEN.respond(PLAIN)), targets=4)
+    for _ in range(4):
+        assert (await gateway.call(path)).status == 502
+    assert gateway.state.request_quarantine.accused == {}
