Move the connection class of HTTP clients out of the gateway

burdockhaven_entry.gateway.bounded_connection -> burdockhaven_entry.http_client, so that the standalone daemon's reader of streams can use it too. The headers that may have one value only are an argument of create_connector: they are the platform's.

No change of behaviour.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/gateway_daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import gc
 import math
 import random
@@ -14,10 +15,6 @@
 from burdockhaven_core.client_limits import ACCEPT_BATCH, Listener
 from burdockhaven_core.log_numbers import EventNumber
 from burdockhaven_core.scheduling.drain_schedule import DrainSchedule
-from burdockhaven_entry.gateway.bounded_connection import (
-    close_idle_connections,
-    create_connector,
-)
 from burdockhaven_entry.gateway.client_server import ClientServer
 from burdockhaven_entry.gateway.control_handler import METRICS_PORT, ControlHandler
 from burdockhaven_entry.gateway.frontend import Frontend
@@ -44,10 +41,15 @@
 from burdockhaven_entry.gateway.stream_origin_directory import StreamOriginDirectory
 from burdockhaven_entry.gateway.target_client import TargetClient
 from burdockhaven_entry.gateway.version_recorder import VersionRecorder
+from burdockhaven_entry.http_client import (
+    close_idle_connections,
+    create_connector,
+)
 from burdockhaven_entry.listening_sockets import ListeningSocket
 from burdockhaven_entry.log_events import log
 from burdockhaven_entry.platform import (
     MEMBERS_PREFIX,
+    SINGLE_VALUE_HEADERS,
     PlatformSettings,
     PlatformStore,
     StoreItem,
@@ -120,7 +122,7 @@
         self.store = PlatformStore.from_address(
             settings.store_address,
             state.store_eras.record_response,
-            create_connector,
+            functools.partial(create_connector, SINGLE_VALUE_HEADERS),
             close_idle_connections,
         )
         self.store.on_silence = self._on_silent_connections
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
@@ -20,7 +20,7 @@
 from burdockhaven_core.log_numbers import EventNumber
 from burdockhaven_core.response_validation import ResponseFault, Violation
 from burdockhaven_core.scheduling.target_registry import TargetEntry
-from burdockhaven_entry.gateway.bounded_connection import (
+from burdockhaven_entry.http_client import (
     BoundedConnection,
     InvalidResponseError,
     close_idle_connections,
@@ -28,6 +28,7 @@
 )
 from burdockhaven_entry.log_events import log
 from burdockhaven_entry.platform import (
+    SINGLE_VALUE_HEADERS,
     TargetResponseHead,
     read_body_up_to,
     read_response_head,
@@ -217,8 +218,14 @@
         Invalid responses are counted in `refused`, if given.
         """
         return cls(
-            _create_session(create_connector(limit=0, keepalive_timeout=KEEPALIVE_S)),
-            _create_session(create_connector(limit=0, force_close=True)),
+            _create_session(
+                create_connector(
+                    SINGLE_VALUE_HEADERS, limit=0, keepalive_timeout=KEEPALIVE_S
+                )
+            ),
+            _create_session(
+                create_connector(SINGLE_VALUE_HEADERS, limit=0, force_close=True)
+            ),
             max_connections,
             Counter() if refused is None else refused,
         )
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/bounded_connection.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/http_client/bounded_connection.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-import functools
+from collections.abc import Collection
 from typing import Any
 
 import aiohttp
@@ -22,7 +22,6 @@
     Violation,
     find_head_fault,
 )
-from burdockhaven_entry.platform import SINGLE_VALUE_HEADERS
 
 # Maximum number of bytes in a row that complete no head and bring nothing of a body.
 # The largest head that the library accepts, 128 lines of 8,190 bytes, is smaller.
@@ -46,6 +45,8 @@
     """
 
     closed_with_error = False
+    # Names of headers that a response may not carry with different values.
+    single_value_headers: Collection[str] = ()
     # Whether a request was sent whose response has no complete head yet.
     is_awaiting_head = False
     # Bytes received since the last head or byte of a body.
@@ -73,7 +74,7 @@
             message.code,
             message.version >= HttpVersion11,
             message.headers,
-            SINGLE_VALUE_HEADERS,
+            self.single_value_headers,
         )
         if violation is not None:
             self._refuse(violation)
@@ -154,11 +155,21 @@
     return len(idle)
 
 
-def create_connector(**options: Any) -> aiohttp.TCPConnector:
-    """Create a connector of such connections; requires a running event loop."""
+def create_connector(
+    single_value_headers: Collection[str] = (), **options: Any
+) -> aiohttp.TCPConnector:
+    """Create a connector of such connections; requires a running event loop.
+
+    Responses may not carry one of `single_value_headers` with different values.
+    """
+    loop = asyncio.get_running_loop()
+
+    def create_connection() -> BoundedConnection:
+        connection = BoundedConnection(loop)
+        connection.single_value_headers = single_value_headers
+        return connection
+
     connector = aiohttp.TCPConnector(**options)
     # The library has no public way to set its connection class.
-    connector._factory = functools.partial(  # type: ignore[assignment]
-        BoundedConnection, loop=asyncio.get_running_loop()
-    )
+    connector._factory = create_connection  # type: ignore[assignment]
     return connector
--- a/packages/burdockhaven-entry/tests/gateway/test_bounded_connection.py
+++ b/packages/burdockhaven-entry/tests/http_client/test_bounded_connection.py
@@ -17,13 +17,13 @@
 from multidict import CIMultiDict
 
 from burdockhaven_core.key_value_failure import FailureKind
-from burdockhaven_entry.gateway.bounded_connection import (
-    BoundedConnection,
-    create_connector,
-)
 from burdockhaven_entry.gateway.gateway_daemon import GatewayDaemon
 from burdockhaven_entry.gateway.gateway_state import GatewayState
 from burdockhaven_entry.gateway.target_client import OutgoingRequest
+from burdockhaven_entry.http_client import (
+    BoundedConnection,
+    create_connector,
+)
 from burdockhaven_entry.platform import PlatformStore, StoreRevision
 
 SPACES = b" " * 2**16
--- a/packages/burdockhaven-entry/tests/platform/test_store.py
+++ b/packages/burdockhaven-entry/tests/platform/test_store.py
@@ -7,7 +7,7 @@
 from aiohttp.test_utils import TestServer
 
 from burdockhaven_core.key_value_failure import FailureKind
-from burdockhaven_entry.gateway.bounded_connection import (
+from burdockhaven_entry.http_client import (
     close_idle_connections,
     create_connector,
 )
