--- a/packages/burdockhaven-entry/src/burdockhaven_entry/event_stream.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/event_stream.py
@@ -13,6 +13,8 @@
 import aiohttp
 from httpx_sse._decoders import SSEDecoder, SSELineDecoder
 
+from burdockhaven_entry.http_client import create_connector
+
 # Called with the data of each event; returns True to stop reading.
 OnEvent = Callable[[str], bool]
 
@@ -86,7 +88,7 @@
     # A session per request: no connection is shared, and no request is retried.
     async with (
         aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(force_close=True, limit=0),
+            connector=create_connector(force_close=True, limit=0),
             timeout=aiohttp.ClientTimeout(
                 total=None, sock_connect=timeouts.connect_s, sock_read=timeouts.read_s
             ),
