The load of a target is read from successful responses only

RunClient.poll_load decoded the body of a response whatever its status, 600 included, so that a target in trouble could have its load believed. It now ignores other responses, as it ignores those that can't be read.

--- a/packages/burdockhaven-entry/src/burdockhaven_entry/run_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/run_client.py
@@ -194,6 +194,7 @@
         """Request a target's load and report it; a failure is ignored."""
         try:
             response = await self.load_client.get(f"{target.address}/load")
+            response.raise_for_status()
             load = load_decoder.decode(response.content)
         except (httpx.HTTPError, msgspec.DecodeError):
             return
--- a/packages/burdockhaven-entry/tests/test_invalid_responses.py
+++ b/packages/burdockhaven-entry/tests/test_invalid_responses.py
@@ -9,7 +9,7 @@
 import pytest
 
 from burdockhaven_core.configuration import TargetSpec
-from burdockhaven_core.events import RunCompleted
+from burdockhaven_core.events import LoadReported, RunCompleted
 from burdockhaven_core.identity import RunId
 from burdockhaven_core.key_value import Range
 from burdockhaven_entry.answer_buffer import AnswerBuffer
@@ -79,6 +79,14 @@
     return any(isinstance(event, RunCompleted) for event in events)
 
 
+async def poll_load(url):
+    events = []
+    client = RunClient(events.append)
+    await client.poll_load(TargetSpec("t", url, "s"))
+    await client.close()
+    return any(isinstance(event, LoadReported) for event in events)
+
+
 async def read_events(url):
     timeouts = StreamTimeouts(connect_s=5.0, read_s=5.0)
     try:
@@ -93,6 +101,7 @@
     "store": (read_store, {"header": {"revision": "7"}, "kvs": []}),
     "list of VMs": (read_vm_list, {"vms": []}),
     "service": (call_service, {"request_id": "r1", "result": "done"}),
+    "load": (poll_load, {"running": 1, "waiting": 0, "leaving": False}),
     "engine": (read_events, "data: a\n\n"),
 }
 CLIENTS = pytest.mark.parametrize(("read", "body"), READERS.values(), ids=READERS)
