Test that rare valid responses pass and that the store is read alike

Valid responses in 15 rare forms pass on plain and streaming routes: empty and missing reason, bytes above 127, tabs and empty values, every token character in a name, interim responses, HTTP/1.0, statuses 299 and 599, Chunked, a header twice with one value, an offer of an upgrade, a head of 800 KB; and one that arrives byte by byte.

Invalid responses of the store fail the call as ambiguous, and their era isn't read; the connections to other members are of the same class.

--- a/packages/burdockhaven-entry/tests/gateway/test_invalid_responses.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_invalid_responses.py
@@ -294,3 +294,53 @@
     for _ in range(4):
         assert (await gateway.call(path)).status == 502
     assert gateway.state.request_quarantine.accused == {}
+
+
+INTERIM = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+# Responses that are rare and valid, and a line of the head that the client gets.
+VALID = {
+    "empty reason": (Head(b"HTTP/1.1 200 "), OK),
+    "no reason": (Head(b"HTTP/1.1 200"), OK),
+    "bytes above 127 in the reason": (Head(b"HTTP/1.1 200 \xe9"), OK),
+    "HTTP/1.0": (Head(b"HTTP/1.0 200 OK"), OK),
+    "rare status": (Head(b"HTTP/1.1 299 Odd"), b"HTTP/1.1 299 "),
+    "highest status": (Head(b"HTTP/1.1 599 Odd"), b"HTTP/1.1 599 "),
+    "interim responses": (Head(INTERIM + OK), OK),
+    "empty value": (Head(fields=b"X:\r\n"), b"X: "),
+    "tab in a value": (Head(fields=b"X: a\tb\r\n"), b"X: a\tb"),
+    "bytes above 127 in a value": (Head(fields=b"X: \xc3\xa9\r\n"), b"X: \xc3\xa9"),
+    "rare name": (Head(fields=b"!#$%&'*+-.^_`|~1: x\r\n"), b"!#$%&'*+-.^_`|~1: x"),
+    "offer of an upgrade": (Head(fields=b"Upgrade: h2c\r\n"), OK),
+    "chunks": (Head(fields=b"Transfer-Encoding: Chunked\r\n"), OK),
+    "repeated request": (Head(fields=f"{ATTEMPT}: a1\r\n".encode()), OK),
+    "large head": (Head(fields=b"X: %s\r\n" % (b"y" * 8_000) * 100), OK),
+}
+
+
+# Guards against a rule that refuses what the protocol allows.
+@PATHS
+@pytest.mark.parametrize(("head", "line"), VALID.values(), ids=VALID)
+async def test_valid_response_is_passed_on(start, path, head, line):
+    gateway = await start(send_pieces(head.respond(path)))
+    received = await gateway.call_raw(path)
+    received_head, _, received_body = received.partition(b"\r\n\r\n")
+    assert line in received_head.split(b"\r\n") or received_head.startswith(line)
+    assert BODIES[path] in received_body
+    assert gateway.target_client.refused == {}
+
+
+async def test_valid_response_is_passed_on_in_single_bytes(start):
+    data = Head(INTERIM + OK).respond(PLAIN).replace(b"ID", b"a1")
+    gateway = await start(send_pieces(*(bytes([byte]) for byte in data)))
+    received = await gateway.call_raw(PLAIN)
+    assert received.startswith(OK)
+    assert received.endswith(b"\r\n\r\n" + BODIES[PLAIN])
+
+
+# Guards against a value that loses bytes, which need not be UTF-8, on its way.
+async def test_value_that_is_no_utf_8_is_passed_on_unchanged(start):
+    field = b"X: \xe9\xff"
+    for path in (PLAIN, STREAM):
+        gateway = await start(send_pieces(Head(fields=field + b"\r\n").respond(path)))
+        received = await gateway.call_raw(path)
+        assert field in received.split(b"\r\n")
--- a/packages/burdockhaven-entry/tests/http_client/test_bounded_connection.py
+++ b/packages/burdockhaven-entry/tests/http_client/test_bounded_connection.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import functools
 import random
 
 import pytest
@@ -11,6 +12,7 @@
     Script,
     respond,
     response_head,
+    send_raw,
     settings,
     wait_until,
 )
@@ -24,7 +26,11 @@
     BoundedConnection,
     create_connector,
 )
-from burdockhaven_entry.platform import PlatformStore, StoreRevision
+from burdockhaven_entry.platform import (
+    SINGLE_VALUE_HEADERS,
+    PlatformStore,
+    StoreRevision,
+)
 
 SPACES = b" " * 2**16
 CHUNKED = response_head("Transfer-Encoding: chunked\r\n")
@@ -107,25 +113,54 @@
     assert (response.status, response.body) == (200, b"x" * 100)
 
 
-# Guards against a store that keeps a watch busy with bytes that are no response.
-async def test_store_that_sends_no_content_fails_the_call():
-    endless = EndlessResponse(b"", INTERIM * 2_000)
+@contextlib.asynccontextmanager
+async def serve_store(respond, on_era=lambda *_: 1):
+    """Serve the calls of a store client with the responses of a target."""
 
     async def serve(reader, writer):
         await reader.readuntil(b"\r\n\r\n")
         with contextlib.suppress(ConnectionError):
-            await endless(ReceivedRequest("", {ATTEMPT: ""}, b""), reader, writer)
+            await respond(ReceivedRequest("", {ATTEMPT: ""}, b""), reader, writer)
         writer.close()
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()
     store = PlatformStore.from_address(
-        f"{host}:{port}", lambda *_: 1, create_connector=create_connector
+        f"{host}:{port}",
+        on_era,
+        functools.partial(create_connector, SINGLE_VALUE_HEADERS),
     )
     async with server:
+        yield store
+        await store.close()
+
+
+INVALID_HEADS = {
+    "status": b"HTTP/1.1 000 OK\r\n",
+    "name": b"HTTP/1.1 200 OK\r\nConnection : close\r\n",
+    "coding": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked\r\n",
+    "eras": b"HTTP/1.1 200 OK\r\nStore-Era: 1\r\nStore-Era: 2\r\n",
+}
+
+
+# Guards against an era, a lease or a write that is taken from invalid bytes.
+@pytest.mark.parametrize("head", INVALID_HEADS.values(), ids=INVALID_HEADS)
+async def test_invalid_response_of_the_store_says_nothing(head):
+    eras = []
+    response = head + b"Content-Length: 24\r\n\r\n" + b'{"lease":1,"ttl_ms":900}'
+    async with serve_store(send_raw(response), lambda *era: eras.append(era)) as store:
+        granted = await store.grant_lease(1.0)
+    assert granted.unwrap_err().kind is FailureKind.AMBIGUOUS
+    assert eras == []
+
+
+# Guards against a store that keeps a watch busy with bytes that are no response.
+async def test_store_that_sends_no_content_fails_the_call():
+    endless = EndlessResponse(b"", INTERIM * 2_000)
+
+    async with serve_store(endless) as store:
         # The watch may take longer than the bytes.
         watched = await store.watch("a/", StoreRevision(1, 1), 60.0)
-        await store.close()
     assert watched.unwrap_err().kind is FailureKind.AMBIGUOUS
     assert endless.was_cut
 
