The log line of a malformed body says what is wrong with it

The excerpt was '400, message:', the first line of the library's text, whose others say what was found. Texts are now joined to one line and truncated like bytes.

The test failed before; now it finds the bytes of the chunk size in the excerpt. The test of a violation's length names the limit instead of a figure.

--- a/packages/burdockhaven-core/src/burdockhaven_core/response_validation/head_fields.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/response_validation/head_fields.py
@@ -56,10 +56,10 @@
     if codings:
         text = ", ".join(codings)
         if lengths or not has_chunks or text.lower() != CHUNKED:
-            return _violation_of_text(ResponseFault.FRAMING, f"coding {text}")
+            return Violation.from_text(ResponseFault.FRAMING, f"coding {text}")
     elif len(set(lengths)) > 1 or any(not LENGTH.fullmatch(text) for text in lengths):
         text = ", ".join(lengths)
-        return _violation_of_text(ResponseFault.FRAMING, f"length {text}")
+        return Violation.from_text(ResponseFault.FRAMING, f"length {text}")
     return None
 
 
@@ -68,9 +68,5 @@
         values = fields.getall(name, [])
         if len(set(values)) > 1:
             text = f"{name}: {' and '.join(values)}"
-            return _violation_of_text(ResponseFault.REPEATED_FIELD, text)
+            return Violation.from_text(ResponseFault.REPEATED_FIELD, text)
     return None
-
-
-def _violation_of_text(fault: ResponseFault, text: str) -> Violation:
-    return Violation.from_bytes(fault, text.encode(errors="backslashreplace"))
--- a/packages/burdockhaven-core/src/burdockhaven_core/response_validation/violation.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/response_validation/violation.py
@@ -3,8 +3,8 @@
 import enum
 from dataclasses import dataclass
 
-# Bytes of an excerpt. A whole line may be long, and each of them is logged.
-MAX_EXCERPT_BYTES = 80
+# Bytes, or characters, of an excerpt. Each is logged, and a whole line may be long.
+MAX_EXCERPT_LENGTH = 120
 
 
 class ResponseFault(enum.Enum):
@@ -43,7 +43,13 @@
     @classmethod
     def from_bytes(cls, fault: ResponseFault, data: bytes) -> "Violation":
         """Create a violation that shows the first of the bytes."""
-        return cls(fault, repr(data[:MAX_EXCERPT_BYTES])[2:-1])
+        return cls(fault, repr(data[:MAX_EXCERPT_LENGTH])[2:-1])
+
+    @classmethod
+    def from_text(cls, fault: ResponseFault, text: str) -> "Violation":
+        """Create a violation with a description, which may quote received bytes."""
+        line = " ".join(text.split()).encode("ascii", "backslashreplace").decode()
+        return cls(fault, line[:MAX_EXCERPT_LENGTH])
 
     def __str__(self) -> str:
         return f"{self.fault.value}: {self.excerpt}"
--- a/packages/burdockhaven-core/tests/response_validation/test_head_lines.py
+++ b/packages/burdockhaven-core/tests/response_validation/test_head_lines.py
@@ -5,6 +5,7 @@
 
 from burdockhaven_core.response_validation import HeadLines, ResponseFault
 from burdockhaven_core.response_validation.head_lines import MAX_LINE_BYTES
+from burdockhaven_core.response_validation.violation import MAX_EXCERPT_LENGTH
 
 OK = b"HTTP/1.1 200 OK"
 STATUS_LINES = [
@@ -135,7 +136,8 @@
 def test_violation_shows_some_of_the_bytes_escaped():
     violation = HeadLines().add(b"\x00\xff" * 1_000).unwrap_err()
     assert str(violation).startswith(r"invalid status line: \x00\xff\x00")
-    assert len(violation.excerpt) < 400
+    # Each byte takes four characters.
+    assert len(violation.excerpt) == 4 * MAX_EXCERPT_LENGTH
 
 
 LINES = st.sampled_from([*FIELDS, *BAD_FIELDS])
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/target_client.py
@@ -317,7 +317,9 @@
             raise self._response_error(READ_STEP, target, request, error)
         head = read_response_head(response.status, response.headers)
         if head.attempt_id and head.attempt_id != request.attempt_id:
-            violation = Violation(ResponseFault.OTHER_REQUEST, head.attempt_id)
+            violation = Violation.from_text(
+                ResponseFault.OTHER_REQUEST, head.attempt_id
+            )
             raise self._refuse(CHECK_STEP, target, request, violation)
         connection = response.connection
         protocol = connection.protocol if connection is not None else None
@@ -351,7 +353,7 @@
         if isinstance(error, InvalidResponseError):
             return self._refuse(step, target, request, error.violation)
         if isinstance(error, aiohttp.ClientResponseError):
-            violation = Violation(ResponseFault.HEAD, error.message)
+            violation = Violation.from_text(ResponseFault.HEAD, error.message)
             return self._refuse(step, target, request, violation)
         return SendError(SendOutcome.UNKNOWN, step, target.id, repr(error))
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/http_client/bounded_connection.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/http_client/bounded_connection.py
@@ -127,8 +127,7 @@
         if error is None or self.refusal is not None or body is None or body.is_eof():
             return
         # The library reports an error in a body only to those who await a head.
-        excerpt = str(error).partition("\n")[0]
-        self._refuse(Violation(ResponseFault.BODY, excerpt))
+        self._refuse(Violation.from_text(ResponseFault.BODY, str(error)))
 
     def _refuse(self, violation: Violation) -> None:
         """Close the connection; whoever waits for the response gets the reason."""
--- a/packages/burdockhaven-entry/tests/gateway/test_invalid_responses.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_invalid_responses.py
@@ -17,6 +17,7 @@
 
 from burdockhaven_core.log_numbers import EventNumber
 from burdockhaven_core.response_validation import ResponseFault
+from burdockhaven_entry.log_events import MAX_VALUE_CHARACTERS
 
 PLAIN, STREAM = "/unsafe/x", "/once/"
 BODIES = {PLAIN: b"the body", STREAM: b"id: 1\ndata: 1\n\n"}
@@ -124,8 +125,8 @@
     assert fields["target"] == "plain-0"
     assert fields["request"] == "a1"
     assert fields["cause"] == "invalid body"
-    assert fields["excerpt"].isprintable()
-    assert 0 < len(fields["excerpt"]) < 400
+    assert r"zz\x00\xff" in fields["excerpt"]
+    assert len(fields["excerpt"]) <= MAX_VALUE_CHARACTERS
 
 
 # Status lines that aiohttp accepts, or that a client could read unlike it.
