An engine with malformed bodies is ejected like one with invalid heads

An invalid head counts as a response that never came, and two of them eject an engine.

Before: 2 of 3 tests failed. A response to another request stays a failed run: late ones come from sound targets.

--- a/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/scheduling/peer_messages.py
@@ -224,7 +224,7 @@
     # The member did not send the request because it knew that the target leaves or is
     # paused for it.
     NOT_SENT = 7
-    # The target closed the connection without a response.
+    # The target closed the connection without a response, or sent no valid one.
     DISCONNECTED = 8
     # The member ended the run because the target was silent and another was granted.
     REPLACED = 9
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/gateway/stream_forwarding.py
@@ -50,6 +50,7 @@
 )
 from burdockhaven_entry.gateway.stream_state import RunResult, StreamState
 from burdockhaven_entry.gateway.target_client import (
+    READ_STEP,
     SEND_STEP,
     SendError,
     SendOutcome,
@@ -666,6 +667,6 @@
 def _classify_send_error(error: SendError) -> tuple[RunEnd, RunResult]:
     if error.outcome is SendOutcome.NOT_SENT:
         return RunEnd.UNREACHABLE, RunResult.NOT_RUN
-    if error.step == SEND_STEP:
+    if error.step == SEND_STEP or (error.is_refused and error.step == READ_STEP):
         return RunEnd.DISCONNECTED, RunResult.BROKEN
     return RunEnd.FAILED, RunResult.BROKEN
--- a/packages/burdockhaven-entry/tests/gateway/test_invalid_responses.py
+++ b/packages/burdockhaven-entry/tests/gateway/test_invalid_responses.py
@@ -175,10 +175,20 @@
     assert state.failure_rate > 0.2
 
 
-async def test_engine_is_ejected_for_invalid_responses(start):
-    gateway = await start(send_pieces(BROKEN.respond(STREAM)))
+# An invalid status line, and invalid chunks with their head and apart from it.
+INVALID_STREAMS = {
+    "head": [BROKEN.respond(STREAM)],
+    "body with its head": [HEAD[STREAM] + b"zz\r\n"],
+    "body": [HEAD[STREAM], b"zz\r\n"],
+}
+
+
+# Guards against an engine that stays in use although none of its responses is valid.
+@pytest.mark.parametrize("pieces", INVALID_STREAMS.values(), ids=INVALID_STREAMS)
+async def test_engine_is_ejected_for_invalid_responses(start, pieces):
+    gateway = await start(send_pieces(*pieces))
     for _ in range(2):
-        assert (await gateway.call(STREAM)).status == 502
+        assert BODIES[STREAM] not in await gateway.call_raw(STREAM)
     engine = gateway.state.broker.runs.engines[f"{ENGINE_SERVICE}-0"]
     # Ends are reported to the broker a little later.
     await wait_until(lambda: engine.ejections == 1)
