Response validation: names and steps for a newcomer

find_head_fault -> find_head_violation, since it returns one; has_chunks -> allows_codings; _find_framing_fault -> _find_ambiguous_length. The split of received bytes into lines and rest has a function of its own. No change of behaviour.

--- a/packages/burdockhaven-core/src/burdockhaven_core/response_validation/__init__.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/response_validation/__init__.py
@@ -7,14 +7,18 @@
 how a response is read are checked before it is used.
 """
 
-from burdockhaven_core.response_validation.head_fields import find_head_fault
+from burdockhaven_core.response_validation.head_fields import (
+    FIRST_FINAL_STATUS,
+    find_head_violation,
+)
 from burdockhaven_core.response_validation.head_lines import CheckedLines, HeadLines
 from burdockhaven_core.response_validation.violation import ResponseFault, Violation
 
 __all__ = [
+    "FIRST_FINAL_STATUS",
     "CheckedLines",
     "HeadLines",
     "ResponseFault",
     "Violation",
-    "find_head_fault",
+    "find_head_violation",
 ]
--- a/packages/burdockhaven-core/src/burdockhaven_core/response_validation/head_fields.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/response_validation/head_fields.py
@@ -7,6 +7,7 @@
 from burdockhaven_core.response_validation.violation import ResponseFault, Violation
 
 SWITCHING_PROTOCOLS = 101
+# Lower ones are those of interim responses, which others follow.
 FIRST_FINAL_STATUS = 200
 CONTENT_LENGTH = "Content-Length"
 TRANSFER_ENCODING = "Transfer-Encoding"
@@ -21,32 +22,33 @@
         """Return the values of all fields with the name, or the default."""
 
 
-def find_head_fault(
+def find_head_violation(
     status: int,
-    has_chunks: bool,
+    allows_codings: bool,
     fields: Fields,
     single_fields: Collection[str] = (),
 ) -> Violation | None:
     """Return what is wrong with a head whose lines are valid; None if nothing.
 
-    `has_chunks` tells whether its version of the protocol has transfer codings.
+    `allows_codings` tells whether its version of the protocol has transfer codings.
     `single_fields` are the names of fields that decide how the response is used: they
-    may come again only with the same value.
+    may come again only with the same value. Of an interim response only the status
+    counts, since nothing else in it is used.
     """
     if status == SWITCHING_PROTOCOLS:
         return Violation(ResponseFault.UPGRADE, f"status {status}")
     if status < FIRST_FINAL_STATUS:
         return None
-    framing = _find_framing_fault(
-        has_chunks,
+    ambiguous_length = _find_ambiguous_length(
+        allows_codings,
         fields.getall(CONTENT_LENGTH, []),
         fields.getall(TRANSFER_ENCODING, []),
     )
-    return framing or _find_repeated_field(fields, single_fields)
+    return ambiguous_length or _find_repeated_field(fields, single_fields)
 
 
-def _find_framing_fault(
-    has_chunks: bool, lengths: list[str], codings: list[str]
+def _find_ambiguous_length(
+    allows_codings: bool, lengths: list[str], codings: list[str]
 ) -> Violation | None:
     """Return why readers may disagree on where the body ends; None if they can't.
 
@@ -55,7 +57,7 @@
     """
     if codings:
         text = ", ".join(codings)
-        if lengths or not has_chunks or text.lower() != CHUNKED:
+        if lengths or not allows_codings or text.lower() != CHUNKED:
             return Violation.from_text(ResponseFault.FRAMING, f"coding {text}")
     elif len(set(lengths)) > 1 or any(not LENGTH.fullmatch(text) for text in lengths):
         text = ", ".join(lengths)
--- a/packages/burdockhaven-core/src/burdockhaven_core/response_validation/head_lines.py
+++ b/packages/burdockhaven-core/src/burdockhaven_core/response_validation/head_lines.py
@@ -17,8 +17,8 @@
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [\t -~\x80-\xff]*+)?\r\n")
 # Begins each status line.
 PROTOCOL = b"HTTP/1."
-# A name that consists of token characters ends with its colon. A line that begins with
-# white space continues the value before it; such values are obsolete, and refused.
+# A name consists of token characters and ends with its colon. So a line that begins
+# with white space, which once continued the value before it, is no field.
 _NAME = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]++"
 _VALUE = rb"[\t -~\x80-\xff]*+"
 FIELD_LINES = re.compile(rb"(?:%s:%s\r\n)*+" % (_NAME, _VALUE))
@@ -50,30 +50,24 @@
         """Check received bytes; returns the lines that they complete."""
         if self.incomplete:
             data = self.incomplete + data
-        end = self._head_end(data)
-        is_whole = end >= 0
-        if not is_whole:
-            end = data.rfind(LINE_END) + len(LINE_END)
-            if end < len(LINE_END):
-                end = 0
+        head_end = self._head_end(data)
+        is_whole = head_end is not None
+        end = _end_of_lines(data) if head_end is None else head_end
         lines, rest = data[:end], data[end:]
         violation = self._find_violation(lines, is_whole)
         if violation is None and not is_whole:
             violation = self._find_incomplete_violation(rest)
         if violation is not None:
             return Err(violation)
-        if is_whole:
-            self.incomplete = b""
-            return Ok(CheckedLines(lines, rest))
-        self.incomplete = rest
-        return Ok(CheckedLines(lines, b""))
-
-    def _head_end(self, data: bytes) -> int:
-        """Return where the head ends; -1 if its end has not been received."""
+        self.incomplete = b"" if is_whole else rest
+        return Ok(CheckedLines(lines, rest if is_whole else b""))
+
+    def _head_end(self, data: bytes) -> int | None:
+        """Return where the head ends; None if its end has not been received."""
         if not self.begins_head and data.startswith(LINE_END):
             return len(LINE_END)
         found = data.find(HEAD_END)
-        return found if found < 0 else found + len(HEAD_END)
+        return None if found < 0 else found + len(HEAD_END)
 
     def _find_violation(self, lines: bytes, is_whole: bool) -> Violation | None:
         """Check complete lines, and record which line comes next."""
@@ -106,6 +100,12 @@
         return None
 
 
+def _end_of_lines(data: bytes) -> int:
+    """Return where the last complete line ends; 0 if there is none."""
+    found = data.rfind(LINE_END)
+    return 0 if found < 0 else found + len(LINE_END)
+
+
 def _violation_of_line(fault: ResponseFault, lines: bytes) -> Violation:
     line, _, _ = lines.partition(LINE_END)
     return Violation.from_bytes(fault, line)
--- a/packages/burdockhaven-core/tests/response_validation/test_head_fields.py
+++ b/packages/burdockhaven-core/tests/response_validation/test_head_fields.py
@@ -1,6 +1,6 @@
 import pytest
 
-from burdockhaven_core.response_validation import ResponseFault, find_head_fault
+from burdockhaven_core.response_validation import ResponseFault, find_head_violation
 
 
 class Fields(dict):
@@ -10,9 +10,9 @@
         return self.get(key, default)
 
 
-def fault_of(status=200, *, has_chunks=True, single=(), **values):
+def fault_of(status=200, *, allows_codings=True, single=(), **values):
     fields = Fields({name.replace("_", "-"): v for name, v in values.items()})
-    violation = find_head_fault(status, has_chunks, fields, single)
+    violation = find_head_violation(status, allows_codings, fields, single)
     return None if violation is None else violation.fault
 
 
@@ -22,7 +22,7 @@
 
 
 @pytest.mark.parametrize(
-    ("codings", "lengths", "has_chunks", "is_valid"),
+    ("codings", "lengths", "allows_codings", "is_valid"),
     [
         ([], [], True, True),
         ([], ["5"], True, True),
@@ -45,10 +45,10 @@
         ([""], ["5"], True, False),
     ],
 )
-def test_body_ends_in_a_single_way(codings, lengths, has_chunks, is_valid):
+def test_body_ends_in_a_single_way(codings, lengths, allows_codings, is_valid):
     values = {"Transfer_Encoding": codings, "Content_Length": lengths}
     present = {name: value for name, value in values.items() if value}
-    fault = fault_of(has_chunks=has_chunks, **present)
+    fault = fault_of(allows_codings=allows_codings, **present)
     assert fault is (None if is_valid else ResponseFault.FRAMING)
 
 
--- a/packages/burdockhaven-entry/src/burdockhaven_entry/http_client/bounded_connection.py
+++ b/packages/burdockhaven-entry/src/burdockhaven_entry/http_client/bounded_connection.py
@@ -17,16 +17,16 @@
 from result import Err
 
 from burdockhaven_core.response_validation import (
+    FIRST_FINAL_STATUS,
     HeadLines,
     ResponseFault,
     Violation,
-    find_head_fault,
+    find_head_violation,
 )
 
 # Maximum number of bytes in a row that complete no head and bring nothing of a body.
 # The largest head that the library accepts, 128 lines of 8,190 bytes, is smaller.
 MAX_BYTES_WITHOUT_CONTENT = 1_100_000
-FIRST_FINAL_STATUS = 200
 
 
 class InvalidResponseError(aiohttp.ClientError):
@@ -49,6 +49,8 @@
     single_value_headers: Collection[str] = ()
     # Whether a request was sent whose response has no complete head yet.
     is_awaiting_head = False
+    # Checks the lines of that head, and of interim ones before it.
+    head_lines: HeadLines
     # Bytes received since the last head or byte of a body.
     bytes_without_content = 0
     # Why the connection closed itself; None if it did not.
@@ -70,7 +72,7 @@
             if self.transport is not None:
                 self.transport.close()
             return
-        violation = find_head_fault(
+        violation = find_head_violation(
             message.code,
             message.version >= HttpVersion11,
             message.headers,
