--- a/review/lib3/stage.py
+++ b/review/lib3/stage.py
@@ -151,13 +151,18 @@
     return data[:size]
 
 
-async def read_body(reader: asyncio.StreamReader, message: Message) -> bytes:
-    """Read a body that has a length or comes in chunks."""
+async def read_body(
+    reader: asyncio.StreamReader, message: Message, gap_s: float | None = None
+) -> bytes:
+    """Read a body that has a length or comes in chunks, at most `gap_s` apart."""
     if "chunked" in message.get("Transfer-Encoding").lower():
         pieces = []
-        while chunk := await read_chunk(reader):
+        while True:
+            async with asyncio.timeout(gap_s):
+                chunk = await read_chunk(reader)
+            if not chunk:
+                return b"".join(pieces)
             pieces.append(chunk)
-        return b"".join(pieces)
     return await reader.readexactly(int(message.get("Content-Length", "0")))
 
 
@@ -260,6 +265,8 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
+        attempt = request.get(ATTEMPT)
+        self.stage.reached[attempt] = self.stage.reached.get(attempt, 0) + 1
         refusal = ""
         if request.get(EXPECT_INSTANCE) not in ("", self.id):
             refusal = "421 Misdirected Request"
@@ -332,6 +339,9 @@
     # Share of the requests whose connection it resets instead of the answer.
     reset_share: float = 0.0
     resets: int = 0
+    # Share of the requests whose answer goes on without end, with bytes that are none.
+    endless_share: float = 0.0
+    endless: int = 0
 
     async def run(self, request: Message, writer: asyncio.StreamWriter) -> None:
         """Run a streaming request."""
@@ -354,6 +364,16 @@
             )
         )
         first = int(request.get(LAST_EVENT_ID, "0") or "0") + 1
+        if self.stage.rng.random() < self.endless_share:
+            self.endless += 1
+            self.stage.record.add(f"{self.id} spoils {request.get(ATTEMPT)}")
+            # The same empty event again and again, until the caller closes.
+            spoiled = b"id:%d\n\n" % first * 2000
+            while not writer.is_closing():
+                writer.write(b"%x\r\n%s\r\n" % (len(spoiled), spoiled))
+                await writer.drain()
+                await asyncio.sleep(0.001)
+            raise ConnectionResetError
         for number in range(first, -(-output // TOKENS_PER_EVENT) + 1):
             event = f"id: {number}\ndata: {self.id} {number}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
@@ -403,6 +423,10 @@
         self.daemons: dict[str, Daemon] = {}
         self.config: dict[str, object] = {}
         self.tasks: list[asyncio.Task[None]] = []
+        # Longest time for which this process stood still.
+        self.lag_s = 0.0
+        # Number of times that each request reached a server.
+        self.reached: dict[str, int] = {}
         # Chance of the stand-ins; the same in each run.
         self.rng = random.Random(11)
         # Settings and logs of the processes; kept if the caller names the folder.
@@ -419,6 +443,7 @@
         self.store_address = f"127.0.0.1:{self.runner.addresses[0][1]}"
         self.publish(config)
         self.tasks.append(asyncio.create_task(self._beat()))
+        self.tasks.append(asyncio.create_task(self._watch_lag()))
 
     def publish(self, config: dict[str, object]) -> None:
         """Write a configuration, as the operator does."""
@@ -426,6 +451,13 @@
         self.store.put("op/config", json.dumps(config).encode())
         self.record.add(f"the store acknowledges configuration {config['version']}")
 
+    async def _watch_lag(self) -> None:
+        """Note how long this process itself, with clients and servers, stood still."""
+        while True:
+            began_s = time.monotonic()
+            await asyncio.sleep(0.02)
+            self.lag_s = max(self.lag_s, time.monotonic() - began_s - 0.02)
+
     async def _beat(self) -> None:
         while True:
             await asyncio.sleep(HEARTBEAT_S)
@@ -582,8 +614,12 @@
     headers: list[tuple[str, str]],
     body: bytes = b"",
     timeout_s: float = 30.0,
+    gap_s: float | None = None,
 ) -> Answer:
-    """Send one request on a new connection and read its answer."""
+    """Send one request on a new connection and read its answer.
+
+    A stream is abandoned after a gap of `gap_s`, also before its first event.
+    """
     host, _, port = address.rpartition(":")
     sent_s = time.monotonic()
     head: Message | None = None
@@ -594,12 +630,14 @@
             lines = [f"{method} {path} HTTP/1.1"]
             lines += [f"{name}: {value}" for name, value in headers]
             lines += [f"Content-Length: {len(body)}"] if body or method != "GET" else []
-            writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+            # One byte a character, as they come from the wire.
+            writer.write(("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body)
             sent_s = time.monotonic()
-            head = await read_head(reader)
+            async with asyncio.timeout(gap_s):
+                head = await read_head(reader)
             if head is None:
                 return Answer(0, None, b"", sent_s, time.monotonic())
-            data = await read_body(reader, head)
+            data = await read_body(reader, head, gap_s)
             return Answer(head.status, head, data, sent_s, time.monotonic())
     except (OSError, TimeoutError, asyncio.IncompleteReadError):
         return Answer(0, head, b"", sent_s, time.monotonic())
--- a/review/lib3/traffic.py
+++ b/review/lib3/traffic.py
@@ -27,6 +27,9 @@
 MODELS = "review-llm"
 APP = "permit-app"
 LOOKUP_TIMEOUT_MS = 1500
+# Gap after which clients abandon a stream: two seconds, four times the objective or
+# eight times the longest pause, whichever is longest.
+GAP_S = {"survey": 2.4, "summary": 3.2, "triage": 4.8}
 
 
 def configuration(version: int = 1, rate_per_s: float = 0) -> dict[str, object]:
@@ -120,6 +123,8 @@
     stage: Stage
     rng: random.Random = field(default_factory=lambda: random.Random(7))
     count: int = 0
+    # Attempt id of the last request that was sent.
+    last_attempt: str = ""
     sent: list[Sent] = field(default_factory=list)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -148,9 +153,11 @@
         deadline_ms: int,
         more: list[tuple[str, str]],
         method: str = "POST",
+        query: str = "",
     ) -> None:
         """Send a request in the background."""
         attempt, headers = self.headers(deadline_ms)
+        self.last_attempt = attempt
         record = self.stage.record
 
         async def exchange() -> None:
@@ -158,10 +165,11 @@
             answer = await call(
                 daemon.listen["front"],
                 method,
-                f"/{route}/{attempt}",
+                f"/{route}/{attempt}{query}",
                 headers + more,
                 b"" if method == "GET" else b"x" * 200,
                 timeout_s=deadline_ms / 1e3,
+                gap_s=GAP_S.get(route),
             )
             took_ms = (answer.ended_s - answer.sent_s) * 1e3
             record.add(f"answer {attempt} {route} {answer.status} {took_ms:.0f} ms")
