--- a/review/11/run.py
+++ b/review/11/run.py
@@ -21,13 +21,14 @@
 
 TRAFFIC_S = 70.0
 FIRST_S = 5.0
-# Requests a second with the part that crashes servers, no two alike.
-CRASHING_PER_S = 1.0
+# Requests a second of the route, and of these with the part that crashes servers.
+ROUTE_PER_S = 13.8
+CRASHING_PER_S = 0.05 * ROUTE_PER_S
 DOWN_S = 4.0
 FIRST_PART = "5c1e07a2"
 CRASHING_PART = "91bd3f06"
 # Long sessions, and the parts of each; CASE_PARTS is for a comparison by hand.
-SESSIONS = 8
+SESSIONS = 100
 PARTS = int(os.environ.get("CASE_PARTS", "600"))
 TOKENS_PER_PART = 11
 STABLE_S = BOUNDS["stable_ms"] / 1e3
@@ -90,7 +91,9 @@
     until_s = time.monotonic() + TRAFFIC_S
     tasks = [
         asyncio.create_task(clients.each(19.4, until_s, send_summary)),
-        asyncio.create_task(clients.each(3.0, until_s, send_survey)),
+        asyncio.create_task(
+            clients.each(ROUTE_PER_S - CRASHING_PER_S, until_s, send_survey)
+        ),
     ]
     await asyncio.sleep(FIRST_S)
     if has_trouble():
